--- /dev/null
+++ b/Makefile
@@ -0,0 +1,19 @@
+.PHONY: demo test measure compare chaos slopes binary lint
+
+PYTHON := .venv/bin/python
+
+demo: .venv/.ready
+	@$(PYTHON) -m loadtool demo
+
+test: .venv/.ready
+	@$(PYTHON) -m pytest -n 6
+
+lint: .venv/.ready
+	@$(PYTHON) -m black --check -q rhubarbbend standins loadtool tests
+	@$(PYTHON) -m ruff check -q rhubarbbend standins loadtool tests
+	@$(PYTHON) -m mypy
+
+.venv/.ready: requirements-dev.txt
+	@python3 -m venv .venv
+	@$(PYTHON) -m pip install -q --disable-pip-version-check -r requirements-dev.txt
+	@touch $@
--- /dev/null
+++ b/loadtool/_caller.py
@@ -0,0 +1,264 @@
+"""Callers that check every byte of every answer."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+
+import attrs
+import msgspec
+
+from rhubarbbend.http import Connection, HttpFailure, Response
+from standins._engine import Message, make_words
+
+Address = tuple[str, int]
+CONNECT_TIMEOUT = 2.0
+
+
+@attrs.define(slots=True)
+class Answer:
+    """What a caller got. `whole` and `right` are judged by the caller alone; times in seconds."""
+
+    status: int = 0
+    whole: bool = False
+    right: bool = False
+    code: str = ""
+    verdict: str = ""
+    attempt: str = ""
+    retry_after: float = 0.0
+    ticket: str = ""
+    body: bytes = b""
+    replayed: bool = False
+    prompt_tokens: int = 0
+    cached_tokens: int = 0
+    first_byte: float = 0.0
+    total: float = 0.0
+    gaps: list[float] = attrs.Factory(list)
+    failure: str = ""
+
+    @property
+    def good(self) -> bool:
+        """Whether it is a whole, right answer with status 200."""
+        return self.status == 200 and self.whole and self.right
+
+    @property
+    def wrong(self) -> bool:
+        """Whether it claims to be whole and is not the answer to its request."""
+        return self.status == 200 and self.whole and not self.right
+
+
+@attrs.define(slots=True)
+class Chat:
+    """A chat's state at its caller: its history grows with each answer."""
+
+    id: str
+    model: str
+    messages: list[Message] = attrs.Factory(list)
+    ticket: str = ""
+    turns: int = 0
+
+    def ask(self, text: str) -> None:
+        """Add the user's next message."""
+        self.messages.append(Message("user", text))
+
+    def take_answer(self, text: str, ticket: str) -> None:
+        """Add the assistant's answer."""
+        self.messages.append(Message("assistant", text))
+        self.ticket = ticket or self.ticket
+        self.turns += 1
+
+
+class Caller:
+    """Sends requests of one client account to instances, in turn unless one is named."""
+
+    def __init__(self, addresses: Callable[[], list[Address]], key: str) -> None:
+        self._addresses = addresses
+        self._key = key
+        self._next = 0
+
+    def pick(self) -> Address:
+        """Pick the next instance, as a balancer would."""
+        addresses = self._addresses()
+        self._next += 1
+        return addresses[self._next % len(addresses)]
+
+    async def ask_chat(
+        self,
+        chat: Chat,
+        max_tokens: int,
+        stream: bool = True,
+        address: Address | None = None,
+        deadline: float = 30.0,
+    ) -> Answer:
+        """Send a chat's history and check the answer word for word."""
+        body = {
+            "model": chat.model,
+            "messages": chat.messages,
+            "stream": stream,
+            "max_tokens": max_tokens,
+        }
+        headers = [
+            ("Rhubarbbend-Chat", chat.id),
+            ("Rhubarbbend-Deadline", str(deadline)),
+            ("Content-Type", "application/json"),
+        ]
+        if chat.ticket:
+            headers.append(("Rhubarbbend-Ticket", chat.ticket))
+        answer = await self.send(
+            "POST",
+            "/v1/chat/completions",
+            headers,
+            msgspec.json.encode(body),
+            address,
+            deadline + 5.0,
+        )
+        if answer.status == 200 and answer.whole:
+            expected = "".join(make_words(chat.messages, max_tokens))
+            text = _read_stream(answer) if stream else _read_whole(answer)
+            answer.right = text == expected
+            if answer.right:
+                chat.take_answer(expected, answer.ticket)
+        return answer
+
+    async def send_command(
+        self,
+        path: str,
+        key: str,
+        body: bytes,
+        address: Address | None = None,
+        deadline: float = 10.0,
+    ) -> Answer:
+        """Send a command under an idempotency key and check that its answer is its own."""
+        headers = [("Idempotency-Key", key), ("Rhubarbbend-Deadline", str(deadline))]
+        answer = await self.send("POST", path, headers, body, address, deadline + 5.0)
+        if answer.status == 200 and answer.whole:
+            answer.right = _read_field(answer.body, "key") == key
+        return answer
+
+    async def look_up(
+        self, path: str, address: Address | None = None, deadline: float = 10.0
+    ) -> Answer:
+        """Send a lookup and check that its answer is about its own path."""
+        headers = [("Rhubarbbend-Deadline", str(deadline))]
+        answer = await self.send("GET", path, headers, b"", address, deadline + 5.0)
+        if answer.status == 200 and answer.whole:
+            own = "/" + path.split("/", 2)[2]
+            answer.right = _read_field(answer.body, "path") == own
+        return answer
+
+    async def reserve_keys(self, count: int, address: Address | None = None) -> list[str]:
+        """Get reserved keys."""
+        headers = [("Rhubarbbend-Count", str(count))]
+        answer = await self.send("POST", "/v1/reserved-keys", headers, b"", address, 5.0)
+        if answer.status != 200:
+            raise RuntimeError(f"no reserved keys: {answer.status} {answer.code}")
+        return list(msgspec.json.decode(answer.body)["keys"])
+
+    async def send(
+        self,
+        method: str,
+        path: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+        address: Address | None,
+        timeout: float,
+    ) -> Answer:
+        """Send one request on a new connection and read its answer."""
+        answer = Answer()
+        started = time.perf_counter()
+        connection: Connection | None = None
+        try:
+            async with asyncio.timeout(timeout):
+                connection = await Connection.open(address or self.pick(), CONNECT_TIMEOUT)
+                full = [("Authorization", f"Bearer {self._key}"), *headers]
+                await connection.send(method, path, full, body)
+                response = await connection.receive_head(timeout)
+                _read_head(answer, response)
+                await _read_body(answer, connection, timeout, started)
+        except HttpFailure as failure:
+            answer.failure = str(failure)
+        except TimeoutError:
+            answer.failure = "timeout"
+        finally:
+            if connection is not None:
+                connection.close()
+        answer.total = time.perf_counter() - started
+        if answer.status != 200 and answer.whole:
+            _read_error(answer)
+        return answer
+
+
+def _read_head(answer: Answer, response: Response) -> None:
+    headers = response.headers
+    answer.status = response.status
+    answer.ticket = headers.get("rhubarbbend-ticket", "")
+    answer.verdict = headers.get("rhubarbbend-verdict", "")
+    answer.attempt = headers.get("rhubarbbend-attempt", "")
+    answer.replayed = headers.get("rhubarbbend-replayed", "") == "true"
+    answer.retry_after = float(headers.get("retry-after", "0"))
+
+
+async def _read_body(
+    answer: Answer, connection: Connection, timeout: float, started: float
+) -> None:
+    parts: list[bytes] = []
+    last = 0.0
+    async for part in connection.receive_body(timeout):
+        now = time.perf_counter()
+        if not parts:
+            answer.first_byte = now - started
+        else:
+            answer.gaps.append(now - last)
+        last = now
+        parts.append(part)
+    answer.body = b"".join(parts)
+    answer.whole = True
+
+
+def _read_stream(answer: Answer) -> str:
+    """Join the words of a stream; it is only whole if it ends with its end mark."""
+    words: list[str] = []
+    ended = False
+    for line in answer.body.decode().split("\n\n"):
+        data = line.removeprefix("data: ")
+        if not data:
+            continue
+        if data == "[DONE]":
+            ended = True
+            continue
+        chunk = msgspec.json.decode(data)
+        words.append(chunk["choices"][0]["delta"].get("content", ""))
+        if chunk.get("usage"):
+            _read_usage(answer, chunk["usage"])
+    answer.whole = ended
+    return "".join(words)
+
+
+def _read_whole(answer: Answer) -> str:
+    body = msgspec.json.decode(answer.body)
+    _read_usage(answer, body["usage"])
+    return str(body["choices"][0]["message"]["content"])
+
+
+def _read_usage(answer: Answer, usage: dict[str, object]) -> None:
+    answer.prompt_tokens = int(str(usage["prompt_tokens"]))
+    details = usage["prompt_tokens_details"]
+    assert isinstance(details, dict)
+    answer.cached_tokens = int(details["cached_tokens"])
+
+
+def _read_field(body: bytes, name: str) -> object:
+    try:
+        found: object = msgspec.json.decode(body).get(name)
+    except (msgspec.MsgspecError, AttributeError):
+        return None
+    return found
+
+
+def _read_error(answer: Answer) -> None:
+    try:
+        error = msgspec.json.decode(answer.body)["error"]
+        answer.code = error["code"]
+    except (msgspec.MsgspecError, KeyError, TypeError):
+        answer.code = "(unreadable)"
--- /dev/null
+++ b/rhubarbbend/codes.py
@@ -0,0 +1,183 @@
+"""The one registry of verdicts, error codes and counters.
+
+Every refusal that a caller can see, every retry reason and every counter is declared here and
+nowhere else, so that docs/OPERATING.md and docs/INTERFACES.md can be checked against it.
+"""
+
+from __future__ import annotations
+
+import enum
+from typing import Final
+
+import attrs
+
+
+class Verdict(enum.Enum):
+    """Whether the work named by a request's idempotency key has run.
+
+    NOT_RUN is only said when no attempt so far under the key has started or ever will. RAN comes
+    with the whole answer. Anything in doubt is MAY_HAVE_RUN.
+    """
+
+    NOT_RUN = "not_run"
+    RAN = "ran"
+    MAY_HAVE_RUN = "may_have_run"
+
+
+@attrs.define(slots=True, frozen=True)
+class ErrorCode:
+    """A refusal or failure as the caller sees it; `retry_after` in seconds, 0 for never."""
+
+    name: str
+    status: int
+    message: str
+    retry_after: float = 0.0
+
+
+_ERRORS: dict[str, ErrorCode] = {}
+_COUNTERS: dict[str, str] = {}
+
+
+def _declare_error(name: str, status: int, message: str, retry_after: float = 0.0) -> ErrorCode:
+    code = ErrorCode(name, status, message, retry_after)
+    _ERRORS[name] = code
+    _declare_counter(f"refused.{name}", f"requests answered with {name}: {message}")
+    return code
+
+
+def _declare_counter(name: str, meaning: str) -> str:
+    _COUNTERS[name] = meaning
+    return name
+
+
+def list_errors() -> list[ErrorCode]:
+    """List every declared error code."""
+    return list(_ERRORS.values())
+
+
+def list_counters() -> dict[str, str]:
+    """Map every declared counter to its meaning."""
+    return dict(_COUNTERS)
+
+
+def find_error(name: str) -> ErrorCode:
+    """Find a declared error code by name; an unknown one becomes INTERNAL."""
+    return _ERRORS.get(name, INTERNAL)
+
+
+# Refusals before anything ran.
+BAD_REQUEST: Final = _declare_error("bad_request", 400, "the request cannot be understood")
+KEY_REQUIRED: Final = _declare_error(
+    "idempotency_key_required", 400, "this operation is not idempotent; send an Idempotency-Key"
+)
+KEY_INVALID: Final = _declare_error(
+    "idempotency_key_invalid", 400, "the Idempotency-Key is malformed, forged or too long"
+)
+UNAUTHORIZED: Final = _declare_error("unauthorized", 401, "no client account has this bearer key")
+UNKNOWN_SERVICE: Final = _declare_error("unknown_service", 404, "no such service")
+UNKNOWN_MODEL: Final = _declare_error("unknown_model", 404, "no such model")
+UNKNOWN_PATH: Final = _declare_error("unknown_path", 404, "no such path")
+KEY_REUSED: Final = _declare_error(
+    "idempotency_key_reused", 422, "the Idempotency-Key was used with another body or operation"
+)
+SUSPECT: Final = _declare_error(
+    "request_crashes_targets", 422, "this request crashed the targets that ran it", 600.0
+)
+ACCOUNT_LIMIT: Final = _declare_error(
+    "account_limit", 429, "the client account is at its limit", 1.0
+)
+OVERLOADED: Final = _declare_error("overloaded", 503, "every fitting target is at its limit", 1.0)
+QUEUE_FULL: Final = _declare_error("queue_full", 503, "the queue for a slot is full", 1.0)
+WAIT_TOO_LONG: Final = _declare_error(
+    "wait_too_long", 503, "no slot can be had before the deadline", 1.0
+)
+NO_TARGET: Final = _declare_error("no_target", 503, "no target of the service is ready", 1.0)
+NOT_READY: Final = _declare_error("not_ready", 503, "this instance has no configuration yet", 1.0)
+STOPPING: Final = _declare_error("stopping", 503, "this instance is stopping", 0.2)
+PLATFORM_DOWN: Final = _declare_error(
+    "platform_down", 503, "the table service is down; use a reserved key", 2.0
+)
+RETRY_BUDGET: Final = _declare_error(
+    "retry_budget_spent", 503, "the attempt failed and the retry budget is spent", 1.0
+)
+DEADLINE: Final = _declare_error("deadline_exceeded", 504, "the deadline passed", 0.0)
+
+# Failures after an attempt may have run.
+TARGET_FAILED: Final = _declare_error(
+    "target_failed", 502, "the target failed before the answer was whole", 1.0
+)
+OUTCOME_UNKNOWN: Final = _declare_error(
+    "outcome_unknown", 504, "whether the command ran is not known", 2.0
+)
+IN_PROGRESS: Final = _declare_error(
+    "in_progress", 409, "a request with this Idempotency-Key is still running", 1.0
+)
+HOLDER_SILENT: Final = _declare_error(
+    "claim_holder_silent", 504, "the instance that holds this key does not answer", 2.0
+)
+ISSUER_GONE: Final = _declare_error(
+    "reserved_key_issuer_gone", 504, "the instance that issued this reserved key is gone"
+)
+OUTCOME_NOT_KEPT: Final = _declare_error(
+    "outcome_not_kept", 410, "the command ran; its answer was too large to keep"
+)
+INTERNAL: Final = _declare_error("internal", 500, "an internal error", 1.0)
+
+# What the instance does, counted.
+REQUESTS: Final = _declare_counter("requests", "requests received from callers")
+ANSWERS: Final = _declare_counter("answers", "whole answers given to callers")
+ANSWERS_CUT: Final = _declare_counter(
+    "answers_cut", "answers ended so that the caller sees they are not whole"
+)
+CALLER_GONE: Final = _declare_counter("caller_gone", "callers that left before their answer")
+REPLAYS: Final = _declare_counter("replays", "kept outcomes given for a repeated key")
+
+RETRY_CONNECT: Final = _declare_counter("retry.connect", "attempts moved: connect failed")
+RETRY_SILENT: Final = _declare_counter(
+    "retry.silent", "attempts repeated on a new connection: the old one was silent or closed"
+)
+RETRY_CRASH: Final = _declare_counter("retry.crash", "attempts moved: the target crashed")
+RETRY_FAILED: Final = _declare_counter("retry.failed", "attempts moved: the target failed")
+RETRY_FULL: Final = _declare_counter("retry.full", "slot asked elsewhere: target at its limit")
+RETRY_OWNER: Final = _declare_counter("retry.owner", "slot asked again: its owner was silent")
+RETRY_REDIRECT: Final = _declare_counter("retry.redirect", "slot asked again: owner redirected")
+RETRY_NOT_READY: Final = _declare_counter("retry.not_ready", "slot asked elsewhere: not ready")
+RETRY_CLAIM: Final = _declare_counter("retry.claim", "claim writes repeated: answer lost")
+RESUMES: Final = _declare_counter("resumes", "cut streams resumed at their offset")
+WRONG_ID: Final = _declare_counter("wrong_id", "answers dropped: they carried another request's id")
+
+ROUTED_TICKET: Final = _declare_counter("routed.ticket", "requests sent where their ticket says")
+ROUTED_HOME: Final = _declare_counter("routed.home", "requests sent to their home target")
+ROUTED_MOVED: Final = _declare_counter("routed.moved", "requests sent past their first choice")
+TICKETS_BAD: Final = _declare_counter("tickets_bad", "tickets that were forged or unreadable")
+TICKETS_STALE: Final = _declare_counter(
+    "tickets_stale", "tickets whose target has gone or rebooted"
+)
+
+SLOTS_GRANTED: Final = _declare_counter("slots.granted", "slots granted as owner")
+SLOTS_QUEUED: Final = _declare_counter("slots.queued", "slot requests that had to wait")
+SLOTS_REFUSED: Final = _declare_counter("slots.refused", "slot requests refused as owner")
+SLOTS_EXPIRED: Final = _declare_counter("slots.expired", "slots freed: their holder went silent")
+SLOTS_LATE: Final = _declare_counter("slots.late", "grants that came after the request moved on")
+SLOTS_REGISTERED: Final = _declare_counter("slots.registered", "running slots learned from holders")
+COLD_STARTS: Final = _declare_counter("cold_starts", "targets seen to start cold or turn cold")
+TAKEOVERS: Final = _declare_counter("takeovers", "targets taken over as owner")
+HANDOVERS: Final = _declare_counter("handovers", "targets handed over at a planned stop")
+
+CLAIMS_WON: Final = _declare_counter("claims.won", "claims written and seen")
+CLAIMS_LOST: Final = _declare_counter("claims.lost", "claims found taken by another attempt")
+CLAIMS_TAKEN_OVER: Final = _declare_counter("claims.taken_over", "claims of refused attempts taken")
+CLAIM_QUERIES: Final = _declare_counter("claims.queries", "claim holders asked for an outcome")
+RESERVED_ISSUED: Final = _declare_counter("reserved.issued", "reserved keys issued")
+RESERVED_RUNS: Final = _declare_counter("reserved.runs", "commands dispatched under reserved keys")
+SUSPECTS: Final = _declare_counter("suspects", "crashes counted against a request digest")
+
+PEERS_LOST: Final = _declare_counter("peers.lost", "peers declared silent")
+PEER_FRAMES_BAD: Final = _declare_counter("peers.bad_frames", "peer frames that did not decode")
+PEER_DROPPED: Final = _declare_counter("peers.dropped", "peer messages dropped: link down")
+REPORTS_FAILED: Final = _declare_counter("reports.failed", "load reports that could not be read")
+PAUSES: Final = _declare_counter("pauses", "pauses of this process noticed on waking")
+PLATFORM_ERRORS: Final = _declare_counter("platform.errors", "platform calls that failed")
+CONFIG_APPLIED: Final = _declare_counter("config.applied", "configuration changes applied")
+CONFIG_FROM_PEER: Final = _declare_counter("config.from_peer", "changes learned from a peer")
+CONFIG_STALE: Final = _declare_counter("config.stale", "older configuration versions ignored")
--- /dev/null
+++ b/rhubarbbend/core/_core.py
@@ -0,0 +1,84 @@
+"""The core of an instance: gives each event to the duties that handle it, collects the actions.
+
+It does no I/O and reads no clock. The same construction arguments and the same events with the
+same times give the same actions, which is what record and replay rests on.
+"""
+
+from __future__ import annotations
+
+from rhubarbbend.core import actions, events
+from rhubarbbend.core._claims import ClaimDuty
+from rhubarbbend.core._context import Context, CoreOptions, Duty, EventHandler, Identity
+from rhubarbbend.core._entry import EntryDuty
+from rhubarbbend.core._follower import FollowerDuty
+from rhubarbbend.core._members import MemberDuty
+from rhubarbbend.core._owner import OwnerDuty
+from rhubarbbend.core._stop import StopDuty
+from rhubarbbend.core._suspects import SuspectDuty
+from rhubarbbend.core.messages import Message
+
+
+class Core:
+    """Every decision of one instance. Invariant: `handle` returns all actions of its event."""
+
+    def __init__(self, identity: Identity, options: CoreOptions, seed: int) -> None:
+        self.context = Context(identity, options, seed)
+        self.suspects = SuspectDuty(self.context)
+        self.claims = ClaimDuty(self.context)
+        self.owner = OwnerDuty(self.context)
+        self.entry = EntryDuty(self.context, self.claims, self.suspects)
+        self.members = MemberDuty(self.context, self.owner, self.entry, self.suspects)
+        self.follower = FollowerDuty(self.context)
+        self.stop = StopDuty(self.context, self.entry, self.owner, self.claims, self.members)
+        self._events: dict[type[events.Event], list[EventHandler]] = {}
+        self._messages: dict[type[Message], EventHandler] = {}
+        # Members learn first what happened, so that the others decide on the newest views.
+        self._register(self.members)
+        self._register(self.follower)
+        self._register(self.suspects)
+        self._register(self.owner)
+        self._register(self.claims)
+        self._register(self.entry)
+        self._register(self.stop)
+
+    def handle(self, event: events.Event, now: float) -> list[actions.Action]:
+        """Take an event at a time and give the actions to carry out, in order."""
+        context = self.context
+        context.out = []
+        self._run_timers(now)
+        if isinstance(event, events.PeerSaid):
+            self._handle_message(event.sender, event.message, now)
+        else:
+            for handler in self._events.get(type(event), ()):
+                handler(event, now)
+        self._drain_local(now)
+        return context.out
+
+    def next_timer(self) -> float | None:
+        """Give the time at which `TimerDue` has to be handled if nothing else happens."""
+        return self.context.next_timer()
+
+    def _run_timers(self, now: float) -> None:
+        callback = self.context.take_due(now)
+        while callback is not None:
+            callback(now)
+            self._drain_local(now)
+            callback = self.context.take_due(now)
+
+    def _drain_local(self, now: float) -> None:
+        own = self.context.identity.instance
+        while self.context.local:
+            self._handle_message(own, self.context.local.popleft(), now)
+
+    def _handle_message(self, sender: str, message: Message, now: float) -> None:
+        handler = self._messages.get(type(message))
+        if handler is not None:
+            handler(sender, message, now)
+
+    def _register(self, duty: Duty) -> None:
+        for event_type, handler in duty.list_events().items():
+            self._events.setdefault(event_type, []).append(handler)
+        for message_type, handler in duty.list_messages().items():
+            if message_type in self._messages:
+                raise ValueError(f"{message_type.__name__} has two handlers")
+            self._messages[message_type] = handler
--- /dev/null
+++ b/rhubarbbend/core/_members.py
@@ -0,0 +1,368 @@
+"""The member duty: who else is there, told by the platform's list and by heartbeats.
+
+The list lags and can be away for hours; heartbeats reach the own zone only. Within a zone the
+heartbeat decides who is live, across zones the list does, corrected by messages that fail.
+"""
+
+from __future__ import annotations
+
+from typing import Final, Protocol
+
+from rhubarbbend import codes
+from rhubarbbend.core import actions, events
+from rhubarbbend.core._context import Context, EventHandler
+from rhubarbbend.core._fleet import (
+    KIND_INSTANCE,
+    KIND_TARGET,
+    STATE_LEAVING,
+    InstanceView,
+    TargetView,
+)
+from rhubarbbend.core._owner import OwnerDuty
+from rhubarbbend.core._suspects import SuspectDuty
+from rhubarbbend.core.messages import (
+    ConfigQuery,
+    Heartbeat,
+    Member,
+    MembersQuery,
+    MembersReply,
+    Message,
+    ServiceSum,
+    TargetLoad,
+    ZoneQuery,
+    ZoneReply,
+)
+
+SILENT_HOLD: Final = 3.0
+
+
+class OwnerListener(Protocol):
+    """Told when targets may have a new owner."""
+
+    def register_slots(self, now: float) -> None:
+        """Tell the present owners which slots are held."""
+        ...
+
+
+class MemberDuty:
+    """Keeps the fleet's views. Invariant: this instance is always in its own view."""
+
+    def __init__(
+        self, context: Context, owner: OwnerDuty, entry: OwnerListener, suspects: SuspectDuty
+    ) -> None:
+        self._context = context
+        self._owner = owner
+        self._entry = entry
+        self._suspects = suspects
+        self._list_read = False
+        self._unlisted_since: dict[str, float] = {}
+
+    def list_events(self) -> dict[type[events.Event], EventHandler]:
+        """Handle the start, the platform's list, peers that fail and pauses."""
+        return {
+            events.Started: self._start,
+            events.ListRead: self._handle_list,
+            events.PeerLost: self._handle_lost,
+            events.ProcessPaused: self._handle_pause,
+        }
+
+    def list_messages(self) -> dict[type[Message], EventHandler]:
+        """Handle heartbeats, zone sums and questions about members."""
+        return {
+            Heartbeat: self._handle_heartbeat,
+            ZoneQuery: self._handle_zone_query,
+            ZoneReply: self._handle_zone_reply,
+            MembersQuery: self._handle_members_query,
+            MembersReply: self._handle_members_reply,
+        }
+
+    def add_seed(self, seed: Member, now: float) -> None:
+        """Add an instance named in the settings, for a start while the platform is away."""
+        self._learn_instance(seed, now)
+
+    def announce(self, now: float) -> None:
+        """Send a heartbeat to every other instance of the zone."""
+        context = self._context
+        identity = context.identity
+        beat = Heartbeat(
+            instance=identity.instance,
+            zone=identity.zone,
+            incarnation=identity.incarnation,
+            leaving=context.stopping,
+            config_version=context.configuration.version,
+            loads=self._owner.list_loads(),
+            host=identity.host,
+            peer_port=identity.peer_port,
+        )
+        for view in context.fleet.instances.values():
+            if view.id != identity.instance and view.zone == identity.zone:
+                context.send(view.id, beat)
+
+    def refresh(self, now: float) -> None:
+        """Recompute who is live and act on changes of ownership."""
+        if self._context.fleet.refresh_live(now):
+            self._owner.refresh_ownership(now)
+            self._entry.register_slots(now)
+
+    def _start(self, event: events.Started, now: float) -> None:
+        context = self._context
+        identity = context.identity
+        context.wall_offset = event.wall - now
+        context.fleet.instances[identity.instance] = InstanceView(
+            identity.instance,
+            identity.zone,
+            identity.host,
+            identity.peer_port,
+            incarnation=identity.incarnation,
+            listed=True,
+            first_seen=now,
+        )
+        context.repeat(context.options.list_interval, self._ask_list, now)
+        context.repeat(context.options.heartbeat_interval, self._beat, now)
+        context.repeat(context.options.zone_interval, self._ask_zones, now)
+
+    def _ask_list(self, now: float) -> None:
+        self._context.emit(actions.ReadList())
+
+    def _beat(self, now: float) -> None:
+        self._note_silent(now)
+        self.refresh(now)
+        self._owner.refresh_ownership(now)
+        self.announce(now)
+
+    def _note_silent(self, now: float) -> None:
+        silence = self._context.options.peer_silence
+        for view in self._context.fleet.instances.values():
+            if view.id == self._context.identity.instance or view.last_heard < 0:
+                continue
+            if now - view.last_heard > silence and view.zone == self._context.identity.zone:
+                view.last_heard = -1.0
+                view.first_seen = now - silence - 1.0
+                self._context.count(codes.PEERS_LOST)
+                self._context.log("peer_silent", peer=view.id)
+
+    def _ask_zones(self, now: float) -> None:
+        """Ask one instance of each other zone for its sums and its configuration version."""
+        context = self._context
+        for zone in context.fleet.list_zones():
+            live = context.fleet.list_live(zone)
+            if zone != context.identity.zone and live:
+                query = ZoneQuery(
+                    instance=context.identity.instance,
+                    config_version=context.configuration.version,
+                )
+                context.send(context.random.choice(live), query)
+
+    def _handle_list(self, event: events.ListRead, now: float) -> None:
+        """Take over the platform's list.
+
+        Entries that are gone are kept for a while: a list read from a lagging copy may lack an
+        instance that another copy still has, and forgetting it at once would move its targets.
+        """
+        seen: set[str] = set()
+        for entry in event.entries:
+            seen.add(entry.id)
+            self._learn(entry, now)
+        fleet = self._context.fleet
+        for known in [*fleet.instances, *fleet.targets]:
+            if known in seen:
+                self._unlisted_since.pop(known, None)
+            else:
+                self._note_unlisted(known, now)
+        if not self._list_read:
+            self._list_read = True
+            self._context.log("list_read", entries=str(len(event.entries)))
+        self.refresh(now)
+        self._owner.refresh_ownership(now)
+
+    def _note_unlisted(self, known: str, now: float) -> None:
+        since = self._unlisted_since.setdefault(known, now)
+        if now - since < self._context.options.list_grace:
+            return
+        fleet = self._context.fleet
+        if known in fleet.targets:
+            fleet.remove_target(known)
+            self._unlisted_since.pop(known, None)
+            self._context.log("target_gone", target=known)
+        view = fleet.instances.get(known)
+        if view is None or known == self._context.identity.instance:
+            return
+        view.listed = False
+        if now - view.last_heard > self._context.options.peer_silence:
+            del fleet.instances[known]
+            self._unlisted_since.pop(known, None)
+            self._context.log("peer_gone", peer=known)
+
+    def _learn(self, entry: events.Listed, now: float) -> None:
+        if entry.kind == KIND_TARGET:
+            self._learn_target(entry)
+        elif entry.kind == KIND_INSTANCE:
+            member = Member(
+                id=entry.id,
+                kind=entry.kind,
+                zone=entry.zone,
+                host=entry.host,
+                peer_port=entry.peer_port,
+                state=entry.state,
+            )
+            self._learn_instance(member, now)
+
+    def _learn_target(self, entry: events.Listed) -> None:
+        fleet = self._context.fleet
+        view = fleet.targets.get(entry.id)
+        if view is not None and view.service_name != entry.service_name:
+            fleet.remove_target(entry.id)
+            view = None
+        if view is None:
+            view = TargetView(entry.id, entry.service_name, entry.zone, entry.host, entry.port)
+            fleet.add_target(view)
+        view.host = entry.host
+        view.port = entry.port
+        view.leaving = entry.state == STATE_LEAVING
+
+    def _learn_instance(self, member: Member, now: float) -> None:
+        fleet = self._context.fleet
+        if member.id == self._context.identity.instance:
+            return
+        view = fleet.instances.get(member.id)
+        if view is None:
+            view = InstanceView(member.id, member.zone, member.host, member.peer_port)
+            view.first_seen = now
+            fleet.instances[member.id] = view
+        view.host = member.host
+        view.peer_port = member.peer_port
+        view.listed = True
+        view.leaving = view.leaving or member.state == STATE_LEAVING
+
+    def _handle_heartbeat(self, sender: str, message: Heartbeat, now: float) -> None:
+        fleet = self._context.fleet
+        view = fleet.instances.get(message.instance)
+        if view is None:
+            view = InstanceView(message.instance, message.zone, message.host, message.peer_port)
+            view.first_seen = now
+            fleet.instances[message.instance] = view
+            self._context.log("peer_met", peer=message.instance)
+        view.last_heard = now
+        view.silent_until = 0.0
+        view.incarnation = message.incarnation
+        view.leaving = message.leaving
+        view.config_version = message.config_version
+        for load in message.loads:
+            self._take_load(load, now)
+        self.refresh(now)
+        self._follow_version(message.instance, message.config_version)
+
+    def _take_load(self, load: TargetLoad, now: float) -> None:
+        view = self._context.fleet.targets.get(load.target)
+        if view is None or load.target in self._owner.list_owned():
+            return
+        view.boot_id = load.boot_id
+        view.load = load.load
+        view.limit = load.limit
+        view.ready = load.ready
+        view.cold = load.cold
+        view.models = load.models
+        view.updated = now
+
+    def _follow_version(self, peer: str, version: int) -> None:
+        context = self._context
+        if version > context.configuration.version:
+            query = ConfigQuery(
+                instance=context.identity.instance, after=context.configuration.version
+            )
+            context.send(peer, query)
+
+    def _handle_zone_query(self, sender: str, message: ZoneQuery, now: float) -> None:
+        context = self._context
+        sums = [
+            ServiceSum(service_name=name, load=load, targets=count)
+            for name, (load, count) in context.fleet.compute_sums().items()
+        ]
+        reply = ZoneReply(
+            instance=context.identity.instance,
+            zone=context.identity.zone,
+            config_version=context.configuration.version,
+            sums=sums,
+            crashes=self._suspects.list_crashes(now),
+        )
+        context.send(sender, reply)
+        self._follow_version(sender, message.config_version)
+
+    def _handle_zone_reply(self, sender: str, message: ZoneReply, now: float) -> None:
+        self._context.fleet.zone_sums[message.zone] = {
+            entry.service_name: (entry.load, entry.targets) for entry in message.sums
+        }
+        view = self._context.fleet.instances.get(sender)
+        if view is not None:
+            view.config_version = message.config_version
+            view.silent_until = 0.0
+        self._suspects.merge(message.crashes, now)
+        self._follow_version(sender, message.config_version)
+
+    def _handle_lost(self, event: events.PeerLost, now: float) -> None:
+        """Pass over an instance that cannot be reached, for a few seconds.
+
+        Its zone's instances decide by heartbeat whether it is gone; from another zone only a
+        failed message tells, and it may be the path that failed.
+        """
+        view = self._context.fleet.instances.get(event.peer)
+        if view is not None and view.zone != self._context.identity.zone:
+            view.silent_until = now + SILENT_HOLD
+            self.refresh(now)
+
+    def _handle_pause(self, event: events.ProcessPaused, now: float) -> None:
+        """Do not take peers for silent because this process did not listen."""
+        for view in self._context.fleet.instances.values():
+            if view.last_heard >= 0:
+                view.last_heard = now
+
+    def _handle_members_query(self, sender: str, message: MembersQuery, now: float) -> None:
+        self._context.send(sender, MembersReply(members=self._list_members()))
+
+    def _list_members(self) -> list[Member]:
+        fleet = self._context.fleet
+        members = [
+            Member(
+                id=view.id,
+                kind=KIND_INSTANCE,
+                zone=view.zone,
+                host=view.host,
+                peer_port=view.peer_port,
+                state=STATE_LEAVING if view.leaving else "live",
+            )
+            for view in fleet.instances.values()
+        ]
+        members.extend(
+            Member(
+                id=target.id,
+                kind=KIND_TARGET,
+                zone=target.zone,
+                host=target.host,
+                port=target.port,
+                service_name=target.service_name,
+                state=STATE_LEAVING if target.leaving else "live",
+            )
+            for target in fleet.targets.values()
+        )
+        return members
+
+    def _handle_members_reply(self, sender: str, message: MembersReply, now: float) -> None:
+        """Take over a peer's view; only used while this instance has read no list itself."""
+        if self._list_read:
+            return
+        for member in message.members:
+            if member.kind == KIND_TARGET:
+                entry = events.Listed(
+                    member.id,
+                    member.kind,
+                    member.zone,
+                    member.host,
+                    member.port,
+                    service_name=member.service_name,
+                    state=member.state,
+                )
+                self._learn_target(entry)
+            else:
+                self._learn_instance(member, now)
+        self.refresh(now)
+        self._owner.refresh_ownership(now)
--- /dev/null
+++ b/rhubarbbend/core/_suspects.py
@@ -0,0 +1,104 @@
+"""Requests that were running when their target crashed.
+
+A crash makes every request that ran on the target a suspect with a count of one. A suspect's next
+attempt gets a slot only where no other suspect runs, so the second crash has a single suspect
+beside requests that have no count yet: the request that crashes targets reaches the limit and the
+ones that were beside it do not.
+"""
+
+from __future__ import annotations
+
+import attrs
+
+from rhubarbbend import codes
+from rhubarbbend.core import events
+from rhubarbbend.core._context import Context, EventHandler
+from rhubarbbend.core.messages import CrashCount, CrashNotice, Message
+
+
+@attrs.define(slots=True)
+class Suspicion:
+    """How often a digest was running at a crash; `targets` counts each boot id once."""
+
+    boots: set[str]
+    count: int
+    at: float
+
+
+class SuspectDuty:
+    """Counts crashes by request digest. Invariant: a digest is forgotten after suspect_hold."""
+
+    def __init__(self, context: Context) -> None:
+        self._context = context
+        self._suspicions: dict[str, Suspicion] = {}
+
+    def list_events(self) -> dict[type[events.Event], EventHandler]:
+        """Handle the start."""
+        return {events.Started: self._start}
+
+    def list_messages(self) -> dict[type[Message], EventHandler]:
+        """Handle notices of other instances."""
+        return {CrashNotice: self._handle_notice}
+
+    def count_crashes(self, digest: str) -> int:
+        """Give the number of crashes counted against a digest."""
+        suspicion = self._suspicions.get(digest)
+        return 0 if suspicion is None else suspicion.count
+
+    def is_refused(self, digest: str) -> bool:
+        """Whether a digest has reached the limit."""
+        return self.count_crashes(digest) >= self._context.options.suspect_limit
+
+    def record_crash(self, digest: str, boot_id: str, now: float) -> None:
+        """Count a crash against a digest and tell every instance known."""
+        if not self._add(digest, boot_id, 0.0, now):
+            return
+        self._context.count(codes.SUSPECTS)
+        suspicion = self._suspicions[digest]
+        notice = CrashNotice(
+            crashes=[CrashCount(digest=digest, count=suspicion.count, last_target=boot_id)]
+        )
+        for peer in self._context.fleet.instances:
+            if peer != self._context.identity.instance:
+                self._context.send(peer, notice)
+
+    def clear(self, digest: str) -> None:
+        """Forget a digest that has run to its end."""
+        self._suspicions.pop(digest, None)
+
+    def list_crashes(self, now: float) -> list[CrashCount]:
+        """List what is known, for another zone that asks."""
+        return [
+            CrashCount(digest=digest, count=entry.count, age=now - entry.at, last_target=boot)
+            for digest, entry in self._suspicions.items()
+            for boot in entry.boots
+        ]
+
+    def merge(self, crashes: list[CrashCount], now: float) -> None:
+        """Take over what another instance knows."""
+        for crash in crashes:
+            self._add(crash.digest, crash.last_target, crash.age, now)
+
+    def _add(self, digest: str, boot_id: str, age: float, now: float) -> bool:
+        if age >= self._context.options.suspect_hold:
+            return False
+        suspicion = self._suspicions.get(digest)
+        if suspicion is None:
+            suspicion = self._suspicions[digest] = Suspicion(set(), 0, now - age)
+        if boot_id in suspicion.boots:
+            return False
+        suspicion.boots.add(boot_id)
+        suspicion.count = len(suspicion.boots)
+        suspicion.at = max(suspicion.at, now - age)
+        return True
+
+    def _handle_notice(self, sender: str, notice: CrashNotice, now: float) -> None:
+        self.merge(notice.crashes, now)
+
+    def _start(self, event: events.Started, now: float) -> None:
+        self._context.repeat(self._context.options.suspect_hold / 10, self._expire, now)
+
+    def _expire(self, now: float) -> None:
+        oldest = now - self._context.options.suspect_hold
+        for digest in [d for d, entry in self._suspicions.items() if entry.at <= oldest]:
+            del self._suspicions[digest]
--- /dev/null
+++ b/rhubarbbend/core/_tickets.py
@@ -0,0 +1,61 @@
+"""Chat tickets: signed hints that tell where a chat's context was left.
+
+A ticket is opaque to callers. It is only a hint: a forged, old or lost one costs cache reuse and
+nothing else, which is why a short signature is enough. The signature covers account and chat, so
+that a ticket does not lead another chat anywhere.
+"""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import hashlib
+import hmac
+from typing import Final
+
+import msgspec
+from returns.maybe import Maybe, Nothing, Some
+
+SIGNATURE_BYTES: Final = 8
+MAX_TICKET_CHARS: Final = 1_024
+
+
+class Place(msgspec.Struct, frozen=True, array_like=True):
+    """A target that holds a chat's context: boot id, Unix time of use, tokens held."""
+
+    target: str
+    boot_id: str
+    at: float
+    tokens: int
+
+
+class Ticket(msgspec.Struct, frozen=True, array_like=True):
+    """The places of a chat's context, the latest first; at most two are kept."""
+
+    places: tuple[Place, ...]
+
+
+def _sign(secret: bytes, account: str, chat: str, payload: bytes) -> bytes:
+    scope = f"{account}\0{chat}\0".encode()
+    return hmac.new(secret, scope + payload, hashlib.blake2b).digest()[:SIGNATURE_BYTES]
+
+
+def encode_ticket(secret: bytes, account: str, chat: str, ticket: Ticket) -> str:
+    """Encode and sign a ticket for one chat of one account."""
+    payload = msgspec.msgpack.encode(ticket)
+    signature = _sign(secret, account, chat, payload)
+    return base64.urlsafe_b64encode(signature + payload).decode("ascii").rstrip("=")
+
+
+def decode_ticket(secret: bytes, account: str, chat: str, text: str) -> Maybe[Ticket]:
+    """Decode a ticket; Nothing if it is malformed, forged or another chat's."""
+    if len(text) > MAX_TICKET_CHARS:
+        return Nothing
+    try:
+        raw = base64.urlsafe_b64decode(text + "=" * (-len(text) % 4))
+        payload = raw[SIGNATURE_BYTES:]
+        if not hmac.compare_digest(raw[:SIGNATURE_BYTES], _sign(secret, account, chat, payload)):
+            return Nothing
+        return Some(msgspec.msgpack.decode(payload, type=Ticket))
+    except (binascii.Error, ValueError, msgspec.MsgspecError):
+        return Nothing
--- /dev/null
+++ b/rhubarbbend/http/_client.py
@@ -0,0 +1,227 @@
+"""The HTTP/1.1 client: one connection, a pool of idle ones, and failures that tell their stage.
+
+What matters to an instance is not only that a request failed but whether the other side may have
+seen it; `SendStage` on each failure says so and the core turns it into a verdict.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+from collections import deque
+from collections.abc import AsyncIterator
+from typing import Final
+
+import attrs
+import h11
+
+READ_SIZE: Final = 65_536
+MAX_HEAD_BYTES: Final = 65_536
+DEFAULT_CONNECT_TIMEOUT: Final = 1.0
+
+Address = tuple[str, int]
+
+
+class SendStage(enum.Enum):
+    """How far a request had got when it failed."""
+
+    CONNECT = "connect"  # No byte was written: the other side cannot have seen the request.
+    SENT = "sent"  # Bytes were written and no response head came back.
+    RESPONSE = "response"  # The response began and did not end.
+
+
+class HttpFailure(Exception):
+    """A request that did not get a whole response. `stage` tells whether it may have run."""
+
+    def __init__(self, stage: SendStage, reason: str) -> None:
+        super().__init__(f"{stage.value}: {reason}")
+        self.stage = stage
+        self.reason = reason
+
+
+@attrs.define(slots=True)
+class Response:
+    """A response head; the body is read from its connection."""
+
+    status: int
+    headers: dict[str, str]
+
+
+class Connection:
+    """One client connection. Invariant: carries one request at a time."""
+
+    __slots__ = ("address", "idle_since", "_conn", "_reader", "_writer", "reused")
+
+    def __init__(
+        self, address: Address, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.address = address
+        self.idle_since = 0.0
+        self.reused = False
+        self._conn = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self._reader = reader
+        self._writer = writer
+
+    @classmethod
+    async def open(cls, address: Address, timeout: float = DEFAULT_CONNECT_TIMEOUT) -> Connection:
+        """Connect within `timeout` seconds or raise `HttpFailure` at stage CONNECT."""
+        try:
+            async with asyncio.timeout(timeout):
+                reader, writer = await asyncio.open_connection(*address)
+        except (OSError, TimeoutError) as error:
+            raise HttpFailure(SendStage.CONNECT, str(error) or "timeout") from error
+        return cls(address, reader, writer)
+
+    async def send(
+        self, method: str, target: str, headers: list[tuple[str, str]], body: bytes
+    ) -> None:
+        """Write a whole request."""
+        raw = [(k.encode("ascii"), v.encode("latin-1")) for k, v in headers]
+        raw.append((b"Host", f"{self.address[0]}:{self.address[1]}".encode("ascii")))
+        raw.append((b"Content-Length", str(len(body)).encode("ascii")))
+        events: list[h11.Event] = [h11.Request(method=method, target=target, headers=raw)]
+        if body:
+            events.append(h11.Data(data=body))
+        events.append(h11.EndOfMessage())
+        try:
+            self._writer.write(b"".join(self._conn.send(event) or b"" for event in events))
+            await self._writer.drain()
+        except (OSError, h11.LocalProtocolError) as error:
+            raise HttpFailure(SendStage.SENT, str(error)) from error
+
+    async def receive_head(self, timeout: float) -> Response:
+        """Wait at most `timeout` seconds for the response head."""
+        try:
+            async with asyncio.timeout(timeout):
+                while True:
+                    event = self._conn.next_event()
+                    if event is h11.NEED_DATA:
+                        self._conn.receive_data(await self._reader.read(READ_SIZE))
+                    elif isinstance(event, h11.Response):
+                        headers = {k.decode(): v.decode("latin-1") for k, v in event.headers}
+                        return Response(event.status_code, headers)
+                    elif not isinstance(event, h11.InformationalResponse):
+                        raise HttpFailure(SendStage.SENT, "closed before the response")
+        except TimeoutError as error:
+            raise HttpFailure(SendStage.SENT, "timeout") from error
+        except (OSError, h11.RemoteProtocolError) as error:
+            raise HttpFailure(SendStage.SENT, str(error)) from error
+
+    async def receive_body(self, progress_timeout: float) -> AsyncIterator[bytes]:
+        """Yield the body; each part must come within `progress_timeout` seconds.
+
+        The limit is on silence, not on the whole body: a connection that something in between
+        has lost track of stays open and delivers nothing for ever.
+        """
+        try:
+            while True:
+                event = self._conn.next_event()
+                if event is h11.NEED_DATA:
+                    async with asyncio.timeout(progress_timeout):
+                        data = await self._reader.read(READ_SIZE)
+                    self._conn.receive_data(data)
+                elif isinstance(event, h11.Data):
+                    yield bytes(event.data)
+                elif isinstance(event, h11.EndOfMessage):
+                    return
+                else:
+                    raise HttpFailure(SendStage.RESPONSE, "closed during the body")
+        except TimeoutError as error:
+            raise HttpFailure(SendStage.RESPONSE, "no progress") from error
+        except (OSError, h11.RemoteProtocolError) as error:
+            raise HttpFailure(SendStage.RESPONSE, str(error)) from error
+
+    def make_reusable(self) -> bool:
+        """Prepare for a next request; False if the connection must be closed."""
+        if self._conn.our_state is not h11.DONE or self._conn.their_state is not h11.DONE:
+            return False
+        if self._reader.at_eof() or self._writer.transport.is_closing():
+            return False
+        self._conn.start_next_cycle()
+        return True
+
+    @property
+    def closed(self) -> bool:
+        """Whether the other side has closed."""
+        return self._reader.at_eof() or self._writer.transport.is_closing()
+
+    def close(self) -> None:
+        """Close at once."""
+        self._writer.transport.abort()
+
+
+class ConnectionPool:
+    """Idle connections by address. Invariant: none is kept idle longer than `max_idle` seconds.
+
+    Idle connections are short-lived because a connection can go silent for good while new ones
+    work; the shorter it idles, the less likely that a request is the first to find out.
+    """
+
+    def __init__(self, max_idle: float, max_per_address: int = 64) -> None:
+        self._max_idle = max_idle
+        self._max_per_address = max_per_address
+        self._idle: dict[Address, deque[Connection]] = {}
+
+    async def take(
+        self, address: Address, now: float, fresh: bool, timeout: float = DEFAULT_CONNECT_TIMEOUT
+    ) -> Connection:
+        """Give an idle connection, or a new one if `fresh` is asked or none is idle."""
+        idle = self._idle.get(address)
+        while idle and not fresh:
+            connection = idle.pop()
+            if now - connection.idle_since <= self._max_idle and not connection.closed:
+                connection.reused = True
+                return connection
+            connection.close()
+        return await Connection.open(address, timeout)
+
+    def give_back(self, connection: Connection, now: float) -> None:
+        """Keep a connection for the next request if it can carry one."""
+        idle = self._idle.setdefault(connection.address, deque())
+        if len(idle) < self._max_per_address and connection.make_reusable():
+            connection.idle_since = now
+            idle.append(connection)
+        else:
+            connection.close()
+
+    def drop_expired(self, now: float) -> None:
+        """Close connections that have idled too long."""
+        for address in list(self._idle):
+            idle = self._idle[address]
+            while idle and (now - idle[0].idle_since > self._max_idle or idle[0].closed):
+                idle.popleft().close()
+            if not idle:
+                del self._idle[address]
+
+    def drop_address(self, address: Address) -> None:
+        """Close every idle connection to an address that has shown a fault."""
+        for connection in self._idle.pop(address, ()):
+            connection.close()
+
+
+async def fetch(
+    pool: ConnectionPool,
+    address: Address,
+    method: str,
+    target: str,
+    now: float,
+    body: bytes = b"",
+    headers: list[tuple[str, str]] | None = None,
+    timeout: float = 2.0,
+    fresh: bool = False,
+) -> tuple[Response, bytes]:
+    """Send one small request and read its whole response within `timeout` seconds."""
+    connection = await pool.take(address, now, fresh)
+    try:
+        async with asyncio.timeout(timeout):
+            await connection.send(method, target, headers or [], body)
+            response = await connection.receive_head(timeout)
+            parts = [part async for part in connection.receive_body(timeout)]
+    except TimeoutError as error:
+        connection.close()
+        raise HttpFailure(SendStage.SENT, "timeout") from error
+    except BaseException:
+        connection.close()
+        raise
+    pool.give_back(connection, now)
+    return response, b"".join(parts)
--- /dev/null
+++ b/rhubarbbend/http/_server.py
@@ -0,0 +1,298 @@
+"""The HTTP/1.1 server: reads one request at a time from a connection and hands it to a handler.
+
+It bounds what a client can cost: header and body size, the time a client may take to send them,
+and the number of connections. The handler answers through an `Exchange`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+import attrs
+import h11
+import msgspec
+
+READ_SIZE: Final = 65_536
+WRITE_HIGH_WATER: Final = 262_144
+
+Headers = list[tuple[str, str]]
+Handler = Callable[["Exchange"], Awaitable[None]]
+
+
+@attrs.define(slots=True, frozen=True)
+class ServerLimits:
+    """Bounds on what one client connection may cost; sizes in bytes, times in seconds."""
+
+    max_header_bytes: int = 32_768
+    max_body_bytes: int = 4 * 1024 * 1024
+    head_timeout: float = 10.0
+    body_timeout: float = 30.0
+    idle_timeout: float = 75.0
+    max_connections: int = 4_096
+
+
+class RequestRejected(Exception):
+    """A request that cannot be read; carries the status to answer with."""
+
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(reason)
+        self.status = status
+        self.reason = reason
+
+
+class Exchange:
+    """One request and its response. Invariant: at most one response is started."""
+
+    __slots__ = ("method", "target", "headers", "body", "closed", "_conn", "_writer", "_started")
+
+    def __init__(
+        self,
+        request: h11.Request,
+        body: bytes,
+        conn: h11.Connection,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self.method = request.method.decode("ascii")
+        self.target = request.target.decode("ascii", "replace")
+        self.headers = {k.decode("ascii"): v.decode("latin-1") for k, v in request.headers}
+        self.body = body
+        # Set once the client has gone, so that a handler can cancel the work.
+        self.closed = asyncio.Event()
+        self._conn = conn
+        self._writer = writer
+        self._started = False
+
+    @property
+    def started(self) -> bool:
+        """Whether the response head has been sent."""
+        return self._started
+
+    def start(self, status: int, headers: Headers) -> None:
+        """Send the response head; a body without Content-Length goes out chunked."""
+        self._started = True
+        raw = [(k.encode("ascii"), v.encode("latin-1", "replace")) for k, v in headers]
+        self._send(h11.Response(status_code=status, headers=raw))
+
+    def write(self, data: bytes) -> None:
+        """Send part of the body."""
+        if data:
+            self._send(h11.Data(data=data))
+
+    async def drain(self) -> None:
+        """Wait while the client reads slower than the body is written."""
+        if self._writer.transport.get_write_buffer_size() > WRITE_HIGH_WATER:
+            await self._writer.drain()
+
+    def finish(self) -> None:
+        """End the body, which tells the client that the answer is whole."""
+        self._send(h11.EndOfMessage())
+
+    def abort(self) -> None:
+        """Drop the connection without ending the body.
+
+        A client that gets no final chunk knows that the answer is not whole; ending the message
+        instead would pass a truncated answer off as complete.
+        """
+        self.closed.set()
+        self._writer.transport.abort()
+
+    def abort_after_flush(self) -> None:
+        """Close the connection without ending the body, once what was written has gone out."""
+        self.closed.set()
+        self._writer.close()
+
+    def respond(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole response at once."""
+        self.start(status, [*headers, ("Content-Length", str(len(body)))])
+        if self.method != "HEAD":
+            self.write(body)
+        self.finish()
+
+    def _send(self, event: h11.Event) -> None:
+        if self.closed.is_set() or self._writer.transport.is_closing():
+            self.closed.set()
+            return
+        data = self._conn.send(event)
+        if data:
+            self._writer.write(data)
+
+
+class HttpServer:
+    """Listens on one address. Invariant: every open connection has one task in `_tasks`."""
+
+    def __init__(self, handler: Handler, limits: ServerLimits | None = None) -> None:
+        self._handler = handler
+        self._limits = limits or ServerLimits()
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._busy: set[asyncio.Task[None]] = set()
+        self._stopping = False
+
+    async def listen(self, host: str, port: int) -> int:
+        """Start to accept connections; returns the port in use."""
+        self._server = await asyncio.start_server(self._accept, host, port, backlog=1024)
+        return int(self._server.sockets[0].getsockname()[1])
+
+    def stop_accepting(self) -> None:
+        """Close the listening socket and idle connections; requests in flight go on."""
+        self._stopping = True
+        if self._server is not None:
+            self._server.close()
+        for task in self._tasks - self._busy:
+            task.cancel()
+
+    async def close(self) -> None:
+        """Stop accepting and end every connection."""
+        self.stop_accepting()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        if len(self._tasks) >= self._limits.max_connections:
+            writer.transport.abort()
+            return
+        self._tasks.add(task)
+        try:
+            await self._serve_connection(task, reader, writer)
+        except (ConnectionError, asyncio.CancelledError, TimeoutError):
+            pass
+        finally:
+            self._tasks.discard(task)
+            self._busy.discard(task)
+            writer.close()
+
+    async def _serve_connection(
+        self, task: asyncio.Task[None], reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        conn = h11.Connection(h11.SERVER, max_incomplete_event_size=self._limits.max_header_bytes)
+        while not self._stopping:
+            try:
+                head = await self._read_head(conn, reader)
+                if head is None:
+                    return
+                self._busy.add(task)
+                async with asyncio.timeout(self._limits.body_timeout):
+                    body = await self._read_body(conn, reader, writer)
+            except RequestRejected as rejected:
+                await _reject(conn, writer, rejected)
+                return
+            except TimeoutError:
+                await _reject(conn, writer, RequestRejected(408, "request took too long to send"))
+                return
+            exchange = Exchange(head, body, conn, writer)
+            await self._run_handler(exchange, conn, reader)
+            self._busy.discard(task)
+            if not await self._prepare_next(conn, writer):
+                return
+
+    async def _read_head(
+        self, conn: h11.Connection, reader: asyncio.StreamReader
+    ) -> h11.Request | None:
+        timeout = self._limits.idle_timeout
+        while True:
+            event = _next_event(conn)
+            if isinstance(event, h11.Request):
+                return event
+            if event is h11.NEED_DATA:
+                if conn.trailing_data[0]:
+                    timeout = self._limits.head_timeout
+                try:
+                    async with asyncio.timeout(timeout):
+                        conn.receive_data(await reader.read(READ_SIZE))
+                except TimeoutError:
+                    if conn.trailing_data[0]:
+                        raise
+                    return None
+                timeout = self._limits.head_timeout
+            else:
+                return None
+
+    async def _read_body(
+        self, conn: h11.Connection, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bytes:
+        parts: list[bytes] = []
+        size = 0
+        if conn.they_are_waiting_for_100_continue:
+            head = h11.InformationalResponse(status_code=100, headers=[])
+            writer.write(conn.send(head) or b"")
+        while True:
+            event = _next_event(conn)
+            if isinstance(event, h11.Data):
+                size += len(event.data)
+                if size > self._limits.max_body_bytes:
+                    raise RequestRejected(413, "body too large")
+                parts.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                return b"".join(parts)
+            elif event is h11.NEED_DATA:
+                conn.receive_data(await reader.read(READ_SIZE))
+            else:
+                raise ConnectionResetError("client closed during the body")
+
+    async def _run_handler(
+        self, exchange: Exchange, conn: h11.Connection, reader: asyncio.StreamReader
+    ) -> None:
+        watcher = asyncio.create_task(_watch_client(exchange, conn, reader))
+        try:
+            await self._handler(exchange)
+        finally:
+            watcher.cancel()
+            with contextlib.suppress(asyncio.CancelledError, ConnectionError):
+                await watcher
+
+    async def _prepare_next(self, conn: h11.Connection, writer: asyncio.StreamWriter) -> bool:
+        if writer.transport.is_closing():
+            return False
+        await writer.drain()
+        if conn.our_state is h11.DONE and conn.their_state is h11.DONE:
+            conn.start_next_cycle()
+            return True
+        return False
+
+
+async def _watch_client(
+    exchange: Exchange, conn: h11.Connection, reader: asyncio.StreamReader
+) -> None:
+    """Notice a client that goes away while its request runs; keep bytes it sends early."""
+    while True:
+        data = await reader.read(READ_SIZE)
+        if not data:
+            exchange.closed.set()
+            return
+        conn.receive_data(data)
+        if len(conn.trailing_data[0]) > READ_SIZE:
+            exchange.abort()
+            return
+
+
+def _next_event(conn: h11.Connection) -> object:
+    try:
+        return conn.next_event()
+    except h11.RemoteProtocolError as error:
+        raise RequestRejected(error.error_status_hint, str(error)) from error
+
+
+async def _reject(
+    conn: h11.Connection, writer: asyncio.StreamWriter, rejected: RequestRejected
+) -> None:
+    """Answer an unreadable request in the shape of every other error, then close."""
+    error = {"code": "bad_request", "message": rejected.reason, "verdict": "not_run"}
+    body = msgspec.json.encode({"error": error})
+    if conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+        head = h11.Response(
+            status_code=rejected.status,
+            headers=[
+                (b"Content-Type", b"application/json"),
+                (b"Content-Length", str(len(body)).encode("ascii")),
+                (b"Connection", b"close"),
+            ],
+        )
+        for event in (head, h11.Data(data=body), h11.EndOfMessage()):
+            writer.write(conn.send(event) or b"")
+        await writer.drain()
--- /dev/null
+++ b/rhubarbbend/operators/_schema.py
@@ -0,0 +1,26 @@
+"""Loads the operators' schema and makes the key that proves an operator."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+from importlib import resources
+from typing import Any, Final
+
+import thriftpy2
+
+KEY_CONTEXT: Final = b"rhubarbbend operator key 1"
+
+
+def _load() -> Any:
+    text = resources.files("rhubarbbend.schema").joinpath("operators.thrift")
+    with text.open("r", encoding="utf-8") as source:
+        return thriftpy2.load_fp(source, "rhubarbbend_operators_thrift")
+
+
+SCHEMA: Final[Any] = _load()
+
+
+def make_operator_key(secret: bytes) -> str:
+    """Derive the operators' key from the fleet's secret, which itself is never sent."""
+    return hmac.new(secret, KEY_CONTEXT, hashlib.blake2b).hexdigest()[:64]
--- /dev/null
+++ b/rhubarbbend/peers/__init__.py
@@ -0,0 +1,6 @@
+"""The protocol between instances: Thrift structs in length-prefixed frames over TCP."""
+
+from rhubarbbend.peers._codec import FrameError, decode_frame, encode_frame
+from rhubarbbend.peers._links import PeerLinks, PeerListener
+
+__all__ = ["FrameError", "PeerLinks", "PeerListener", "decode_frame", "encode_frame"]
--- /dev/null
+++ b/rhubarbbend/schema/__init__.py
@@ -0,0 +1,1 @@
+"""Thrift schemas: peers.thrift between instances, operators.thrift for operators."""
--- /dev/null
+++ b/rhubarbbend/schema/peers.thrift
@@ -0,0 +1,226 @@
+/**
+ * What the instances of one fleet say to one another: one Envelope a frame, a frame being a
+ * four-byte big-endian length and the struct in Thrift's binary protocol. Exactly one of the
+ * Envelope's message fields is set. Every field has a default, so that an older or newer instance
+ * can read what it knows; ids of fields are never used again.
+ */
+namespace py rhubarbbend.schema.peers
+
+/** Load of one target as its owner counts it. */
+struct TargetLoad {
+  1: string target = "",
+  2: string boot_id = "",
+  3: i32 load = 0,
+  4: i32 limit = 0,
+  5: bool ready = false,
+  6: bool cold = false,
+  7: string service_name = "",
+  8: list<string> models = [],
+}
+
+/** Sum of the load over the targets of one service in one zone. */
+struct ServiceSum {
+  1: string service_name = "",
+  2: i32 load = 0,
+  3: i32 targets = 0,
+}
+
+/** Sent once a second to each instance of the own zone. */
+struct Heartbeat {
+  1: string instance = "",
+  2: string zone = "",
+  3: i64 incarnation = 0,
+  4: bool leaving = false,
+  5: i64 config_version = 0,
+  6: list<TargetLoad> loads = [],
+  7: string host = "",
+  8: i32 peer_port = 0,
+}
+
+/** Asks an instance of another zone for its zone's sums; answered by ZoneReply. */
+struct ZoneQuery {
+  1: string instance = "",
+  2: i64 config_version = 0,
+}
+
+struct ZoneReply {
+  1: string instance = "",
+  2: string zone = "",
+  3: i64 config_version = 0,
+  4: list<ServiceSum> sums = [],
+  5: list<CrashCount> crashes = [],
+}
+
+/** Asks the owner of a target for a slot; waits at most max_wait seconds in its queue. */
+struct SlotRequest {
+  1: string attempt = "",
+  2: string instance = "",
+  3: i64 incarnation = 0,
+  4: string target = "",
+  5: string account = "",
+  6: double max_wait = 0,
+  7: bool suspect = false,
+  8: string service_name = "",
+  9: i32 weight = 1,
+}
+
+/** Answer to a SlotRequest. `refusal` is empty when the slot is granted. */
+struct SlotReply {
+  1: string attempt = "",
+  2: string target = "",
+  3: string refusal = "",
+  4: string boot_id = "",
+  5: double retry_after = 0,
+  6: string owner = "",
+  7: i32 load = 0,
+  8: i32 limit = 0,
+}
+
+/** Frees a slot, or withdraws a request for one. */
+struct SlotRelease {
+  1: string attempt = "",
+  2: string target = "",
+  3: bool completed = false,
+  4: double first_byte = 0,
+  5: double total = 0,
+}
+
+/** One running attempt that holds a slot. */
+struct HeldSlot {
+  1: string attempt = "",
+  2: string account = "",
+  3: bool suspect = false,
+}
+
+/** Every slot that an instance holds at a target; sent to the target's owner, old or new. */
+struct SlotRenewal {
+  1: string instance = "",
+  2: i64 incarnation = 0,
+  3: string target = "",
+  4: list<HeldSlot> slots = [],
+}
+
+/** The former owner of a target, which has stopped granting, gives its count to the successor. */
+struct Handover {
+  1: string target = "",
+  2: list<SlotRenewal> holders = [],
+  3: string boot_id = "",
+  4: i32 work_done = 0,
+}
+
+/** Asks the holder of a claim what became of its attempt. */
+struct ClaimQuery {
+  1: string attempt = "",
+  2: string key = "",
+  3: string instance = "",
+}
+
+/** state: never, running, done, unknown. The outcome comes with done, age with never. */
+struct ClaimReply {
+  1: string attempt = "",
+  2: string key = "",
+  3: string state = "",
+  4: i32 status = 0,
+  5: string content_type = "",
+  6: binary body = "",
+  7: bool kept = true,
+  8: double age = 0,
+}
+
+/** Asks the issuer of a reserved key to run a command under it; answered by ReservedReply. */
+struct ReservedRun {
+  1: string request = "",
+  2: string instance = "",
+  3: string key = "",
+  4: string account = "",
+  5: string service_name = "",
+  6: string method = "",
+  7: string path = "",
+  8: string content_type = "",
+  9: binary body = "",
+  10: string digest = "",
+  11: double time_left = 0,
+}
+
+struct ReservedReply {
+  1: string request = "",
+  2: string error = "",
+  3: string verdict = "",
+  4: i32 status = 0,
+  5: string content_type = "",
+  6: binary body = "",
+  7: bool replayed = false,
+}
+
+/** How often a request digest was running when its target crashed. */
+struct CrashCount {
+  1: string digest = "",
+  2: i32 count = 0,
+  3: double age = 0,
+  4: string last_target = "",
+}
+
+struct CrashNotice {
+  1: list<CrashCount> crashes = [],
+}
+
+/** One declaration of the configuration as of a version; removed when value is empty. */
+struct ConfigItem {
+  1: string kind = "",
+  2: string name = "",
+  3: i64 version = 0,
+  4: binary value = "",
+}
+
+/** Asks for what changed after a version; answered by ConfigReply, page by page. */
+struct ConfigQuery {
+  1: string instance = "",
+  2: i64 after = 0,
+}
+
+struct ConfigReply {
+  1: i64 after = 0,
+  2: i64 version = 0,
+  3: list<ConfigItem> items = [],
+}
+
+/** Asks a peer whom it knows; used when the platform's list cannot be read. */
+struct MembersQuery {
+  1: string instance = "",
+}
+
+struct Member {
+  1: string id = "",
+  2: string kind = "",
+  3: string zone = "",
+  4: string host = "",
+  5: i32 port = 0,
+  6: i32 peer_port = 0,
+  7: string service_name = "",
+  8: string state = "",
+}
+
+struct MembersReply {
+  1: list<Member> members = [],
+}
+
+struct Envelope {
+  1: string sender = "",
+  2: optional Heartbeat heartbeat,
+  3: optional ZoneQuery zone_query,
+  4: optional ZoneReply zone_reply,
+  5: optional SlotRequest slot_request,
+  6: optional SlotReply slot_reply,
+  7: optional SlotRelease slot_release,
+  8: optional SlotRenewal slot_renewal,
+  9: optional Handover handover,
+  10: optional ClaimQuery claim_query,
+  11: optional ClaimReply claim_reply,
+  12: optional ReservedRun reserved_run,
+  13: optional ReservedReply reserved_reply,
+  14: optional CrashNotice crash_notice,
+  15: optional ConfigQuery config_query,
+  16: optional ConfigReply config_reply,
+  17: optional MembersQuery members_query,
+  18: optional MembersReply members_reply,
+}
--- /dev/null
+++ b/rhubarbbend/shell/_callers.py
@@ -0,0 +1,128 @@
+"""The callers' side: one open request for each exchange, until its answer is whole or refused."""
+
+from __future__ import annotations
+
+import asyncio
+
+from rhubarbbend import codes
+from rhubarbbend.core import actions
+from rhubarbbend.http import Exchange, Response
+from rhubarbbend.shell._requests import (
+    REPLAYED_HEADER,
+    REQUEST_HEADER,
+    TICKET_HEADER,
+    VERDICT_HEADER,
+    write_error,
+)
+
+STREAM_ERROR = b'event: error\ndata: {"error":{"code":"%s"}}\n\n'
+PASSED_RESPONSE_HEADERS = ("content-type", "cache-control", "location", "etag")
+
+
+class OpenRequest:
+    """A caller's request that has no final answer yet.
+
+    `exchange` is None for a command that another instance asked to run under a reserved key.
+    Invariant: once `done` is set nothing more is written to the exchange.
+    """
+
+    __slots__ = ("id", "method", "path", "headers", "body", "exchange", "done", "relayed", "stream")
+
+    def __init__(
+        self,
+        request: str,
+        method: str,
+        path: str,
+        headers: dict[str, str],
+        body: bytes,
+        exchange: Exchange | None,
+    ) -> None:
+        self.id = request
+        self.method = method
+        self.path = path
+        self.headers = headers
+        self.body = body
+        self.exchange = exchange
+        self.done = asyncio.Event()
+        self.relayed = 0
+        self.stream = False
+
+    @property
+    def live(self) -> bool:
+        """Whether an answer can still be written."""
+        return self.exchange is not None and not self.done.is_set()
+
+    def start(self, response: Response, ticket: str) -> None:
+        """Begin to relay a target's answer."""
+        if not self.live:
+            return
+        assert self.exchange is not None
+        headers = [
+            (name, response.headers[name])
+            for name in PASSED_RESPONSE_HEADERS
+            if name in response.headers
+        ]
+        headers.append((REQUEST_HEADER, self.id))
+        if ticket:
+            headers.append((TICKET_HEADER, ticket))
+        self.stream = "text/event-stream" in response.headers.get("content-type", "")
+        length = response.headers.get("content-length")
+        if length is not None:
+            headers.append(("Content-Length", length))
+        self.exchange.start(response.status, headers)
+
+    def write(self, data: bytes) -> None:
+        """Relay a part of the body."""
+        if self.live:
+            assert self.exchange is not None
+            self.exchange.write(data)
+        self.relayed += len(data)
+
+    async def drain(self) -> None:
+        """Wait for a slow caller."""
+        if self.live:
+            assert self.exchange is not None
+            await self.exchange.drain()
+
+    def finish(self) -> None:
+        """End a relayed answer that is whole."""
+        if self.live:
+            assert self.exchange is not None
+            self.exchange.finish()
+        self.done.set()
+
+    def refuse(self, action: actions.Refuse) -> None:
+        """Answer with an error, or cut an answer that has begun."""
+        if self.live:
+            assert self.exchange is not None
+            if self.exchange.started:
+                self.cut(action.code)
+                return
+            code = codes.find_error(action.code)
+            write_error(
+                self.exchange, self.id, code, action.verdict, action.attempt, action.retry_after
+            )
+        self.done.set()
+
+    def reply(self, action: actions.Reply) -> None:
+        """Answer with a whole outcome."""
+        if self.live:
+            assert self.exchange is not None
+            headers = [
+                ("Content-Type", action.content_type or "application/octet-stream"),
+                (REQUEST_HEADER, self.id),
+                (VERDICT_HEADER, codes.Verdict.RAN.value),
+            ]
+            if action.replayed:
+                headers.append((REPLAYED_HEADER, "true"))
+            self.exchange.respond(action.status, headers, action.body)
+        self.done.set()
+
+    def cut(self, code: str) -> None:
+        """End a started answer without its final chunk, after an error event in a stream."""
+        if self.live:
+            assert self.exchange is not None
+            if self.stream:
+                self.exchange.write(STREAM_ERROR % code.encode())
+            self.exchange.abort_after_flush()
+        self.done.set()
--- /dev/null
+++ b/rhubarbbend/shell/_runtime.py
@@ -0,0 +1,465 @@
+"""The runtime of one instance: the event loop around the core.
+
+`feed` gives an event to the core and carries out the actions at once; nothing else in the shell
+calls the core. One loop on one thread, so an event is handled whole before the next.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import random
+import signal
+import sys
+import time
+import uuid
+from collections import deque
+from collections.abc import Callable, Coroutine
+from typing import Any, Final
+
+import eliot
+import msgspec
+
+from rhubarbbend import codes
+from rhubarbbend.codes import Verdict
+from rhubarbbend.core import Core, Identity, actions, events
+from rhubarbbend.core._fleet import KIND_INSTANCE
+from rhubarbbend.core.messages import Member, Message, ReservedReply, ReservedRun
+from rhubarbbend.http import ConnectionPool, Exchange, HttpServer, ServerLimits
+from rhubarbbend.operators import ChangeAnswer, OperatorServer, make_operator_key
+from rhubarbbend.peers import PeerLinks, PeerListener
+from rhubarbbend.platform import PLATFORMS, PlatformError
+from rhubarbbend.settings import Settings, parse_address
+from rhubarbbend.shell._attempts import AttemptRunner
+from rhubarbbend.shell._callers import OpenRequest
+from rhubarbbend.shell._metrics import Metrics
+from rhubarbbend.shell._requests import (
+    HEALTH_PATH,
+    KEYS_PATH,
+    READY_PATH,
+    digest_key,
+    read_request,
+    write_error,
+)
+
+SNAPSHOT_OBJECT: Final = "configuration-snapshot"
+WATCH_INTERVAL: Final = 0.25
+# A loop that was away this much longer than it slept has been paused.
+PAUSE_MARGIN: Final = 1.0
+HOUSEKEEPING_INTERVAL: Final = 1.0
+
+
+class Runtime:
+    """One instance. Invariant: every open caller's request is in `_open` until it is done."""
+
+    def __init__(self, settings: Settings, secret: bytes) -> None:
+        self.settings = settings
+        own = settings.instance
+        self._identity = Identity(
+            instance=own.id,
+            zone=own.zone,
+            host=own.host,
+            port=own.http_port,
+            peer_port=own.peer_port,
+            incarnation=time.time_ns() // 1_000_000,
+            secret=secret,
+        )
+        self.core = Core(self._identity, settings.core, random.SystemRandom().getrandbits(32))
+        self.metrics = Metrics(settings.statsd, own.id)
+        self._open: dict[str, OpenRequest] = {}
+        self._attempt_requests: dict[str, str] = {}
+        self._key_futures: dict[str, asyncio.Future[actions.Action]] = {}
+        self._operator_futures: dict[str, asyncio.Future[ChangeAnswer]] = {}
+        self._queue: deque[events.Event] = deque()
+        self._handling = False
+        self._ready = False
+        self._alive_at = 0.0
+        self._timer: asyncio.TimerHandle | None = None
+        self._background: set[asyncio.Task[None]] = set()
+        self._ended = asyncio.Event()
+        self._pool = ConnectionPool(settings.limits.target_idle)
+        self._attempts = AttemptRunner(self._pool, self.feed, settings.core.max_kept_body)
+        self._platform = PLATFORMS.find(settings.platform.kind)(
+            parse_address(settings.platform.address), settings.platform.timeout, own.zone
+        )
+        self._links = PeerLinks(own.id, secret, self._lose_peer)
+        self._listener = PeerListener(secret, self._hear_peer, self._count_bad_frame)
+        self._server = HttpServer(self._serve_caller, _make_limits(settings))
+        self._operators = OperatorServer(
+            self.core, make_operator_key(secret), self._propose, self._now
+        )
+        self._performers = self._list_performers()
+
+    async def run(self) -> None:
+        """Serve until a planned stop has ended."""
+        own = self.settings.instance
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, lambda: self.feed(events.StopRequested()))
+        await self._listener.listen(own.host, own.peer_port)
+        await self._operators.listen(own.host, own.operator_port)
+        self._alive_at = self._now()
+        self.feed(events.Started(time.time()))
+        for seed in self.settings.seeds:
+            host, port = parse_address(seed.address)
+            member = Member(
+                id=seed.id, kind=KIND_INSTANCE, zone=seed.zone, host=host, peer_port=port
+            )
+            self.core.members.add_seed(member, self._now())
+        await self._server.listen(own.host, own.http_port)
+        eliot.log_message("instance_started", instance=own.id, zone=own.zone, pid=os.getpid())
+        self._spawn(self._watch_pauses())
+        self._spawn(self._keep_house())
+        await self._ended.wait()
+        await self._close()
+
+    def feed(self, event: events.Event) -> None:
+        """Give an event to the core and carry out its actions; events raised meanwhile queue."""
+        self._queue.append(event)
+        if self._handling:
+            return
+        self._handling = True
+        self._note_pause()
+        try:
+            while self._queue:
+                for action in self.core.handle(self._queue.popleft(), self._now()):
+                    self._performers[type(action)](action)
+        finally:
+            self._handling = False
+        self._set_timer()
+
+    def _note_pause(self) -> None:
+        """Put a pause of this process before whatever is handled first after it.
+
+        On waking, messages that came meanwhile are handled in any order; a grant made from views
+        of before the pause would add to those that a successor has given.
+        """
+        now = self._now()
+        away = now - self._alive_at
+        self._alive_at = now
+        if away > WATCH_INTERVAL + PAUSE_MARGIN:
+            self._queue.appendleft(events.ProcessPaused(away))
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def _set_timer(self) -> None:
+        due = self.core.next_timer()
+        if self._timer is not None:
+            if due is not None and abs(self._timer.when() - due) < 1e-4:
+                return
+            self._timer.cancel()
+            self._timer = None
+        if due is not None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_at(due, self._run_timer)
+
+    def _run_timer(self) -> None:
+        self._timer = None
+        self.feed(events.TimerDue())
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+    # Callers.
+
+    async def _serve_caller(self, exchange: Exchange) -> None:
+        path = exchange.target.partition("?")[0]
+        if path == HEALTH_PATH:
+            exchange.respond(200, [("Content-Type", "text/plain")], b"ok\n")
+        elif path == READY_PATH:
+            status, text = (200, b"ready\n") if self._ready else (503, b"not ready\n")
+            exchange.respond(status, [("Content-Type", "text/plain")], text)
+        elif path == KEYS_PATH:
+            await self._serve_keys(exchange)
+        else:
+            await self._serve_request(exchange)
+
+    async def _serve_request(self, exchange: Exchange) -> None:
+        request = exchange.headers.get("x-request-id", "")
+        if not request or len(request) > 100 or request in self._open or "/" in request:
+            request = uuid.uuid4().hex
+        limits = self.settings.limits
+        read = read_request(
+            exchange, request, time.time(), limits.default_deadline, limits.max_deadline
+        )
+        event = read.value_or(None)
+        if event is None:
+            bad = read.failure()
+            self.metrics.add(f"refused.{bad.code.name}")
+            not_run = Verdict.NOT_RUN.value
+            write_error(exchange, request, bad.code, not_run, not_run, 0.0, bad.detail)
+            return
+        opened = OpenRequest(
+            request, exchange.method, exchange.target, exchange.headers, exchange.body, exchange
+        )
+        self._open[request] = opened
+        try:
+            self.feed(event)
+            await self._wait_for_answer(opened, exchange)
+        finally:
+            self._open.pop(request, None)
+
+    async def _wait_for_answer(self, opened: OpenRequest, exchange: Exchange) -> None:
+        answered = asyncio.ensure_future(opened.done.wait())
+        left = asyncio.ensure_future(exchange.closed.wait())
+        try:
+            await asyncio.wait((answered, left), return_when=asyncio.FIRST_COMPLETED)
+            if not opened.done.is_set():
+                self.feed(events.CallerLeft(opened.id))
+        finally:
+            answered.cancel()
+            left.cancel()
+
+    async def _serve_keys(self, exchange: Exchange) -> None:
+        request = uuid.uuid4().hex
+        count = exchange.headers.get("rhubarbbend-count", "1")
+        event = events.KeysRequested(
+            request,
+            digest_key(exchange.headers.get("authorization", "")),
+            int(count) if count.isdigit() else 0,
+        )
+        future: asyncio.Future[actions.Action] = asyncio.get_running_loop().create_future()
+        self._key_futures[request] = future
+        self.feed(event)
+        action = await future
+        if isinstance(action, actions.GiveKeys):
+            body = msgspec.json.encode({"keys": action.keys})
+            exchange.respond(200, [("Content-Type", "application/json")], body)
+        elif isinstance(action, actions.Refuse):
+            code = codes.find_error(action.code)
+            write_error(exchange, request, code, action.verdict, action.attempt, action.retry_after)
+
+    # Peers and operators.
+
+    def _hear_peer(self, sender: str, message: Message) -> None:
+        if isinstance(message, ReservedRun):
+            request = f"{sender}/{message.request}"
+            headers = {"content-type": message.content_type, "idempotency-key": message.key}
+            path = f"/{message.service_name}{message.path}"
+            self._open[request] = OpenRequest(
+                request, message.method, path, headers, message.body, None
+            )
+            message.body = b""
+        self.feed(events.PeerSaid(sender, message))
+
+    def _count_bad_frame(self) -> None:
+        self.metrics.add(codes.PEER_FRAMES_BAD)
+
+    def _lose_peer(self, peer: str) -> None:
+        self.feed(events.PeerLost(peer))
+
+    async def _propose(self, event: events.ChangeProposed) -> ChangeAnswer:
+        future: asyncio.Future[ChangeAnswer] = asyncio.get_running_loop().create_future()
+        self._operator_futures[event.op] = future
+        self.feed(event)
+        return await future
+
+    # Actions.
+
+    def _list_performers(self) -> dict[type[actions.Action], Callable[[Any], None]]:
+        return {
+            actions.Refuse: self._refuse,
+            actions.Reply: self._reply,
+            actions.GiveKeys: self._give_keys,
+            actions.Dispatch: self._dispatch,
+            actions.Resume: self._resume,
+            actions.CutAnswer: self._cut,
+            actions.CancelAttempt: self._attempts.cancel,
+            actions.Probe: self._attempts.probe,
+            actions.ReadReport: self._read_report,
+            actions.SendPeer: self._send_peer,
+            actions.SendReserved: self._send_reserved,
+            actions.ReadList: lambda action: self._spawn(self._read_list()),
+            actions.WriteRows: lambda action: self._spawn(self._write_rows(action)),
+            actions.ReadRow: lambda action: self._spawn(self._read_row(action)),
+            actions.ScanRows: lambda action: self._spawn(self._scan_rows(action)),
+            actions.ReadSnapshot: lambda action: self._spawn(self._read_snapshot()),
+            actions.WriteSnapshot: lambda action: self._spawn(self._write_snapshot(action)),
+            actions.AnswerOperator: self._answer_operator,
+            actions.SetReady: self._set_ready,
+            actions.StopAccepting: lambda action: self._server.stop_accepting(),
+            actions.Exit: lambda action: self._ended.set(),
+            actions.Count: lambda action: self.metrics.add(action.name, action.by),
+            actions.LogState: lambda action: eliot.log_message(action.what, **action.details),
+        }
+
+    def _refuse(self, action: actions.Refuse) -> None:
+        future = self._key_futures.pop(action.request, None)
+        if future is not None and not future.done():
+            future.set_result(action)
+        opened = self._open.get(action.request)
+        if opened is not None:
+            opened.refuse(action)
+
+    def _reply(self, action: actions.Reply) -> None:
+        opened = self._open.get(action.request)
+        if opened is not None:
+            opened.reply(action)
+
+    def _give_keys(self, action: actions.GiveKeys) -> None:
+        future = self._key_futures.pop(action.request, None)
+        if future is not None and not future.done():
+            future.set_result(action)
+
+    def _find_kind(self, target: str) -> str:
+        view = self.core.context.fleet.targets.get(target)
+        name = "" if view is None else view.service_name
+        service = self.core.context.configuration.services.get(name)
+        return "engine" if service is None else service.kind
+
+    def _dispatch(self, action: actions.Dispatch) -> None:
+        opened = self._open.get(action.request)
+        if opened is not None:
+            self._attempts.dispatch(action, opened, self._find_kind(action.target))
+
+    def _resume(self, action: actions.Resume) -> None:
+        opened = self._open.get(action.request)
+        if opened is not None:
+            self._attempts.resume(action, opened, "engine")
+
+    def _cut(self, action: actions.CutAnswer) -> None:
+        opened = self._open.get(action.request)
+        if opened is not None:
+            opened.cut(action.code)
+
+    def _read_report(self, action: actions.ReadReport) -> None:
+        self._attempts.read_report(action, self._find_kind(action.target))
+
+    def _send_peer(self, action: actions.SendPeer) -> None:
+        if isinstance(action.message, ReservedReply):
+            self._open.pop(f"{action.peer}/{action.message.request}", None)
+        self._links.send(action.peer, (action.host, action.port), action.message)
+
+    def _send_reserved(self, action: actions.SendReserved) -> None:
+        message = action.message
+        assert isinstance(message, ReservedRun)
+        opened = self._open.get(message.request)
+        if opened is None:
+            return
+        message.content_type = opened.headers.get("content-type", "")
+        message.path = opened.path.removeprefix(f"/{message.service_name}")
+        message.body = opened.body
+        self._links.send(action.peer, (action.host, action.port), message)
+
+    def _answer_operator(self, action: actions.AnswerOperator) -> None:
+        future = self._operator_futures.pop(action.op, None)
+        if future is not None and not future.done():
+            future.set_result(ChangeAnswer(action.error, action.version, action.author))
+
+    def _set_ready(self, action: actions.SetReady) -> None:
+        self._ready = action.ready
+        eliot.log_message("readiness", ready=action.ready)
+
+    async def _read_list(self) -> None:
+        try:
+            entries = await self._platform.read_list()
+        except PlatformError:
+            self.metrics.add(codes.PLATFORM_ERRORS)
+            return
+        self.feed(events.ListRead(entries))
+
+    async def _write_rows(self, action: actions.WriteRows) -> None:
+        try:
+            applied, rows = await self._platform.write_rows(action.writes, action.atomic)
+        except PlatformError:
+            self.feed(events.WriteDone(action.op, "unknown"))
+            return
+        self.feed(events.WriteDone(action.op, "done", applied, rows))
+
+    async def _read_row(self, action: actions.ReadRow) -> None:
+        try:
+            row = await self._platform.read_row(action.table, action.key)
+        except PlatformError:
+            self.feed(events.RowsRead(action.op, "failed"))
+            return
+        self.feed(events.RowsRead(action.op, "done", [] if row is None else [row]))
+
+    async def _scan_rows(self, action: actions.ScanRows) -> None:
+        try:
+            rows = await self._platform.scan_rows(action.table, action.after, action.limit)
+        except PlatformError:
+            self.feed(events.RowsRead(action.op, "failed"))
+            return
+        self.feed(events.RowsRead(action.op, "done", rows))
+
+    async def _read_snapshot(self) -> None:
+        try:
+            data = await self._platform.read_object(SNAPSHOT_OBJECT)
+        except PlatformError:
+            self.feed(events.SnapshotRead("failed"))
+            return
+        self.feed(events.SnapshotRead("done", data))
+
+    async def _write_snapshot(self, action: actions.WriteSnapshot) -> None:
+        try:
+            await self._platform.write_object(SNAPSHOT_OBJECT, action.data)
+        except PlatformError:
+            # The next accepted change makes another; a start reads the changes without it.
+            self.metrics.add(codes.PLATFORM_ERRORS)
+
+    # Background work.
+
+    async def _watch_pauses(self) -> None:
+        """Give the core something to handle often enough that a pause shows as a gap."""
+        while True:
+            await asyncio.sleep(WATCH_INTERVAL)
+            self.feed(events.TimerDue())
+
+    async def _keep_house(self) -> None:
+        while True:
+            await asyncio.sleep(min(HOUSEKEEPING_INTERVAL, self.settings.statsd.interval))
+            now = self._now()
+            self._pool.drop_expired(now)
+            self._platform.drop_idle(now)
+            dropped, self._links.dropped = self._links.dropped, 0
+            if dropped:
+                self.metrics.add(codes.PEER_DROPPED, dropped)
+            self.metrics.send()
+
+    async def _close(self) -> None:
+        await self._operators.close()
+        await self._attempts.close()
+        await self._server.close()
+        await self._links.close()
+        await self._listener.close()
+        for task in list(self._background):
+            task.cancel()
+        self.metrics.send()
+        eliot.log_message("instance_stopped", instance=self.settings.instance.id)
+
+
+def _make_limits(settings: Settings) -> ServerLimits:
+    limits = settings.limits
+    return ServerLimits(
+        max_header_bytes=limits.max_header_bytes,
+        max_body_bytes=limits.max_body_bytes,
+        head_timeout=limits.head_timeout,
+        body_timeout=limits.body_timeout,
+        max_connections=limits.max_connections,
+    )
+
+
+def _open_log(settings: Settings) -> contextlib.AbstractContextManager[Any]:
+    if settings.log.file == "-":
+        return contextlib.nullcontext(sys.stderr)
+    return open(settings.log.file, "a", encoding="utf-8")  # noqa: SIM115  (a context manager)
+
+
+def serve(settings: Settings, secret: bytes) -> int:
+    """Run one instance until it is stopped; gives the exit status."""
+    with _open_log(settings) as log:
+        destination = eliot.FileDestination(file=log)
+        eliot.add_destinations(destination)
+        try:
+            asyncio.run(_run(settings, secret))
+        finally:
+            eliot.remove_destination(destination)
+    return 0
+
+
+async def _run(settings: Settings, secret: bytes) -> None:
+    await Runtime(settings, secret).run()
--- /dev/null
+++ b/standins/__main__.py
@@ -0,0 +1,47 @@
+"""Starts one stand-in."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import signal
+
+from standins import _engine, _plain, _platform, _proxy
+from standins._server import StandIn
+
+
+def _make_parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(prog="standins")
+    parser.add_argument("--port", type=int, default=0)
+    parser.add_argument("--host", default="127.0.0.1")
+    kinds = parser.add_subparsers(dest="kind", required=True)
+    platform = kinds.add_parser("platform")
+    platform.add_argument("--lag", type=float, default=0.5, help="seconds the list lags behind")
+    _engine.add_options(kinds.add_parser("engine"))
+    _plain.add_options(kinds.add_parser("plain"))
+    kinds.add_parser("proxy")
+    return parser
+
+
+def _make_stand_in(options: argparse.Namespace) -> StandIn:
+    if options.kind == "platform":
+        return _platform.Platform(options.lag)
+    if options.kind == "engine":
+        return _engine.make_engine(options)
+    if options.kind == "plain":
+        return _plain.make_service(options)
+    return _proxy.Proxy(options.host)
+
+
+async def _run(options: argparse.Namespace) -> None:
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, stop.set)
+    stand_in = _make_stand_in(options)
+    port = await stand_in.listen(options.host, options.port)
+    print(f"ready {options.host} {port}", flush=True)
+    await stop.wait()
+
+
+if __name__ == "__main__":
+    asyncio.run(_run(_make_parser().parse_args()))
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests; the folders mirror the package, and whole fleets are under `fleet`."""
--- /dev/null
+++ b/tests/core/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the core, driven by events alone."""
--- /dev/null
+++ b/tests/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Tests with real processes behind fault-injecting proxies."""
