Split entry and claims into small modules and mend what reading showed

An engine's run that gives no byte is asked for again over a new connection under its own id, which starts no second run; the older connection stays open until one of them answers.

--- a/rhubarbbend/core/_context.py
+++ b/rhubarbbend/core/_context.py
@@ -54,6 +54,9 @@
     retry_reserve: float = 10.0
     max_attempts: int = 3
     max_resumes: int = 3
+    # A run that has given no byte for this long is asked for over a new connection.
+    silence_limit: float = 2.0
+    max_silent_checks: int = 4
     probe_timeout: float = 1.0
     down_hold: float = 2.0
     claim_timeout: float = 1.0
--- a/rhubarbbend/core/_requests.py
+++ b/rhubarbbend/core/_requests.py
@@ -56,6 +56,10 @@
     relayed: int = 0
     last_refusal: str = ""
     wants_suspect_slot: bool = False
+    # How often a run without a first byte was asked for over a new connection.
+    silent_checks: int = 0
+    # The caller has its answer, or has gone; the command runs on so that its outcome is kept.
+    detached: bool = False
     # The claim's state, for operations that are not idempotent.
     claimed: bool = False
     claim_id: str = ""
--- /dev/null
+++ b/rhubarbbend/core/_reserved.py
@@ -0,0 +1,146 @@
+"""Commands under reserved keys: run by the instance that issued the key, whoever was asked."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Final
+
+from rhubarbbend import codes
+from rhubarbbend.codes import Verdict
+from rhubarbbend.core import actions, events
+from rhubarbbend.core._answers import Answers, make_peer_request
+from rhubarbbend.core._claim_rows import Outcome
+from rhubarbbend.core._claims import ClaimDuty
+from rhubarbbend.core._context import Context
+from rhubarbbend.core._keys import ReservedKey
+from rhubarbbend.core._request_table import RequestTable
+from rhubarbbend.core._requests import Phase, Request
+from rhubarbbend.core.configuration import Account
+from rhubarbbend.core.messages import ReservedReply, ReservedRun
+
+MAX_KEYS_AT_ONCE: Final = 100
+
+Admit = Callable[[events.RequestArrived, Account, float], None]
+Route = Callable[[Request, float], None]
+
+
+class ReservedCommands:
+    """Issues reserved keys and brings commands to their issuers."""
+
+    def __init__(
+        self,
+        context: Context,
+        table: RequestTable,
+        answers: Answers,
+        claims: ClaimDuty,
+        admit: Admit,
+        route: Route,
+    ) -> None:
+        self._context = context
+        self._table = table
+        self._answers = answers
+        self._claims = claims
+        self._admit = admit
+        self._route = route
+
+    def handle_keys(self, event: events.KeysRequested, now: float) -> None:
+        """Issue keys to a caller."""
+        account = self._context.configuration.accounts.get(event.key_digest)
+        if account is None:
+            self._answers.reject(event.request, "", codes.UNAUTHORIZED)
+        elif self._context.stopping:
+            self._answers.reject(event.request, "", codes.STOPPING)
+        elif not 1 <= event.count <= MAX_KEYS_AT_ONCE:
+            self._answers.reject(event.request, "", codes.BAD_REQUEST)
+        else:
+            keys = self._claims.issue_keys(account.name, event.count, now)
+            self._context.emit(actions.GiveKeys(event.request, keys))
+
+    def open(self, request: Request, now: float) -> None:
+        """Run a command here if this incarnation issued its key, else ask the issuer to."""
+        key = self._claims.read_reserved(request)
+        if key is None:
+            self._answers.refuse(request, codes.KEY_INVALID, Verdict.NOT_RUN, now)
+        elif self._claims.is_expired(key, now):
+            # Its record may be gone already, so whether it has run is not known any more.
+            self._answers.refuse(request, codes.ISSUER_GONE, Verdict.MAY_HAVE_RUN, now)
+        elif self._claims.is_own(key):
+            self._route(request, now)
+        elif request.arrived.on_behalf_of:
+            self._answers.refuse(request, codes.ISSUER_GONE, Verdict.MAY_HAVE_RUN, now)
+        else:
+            self._forward(request, key, now)
+
+    def handle_run(self, sender: str, message: ReservedRun, now: float) -> None:
+        """Run a command that a peer was asked for."""
+        accounts = self._context.configuration.accounts.values()
+        account = next((a for a in accounts if a.name == message.account), None)
+        event = events.RequestArrived(
+            request=make_peer_request(sender, message.request),
+            key_digest="" if account is None else account.key_digest,
+            service_name=message.service_name,
+            model="",
+            method=message.method,
+            path=message.path.partition("?")[0],
+            body_digest=message.digest,
+            time_left=message.time_left,
+            key=message.key,
+            on_behalf_of=sender,
+        )
+        if account is None:
+            self._answers.reject(event.request, sender, codes.UNAUTHORIZED)
+            return
+        self._admit(event, account, now)
+
+    def handle_reply(self, sender: str, message: ReservedReply, now: float) -> None:
+        """Pass the issuer's answer on; an answer to another request finds none that waits."""
+        request = self._table.find_attempt(message.request)
+        if request is None or request.phase is not Phase.FORWARDED:
+            return
+        if request.asked_owner != sender:
+            return
+        if message.error:
+            verdict = _read_verdict(message.verdict)
+            self._answers.refuse(request, codes.find_error(message.error), verdict, now)
+            return
+        outcome = Outcome(message.status, message.content_type, message.body, True)
+        self._answers.reply(request, outcome, message.replayed, now)
+
+    def handle_lost(self, peer: str, now: float) -> None:
+        """Answer the requests that wait for an issuer that cannot be reached."""
+        for request in self._table.list_all():
+            if request.phase is Phase.FORWARDED and request.asked_owner == peer:
+                self._answers.refuse(request, codes.OUTCOME_UNKNOWN, Verdict.MAY_HAVE_RUN, now)
+
+    def _forward(self, request: Request, key: ReservedKey, now: float) -> None:
+        view = self._context.fleet.instances.get(key.issuer)
+        if view is None or view.incarnation not in (0, key.incarnation):
+            self._answers.refuse(request, codes.ISSUER_GONE, Verdict.MAY_HAVE_RUN, now)
+            return
+        request.phase = Phase.FORWARDED
+        request.asked_owner = key.issuer
+        request.sent = True
+        # Callers choose request ids; a late reply must not fit a second request of the same id.
+        self._table.set_attempt(request, self._table.make_attempt())
+        arrived = request.arrived
+        message = ReservedRun(
+            request=request.attempt,
+            instance=self._context.identity.instance,
+            key=arrived.key,
+            account=request.account.name,
+            service_name=request.service.name,
+            method=arrived.method,
+            path=arrived.path,
+            digest=arrived.body_digest,
+            time_left=request.time_left(now),
+        )
+        self._context.emit(
+            actions.SendReserved(request.id, key.issuer, view.host, view.peer_port, message)
+        )
+
+
+def _read_verdict(text: str) -> Verdict:
+    try:
+        return Verdict(text)
+    except ValueError:
+        return Verdict.MAY_HAVE_RUN
--- /dev/null
+++ b/rhubarbbend/core/_slots.py
@@ -0,0 +1,242 @@
+"""Slots as their holder sees them: asked for at owners, held, renewed and released."""
+
+from __future__ import annotations
+
+from typing import Final, Protocol
+
+from rhubarbbend import codes
+from rhubarbbend.codes import ErrorCode
+from rhubarbbend.core._context import Context
+from rhubarbbend.core._fleet import TargetView
+from rhubarbbend.core._owner import (
+    REFUSAL_FULL,
+    REFUSAL_NOT_OWNER,
+    REFUSAL_NOT_READY,
+    REFUSAL_QUEUE,
+    REFUSAL_WAIT,
+)
+from rhubarbbend.core._planner import Planner
+from rhubarbbend.core._request_table import RequestTable
+from rhubarbbend.core._requests import Phase, Request
+from rhubarbbend.core._suspects import SuspectDuty
+from rhubarbbend.core.messages import (
+    HeldSlot,
+    Message,
+    SlotRelease,
+    SlotRenewal,
+    SlotReply,
+    SlotRequest,
+)
+from rhubarbbend.core.routing import Reason
+
+MAX_REDIRECTS: Final = 2
+
+_REFUSAL_COUNTERS: Final = {
+    REFUSAL_FULL: codes.RETRY_FULL,
+    REFUSAL_QUEUE: codes.RETRY_FULL,
+    REFUSAL_WAIT: codes.RETRY_FULL,
+    REFUSAL_NOT_READY: codes.RETRY_NOT_READY,
+}
+_REFUSAL_CODES: Final = {
+    REFUSAL_FULL: codes.OVERLOADED,
+    REFUSAL_QUEUE: codes.QUEUE_FULL,
+    REFUSAL_WAIT: codes.WAIT_TOO_LONG,
+    REFUSAL_NOT_READY: codes.NO_TARGET,
+}
+_REASON_COUNTERS: Final = {
+    Reason.TICKET: codes.ROUTED_TICKET,
+    Reason.HOME: codes.ROUTED_HOME,
+    Reason.MOVED: codes.ROUTED_MOVED,
+}
+
+
+class HeldSlots:
+    """Releases and renews slots at the present owners of their targets."""
+
+    def __init__(self, context: Context, table: RequestTable) -> None:
+        self._context = context
+        self._table = table
+
+    def release(self, request: Request, completed: bool, total: float = 0.0) -> None:
+        """Free a request's slot, or withdraw its question for one, and end its attempt."""
+        if not request.attempt:
+            return
+        asked = self._table.find_attempt(request.attempt) is request
+        waiting = request.phase is Phase.SLOT and asked
+        if request.has_slot or waiting:
+            release = SlotRelease(
+                attempt=request.attempt,
+                target=request.target,
+                completed=completed,
+                first_byte=request.first_byte,
+                total=total,
+            )
+            self.send_owner(request.target, release)
+        request.has_slot = False
+        self._table.forget_attempt(request)
+
+    def register(self, now: float) -> None:
+        """Tell the present owners of targets which slots are held here.
+
+        A new owner learns the running requests this way; a present one frees those whose release
+        was lost.
+        """
+        held: dict[str, list[HeldSlot]] = {}
+        for request in self._table.list_all():
+            if request.has_slot:
+                slot = HeldSlot(
+                    attempt=request.attempt,
+                    account=request.account.name,
+                    suspect=request.wants_suspect_slot,
+                )
+                held.setdefault(request.target, []).append(slot)
+        identity = self._context.identity
+        for target, slots in held.items():
+            renewal = SlotRenewal(
+                instance=identity.instance,
+                incarnation=identity.incarnation,
+                target=target,
+                slots=slots,
+            )
+            self.send_owner(target, renewal)
+
+    def send_owner(self, target: str, message: Message) -> None:
+        """Send a message to the present owner of a target."""
+        view = self._context.fleet.targets.get(target)
+        if view is not None:
+            self._context.send(self._context.fleet.find_owner(view), message)
+
+
+class SlotListener(Protocol):
+    """Told how a search for a slot ended."""
+
+    def slot_granted(self, request: Request, now: float) -> None:
+        """The request holds a slot of its target."""
+        ...
+
+    def slot_refused(self, request: Request, code: ErrorCode, now: float) -> None:
+        """No target has a slot for the request."""
+        ...
+
+
+class SlotSearch:
+    """Asks the owners of a request's planned targets, one after another."""
+
+    def __init__(
+        self,
+        context: Context,
+        table: RequestTable,
+        held: HeldSlots,
+        suspects: SuspectDuty,
+        listener: SlotListener,
+    ) -> None:
+        self._context = context
+        self._table = table
+        self._held = held
+        self._suspects = suspects
+        self._listener = listener
+        self.planner = Planner(context)
+
+    def start(self, request: Request, now: float) -> None:
+        """Plan the targets to ask and ask the first."""
+        request.phase = Phase.SLOT
+        request.position = -1
+        request.redirects = 0
+        digest = request.arrived.body_digest
+        request.wants_suspect_slot = self._suspects.count_crashes(digest) > 0
+        request.plan = self.planner.plan(request, now)
+        if not request.plan:
+            self._listener.slot_refused(request, codes.NO_TARGET, now)
+            return
+        self.ask_next(request, now)
+
+    def ask_next(self, request: Request, now: float) -> None:
+        """Ask the owner of the next choice; give up when none is left."""
+        self._table.forget_attempt(request)
+        while request.position + 1 < len(request.plan):
+            request.position += 1
+            view = self._context.fleet.targets.get(request.choice.target)
+            last = request.position + 1 == len(request.plan)
+            if request.position >= self._context.options.max_moves and not last:
+                continue
+            if view is not None and request.time_left(now) > 0:
+                self._ask_owner(request, view, self._context.fleet.find_owner(view), now)
+                return
+        code = _REFUSAL_CODES.get(request.last_refusal, codes.OVERLOADED)
+        self._listener.slot_refused(request, code, now)
+
+    def handle_reply(self, sender: str, message: SlotReply, now: float) -> None:
+        """Take an owner's answer."""
+        request = self._table.find_attempt(message.attempt)
+        waiting = request is not None and request.phase is Phase.SLOT and not request.has_slot
+        if request is None or not waiting:
+            if not message.refusal and request is None:
+                self._context.count(codes.SLOTS_LATE)
+                release = SlotRelease(attempt=message.attempt, target=message.target)
+                self._context.send(sender, release)
+            return
+        if message.refusal:
+            self._handle_refusal(request, message, now)
+            return
+        request.has_slot = True
+        request.boot_id = message.boot_id
+        self._context.count(_REASON_COUNTERS[request.choice.reason])
+        self._listener.slot_granted(request, now)
+
+    def handle_lost(self, peer: str, now: float) -> None:
+        """Ask elsewhere what was asked of a peer that cannot be reached."""
+        for request in self._table.list_all():
+            waiting = request.phase is Phase.SLOT and not request.has_slot
+            if waiting and request.asked_owner == peer:
+                self._context.count(codes.RETRY_OWNER)
+                self.ask_next(request, now)
+
+    def _ask_owner(self, request: Request, view: TargetView, owner: str, now: float) -> None:
+        identity = self._context.identity
+        attempt = self._table.make_attempt()
+        self._table.set_attempt(request, attempt)
+        request.target = view.id
+        request.asked_owner = owner
+        wait = min(request.choice.max_wait, max(0.0, request.time_left(now)))
+        message = SlotRequest(
+            attempt=attempt,
+            instance=identity.instance,
+            incarnation=identity.incarnation,
+            target=view.id,
+            account=request.account.name,
+            max_wait=wait,
+            suspect=request.wants_suspect_slot,
+            service_name=request.service.name,
+            weight=request.account.weight,
+        )
+        self._context.send(owner, message)
+        if owner != identity.instance:
+            timeout = now + wait + self._context.options.slot_timeout
+            self._context.set_timer(timeout, lambda at: self._check_owner(request, attempt, at))
+
+    def _check_owner(self, request: Request, attempt: str, now: float) -> None:
+        """Ask elsewhere when an owner has not answered in time.
+
+        A frozen owner, or a silent connection to it, would otherwise hold the request until its
+        deadline. A grant that comes after all is handed back.
+        """
+        found = self._table.find_attempt(attempt)
+        if found is not request or request.phase is not Phase.SLOT:
+            return
+        self._context.count(codes.RETRY_OWNER)
+        release = SlotRelease(attempt=attempt, target=request.target)
+        self._held.send_owner(request.target, release)
+        self.ask_next(request, now)
+
+    def _handle_refusal(self, request: Request, message: SlotReply, now: float) -> None:
+        view = self._context.fleet.targets.get(message.target)
+        redirected = message.refusal == REFUSAL_NOT_OWNER
+        if redirected and view is not None and request.redirects < MAX_REDIRECTS:
+            request.redirects += 1
+            self._context.count(codes.RETRY_REDIRECT)
+            self._ask_owner(request, view, message.owner, now)
+            return
+        if not redirected:
+            request.last_refusal = message.refusal
+            self._context.count(_REFUSAL_COUNTERS.get(message.refusal, codes.RETRY_FULL))
+        self.ask_next(request, now)
--- a/rhubarbbend/core/actions.py
+++ b/rhubarbbend/core/actions.py
@@ -65,13 +65,19 @@
 
 
 class Resume(Action):
-    """Continue a cut stream of an attempt at the offset that the caller has reached."""
+    """Continue an attempt's answer over a new connection at the offset the caller has reached.
+
+    Older connections of the attempt stay open until one of them has brought the answer's head;
+    `ticket` goes to the caller with it.
+    """
 
     request: str
     attempt: str
     host: str
     port: int
     progress_timeout: float
+    head_timeout: float = 5.0
+    ticket: str = ""
 
 
 class CutAnswer(Action):
@@ -119,6 +125,7 @@
 class SendReserved(Action):
     """Send a command to the issuer of its reserved key; the shell adds the request's body."""
 
+    request: str
     peer: str
     host: str
     port: int
--- a/rhubarbbend/core/configuration.py
+++ b/rhubarbbend/core/configuration.py
@@ -13,6 +13,7 @@
 import msgspec
 
 ANY_METHOD: Final = "*"
+KIND_ENGINE: Final = "engine"
 
 
 class Operation(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/rhubarbbend/core/events.py
+++ b/rhubarbbend/core/events.py
@@ -85,7 +85,7 @@
 
 
 class AttemptFailed(Event):
-    """An attempt got no whole answer. `stage` is a SendStage value.
+    """An attempt got no whole answer. `stage` is a SendStage value, "refused" or "not_found".
 
     `reused` says that an idle connection carried it, `relayed` how many bytes of body the caller
     has already been given.
@@ -99,11 +99,15 @@
 
 
 class ProbeAnswered(Event):
-    """A target was asked for its state over a new connection; empty boot id: no answer."""
+    """A target was asked for its state over a new connection; empty boot id: no answer.
+
+    `silent` tells a target that gave no sign at all from one whose address refused or closed.
+    """
 
     target: str
     attempt: str
     boot_id: str
+    silent: bool = False
 
 
 class ReportRead(Event):
--- a/rhubarbbend/http/__init__.py
+++ b/rhubarbbend/http/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from rhubarbbend.http._client import (
+    REASON_TIMEOUT,
     Connection,
     ConnectionPool,
     HttpFailure,
@@ -19,6 +20,7 @@
     "ConnectionPool",
     "Exchange",
     "HttpFailure",
+    "REASON_TIMEOUT",
     "HttpServer",
     "Response",
     "SendStage",
--- a/rhubarbbend/http/_client.py
+++ b/rhubarbbend/http/_client.py
@@ -18,6 +18,8 @@
 READ_SIZE: Final = 65_536
 MAX_HEAD_BYTES: Final = 65_536
 DEFAULT_CONNECT_TIMEOUT: Final = 1.0
+# The reason of a failure by silence; any other sign of the far side has another reason.
+REASON_TIMEOUT: Final = "timeout"
 
 Address = tuple[str, int]
 
@@ -69,7 +71,7 @@
             async with asyncio.timeout(timeout):
                 reader, writer = await asyncio.open_connection(*address)
         except (OSError, TimeoutError) as error:
-            raise HttpFailure(SendStage.CONNECT, str(error) or "timeout") from error
+            raise HttpFailure(SendStage.CONNECT, str(error) or REASON_TIMEOUT) from error
         return cls(address, reader, writer)
 
     async def send(
@@ -103,7 +105,7 @@
                     elif not isinstance(event, h11.InformationalResponse):
                         raise HttpFailure(SendStage.SENT, "closed before the response")
         except TimeoutError as error:
-            raise HttpFailure(SendStage.SENT, "timeout") from error
+            raise HttpFailure(SendStage.SENT, REASON_TIMEOUT) from error
         except (OSError, h11.RemoteProtocolError) as error:
             raise HttpFailure(SendStage.SENT, str(error)) from error
 
@@ -219,7 +221,7 @@
             parts = [part async for part in connection.receive_body(timeout)]
     except TimeoutError as error:
         connection.close()
-        raise HttpFailure(SendStage.SENT, "timeout") from error
+        raise HttpFailure(SendStage.SENT, REASON_TIMEOUT) from error
     except BaseException:
         connection.close()
         raise
--- a/rhubarbbend/shell/_attempts.py
+++ b/rhubarbbend/shell/_attempts.py
@@ -16,6 +16,7 @@
 from rhubarbbend import codes
 from rhubarbbend.core import actions, events
 from rhubarbbend.http import (
+    REASON_TIMEOUT,
     Connection,
     ConnectionPool,
     HttpFailure,
@@ -29,6 +30,11 @@
 from rhubarbbend.targets._base import ATTEMPT_HEADER
 
 STAGE_REFUSED: Final = "refused"
+# The engine has no run under the attempt's id.
+STAGE_NOT_FOUND: Final = "not_found"
+STATUS_NOT_FOUND: Final = 404
+# Bounds what a target's answer to one command may cost in memory.
+MAX_COMMAND_ANSWER: Final = 16 * 1024 * 1024
 BUSY_STATUSES: Final = (429, 502, 503, 504)
 PROBE_TIMEOUT: Final = 0.8
 REPORT_TIMEOUT: Final = 1.0
@@ -41,14 +47,22 @@
     """An answer that carries another attempt's id."""
 
 
+class RunNotFound(Exception):
+    """An answer that says the engine has no run under the attempt's id."""
+
+
 class AttemptRunner:
-    """All running attempts. Invariant: one task for each attempt id at most."""
+    """All running attempts.
+
+    An attempt may be waited for on several connections, because the older may have gone silent.
+    Invariant: from the first answer's head on, one task alone acts for the attempt.
+    """
 
     def __init__(self, pool: ConnectionPool, feed: Feed, max_kept_body: int) -> None:
         self._pool = pool
         self._feed = feed
         self._max_kept_body = max_kept_body
-        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._tasks: dict[str, set[asyncio.Task[None]]] = {}
         self._background: set[asyncio.Task[None]] = set()
         self._kinds: dict[str, TargetKind] = {}
 
@@ -69,8 +83,7 @@
 
     def cancel(self, action: actions.CancelAttempt) -> None:
         """Stop an attempt here and tell its target."""
-        task = self._tasks.pop(action.attempt, None)
-        if task is not None:
+        for task in self._tasks.pop(action.attempt, ()):
             task.cancel()
         path = self.find_kind("engine").cancel_path(action.attempt)
         self._spawn(self._send_cancel((action.host, action.port), path))
@@ -85,19 +98,35 @@
 
     async def close(self) -> None:
         """Stop everything."""
-        tasks = [*self._tasks.values(), *self._background]
+        running = [task for tasks in self._tasks.values() for task in tasks]
+        tasks = [*running, *self._background]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
     def _start(self, attempt: str, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
-        self._tasks[attempt] = task
+        self._tasks.setdefault(attempt, set()).add(task)
         task.add_done_callback(lambda done: self._forget(attempt, done))
 
     def _forget(self, attempt: str, done: asyncio.Task[None]) -> None:
-        if self._tasks.get(attempt) is done:
-            del self._tasks[attempt]
+        tasks = self._tasks.get(attempt, set())
+        tasks.discard(done)
+        if not tasks:
+            self._tasks.pop(attempt, None)
+
+    def _list_others(self, attempt: str) -> list[asyncio.Task[None]]:
+        own = asyncio.current_task()
+        return [t for t in self._tasks.get(attempt, ()) if t is not own and not t.done()]
+
+    def _end_others(self, attempt: str) -> None:
+        """Leave this task as the only one of its attempt.
+
+        Two connections may bring the same answer; relayed from both, the caller would get it
+        twice over.
+        """
+        for task in self._list_others(attempt):
+            task.cancel()
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
@@ -121,7 +150,7 @@
             self._check_id(response, action.attempt)
             if response.status in BUSY_STATUSES and not action.keep:
                 raise HttpFailure(SendStage.RESPONSE, STAGE_REFUSED)
-            self._feed(events.AttemptHead(action.attempt, response.status, self._now() - started))
+            self._begin(action.attempt, response, started)
             if action.keep:
                 await self._collect(action, connection, response, started)
             else:
@@ -144,25 +173,36 @@
         connection: Connection | None = None
         try:
             connection = await self._pool.take((action.host, action.port), started, True)
-            path = kind.resume_path(action.attempt, request.relayed)
+            offset = request.relayed
+            path = kind.resume_path(action.attempt, offset)
             await connection.send("GET", path, [(ATTEMPT_HEADER, action.attempt)], b"")
-            response = await connection.receive_head(action.progress_timeout)
+            response = await connection.receive_head(action.head_timeout)
+            if response.status == STATUS_NOT_FOUND:
+                raise RunNotFound
             self._check_id(response, action.attempt)
             if response.status != 200:
                 raise HttpFailure(SendStage.RESPONSE, f"resume answered {response.status}")
+            self._begin(action.attempt, response, started)
+            request.start(response, action.ticket)
             await self._relay(action.attempt, action.progress_timeout, connection, request)
             self._report_done(action.attempt, response.status, started)
             self._pool.give_back(connection, self._now())
         except HttpFailure as failure:
-            # A stream that has begun has been sent, whatever failed on the way to its rest.
+            # The attempt has been sent before, whatever failed on the way to its rest.
             late = HttpFailure(SendStage.RESPONSE, failure.reason)
             self._fail(action.attempt, late, False, request, connection)
+        except RunNotFound:
+            self._fail_not_found(action.attempt, request, connection)
         except WrongAnswer:
             self._fail_wrong(action.attempt, request, connection)
         except BaseException:
             _close(connection)
             raise
 
+    def _begin(self, attempt: str, response: Response, started: float) -> None:
+        self._end_others(attempt)
+        self._feed(events.AttemptHead(attempt, response.status, self._now() - started))
+
     def _check_id(self, response: Response, attempt: str) -> None:
         if response.headers.get(ATTEMPT_HEADER.lower()) != attempt:
             raise WrongAnswer
@@ -183,7 +223,13 @@
         started: float,
     ) -> None:
         """Read a command's answer whole before anything of it is given."""
-        parts = [part async for part in connection.receive_body(action.progress_timeout)]
+        parts: list[bytes] = []
+        size = 0
+        async for part in connection.receive_body(action.progress_timeout):
+            size += len(part)
+            if size > MAX_COMMAND_ANSWER:
+                raise HttpFailure(SendStage.RESPONSE, "answer too large")
+            parts.append(part)
         body = b"".join(parts)
         self._feed(
             events.AttemptDone(
@@ -207,23 +253,42 @@
         request: OpenRequest,
         connection: Connection | None,
     ) -> None:
-        _close(connection)
         refused = failure.reason == STAGE_REFUSED
         stage = STAGE_REFUSED if refused else failure.stage.value
-        self._feed(events.AttemptFailed(attempt, stage, failure.reason, reused, request.relayed))
+        self._end_run(attempt, stage, failure.reason, reused, request, connection)
 
     def _fail_wrong(
         self, attempt: str, request: OpenRequest, connection: Connection | None
     ) -> None:
+        stage = SendStage.SENT.value
+        self._end_run(attempt, stage, codes.WRONG_ID, False, request, connection)
+
+    def _fail_not_found(
+        self, attempt: str, request: OpenRequest, connection: Connection | None
+    ) -> None:
+        """End every wait for a run that the engine does not have."""
+        self._end_others(attempt)
+        self._tasks.pop(attempt, None)
+        self._end_run(attempt, STAGE_NOT_FOUND, STAGE_NOT_FOUND, False, request, connection)
+
+    def _end_run(
+        self,
+        attempt: str,
+        stage: str,
+        reason: str,
+        reused: bool,
+        request: OpenRequest,
+        connection: Connection | None,
+    ) -> None:
+        """Report a failure, unless the attempt is still waited for on another connection."""
         _close(connection)
-        self._feed(
-            events.AttemptFailed(
-                attempt, SendStage.SENT.value, codes.WRONG_ID, False, request.relayed
-            )
-        )
+        if self._list_others(attempt):
+            return
+        self._feed(events.AttemptFailed(attempt, stage, reason, reused, request.relayed))
 
     async def _run_probe(self, action: actions.Probe) -> None:
         boot_id = ""
+        silent = False
         try:
             kind = self.find_kind("engine")
             _, data = await fetch(
@@ -236,9 +301,11 @@
                 fresh=True,
             )
             boot_id = kind.read_report(data).boot_id
-        except (HttpFailure, msgspec.MsgspecError):
+        except HttpFailure as failure:
+            silent = failure.reason == REASON_TIMEOUT
+        except msgspec.MsgspecError:
             pass
-        self._feed(events.ProbeAnswered(action.target, action.attempt, boot_id))
+        self._feed(events.ProbeAnswered(action.target, action.attempt, boot_id, silent))
 
     async def _run_report(self, action: actions.ReadReport, kind: TargetKind) -> None:
         try:
--- a/rhubarbbend/shell/_callers.py
+++ b/rhubarbbend/shell/_callers.py
@@ -53,10 +53,12 @@
         return self.exchange is not None and not self.done.is_set()
 
     def start(self, response: Response, ticket: str) -> None:
-        """Begin to relay a target's answer."""
+        """Begin to relay a target's answer; no effect on one that is being continued."""
         if not self.live:
             return
         assert self.exchange is not None
+        if self.exchange.started:
+            return
         headers = [
             (name, response.headers[name])
             for name in PASSED_RESPONSE_HEADERS
--- a/rhubarbbend/shell/_runtime.py
+++ b/rhubarbbend/shell/_runtime.py
@@ -24,6 +24,7 @@
 from rhubarbbend import codes
 from rhubarbbend.codes import Verdict
 from rhubarbbend.core import Core, Identity, actions, events
+from rhubarbbend.core._answers import make_peer_request
 from rhubarbbend.core._fleet import KIND_INSTANCE
 from rhubarbbend.core.messages import Member, Message, ReservedReply, ReservedRun
 from rhubarbbend.http import ConnectionPool, Exchange, HttpServer, ServerLimits
@@ -237,7 +238,7 @@
 
     def _hear_peer(self, sender: str, message: Message) -> None:
         if isinstance(message, ReservedRun):
-            request = f"{sender}/{message.request}"
+            request = make_peer_request(sender, message.request)
             headers = {"content-type": message.content_type, "idempotency-key": message.key}
             path = f"/{message.service_name}{message.path}"
             self._open[request] = OpenRequest(
@@ -331,13 +332,13 @@
 
     def _send_peer(self, action: actions.SendPeer) -> None:
         if isinstance(action.message, ReservedReply):
-            self._open.pop(f"{action.peer}/{action.message.request}", None)
+            self._open.pop(make_peer_request(action.peer, action.message.request), None)
         self._links.send(action.peer, (action.host, action.port), action.message)
 
     def _send_reserved(self, action: actions.SendReserved) -> None:
         message = action.message
         assert isinstance(message, ReservedRun)
-        opened = self._open.get(message.request)
+        opened = self._open.get(action.request)
         if opened is None:
             return
         message.content_type = opened.headers.get("content-type", "")
