Hold forwarded refusals and arrivals to the time they were made

Cause: random orders of events (tests/core/test_claims_model.py) found two ways in which a caller was told not_run and its reserved key ran after: a forwarded command that was under way while its issuer refused another request of the key, and a refusal that reached its caller late. Forwarded commands now carry the time their caller was read and replies the time they were decided; a reserved key's refusal holds later requests back as the table's does.

--- a/rhubarbbend/core/_answers.py
+++ b/rhubarbbend/core/_answers.py
@@ -37,13 +37,14 @@
         self._table = table
         self._slots = slots
 
-    def reject(self, request: str, on_behalf_of: str, code: ErrorCode) -> None:
+    def reject(self, request: str, on_behalf_of: str, code: ErrorCode, now: float) -> None:
         """Refuse what never became a request of an account: nothing can have run under it."""
         verdict = Verdict.NOT_RUN.value
         self._context.count(f"refused.{code.name}")
         if on_behalf_of:
             _, forward = read_peer_request(request)
-            reply = ReservedReply(request=forward, error=code.name, verdict=verdict)
+            at = self._context.read_wall(now)
+            reply = ReservedReply(request=forward, error=code.name, verdict=verdict, at=at)
             self._context.send(on_behalf_of, reply)
             return
         self._context.emit(actions.Refuse(request, code.name, verdict, verdict, code.retry_after))
@@ -52,16 +53,17 @@
         """Refuse a request and close it; `verdict` speaks of its key."""
         self._slots.release(request, completed=False)
         if not request.detached:
-            self.send_refusal(request, code, verdict)
+            self.send_refusal(request, code, verdict, now)
         self._table.remove(request)
 
-    def send_refusal(self, request: Request, code: ErrorCode, verdict: Verdict) -> None:
+    def send_refusal(self, request: Request, code: ErrorCode, verdict: Verdict, now: float) -> None:
         """Answer with a refusal and leave the request open."""
         self._context.count(f"refused.{code.name}")
         peer = request.arrived.on_behalf_of
         if peer:
             _, forward = read_peer_request(request.id)
-            reply = ReservedReply(request=forward, error=code.name, verdict=verdict.value)
+            at = self._context.read_wall(now)
+            reply = ReservedReply(request=forward, error=code.name, verdict=verdict.value, at=at)
             self._context.send(peer, reply)
             return
         retry_after = code.retry_after
--- a/rhubarbbend/core/_claims.py
+++ b/rhubarbbend/core/_claims.py
@@ -174,18 +174,28 @@
             self.listener.claim_replayed(request.id, record.outcome, now)
         elif record.state is RecordState.UNKNOWN:
             self._refuse_unknown(request.id, now)
-        elif record.reserved and request.arrived_at <= record.at:
-            # Whoever sent the key first has been told "not run" after this request came. Now this
-            # one is told so too, which binds those that have come since.
-            record.at = now
-            self.listener.claim_refused(request.id, codes.OVERLOADED, Verdict.NOT_RUN, now)
+        elif record.reserved and request.arrived_at <= record.at + self._hold:
+            self._settle_refused_key(request, record, now)
         else:
             return False
         return True
 
+    @property
+    def _hold(self) -> float:
+        """How long a refusal holds later requests back, so that "not run" can reach its caller."""
+        return self._context.options.claim_timeout + CLOCK_SKEW
+
+    def _settle_refused_key(self, request: Request, record: Record, now: float) -> None:
+        """Refuse a request that may have come before a caller was told "not run"."""
+        fresh = now <= record.at + self._context.options.claim_timeout
+        if fresh and not request.arrived.on_behalf_of:
+            self.listener.claim_refused(request.id, codes.OVERLOADED, Verdict.NOT_RUN, now)
+        else:
+            self._refuse_unknown(request.id, now)
+
     def claim(self, request: Request, now: float) -> None:
         """Claim the key for the request's present attempt."""
-        if self.settle_from_memory(request, now) or self._refuse_expired(request, now):
+        if self.settle_from_memory(request, now):
             return
         record = self._open_record(request, now)
         if record.reserved:
@@ -203,7 +213,7 @@
         The refusal is therefore written where a claim would be: if the row is new, nothing ran,
         and requests that came before it are refused by it too.
         """
-        if self.settle_from_memory(request, now) or self._refuse_expired(request, now):
+        if self.settle_from_memory(request, now):
             return
         if is_reserved(request.arrived.key):
             self._mark_never(self._open_record(request, now), now)
@@ -229,19 +239,6 @@
         if record.won:
             self._write_outcome(record, RowState.NOT_RUN, now)
 
-    def _refuse_expired(self, request: Request, now: float) -> bool:
-        """Refuse a reserved key that expired while its request waited for a slot.
-
-        Its record may have been forgotten meanwhile, and a second run would look like the first.
-        """
-        if not is_reserved(request.arrived.key) or _key_of(request) in self._records:
-            return False
-        key = self.read_reserved(request)
-        if key is not None and not self.is_expired(key, now):
-            return False
-        self.listener.claim_refused(request.id, codes.ISSUER_GONE, Verdict.MAY_HAVE_RUN, now)
-        return True
-
     # Writing.
 
     def _open_record(self, request: Request, now: float) -> Record:
@@ -428,15 +425,14 @@
         "not run", a run of the second would make that false. Where the refusal is so old that a
         third may already run the key, "not run" is not said again without writing it again.
         """
-        timeout = self._context.options.claim_timeout
         if write.purpose is WritePurpose.REFUSE:
             request.retake_version = version
             request.generation = row.generation + 1
             self._write_refusal(request, write.code, now)
-        elif self._context.read_wall(request.arrived_at) > row.at + timeout + CLOCK_SKEW:
+        elif self._context.read_wall(request.arrived_at) > row.at + self._hold:
             self.listener.claim_retake(write.request, version, row.generation + 1, now)
         else:
-            fresh = self._context.read_wall(now) <= row.at + timeout
+            fresh = self._context.read_wall(now) <= row.at + self._context.options.claim_timeout
             verdict = Verdict.NOT_RUN if fresh else Verdict.MAY_HAVE_RUN
             self.listener.claim_refused(write.request, codes.OVERLOADED, verdict, now)
 
--- a/rhubarbbend/core/_entry.py
+++ b/rhubarbbend/core/_entry.py
@@ -16,7 +16,7 @@
 from rhubarbbend.core._answers import Answers
 from rhubarbbend.core._attempts import Attempts
 from rhubarbbend.core._claim_rows import Outcome
-from rhubarbbend.core._claims import ClaimDuty
+from rhubarbbend.core._claims import CLOCK_SKEW, ClaimDuty
 from rhubarbbend.core._context import Context, EventHandler
 from rhubarbbend.core._keys import is_reserved, is_valid_key
 from rhubarbbend.core._request_table import RequestTable
@@ -107,7 +107,7 @@
         account = self._context.configuration.accounts.get(event.key_digest)
         if account is None:
             code = codes.UNAUTHORIZED if self._context.config_ready else codes.NOT_READY
-            self._answers.reject(event.request, event.on_behalf_of, code)
+            self._answers.reject(event.request, event.on_behalf_of, code, now)
             return
         self._admit(event, account, now)
 
@@ -115,17 +115,28 @@
         service = self._context.configuration.find_service(event.service_name, event.model)
         if service is None:
             code = codes.UNKNOWN_MODEL if event.model else codes.UNKNOWN_SERVICE
-            self._answers.reject(event.request, event.on_behalf_of, code)
+            self._answers.reject(event.request, event.on_behalf_of, code, now)
             return
         idempotent = _is_idempotent(service, event)
         code_or_none = _check_request(event, idempotent)
         if idempotent is None or code_or_none is not None:
             code = code_or_none or codes.UNKNOWN_PATH
-            self._answers.reject(event.request, event.on_behalf_of, code)
+            self._answers.reject(event.request, event.on_behalf_of, code, now)
             return
-        request = Request(event, account, service, idempotent, now, now + event.time_left)
+        arrived = self._read_arrival(event, now)
+        request = Request(event, account, service, idempotent, arrived, now + event.time_left)
         self._open(request, now)
 
+    def _read_arrival(self, event: events.RequestArrived, now: float) -> float:
+        """Give the earliest local time at which a request may have come.
+
+        What a peer forwards may have been under way for long. Taken for a new request, it could
+        run a key of which a caller has been told "not run" meanwhile.
+        """
+        if not event.on_behalf_of:
+            return now
+        return min(now, event.wall - self._context.wall_offset - CLOCK_SKEW)
+
     def _open(self, request: Request, now: float) -> None:
         self._table.add(request)
         self._context.set_timer(request.deadline, lambda at: self._check_deadline(request, at))
@@ -251,7 +262,7 @@
             self._answers.refuse(request, codes.DEADLINE, Verdict.MAY_HAVE_RUN, now)
         elif _runs_command(request):
             # Left alone, its outcome is kept for the caller's next try.
-            self._answers.send_refusal(request, codes.DEADLINE, Verdict.MAY_HAVE_RUN)
+            self._answers.send_refusal(request, codes.DEADLINE, Verdict.MAY_HAVE_RUN, now)
             self._table.detach(request)
         elif request.sent:
             self._attempts.cancel(request)
--- a/rhubarbbend/core/_reserved.py
+++ b/rhubarbbend/core/_reserved.py
@@ -47,11 +47,11 @@
         """Issue keys to a caller."""
         account = self._context.configuration.accounts.get(event.key_digest)
         if account is None:
-            self._answers.reject(event.request, "", codes.UNAUTHORIZED)
+            self._answers.reject(event.request, "", codes.UNAUTHORIZED, now)
         elif self._context.stopping:
-            self._answers.reject(event.request, "", codes.STOPPING)
+            self._answers.reject(event.request, "", codes.STOPPING, now)
         elif not 1 <= event.count <= MAX_KEYS_AT_ONCE:
-            self._answers.reject(event.request, "", codes.BAD_REQUEST)
+            self._answers.reject(event.request, "", codes.BAD_REQUEST, now)
         else:
             keys = self._claims.issue_keys(account.name, event.count, now)
             self._context.emit(actions.GiveKeys(event.request, keys))
@@ -85,10 +85,11 @@
             body_digest=message.digest,
             time_left=message.time_left,
             key=message.key,
+            wall=message.arrived,
             on_behalf_of=sender,
         )
         if account is None:
-            self._answers.reject(event.request, sender, codes.UNAUTHORIZED)
+            self._answers.reject(event.request, sender, codes.UNAUTHORIZED, now)
             return
         self._admit(event, account, now)
 
@@ -100,7 +101,7 @@
         if request.asked_owner != sender:
             return
         if message.error:
-            verdict = _read_verdict(message.verdict)
+            verdict = self._read_verdict(message, now)
             self._answers.refuse(request, codes.find_error(message.error), verdict, now)
             return
         outcome = Outcome(message.status, message.content_type, message.body, True)
@@ -133,14 +134,22 @@
             path=arrived.path,
             digest=arrived.body_digest,
             time_left=request.time_left(now),
+            arrived=self._context.read_wall(request.arrived_at),
         )
         self._context.emit(
             actions.SendReserved(request.id, key.issuer, view.host, view.peer_port, message)
         )
 
-
-def _read_verdict(text: str) -> Verdict:
-    try:
-        return Verdict(text)
-    except ValueError:
-        return Verdict.MAY_HAVE_RUN
+    def _read_verdict(self, message: ReservedReply, now: float) -> Verdict:
+        """Pass "not run" on only while the issuer holds later requests back.
+
+        An answer that was under way for longer may be overtaken by a run of a later request.
+        """
+        try:
+            verdict = Verdict(message.verdict)
+        except ValueError:
+            return Verdict.MAY_HAVE_RUN
+        age = self._context.read_wall(now) - message.at
+        if verdict is Verdict.NOT_RUN and age > self._context.options.claim_timeout:
+            return Verdict.MAY_HAVE_RUN
+        return verdict
--- a/rhubarbbend/core/messages.py
+++ b/rhubarbbend/core/messages.py
@@ -174,7 +174,10 @@
 
 
 class ReservedRun(Message, tag=True):
-    """Asks the issuer of a reserved key to run a command under it; answered by ReservedReply."""
+    """Asks the issuer of a reserved key to run a command under it; answered by ReservedReply.
+
+    `arrived` is the Unix time at which the sender read its caller's request.
+    """
 
     FIELD: ClassVar[str] = "reserved_run"
 
@@ -189,10 +192,11 @@
     body: bytes = b""
     digest: str = ""
     time_left: float = 0.0
+    arrived: float = 0.0
 
 
 class ReservedReply(Message, tag=True):
-    """Answer to ReservedQuery."""
+    """Answer to ReservedRun; `at` is the Unix time at which it was decided."""
 
     FIELD: ClassVar[str] = "reserved_reply"
 
@@ -203,6 +207,7 @@
     content_type: str = ""
     body: bytes = b""
     replayed: bool = False
+    at: float = 0.0
 
 
 class CrashCount(Message, tag=True):
--- a/rhubarbbend/schema/peers.thrift
+++ b/rhubarbbend/schema/peers.thrift
@@ -140,6 +140,7 @@
   9: binary body = "",
   10: string digest = "",
   11: double time_left = 0,
+  12: double arrived = 0,
 }
 
 struct ReservedReply {
@@ -150,6 +151,7 @@
   5: string content_type = "",
   6: binary body = "",
   7: bool replayed = false,
+  8: double at = 0,
 }
 
 /** How often a request digest was running when its target crashed. */
--- /dev/null
+++ b/tests/core/fakes.py
@@ -0,0 +1,322 @@
+"""Fakes at the core's interfaces: a table, a way between instances, targets, and a clock.
+
+Nothing happens by itself: writes, messages and runs stay pending until a test picks what becomes
+of each, so that a test can put events in any order.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, deque
+
+import attrs
+import msgspec
+
+from rhubarbbend.core import Core, CoreOptions, Identity, actions, events
+from rhubarbbend.core._answers import make_peer_request
+from rhubarbbend.core.configuration import Account, Item, Operation, Service
+from rhubarbbend.core.messages import ClaimQuery, ClaimReply, Message, ReservedReply, ReservedRun
+
+SECRET = b"a secret for tests of the core"
+ACCOUNT = "pilgrim-groups"
+WALL = 1_700_000_000.0
+SERVICE = "booking"
+ENGINE = "planner"
+HELD_BACK = (ClaimQuery, ClaimReply, ReservedRun, ReservedReply)
+
+DECLARATIONS = [
+    ("account", Account(ACCOUNT, ACCOUNT)),
+    ("account", Account("agents", "agents")),
+    (
+        "service",
+        Service(
+            SERVICE,
+            kind="plain",
+            floor=64,
+            cold_slots=64,
+            operations=(
+                Operation("/bookings", "POST", idempotent=False),
+                Operation("/plots/*", "GET"),
+            ),
+        ),
+    ),
+    ("service", Service(ENGINE, floor=64, cold_slots=64, head_timeout=30.0)),
+]
+
+
+@attrs.define(slots=True, eq=False)
+class PendingWrite:
+    """A transaction that has not been answered; `rows` is set once it has taken effect."""
+
+    instance: str
+    action: actions.WriteRows
+    applied: list[bool] | None = None
+    rows: list[events.Row | None] = attrs.Factory(list)
+
+
+@attrs.define(slots=True, eq=False)
+class PendingRun:
+    """A dispatch that has not been answered."""
+
+    instance: str
+    action: actions.Dispatch
+
+
+@attrs.define(slots=True, eq=False)
+class PendingMessage:
+    """A message between instances that has not been delivered."""
+
+    sender: str
+    peer: str
+    message: Message
+
+
+@attrs.define(slots=True, frozen=True)
+class FinalAnswer:
+    """What a caller was told at a step; `body` of a reply."""
+
+    step: int
+    code: str
+    verdict: str
+    body: bytes = b""
+
+
+class World:
+    """Cores of a few instances, one target of each service for each zone, and what is pending."""
+
+    def __init__(
+        self,
+        zones: dict[str, str],
+        options: CoreOptions | None = None,
+        skews: tuple[float, ...] = (),
+        hold_messages: bool = False,
+    ) -> None:
+        self.now = 100.0
+        self.step = 0
+        self.table: dict[str, events.Row] = {}
+        self.writes: list[PendingWrite] = []
+        self.runs: list[PendingRun] = []
+        self.messages: list[PendingMessage] = []
+        self.resumes: list[actions.Resume] = []
+        self.probes: list[tuple[str, actions.Probe]] = []
+        self.done: list[actions.Action] = []
+        self.answers: dict[str, list[FinalAnswer]] = {}
+        self.keys: list[str] = []
+        self.arrived: dict[str, tuple[int, str]] = {}
+        # The callers' requests behind the ids that issuers of reserved keys know.
+        self.forwarded: dict[str, str] = {}
+        self.counters: Counter[str] = Counter()
+        self.frozen: dict[str, float] = {}
+        self.hold_messages = hold_messages
+        self.cores: dict[str, Core] = {}
+        self.zones = zones
+        self.options = options or CoreOptions()
+        self._events: deque[tuple[str, events.Event]] = deque()
+        self._late: dict[str, list[events.Event]] = {}
+        self._handling = False
+        for index, name in enumerate(zones):
+            self.start(name, 1, skews[index] if index < len(skews) else 0.0)
+        for _ in range(3):
+            self.advance(0.6)
+
+    def start(self, name: str, incarnation: int, skew: float = 0.0) -> None:
+        """Start an instance; one of that name is gone, with all that it knew."""
+        identity = Identity(name, self.zones[name], name, 1, 2, incarnation, SECRET)
+        core = self.cores[name] = Core(identity, self.options, seed=len(self.cores))
+        self.writes = [write for write in self.writes if write.instance != name]
+        self.runs = [run for run in self.runs if run.instance != name]
+        self.feed(name, events.Started(WALL + self.now + skew))
+        items = [
+            Item(kind, value.name, 1, msgspec.json.encode(value)) for kind, value in DECLARATIONS
+        ]
+        core.context.configuration.apply(1, items)
+        core.context.config_ready = True
+
+    def feed(self, instance: str, event: events.Event) -> None:
+        """Give an event to an instance, or keep it while the instance is frozen."""
+        self._events.append((instance, event))
+        if self._handling:
+            return
+        self._handling = True
+        while self._events:
+            name, present = self._events.popleft()
+            if name in self.frozen:
+                self._late[name].append(present)
+                continue
+            if isinstance(present, events.RequestArrived):
+                self.step += 1
+                self.arrived[present.request] = (self.step, present.key)
+            for action in self.cores[name].handle(present, self.now):
+                self._perform(name, action)
+        self._handling = False
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass."""
+        end = self.now + seconds
+        while True:
+            due = [c.next_timer() or end for n, c in self.cores.items() if n not in self.frozen]
+            first = min([*due, end])
+            self.now = max(self.now, first)
+            for name in self.cores:
+                if name not in self.frozen:
+                    self.feed(name, events.TimerDue())
+            if first >= end:
+                return
+
+    def freeze(self, name: str) -> None:
+        """Stop an instance without its noticing."""
+        self.frozen[name] = self.now
+        self._late[name] = []
+
+    def thaw(self, name: str) -> None:
+        """Let an instance go on; what came meanwhile comes now."""
+        away = self.now - self.frozen.pop(name)
+        self.feed(name, events.ProcessPaused(away))
+        for event in self._late.pop(name):
+            self.feed(name, event)
+
+    def send(
+        self,
+        instance: str,
+        request: str,
+        key: str = "",
+        body: str = "body",
+        deadline: float = 30.0,
+        path: str = "/bookings",
+        account: str = ACCOUNT,
+        service: str = SERVICE,
+    ) -> None:
+        """Let a caller's request arrive; with a key it is a command."""
+        self.answers.setdefault(request, [])
+        event = events.RequestArrived(
+            request,
+            account,
+            service,
+            "",
+            "POST" if key else "GET",
+            path,
+            body,
+            deadline,
+            key=key,
+        )
+        self.feed(instance, event)
+
+    def reserve(self, instance: str) -> str:
+        """Get a reserved key of an instance."""
+        self.feed(instance, events.KeysRequested("keys", ACCOUNT, 1))
+        return self.keys[-1]
+
+    def apply(self, write: PendingWrite) -> None:
+        """Let a transaction take effect."""
+        if write.applied is not None:
+            return
+        write.applied = []
+        for entry in write.action.writes:
+            row = self.table.get(entry.key)
+            fits = entry.expect == (0 if row is None else row.version)
+            if fits:
+                row = events.Row(entry.key, entry.value, entry.expect + 1)
+                self.table[entry.key] = row
+            write.applied.append(fits)
+            write.rows.append(row)
+
+    def answer(self, write: PendingWrite) -> None:
+        """Let a transaction take effect and its answer come."""
+        self.apply(write)
+        self.writes.remove(write)
+        assert write.applied is not None
+        done = events.WriteDone(write.action.op, "done", write.applied, list(write.rows))
+        self.feed(write.instance, done)
+
+    def lose(self, write: PendingWrite) -> None:
+        """Let a transaction end without an answer; whether it took effect is as it is."""
+        self.writes.remove(write)
+        self.feed(write.instance, events.WriteDone(write.action.op, "unknown"))
+
+    def settle(self) -> None:
+        """Answer every transaction and deliver every message until none is left."""
+        while self.writes or self.messages:
+            for write in list(self.writes):
+                self.answer(write)
+            for message in list(self.messages):
+                self.deliver(message)
+
+    def deliver(self, pending: PendingMessage) -> None:
+        """Deliver a message."""
+        self.messages.remove(pending)
+        if pending.peer in self.cores:
+            self.feed(pending.peer, events.PeerSaid(pending.sender, pending.message))
+
+    def finish(self, run: PendingRun, body: bytes = b"done") -> None:
+        """Let a target answer."""
+        self.runs.remove(run)
+        self.feed(run.instance, events.AttemptDone(run.action.attempt, 200, 0.1, body=body))
+
+    def fail(self, run: PendingRun, stage: str) -> None:
+        """Let an attempt fail; the target is well when it is probed."""
+        self.runs.remove(run)
+        self.feed(run.instance, events.AttemptFailed(run.action.attempt, stage, "fault"))
+
+    def read_answer(self, request: str) -> FinalAnswer:
+        """Give the one final answer of a request."""
+        found = self.answers[request]
+        assert len(found) == 1, (request, found)
+        return found[0]
+
+    def _perform(self, name: str, action: actions.Action) -> None:
+        if isinstance(action, actions.SendReserved):
+            assert isinstance(action.message, ReservedRun)
+            known = make_peer_request(name, action.message.request)
+            self.forwarded[known] = action.request
+        if isinstance(action, actions.SendPeer | actions.SendReserved):
+            self._send(PendingMessage(name, action.peer, action.message))
+        elif isinstance(action, actions.WriteRows):
+            self.writes.append(PendingWrite(name, action))
+        elif isinstance(action, actions.Dispatch):
+            self.runs.append(PendingRun(name, action))
+        elif isinstance(action, actions.Resume):
+            self.resumes.append(action)
+        elif isinstance(action, actions.Probe):
+            self.probes.append((name, action))
+        elif isinstance(action, actions.Refuse):
+            self._note(action.request, action.code, action.verdict)
+        elif isinstance(action, actions.Reply):
+            self._note(action.request, "", "ran", action.body)
+        elif isinstance(action, actions.GiveKeys):
+            self.keys.extend(action.keys)
+        elif isinstance(action, actions.ReadReport):
+            report = events.ReportRead(action.target, f"{action.target}-1", "ready", 0, 0)
+            self._events.append((name, report))
+        elif isinstance(action, actions.ReadList):
+            self._events.append((name, events.ListRead(self._list_entries())))
+        elif isinstance(action, actions.Count):
+            self.counters[action.name] += action.by
+        else:
+            self.done.append(action)
+
+    def _send(self, pending: PendingMessage) -> None:
+        if isinstance(pending.message, ReservedReply):
+            request = make_peer_request(pending.peer, pending.message.request)
+            self.answers.setdefault(request, [])
+        self.messages.append(pending)
+        if not (self.hold_messages and isinstance(pending.message, HELD_BACK)):
+            self.messages.remove(pending)
+            if pending.peer in self.cores:
+                event = events.PeerSaid(pending.sender, pending.message)
+                self._events.append((pending.peer, event))
+
+    def _note(self, request: str, code: str, verdict: str, body: bytes = b"") -> None:
+        self.step += 1
+        answer = FinalAnswer(self.step, code, verdict, body)
+        self.answers.setdefault(request, []).append(answer)
+
+    def _list_entries(self) -> list[events.Listed]:
+        entries = [
+            events.Listed(name, "instance", zone, name, 1, 2) for name, zone in self.zones.items()
+        ]
+        for zone in sorted(set(self.zones.values())):
+            for service in (SERVICE, ENGINE):
+                target = f"{service}-{zone}"
+                entries.append(
+                    events.Listed(target, "target", zone, target, 1, service_name=service)
+                )
+        return entries
