Add a randomised run of faults over all processes, with callers that check

make chaos SEED=n DURATION=s draws a schedule (numpy's generator; the same seed gives the same schedule), prints it, carries it out, and compares what callers were told with what the services ran.

--- a/Makefile
+++ b/Makefile
@@ -8,6 +8,12 @@
 test: .venv/.ready
 	@$(PYTHON) -m pytest -n 6
 
+# A randomised run of faults: make chaos SEED=1 DURATION=60
+SEED ?= 1
+DURATION ?= 60
+chaos: .venv/.ready
+	@$(PYTHON) -m loadtool chaos --seed $(SEED) --duration $(DURATION)
+
 lint: .venv/.ready
 	@$(PYTHON) -m black --check -q rhubarbbend standins loadtool tests
 	@$(PYTHON) -m ruff check -q rhubarbbend standins loadtool tests
