Split the owner duty; keep sums for the mean; put new owners on probation

Slots given back by an attempt that was cut counted as free although the target may run them. Heartbeats overruled the list's word that an instance leaves, so ownership moved to and fro.

Changed: books, ramp and queue are modules of their own; Fleet keeps running sums; a zone's sums and loads that are no longer heard expire; Probation limits a new owner by what reports show; slots in doubt stay part of the load until a later report; queue steps cost a logarithm and a full queue takes from whoever has most of it; an expected wait beyond the allowed one is refused at once; account limits are plug-ins.

Ruled out: halving the limit whenever a listed peer is silent. It would cost capacity for as long as the platform's list is away, while reports tell within a second.

--- /dev/null
+++ b/rhubarbbend/core/_books.py
@@ -0,0 +1,205 @@
+"""The books of one owned target: its slots, its queue, and what its reports show beyond them."""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from typing import Final
+
+import attrs
+
+from rhubarbbend.core._queue import FairQueue
+from rhubarbbend.core._ramp import ColdRamp, Probation
+from rhubarbbend.core.configuration import Service
+from rhubarbbend.core.messages import HeldSlot, SlotRelease
+
+# First bytes this many times slower than usual, in a row, say that a target has turned cold.
+SLOW_FACTOR: Final = 4.0
+SLOW_MARGIN: Final = 0.25
+SLOW_IN_A_ROW: Final = 3
+# So many attempts failed at the target, with none that ended well between, say the same.
+FAILED_IN_A_ROW: Final = 2
+AVERAGE_WEIGHT: Final = 0.1
+# How exactly a report's age places it among the changes of the slots.
+REPORT_EARLY: Final = 0.3
+REPORT_LATE: Final = 0.15
+MAX_SAMPLES: Final = 512
+
+
+@attrs.define(slots=True)
+class Slot:
+    """A granted slot; `renewed` is when its holder last confirmed it."""
+
+    attempt: str
+    holder: str
+    incarnation: int
+    account: str
+    since: float
+    renewed: float
+    suspect: bool
+
+
+class ColdWatch:
+    """Notices a target that has turned cold under the same boot id.
+
+    Such a target still takes work, slowly, and falls over under a full load. Its first bytes are
+    compared with its own usual ones, less the time that reading the prompt may take, so that a
+    few long prompts do not look like a cold target.
+    """
+
+    def __init__(self) -> None:
+        self._usual = 0.0
+        self._slow = 0
+        self._failed = 0
+
+    def take_first_byte(self, first_byte: float, prefill: float) -> bool:
+        """Judge the first byte of an attempt that ended well; True if the target is cold."""
+        self._failed = 0
+        allowed = SLOW_FACTOR * (self._usual + prefill) + SLOW_MARGIN
+        if self._usual and first_byte > allowed:
+            self._slow += 1
+            return self._slow >= SLOW_IN_A_ROW
+        self._slow = 0
+        if not self._usual:
+            self._usual = first_byte
+        self._usual += AVERAGE_WEIGHT * (first_byte - self._usual)
+        return False
+
+    def take_failure(self) -> bool:
+        """Count an attempt that failed at the target; True if the target is taken as cold."""
+        self._failed += 1
+        return self._failed >= FAILED_IN_A_ROW
+
+
+class Books:
+    """What an owner knows of one target.
+
+    Invariants: `slots` holds every grant not yet given back; `unsettled` holds what was given
+    back, or lost with its holder, and which the target may still run, until a report made later
+    tells; the load is the sum of both and of what reports show beyond them.
+    """
+
+    def __init__(self, target: str, service: Service, now: float) -> None:
+        self.target = target
+        self.taken_at = now
+        self.slots: dict[str, Slot] = {}
+        self.unsettled: dict[str, float] = {}
+        self.queue = FairQueue(service.max_queue)
+        self.ramp = ColdRamp(service.cold_slots, service.cold_requests, now)
+        self.probation = Probation(service.cold_slots)
+        self.watch = ColdWatch()
+        self.boot_id = ""
+        self.ready = False
+        self.report_at = -1.0
+        self.foreign = 0
+        self.own_limit = 0
+        self.duration = 0.0
+        self._made_at = -1.0
+        self._samples: deque[tuple[float, int]] = deque(maxlen=MAX_SAMPLES)
+
+    def count_load(self) -> int:
+        """Load in requests: own slots, those in doubt, and what reports show beyond them."""
+        return len(self.slots) + len(self.unsettled) + self.foreign
+
+    def has_suspect(self) -> bool:
+        """Whether a request that was at a crash runs on the target."""
+        return any(slot.suspect for slot in self.slots.values())
+
+    def compute_limit(self, service: Service, load: int, count: int) -> int:
+        """Give the most load the target may have.
+
+        `load` and `count` are those of the service's ready targets, this one included. The mean
+        counts the request that asks, so that a fleet at its bound can still grow.
+        """
+        mean = (load + 1) / max(1, count)
+        limit = max(service.floor, math.ceil(service.bound * mean))
+        if self.own_limit:
+            limit = min(limit, self.own_limit)
+        if self.ramp.cold:
+            limit = min(limit, self.ramp.allowed)
+        return limit
+
+    def add(self, slot: Slot, now: float) -> None:
+        """Enter a grant."""
+        self.slots[slot.attempt] = slot
+        self.probation.note_grant(slot.attempt, now)
+        self.note_slots(now)
+
+    def register(self, held: HeldSlot, holder: str, incarnation: int, now: float) -> bool:
+        """Enter a slot that another owner granted, or renew it; True if it was not known."""
+        slot = self.slots.get(held.attempt)
+        if slot is not None:
+            slot.renewed = now
+            return False
+        if self.unsettled.pop(held.attempt, None) is None:
+            # What a report showed as load of others is now counted by name.
+            self.foreign = max(0, self.foreign - 1)
+        self.slots[held.attempt] = Slot(
+            held.attempt, holder, incarnation, held.account, now, now, held.suspect
+        )
+        self.note_slots(now)
+        return True
+
+    def release(self, message: SlotRelease, now: float) -> Slot | None:
+        """Take a slot back.
+
+        An attempt that did not run to its end may go on at the target for a while: its connection
+        was cut, or its caller left. It stays part of the load until a report tells.
+        """
+        slot = self.slots.pop(message.attempt, None)
+        if message.completed:
+            self.unsettled.pop(message.attempt, None)
+            self.probation.note_end(message.attempt)
+        elif slot is not None and message.sent:
+            self.unsettled[message.attempt] = now
+        if slot is not None:
+            if message.completed:
+                self._note_duration(now - slot.since)
+            self.note_slots(now)
+        return slot
+
+    def doubt(self, slot: Slot, now: float) -> None:
+        """Take back a slot whose holder is gone or does not know of it any more."""
+        del self.slots[slot.attempt]
+        self.unsettled[slot.attempt] = now
+        self.note_slots(now)
+
+    def note_slots(self, now: float) -> None:
+        """Remember how many slots were out, to compare a late report with its own time."""
+        self._samples.append((now, len(self.slots)))
+
+    def take_report(self, running: int, age: float, now: float) -> None:
+        """Work out what runs on the target that is not counted here.
+
+        A report lags. Compared with the slots of the present, it would show load of others after
+        each burst of releases; it is compared with the most slots out about its own time.
+        """
+        made_at = now - age
+        if made_at < self._made_at:
+            return
+        self._made_at = made_at
+        self.report_at = now
+        for attempt, since in list(self.unsettled.items()):
+            # One given back later than this was still a slot at the report's time.
+            if since < made_at - REPORT_EARLY:
+                del self.unsettled[attempt]
+        self.foreign = max(0, running - self._count_about(made_at))
+        if made_at >= self.taken_at:
+            self.probation.take_report(made_at, self.foreign)
+
+    def _count_about(self, at: float) -> int:
+        """Give the most slots out about a time."""
+        most = 0
+        for noted, count in self._samples:
+            if noted < at - REPORT_EARLY:
+                most = count
+            elif noted <= at + REPORT_LATE:
+                most = max(most, count)
+            else:
+                break
+        return most
+
+    def _note_duration(self, seconds: float) -> None:
+        if not self.duration:
+            self.duration = seconds
+        self.duration += AVERAGE_WEIGHT * (seconds - self.duration)
--- a/rhubarbbend/core/_entry.py
+++ b/rhubarbbend/core/_entry.py
@@ -8,8 +8,6 @@
 
 from __future__ import annotations
 
-from collections import Counter
-
 from rhubarbbend import codes
 from rhubarbbend.codes import ErrorCode, Verdict
 from rhubarbbend.core import actions, events
@@ -29,6 +27,7 @@
 from rhubarbbend.core._suspects import SuspectDuty
 from rhubarbbend.core._tickets import Place, Ticket, decode_ticket, encode_ticket
 from rhubarbbend.core.configuration import Account, Service
+from rhubarbbend.core.limits import LIMITS
 from rhubarbbend.core.messages import (
     HeldSlot,
     Message,
@@ -78,7 +77,7 @@
         self._suspects = suspects
         self._requests: dict[str, Request] = {}
         self._by_attempt: dict[str, Request] = {}
-        self._in_flight: Counter[str] = Counter()
+        self._limits = [LIMITS.find(name)() for name in LIMITS.list_names()]
         self._budget = RetryBudget(context.options.retry_share, context.options.retry_reserve)
         self._policies: dict[str, Policy] = {}
         self._next_attempt = 0
@@ -177,11 +176,11 @@
 
     def _open(self, request: Request, now: float) -> None:
         self._requests[request.id] = request
-        self._in_flight[request.account.name] += 1
+        allowed = [limit.open(request.account, now) for limit in self._limits]
         self._context.set_timer(request.deadline, lambda at: self._check_deadline(request, at))
         if not request.idempotent and self._claims.settle_from_memory(request, now):
             return
-        refusal = self._check_limits(request, now)
+        refusal = self._check_limits(request, now) if all(allowed) else codes.ACCOUNT_LIMIT
         if refusal is not None:
             self._refuse_early(request, refusal, now)
             return
@@ -193,8 +192,6 @@
 
     def _check_limits(self, request: Request, now: float) -> ErrorCode | None:
         context = self._context
-        if self._in_flight[request.account.name] > request.account.max_in_flight:
-            return codes.ACCOUNT_LIMIT
         if self._suspects.is_refused(request.arrived.body_digest):
             return codes.SUSPECT
         if request.time_left(now) <= LEAST_TIME_LEFT:
@@ -341,6 +338,9 @@
                 continue
             if known and (not view.ready or not _has_model(view, model)):
                 continue
+            if not context.fleet.is_reachable(context.fleet.find_owner(view)):
+                # Asking an owner behind a partition costs a time-out for each request.
+                continue
             found.append(
                 Candidate(
                     view.id,
@@ -435,7 +435,7 @@
         if self._by_attempt.get(attempt) is not request or request.phase is not Phase.SLOT:
             return
         self._context.count(codes.RETRY_OWNER)
-        self._send_owner(request.target, SlotRelease(attempt=attempt, target=request.target))
+        self._send_release(request, SlotRelease(attempt=attempt, target=request.target))
         self._ask_next(request, now)
 
     def _handle_slot(self, sender: str, message: SlotReply, now: float) -> None:
@@ -469,6 +469,7 @@
             return
         if not redirected:
             request.last_refusal = message.refusal
+            request.owner_retry_after = message.retry_after
             self._context.count(_REFUSAL_COUNTERS.get(message.refusal, codes.RETRY_FULL))
         self._ask_next(request, now)
 
@@ -781,6 +782,8 @@
         self._context.count(f"refused.{code.name}")
         self._release_slot(request, completed=False)
         retry_after = code.retry_after
+        if code in _REFUSAL_CODES.values():
+            retry_after = max(retry_after, request.owner_retry_after)
         if not request.idempotent and verdict is Verdict.NOT_RUN and retry_after:
             # A refusal holds for its key this long, see ClaimDuty._settle_refused.
             hold = self._context.options.claim_timeout + CLOCK_SKEW
@@ -831,11 +834,25 @@
                 completed=completed,
                 first_byte=request.first_byte,
                 total=total,
+                sent=request.phase in (Phase.RUNNING, Phase.PROBING),
+                failed=request.phase is Phase.PROBING,
+                tokens=request.arrived.tokens,
             )
-            self._send_owner(request.target, release)
+            self._send_release(request, release)
         request.has_slot = False
         self._forget_attempt(request)
 
+    def _send_release(self, request: Request, release: SlotRelease) -> None:
+        """Give a slot back to the owner that granted it and to the present one, if another.
+
+        Lists may differ: the one that granted may still count it, and the present one may have
+        learned of it from a renewal.
+        """
+        view = self._context.fleet.targets.get(request.target)
+        present = "" if view is None else self._context.fleet.find_owner(view)
+        for owner in dict.fromkeys((request.asked_owner, present)):
+            self._context.send(owner, release)
+
     def _send_owner(self, target: str, message: Message) -> None:
         view = self._context.fleet.targets.get(target)
         if view is not None:
@@ -847,9 +864,8 @@
     def _close(self, request: Request) -> None:
         self._forget_attempt(request)
         if self._requests.pop(request.id, None) is not None:
-            self._in_flight[request.account.name] -= 1
-            if not self._in_flight[request.account.name]:
-                del self._in_flight[request.account.name]
+            for limit in self._limits:
+                limit.close(request.account)
 
 
 def _has_model(view: TargetView, model: str) -> bool:
--- a/rhubarbbend/core/_members.py
+++ b/rhubarbbend/core/_members.py
@@ -16,7 +16,9 @@
     KIND_TARGET,
     STATE_LEAVING,
     InstanceView,
+    LoadSum,
     TargetView,
+    ZoneSums,
 )
 from rhubarbbend.core._owner import OwnerDuty
 from rhubarbbend.core._suspects import SuspectDuty
@@ -33,7 +35,8 @@
     ZoneReply,
 )
 
-SILENT_HOLD: Final = 3.0
+# Loads that have not been heard for this many intervals are forgotten.
+STALE_INTERVALS: Final = 4
 
 
 class OwnerListener(Protocol):
@@ -125,7 +128,10 @@
         self._context.emit(actions.ReadList())
 
     def _beat(self, now: float) -> None:
+        context = self._context
         self._note_silent(now)
+        oldest = now - STALE_INTERVALS * context.options.zone_interval
+        context.fleet.drop_stale(context.configuration, oldest)
         self.refresh(now)
         self._owner.refresh_ownership(now)
         self.announce(now)
@@ -140,18 +146,34 @@
                 view.first_seen = now - silence - 1.0
                 self._context.count(codes.PEERS_LOST)
                 self._context.log("peer_silent", peer=view.id)
+                self._owner.free_holder(view.id, view.incarnation + 1, now)
 
     def _ask_zones(self, now: float) -> None:
-        """Ask one instance of each other zone for its sums and its configuration version."""
+        """Ask one instance of each other zone for its sums and its configuration version.
+
+        One that could not be reached is asked beside a live one: only an answer shows that the
+        way to it is open again.
+        """
         context = self._context
-        for zone in context.fleet.list_zones():
+        query = ZoneQuery(
+            instance=context.identity.instance, config_version=context.configuration.version
+        )
+        for zone, lost in self._list_lost().items():
             live = context.fleet.list_live(zone)
-            if zone != context.identity.zone and live:
-                query = ZoneQuery(
-                    instance=context.identity.instance,
-                    config_version=context.configuration.version,
-                )
-                context.send(context.random.choice(live), query)
+            reached = [peer for peer in live if peer not in lost]
+            for peers in (reached, lost):
+                if peers:
+                    context.send(context.random.choice(peers), query)
+
+    def _list_lost(self) -> dict[str, list[str]]:
+        """List, for each other zone, the instances that could not be reached."""
+        lost: dict[str, list[str]] = {}
+        for view in self._context.fleet.instances.values():
+            if view.zone != self._context.identity.zone:
+                unreached = lost.setdefault(view.zone, [])
+                if view.lost_since >= 0 and view.listed:
+                    unreached.append(view.id)
+        return lost
 
     def _handle_list(self, event: events.ListRead, now: float) -> None:
         """Take over the platform's list.
@@ -219,10 +241,16 @@
         view.host = entry.host
         view.port = entry.port
         view.leaving = entry.state == STATE_LEAVING
+        fleet.note_target(view, self._context.configuration)
 
     def _learn_instance(self, member: Member, now: float) -> None:
         fleet = self._context.fleet
+        leaving = member.state == STATE_LEAVING
         if member.id == self._context.identity.instance:
+            # Told by the list first, it gives up its targets as its peers take them over.
+            own = fleet.instances.get(member.id)
+            if own is not None:
+                own.listed_leaving = leaving
             return
         view = fleet.instances.get(member.id)
         if view is None:
@@ -232,7 +260,7 @@
         view.host = member.host
         view.peer_port = member.peer_port
         view.listed = True
-        view.leaving = view.leaving or member.state == STATE_LEAVING
+        view.listed_leaving = leaving
 
     def _handle_heartbeat(self, sender: str, message: Heartbeat, now: float) -> None:
         fleet = self._context.fleet
@@ -242,19 +270,25 @@
             view.first_seen = now
             fleet.instances[message.instance] = view
             self._context.log("peer_met", peer=message.instance)
+        was_live = fleet.is_live(view, now) and view.last_heard >= 0
+        was_leaving = view.leaving
+        restarted = 0 < view.incarnation < message.incarnation
         view.last_heard = now
-        view.silent_until = 0.0
         view.incarnation = message.incarnation
-        view.leaving = message.leaving
+        view.said_leaving = message.leaving
         view.config_version = message.config_version
+        if restarted:
+            self._owner.free_holder(view.id, view.incarnation, now)
         for load in message.loads:
             self._take_load(load, now)
-        self.refresh(now)
+        if not was_live or view.leaving != was_leaving:
+            # Who is live is recomputed only if it may have changed: a zone sends many heartbeats.
+            self.refresh(now)
         self._follow_version(message.instance, message.config_version)
 
     def _take_load(self, load: TargetLoad, now: float) -> None:
         view = self._context.fleet.targets.get(load.target)
-        if view is None or load.target in self._owner.list_owned():
+        if view is None or self._owner.owns(load.target):
             return
         view.boot_id = load.boot_id
         view.load = load.load
@@ -263,6 +297,7 @@
         view.cold = load.cold
         view.models = load.models
         view.updated = now
+        self._context.fleet.note_target(view, self._context.configuration)
 
     def _follow_version(self, peer: str, version: int) -> None:
         context = self._context
@@ -275,8 +310,8 @@
     def _handle_zone_query(self, sender: str, message: ZoneQuery, now: float) -> None:
         context = self._context
         sums = [
-            ServiceSum(service_name=name, load=load, targets=count)
-            for name, (load, count) in context.fleet.compute_sums().items()
+            ServiceSum(service_name=name, load=entry.load, targets=entry.targets)
+            for name, entry in context.fleet.compute_sums(context.configuration).items()
         ]
         reply = ZoneReply(
             instance=context.identity.instance,
@@ -289,26 +324,28 @@
         self._follow_version(sender, message.config_version)
 
     def _handle_zone_reply(self, sender: str, message: ZoneReply, now: float) -> None:
-        self._context.fleet.zone_sums[message.zone] = {
-            entry.service_name: (entry.load, entry.targets) for entry in message.sums
-        }
+        sums = {entry.service_name: LoadSum(entry.load, entry.targets) for entry in message.sums}
+        self._context.fleet.zone_sums[message.zone] = ZoneSums(now, sums)
         view = self._context.fleet.instances.get(sender)
         if view is not None:
             view.config_version = message.config_version
-            view.silent_until = 0.0
+            view.lost_since = -1.0
         self._suspects.merge(message.crashes, now)
         self._follow_version(sender, message.config_version)
 
     def _handle_lost(self, event: events.PeerLost, now: float) -> None:
-        """Pass over an instance that cannot be reached, for a few seconds.
+        """Pass over the targets of an owner in another zone that cannot be reached.
 
-        Its zone's instances decide by heartbeat whether it is gone; from another zone only a
-        failed message tells, and it may be the path that failed.
+        Its zone's instances decide by heartbeat whether it is gone; from here only failed
+        messages tell, and it may be the path that failed. So its targets are passed over at once,
+        but it is taken for gone, and its duties for another's, only after a longer silence.
         """
         view = self._context.fleet.instances.get(event.peer)
-        if view is not None and view.zone != self._context.identity.zone:
-            view.silent_until = now + SILENT_HOLD
-            self.refresh(now)
+        if view is None or view.zone == self._context.identity.zone:
+            return
+        if view.lost_since < 0:
+            view.lost_since = now
+        self.refresh(now)
 
     def _handle_pause(self, event: events.ProcessPaused, now: float) -> None:
         """Do not take peers for silent because this process did not listen."""
--- a/rhubarbbend/core/_owner.py
+++ b/rhubarbbend/core/_owner.py
@@ -1,24 +1,22 @@
 """The owner duty: grants the slots of the targets that this instance owns.
 
 One owner counts each target, so that the bound on its load is exact without any agreement while
-the instances' lists agree. Where they do not, two owners grant for a while; each sees the other's
-slots as foreign load in the target's report and so stays within the bound as soon as a report has
-come, and until one has come it grants no more than to a cold target.
+the instances' lists agree. Where they do not, two instances believe that they own a target; each
+sees the other's slots as load of others in the target's report, and the newer one is on probation
+until reports show none.
 """
 
 from __future__ import annotations
 
-import math
-from collections import deque
 from typing import Final
 
-import attrs
-
 from rhubarbbend import codes
 from rhubarbbend.core import actions, events
+from rhubarbbend.core._books import Books, ColdWatch, Slot
 from rhubarbbend.core._context import Context, EventHandler
 from rhubarbbend.core._fleet import TargetView
-from rhubarbbend.core._queue import FairQueue, Waiter
+from rhubarbbend.core._queue import Waiter
+from rhubarbbend.core._ramp import ColdRamp, Probation
 from rhubarbbend.core.configuration import Service
 from rhubarbbend.core.messages import (
     Handover,
@@ -40,111 +38,11 @@
 STATE_LOADING: Final = "loading"
 STATE_LEAVING: Final = "leaving"
 
-# A cold target's limit doubles with each round of finished work, up to the normal limit.
-RAMP_ROUNDS: Final = 6
-# First bytes this many times slower than usual, in a row, say that a target has turned cold.
-SLOW_FACTOR: Final = 4.0
-SLOW_MARGIN: Final = 0.25
-SLOW_IN_A_ROW: Final = 3
-AVERAGE_WEIGHT: Final = 0.1
 # A renewal may have been formed before a grant reached its holder.
 RENEWAL_GRACE: Final = 2.0
-REPORT_SLACK: Final = 0.3
-
-
-@attrs.define(slots=True)
-class Slot:
-    """A granted slot; `renewed` is when its holder last confirmed it."""
-
-    attempt: str
-    holder: str
-    account: str
-    since: float
-    renewed: float
-    suspect: bool
-
-
-class ColdRamp:
-    """The limit of a target in a cold start, raised by work done and by nothing else.
-
-    Time alone does not warm a target: one that got no work is as cold as it was. Invariant:
-    `allowed` never exceeds `cold_slots` doubled once for each finished round.
-    """
-
-    def __init__(self, cold_slots: int) -> None:
-        self._cold_slots = max(1, cold_slots)
-        self._rounds = 0
-        self._done_in_round = 0
-
-    @property
-    def cold(self) -> bool:
-        """Whether the ramp still limits the target."""
-        return self._rounds < RAMP_ROUNDS
-
-    @property
-    def allowed(self) -> int:
-        """How many slots the target may have out."""
-        return self._cold_slots << self._rounds
-
-    def add_work(self) -> None:
-        """Count a request that ran to its end."""
-        self._done_in_round += 1
-        if self._done_in_round >= self.allowed:
-            self._rounds += 1
-            self._done_in_round = 0
-
-    def finish(self) -> None:
-        """Take the target as warm, on the word of the owner before."""
-        self._rounds = RAMP_ROUNDS
-
-
-class OwnedTarget:
-    """The books of one target. Invariant: `slots` holds every grant not yet released."""
-
-    def __init__(self, target: str, service: Service, now: float) -> None:
-        self.target = target
-        self.taken_at = now
-        self.slots: dict[str, Slot] = {}
-        self.queue = FairQueue(service.max_queue)
-        self.ramp = ColdRamp(service.cold_slots)
-        self.boot_id = ""
-        self.ready = False
-        self.confirmed = False
-        self.report_at = -1.0
-        self.report_failures = 0
-        self.foreign = 0
-        self.own_limit = 0
-        self.mean_total = 0.0
-        self.usual_first_byte = 0.0
-        self.slow_in_a_row = 0
-        self._samples: deque[tuple[float, int]] = deque(maxlen=64)
-
-    def count_load(self) -> int:
-        """Load in requests: own slots and what the report shows beyond them."""
-        return len(self.slots) + self.foreign
-
-    def has_suspect(self) -> bool:
-        """Whether a request that was at a crash runs on the target."""
-        return any(slot.suspect for slot in self.slots.values())
-
-    def note_slots(self, now: float) -> None:
-        """Remember how many slots were out, to compare a late report with its own time."""
-        self._samples.append((now, len(self.slots)))
-
-    def take_report(self, running: int, age: float, now: float) -> None:
-        """Work out what runs on the target that is not counted here.
-
-        A report lags. Compared with the slots of the present, it would show foreign load after
-        each burst of releases; it is compared with the most slots out about its own time.
-        """
-        since = now - age - REPORT_SLACK
-        counts = [count for at, count in self._samples if at >= since]
-        before = [count for at, count in self._samples if at < since]
-        if before:
-            counts.append(before[-1])
-        self.foreign = max(0, running - max([*counts, len(self.slots)]))
-        self.report_at = now
-        self.report_failures = 0
+# A pause this much shorter than the silence that peers allow may have cost the ownership: the
+# last heartbeat went out up to an interval before it began.
+PAUSE_SHARE: Final = 0.5
 
 
 class OwnerDuty:
@@ -152,7 +50,8 @@
 
     def __init__(self, context: Context) -> None:
         self._context = context
-        self._owned: dict[str, OwnedTarget] = {}
+        self._owned: dict[str, Books] = {}
+        self._incarnations: dict[str, int] = {}
         self._stopped = False
 
     def list_events(self) -> dict[type[events.Event], EventHandler]:
@@ -162,6 +61,7 @@
             events.ReportRead: self._handle_report,
             events.ReportFailed: self._handle_report_failure,
             events.ProcessPaused: self._handle_pause,
+            events.PeerLost: self._handle_lost,
         }
 
     def list_messages(self) -> dict[type[Message], EventHandler]:
@@ -177,9 +77,23 @@
         """List the load of each owned target for the heartbeat."""
         return [self._describe(books) for books in self._owned.values()]
 
-    def list_owned(self) -> list[str]:
-        """List the owned targets."""
-        return list(self._owned)
+    def owns(self, target: str) -> bool:
+        """Whether this instance takes itself for the owner of a target."""
+        return target in self._owned
+
+    def free_holder(self, holder: str, incarnation: int, now: float) -> None:
+        """Take back the slots of an instance that is silent, or of its incarnations before one.
+
+        Kept until their lease ends, the slots of a holder that died would lower the capacity of
+        its targets for that long. Forgotten at once, they would be granted twice: the holder may
+        only be cut off, and its targets go on with what they run. So they stay part of the load
+        until a later report tells what is left of them.
+        """
+        for books in self._owned.values():
+            for slot in list(books.slots.values()):
+                if slot.holder == holder and slot.incarnation < incarnation:
+                    self._doubt(books, slot, now)
+            self._after_change(books, now)
 
     def refresh_ownership(self, now: float) -> None:
         """Take over targets that have become this instance's, give up those that have not."""
@@ -208,7 +122,7 @@
         service = self._context.configuration.services.get(view.service_name)
         if service is None:
             return
-        books = self._owned[view.id] = OwnedTarget(view.id, service, now)
+        books = self._owned[view.id] = Books(view.id, service, now)
         books.boot_id = view.boot_id
         if view.boot_id and not view.cold:
             # The owner before had seen it warm; whether it still is shows its boot id.
@@ -219,8 +133,14 @@
 
     def _give_up(self, target: str, now: float) -> None:
         books = self._owned.pop(target)
-        view = self._context.fleet.targets.get(target)
-        owner = "" if view is None else self._context.fleet.find_owner(view)
+        fleet = self._context.fleet
+        view = fleet.targets.get(target)
+        owner = "" if view is None else fleet.find_owner(view)
+        if view is not None and view.zone != self._context.identity.zone:
+            # Its own zone counts it again.
+            view.updated = -1.0
+            view.ready = False
+            fleet.note_target(view, self._context.configuration)
         for waiter in books.queue.take_all():
             self._refuse(waiter.sender, waiter.request, REFUSAL_NOT_OWNER, owner=owner)
         if owner and owner != self._context.identity.instance:
@@ -228,19 +148,21 @@
             self._context.log("target_handed_over", target=target, owner=owner)
             self._context.send(owner, self._make_handover(books))
 
-    def _make_handover(self, books: OwnedTarget) -> Handover:
-        by_holder: dict[str, list[HeldSlot]] = {}
+    def _make_handover(self, books: Books) -> Handover:
+        by_holder: dict[tuple[str, int], list[HeldSlot]] = {}
         for slot in books.slots.values():
             held = HeldSlot(attempt=slot.attempt, account=slot.account, suspect=slot.suspect)
-            by_holder.setdefault(slot.holder, []).append(held)
+            by_holder.setdefault((slot.holder, slot.incarnation), []).append(held)
         return Handover(
             target=books.target,
             holders=[
-                SlotRenewal(instance=holder, target=books.target, slots=slots)
-                for holder, slots in by_holder.items()
+                SlotRenewal(
+                    instance=holder, incarnation=incarnation, target=books.target, slots=slots
+                )
+                for (holder, incarnation), slots in by_holder.items()
             ],
             boot_id=books.boot_id,
-            work_done=0 if books.ramp.cold else 1,
+            work_done=books.ramp.work,
         )
 
     def _handle_handover(self, sender: str, message: Handover, now: float) -> None:
@@ -249,12 +171,12 @@
             return
         for holder in message.holders:
             for held in holder.slots:
-                self._register(books, held, holder.instance, now)
-        if message.work_done and message.boot_id in (books.boot_id, ""):
-            books.ramp.finish()
-        # The former owner has stopped granting and told its count: it is as good as a report.
-        books.confirmed = True
-        books.note_slots(now)
+                self._register(books, held, holder.instance, holder.incarnation, now)
+        if message.boot_id == books.boot_id or not books.boot_id:
+            books.ramp.restore(message.work_done)
+        # The former owner has stopped granting and told its count.
+        books.probation.finish()
+        self._after_change(books, now)
         self._serve_queue(books, now)
 
     def _handle_request(self, sender: str, message: SlotRequest, now: float) -> None:
@@ -262,6 +184,7 @@
         if books is None:
             self._redirect(sender, message)
             return
+        self._note_incarnation(message.instance, message.incarnation, now)
         self._expire_waiters(books, now)
         refusal = self._check_ready(books)
         if refusal:
@@ -279,7 +202,7 @@
         refusal = REFUSAL_NOT_OWNER if owner else REFUSAL_NOT_READY
         self._refuse(sender, message, refusal, owner=owner)
 
-    def _check_ready(self, books: OwnedTarget) -> str:
+    def _check_ready(self, books: Books) -> str:
         view = self._context.fleet.targets.get(books.target)
         if view is None or view.leaving or not books.ready:
             return REFUSAL_NOT_READY
@@ -287,51 +210,68 @@
             return REFUSAL_NOT_READY
         return ""
 
-    def _enqueue(self, books: OwnedTarget, sender: str, message: SlotRequest, now: float) -> None:
+    def _enqueue(self, books: Books, sender: str, message: SlotRequest, now: float) -> None:
+        """Queue a request, or refuse it at once if its turn cannot come in time."""
         if message.max_wait <= 0:
             self._refuse(sender, message, REFUSAL_FULL)
             return
-        waiter = Waiter(message, sender, now, now + message.max_wait)
-        if not books.queue.add(waiter):
-            self._refuse(sender, message, REFUSAL_QUEUE)
+        expected = self._estimate_wait(books, message)
+        if expected > message.max_wait:
+            self._refuse(sender, message, REFUSAL_WAIT, retry_after=expected - message.max_wait)
             return
-        self._context.count(codes.SLOTS_QUEUED)
-        self._context.set_timer(waiter.deadline, lambda at: self._expire_waiters(books, at))
+        evicted = books.queue.add(Waiter(message, sender, now, now + message.max_wait))
+        if evicted is not None:
+            self._refuse(evicted.sender, evicted.request, REFUSAL_QUEUE, retry_after=expected)
+        if evicted is None or evicted.request is not message:
+            self._context.count(codes.SLOTS_QUEUED)
+            deadline = now + message.max_wait
+            self._context.set_timer(deadline, lambda at: self._expire_waiters(books, at))
+
+    def _estimate_wait(self, books: Books, message: SlotRequest) -> float:
+        """Estimate how long a new waiter would wait, from those ahead and the usual duration.
+
+        Without it a request that cannot be served in time would sit in the queue until its
+        deadline, and its caller would learn only then that it has to go elsewhere. Before any
+        request has ended nothing is known, and it waits.
+        """
+        ahead = books.queue.count_ahead(message.account, message.weight)
+        return (ahead + 1) * books.duration / max(1, self._compute_limit(books))
 
-    def _has_room(self, books: OwnedTarget, suspect: bool) -> bool:
+    def _has_room(self, books: Books, suspect: bool) -> bool:
         if suspect and books.has_suspect():
             return False
+        if not books.probation.may_grant():
+            return False
         return books.count_load() < self._compute_limit(books)
 
-    def _compute_limit(self, books: OwnedTarget) -> int:
+    def _compute_limit(self, books: Books) -> int:
         """Give the most load the target may have: the bound, its own limit, the cold ramp."""
         view = self._context.fleet.targets.get(books.target)
         service = self._find_service(view)
         if view is None or service is None:
             return 0
         load, count = self._context.fleet.compute_mean(service, self._context.configuration)
-        # The view of an owned target is as old as the last heartbeat; its books are not.
-        load += books.count_load() - view.load if view.ready else books.count_load()
-        count += 0 if view.ready else 1
-        mean = (load + 1) / max(1, count)
-        limit = max(service.floor, math.ceil(service.bound * mean))
-        if books.own_limit:
-            limit = min(limit, books.own_limit)
-        if not books.confirmed:
-            limit = min(limit, service.cold_slots)
-        if books.ramp.cold:
-            limit = min(limit, books.ramp.allowed)
-        return limit
+        if not self._context.fleet.is_counted(books.target):
+            load += books.count_load()
+            count += 1
+        return books.compute_limit(service, load, count)
 
     def _find_service(self, view: TargetView | None) -> Service | None:
         if view is None:
             return None
         return self._context.configuration.services.get(view.service_name)
 
-    def _grant(self, books: OwnedTarget, sender: str, message: SlotRequest, now: float) -> None:
-        books.slots[message.attempt] = Slot(
-            message.attempt, message.instance, message.account, now, now, message.suspect
+    def _grant(self, books: Books, sender: str, message: SlotRequest, now: float) -> None:
+        slot = Slot(
+            message.attempt,
+            message.instance,
+            message.incarnation,
+            message.account,
+            now,
+            now,
+            message.suspect,
         )
+        books.add(slot, now)
         self._after_change(books, now)
         self._context.count(codes.SLOTS_GRANTED)
         self._context.send(
@@ -345,7 +285,14 @@
             ),
         )
 
-    def _refuse(self, sender: str, message: SlotRequest, refusal: str, owner: str = "") -> None:
+    def _refuse(
+        self,
+        sender: str,
+        message: SlotRequest,
+        refusal: str,
+        owner: str = "",
+        retry_after: float = 0.0,
+    ) -> None:
         self._context.count(codes.SLOTS_REFUSED)
         books = self._owned.get(message.target)
         self._context.send(
@@ -355,6 +302,7 @@
                 target=message.target,
                 refusal=refusal,
                 owner=owner,
+                retry_after=retry_after,
                 load=0 if books is None else books.count_load(),
                 limit=0 if books is None else self._compute_limit(books),
             ),
@@ -365,40 +313,37 @@
         if books is None:
             return
         books.queue.remove(message.attempt)
-        slot = books.slots.pop(message.attempt, None)
+        slot = books.release(message, now)
         if slot is None:
             return
         if message.completed:
-            books.ramp.add_work()
-            self._watch_latency(books, message.first_byte, now)
+            self._note_work(books, slot, message, now)
+        elif message.failed and books.watch.take_failure() and not books.ramp.cold:
+            self._turn_cold(books, "failures", now)
         self._after_change(books, now)
         self._serve_queue(books, now)
 
-    def _watch_latency(self, books: OwnedTarget, first_byte: float, now: float) -> None:
-        """Notice a target that has turned cold under the same boot id by its first bytes."""
-        if books.ramp.cold:
-            return
-        usual = books.usual_first_byte
-        if usual and first_byte > SLOW_FACTOR * usual + SLOW_MARGIN:
-            books.slow_in_a_row += 1
-            if books.slow_in_a_row >= SLOW_IN_A_ROW:
-                self._turn_cold(books, "latency")
+    def _note_work(self, books: Books, slot: Slot, message: SlotRelease, now: float) -> None:
+        if slot.since >= books.ramp.since:
+            # What was granted before the cold start says nothing about what it bears since.
+            books.ramp.add_work()
+        service = self._find_service(self._context.fleet.targets.get(books.target))
+        rate = 0.0 if service is None else service.prefill_rate
+        prefill = message.tokens / rate if rate > 0 else 0.0
+        slow = books.watch.take_first_byte(message.first_byte, prefill)
+        if slow and not books.ramp.cold:
+            self._turn_cold(books, "latency", now)
+
+    def _turn_cold(self, books: Books, cause: str, now: float) -> None:
+        service = self._find_service(self._context.fleet.targets.get(books.target))
+        if service is None:
             return
-        books.slow_in_a_row = 0
-        if not usual:
-            books.usual_first_byte = first_byte
-        books.usual_first_byte += AVERAGE_WEIGHT * (first_byte - usual if usual else 0.0)
-
-    def _turn_cold(self, books: OwnedTarget, cause: str) -> None:
-        view = self._context.fleet.targets.get(books.target)
-        service = self._find_service(view)
-        books.ramp = ColdRamp(1 if service is None else service.cold_slots)
-        books.slow_in_a_row = 0
-        books.usual_first_byte = 0.0
+        books.ramp = ColdRamp(service.cold_slots, service.cold_requests, now)
+        books.watch = ColdWatch()
         self._context.count(codes.COLD_STARTS)
         self._context.log("target_cold", target=books.target, cause=cause)
 
-    def _serve_queue(self, books: OwnedTarget, now: float) -> None:
+    def _serve_queue(self, books: Books, now: float) -> None:
         self._expire_waiters(books, now)
         if self._check_ready(books):
             return
@@ -408,7 +353,7 @@
                 return
             self._grant(books, waiter.sender, waiter.request, now)
 
-    def _expire_waiters(self, books: OwnedTarget, now: float) -> None:
+    def _expire_waiters(self, books: Books, now: float) -> None:
         for waiter in books.queue.take_expired(now):
             self._refuse(waiter.sender, waiter.request, REFUSAL_WAIT)
 
@@ -420,35 +365,41 @@
         books = self._owned.get(message.target)
         if books is None:
             return
+        self._note_incarnation(message.instance, message.incarnation, now)
         listed = {held.attempt for held in message.slots}
         for held in message.slots:
-            self._register(books, held, message.instance, now)
+            self._register(books, held, message.instance, message.incarnation, now)
         for slot in list(books.slots.values()):
             lost = slot.holder == message.instance and slot.attempt not in listed
             if lost and now - slot.since > RENEWAL_GRACE:
-                del books.slots[slot.attempt]
-                self._context.count(codes.SLOTS_EXPIRED)
+                self._doubt(books, slot, now)
         self._after_change(books, now)
         self._serve_queue(books, now)
 
-    def _register(self, books: OwnedTarget, held: HeldSlot, holder: str, now: float) -> None:
-        slot = books.slots.get(held.attempt)
-        if slot is None:
-            books.slots[held.attempt] = Slot(
-                held.attempt, holder, held.account, now, now, held.suspect
-            )
-            # What a report showed as foreign is now counted by name.
-            books.foreign = max(0, books.foreign - 1)
+    def _register(
+        self, books: Books, held: HeldSlot, holder: str, incarnation: int, now: float
+    ) -> None:
+        if books.register(held, holder, incarnation, now):
             self._context.count(codes.SLOTS_REGISTERED)
-        else:
-            slot.renewed = now
+
+    def _doubt(self, books: Books, slot: Slot, now: float) -> None:
+        books.doubt(slot, now)
+        self._context.count(codes.SLOTS_EXPIRED)
+
+    def _note_incarnation(self, instance: str, incarnation: int, now: float) -> None:
+        """Take back what an instance held before it started again: it knows nothing of it."""
+        known = self._incarnations.get(instance, 0)
+        if incarnation <= known:
+            return
+        self._incarnations[instance] = incarnation
+        if known:
+            self.free_holder(instance, incarnation, now)
 
     def _expire_slots(self, now: float) -> None:
-        """Free slots whose holder has gone silent, once the target's report agrees.
+        """Take back slots whose holder has not renewed them.
 
-        The holder of a slot can die without releasing it; kept for ever, its slots would lower
-        the target's capacity for good. Freed on silence alone, a holder that is merely cut off
-        from this owner would let the target go over its bound.
+        The holder of a slot can die without giving it back; kept for ever, its slots would lower
+        the target's capacity for good.
         """
         for books in self._owned.values():
             stale = [
@@ -457,10 +408,7 @@
                 if now - slot.renewed > self._context.options.slot_lease
             ]
             for slot in stale:
-                del books.slots[slot.attempt]
-                # Until the next report says otherwise the target is taken to run it still.
-                books.foreign += 1
-                self._context.count(codes.SLOTS_EXPIRED)
+                self._doubt(books, slot, now)
             if stale:
                 self._after_change(books, now)
 
@@ -479,13 +427,11 @@
         if books is None or view is None:
             return
         if event.boot_id != books.boot_id:
-            if books.boot_id or not books.confirmed:
-                self._turn_cold(books, "boot")
+            if books.boot_id:
+                self._turn_cold(books, "boot", now)
             books.boot_id = event.boot_id
         books.own_limit = event.slots
         books.take_report(event.running, event.age, now)
-        if now - event.age >= books.taken_at:
-            books.confirmed = True
         was_ready = books.ready
         books.ready = event.state not in (STATE_LOADING, STATE_LEAVING)
         view.models = event.models
@@ -499,7 +445,6 @@
         if books is None:
             return
         self._context.count(codes.REPORTS_FAILED)
-        books.report_failures += 1
         silent = now - max(books.report_at, books.taken_at)
         if books.ready and silent > self._context.options.report_max_age:
             books.ready = False
@@ -515,31 +460,38 @@
         would add a second set of slots to theirs. Until holders and reports have spoken again,
         each target is granted no more than a cold one.
         """
-        if event.seconds < self._context.options.peer_silence:
+        if event.seconds < PAUSE_SHARE * self._context.options.peer_silence:
             return
         self._context.count(codes.PAUSES)
         self._context.log("process_paused", seconds=f"{event.seconds:.1f}")
         for books in self._owned.values():
+            service = self._find_service(self._context.fleet.targets.get(books.target))
             books.taken_at = now
-            books.confirmed = False
+            books.probation = Probation(1 if service is None else service.cold_slots)
             for waiter in books.queue.take_all():
                 self._refuse(waiter.sender, waiter.request, REFUSAL_NOT_READY)
 
-    def _after_change(self, books: OwnedTarget, now: float) -> None:
+    def _handle_lost(self, event: events.PeerLost, now: float) -> None:
+        """Drop the waiters of an instance that cannot be reached: it asks elsewhere."""
+        for books in self._owned.values():
+            books.queue.take_of(event.peer)
+
+    def _after_change(self, books: Books, now: float) -> None:
         books.note_slots(now)
         view = self._context.fleet.targets.get(books.target)
         if view is not None:
             self._update_view(view, books, now)
 
-    def _update_view(self, view: TargetView, books: OwnedTarget, now: float) -> None:
+    def _update_view(self, view: TargetView, books: Books, now: float) -> None:
         view.load = books.count_load()
         view.ready = books.ready
         view.boot_id = books.boot_id
         view.cold = books.ramp.cold
         view.updated = now
+        self._context.fleet.note_target(view, self._context.configuration)
         view.limit = self._compute_limit(books)
 
-    def _describe(self, books: OwnedTarget) -> TargetLoad:
+    def _describe(self, books: Books) -> TargetLoad:
         view = self._context.fleet.targets.get(books.target)
         return TargetLoad(
             target=books.target,
--- a/rhubarbbend/core/_requests.py
+++ b/rhubarbbend/core/_requests.py
@@ -55,6 +55,8 @@
     first_byte: float = 0.0
     relayed: int = 0
     last_refusal: str = ""
+    # What the owner that refused last expects the wait to be beyond what was allowed.
+    owner_retry_after: float = 0.0
     wants_suspect_slot: bool = False
     # The claim's state, for operations that are not idempotent.
     claimed: bool = False
--- a/rhubarbbend/core/_stop.py
+++ b/rhubarbbend/core/_stop.py
@@ -67,7 +67,7 @@
         context.stopping = True
         context.log("stop_begun", open=str(self._entry.count_open()))
         context.emit(actions.SetReady(False))
-        context.fleet.instances[context.identity.instance].leaving = True
+        context.fleet.instances[context.identity.instance].said_leaving = True
         # Peers learn first that this instance leaves, then that they own its targets.
         self._members.announce(now)
         context.fleet.refresh_live(now)
--- a/rhubarbbend/core/configuration.py
+++ b/rhubarbbend/core/configuration.py
@@ -37,7 +37,8 @@
 
     `kind` names a target kind plug-in, `policy` a routing policy plug-in. `bound` is the set
     multiple of the mean load, `floor` the load that is always allowed. `cold_slots` is what a
-    target in a cold start can bear; `prefill_rate` is in tokens a second.
+    target in a cold start can bear at once, `cold_requests` how many requests it has to finish
+    before it bears more; `prefill_rate` is in tokens a second.
     """
 
     name: str
@@ -46,6 +47,7 @@
     bound: float = 1.25
     floor: int = 2
     cold_slots: int = 1
+    cold_requests: int = 8
     max_queue: int = 256
     max_wait: float = 10.0
     prefill_rate: float = 8_000.0
--- a/rhubarbbend/core/messages.py
+++ b/rhubarbbend/core/messages.py
@@ -116,6 +116,10 @@
     completed: bool = False
     first_byte: float = 0.0
     total: float = 0.0
+    # Whether the attempt was sent, whether it failed at the target, and how long its prompt is.
+    sent: bool = False
+    failed: bool = False
+    tokens: int = 0
 
 
 class HeldSlot(Message, tag=True):
--- a/rhubarbbend/schema/peers.thrift
+++ b/rhubarbbend/schema/peers.thrift
@@ -83,6 +83,9 @@
   3: bool completed = false,
   4: double first_byte = 0,
   5: double total = 0,
+  6: bool sent = false,
+  7: bool failed = false,
+  8: i32 tokens = 0,
 }
 
 /** One running attempt that holds a slot. */
