--- a/rhubarbbend/core/_answers.py
+++ b/rhubarbbend/core/_answers.py
@@ -15,6 +15,8 @@
 from rhubarbbend.core._slots import HeldSlots
 from rhubarbbend.core.messages import ReservedReply
 
+# Refusals of slots, for which the owner has told when one may be had.
+SLOT_REFUSALS: Final = (codes.OVERLOADED, codes.QUEUE_FULL, codes.WAIT_TOO_LONG, codes.NO_TARGET)
 PEER_SEPARATOR: Final = "/"
 
 
@@ -65,6 +67,8 @@
             self._context.send(peer, reply)
             return
         retry_after = code.retry_after
+        if code in SLOT_REFUSALS:
+            retry_after = max(retry_after, request.owner_retry_after)
         if not request.idempotent and verdict is Verdict.NOT_RUN and retry_after:
             # A refusal holds for its key this long, see ClaimDuty._settle_refused.
             hold = self._context.options.claim_timeout + CLOCK_SKEW
--- a/rhubarbbend/core/_planner.py
+++ b/rhubarbbend/core/_planner.py
@@ -54,6 +54,9 @@
                 continue
             if known and (not view.ready or not _has_model(view, model)):
                 continue
+            if not context.fleet.is_reachable(context.fleet.find_owner(view)):
+                # Asking an owner behind a partition costs a time-out for each request.
+                continue
             found.append(
                 Candidate(
                     view.id,
--- a/rhubarbbend/core/_slots.py
+++ b/rhubarbbend/core/_slots.py
@@ -70,8 +70,11 @@
                 completed=completed,
                 first_byte=request.first_byte,
                 total=total,
+                sent=request.phase in (Phase.RUNNING, Phase.PROBING),
+                failed=request.phase is Phase.PROBING,
+                tokens=request.arrived.tokens,
             )
-            self.send_owner(request.target, release)
+            self.send_release(request, release)
         request.has_slot = False
         self._table.forget_attempt(request)
 
@@ -100,6 +103,17 @@
             )
             self.send_owner(target, renewal)
 
+    def send_release(self, request: Request, release: SlotRelease) -> None:
+        """Give a slot back to the owner that granted it and to the present one, if another.
+
+        Lists may differ: the one that granted may still count it, and the present one may have
+        learned of it from a renewal.
+        """
+        view = self._context.fleet.targets.get(request.target)
+        present = "" if view is None else self._context.fleet.find_owner(view)
+        for owner in dict.fromkeys((request.asked_owner, present)):
+            self._context.send(owner, release)
+
     def send_owner(self, target: str, message: Message) -> None:
         """Send a message to the present owner of a target."""
         view = self._context.fleet.targets.get(target)
@@ -225,7 +239,7 @@
             return
         self._context.count(codes.RETRY_OWNER)
         release = SlotRelease(attempt=attempt, target=request.target)
-        self._held.send_owner(request.target, release)
+        self._held.send_release(request, release)
         self.ask_next(request, now)
 
     def _handle_refusal(self, request: Request, message: SlotReply, now: float) -> None:
@@ -238,5 +252,6 @@
             return
         if not redirected:
             request.last_refusal = message.refusal
+            request.owner_retry_after = message.retry_after
             self._context.count(_REFUSAL_COUNTERS.get(message.refusal, codes.RETRY_FULL))
         self.ask_next(request, now)
