Follow accepted configuration by whole steps, from peers first at a start

Cause, found by reading: an instance that started while the table served old reads became ready at the old version; pages of a peer were put in force one by one, each claiming a version part of whose items came later, and the first page made the instance ready; a page ended "between versions", so one large change set was one frame; list_after searched every item; every heartbeat asked again; only a scan or chance brought a change to other zones once the platform was down; base versions ahead of the table left a gap nobody could follow; a change id used twice was answered with another change's version; a full page of unreadable rows was read again without end; an unreadable declaration raised in each instance that could not decode it.

Proposals are a duty of their own and are validated against exactly the version they are based on.

Ruled out: asking all peers at a start (400 answers of the whole state); waiting for all of them (one silent peer would hold every start).

--- a/rhubarbbend/codes.py
+++ b/rhubarbbend/codes.py
@@ -181,3 +181,10 @@
 CONFIG_APPLIED: Final = _declare_counter("config.applied", "configuration changes applied")
 CONFIG_FROM_PEER: Final = _declare_counter("config.from_peer", "changes learned from a peer")
 CONFIG_STALE: Final = _declare_counter("config.stale", "older configuration versions ignored")
+CONFIG_UNREADABLE: Final = _declare_counter(
+    "config.unreadable", "reads of accepted changes that this program cannot decode"
+)
+CONFIG_PUSHED: Final = _declare_counter(
+    "config.pushed", "accepted changes sent to a peer before it asked"
+)
+CONFIG_SNAPSHOTS: Final = _declare_counter("config.snapshots", "configuration snapshots stored")
--- a/rhubarbbend/core/_core.py
+++ b/rhubarbbend/core/_core.py
@@ -13,6 +13,7 @@
 from rhubarbbend.core._follower import FollowerDuty
 from rhubarbbend.core._members import MemberDuty
 from rhubarbbend.core._owner import OwnerDuty
+from rhubarbbend.core._proposals import ProposalDuty
 from rhubarbbend.core._stop import StopDuty
 from rhubarbbend.core._suspects import SuspectDuty
 from rhubarbbend.core.messages import Message
@@ -29,12 +30,15 @@
         self.entry = EntryDuty(self.context, self.claims, self.suspects)
         self.members = MemberDuty(self.context, self.owner, self.entry, self.suspects)
         self.follower = FollowerDuty(self.context)
+        self.members.set_version_listener(self.follower)
+        self.proposals = ProposalDuty(self.context, self.follower)
         self.stop = StopDuty(self.context, self.entry, self.owner, self.claims, self.members)
         self._events: dict[type[events.Event], list[EventHandler]] = {}
         self._messages: dict[type[Message], EventHandler] = {}
         # Members learn first what happened, so that the others decide on the newest views.
         self._register(self.members)
         self._register(self.follower)
+        self._register(self.proposals)
         self._register(self.suspects)
         self._register(self.owner)
         self._register(self.claims)
--- a/rhubarbbend/core/_follower.py
+++ b/rhubarbbend/core/_follower.py
@@ -1,8 +1,7 @@
 """The follower duty: keeps the configuration at the newest accepted version.
 
-A change is accepted by one conditional insert of version n+1 in the platform's table, together
-with a row for its change id, so that a retry finds the version it already has. Instances read
-only the changes after their own version, from the table or, when it is away, from one another.
+Instances read only the changes after their own version: from the table, from the instance that
+accepted a change and sends it on, or from any peer whose heartbeat shows a newer version.
 """
 
 from __future__ import annotations
@@ -15,20 +14,29 @@
 from rhubarbbend import codes
 from rhubarbbend.core import actions, events
 from rhubarbbend.core._context import Context, EventHandler
-from rhubarbbend.core.configuration import KINDS, Item, decode_declaration
+from rhubarbbend.core.configuration import Item, Position
 from rhubarbbend.core.messages import ConfigItem, ConfigQuery, ConfigReply, Message
 
 CHANGE_TABLE: Final = "changes"
-CHANGE_ID_TABLE: Final = "change_ids"
+STATE_TABLE: Final = "config_state"
+SNAPSHOT_ROW: Final = "snapshot"
 SCAN_OP: Final = "config:scan"
-OP_PREFIX: Final = "config:write:"
+SNAPSHOT_READ_OP: Final = "config:snapshot:read"
+SNAPSHOT_WRITE_OP: Final = "config:snapshot:write"
 SCAN_LIMIT: Final = 100
+# A page is bounded in bytes well below a peer frame; one declaration may go over it.
 PAGE_ITEMS: Final = 500
-REPEAT_INTERVAL: Final = 0.2
-
-ERROR_INVALID: Final = "invalid_change"
-ERROR_CONFLICT: Final = "version_conflict"
-ERROR_UNKNOWN: Final = "outcome_unknown"
+PAGE_BYTES: Final = 65_536
+# A change up to this size is sent to every instance at once; of a larger one, only the version.
+PUSH_BYTES: Final = 8_192
+# A read whose answer never came is given up after this long.
+SCAN_TIMEOUT: Final = 5.0
+FOLLOW_TIMEOUT: Final = 1.0
+START_PEERS: Final = 3
+# An instance that starts waits this long for a peer's word before it trusts the table alone.
+START_PATIENCE: Final = 3.0
+# Instances that notice an old snapshot look again within this time, so that one writes it.
+SNAPSHOT_SPREAD: Final = 20.0
 
 
 class Change(msgspec.Struct, frozen=True):
@@ -39,6 +47,10 @@
     author: str
     items: list[tuple[str, str, bytes]]
 
+    def list_items(self) -> list[Item]:
+        """List the items with the version that they came in."""
+        return [Item(kind, name, self.version, value) for kind, name, value in self.items]
+
 
 class Snapshot(msgspec.Struct, frozen=True):
     """The whole configuration at a version, for instances that start."""
@@ -48,12 +60,13 @@
 
 
 @attrs.define(slots=True)
-class Proposal:
-    """An operator's change on its way to the table."""
+class Download:
+    """Pages of one peer that are not in force yet; `position` is the last item's."""
 
-    op: str
-    change: Change
-    since: float
+    peer: str
+    after: int
+    position: Position
+    items: list[Item] = attrs.Factory(list)
 
 
 def make_change_key(version: int) -> str:
@@ -66,52 +79,106 @@
 
     def __init__(self, context: Context) -> None:
         self._context = context
-        self._proposals: dict[str, Proposal] = {}
-        self._next_op = 0
+        self._started_at = 0.0
         self._scanning_since = -1.0
+        self._table_read = False
+        self._list_read = False
+        self._peer_heard = False
+        self._peer_complete = False
+        self._download: Download | None = None
+        self._following_until = 0.0
+        self._unreadable_key = ""
         self._snapshot_version = 0
+        self._snapshot_checking = False
+        self._snapshot_writing = 0
 
     def list_events(self) -> dict[type[events.Event], EventHandler]:
-        """Handle the start, the platform's answers and operators' changes."""
+        """Handle the start and the platform's answers."""
         return {
             events.Started: self._start,
+            events.ListRead: self._handle_list,
             events.SnapshotRead: self._handle_snapshot,
+            events.SnapshotWritten: self._handle_snapshot_written,
             events.RowsRead: self._handle_rows,
-            events.WriteDone: self._handle_write,
-            events.ChangeProposed: self._handle_proposal,
         }
 
     def list_messages(self) -> dict[type[Message], EventHandler]:
         """Handle what peers ask and tell of the configuration."""
         return {ConfigQuery: self._handle_query, ConfigReply: self._handle_reply}
 
-    def _start(self, event: events.Started, now: float) -> None:
-        self._context.emit(actions.ReadSnapshot())
-        self._context.repeat(self._context.options.config_interval, self._scan, now)
-
-    def _scan(self, now: float) -> None:
+    def scan(self, now: float) -> None:
         """Read the changes after the version in force, unless a read is under way."""
-        if not self._context.config_ready:
-            self._ask_peers()
-        if self._scanning_since >= 0:
+        if self._scanning_since >= 0 and now - self._scanning_since < SCAN_TIMEOUT:
             return
         self._scanning_since = now
         after = make_change_key(self._context.configuration.version)
         self._context.emit(actions.ScanRows(SCAN_OP, CHANGE_TABLE, after, SCAN_LIMIT))
 
-    def _ask_peers(self) -> None:
-        """Ask every known instance; an instance that starts may find the platform away."""
+    def take_change(self, change: Change) -> None:
+        """Put the change after the version in force in force; any other changes nothing."""
+        version = self._context.configuration.version
+        if change.version == version + 1:
+            self._apply(change.version, change.list_items())
+        elif change.version <= version:
+            # A copy of the table that lags serves old rows.
+            self._context.count(codes.CONFIG_STALE)
+
+    def push(self, change: Change, now: float) -> None:
+        """Send a change that was just accepted here to every instance.
+
+        The platform may fail between the acceptance and the next read of the others. Heartbeats
+        would bring it to the own zone in a second and to the rest in some more; a zone that is
+        out of service would get work in between.
+        """
         context = self._context
-        query = ConfigQuery(instance=context.identity.instance, after=context.configuration.version)
+        size = sum(len(value) for _, _, value in change.items)
+        message = ConfigReply(after=change.version, version=change.version)
+        if size <= PUSH_BYTES:
+            message = _make_reply(change.version - 1, change.version, change.list_items())
         for peer in context.fleet.instances:
             if peer != context.identity.instance:
-                context.send(peer, query)
+                context.send(peer, message)
+                context.count(codes.CONFIG_PUSHED)
+
+    def follow(self, peer: str, version: int, now: float) -> None:
+        """Ask a peer for what it has beyond the version in force.
+
+        One peer is asked at a time: after a change every heartbeat shows a newer version, and the
+        same pages would otherwise come from each instance of the zone.
+        """
+        if version > self._context.configuration.version and now >= self._following_until:
+            self._ask(peer, now)
+
+    # The table and the snapshot.
+
+    def _start(self, event: events.Started, now: float) -> None:
+        self._started_at = now
+        # The first scan starts where the snapshot ends.
+        self._scanning_since = now
+        self._context.emit(actions.ReadSnapshot())
+        self._context.repeat(self._context.options.config_interval, self._tick, now)
+
+    def _tick(self, now: float) -> None:
+        if not self._context.config_ready:
+            self._ask_some(now)
+            self._check_ready(now)
+        self.scan(now)
+
+    def _handle_list(self, event: events.ListRead, now: float) -> None:
+        if not self._list_read:
+            self._list_read = True
+            self._ask_some(now)
+            self._check_ready(now)
 
     def _handle_snapshot(self, event: events.SnapshotRead, now: float) -> None:
-        if not event.data:
-            return
+        self._scanning_since = -1.0
+        if event.data:
+            self._take_snapshot(event.data)
+        self.scan(now)
+
+    def _take_snapshot(self, data: bytes) -> None:
         try:
-            snapshot = msgspec.msgpack.decode(event.data, type=Snapshot)
+            snapshot = msgspec.msgpack.decode(data, type=Snapshot)
         except msgspec.MsgspecError:
             self._context.log("snapshot_unreadable")
             return
@@ -119,8 +186,12 @@
         self._snapshot_version = max(self._snapshot_version, snapshot.version)
 
     def _handle_rows(self, event: events.RowsRead, now: float) -> None:
-        if event.op != SCAN_OP:
-            return
+        if event.op == SCAN_OP:
+            self._handle_scan(event, now)
+        elif event.op == SNAPSHOT_READ_OP:
+            self._handle_snapshot_row(event)
+
+    def _handle_scan(self, event: events.RowsRead, now: float) -> None:
         self._scanning_since = -1.0
         context = self._context
         if event.status != "done":
@@ -128,167 +199,202 @@
             context.count(codes.PLATFORM_ERRORS)
             return
         context.platform_worked = now
+        before = context.configuration.version
         for row in event.rows:
-            self._apply_row(row)
-        if len(event.rows) >= SCAN_LIMIT:
-            self._scan(now)
-        elif not context.config_ready:
-            self._set_ready()
-
-    def _set_ready(self) -> None:
-        context = self._context
-        context.config_ready = True
-        context.log("configuration_ready", version=str(context.configuration.version))
-        if not context.stopping:
-            context.emit(actions.SetReady(True))
+            self._take_row(row)
+        if len(event.rows) >= SCAN_LIMIT and context.configuration.version > before:
+            self.scan(now)
+            return
+        self._table_read = True
+        self._check_ready(now)
+        self._check_snapshot(now)
 
-    def _apply_row(self, row: events.Row) -> None:
+    def _take_row(self, row: events.Row) -> None:
         try:
             change = msgspec.json.decode(row.value, type=Change)
         except msgspec.MsgspecError:
-            self._context.log("change_unreadable", key=row.key)
+            self._context.count(codes.CONFIG_UNREADABLE)
+            if self._unreadable_key != row.key:
+                self._unreadable_key = row.key
+                self._context.log("change_unreadable", key=row.key)
             return
-        self._apply_change(change)
-
-    def _apply_change(self, change: Change) -> None:
-        version = self._context.configuration.version
-        if change.version != version + 1:
-            # A copy of the table that lags may serve old rows, or rows with a gap.
-            if change.version <= version:
-                self._context.count(codes.CONFIG_STALE)
-            return
-        items = [Item(kind, name, change.version, value) for kind, name, value in change.items]
-        self._apply(change.version, items)
+        self.take_change(change)
 
     def _apply(self, version: int, items: list[Item]) -> None:
-        if not self._context.configuration.apply(version, items):
+        configuration = self._context.configuration
+        unreadable = len(configuration.unreadable)
+        if not configuration.apply(version, items):
             self._context.count(codes.CONFIG_STALE)
             return
         self._context.count(codes.CONFIG_APPLIED)
         self._context.log("configuration_applied", version=str(version))
+        if len(configuration.unreadable) > unreadable:
+            self._context.count(codes.CONFIG_UNREADABLE)
+            self._context.log("declaration_unreadable", version=str(version))
 
-    # Peers.
+    def _check_ready(self, now: float) -> None:
+        """Become ready once there is reason to think that no newer version was accepted.
 
-    def _handle_query(self, sender: str, message: ConfigQuery, now: float) -> None:
-        """Give a peer what changed after its version, in pages that end between versions."""
-        configuration = self._context.configuration
-        if configuration.version <= message.after or not self._context.config_ready:
-            return
-        changed = configuration.list_after(message.after)
-        page = changed[:PAGE_ITEMS]
-        version = configuration.version
-        if len(changed) > len(page):
-            last = page[-1].version
-            page = [item for item in changed if item.version <= last]
-            version = last
-        items = [ConfigItem(i.kind, i.name, i.version, i.value) for i in page]
-        self._context.send(sender, ConfigReply(after=message.after, version=version, items=items))
-
-    def _handle_reply(self, sender: str, message: ConfigReply, now: float) -> None:
+        A table that serves old reads looks complete. Taken alone, it would bring a change that
+        operators have made back to what it was, for callers of an instance that was restarted;
+        hence a peer is asked too, whose version never went down.
+        """
         context = self._context
-        version = context.configuration.version
-        if message.version <= version or message.after > version:
-            context.count(codes.CONFIG_STALE)
+        if context.config_ready:
             return
-        items = [Item(i.kind, i.name, i.version, i.value) for i in message.items]
-        self._apply(message.version, items)
-        context.count(codes.CONFIG_FROM_PEER)
-        if not context.config_ready:
-            self._set_ready()
-        query = ConfigQuery(instance=context.identity.instance, after=context.configuration.version)
-        context.send(sender, query)
-
-    # Operators.
-
-    def _handle_proposal(self, event: events.ChangeProposed, now: float) -> None:
-        problem = self._check_items(event.items)
-        if problem:
-            self._context.emit(actions.AnswerOperator(event.op, f"{ERROR_INVALID}: {problem}", 0))
+        alone = self._list_read and len(context.fleet.instances) <= 1
+        late = now - self._started_at >= START_PATIENCE
+        checked = self._table_read and (self._peer_heard or alone or late)
+        if not checked and not self._peer_complete:
             return
-        change = Change(event.base_version + 1, event.change_id, event.author, event.items)
-        self._write(Proposal(event.op, change, now))
-
-    def _check_items(self, items: list[tuple[str, str, bytes]]) -> str:
-        if not items:
-            return "the change set is empty"
-        for kind, name, value in items:
-            if kind not in KINDS:
-                return f"unknown kind {kind!r}"
-            if not value:
-                continue
-            try:
-                declared = decode_declaration(kind, value)
-            except msgspec.MsgspecError as error:
-                return f"{kind} {name!r}: {error}"
-            if declared.name != name:
-                return f"{kind} {name!r} is named {declared.name!r} inside"
-        return ""
-
-    def _write(self, proposal: Proposal) -> None:
-        """Insert the next version and the change id; both or neither."""
-        self._next_op += 1
-        op = f"{OP_PREFIX}{self._next_op}"
-        self._proposals[op] = proposal
-        change = proposal.change
-        writes = [
-            actions.Write(
-                CHANGE_TABLE, make_change_key(change.version), msgspec.json.encode(change), 0
-            ),
-            actions.Write(
-                CHANGE_ID_TABLE, change.change_id, str(change.version).encode("ascii"), 0
-            ),
-        ]
-        self._context.emit(actions.WriteRows(op, writes, atomic=True))
-
-    def _handle_write(self, event: events.WriteDone, now: float) -> None:
-        proposal = self._proposals.pop(event.op, None)
-        if proposal is None:
+        context.config_ready = True
+        context.log("configuration_ready", version=str(context.configuration.version))
+        if not context.stopping:
+            context.emit(actions.SetReady(True))
+
+    # Snapshots.
+
+    def _check_snapshot(self, now: float) -> None:
+        """Look, at a time drawn at random, whether another has stored a snapshot already.
+
+        Whoever accepted the changes may be gone; without a recent snapshot each start would read
+        every change since the first.
+        """
+        due = self._snapshot_version + self._context.options.snapshot_every
+        if self._snapshot_checking or self._context.configuration.version < due:
             return
+        self._snapshot_checking = True
+        delay = self._context.random.uniform(0.0, SNAPSHOT_SPREAD)
+        self._context.set_timer(now + delay, self._read_snapshot_row)
+
+    def _read_snapshot_row(self, now: float) -> None:
+        self._context.emit(actions.ReadRow(SNAPSHOT_READ_OP, STATE_TABLE, SNAPSHOT_ROW))
+
+    def _handle_snapshot_row(self, event: events.RowsRead) -> None:
         if event.status != "done":
-            self._repeat(proposal, now)
+            self._snapshot_checking = False
             return
-        change = proposal.change
-        winner, accepted = event.rows
-        if all(event.applied):
-            self._accept(proposal, change.version, now)
-        elif accepted is not None:
-            # The same change id was accepted before: the answer to that write was lost.
-            self._accept(proposal, int(accepted.value), now)
-        else:
-            author = _read_author(winner)
-            answer = actions.AnswerOperator(proposal.op, ERROR_CONFLICT, change.version, author)
-            self._context.emit(answer)
-            self._scan(now)
-
-    def _repeat(self, proposal: Proposal, now: float) -> None:
-        """Send the same write again: it is accepted once however often it arrives."""
-        if now - proposal.since < self._context.options.config_write_timeout:
-            self._context.set_timer(now + REPEAT_INTERVAL, lambda at: self._write(proposal))
+        if event.rows:
+            stored = event.rows[0].value
+            known = int(stored) if stored.isdigit() else 0
+            self._snapshot_version = max(self._snapshot_version, known)
+        configuration = self._context.configuration
+        if configuration.version < self._snapshot_version + self._context.options.snapshot_every:
+            self._snapshot_checking = False
             return
-        self._context.emit(actions.AnswerOperator(proposal.op, ERROR_UNKNOWN, 0))
+        self._snapshot_writing = configuration.version
+        snapshot = Snapshot(configuration.version, configuration.list_after(0))
+        self._context.emit(actions.WriteSnapshot(msgspec.msgpack.encode(snapshot)))
 
-    def _accept(self, proposal: Proposal, version: int, now: float) -> None:
-        if version == proposal.change.version:
-            self._apply_change(proposal.change)
-        self._context.log("change_accepted", version=str(version), author=proposal.change.author)
-        self._context.emit(actions.AnswerOperator(proposal.op, "", version))
-        self._scan(now)
-        self._write_snapshot()
+    def _handle_snapshot_written(self, event: events.SnapshotWritten, now: float) -> None:
+        self._snapshot_checking = False
+        if event.status != "done":
+            return
+        self._snapshot_version = max(self._snapshot_version, self._snapshot_writing)
+        self._context.count(codes.CONFIG_SNAPSHOTS)
+        value = str(self._snapshot_writing).encode("ascii")
+        write = actions.Write(STATE_TABLE, SNAPSHOT_ROW, value, -1)
+        self._context.emit(actions.WriteRows(SNAPSHOT_WRITE_OP, [write]))
+
+    # Peers.
 
-    def _write_snapshot(self) -> None:
+    def _ask_some(self, now: float) -> None:
+        """Ask a few instances, the own zone's first; one that starts may find no platform."""
+        context = self._context
+        own = context.identity
+        peers = [view for view in context.fleet.instances.values() if view.id != own.instance]
+        context.random.shuffle(peers)
+        peers.sort(key=lambda view: view.zone != own.zone)
+        for view in [*peers[: START_PEERS - 1], *peers[-1:]]:
+            self._ask(view.id, now)
+
+    def _ask(self, peer: str, now: float) -> None:
+        self._following_until = now + FOLLOW_TIMEOUT
+        version = self._context.configuration.version
+        self._send_query(peer, version, Position(version + 1))
+
+    def _send_query(self, peer: str, after: int, position: Position) -> None:
+        query = ConfigQuery(
+            instance=self._context.identity.instance,
+            after=after,
+            from_version=position.version,
+            from_kind=position.kind,
+            from_name=position.name,
+        )
+        self._context.send(peer, query)
+
+    def _handle_query(self, sender: str, message: ConfigQuery, now: float) -> None:
+        """Give a peer one page of what changed after its version."""
         configuration = self._context.configuration
-        due = self._snapshot_version + self._context.options.snapshot_every
-        if configuration.version < due:
+        if not self._context.config_ready:
+            self._context.send(sender, ConfigReply(after=message.after, ready=False))
             return
-        self._snapshot_version = configuration.version
-        snapshot = Snapshot(configuration.version, configuration.list_after(0))
-        self._context.emit(actions.WriteSnapshot(msgspec.msgpack.encode(snapshot)))
+        position = Position(message.from_version, message.from_kind, message.from_name)
+        position = max(position, Position(message.after + 1))
+        page: list[Item] = []
+        size = 0
+        found = configuration.list_from(position, PAGE_ITEMS + 1)
+        for item in found[:PAGE_ITEMS]:
+            if size >= PAGE_BYTES:
+                break
+            page.append(item)
+            size += len(item.value) + len(item.name)
+        reply = _make_reply(message.after, configuration.version, page)
+        reply.more = len(page) < len(found)
+        reply.from_version, reply.from_kind, reply.from_name = position
+        self._context.send(sender, reply)
 
+    def _handle_reply(self, sender: str, message: ConfigReply, now: float) -> None:
+        self._peer_heard = True
+        version = self._context.configuration.version
+        if message.ready and message.version > version:
+            self._take_page(sender, message, now)
+        elif message.ready:
+            self._peer_complete = True
+            self._following_until = now
+            if message.version < version:
+                self._context.count(codes.CONFIG_STALE)
+        self._check_ready(now)
 
-def _read_author(row: events.Row | None) -> str:
-    if row is None:
-        return ""
-    try:
-        return msgspec.json.decode(row.value, type=Change).author
-    except msgspec.MsgspecError:
-        return ""
+    def _take_page(self, sender: str, message: ConfigReply, now: float) -> None:
+        """Collect pages and put them in force together, as one step to the sender's version.
+
+        A page taken alone would claim a version some of whose declarations come only with a
+        later page, because the sender holds just the newest value of each.
+        """
+        if message.after > self._context.configuration.version:
+            self.follow(sender, message.version, now)
+            return
+        position = Position(message.from_version, message.from_kind, message.from_name)
+        download = self._find_download(sender, message.after, position)
+        if download is None:
+            return
+        download.items.extend(Item(i.kind, i.name, i.version, i.value) for i in message.items)
+        if message.more and message.items:
+            last = download.items[-1]
+            download.position = Position(last.version, last.kind, last.name)
+            self._download = download
+            self._following_until = now + FOLLOW_TIMEOUT
+            self._send_query(sender, message.after, download.position)
+            return
+        self._following_until = now
+        self._context.count(codes.CONFIG_FROM_PEER)
+        self._apply(message.version, download.items)
+        self._peer_complete = True
+
+    def _find_download(self, sender: str, after: int, position: Position) -> Download | None:
+        """Find the download that a page continues; None for a page of one that was given up."""
+        if position <= Position(after + 1):
+            return Download(sender, after, position)
+        known = self._download
+        if known is None or known.peer != sender or known.after != after:
+            return None
+        return known if known.position == position else None
+
+
+def _make_reply(after: int, version: int, items: list[Item]) -> ConfigReply:
+    return ConfigReply(
+        after=after,
+        version=version,
+        items=[ConfigItem(i.kind, i.name, i.version, i.value) for i in items],
+    )
--- a/rhubarbbend/core/_members.py
+++ b/rhubarbbend/core/_members.py
@@ -21,7 +21,6 @@
 from rhubarbbend.core._owner import OwnerDuty
 from rhubarbbend.core._suspects import SuspectDuty
 from rhubarbbend.core.messages import (
-    ConfigQuery,
     Heartbeat,
     Member,
     MembersQuery,
@@ -44,6 +43,14 @@
         ...
 
 
+class VersionListener(Protocol):
+    """Told which version a peer has."""
+
+    def follow(self, peer: str, version: int, now: float) -> None:
+        """Ask the peer for what it has beyond the version in force."""
+        ...
+
+
 class MemberDuty:
     """Keeps the fleet's views. Invariant: this instance is always in its own view."""
 
@@ -54,9 +61,14 @@
         self._owner = owner
         self._entry = entry
         self._suspects = suspects
+        self._versions: VersionListener | None = None
         self._list_read = False
         self._unlisted_since: dict[str, float] = {}
 
+    def set_version_listener(self, listener: VersionListener) -> None:
+        """Set the follower duty, which is told of the versions of peers."""
+        self._versions = listener
+
     def list_events(self) -> dict[type[events.Event], EventHandler]:
         """Handle the start, the platform's list, peers that fail and pauses."""
         return {
@@ -250,7 +262,7 @@
         for load in message.loads:
             self._take_load(load, now)
         self.refresh(now)
-        self._follow_version(message.instance, message.config_version)
+        self._follow_version(message.instance, message.config_version, now)
 
     def _take_load(self, load: TargetLoad, now: float) -> None:
         view = self._context.fleet.targets.get(load.target)
@@ -264,13 +276,9 @@
         view.models = load.models
         view.updated = now
 
-    def _follow_version(self, peer: str, version: int) -> None:
-        context = self._context
-        if version > context.configuration.version:
-            query = ConfigQuery(
-                instance=context.identity.instance, after=context.configuration.version
-            )
-            context.send(peer, query)
+    def _follow_version(self, peer: str, version: int, now: float) -> None:
+        if self._versions is not None:
+            self._versions.follow(peer, version, now)
 
     def _handle_zone_query(self, sender: str, message: ZoneQuery, now: float) -> None:
         context = self._context
@@ -286,7 +294,7 @@
             crashes=self._suspects.list_crashes(now),
         )
         context.send(sender, reply)
-        self._follow_version(sender, message.config_version)
+        self._follow_version(sender, message.config_version, now)
 
     def _handle_zone_reply(self, sender: str, message: ZoneReply, now: float) -> None:
         self._context.fleet.zone_sums[message.zone] = {
@@ -297,7 +305,7 @@
             view.config_version = message.config_version
             view.silent_until = 0.0
         self._suspects.merge(message.crashes, now)
-        self._follow_version(sender, message.config_version)
+        self._follow_version(sender, message.config_version, now)
 
     def _handle_lost(self, event: events.PeerLost, now: float) -> None:
         """Pass over an instance that cannot be reached, for a few seconds.
--- a/rhubarbbend/core/events.py
+++ b/rhubarbbend/core/events.py
@@ -194,6 +194,12 @@
     data: bytes = b""
 
 
+class SnapshotWritten(Event):
+    """The object store took a snapshot, or gave no word; `status` is "done" or "failed"."""
+
+    status: str
+
+
 class ChangeProposed(Event):
     """An operator sends a change set; items are (kind, name, JSON value or empty to remove)."""
 
@@ -231,6 +237,7 @@
     | WriteDone
     | RowsRead
     | SnapshotRead
+    | SnapshotWritten
     | ChangeProposed
     | StopRequested
     | ProcessPaused
--- a/rhubarbbend/core/messages.py
+++ b/rhubarbbend/core/messages.py
@@ -232,22 +232,36 @@
 
 
 class ConfigQuery(Message, tag=True):
-    """Asks for what changed after a version; answered by ConfigReply, page by page."""
+    """Asks for what changed after a version; answered by ConfigReply, page by page.
+
+    The position is that of the last item received, (after + 1, "", "") for the first page.
+    """
 
     FIELD: ClassVar[str] = "config_query"
 
     instance: str = ""
     after: int = 0
+    from_version: int = 0
+    from_kind: str = ""
+    from_name: str = ""
 
 
 class ConfigReply(Message, tag=True):
-    """Answer to ConfigQuery."""
+    """A page of the items changed after a version, in the order of their positions.
+
+    `version` is the sender's version; it is reached with the page that has no `more` after it.
+    """
 
     FIELD: ClassVar[str] = "config_reply"
 
     after: int = 0
     version: int = 0
     items: list[ConfigItem] = []
+    more: bool = False
+    ready: bool = True
+    from_version: int = 0
+    from_kind: str = ""
+    from_name: str = ""
 
 
 class MembersQuery(Message, tag=True):
--- a/rhubarbbend/operators/_server.py
+++ b/rhubarbbend/operators/_server.py
@@ -13,6 +13,7 @@
 from thriftpy2.transport import TCyMemoryBuffer
 
 from rhubarbbend.core import Core
+from rhubarbbend.core._proposals import ERROR_BEHIND, ERROR_CONFLICT, ERROR_UNKNOWN
 from rhubarbbend.core.events import ChangeProposed
 from rhubarbbend.operators._schema import SCHEMA
 
@@ -152,10 +153,13 @@
 
 
 def _make_error(answer: ChangeAnswer, change_id: str) -> Exception:
-    if answer.error == "version_conflict":
+    if answer.error == ERROR_CONFLICT:
         error = SCHEMA.Conflict(version=answer.version, author=answer.author)
-    elif answer.error == "outcome_unknown":
+    elif answer.error == ERROR_UNKNOWN:
         error = SCHEMA.OutcomeUnknown(change_id=change_id)
+    elif answer.error == ERROR_BEHIND:
+        reason = f"this instance is still at version {answer.version}; send the change again"
+        error = SCHEMA.NotReady(reason=reason)
     else:
         error = SCHEMA.InvalidChange(problem=answer.error)
     assert isinstance(error, Exception)
--- a/rhubarbbend/schema/peers.thrift
+++ b/rhubarbbend/schema/peers.thrift
@@ -172,16 +172,27 @@
   4: binary value = "",
 }
 
-/** Asks for what changed after a version; answered by ConfigReply, page by page. */
+/** Asks for what changed after a version; answered by ConfigReply, page by page. The position is
+ * that of the last item received, (after + 1, "", "") for the first page. */
 struct ConfigQuery {
   1: string instance = "",
   2: i64 after = 0,
+  3: i64 from_version = 0,
+  4: string from_kind = "",
+  5: string from_name = "",
 }
 
+/** A page of the items changed after a version. version is the sender's; it is reached with the
+ * page that has no more after it. */
 struct ConfigReply {
   1: i64 after = 0,
   2: i64 version = 0,
   3: list<ConfigItem> items = [],
+  4: bool more = false,
+  5: bool ready = true,
+  6: i64 from_version = 0,
+  7: string from_kind = "",
+  8: string from_name = "",
 }
 
 /** Asks a peer whom it knows; used when the platform's list cannot be read. */
--- a/rhubarbbend/shell/_runtime.py
+++ b/rhubarbbend/shell/_runtime.py
@@ -398,8 +398,10 @@
         try:
             await self._platform.write_object(SNAPSHOT_OBJECT, action.data)
         except PlatformError:
-            # The next accepted change makes another; a start reads the changes without it.
             self.metrics.add(codes.PLATFORM_ERRORS)
+            self.feed(events.SnapshotWritten("failed"))
+            return
+        self.feed(events.SnapshotWritten("done"))
 
     # Background work.
 
