--- a/rhubarbbend/core/_members.py
+++ b/rhubarbbend/core/_members.py
@@ -23,7 +23,6 @@
 from rhubarbbend.core._owner import OwnerDuty
 from rhubarbbend.core._suspects import SuspectDuty
 from rhubarbbend.core.messages import (
-    ConfigQuery,
     Heartbeat,
     Member,
     MembersQuery,
@@ -47,6 +46,14 @@
         ...
 
 
+class VersionListener(Protocol):
+    """Told which version a peer has."""
+
+    def follow(self, peer: str, version: int, now: float) -> None:
+        """Ask the peer for what it has beyond the version in force."""
+        ...
+
+
 class MemberDuty:
     """Keeps the fleet's views. Invariant: this instance is always in its own view."""
 
@@ -57,9 +64,14 @@
         self._owner = owner
         self._entry = entry
         self._suspects = suspects
+        self._versions: VersionListener | None = None
         self._list_read = False
         self._unlisted_since: dict[str, float] = {}
 
+    def set_version_listener(self, listener: VersionListener) -> None:
+        """Set the follower duty, which is told of the versions of peers."""
+        self._versions = listener
+
     def list_events(self) -> dict[type[events.Event], EventHandler]:
         """Handle the start, the platform's list, peers that fail and pauses."""
         return {
@@ -284,7 +296,7 @@
         if not was_live or view.leaving != was_leaving:
             # Who is live is recomputed only if it may have changed: a zone sends many heartbeats.
             self.refresh(now)
-        self._follow_version(message.instance, message.config_version)
+        self._follow_version(message.instance, message.config_version, now)
 
     def _take_load(self, load: TargetLoad, now: float) -> None:
         view = self._context.fleet.targets.get(load.target)
@@ -299,13 +311,9 @@
         view.updated = now
         self._context.fleet.note_target(view, self._context.configuration)
 
-    def _follow_version(self, peer: str, version: int) -> None:
-        context = self._context
-        if version > context.configuration.version:
-            query = ConfigQuery(
-                instance=context.identity.instance, after=context.configuration.version
-            )
-            context.send(peer, query)
+    def _follow_version(self, peer: str, version: int, now: float) -> None:
+        if self._versions is not None:
+            self._versions.follow(peer, version, now)
 
     def _handle_zone_query(self, sender: str, message: ZoneQuery, now: float) -> None:
         context = self._context
@@ -321,7 +329,7 @@
             crashes=self._suspects.list_crashes(now),
         )
         context.send(sender, reply)
-        self._follow_version(sender, message.config_version)
+        self._follow_version(sender, message.config_version, now)
 
     def _handle_zone_reply(self, sender: str, message: ZoneReply, now: float) -> None:
         sums = {entry.service_name: LoadSum(entry.load, entry.targets) for entry in message.sums}
@@ -331,7 +339,7 @@
             view.config_version = message.config_version
             view.lost_since = -1.0
         self._suspects.merge(message.crashes, now)
-        self._follow_version(sender, message.config_version)
+        self._follow_version(sender, message.config_version, now)
 
     def _handle_lost(self, event: events.PeerLost, now: float) -> None:
         """Pass over the targets of an owner in another zone that cannot be reached.
