Measure deployments under load, churn and a zone's exit

A run starts real processes at the sizes of today with latencies from the proxies, drives a seeded load of returning chats, commands and lookups, and writes reuse against an offline bound, skew, control bytes, service through a zone's exit and times through the fleet and straight to an engine. Bytes of control are counted at the sockets; counters control.* carry them by statsd.

--- /dev/null
+++ b/loadtool/_bound.py
@@ -0,0 +1,88 @@
+"""An upper bound of cache reuse: what the same requests could have found with perfect placement.
+
+The served requests are replayed offline in their order. Each goes to the engine that holds most of
+its prompt, whatever that engine's load, and a new chat to the engine with the least work so far.
+Engines have the memory, and lose it at the times, that they had in the run. No policy that keeps
+to the bound on load can reach more than this, so reuse over it shows what is left to gain.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import attrs
+
+from standins._engine import CHARS_PER_TOKEN, Message, PrefixCache
+
+
+@attrs.define(slots=True, frozen=True)
+class ServedTurn:
+    """A served turn of a chat: its prompt is the chat's first `length` messages."""
+
+    at: float
+    chat: str
+    messages: Sequence[Message]
+    length: int
+
+    def join_prompt(self) -> str:
+        """Join the prompt as an engine reads it."""
+        return "".join(f"{m.role}\0{m.content}\0" for m in self.messages[: self.length])
+
+
+@attrs.define(slots=True)
+class EngineSpan:
+    """When an engine could be used: from its start to its end, less a time out of service."""
+
+    name: str
+    start: float
+    end: float = float("inf")
+    out_from: float = float("inf")
+    out_until: float = float("inf")
+
+    def is_usable(self, at: float) -> bool:
+        """Whether it could take work."""
+        return self.start <= at < self.end and not self.out_from <= at < self.out_until
+
+
+@attrs.define(slots=True)
+class BoundCount:
+    """Tokens of prompts and how many of them were held."""
+
+    prompt: int = 0
+    held: int = 0
+
+    @property
+    def reuse(self) -> float:
+        """Share of tokens that were held."""
+        return self.held / self.prompt if self.prompt else 0.0
+
+
+def compute_bound(
+    turns: Sequence[ServedTurn],
+    spans: Sequence[EngineSpan],
+    cache_tokens: int,
+    phase_ends: Sequence[float],
+) -> list[BoundCount]:
+    """Replay the turns; gives the counts by phase."""
+    caches = {span.name: PrefixCache(cache_tokens) for span in spans}
+    work = dict.fromkeys(caches, 0)
+    homes: dict[str, list[str]] = {}
+    counts = [BoundCount() for _ in phase_ends]
+    for turn in sorted(turns, key=lambda turn: turn.at):
+        usable = [span.name for span in spans if span.is_usable(turn.at)]
+        if not usable:
+            continue
+        places = homes.setdefault(turn.chat, [])
+        place = next((name for name in reversed(places) if name in usable), "")
+        if not place:
+            place = min(usable, key=lambda name: work[name])
+        if place in places:
+            places.remove(place)
+        places.append(place)
+        text = turn.join_prompt()
+        tokens = len(text) // CHARS_PER_TOKEN
+        work[place] += tokens
+        phase = next((i for i, end in enumerate(phase_ends) if turn.at < end), -1)
+        counts[phase].prompt += tokens
+        counts[phase].held += caches[place].read(text)
+    return counts
--- /dev/null
+++ b/loadtool/_counters.py
@@ -0,0 +1,40 @@
+"""A statsd sink: sums the counters that the instances send over UDP."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+
+from rhubarbbend.settings import StatsdSettings
+
+PREFIX = StatsdSettings().prefix + "."
+
+
+class CounterSink(asyncio.DatagramProtocol):
+    """Counters by instance and name."""
+
+    def __init__(self) -> None:
+        self.by_instance: dict[str, Counter[str]] = {}
+
+    def datagram_received(self, data: bytes, address: object) -> None:
+        """Add the counters of one datagram."""
+        for line in data.decode("ascii", "replace").splitlines():
+            name, _, rest = line.removeprefix(PREFIX).partition(":")
+            value, _, kind = rest.partition("|")
+            instance, _, counter = name.partition(".")
+            if kind == "c" and value.lstrip("-").isdigit():
+                self.by_instance.setdefault(instance, Counter())[counter] += int(value)
+
+    def sum_all(self) -> Counter[str]:
+        """Sum the counters of every instance."""
+        total: Counter[str] = Counter()
+        for counters in self.by_instance.values():
+            total.update(counters)
+        return total
+
+
+async def open_sink(host: str) -> tuple[CounterSink, int]:
+    """Listen on a free UDP port; gives the sink and the port."""
+    loop = asyncio.get_running_loop()
+    transport, sink = await loop.create_datagram_endpoint(CounterSink, local_addr=(host, 0))
+    return sink, int(transport.get_extra_info("sockname")[1])
--- /dev/null
+++ b/loadtool/_fleet.py
@@ -0,0 +1,127 @@
+"""Starts a deployment at its size, with latencies put in by the proxies."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+from pathlib import Path
+from typing import Any, Final
+
+from loadtool._cluster import HOST, Cluster, Node
+from loadtool._deployments import Deployment
+
+# The platform is as far away as another zone.
+DECLARATION_FILE: Final = "fleet.toml"
+
+
+class MeasuredFleet:
+    """A running deployment, the ways callers take to it, and the means to change it."""
+
+    def __init__(self, deployment: Deployment, policy: str, folder: Path, statsd_port: int) -> None:
+        self.deployment = deployment
+        self.cluster = Cluster(
+            folder,
+            list(deployment.zones),
+            proxied=True,
+            core_settings=f'[statsd]\nhost = "{HOST}"\nport = {statsd_port}\n',
+        )
+        self._policy = policy
+        self._folder = folder
+        self._caller_proxy: Node | None = None
+        self._replaced = 0
+        self.caller_addresses: dict[str, tuple[str, int]] = {}
+
+    async def start(self) -> None:
+        """Start everything and wait until it is ready to serve."""
+        cluster = self.cluster
+        deployment = self.deployment
+        await cluster.start_platform()
+        process, port = await cluster.group.start_stand_in("proxy-callers", ["proxy"])
+        self._caller_proxy = Node("proxy-callers", "proxy", "", process, port)
+        starts: list[Any] = []
+        for number in range(deployment.instances):
+            starts.append(cluster.start_instance(f"entry-{number + 1}", self._find_zone(number)))
+        for number in range(deployment.engines):
+            starts.append(self._start_engine(f"engine-{number + 1}", self._find_zone(number)))
+        for number in range(deployment.plains):
+            zone = self._find_zone(number)
+            name = f"{deployment.plain_service}-{number + 1}"
+            starts.append(cluster.start_plain(name, zone, deployment.plain_service))
+        await asyncio.gather(*starts)
+        for node in (*cluster.instances.values(), *cluster.targets.values()):
+            await self._set_delays(node)
+        await self._delay_platform()
+        await cluster.register()
+        await cluster.wait_ready()
+        await cluster.apply(self._write_declarations())
+        await cluster.wait_targets()
+
+    def list_caller_addresses(self) -> list[tuple[str, int]]:
+        """List the instances as callers reach them."""
+        return [self.caller_addresses[name] for name in self.cluster.instances]
+
+    def list_engines(self) -> list[Node]:
+        """List the engines that run."""
+        return [node for node in self.cluster.targets.values() if node.kind == "engine"]
+
+    async def start_replacement(self, old: Node) -> Node:
+        """Start an engine in an old one's zone, put it on the list, and say the old one leaves."""
+        self._replaced += 1
+        name = f"{old.id.partition('-r')[0]}-r{self._replaced}"
+        fresh = await self._start_engine(name, old.zone)
+        await self._set_delays(fresh)
+        await self.cluster.register(fresh)
+        await self.cluster.register(old, state="leaving")
+        return fresh
+
+    async def end_engine(self, old: Node) -> None:
+        """Take an engine off the list and stop it."""
+        await self.cluster.unregister(old)
+        del self.cluster.targets[old.id]
+        await old.process.stop()
+
+    async def move_zone(self, direction: str, zone: str) -> None:
+        """Take a zone out of service or back in, as an operator does."""
+        node = next(iter(self.cluster.instances.values()))
+        status, output = await self.cluster.run_command("zone", direction, zone, node=node)
+        if status != 0:
+            raise RuntimeError(f"zone {direction} failed: {output}")
+
+    def _find_zone(self, number: int) -> str:
+        zones = self.deployment.zones
+        return zones[number % len(zones)]
+
+    async def _start_engine(self, name: str, zone: str) -> Node:
+        deployment = self.deployment
+        options = deployment.list_engine_options()
+        return await self.cluster.start_engine(name, zone, deployment.engine_service, *options)
+
+    async def _set_delays(self, node: Node) -> None:
+        """Set the latency of each other zone's way to a node, and of the callers' way."""
+        for zone in self.deployment.zones:
+            if zone != node.zone:
+                delay = self.deployment.zone_delay
+                await self.cluster.set_route_faults(zone, [node], delay=delay)
+        proxy = self._caller_proxy
+        assert proxy is not None
+        route = await self.cluster.ask_admin(proxy, "routes", {"to": [HOST, node.port]})
+        port = int(route["port"])
+        faults = {"ports": [port], "delay": self.deployment.caller_delay}
+        await self.cluster.ask_admin(proxy, "faults", faults)
+        self.caller_addresses[node.id] = (HOST, port)
+
+    async def _delay_platform(self) -> None:
+        platform = self.cluster.platform
+        assert platform is not None
+        for zone in self.deployment.zones:
+            delay = self.deployment.zone_delay
+            await self.cluster.set_route_faults(zone, [platform], delay=delay)
+
+    def _write_declarations(self) -> Path:
+        """Write the deployment's declarations with the policy and the engines' reading rate."""
+        path = self._folder / DECLARATION_FILE
+        text = (self.deployment.declarations / DECLARATION_FILE).read_text("utf-8")
+        text = text.replace("[[service]]", f'[[service]]\npolicy = "{self._policy}"')
+        rate = f"prefill_rate = {self.deployment.prefill_rate}"
+        path.write_text(re.sub(r"prefill_rate = [0-9.]+", rate, text), "utf-8")
+        return path
--- /dev/null
+++ b/loadtool/_measure.py
@@ -0,0 +1,170 @@
+"""`make measure`: one run of a deployment under load, churn and a zone's exit and return."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import tempfile
+from pathlib import Path
+from typing import Final
+
+import attrs
+import msgspec
+
+from loadtool import _analysis
+from loadtool._bound import compute_bound
+from loadtool._chats import TIME_SCALE, Load
+from loadtool._control import ControlWindow, measure_idle
+from loadtool._counters import CounterSink, open_sink
+from loadtool._deployments import DEPLOYMENTS, Deployment
+from loadtool._fleet import MeasuredFleet
+from loadtool._probes import PairedProbes
+from loadtool._results import ControlResult, RunResult
+from loadtool._samples import EngineSampler
+from loadtool._scenario import STEADY, WARM, ZONE_OUT, Phase, Scenario, plan_phases
+from rhubarbbend.cli._declarations import read_declarations
+from rhubarbbend.core.configuration import Service
+
+HOST: Final = "127.0.0.1"
+IDLE_SECONDS: Final = 4.0
+PROGRESS_INTERVAL: Final = 5.0
+
+
+@attrs.define(slots=True, frozen=True)
+class RunOptions:
+    """What to run."""
+
+    deployment: str
+    policy: str
+    seed: int
+    seconds: float
+
+
+class Measurement:
+    """One run from the start of the fleet to its result."""
+
+    def __init__(self, options: RunOptions, folder: Path) -> None:
+        self._options = options
+        self._folder = folder
+        self._deployment: Deployment = DEPLOYMENTS[options.deployment]
+        self._phases = plan_phases(options.seconds)
+
+    async def run(self) -> RunResult:
+        """Run everything."""
+        sink, port = await open_sink(HOST)
+        fleet = MeasuredFleet(self._deployment, self._options.policy, self._folder, port)
+        async with fleet.cluster:
+            self._say("starting the fleet")
+            await fleet.start()
+            instances = list(fleet.cluster.instances.values())
+            self._say(f"measuring the idle fleet for {IDLE_SECONDS:.0f} s")
+            idle = await measure_idle(sink, instances, IDLE_SECONDS)
+            load = self._make_load(fleet)
+            sampler = EngineSampler(fleet.cluster, fleet.list_engines, load.now)
+            scenario = Scenario(fleet, self._phases, load.now, self._options.seed)
+            probes = PairedProbes(fleet, load.now, self._options.seed)
+            steady = self._find_phase(STEADY)
+            window = asyncio.create_task(self._measure_busy(fleet, sink, load, steady))
+            seconds = self._options.seconds
+            await asyncio.gather(
+                load.run(),
+                sampler.run(seconds),
+                scenario.run(),
+                probes.run(steady.begin, steady.end),
+                self._show_progress(load),
+            )
+            runs = fleet.cluster.read_runs()
+            result = self._describe(load, sampler, scenario, self._find_service())
+            result.idle = idle
+            result.busy = await window
+            result.run_twice = sum(count > 1 for count in runs.values())
+            result.counters = dict(sorted(sink.sum_all().items()))
+            result.fleet_first = probes.fleet_times.first.describe()
+            result.direct_first = probes.direct_times.first.describe()
+            result.fleet_gap = probes.fleet_times.gap.describe()
+            result.direct_gap = probes.direct_times.gap.describe()
+            return result
+
+    def _make_load(self, fleet: MeasuredFleet) -> Load:
+        warm = self._find_phase(WARM)
+        options = self._options
+        return Load(
+            self._deployment,
+            fleet.list_caller_addresses,
+            options.seed,
+            options.seconds,
+            ramp=0.8 * warm.end,
+        )
+
+    async def _measure_busy(
+        self, fleet: MeasuredFleet, sink: CounterSink, load: Load, phase: Phase
+    ) -> ControlResult:
+        while load.now() < phase.begin:
+            await asyncio.sleep(0.05)
+        window = ControlWindow(sink, list(fleet.cluster.instances.values()))
+        await asyncio.sleep(phase.end - load.now())
+        return window.close()
+
+    def _describe(
+        self, load: Load, sampler: EngineSampler, scenario: Scenario, service: Service
+    ) -> RunResult:
+        options = self._options
+        bounds = compute_bound(
+            load.turns,
+            list(scenario.spans.values()),
+            self._deployment.cache_tokens,
+            [phase.end for phase in self._phases],
+        )
+        phases = []
+        for phase, bound in zip(self._phases, bounds, strict=True):
+            out = scenario.zone_engines if phase.name == ZONE_OUT else set()
+            phases.append(
+                _analysis.describe_phase(phase, load.sent, sampler.samples, bound, out, service)
+            )
+        return RunResult(
+            options.deployment,
+            options.policy,
+            options.seed,
+            options.seconds,
+            TIME_SCALE,
+            requests=len(load.sent),
+            wrong=sum(one.answer.wrong for one in load.sent),
+            phases=phases,
+            zone=_analysis.describe_zone(
+                scenario.zone,
+                scenario.zone_engines,
+                scenario.out_at,
+                scenario.back_at,
+                load.sent,
+                sampler.samples,
+            ),
+            failures=_analysis.count_failures(load.sent),
+            series=_analysis.make_series(options.seconds, load.sent, sampler.samples, set()),
+        )
+
+    def _find_phase(self, name: str) -> Phase:
+        return next(phase for phase in self._phases if phase.name == name)
+
+    def _find_service(self) -> Service:
+        declared = read_declarations(self._deployment.declarations)
+        value = declared[("service", self._deployment.engine_service)]
+        return msgspec.json.decode(value, type=Service)
+
+    async def _show_progress(self, load: Load) -> None:
+        seconds = self._options.seconds
+        while load.now() < seconds:
+            phase = next((p.name for p in self._phases if load.now() < p.end), "")
+            good = sum(one.answer.good for one in load.sent)
+            self._say(f"{load.now():4.0f} of {seconds:.0f} s, {phase}: {good} answers")
+            await asyncio.sleep(min(PROGRESS_INTERVAL, max(0.1, seconds - load.now())))
+
+    def _say(self, text: str) -> None:
+        options = self._options
+        line = f"{options.deployment} {options.policy} seed {options.seed}: {text}"
+        print(line, file=sys.stderr, flush=True)
+
+
+async def measure(options: RunOptions) -> RunResult:
+    """Run one measurement in a folder of its own."""
+    with tempfile.TemporaryDirectory(prefix="rhubarbbend-measure-") as name:
+        return await Measurement(options, Path(name)).run()
--- a/rhubarbbend/codes.py
+++ b/rhubarbbend/codes.py
@@ -176,6 +176,14 @@
 PEER_FRAMES_BAD: Final = _declare_counter("peers.bad_frames", "peer frames that did not decode")
 PEER_DROPPED: Final = _declare_counter("peers.dropped", "peer messages dropped: link down")
 REPORTS_FAILED: Final = _declare_counter("reports.failed", "load reports that could not be read")
+CONTROL_PEERS: Final = _declare_counter("control.peer_bytes", "bytes to and from other instances")
+CONTROL_PLATFORM: Final = _declare_counter(
+    "control.platform_bytes", "bytes to and from the platform"
+)
+CONTROL_TARGETS: Final = _declare_counter(
+    "control.target_bytes", "bytes of load reports, probes and cancellations"
+)
+CONTROL_METRICS: Final = _declare_counter("control.statsd_bytes", "bytes of counters sent")
 PAUSES: Final = _declare_counter("pauses", "pauses of this process noticed on waking")
 PLATFORM_ERRORS: Final = _declare_counter("platform.errors", "platform calls that failed")
 CONFIG_APPLIED: Final = _declare_counter("config.applied", "configuration changes applied")
--- a/rhubarbbend/http/_client.py
+++ b/rhubarbbend/http/_client.py
@@ -50,13 +50,15 @@
 class Connection:
     """One client connection. Invariant: carries one request at a time."""
 
-    __slots__ = ("address", "idle_since", "_conn", "_reader", "_writer", "reused")
+    __slots__ = ("address", "idle_since", "traffic", "_conn", "_reader", "_writer", "reused")
 
     def __init__(
         self, address: Address, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.address = address
         self.idle_since = 0.0
+        # Bytes sent and received.
+        self.traffic = 0
         self.reused = False
         self._conn = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._reader = reader
@@ -84,7 +86,9 @@
             events.append(h11.Data(data=body))
         events.append(h11.EndOfMessage())
         try:
-            self._writer.write(b"".join(self._conn.send(event) or b"" for event in events))
+            data = b"".join(self._conn.send(event) or b"" for event in events)
+            self.traffic += len(data)
+            self._writer.write(data)
             await self._writer.drain()
         except (OSError, h11.LocalProtocolError) as error:
             raise HttpFailure(SendStage.SENT, str(error)) from error
@@ -96,7 +100,9 @@
                 while True:
                     event = self._conn.next_event()
                     if event is h11.NEED_DATA:
-                        self._conn.receive_data(await self._reader.read(READ_SIZE))
+                        data = await self._reader.read(READ_SIZE)
+                        self.traffic += len(data)
+                        self._conn.receive_data(data)
                     elif isinstance(event, h11.Response):
                         headers = {k.decode(): v.decode("latin-1") for k, v in event.headers}
                         return Response(event.status_code, headers)
@@ -119,6 +125,7 @@
                 if event is h11.NEED_DATA:
                     async with asyncio.timeout(progress_timeout):
                         data = await self._reader.read(READ_SIZE)
+                    self.traffic += len(data)
                     self._conn.receive_data(data)
                 elif isinstance(event, h11.Data):
                     yield bytes(event.data)
@@ -161,6 +168,8 @@
         self._max_idle = max_idle
         self._max_per_address = max_per_address
         self._idle: dict[Address, deque[Connection]] = {}
+        # Bytes of the small requests sent by `fetch`: reports, probes, platform calls.
+        self.fetch_traffic = 0
 
     async def take(
         self, address: Address, now: float, fresh: bool, timeout: float = DEFAULT_CONNECT_TIMEOUT
@@ -212,6 +221,7 @@
 ) -> tuple[Response, bytes]:
     """Send one small request and read its whole response within `timeout` seconds."""
     connection = await pool.take(address, now, fresh)
+    before = connection.traffic
     try:
         async with asyncio.timeout(timeout):
             await connection.send(method, target, headers or [], body)
@@ -223,5 +233,7 @@
     except BaseException:
         connection.close()
         raise
+    finally:
+        pool.fetch_traffic += connection.traffic - before
     pool.give_back(connection, now)
     return response, b"".join(parts)
--- a/rhubarbbend/peers/_links.py
+++ b/rhubarbbend/peers/_links.py
@@ -46,7 +46,8 @@
         self._on_bad_frame = on_bad_frame
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
-        self.bytes_in = 0
+        # Bytes both ways on the connections that others opened.
+        self.traffic = 0
 
     async def listen(self, host: str, port: int) -> int:
         """Start to accept; returns the port in use."""
@@ -78,17 +79,19 @@
     async def _receive(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         async with asyncio.timeout(CONNECT_TIMEOUT):
             hello = await reader.readexactly(HELLO_BYTES)
+        self.traffic += HELLO_BYTES
         if not hmac.compare_digest(hello, self._hello):
             raise FrameError("not of this fleet")
         while True:
             length = int.from_bytes(await reader.readexactly(4), "big")
             if length == 0:
                 writer.write(PONG)
+                self.traffic += len(PING) + len(PONG)
                 continue
             if length > MAX_FRAME_BYTES:
                 raise FrameError("frame too large")
             data = await reader.readexactly(length)
-            self.bytes_in += length + 4
+            self.traffic += length + 4
             sender, message = decode_frame(data)
             self._on_message(sender, message)
 
@@ -109,6 +112,7 @@
         """Send a frame now, or once the connection is open."""
         if self._writer is not None:
             self._writer.write(frame)
+            self._links.traffic += len(frame)
             return
         if len(self._queue) < MAX_QUEUED_FRAMES:
             self._queue.append(frame)
@@ -128,7 +132,9 @@
                 raise ConnectionError("held back after a failure")
             async with asyncio.timeout(CONNECT_TIMEOUT):
                 reader, writer = await asyncio.open_connection(*self.address)
-            writer.write(self._links.hello + b"".join(self._queue))
+            opening = self._links.hello + b"".join(self._queue)
+            self._links.traffic += len(opening)
+            writer.write(opening)
             self._queue.clear()
             self._writer = writer
             await self._keep_alive(reader, writer)
@@ -145,6 +151,7 @@
     async def _keep_alive(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         while True:
             writer.write(PING)
+            self._links.traffic += len(PING) + len(PONG)
             async with asyncio.timeout(PONG_TIMEOUT):
                 if not await reader.read(64):
                     raise ConnectionError("closed by the peer")
@@ -160,7 +167,8 @@
         self._on_lost = on_lost
         self._links: dict[str, _Link] = {}
         self._closed = False
-        self.bytes_out = 0
+        # Bytes both ways on the connections that this instance opened.
+        self.traffic = 0
         self.dropped = 0
 
     def send(self, peer: str, address: tuple[str, int], message: Message) -> None:
@@ -171,7 +179,6 @@
                 link.close()
             link = self._links[peer] = _Link(self, peer, address)
         frame = encode_frame(self._own_id, message)
-        self.bytes_out += len(frame)
         link.send(frame)
 
     def report_lost(self, link: _Link, dropped: int) -> None:
--- a/rhubarbbend/platform/_base.py
+++ b/rhubarbbend/platform/_base.py
@@ -26,8 +26,8 @@
         self.address = address
         self.timeout = timeout
         self.zone = zone
-        self.bytes_in = 0
-        self.bytes_out = 0
+        # Bytes both ways, as they pass the sockets.
+        self.traffic = 0
 
     @abc.abstractmethod
     async def write_rows(
--- a/rhubarbbend/platform/_http.py
+++ b/rhubarbbend/platform/_http.py
@@ -121,9 +121,9 @@
             # The pooled connections may all have gone silent; prove a new one first.
             self._fresh = True
             raise PlatformError(str(failure)) from failure
+        finally:
+            self.traffic = self._pool.fetch_traffic
         self._fresh = False
-        self.bytes_out += len(body) + len(target)
-        self.bytes_in += len(data)
         return response.status, data
 
     def _check_status(self, status: int) -> None:
--- a/rhubarbbend/shell/_metrics.py
+++ b/rhubarbbend/shell/_metrics.py
@@ -16,9 +16,11 @@
         self.totals: Counter[str] = Counter()
         self._fresh: Counter[str] = Counter()
         self._client: StatsClient | None = None
+        self._prefix = f"{settings.prefix}.{instance}"
+        # Bytes sent.
+        self.traffic = 0
         if settings.host:
-            prefix = f"{settings.prefix}.{instance}"
-            self._client = StatsClient(settings.host, settings.port, prefix=prefix)
+            self._client = StatsClient(settings.host, settings.port, prefix=self._prefix)
 
     def add(self, name: str, by: int = 1) -> None:
         """Add to a counter."""
@@ -33,3 +35,4 @@
         with self._client.pipeline() as pipe:
             for name, by in fresh.items():
                 pipe.incr(name, by)
+                self.traffic += len(f"{self._prefix}.{name}:{by}|c\n")
--- a/rhubarbbend/shell/_runtime.py
+++ b/rhubarbbend/shell/_runtime.py
@@ -42,6 +42,7 @@
     read_request,
     write_error,
 )
+from rhubarbbend.shell._traffic import ControlTraffic
 
 SNAPSHOT_OBJECT: Final = "configuration-snapshot"
 WATCH_INTERVAL: Final = 0.25
@@ -89,6 +90,14 @@
         self._operators = OperatorServer(
             self.core, make_operator_key(secret), self._propose, self._now
         )
+        self._traffic = ControlTraffic(
+            {
+                codes.CONTROL_PEERS: lambda: self._links.traffic + self._listener.traffic,
+                codes.CONTROL_PLATFORM: lambda: self._platform.traffic,
+                codes.CONTROL_TARGETS: lambda: self._pool.fetch_traffic,
+                codes.CONTROL_METRICS: lambda: self.metrics.traffic,
+            }
+        )
         self._performers = self._list_performers()
 
     async def run(self) -> None:
@@ -418,6 +427,7 @@
             dropped, self._links.dropped = self._links.dropped, 0
             if dropped:
                 self.metrics.add(codes.PEER_DROPPED, dropped)
+            self._traffic.count(self.metrics)
             self.metrics.send()
 
     async def _close(self) -> None:
