Relay a stream's parts in the loop's turn that received them

Cause: handing each part to a waiting task cost a second turn of the event loop and a timer a part. The client connection now has a protocol of its own; while a body is relayed its parts go from the socket through h11 to the caller's connection in one turn, with one timer for the whole body. A caller that reads nothing for 30 s is given up, since it would keep its target's slot for ever.

--- a/rhubarbbend/http/__init__.py
+++ b/rhubarbbend/http/__init__.py
@@ -6,6 +6,7 @@
 
 from rhubarbbend.http._client import (
     REASON_TIMEOUT,
+    BodyRelay,
     Connection,
     ConnectionPool,
     HttpFailure,
@@ -16,6 +17,7 @@
 from rhubarbbend.http._server import Exchange, HttpServer, ServerLimits
 
 __all__ = [
+    "BodyRelay",
     "Connection",
     "ConnectionPool",
     "Exchange",
--- a/rhubarbbend/http/_client.py
+++ b/rhubarbbend/http/_client.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import abc
 import asyncio
 import enum
 from collections import deque
@@ -15,11 +16,16 @@
 import attrs
 import h11
 
-READ_SIZE: Final = 65_536
+from rhubarbbend.http._protocol import ClientProtocol
+
 MAX_HEAD_BYTES: Final = 65_536
 DEFAULT_CONNECT_TIMEOUT: Final = 1.0
 # The reason of a failure by silence; any other sign of the far side has another reason.
 REASON_TIMEOUT: Final = "timeout"
+REASON_CLOSED: Final = "closed during the body"
+REASON_NO_PROGRESS: Final = "no progress"
+# A body that is held back is looked at again after this many seconds at the earliest.
+MIN_WATCH: Final = 0.25
 
 Address = tuple[str, int]
 
@@ -52,29 +58,30 @@
 class Connection:
     """One client connection. Invariant: carries one request at a time."""
 
-    __slots__ = ("address", "idle_since", "traffic", "_conn", "_reader", "_writer", "reused")
+    __slots__ = ("address", "idle_since", "reused", "_conn", "_protocol")
 
-    def __init__(
-        self, address: Address, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
+    def __init__(self, address: Address, protocol: ClientProtocol) -> None:
         self.address = address
         self.idle_since = 0.0
-        # Bytes sent and received.
-        self.traffic = 0
         self.reused = False
         self._conn = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
-        self._reader = reader
-        self._writer = writer
+        self._protocol = protocol
 
     @classmethod
     async def open(cls, address: Address, timeout: float = DEFAULT_CONNECT_TIMEOUT) -> Connection:
         """Connect within `timeout` seconds or raise `HttpFailure` at stage CONNECT."""
+        loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(timeout):
-                reader, writer = await asyncio.open_connection(*address)
+                _, protocol = await loop.create_connection(ClientProtocol, *address)
         except (OSError, TimeoutError) as error:
             raise HttpFailure(SendStage.CONNECT, str(error) or REASON_TIMEOUT) from error
-        return cls(address, reader, writer)
+        return cls(address, protocol)
+
+    @property
+    def traffic(self) -> int:
+        """Bytes sent and received."""
+        return self._protocol.traffic
 
     async def send(
         self, method: str, target: str, headers: list[tuple[str, str]], body: bytes
@@ -89,9 +96,9 @@
         events.append(h11.EndOfMessage())
         try:
             data = b"".join(self._conn.send(event) or b"" for event in events)
-            self.traffic += len(data)
-            self._writer.write(data)
-            await self._writer.drain()
+            self._protocol.traffic += len(data)
+            self._protocol.transport.write(data)
+            await self._protocol.drain()
         except (OSError, h11.LocalProtocolError) as error:
             raise HttpFailure(SendStage.SENT, str(error)) from error
 
@@ -102,9 +109,7 @@
                 while True:
                     event = self._conn.next_event()
                     if event is h11.NEED_DATA:
-                        data = await self._reader.read(READ_SIZE)
-                        self.traffic += len(data)
-                        self._conn.receive_data(data)
+                        self._conn.receive_data(await self._protocol.read())
                     elif isinstance(event, h11.Response):
                         headers = {k.decode(): v.decode("latin-1") for k, v in event.headers}
                         return Response(event.status_code, headers)
@@ -126,25 +131,38 @@
                 event = self._conn.next_event()
                 if event is h11.NEED_DATA:
                     async with asyncio.timeout(progress_timeout):
-                        data = await self._reader.read(READ_SIZE)
-                    self.traffic += len(data)
+                        data = await self._protocol.read()
                     self._conn.receive_data(data)
                 elif isinstance(event, h11.Data):
                     yield bytes(event.data)
                 elif isinstance(event, h11.EndOfMessage):
                     return
                 else:
-                    raise HttpFailure(SendStage.RESPONSE, "closed during the body")
+                    raise HttpFailure(SendStage.RESPONSE, REASON_CLOSED)
         except TimeoutError as error:
-            raise HttpFailure(SendStage.RESPONSE, "no progress") from error
+            raise HttpFailure(SendStage.RESPONSE, REASON_NO_PROGRESS) from error
         except (OSError, h11.RemoteProtocolError) as error:
             raise HttpFailure(SendStage.RESPONSE, str(error)) from error
 
+    async def relay_body(self, relay: BodyRelay, progress_timeout: float) -> None:
+        """Give the body to a relay part by part, in the loop's turn that received each.
+
+        Ends as `receive_body` does. One timer watches the whole body in place of one a part.
+        """
+        loop = asyncio.get_running_loop()
+        ended: asyncio.Future[None] = loop.create_future()
+        pump = _BodyPump(self._conn, self._protocol, relay, ended, progress_timeout)
+        try:
+            pump.start()
+            await ended
+        finally:
+            pump.stop()
+
     def make_reusable(self) -> bool:
         """Prepare for a next request; False if the connection must be closed."""
         if self._conn.our_state is not h11.DONE or self._conn.their_state is not h11.DONE:
             return False
-        if self._reader.at_eof() or self._writer.transport.is_closing():
+        if self._protocol.closed:
             return False
         self._conn.start_next_cycle()
         return True
@@ -152,11 +170,121 @@
     @property
     def closed(self) -> bool:
         """Whether the other side has closed."""
-        return self._reader.at_eof() or self._writer.transport.is_closing()
+        return self._protocol.closed
 
     def close(self) -> None:
         """Close at once."""
-        self._writer.transport.abort()
+        self._protocol.transport.abort()
+
+
+class BodyRelay(abc.ABC):
+    """Takes a body part by part.
+
+    Hooks: `write` is called for each part and must not wait; while `is_behind` says that its own
+    side is slow, the body is held back until `drain` has returned.
+    """
+
+    @abc.abstractmethod
+    def write(self, data: bytes) -> None:
+        """Take a part."""
+
+    @abc.abstractmethod
+    def is_behind(self) -> bool:
+        """Whether too much of what was taken has not gone out yet."""
+
+    @abc.abstractmethod
+    async def drain(self) -> None:
+        """Wait until it has."""
+
+
+class _BodyPump:
+    """Moves one body from a protocol to a relay. Invariant: `ended` is settled exactly once."""
+
+    def __init__(
+        self,
+        conn: h11.Connection,
+        protocol: ClientProtocol,
+        relay: BodyRelay,
+        ended: asyncio.Future[None],
+        progress_timeout: float,
+    ) -> None:
+        self._conn = conn
+        self._protocol = protocol
+        self._relay = relay
+        self._ended = ended
+        self._progress_timeout = progress_timeout
+        self._loop = ended.get_loop()
+        self._timer: asyncio.TimerHandle | None = None
+        self._holding: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Move what the connection has received already, then each part as it comes."""
+        self._protocol.last_received = self._loop.time()
+        self._check_progress()
+        self._parse()
+        self._protocol.set_sink(self.receive)
+
+    def stop(self) -> None:
+        """Leave the connection to its next reader."""
+        self._protocol.set_sink(None)
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._holding is not None:
+            self._holding.cancel()
+
+    def receive(self, data: bytes) -> None:
+        """Take received bytes; empty at the end of the stream."""
+        if self._ended.done():
+            return
+        try:
+            self._conn.receive_data(data)
+        except (h11.RemoteProtocolError, RuntimeError) as error:
+            self._fail(str(error))
+            return
+        self._parse()
+
+    def _parse(self) -> None:
+        try:
+            while not self._ended.done():
+                event = self._conn.next_event()
+                if isinstance(event, h11.Data):
+                    self._relay.write(bytes(event.data))
+                elif event is h11.NEED_DATA:
+                    break
+                elif isinstance(event, h11.EndOfMessage):
+                    self._ended.set_result(None)
+                else:
+                    self._fail(REASON_CLOSED)
+        except h11.RemoteProtocolError as error:
+            self._fail(str(error))
+        if self._holding is None and not self._ended.done() and self._relay.is_behind():
+            self._holding = self._loop.create_task(self._hold_back())
+
+    async def _hold_back(self) -> None:
+        """Let a slow receiver hold the sender back, in place of the memory of the instance."""
+        self._protocol.pause_reading()
+        try:
+            await self._relay.drain()
+        except OSError:
+            # The receiver has gone; whoever watches it ends the request.
+            return
+        finally:
+            self._holding = None
+        self._protocol.last_received = self._loop.time()
+        self._protocol.resume_reading()
+
+    def _check_progress(self) -> None:
+        """End a body that makes no progress, unless it is being held back."""
+        silent = self._loop.time() - self._protocol.last_received
+        if self._holding is None and silent >= self._progress_timeout:
+            self._fail(REASON_NO_PROGRESS)
+            return
+        wait = max(self._progress_timeout - silent, MIN_WATCH)
+        self._timer = self._loop.call_later(wait, self._check_progress)
+
+    def _fail(self, reason: str) -> None:
+        if not self._ended.done():
+            self._ended.set_exception(HttpFailure(SendStage.RESPONSE, reason))
 
 
 class ConnectionPool:
--- a/rhubarbbend/http/_server.py
+++ b/rhubarbbend/http/_server.py
@@ -17,6 +17,8 @@
 
 READ_SIZE: Final = 65_536
 WRITE_HIGH_WATER: Final = 262_144
+# A client that takes nothing of its answer for this long is given up, in seconds.
+STALL_TIMEOUT: Final = 30.0
 
 Headers = list[tuple[str, str]]
 Handler = Callable[["Exchange"], Awaitable[None]]
@@ -81,10 +83,20 @@
         if data:
             self._send(h11.Data(data=data))
 
+    def is_behind(self) -> bool:
+        """Whether the client reads slower than the body is written."""
+        return self._writer.transport.get_write_buffer_size() > WRITE_HIGH_WATER
+
     async def drain(self) -> None:
         """Wait while the client reads slower than the body is written."""
-        if self._writer.transport.get_write_buffer_size() > WRITE_HIGH_WATER:
-            await self._writer.drain()
+        if not self.is_behind():
+            return
+        try:
+            async with asyncio.timeout(STALL_TIMEOUT):
+                await self._writer.drain()
+        except TimeoutError:
+            # A client that reads nothing would keep its target's slot for ever.
+            self.abort()
 
     def finish(self) -> None:
         """End the body, which tells the client that the answer is whole."""
--- a/rhubarbbend/shell/_attempts.py
+++ b/rhubarbbend/shell/_attempts.py
@@ -210,9 +210,7 @@
     async def _relay(
         self, attempt: str, progress: float, connection: Connection, request: OpenRequest
     ) -> None:
-        async for part in connection.receive_body(progress):
-            request.write(part)
-            await request.drain()
+        await connection.relay_body(request, progress)
         request.finish()
 
     async def _collect(
--- a/rhubarbbend/shell/_callers.py
+++ b/rhubarbbend/shell/_callers.py
@@ -6,7 +6,7 @@
 
 from rhubarbbend import codes
 from rhubarbbend.core import actions
-from rhubarbbend.http import Exchange, Response
+from rhubarbbend.http import BodyRelay, Exchange, Response
 from rhubarbbend.shell._requests import (
     REPLAYED_HEADER,
     REQUEST_HEADER,
@@ -19,7 +19,7 @@
 PASSED_RESPONSE_HEADERS = ("content-type", "cache-control", "location", "etag")
 
 
-class OpenRequest:
+class OpenRequest(BodyRelay):
     """A caller's request that has no final answer yet.
 
     `exchange` is None for a command that another instance asked to run under a reserved key.
@@ -80,6 +80,10 @@
             self.exchange.write(data)
         self.relayed += len(data)
 
+    def is_behind(self) -> bool:
+        """Whether the caller reads more slowly than its answer comes."""
+        return self.live and self.exchange is not None and self.exchange.is_behind()
+
     async def drain(self) -> None:
         """Wait for a slow caller."""
         if self.live:
