--- a/rhubarbbend/core/_books.py
+++ b/rhubarbbend/core/_books.py
@@ -20,9 +20,6 @@
 # So many attempts failed at the target, with none that ended well between, say the same.
 FAILED_IN_A_ROW: Final = 2
 AVERAGE_WEIGHT: Final = 0.1
-# How exactly a report's age places it among the changes of the slots.
-REPORT_EARLY: Final = 0.3
-REPORT_LATE: Final = 0.15
 MAX_SAMPLES: Final = 512
 
 
@@ -48,21 +45,21 @@
     """
 
     def __init__(self) -> None:
-        self._usual = 0.0
+        self._usual = -1.0
         self._slow = 0
         self._failed = 0
 
     def take_first_byte(self, first_byte: float, prefill: float) -> bool:
         """Judge the first byte of an attempt that ended well; True if the target is cold."""
         self._failed = 0
-        allowed = SLOW_FACTOR * (self._usual + prefill) + SLOW_MARGIN
-        if self._usual and first_byte > allowed:
+        beyond = max(0.0, first_byte - prefill)
+        if self._usual < 0:
+            self._usual = beyond
+        if first_byte > SLOW_FACTOR * (self._usual + prefill) + SLOW_MARGIN:
             self._slow += 1
             return self._slow >= SLOW_IN_A_ROW
         self._slow = 0
-        if not self._usual:
-            self._usual = first_byte
-        self._usual += AVERAGE_WEIGHT * (first_byte - self._usual)
+        self._usual += AVERAGE_WEIGHT * (beyond - self._usual)
         return False
 
     def take_failure(self) -> bool:
@@ -149,9 +146,9 @@
         slot = self.slots.pop(message.attempt, None)
         if message.completed:
             self.unsettled.pop(message.attempt, None)
-            self.probation.note_end(message.attempt)
         elif slot is not None and message.sent:
             self.unsettled[message.attempt] = now
+        self.probation.note_end(message.attempt)
         if slot is not None:
             if message.completed:
                 self._note_duration(now - slot.since)
@@ -161,6 +158,7 @@
     def doubt(self, slot: Slot, now: float) -> None:
         """Take back a slot whose holder is gone or does not know of it any more."""
         del self.slots[slot.attempt]
+        self.probation.note_end(slot.attempt)
         self.unsettled[slot.attempt] = now
         self.note_slots(now)
 
@@ -172,7 +170,9 @@
         """Work out what runs on the target that is not counted here.
 
         A report lags. Compared with the slots of the present, it would show load of others after
-        each burst of releases; it is compared with the most slots out about its own time.
+        each burst of releases and hide it after each burst of grants; it is compared with the
+        slots that were out at its own time. A request ends at the target before its slot comes
+        back, so what runs of the own slots is never more than those.
         """
         made_at = now - age
         if made_at < self._made_at:
@@ -181,23 +181,20 @@
         self.report_at = now
         for attempt, since in list(self.unsettled.items()):
             # One given back later than this was still a slot at the report's time.
-            if since < made_at - REPORT_EARLY:
+            if since < made_at:
                 del self.unsettled[attempt]
-        self.foreign = max(0, running - self._count_about(made_at))
+        self.foreign = max(0, running - self._count_slots(made_at))
         if made_at >= self.taken_at:
             self.probation.take_report(made_at, self.foreign)
 
-    def _count_about(self, at: float) -> int:
-        """Give the most slots out about a time."""
-        most = 0
-        for noted, count in self._samples:
-            if noted < at - REPORT_EARLY:
-                most = count
-            elif noted <= at + REPORT_LATE:
-                most = max(most, count)
-            else:
+    def _count_slots(self, at: float) -> int:
+        """Give how many slots were out at a time."""
+        count = 0
+        for noted, slots in self._samples:
+            if noted > at:
                 break
-        return most
+            count = slots
+        return count
 
     def _note_duration(self, seconds: float) -> None:
         if not self.duration:
--- a/rhubarbbend/core/_owner.py
+++ b/rhubarbbend/core/_owner.py
@@ -77,6 +77,10 @@
         """List the load of each owned target for the heartbeat."""
         return [self._describe(books) for books in self._owned.values()]
 
+    def list_owned(self) -> list[str]:
+        """List the owned targets."""
+        return list(self._owned)
+
     def owns(self, target: str) -> bool:
         """Whether this instance takes itself for the owner of a target."""
         return target in self._owned
@@ -184,6 +188,10 @@
         if books is None:
             self._redirect(sender, message)
             return
+        if sender not in self._context.fleet.instances:
+            # Not on this instance's list yet, so no reply can reach it: a slot would be lost.
+            self._context.count(codes.SLOTS_REFUSED)
+            return
         self._note_incarnation(message.instance, message.incarnation, now)
         self._expire_waiters(books, now)
         refusal = self._check_ready(books)
--- a/rhubarbbend/core/_queue.py
+++ b/rhubarbbend/core/_queue.py
@@ -50,14 +50,12 @@
 
     def add(self, waiter: Waiter) -> Waiter | None:
         """Add a waiter; gives the one that has no place for it, this or another, if any."""
-        account = waiter.request.account
-        self._weights[account] = max(1, waiter.request.weight)
         evicted: Waiter | None = None
         if len(self) >= self._capacity:
-            evicted = self._evict_for(account)
+            evicted = self._evict_for(waiter)
             if evicted is None:
                 return waiter
-        self._push(account, waiter)
+        self._push(waiter)
         return evicted
 
     def take(self, skip_suspects: bool) -> Waiter | None:
@@ -122,8 +120,10 @@
                 ahead += min(count, int(share))
         return ahead
 
-    def _push(self, account: str, waiter: Waiter) -> None:
+    def _push(self, waiter: Waiter) -> None:
+        account = waiter.request.account
         attempt = waiter.request.attempt
+        self._weights[account] = max(1, waiter.request.weight)
         self._lines.setdefault(account, deque()).append(waiter)
         self._by_attempt[attempt] = waiter
         heapq.heappush(self._deadlines, (waiter.deadline, attempt))
@@ -134,10 +134,11 @@
             self._finish[account] = max(self._virtual, self._finish.get(account, 0.0))
             heapq.heappush(self._order, (self._finish[account], account))
 
-    def _evict_for(self, account: str) -> Waiter | None:
+    def _evict_for(self, waiter: Waiter) -> Waiter | None:
         """Make room by the newest waiter of the account that has most of the queue, if another."""
         most = max(self._counts, key=lambda name: (self._counts[name] / self._weights[name], name))
-        own = (self._counts.get(account, 0) + 1) / self._weights[account]
+        account = waiter.request.account
+        own = (self._counts.get(account, 0) + 1) / max(1, waiter.request.weight)
         if most == account or self._counts[most] / self._weights[most] <= own:
             return None
         line = self._lines[most]
--- a/rhubarbbend/core/_ramp.py
+++ b/rhubarbbend/core/_ramp.py
@@ -6,7 +6,9 @@
 
 # A cold target's limit doubles this often before it counts as warm.
 RAMP_ROUNDS: Final = 6
-# So many reports without load of others, in a row, say that nobody else grants.
+# So many reports without load of others, in a row, are no mere lull of another owner.
+STEADY_REPORTS: Final = 3
+# So many say that nobody else grants.
 CLEAN_REPORTS: Final = 6
 # After so many reports the load of others is taken for lasting, and not for a former owner's.
 FOREIGN_PATIENCE: Final = 4
@@ -58,9 +60,10 @@
     Two instances whose lists differ both believe that they own a target. Granting from the limit
     alone, each would fill the room that the other fills too, and the target would carry twice its
     bound. So a new owner grants nothing until a report made after its take-over shows no load
-    that it cannot account for, and then has at most `cold_slots` out that no report shows yet,
-    twice as many after each clean one. The owner before counts those few as load of others and
-    stays within the bound.
+    that it cannot account for, and then has at most `cold_slots` out. The owner before counts
+    those as load of others and stays within the bound, so that both together exceed it by no more
+    than `cold_slots`. Once a few reports in a row show no load of others, the slots out that no
+    report shows yet may double with each further one.
     """
 
     def __init__(self, cold_slots: int) -> None:
@@ -68,27 +71,33 @@
         self._allowed = 0
         self._clean = 0
         self._foreign = 0
-        self._unreported: dict[str, float] = {}
+        self._reported_at = 0.0
+        self._granted: dict[str, float] = {}
         self.passed = False
 
     def may_grant(self) -> bool:
         """Whether one more slot may be granted before the next report."""
-        return self.passed or len(self._unreported) < self._allowed
+        if self.passed:
+            return True
+        if self._clean < STEADY_REPORTS:
+            return len(self._granted) < self._allowed
+        unreported = sum(since >= self._reported_at for since in self._granted.values())
+        return unreported < self._allowed
 
     def note_grant(self, attempt: str, now: float) -> None:
-        """Count a grant that no report shows yet."""
+        """Count a grant."""
         if not self.passed:
-            self._unreported[attempt] = now
+            self._granted[attempt] = now
 
     def note_end(self, attempt: str) -> None:
-        """Count a granted slot no more: it ended before a report showed it."""
-        self._unreported.pop(attempt, None)
+        """Count a grant no more: its slot was given back."""
+        self._granted.pop(attempt, None)
 
     def take_report(self, at: float, foreign: int) -> None:
         """Judge a report made at `at`, after the take-over."""
         if self.passed:
             return
-        self._unreported = {a: since for a, since in self._unreported.items() if since > at}
+        self._reported_at = at
         if foreign:
             self._clean = 0
             self._foreign += 1
@@ -96,11 +105,12 @@
             self._allowed = 0 if patient else self._cold_slots
             return
         self._clean += 1
-        self._allowed = 2 * self._allowed if self._allowed else self._cold_slots
+        steady = self._clean > STEADY_REPORTS
+        self._allowed = 2 * self._allowed if steady else self._cold_slots
         if self._clean >= CLEAN_REPORTS:
             self.finish()
 
     def finish(self) -> None:
         """End the probation: nobody else grants."""
         self.passed = True
-        self._unreported.clear()
+        self._granted.clear()
