--- a/rhubarbbend/core/_requests.py
+++ b/rhubarbbend/core/_requests.py
@@ -58,6 +58,10 @@
     # What the owner that refused last expects the wait to be beyond what was allowed.
     owner_retry_after: float = 0.0
     wants_suspect_slot: bool = False
+    # How often a run without a first byte was asked for over a new connection.
+    silent_checks: int = 0
+    # The caller has its answer, or has gone; the command runs on so that its outcome is kept.
+    detached: bool = False
     # The claim's state, for operations that are not idempotent.
     claimed: bool = False
     claim_id: str = ""
