Say where an accepted change is in force, and check declarations before

Cause: `show instances` gave another zone's version only for the instance that happened to be asked last, so "how far behind" was wrong; `target in|out` took the combined flag of target and zone for the target's own; `apply` put a zone back in service that operators had taken out by command; declarations were checked for their shape only; a connection lost during a change ended with status 1, as if nothing had been sent; the operators' port had no limit of connections or of silence and dropped calls under way at a stop.

Now: `show instances` asks every instance and waits a second at most; apply, zone and target watch for 5 s and name each instance where the change is not in force; a file that says nothing of in_service leaves it as it is; the same semantic checks run in the command line and at the proposal; an unsettled change exits with 4 and its change id.

--- a/rhubarbbend/cli/_options.py
+++ b/rhubarbbend/cli/_options.py
@@ -33,6 +33,8 @@
     author: str = ""
     # Id of the change set; given again it answers with the version already accepted.
     change_id: str = ""
+    # Seconds to wait until an accepted change is in force everywhere; 0 does not look.
+    wait: float = 5.0
     # What to show: config, zones, targets or instances.
     what: str = ""
     # Print JSON in place of a table (show).
@@ -53,6 +55,13 @@
 def _add_change_options(parser: argparse.ArgumentParser) -> None:
     parser.add_argument("--author", default="", help="who makes the change (default: $USER)")
     parser.add_argument("--change-id", default="", help="id of the change set, to send it again")
+    parser.add_argument(
+        "--wait",
+        type=float,
+        default=5.0,
+        metavar="SECONDS",
+        help="how long to watch until it is in force everywhere (default: 5; 0: not at all)",
+    )
 
 
 def make_parser() -> argparse.ArgumentParser:
--- a/rhubarbbend/core/_fleet.py
+++ b/rhubarbbend/core/_fleet.py
@@ -39,6 +39,8 @@
     last_heard: float = -1.0
     silent_until: float = 0.0
     config_version: int = 0
+    # When `config_version` was last told, by heartbeat or in answer to a question.
+    version_heard: float = -1.0
 
 
 @attrs.define(slots=True)
--- a/rhubarbbend/core/_members.py
+++ b/rhubarbbend/core/_members.py
@@ -76,6 +76,7 @@
             events.ListRead: self._handle_list,
             events.PeerLost: self._handle_lost,
             events.ProcessPaused: self._handle_pause,
+            events.VersionsAsked: self._ask_versions,
         }
 
     def list_messages(self) -> dict[type[Message], EventHandler]:
@@ -259,6 +260,7 @@
         view.incarnation = message.incarnation
         view.leaving = message.leaving
         view.config_version = message.config_version
+        view.version_heard = now
         for load in message.loads:
             self._take_load(load, now)
         self.refresh(now)
@@ -303,10 +305,21 @@
         view = self._context.fleet.instances.get(sender)
         if view is not None:
             view.config_version = message.config_version
+            view.version_heard = now
             view.silent_until = 0.0
         self._suspects.merge(message.crashes, now)
         self._follow_version(sender, message.config_version, now)
 
+    def _ask_versions(self, event: events.VersionsAsked, now: float) -> None:
+        """Ask every instance for its version; heartbeats do not tell those of other zones."""
+        context = self._context
+        query = ZoneQuery(
+            instance=context.identity.instance, config_version=context.configuration.version
+        )
+        for view in context.fleet.instances.values():
+            if view.id != context.identity.instance:
+                context.send(view.id, query)
+
     def _handle_lost(self, event: events.PeerLost, now: float) -> None:
         """Pass over an instance that cannot be reached, for a few seconds.
 
--- a/rhubarbbend/core/configuration.py
+++ b/rhubarbbend/core/configuration.py
@@ -198,8 +198,12 @@
 
     def is_target_in_service(self, target: str, zone: str) -> bool:
         """Whether operators allow new work to a target."""
+        return self.is_target_declared_in(target) and self.is_zone_in_service(zone)
+
+    def is_target_declared_in(self, target: str) -> bool:
+        """A target nobody declared is in service as far as its zone is."""
         declared = self.targets.get(target)
-        return (declared is None or declared.in_service) and self.is_zone_in_service(zone)
+        return declared is None or declared.in_service
 
     def find_service(self, name: str, model: str) -> Service | None:
         """Find a service by name, or by the model that it runs."""
--- a/rhubarbbend/core/events.py
+++ b/rhubarbbend/core/events.py
@@ -210,6 +210,10 @@
     items: list[tuple[str, str, bytes]]
 
 
+class VersionsAsked(Event):
+    """An operator wants to see how far every instance has come."""
+
+
 class StopRequested(Event):
     """The process was told to stop."""
 
@@ -239,6 +243,7 @@
     | SnapshotRead
     | SnapshotWritten
     | ChangeProposed
+    | VersionsAsked
     | StopRequested
     | ProcessPaused
 )
--- a/rhubarbbend/operators/__init__.py
+++ b/rhubarbbend/operators/__init__.py
@@ -1,7 +1,15 @@
 """The operators' remote procedure calls: schema, server and client."""
 
+from rhubarbbend.operators._checks import find_unknown_target_kinds
 from rhubarbbend.operators._client import OperatorClient
 from rhubarbbend.operators._schema import SCHEMA, make_operator_key
 from rhubarbbend.operators._server import ChangeAnswer, OperatorServer
 
-__all__ = ["SCHEMA", "ChangeAnswer", "OperatorClient", "OperatorServer", "make_operator_key"]
+__all__ = [
+    "SCHEMA",
+    "ChangeAnswer",
+    "OperatorClient",
+    "OperatorServer",
+    "find_unknown_target_kinds",
+    "make_operator_key",
+]
--- a/rhubarbbend/schema/operators.thrift
+++ b/rhubarbbend/schema/operators.thrift
@@ -12,7 +12,7 @@
 exception Conflict { 1: i64 version, 2: string author }
 /** No answer came from the table: send the same change id again to learn the outcome. */
 exception OutcomeUnknown { 1: string change_id }
-/** The instance has no configuration yet. */
+/** The instance has no configuration yet, or not the version that the change is based on. */
 exception NotReady { 1: string reason }
 
 /** A declaration; an empty value removes it. */
@@ -54,9 +54,12 @@
   9: i32 load,
   10: i32 limit,
   11: string boot_id,
+  /** The operators' word on the target alone; in_service also heeds its zone. */
+  12: bool declared_in,
 }
 
-/** How far an instance has come; version 0 and age -1 where it has not been heard. */
+/** How far an instance has come, by its own word heard_age seconds ago (-1: never heard), and how
+ * many versions it is behind the newest that is known. */
 struct InstanceView {
   1: string id,
   2: string zone,
@@ -64,6 +67,7 @@
   4: bool leaving,
   5: i64 config_version,
   6: double heard_age,
+  7: i64 behind,
 }
 
 service Operators {
--- a/rhubarbbend/shell/_runtime.py
+++ b/rhubarbbend/shell/_runtime.py
@@ -87,7 +87,7 @@
         self._listener = PeerListener(secret, self._hear_peer, self._count_bad_frame)
         self._server = HttpServer(self._serve_caller, _make_limits(settings))
         self._operators = OperatorServer(
-            self.core, make_operator_key(secret), self._propose, self._now
+            self.core, make_operator_key(secret), self._propose, self.feed, self._now
         )
         self._performers = self._list_performers()
 
