--- a/rhubarbbend/cli/_operate.py
+++ b/rhubarbbend/cli/_operate.py
@@ -112,8 +112,10 @@
         time.sleep(POLL_INTERVAL)
     print(f"in force at {len(shown) - len(behind)} of {len(shown)} instances; NOT at:")
     for view in behind:
-        heard = f"heard {view.heard_age:.0f} s ago" if view.heard_age >= 0 else "never heard"
-        print(f"  {view.id} in {view.zone}: at version {view.config_version}, {heard}")
+        said = f"at version {view.config_version}, heard {view.heard_age:.0f} s ago"
+        if view.heard_age < 0:
+            said = "nothing heard of it"
+        print(f"  {view.id} in {view.zone}: {said}")
 
 
 def move(options: Options) -> int:
--- a/rhubarbbend/core/_context.py
+++ b/rhubarbbend/core/_context.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from rhubarbbend.core import actions, events
-from rhubarbbend.core._fleet import Fleet
+from rhubarbbend.core._fleet import Fleet, TargetView
 from rhubarbbend.core.configuration import Configuration
 from rhubarbbend.core.messages import Message
 
@@ -54,6 +54,9 @@
     retry_reserve: float = 10.0
     max_attempts: int = 3
     max_resumes: int = 3
+    # A run that has given no byte for this long is asked for over a new connection.
+    silence_limit: float = 2.0
+    max_silent_checks: int = 4
     probe_timeout: float = 1.0
     down_hold: float = 2.0
     claim_timeout: float = 1.0
@@ -146,6 +149,10 @@
         """Give Unix time at a local time, for what is compared between instances."""
         return now + self.wall_offset
 
+    def takes_work(self, view: TargetView) -> bool:
+        """Whether operators and the platform's list allow new work to a target."""
+        return not view.leaving and self.configuration.is_target_in_service(view.id, view.zone)
+
     @property
     def platform_down(self) -> bool:
         """Whether the last call to the table service failed."""
--- a/rhubarbbend/schema/peers.thrift
+++ b/rhubarbbend/schema/peers.thrift
@@ -35,12 +35,15 @@
   6: list<TargetLoad> loads = [],
   7: string host = "",
   8: i32 peer_port = 0,
+  /** Targets that the sender's list calls leaving. */
+  9: list<string> leaving_targets = [],
 }
 
 /** Asks an instance of another zone for its zone's sums; answered by ZoneReply. */
 struct ZoneQuery {
   1: string instance = "",
   2: i64 config_version = 0,
+  3: bool leaving = false,
 }
 
 struct ZoneReply {
@@ -49,6 +52,8 @@
   3: i64 config_version = 0,
   4: list<ServiceSum> sums = [],
   5: list<CrashCount> crashes = [],
+  6: bool leaving = false,
+  7: list<string> leaving_targets = [],
 }
 
 /** Asks the owner of a target for a slot; waits at most max_wait seconds in its queue. */
@@ -83,6 +88,9 @@
   3: bool completed = false,
   4: double first_byte = 0,
   5: double total = 0,
+  6: bool sent = false,
+  7: bool failed = false,
+  8: i32 tokens = 0,
 }
 
 /** One running attempt that holds a slot. */
--- a/tests/fleet/test_config.py
+++ b/tests/fleet/test_config.py
@@ -133,6 +133,8 @@
         async with start_fleet(tmp_path, zones=3) as cluster:
             nodes = {node.zone: node for node in cluster.instances.values()}
             cut = nodes["almaty-c"]
+            views = await show(nodes["almaty-a"], "instances")
+            assert [view.behind for view in views] == [0, 0, 0], views
             await set_cut(cluster, "almaty-c", True)
             sent = time.monotonic()
             status, output = await cluster.run_command(
