--- a/rhubarbbend/core/_owner.py
+++ b/rhubarbbend/core/_owner.py
@@ -183,6 +183,7 @@
             self._redirect(sender, message)
             return
         self._note_incarnation(message.instance, message.incarnation, now)
+        self._note_service(books, now)
         self._expire_waiters(books, now)
         refusal = self._check_ready(books)
         if refusal:
@@ -206,23 +207,22 @@
             return REFUSAL_NOT_READY
         return ""
 
-    def _watch_service(self, now: float) -> None:
-        """Act on owned targets that have gone out of service or come back.
+    def _note_service(self, books: Books, now: float) -> None:
+        """Act on a target that has gone out of service or come back.
 
         Waiters of one that is out would wait for a slot that it does not give any more. One that
         comes back was idle for a while and may have been restarted or emptied without a sign: it
         is refilled as from a cold start, by work done.
         """
-        for books in self._owned.values():
-            view = self._context.fleet.targets.get(books.target)
-            out = view is None or not self._context.takes_work(view)
-            if out:
-                for waiter in books.queue.take_all():
-                    self._refuse(waiter.sender, waiter.request, REFUSAL_NOT_READY)
-            elif books.out_of_service:
-                self._turn_cold(books, "returned", now)
-                self._after_change(books, now)
-            books.out_of_service = out
+        view = self._context.fleet.targets.get(books.target)
+        out = view is None or not self._context.takes_work(view)
+        if out:
+            for waiter in books.queue.take_all():
+                self._refuse(waiter.sender, waiter.request, REFUSAL_NOT_READY)
+        elif books.out_of_service:
+            self._turn_cold(books, "returned", now)
+            self._after_change(books, now)
+        books.out_of_service = out
 
     def _enqueue(self, books: Books, sender: str, message: SlotRequest, now: float) -> None:
         """Queue a request, or refuse it at once if its turn cannot come in time."""
@@ -427,7 +427,8 @@
                 self._after_change(books, now)
 
     def _ask_reports(self, now: float) -> None:
-        self._watch_service(now)
+        for books in self._owned.values():
+            self._note_service(books, now)
         for target in self._owned:
             view = self._context.fleet.targets.get(target)
             if view is not None:
--- a/rhubarbbend/core/_slots.py
+++ b/rhubarbbend/core/_slots.py
@@ -155,6 +155,7 @@
         """Plan the targets to ask and ask the first."""
         request.phase = Phase.SLOT
         request.position = -1
+        request.plan_outdated = False
         request.redirects = 0
         digest = request.arrived.body_digest
         request.wants_suspect_slot = self._suspects.count_crashes(digest) > 0
@@ -176,6 +177,11 @@
             if view is not None and request.time_left(now) > 0:
                 self._ask_owner(request, view, self._context.fleet.find_owner(view), now)
                 return
+        if request.plan_outdated and request.time_left(now) > 0:
+            # The choice that was to be waited for is out of service, or its target is not ready
+            # any more; others may well have room, and were only asked without waiting.
+            self.start(request, now)
+            return
         code = _REFUSAL_CODES.get(request.last_refusal, codes.OVERLOADED)
         self._listener.slot_refused(request, code, now)
 
@@ -252,6 +258,10 @@
             return
         if not redirected:
             request.last_refusal = message.refusal
+            if message.refusal == REFUSAL_NOT_READY and message.target not in request.excluded:
+                # Each new plan leaves out one target more, so there is an end of them.
+                request.excluded.add(message.target)
+                request.plan_outdated = True
             request.owner_retry_after = message.retry_after
             self._context.count(_REFUSAL_COUNTERS.get(message.refusal, codes.RETRY_FULL))
         self.ask_next(request, now)
--- a/tests/core/test_service.py
+++ b/tests/core/test_service.py
@@ -108,8 +108,9 @@
     scan(core, 5.0, make_row(2, make_zone("a", False)))
     run_timers(core, 6.0)
     scan(core, 7.0, make_row(3, make_zone("a", True)))
-    run_timers(core, 7.6)
-    report(core, "t1", 7.7)
+    # The first request comes before any timer has run.
+    assert read_refusals(ask(core, "x1", 7.01)) == [("x1", "")]
+    assert read_refusals(ask(core, "x2", 7.02)) == [("x2", "full")]
     assert core.context.fleet.targets["t1"].cold
     assert core.context.fleet.targets["t1"].limit == 1
 
