--- a/loadtool/_measure.py
+++ b/loadtool/_measure.py
@@ -9,7 +9,6 @@
 from typing import Final
 
 import attrs
-import msgspec
 
 from loadtool import _analysis
 from loadtool._bound import compute_bound
@@ -147,8 +146,9 @@
 
     def _find_service(self) -> Service:
         declared = read_declarations(self._deployment.declarations)
-        value = declared[("service", self._deployment.engine_service)]
-        return msgspec.json.decode(value, type=Service)
+        service = declared[("service", self._deployment.engine_service)].value
+        assert isinstance(service, Service)
+        return service
 
     async def _show_progress(self, load: Load) -> None:
         seconds = self._options.seconds
--- a/rhubarbbend/core/_books.py
+++ b/rhubarbbend/core/_books.py
@@ -87,6 +87,7 @@
         self.watch = ColdWatch()
         self.boot_id = ""
         self.ready = False
+        self.out_of_service = False
         self.report_at = -1.0
         self.foreign = 0
         self.own_limit = 0
--- a/rhubarbbend/core/_context.py
+++ b/rhubarbbend/core/_context.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from rhubarbbend.core import actions, events
-from rhubarbbend.core._fleet import Fleet
+from rhubarbbend.core._fleet import Fleet, TargetView
 from rhubarbbend.core.configuration import Configuration
 from rhubarbbend.core.messages import Message
 
@@ -149,6 +149,10 @@
         """Give Unix time at a local time, for what is compared between instances."""
         return now + self.wall_offset
 
+    def takes_work(self, view: TargetView) -> bool:
+        """Whether operators and the platform's list allow new work to a target."""
+        return not view.leaving and self.configuration.is_target_in_service(view.id, view.zone)
+
     @property
     def platform_down(self) -> bool:
         """Whether the last call to the table service failed."""
--- a/rhubarbbend/core/_members.py
+++ b/rhubarbbend/core/_members.py
@@ -79,6 +79,7 @@
             events.ListRead: self._handle_list,
             events.PeerLost: self._handle_lost,
             events.ProcessPaused: self._handle_pause,
+            events.VersionsAsked: self._ask_versions,
         }
 
     def list_messages(self) -> dict[type[Message], EventHandler]:
@@ -108,9 +109,13 @@
             loads=self._owner.list_loads(),
             host=identity.host,
             peer_port=identity.peer_port,
+            leaving_targets=self._list_leaving_targets(),
         )
-        for view in context.fleet.instances.values():
-            if view.id != identity.instance and view.zone == identity.zone:
+        others = [v for v in context.fleet.instances.values() if v.id != identity.instance]
+        # The last instance of a zone hands its targets over to another zone, which has to know.
+        last = context.stopping and not context.fleet.list_live(identity.zone)
+        for view in others:
+            if last or view.zone == identity.zone:
                 context.send(view.id, beat)
 
     def refresh(self, now: float) -> None:
@@ -168,7 +173,9 @@
         """
         context = self._context
         query = ZoneQuery(
-            instance=context.identity.instance, config_version=context.configuration.version
+            instance=context.identity.instance,
+            config_version=context.configuration.version,
+            leaving=context.stopping,
         )
         for zone, lost in self._list_lost().items():
             live = context.fleet.list_live(zone)
@@ -289,15 +296,31 @@
         view.incarnation = message.incarnation
         view.said_leaving = message.leaving
         view.config_version = message.config_version
+        view.version_heard = now
         if restarted:
             self._owner.free_holder(view.id, view.incarnation, now)
         for load in message.loads:
             self._take_load(load, now)
+        self._note_leaving_targets(message.leaving_targets)
         if not was_live or view.leaving != was_leaving:
             # Who is live is recomputed only if it may have changed: a zone sends many heartbeats.
             self.refresh(now)
         self._follow_version(message.instance, message.config_version, now)
 
+    def _list_leaving_targets(self) -> list[str]:
+        return [view.id for view in self._context.fleet.targets.values() if view.leaving]
+
+    def _note_leaving_targets(self, targets: list[str]) -> None:
+        """Take a peer's word that targets leave.
+
+        The list may have gone away between the peer's last read and this instance's, which may
+        own the target and would grant its slots until the list is back.
+        """
+        for target in targets:
+            view = self._context.fleet.targets.get(target)
+            if view is not None:
+                view.leaving = True
+
     def _take_load(self, load: TargetLoad, now: float) -> None:
         view = self._context.fleet.targets.get(load.target)
         if view is None or self._owner.owns(load.target):
@@ -327,8 +350,13 @@
             config_version=context.configuration.version,
             sums=sums,
             crashes=self._suspects.list_crashes(now),
+            leaving=context.stopping,
+            leaving_targets=self._list_leaving_targets(),
         )
         context.send(sender, reply)
+        view = context.fleet.instances.get(sender)
+        if view is not None:
+            view.said_leaving = message.leaving
         self._follow_version(sender, message.config_version, now)
 
     def _handle_zone_reply(self, sender: str, message: ZoneReply, now: float) -> None:
@@ -337,10 +365,25 @@
         view = self._context.fleet.instances.get(sender)
         if view is not None:
             view.config_version = message.config_version
+            view.version_heard = now
             view.lost_since = -1.0
+            view.said_leaving = message.leaving
+        self._note_leaving_targets(message.leaving_targets)
         self._suspects.merge(message.crashes, now)
         self._follow_version(sender, message.config_version, now)
 
+    def _ask_versions(self, event: events.VersionsAsked, now: float) -> None:
+        """Ask every instance for its version; heartbeats do not tell those of other zones."""
+        context = self._context
+        query = ZoneQuery(
+            instance=context.identity.instance,
+            config_version=context.configuration.version,
+            leaving=context.stopping,
+        )
+        for view in context.fleet.instances.values():
+            if view.id != context.identity.instance:
+                context.send(view.id, query)
+
     def _handle_lost(self, event: events.PeerLost, now: float) -> None:
         """Pass over the targets of an owner in another zone that cannot be reached.
 
--- a/rhubarbbend/core/messages.py
+++ b/rhubarbbend/core/messages.py
@@ -52,6 +52,7 @@
     loads: list[TargetLoad] = []
     host: str = ""
     peer_port: int = 0
+    leaving_targets: list[str] = []
 
 
 class ZoneQuery(Message, tag=True):
@@ -61,6 +62,7 @@
 
     instance: str = ""
     config_version: int = 0
+    leaving: bool = False
 
 
 class ZoneReply(Message, tag=True):
@@ -73,6 +75,8 @@
     config_version: int = 0
     sums: list[ServiceSum] = []
     crashes: list[CrashCount] = []
+    leaving: bool = False
+    leaving_targets: list[str] = []
 
 
 class SlotRequest(Message, tag=True):
