Record the events of an instance and replay them with the same actions

Cause of two differences found: sets of strings iterated for answers to waiting peers and for crash counts; both sorted now. Seeds of the settings reached the core past handle(); they are an event now.

--- a/loadtool/_cluster.py
+++ b/loadtool/_cluster.py
@@ -60,6 +60,7 @@
         proxied: bool = False,
         core_settings: str = "",
         list_lag: float = 0.3,
+        record: bool = False,
     ) -> None:
         self.group = ProcessGroup(folder)
         self.folder = folder
@@ -70,6 +71,7 @@
         self._proxied = proxied
         self._core_settings = core_settings
         self._list_lag = list_lag
+        self._record = record
         self._pool = ConnectionPool(2.0)
 
     async def __aenter__(self) -> Cluster:
@@ -221,13 +223,14 @@
     def _write_settings(self, node: Node, extra: str) -> Path:
         zone = self.zones[node.zone]
         path = self.folder / f"{node.id}.toml"
+        record = f'[record]\nfile = "{self.folder / node.id}.trace"\n' if self._record else ""
         path.write_text(
             f'[instance]\nid = "{node.id}"\nzone = "{node.zone}"\nhost = "{HOST}"\n'
             f"http_port = {node.port}\npeer_port = {node.peer_port}\n"
             f"operator_port = {node.operator_port}\n"
             f'[platform]\naddress = "{HOST}:{zone.platform_port}"\n'
             f'[secret]\nenv = "{SECRET_ENV}"\n'
-            f'[log]\nfile = "{self.folder / node.id}.log"\n'
+            f'[log]\nfile = "{self.folder / node.id}.log"\n{record}'
             f"[core]\n{self._core_settings}\n{extra}\n",
             "utf-8",
         )
--- a/rhubarbbend/cli/_main.py
+++ b/rhubarbbend/cli/_main.py
@@ -25,13 +25,14 @@
     read_secret,
 )
 from rhubarbbend.shell import serve
+from rhubarbbend.trace import TraceInvalid, replay_trace
 
 
 class ExitStatus(enum.IntEnum):
     """Exit statuses of every command."""
 
     DONE = 0
-    FAILED = 1  # The fleet refused, or could not be reached.
+    FAILED = 1  # The fleet refused, or could not be reached; a replay differs.
     USAGE = 2  # Options, settings or declarations are wrong.
     CONFLICT = 3  # Another operator's change came first.
     UNKNOWN = 4  # No word whether the change was accepted: send the same change id again.
@@ -44,6 +45,7 @@
     commands: dict[str, Callable[[Options], int]] = {
         "serve": _serve,
         "check-settings": _check_settings,
+        "replay": _replay,
         "apply": _apply,
         "show": _show,
         "zone": _move,
@@ -54,7 +56,7 @@
     except SettingsInvalid as invalid:
         print(invalid, file=sys.stderr)
         return ExitStatus.USAGE
-    except ValueError as error:
+    except (ValueError, TraceInvalid) as error:
         print(f"rhubarbbend: {error}", file=sys.stderr)
         return ExitStatus.USAGE
     except SCHEMA.Conflict as conflict:
@@ -90,6 +92,17 @@
     return ExitStatus.DONE
 
 
+def _replay(options: Options) -> int:
+    assert options.path is not None
+    report = replay_trace(options.path)
+    if report.difference is not None:
+        print(f"{options.path}: the actions differ\n{report.difference}")
+        return ExitStatus.FAILED
+    cut = "; the last line is cut and was left out" if report.cut else ""
+    print(f"{options.path}: {report.events} events, {report.actions} actions, all the same{cut}")
+    return ExitStatus.DONE
+
+
 def _connect(options: Options) -> OperatorClient:
     secret = read_secret(SecretSettings(options.secret_file, options.secret_env))
     return OperatorClient(parse_address(options.instance), make_operator_key(secret))
--- a/rhubarbbend/cli/_options.py
+++ b/rhubarbbend/cli/_options.py
@@ -25,7 +25,7 @@
     secret_file: str = ""
     # Environment variable that holds it instead.
     secret_env: str = ""
-    # A declaration file, or a folder of them (apply).
+    # A declaration file, or a folder of them (apply); a trace (replay).
     path: Path | None = None
     # Send the change without asking (apply).
     yes: bool = False
@@ -69,6 +69,9 @@
     check = commands.add_parser("check-settings", help="check a settings file, print every error")
     check.add_argument("settings", type=Path)
 
+    replay = commands.add_parser("replay", help="replay a recorded trace, compare the actions")
+    replay.add_argument("path", type=Path, metavar="FILE", help="file of the [record] settings")
+
     apply = commands.add_parser("apply", help="show what declarations change, and send it")
     apply.add_argument("path", type=Path, help="declaration file, or folder of *.toml")
     apply.add_argument("--yes", action="store_true", help="send without asking")
--- a/rhubarbbend/core/_claims.py
+++ b/rhubarbbend/core/_claims.py
@@ -673,7 +673,8 @@
         return record
 
     def _tell_waiting(self, record: Record, now: float) -> None:
-        for peer in record.asking:
+        # Sorted, since the order of a set of strings differs from process to process.
+        for peer in sorted(record.asking):
             self._answer_query(peer, record)
         record.asking.clear()
         waiting, record.waiting = record.waiting, []
--- a/rhubarbbend/core/_members.py
+++ b/rhubarbbend/core/_members.py
@@ -58,9 +58,10 @@
         self._unlisted_since: dict[str, float] = {}
 
     def list_events(self) -> dict[type[events.Event], EventHandler]:
-        """Handle the start, the platform's list, peers that fail and pauses."""
+        """Handle the start, seeds, the platform's list, peers that fail and pauses."""
         return {
             events.Started: self._start,
+            events.SeedNamed: self._handle_seed,
             events.ListRead: self._handle_list,
             events.PeerLost: self._handle_lost,
             events.ProcessPaused: self._handle_pause,
@@ -76,10 +77,6 @@
             MembersReply: self._handle_members_reply,
         }
 
-    def add_seed(self, seed: Member, now: float) -> None:
-        """Add an instance named in the settings, for a start while the platform is away."""
-        self._learn_instance(seed, now)
-
     def announce(self, now: float) -> None:
         """Send a heartbeat to every other instance of the zone."""
         context = self._context
@@ -121,6 +118,16 @@
         context.repeat(context.options.heartbeat_interval, self._beat, now)
         context.repeat(context.options.zone_interval, self._ask_zones, now)
 
+    def _handle_seed(self, event: events.SeedNamed, now: float) -> None:
+        member = Member(
+            id=event.instance,
+            kind=KIND_INSTANCE,
+            zone=event.zone,
+            host=event.host,
+            peer_port=event.peer_port,
+        )
+        self._learn_instance(member, now)
+
     def _ask_list(self, now: float) -> None:
         self._context.emit(actions.ReadList())
 
--- a/rhubarbbend/core/_suspects.py
+++ b/rhubarbbend/core/_suspects.py
@@ -71,7 +71,8 @@
         return [
             CrashCount(digest=digest, count=entry.count, age=now - entry.at, last_target=boot)
             for digest, entry in self._suspicions.items()
-            for boot in entry.boots
+            # A set of strings has another order in each process; a replay needs one.
+            for boot in sorted(entry.boots)
         ]
 
     def merge(self, crashes: list[CrashCount], now: float) -> None:
--- a/rhubarbbend/core/events.py
+++ b/rhubarbbend/core/events.py
@@ -22,6 +22,15 @@
     wall: float
 
 
+class SeedNamed(Event):
+    """The settings name an instance, to be asked while the platform is away."""
+
+    instance: str
+    zone: str
+    host: str
+    peer_port: int
+
+
 class TimerDue(Event):
     """Time has passed; the core runs the timers that are due."""
 
@@ -216,6 +225,7 @@
 
 AnyEvent = (
     Started
+    | SeedNamed
     | TimerDue
     | RequestArrived
     | CallerLeft
--- a/rhubarbbend/shell/_runtime.py
+++ b/rhubarbbend/shell/_runtime.py
@@ -16,6 +16,7 @@
 import uuid
 from collections import deque
 from collections.abc import Callable, Coroutine
+from pathlib import Path
 from typing import Any, Final
 
 import eliot
@@ -24,8 +25,7 @@
 from rhubarbbend import codes
 from rhubarbbend.codes import Verdict
 from rhubarbbend.core import Core, Identity, actions, events
-from rhubarbbend.core._fleet import KIND_INSTANCE
-from rhubarbbend.core.messages import Member, Message, ReservedReply, ReservedRun
+from rhubarbbend.core.messages import Message, ReservedReply, ReservedRun
 from rhubarbbend.http import ConnectionPool, Exchange, HttpServer, ServerLimits
 from rhubarbbend.operators import ChangeAnswer, OperatorServer, make_operator_key
 from rhubarbbend.peers import PeerLinks, PeerListener
@@ -42,6 +42,7 @@
     read_request,
     write_error,
 )
+from rhubarbbend.trace import Recorder
 
 SNAPSHOT_OBJECT: Final = "configuration-snapshot"
 WATCH_INTERVAL: Final = 0.25
@@ -65,7 +66,10 @@
             incarnation=time.time_ns() // 1_000_000,
             secret=secret,
         )
-        self.core = Core(self._identity, settings.core, random.SystemRandom().getrandbits(32))
+        seed = random.SystemRandom().getrandbits(32)
+        self.core = Core(self._identity, settings.core, seed)
+        self._recorder = _open_recorder(settings, self.core, self._identity, seed)
+        self._handle = self.core.handle if self._recorder is None else self._recorder.handle
         self.metrics = Metrics(settings.statsd, own.id)
         self._open: dict[str, OpenRequest] = {}
         self._attempt_requests: dict[str, str] = {}
@@ -103,10 +107,7 @@
         self.feed(events.Started(time.time()))
         for seed in self.settings.seeds:
             host, port = parse_address(seed.address)
-            member = Member(
-                id=seed.id, kind=KIND_INSTANCE, zone=seed.zone, host=host, peer_port=port
-            )
-            self.core.members.add_seed(member, self._now())
+            self.feed(events.SeedNamed(seed.id, seed.zone, host, port))
         await self._server.listen(own.host, own.http_port)
         eliot.log_message("instance_started", instance=own.id, zone=own.zone, pid=os.getpid())
         self._spawn(self._watch_pauses())
@@ -123,7 +124,7 @@
         self._note_pause()
         try:
             while self._queue:
-                for action in self.core.handle(self._queue.popleft(), self._now()):
+                for action in self._handle(self._queue.popleft(), self._now()):
                     self._performers[type(action)](action)
         finally:
             self._handling = False
@@ -419,6 +420,8 @@
             if dropped:
                 self.metrics.add(codes.PEER_DROPPED, dropped)
             self.metrics.send()
+            if self._recorder is not None:
+                self._recorder.flush()
 
     async def _close(self) -> None:
         await self._operators.close()
@@ -429,9 +432,20 @@
         for task in list(self._background):
             task.cancel()
         self.metrics.send()
+        if self._recorder is not None:
+            self._recorder.close()
         eliot.log_message("instance_stopped", instance=self.settings.instance.id)
 
 
+def _open_recorder(
+    settings: Settings, core: Core, identity: Identity, seed: int
+) -> Recorder | None:
+    record = settings.record
+    if not record.file:
+        return None
+    return Recorder(Path(record.file), record.max_bytes, core, identity, settings.core, seed)
+
+
 def _make_limits(settings: Settings) -> ServerLimits:
     limits = settings.limits
     return ServerLimits(
--- /dev/null
+++ b/tests/trace/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of record and replay."""
