--- a/rhubarbbend/shell/_runtime.py
+++ b/rhubarbbend/shell/_runtime.py
@@ -25,6 +25,7 @@
 from rhubarbbend import codes
 from rhubarbbend.codes import Verdict
 from rhubarbbend.core import Core, Identity, actions, events
+from rhubarbbend.core._answers import make_peer_request
 from rhubarbbend.core.messages import Message, ReservedReply, ReservedRun
 from rhubarbbend.http import ConnectionPool, Exchange, HttpServer, ServerLimits
 from rhubarbbend.operators import ChangeAnswer, OperatorServer, make_operator_key
@@ -42,6 +43,7 @@
     read_request,
     write_error,
 )
+from rhubarbbend.shell._traffic import ControlTraffic
 from rhubarbbend.trace import Recorder
 
 SNAPSHOT_OBJECT: Final = "configuration-snapshot"
@@ -93,6 +95,14 @@
         self._operators = OperatorServer(
             self.core, make_operator_key(secret), self._propose, self._now
         )
+        self._traffic = ControlTraffic(
+            {
+                codes.CONTROL_PEERS: lambda: self._links.traffic + self._listener.traffic,
+                codes.CONTROL_PLATFORM: lambda: self._platform.traffic,
+                codes.CONTROL_TARGETS: lambda: self._pool.fetch_traffic,
+                codes.CONTROL_METRICS: lambda: self.metrics.traffic,
+            }
+        )
         self._performers = self._list_performers()
 
     async def run(self) -> None:
@@ -238,7 +248,7 @@
 
     def _hear_peer(self, sender: str, message: Message) -> None:
         if isinstance(message, ReservedRun):
-            request = f"{sender}/{message.request}"
+            request = make_peer_request(sender, message.request)
             headers = {"content-type": message.content_type, "idempotency-key": message.key}
             path = f"/{message.service_name}{message.path}"
             self._open[request] = OpenRequest(
@@ -332,13 +342,13 @@
 
     def _send_peer(self, action: actions.SendPeer) -> None:
         if isinstance(action.message, ReservedReply):
-            self._open.pop(f"{action.peer}/{action.message.request}", None)
+            self._open.pop(make_peer_request(action.peer, action.message.request), None)
         self._links.send(action.peer, (action.host, action.port), action.message)
 
     def _send_reserved(self, action: actions.SendReserved) -> None:
         message = action.message
         assert isinstance(message, ReservedRun)
-        opened = self._open.get(message.request)
+        opened = self._open.get(action.request)
         if opened is None:
             return
         message.content_type = opened.headers.get("content-type", "")
@@ -399,8 +409,10 @@
         try:
             await self._platform.write_object(SNAPSHOT_OBJECT, action.data)
         except PlatformError:
-            # The next accepted change makes another; a start reads the changes without it.
             self.metrics.add(codes.PLATFORM_ERRORS)
+            self.feed(events.SnapshotWritten("failed"))
+            return
+        self.feed(events.SnapshotWritten("done"))
 
     # Background work.
 
@@ -419,6 +431,7 @@
             dropped, self._links.dropped = self._links.dropped, 0
             if dropped:
                 self.metrics.add(codes.PEER_DROPPED, dropped)
+            self._traffic.count(self.metrics)
             self.metrics.send()
             if self._recorder is not None:
                 self._recorder.flush()
--- a/rhubarbbend/trace/_redaction.py
+++ b/rhubarbbend/trace/_redaction.py
@@ -21,8 +21,8 @@
 from returns.result import Success
 
 from rhubarbbend.core import actions, events
-from rhubarbbend.core._claims import CLAIM_TABLE
-from rhubarbbend.core._claims import OP_PREFIX as CLAIM_OP_PREFIX
+from rhubarbbend.core._claim_rows import CLAIM_TABLE, make_key, split_key
+from rhubarbbend.core._claim_writes import OP_PREFIX as CLAIM_OP_PREFIX
 from rhubarbbend.core._keys import (
     RESERVED_PREFIX,
     decode_reserved,
@@ -84,9 +84,13 @@
     return msgspec.json.encode(row)
 
 
+def _map_table_key(table_key: str, map_key: MapKey) -> str:
+    account, key = split_key(table_key)
+    return make_key(account, map_key(account, key)) if account else map_key("", table_key)
+
+
 def _redact_row(row: dict[str, Any], map_key: MapKey) -> None:
-    account, separator, key = row["key"].partition("/")
-    row["key"] = account + separator + map_key(account, key) if separator else account
+    row["key"] = _map_table_key(row["key"], map_key)
     row["value"] = _redact_claim_row(row["value"])
 
 
@@ -110,10 +114,7 @@
 def _redact_key_field(node: dict[str, Any], key: str, map_key: MapKey) -> str:
     if "account" in node:
         return map_key(node["account"], key)
-    account, separator, rest = key.partition("/")
-    if separator:
-        return f"{account}/{map_key(account, rest)}"
-    return map_key("", key)
+    return _map_table_key(key, map_key)
 
 
 def _to_tree(struct: msgspec.Struct) -> dict[str, Any]:
@@ -141,8 +142,8 @@
     elif isinstance(action, actions.GiveKeys):
         tree["keys"] = [_strip_key("", key) for key in action.keys]
     else:
-        if isinstance(action, actions.Dispatch) and action.ticket:
-            tree["ticket"] = _strip_ticket(action.ticket)
+        if tree.get("ticket"):
+            tree["ticket"] = _strip_ticket(tree["ticket"])
         _walk(tree, _strip_key)
     return tree
 
