Introduce cores to one another by the event that seeds now are

MemberDuty.add_seed is gone since a trace has to hold all that reaches the core; the drivers of core tests feed the event. No assertion changed.

--- a/tests/core/drive.py
+++ b/tests/core/drive.py
@@ -7,7 +7,6 @@
 import msgspec
 
 from rhubarbbend.core import Core, CoreOptions, Identity, actions, events
-from rhubarbbend.core.messages import Member
 
 ACCOUNT = {"key_digest": "a" * 64}
 T = TypeVar("T", bound=actions.Action)
@@ -30,14 +29,8 @@
 def introduce(core: Core, other: Core, now: float = 0.0) -> None:
     """Let a core know of another, as a seed does."""
     identity = other.context.identity
-    member = Member(
-        id=identity.instance,
-        kind="instance",
-        zone=identity.zone,
-        host=identity.host,
-        peer_port=identity.peer_port,
-    )
-    core.members.add_seed(member, now)
+    seed = events.SeedNamed(identity.instance, identity.zone, identity.host, identity.peer_port)
+    core.handle(seed, now)
 
 
 def make_row(version: int, *items: tuple[str, str, bytes], author: str = "ana") -> events.Row:
