--- a/rhubarbbend/core/_claim_rows.py
+++ b/rhubarbbend/core/_claim_rows.py
@@ -120,6 +120,14 @@
     return f"{len(account)}/{account}/{key}"
 
 
+def split_key(table_key: str) -> tuple[str, str]:
+    """Give the account and the idempotency key of a table key; no account if it is malformed."""
+    length, _, rest = table_key.partition("/")
+    if not length.isdecimal() or rest[int(length) : int(length) + 1] != "/":
+        return "", table_key
+    return rest[: int(length)], rest[int(length) + 1 :]
+
+
 def decode_row(row: events.Row) -> ClaimRow | None:
     """Decode a stored claim; None if it is not one."""
     try:
--- a/rhubarbbend/core/_entry.py
+++ b/rhubarbbend/core/_entry.py
@@ -138,11 +138,11 @@
         return min(now, event.wall - self._context.wall_offset - CLOCK_SKEW)
 
     def _open(self, request: Request, now: float) -> None:
-        self._table.add(request)
+        allowed = self._table.add(request, now)
         self._context.set_timer(request.deadline, lambda at: self._check_deadline(request, at))
         if not request.idempotent and self._claims.settle_from_memory(request, now):
             return
-        refusal = self._check_limits(request, now)
+        refusal = self._check_limits(request, now) if allowed else codes.ACCOUNT_LIMIT
         if refusal is not None:
             # Before the key has been looked up nothing is known of its earlier attempts.
             verdict = Verdict.NOT_RUN if request.idempotent else Verdict.MAY_HAVE_RUN
@@ -156,9 +156,6 @@
 
     def _check_limits(self, request: Request, now: float) -> ErrorCode | None:
         context = self._context
-        in_flight = self._table.count_in_flight(request.account.name)
-        if in_flight > request.account.max_in_flight:
-            return codes.ACCOUNT_LIMIT
         if self._suspects.is_refused(request.arrived.body_digest):
             return codes.SUSPECT
         if request.time_left(now) <= LEAST_TIME_LEFT:
--- a/rhubarbbend/core/_planner.py
+++ b/rhubarbbend/core/_planner.py
@@ -48,12 +48,15 @@
         found: list[Candidate] = []
         for view in context.fleet.list_targets(request.service.name):
             known = view.zone == own_zone and view.updated >= 0
-            if view.leaving or view.id in request.excluded or view.down_until > now:
+            if view.id in request.excluded or view.down_until > now:
                 continue
-            if not context.configuration.is_target_in_service(view.id, view.zone):
+            if not context.takes_work(view):
                 continue
             if known and (not view.ready or not _has_model(view, model)):
                 continue
+            if not context.fleet.is_reachable(context.fleet.find_owner(view)):
+                # Asking an owner behind a partition costs a time-out for each request.
+                continue
             found.append(
                 Candidate(
                     view.id,
--- a/rhubarbbend/core/_request_table.py
+++ b/rhubarbbend/core/_request_table.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-from collections import Counter
-
 from rhubarbbend.core._context import Context
 from rhubarbbend.core._requests import Request
+from rhubarbbend.core.limits import LIMITS
 
 
 class RequestTable:
@@ -16,16 +15,18 @@
         self._requests: dict[str, Request] = {}
         self._detached: dict[str, Request] = {}
         self._by_attempt: dict[str, Request] = {}
-        self._in_flight: Counter[str] = Counter()
+        self._limits = [LIMITS.find(name)() for name in LIMITS.list_names()]
         self._next_attempt = 0
 
     def __len__(self) -> int:
         return len(self._requests) + len(self._detached)
 
-    def add(self, request: Request) -> None:
-        """Add a request that has just been admitted."""
+    def add(self, request: Request, now: float) -> bool:
+        """Add a request that has just been admitted; False if its account is over a limit."""
         self._requests[request.id] = request
-        self._in_flight[request.account.name] += 1
+        # Every limit counts the request, also those after one that is exceeded.
+        allowed = [limit.open(request.account, now) for limit in self._limits]
+        return all(allowed)
 
     def find(self, request: str) -> Request | None:
         """Find a request whose caller still waits."""
@@ -39,10 +40,6 @@
         """List every request, also those that run on without their caller."""
         return [*self._requests.values(), *self._detached.values()]
 
-    def count_in_flight(self, account: str) -> int:
-        """Count the requests of an account."""
-        return self._in_flight[account]
-
     def make_attempt(self) -> str:
         """Make an id that no other attempt of the fleet ever has."""
         self._next_attempt += 1
@@ -77,7 +74,5 @@
             found = self._requests.pop(request.id, None)
         if found is None:
             return
-        account = request.account.name
-        self._in_flight[account] -= 1
-        if not self._in_flight[account]:
-            del self._in_flight[account]
+        for limit in self._limits:
+            limit.close(request.account)
--- a/rhubarbbend/core/_requests.py
+++ b/rhubarbbend/core/_requests.py
@@ -43,6 +43,8 @@
     attempt: str = ""
     asked_owner: str = ""
     redirects: int = 0
+    # Whether a planned target turned out not to be ready.
+    plan_outdated: bool = False
     target: str = ""
     boot_id: str = ""
     excluded: set[str] = attrs.Factory(set)
@@ -55,6 +57,8 @@
     first_byte: float = 0.0
     relayed: int = 0
     last_refusal: str = ""
+    # What the owner that refused last expects the wait to be beyond what was allowed.
+    owner_retry_after: float = 0.0
     wants_suspect_slot: bool = False
     # How often a run without a first byte was asked for over a new connection.
     silent_checks: int = 0
--- a/rhubarbbend/core/_slots.py
+++ b/rhubarbbend/core/_slots.py
@@ -8,7 +8,7 @@
 from rhubarbbend.codes import ErrorCode
 from rhubarbbend.core._context import Context
 from rhubarbbend.core._fleet import TargetView
-from rhubarbbend.core._owner import (
+from rhubarbbend.core._grants import (
     REFUSAL_FULL,
     REFUSAL_NOT_OWNER,
     REFUSAL_NOT_READY,
@@ -70,8 +70,11 @@
                 completed=completed,
                 first_byte=request.first_byte,
                 total=total,
+                sent=request.phase in (Phase.RUNNING, Phase.PROBING),
+                failed=request.phase is Phase.PROBING,
+                tokens=request.arrived.tokens,
             )
-            self.send_owner(request.target, release)
+            self.send_release(request, release)
         request.has_slot = False
         self._table.forget_attempt(request)
 
@@ -100,6 +103,17 @@
             )
             self.send_owner(target, renewal)
 
+    def send_release(self, request: Request, release: SlotRelease) -> None:
+        """Give a slot back to the owner that granted it and to the present one, if another.
+
+        Lists may differ: the one that granted may still count it, and the present one may have
+        learned of it from a renewal.
+        """
+        view = self._context.fleet.targets.get(request.target)
+        present = "" if view is None else self._context.fleet.find_owner(view)
+        for owner in dict.fromkeys((request.asked_owner, present)):
+            self._context.send(owner, release)
+
     def send_owner(self, target: str, message: Message) -> None:
         """Send a message to the present owner of a target."""
         view = self._context.fleet.targets.get(target)
@@ -141,6 +155,7 @@
         """Plan the targets to ask and ask the first."""
         request.phase = Phase.SLOT
         request.position = -1
+        request.plan_outdated = False
         request.redirects = 0
         digest = request.arrived.body_digest
         request.wants_suspect_slot = self._suspects.count_crashes(digest) > 0
@@ -162,6 +177,11 @@
             if view is not None and request.time_left(now) > 0:
                 self._ask_owner(request, view, self._context.fleet.find_owner(view), now)
                 return
+        if request.plan_outdated and request.time_left(now) > 0:
+            # The choice that was to be waited for is out of service, or its target is not ready
+            # any more; others may well have room, and were only asked without waiting.
+            self.start(request, now)
+            return
         code = _REFUSAL_CODES.get(request.last_refusal, codes.OVERLOADED)
         self._listener.slot_refused(request, code, now)
 
@@ -225,7 +245,7 @@
             return
         self._context.count(codes.RETRY_OWNER)
         release = SlotRelease(attempt=attempt, target=request.target)
-        self._held.send_owner(request.target, release)
+        self._held.send_release(request, release)
         self.ask_next(request, now)
 
     def _handle_refusal(self, request: Request, message: SlotReply, now: float) -> None:
@@ -238,5 +258,10 @@
             return
         if not redirected:
             request.last_refusal = message.refusal
+            if message.refusal == REFUSAL_NOT_READY and message.target not in request.excluded:
+                # Each new plan leaves out one target more, so there is an end of them.
+                request.excluded.add(message.target)
+                request.plan_outdated = True
+            request.owner_retry_after = message.retry_after
             self._context.count(_REFUSAL_COUNTERS.get(message.refusal, codes.RETRY_FULL))
         self.ask_next(request, now)
--- a/rhubarbbend/core/events.py
+++ b/rhubarbbend/core/events.py
@@ -22,6 +22,15 @@
     wall: float
 
 
+class SeedNamed(Event):
+    """The settings name an instance, to be asked while the platform is away."""
+
+    instance: str
+    zone: str
+    host: str
+    peer_port: int
+
+
 class TimerDue(Event):
     """Time has passed; the core runs the timers that are due."""
 
@@ -198,6 +207,12 @@
     data: bytes = b""
 
 
+class SnapshotWritten(Event):
+    """The object store took a snapshot, or gave no word; `status` is "done" or "failed"."""
+
+    status: str
+
+
 class ChangeProposed(Event):
     """An operator sends a change set; items are (kind, name, JSON value or empty to remove)."""
 
@@ -208,6 +223,10 @@
     items: list[tuple[str, str, bytes]]
 
 
+class VersionsAsked(Event):
+    """An operator wants to see how far every instance has come."""
+
+
 class StopRequested(Event):
     """The process was told to stop."""
 
@@ -220,6 +239,7 @@
 
 AnyEvent = (
     Started
+    | SeedNamed
     | TimerDue
     | RequestArrived
     | CallerLeft
@@ -235,7 +255,9 @@
     | WriteDone
     | RowsRead
     | SnapshotRead
+    | SnapshotWritten
     | ChangeProposed
+    | VersionsAsked
     | StopRequested
     | ProcessPaused
 )
--- a/rhubarbbend/core/messages.py
+++ b/rhubarbbend/core/messages.py
@@ -52,6 +52,7 @@
     loads: list[TargetLoad] = []
     host: str = ""
     peer_port: int = 0
+    leaving_targets: list[str] = []
 
 
 class ZoneQuery(Message, tag=True):
@@ -61,6 +62,7 @@
 
     instance: str = ""
     config_version: int = 0
+    leaving: bool = False
 
 
 class ZoneReply(Message, tag=True):
@@ -73,6 +75,8 @@
     config_version: int = 0
     sums: list[ServiceSum] = []
     crashes: list[CrashCount] = []
+    leaving: bool = False
+    leaving_targets: list[str] = []
 
 
 class SlotRequest(Message, tag=True):
@@ -116,6 +120,10 @@
     completed: bool = False
     first_byte: float = 0.0
     total: float = 0.0
+    # Whether the attempt was sent, whether it failed at the target, and how long its prompt is.
+    sent: bool = False
+    failed: bool = False
+    tokens: int = 0
 
 
 class HeldSlot(Message, tag=True):
@@ -237,22 +245,36 @@
 
 
 class ConfigQuery(Message, tag=True):
-    """Asks for what changed after a version; answered by ConfigReply, page by page."""
+    """Asks for what changed after a version; answered by ConfigReply, page by page.
+
+    The position is that of the last item received, (after + 1, "", "") for the first page.
+    """
 
     FIELD: ClassVar[str] = "config_query"
 
     instance: str = ""
     after: int = 0
+    from_version: int = 0
+    from_kind: str = ""
+    from_name: str = ""
 
 
 class ConfigReply(Message, tag=True):
-    """Answer to ConfigQuery."""
+    """A page of the items changed after a version, in the order of their positions.
+
+    `version` is the sender's version; it is reached with the page that has no `more` after it.
+    """
 
     FIELD: ClassVar[str] = "config_reply"
 
     after: int = 0
     version: int = 0
     items: list[ConfigItem] = []
+    more: bool = False
+    ready: bool = True
+    from_version: int = 0
+    from_kind: str = ""
+    from_name: str = ""
 
 
 class MembersQuery(Message, tag=True):
