Carry the newest loads with slot messages, so that the bound holds on fresh figures

Cause: with loads told once a second, and sums of zones every two, the mean that bounds a target was made of loads that had ended; twelve callers over three engines (bound 5) drove one engine to 8. Loads now go to the peers every 0.25 s, later in large zones, and slot messages carry those of their service. Ruled out: the least mean of the last second, as a burst could then grow only by the bound each second.

--- a/rhubarbbend/core/_context.py
+++ b/rhubarbbend/core/_context.py
@@ -13,9 +13,9 @@
 import msgspec
 
 from rhubarbbend.core import actions, events
-from rhubarbbend.core._fleet import Fleet
+from rhubarbbend.core._fleet import Fleet, InstanceView
 from rhubarbbend.core.configuration import Configuration
-from rhubarbbend.core.messages import Message
+from rhubarbbend.core.messages import Message, SlotMessage
 
 Callback = Callable[[float], None]
 
@@ -95,6 +95,8 @@
         # Local time of the last platform failure and success, for the claim duty's breaker.
         self.platform_failed = -1.0
         self.platform_worked = 0.0
+        # Set by the member duty; adds the newest loads to slot messages.
+        self.add_loads: Callable[[InstanceView, SlotMessage], None] = lambda view, message: None
         self._timers: list[tuple[float, int, Callback]] = []
         self._sequence = itertools.count()
 
@@ -117,6 +119,8 @@
             return
         view = self.fleet.instances.get(peer)
         if view is not None:
+            if isinstance(message, SlotMessage):
+                self.add_loads(view, message)
             self.out.append(actions.SendPeer(peer, view.host, view.peer_port, message))
 
     def set_timer(self, at: float, callback: Callback) -> None:
--- a/rhubarbbend/core/_core.py
+++ b/rhubarbbend/core/_core.py
@@ -16,7 +16,7 @@
 from rhubarbbend.core._proposals import ProposalDuty
 from rhubarbbend.core._stop import StopDuty
 from rhubarbbend.core._suspects import SuspectDuty
-from rhubarbbend.core.messages import Message
+from rhubarbbend.core.messages import Message, SlotMessage
 
 
 class Core:
@@ -75,6 +75,8 @@
             self._handle_message(own, self.context.local.popleft(), now)
 
     def _handle_message(self, sender: str, message: Message, now: float) -> None:
+        if isinstance(message, SlotMessage):
+            self.members.take_loads(sender, message, now)
         handler = self._messages.get(type(message))
         if handler is not None:
             handler(sender, message, now)
--- a/rhubarbbend/core/_members.py
+++ b/rhubarbbend/core/_members.py
@@ -29,6 +29,8 @@
     MembersReply,
     Message,
     ServiceSum,
+    SlotMessage,
+    SlotRelease,
     TargetLoad,
     ZoneQuery,
     ZoneReply,
@@ -36,6 +38,12 @@
 
 # Loads that have not been heard for this many intervals are forgotten.
 STALE_INTERVALS: Final = 4
+# Loads go to a zone's peers this often, or later by so much for each peer: the cost of telling
+# everyone grows with the square of their number, the worth of one more telling does not.
+SHARE_INTERVAL: Final = 0.25
+SHARE_INTERVAL_PER_PEER: Final = 0.05
+# In a larger zone each instance carries little of the load, so that stale figures average out.
+SMALL_ZONE: Final = 16
 
 
 class OwnerListener(Protocol):
@@ -66,6 +74,8 @@
         self._suspects = suspects
         self._versions: VersionListener | None = None
         self._list_read = False
+        self._shared_at = -1.0
+        context.add_loads = self._add_loads
         self._unlisted_since: dict[str, float] = {}
 
     def set_version_listener(self, listener: VersionListener) -> None:
@@ -95,8 +105,8 @@
         """Add an instance named in the settings, for a start while the platform is away."""
         self._learn_instance(seed, now)
 
-    def announce(self, now: float) -> None:
-        """Send a heartbeat to every other instance of the zone."""
+    def announce(self, now: float, loads: list[TargetLoad] | None = None) -> None:
+        """Send a heartbeat, with loads if given, to every other instance of the zone."""
         context = self._context
         identity = context.identity
         beat = Heartbeat(
@@ -105,13 +115,34 @@
             incarnation=identity.incarnation,
             leaving=context.stopping,
             config_version=context.configuration.version,
-            loads=self._owner.list_loads(),
+            loads=loads or [],
             host=identity.host,
             peer_port=identity.peer_port,
         )
-        for view in context.fleet.instances.values():
-            if view.id != identity.instance and view.zone == identity.zone:
-                context.send(view.id, beat)
+        for peer in self._list_peers():
+            context.send(peer, beat)
+
+    def _list_peers(self) -> list[str]:
+        identity = self._context.identity
+        return [
+            view.id
+            for view in self._context.fleet.instances.values()
+            if view.zone == identity.zone and view.id != identity.instance
+        ]
+
+    def _share_loads(self, now: float) -> None:
+        """Tell the zone the loads of the owned targets.
+
+        The mean that bounds a target is as old as the loads it is made of: an owner that hears
+        late that others have emptied would let its own targets carry too much.
+        """
+        interval = SHARE_INTERVAL_PER_PEER * len(self._list_peers())
+        if now - self._shared_at < interval - SHARE_INTERVAL / 2:
+            return
+        self._shared_at = now
+        loads = self._owner.list_loads()
+        if loads:
+            self.announce(now, loads)
 
     def refresh(self, now: float) -> None:
         """Recompute who is live and act on changes of ownership."""
@@ -134,6 +165,7 @@
         )
         context.repeat(context.options.list_interval, self._ask_list, now)
         context.repeat(context.options.heartbeat_interval, self._beat, now)
+        context.repeat(SHARE_INTERVAL, self._share_loads, now)
         context.repeat(context.options.zone_interval, self._ask_zones, now)
 
     def _ask_list(self, now: float) -> None:
@@ -311,6 +343,63 @@
         view.updated = now
         self._context.fleet.note_target(view, self._context.configuration)
 
+    def _add_loads(self, view: InstanceView, message: SlotMessage) -> None:
+        """Let a slot message carry the newest loads of its service.
+
+        Figures of heartbeats are some tenths of a second old, sums of zones some seconds. In a
+        small fleet that is the time in which half the requests end, and a mean made of them lets
+        a target carry half as much again as it may.
+        """
+        context = self._context
+        target = context.fleet.targets.get(message.target)
+        if target is None:
+            return
+        if isinstance(message, SlotRelease) and message.sent:
+            self._count_end(view, target)
+        if view.zone != context.identity.zone:
+            sums = context.fleet.compute_sums(context.configuration).get(target.service_name)
+            if sums is not None:
+                entry = ServiceSum(
+                    service_name=target.service_name, load=sums.load, targets=sums.targets
+                )
+                message.sums = [entry]
+        elif len(self._list_peers()) <= SMALL_ZONE:
+            message.figures = self._owner.list_figures(target.service_name)
+
+    def _count_end(self, owner: InstanceView, target: TargetView) -> None:
+        """Count a slot as given back before its owner says so.
+
+        The next request of the same caller may be granted before the owner's word has come, and
+        the mean would count both.
+        """
+        fleet = self._context.fleet
+        if owner.zone == self._context.identity.zone:
+            if not self._owner.owns(target.id) and target.load > 0:
+                target.load -= 1
+                fleet.note_target(target, self._context.configuration)
+            return
+        zone = fleet.zone_sums.get(owner.zone)
+        entry = None if zone is None else zone.sums.get(target.service_name)
+        if entry is not None and entry.load > 0:
+            entry.load -= 1
+
+    def take_loads(self, sender: str, message: SlotMessage, now: float) -> None:
+        """Take over the loads that a slot message carries."""
+        fleet = self._context.fleet
+        for figure in message.figures:
+            target = fleet.targets.get(figure.target)
+            if target is not None and target.updated >= 0 and not self._owner.owns(target.id):
+                target.load = figure.load
+                target.updated = now
+                fleet.note_target(target, self._context.configuration)
+        view = fleet.instances.get(sender)
+        if view is None or view.zone == self._context.identity.zone:
+            return
+        for entry in message.sums:
+            zone = fleet.zone_sums.setdefault(view.zone, ZoneSums(now, {}))
+            zone.heard_at = now
+            zone.sums[entry.service_name] = LoadSum(entry.load, entry.targets)
+
     def _follow_version(self, peer: str, version: int, now: float) -> None:
         if self._versions is not None:
             self._versions.follow(peer, version, now)
--- a/rhubarbbend/core/_owner.py
+++ b/rhubarbbend/core/_owner.py
@@ -18,7 +18,14 @@
 from rhubarbbend.core._grants import REFUSAL_NOT_OWNER, REFUSAL_NOT_READY, Granter
 from rhubarbbend.core._ledger import Ledger
 from rhubarbbend.core._ramp import Probation
-from rhubarbbend.core.messages import Handover, HeldSlot, Message, SlotRenewal, TargetLoad
+from rhubarbbend.core.messages import (
+    Handover,
+    HeldSlot,
+    LoadFigure,
+    Message,
+    SlotRenewal,
+    TargetLoad,
+)
 
 STATE_LOADING: Final = "loading"
 STATE_LEAVING: Final = "leaving"
@@ -58,6 +65,15 @@
         """List the load of each owned target for the heartbeat."""
         return [self._ledger.describe(books) for books in self._ledger.books.values()]
 
+    def list_figures(self, service_name: str) -> list[LoadFigure]:
+        """List the loads of the owned targets of a service."""
+        targets = self._context.fleet.targets
+        return [
+            LoadFigure(target=books.target, load=books.count_load())
+            for books in self._ledger.books.values()
+            if books.target in targets and targets[books.target].service_name == service_name
+        ]
+
     def list_owned(self) -> list[str]:
         """List the owned targets."""
         return list(self._ledger.books)
--- a/rhubarbbend/core/messages.py
+++ b/rhubarbbend/core/messages.py
@@ -75,7 +75,25 @@
     crashes: list[CrashCount] = []
 
 
-class SlotRequest(Message, tag=True):
+class LoadFigure(Message, tag=True):
+    """The load of one target that the sender owns."""
+
+    target: str = ""
+    load: int = 0
+
+
+class SlotMessage(Message, tag=True):
+    """What slot traffic carries along: the newest loads, so that the mean is as new as it.
+
+    `figures` goes to instances of the own zone, `sums` to those of other zones.
+    """
+
+    target: str = ""
+    figures: list[LoadFigure] = []
+    sums: list[ServiceSum] = []
+
+
+class SlotRequest(SlotMessage, tag=True):
     """Asks the owner of a target for a slot; waits at most max_wait seconds in its queue."""
 
     FIELD: ClassVar[str] = "slot_request"
@@ -91,7 +109,7 @@
     weight: int = 1
 
 
-class SlotReply(Message, tag=True):
+class SlotReply(SlotMessage, tag=True):
     """Answer to a SlotRequest. `refusal` is empty when the slot is granted."""
 
     FIELD: ClassVar[str] = "slot_reply"
@@ -106,7 +124,7 @@
     limit: int = 0
 
 
-class SlotRelease(Message, tag=True):
+class SlotRelease(SlotMessage, tag=True):
     """Frees a slot, or withdraws a request for one."""
 
     FIELD: ClassVar[str] = "slot_release"
--- a/rhubarbbend/peers/_links.py
+++ b/rhubarbbend/peers/_links.py
@@ -166,6 +166,8 @@
         self._own_id = own_id
         self._on_lost = on_lost
         self._links: dict[str, _Link] = {}
+        # A heartbeat goes to every peer of a zone: it is encoded once.
+        self._last: tuple[Message | None, bytes] = (None, b"")
         self._closed = False
         # Bytes both ways on the connections that this instance opened.
         self.traffic = 0
@@ -178,7 +180,9 @@
             if link is not None:
                 link.close()
             link = self._links[peer] = _Link(self, peer, address)
-        frame = encode_frame(self._own_id, message)
+        if self._last[0] is not message:
+            self._last = (message, encode_frame(self._own_id, message))
+        frame = self._last[1]
         link.send(frame)
 
     def report_lost(self, link: _Link, dropped: int) -> None:
--- a/rhubarbbend/schema/peers.thrift
+++ b/rhubarbbend/schema/peers.thrift
@@ -51,6 +51,19 @@
   5: list<CrashCount> crashes = [],
 }
 
+/** The load of one target that the sender owns. */
+struct LoadFigure {
+  1: string target = "",
+  2: i32 load = 0,
+}
+
+/** What slot messages carry along; no message by itself. */
+struct SlotMessage {
+  1: string target = "",
+  2: list<LoadFigure> figures = [],
+  3: list<ServiceSum> sums = [],
+}
+
 /** Asks the owner of a target for a slot; waits at most max_wait seconds in its queue. */
 struct SlotRequest {
   1: string attempt = "",
@@ -62,6 +75,8 @@
   7: bool suspect = false,
   8: string service_name = "",
   9: i32 weight = 1,
+  20: list<LoadFigure> figures = [],
+  21: list<ServiceSum> sums = [],
 }
 
 /** Answer to a SlotRequest. `refusal` is empty when the slot is granted. */
@@ -74,6 +89,8 @@
   6: string owner = "",
   7: i32 load = 0,
   8: i32 limit = 0,
+  20: list<LoadFigure> figures = [],
+  21: list<ServiceSum> sums = [],
 }
 
 /** Frees a slot, or withdraws a request for one. */
@@ -86,6 +103,8 @@
   6: bool sent = false,
   7: bool failed = false,
   8: i32 tokens = 0,
+  20: list<LoadFigure> figures = [],
+  21: list<ServiceSum> sums = [],
 }
 
 /** One running attempt that holds a slot. */
