--- a/rhubarbbend/core/_context.py
+++ b/rhubarbbend/core/_context.py
@@ -92,6 +92,8 @@
         self.wall_offset = 0.0
         self.stopping = False
         self.config_ready = False
+        # Whether the targets have been learned, from the list or from a peer.
+        self.members_known = False
         # Local time of the last platform failure and success, for the claim duty's breaker.
         self.platform_failed = -1.0
         self.platform_worked = 0.0
--- a/rhubarbbend/core/_follower.py
+++ b/rhubarbbend/core/_follower.py
@@ -240,7 +240,8 @@
         hence a peer is asked too, whose version never went down.
         """
         context = self._context
-        if context.config_ready:
+        if context.config_ready or not context.members_known:
+            # Without any target known every request would be refused, which others could serve.
             return
         alone = self._list_read and len(context.fleet.instances) <= 1
         late = now - self._started_at >= START_PATIENCE
--- a/rhubarbbend/core/_members.py
+++ b/rhubarbbend/core/_members.py
@@ -210,6 +210,8 @@
                 self._unlisted_since.pop(known, None)
             else:
                 self._note_unlisted(known, now)
+        context = self._context
+        context.members_known = True
         if not self._list_read:
             self._list_read = True
             self._context.log("list_read", entries=str(len(event.entries)))
@@ -438,6 +440,7 @@
         """Take over a peer's view; only used while this instance has read no list itself."""
         if self._list_read:
             return
+        self._context.members_known = True
         for member in message.members:
             if member.kind == KIND_TARGET:
                 entry = events.Listed(
--- a/rhubarbbend/core/_stop.py
+++ b/rhubarbbend/core/_stop.py
@@ -15,6 +15,7 @@
 from rhubarbbend.core._entry import EntryDuty
 from rhubarbbend.core._members import MemberDuty
 from rhubarbbend.core._owner import OwnerDuty
+from rhubarbbend.core._proposals import ProposalDuty
 from rhubarbbend.core.messages import Message
 
 CHECK_INTERVAL: Final = 0.1
@@ -41,12 +42,14 @@
         owner: OwnerDuty,
         claims: ClaimDuty,
         members: MemberDuty,
+        proposals: ProposalDuty,
     ) -> None:
         self._context = context
         self._entry = entry
         self._owner = owner
         self._claims = claims
         self._members = members
+        self._proposals = proposals
         self._phase = StopPhase.SERVING
         self._since = 0.0
 
@@ -68,12 +71,14 @@
         context.log("stop_begun", open=str(self._entry.count_open()))
         context.emit(actions.SetReady(False))
         context.fleet.instances[context.identity.instance].said_leaving = True
+        context.fleet.refresh_live(now)
         # Peers learn first that this instance leaves, then that they own its targets.
         self._members.announce(now)
-        context.fleet.refresh_live(now)
         self._owner.hand_over_all(now)
         self._entry.register_slots(now)
-        context.set_timer(now + context.options.balancer_lag, self._drain)
+        # An instance that never was ready is not known to the balancer.
+        lag = context.options.balancer_lag if context.config_ready else 0.0
+        context.set_timer(now + lag, self._drain)
 
     def _drain(self, now: float) -> None:
         self._phase = StopPhase.DRAINING
@@ -87,7 +92,7 @@
             self._end(now)
             return
         patient = waited < options.balancer_lag + OUTCOME_PATIENCE
-        busy = self._entry.count_open() > 0
+        busy = self._entry.count_open() > 0 or self._proposals.has_open()
         if busy or (self._claims.has_pending_writes() and patient):
             self._context.set_timer(now + CHECK_INTERVAL, self._check_done)
             return
--- a/rhubarbbend/http/_server.py
+++ b/rhubarbbend/http/_server.py
@@ -17,6 +17,11 @@
 
 READ_SIZE: Final = 65_536
 WRITE_HIGH_WATER: Final = 262_144
+# How long idle connections stay open once the server stops accepting: a request may be on its way.
+LINGER: Final = 0.5
+# A client that takes no byte of its answer for this long is given up when the server closes.
+FLUSH_TIMEOUT: Final = 10.0
+FLUSH_POLL: Final = 0.02
 
 Headers = list[tuple[str, str]]
 Handler = Callable[["Exchange"], Awaitable[None]]
@@ -43,10 +48,27 @@
         self.reason = reason
 
 
+@attrs.define(slots=True)
+class DrainState:
+    """Whether the server is about to stop; shared with every exchange."""
+
+    draining: bool = False
+
+
 class Exchange:
     """One request and its response. Invariant: at most one response is started."""
 
-    __slots__ = ("method", "target", "headers", "body", "closed", "_conn", "_writer", "_started")
+    __slots__ = (
+        "method",
+        "target",
+        "headers",
+        "body",
+        "closed",
+        "_conn",
+        "_writer",
+        "_drain_state",
+        "_started",
+    )
 
     def __init__(
         self,
@@ -54,6 +76,7 @@
         body: bytes,
         conn: h11.Connection,
         writer: asyncio.StreamWriter,
+        drain_state: DrainState | None = None,
     ) -> None:
         self.method = request.method.decode("ascii")
         self.target = request.target.decode("ascii", "replace")
@@ -63,6 +86,7 @@
         self.closed = asyncio.Event()
         self._conn = conn
         self._writer = writer
+        self._drain_state = drain_state or DrainState()
         self._started = False
 
     @property
@@ -73,6 +97,9 @@
     def start(self, status: int, headers: Headers) -> None:
         """Send the response head; a body without Content-Length goes out chunked."""
         self._started = True
+        if self._drain_state.draining:
+            # The client opens its next connection elsewhere instead of reusing one that ends.
+            headers = [*headers, ("Connection", "close")]
         raw = [(k.encode("ascii"), v.encode("latin-1", "replace")) for k, v in headers]
         self._send(h11.Response(status_code=status, headers=raw))
 
@@ -130,20 +157,42 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._busy: set[asyncio.Task[None]] = set()
         self._stopping = False
+        self._drain_state = DrainState()
 
     async def listen(self, host: str, port: int) -> int:
         """Start to accept connections; returns the port in use."""
         self._server = await asyncio.start_server(self._accept, host, port, backlog=1024)
         return int(self._server.sockets[0].getsockname()[1])
 
+    def announce_stop(self) -> None:
+        """Tell clients with each answer that their connection will not be used again."""
+        self._drain_state.draining = True
+
     def stop_accepting(self) -> None:
-        """Close the listening socket and idle connections; requests in flight go on."""
+        """Close the listening socket, and idle connections a little later.
+
+        Requests in flight go on. One that was sent on an idle connection before its client could
+        know of the stop is still read and answered; closing at once would cut it.
+        """
+        self.announce_stop()
+        if self._stopping:
+            return
         self._stopping = True
         if self._server is not None:
             self._server.close()
+            asyncio.get_running_loop().call_later(LINGER, self._close_idle)
+
+    def _close_idle(self) -> None:
         for task in self._tasks - self._busy:
             task.cancel()
 
+    async def finish(self) -> None:
+        """Stop accepting, and wait until every answer has gone out."""
+        self.stop_accepting()
+        while self._tasks:
+            await asyncio.wait(list(self._tasks), timeout=LINGER)
+            self._close_idle()
+
     async def close(self) -> None:
         """Stop accepting and end every connection."""
         self.stop_accepting()
@@ -163,9 +212,12 @@
         except (ConnectionError, asyncio.CancelledError, TimeoutError):
             pass
         finally:
-            self._tasks.discard(task)
-            self._busy.discard(task)
             writer.close()
+            try:
+                await _flush(writer)
+            finally:
+                self._tasks.discard(task)
+                self._busy.discard(task)
 
     async def _serve_connection(
         self, task: asyncio.Task[None], reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -173,10 +225,9 @@
         conn = h11.Connection(h11.SERVER, max_incomplete_event_size=self._limits.max_header_bytes)
         while not self._stopping:
             try:
-                head = await self._read_head(conn, reader)
+                head = await self._read_head(task, conn, reader)
                 if head is None:
                     return
-                self._busy.add(task)
                 async with asyncio.timeout(self._limits.body_timeout):
                     body = await self._read_body(conn, reader, writer)
             except RequestRejected as rejected:
@@ -185,26 +236,30 @@
             except TimeoutError:
                 await _reject(conn, writer, RequestRejected(408, "request took too long to send"))
                 return
-            exchange = Exchange(head, body, conn, writer)
+            exchange = Exchange(head, body, conn, writer, self._drain_state)
             await self._run_handler(exchange, conn, reader)
-            self._busy.discard(task)
             if not await self._prepare_next(conn, writer):
                 return
+            self._busy.discard(task)
 
     async def _read_head(
-        self, conn: h11.Connection, reader: asyncio.StreamReader
+        self, task: asyncio.Task[None], conn: h11.Connection, reader: asyncio.StreamReader
     ) -> h11.Request | None:
         timeout = self._limits.idle_timeout
         while True:
             event = _next_event(conn)
             if isinstance(event, h11.Request):
+                self._busy.add(task)
                 return event
             if event is h11.NEED_DATA:
                 if conn.trailing_data[0]:
                     timeout = self._limits.head_timeout
                 try:
                     async with asyncio.timeout(timeout):
-                        conn.receive_data(await reader.read(READ_SIZE))
+                        data = await reader.read(READ_SIZE)
+                    # From its first byte on a request is in flight.
+                    self._busy.add(task)
+                    conn.receive_data(data)
                 except TimeoutError:
                     if conn.trailing_data[0]:
                         raise
@@ -256,6 +311,24 @@
         return False
 
 
+async def _flush(writer: asyncio.StreamWriter) -> None:
+    """Wait until a closed connection has sent what was written.
+
+    The loop ends with the process, and what a slow client has not yet taken would be lost: its
+    answer would be cut although the server had finished it.
+    """
+    transport = writer.transport
+    left = transport.get_write_buffer_size()
+    waited = 0.0
+    while left and waited < FLUSH_TIMEOUT:
+        await asyncio.sleep(FLUSH_POLL)
+        size = transport.get_write_buffer_size()
+        waited = 0.0 if size < left else waited + FLUSH_POLL
+        left = size
+    if left:
+        transport.abort()
+
+
 async def _watch_client(
     exchange: Exchange, conn: h11.Connection, reader: asyncio.StreamReader
 ) -> None:
--- a/rhubarbbend/shell/_runtime.py
+++ b/rhubarbbend/shell/_runtime.py
@@ -105,12 +105,13 @@
         """Serve until a planned stop has ended."""
         own = self.settings.instance
         loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, lambda: self.feed(events.StopRequested()))
         await self._listener.listen(own.host, own.peer_port)
         await self._operators.listen(own.host, own.operator_port)
         self._alive_at = self._now()
         self.feed(events.Started(time.time()))
+        # Before its first event the core cannot stop; the signal's own effect does until then.
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, lambda: self.feed(events.StopRequested()))
         for seed in self.settings.seeds:
             host, port = parse_address(seed.address)
             member = Member(
@@ -362,6 +363,8 @@
 
     def _set_ready(self, action: actions.SetReady) -> None:
         self._ready = action.ready
+        if not action.ready:
+            self._server.announce_stop()
         eliot.log_message("readiness", ready=action.ready)
 
     async def _read_list(self) -> None:
@@ -434,9 +437,11 @@
             self.metrics.send()
 
     async def _close(self) -> None:
+        if not self._open:
+            # Otherwise the operator's limit for a stop has passed, and requests are cut.
+            await self._server.finish()
         await self._operators.close()
         await self._attempts.close()
-        await self._server.close()
         await self._links.close()
         await self._listener.close()
         for task in list(self._background):
--- a/tests/core/drive.py
+++ b/tests/core/drive.py
@@ -24,6 +24,7 @@
     core = make_core(name, zone, **options)
     core.handle(events.Started(1_000.0), now)
     core.handle(events.SnapshotRead("done"), now)
+    core.context.members_known = True
     return core
 
 
