--- a/rhubarbbend/cli/_main.py
+++ b/rhubarbbend/cli/_main.py
@@ -13,6 +13,7 @@
 from rhubarbbend.operators import SCHEMA
 from rhubarbbend.settings import SettingsInvalid, load_settings
 from rhubarbbend.shell import serve
+from rhubarbbend.trace import TraceInvalid, replay_trace
 
 
 def main(arguments: Sequence[str]) -> int:
@@ -21,6 +22,7 @@
     commands: dict[str, Callable[[Options], int]] = {
         "serve": _serve,
         "check-settings": _check_settings,
+        "replay": _replay,
         "apply": apply,
         "show": show,
         "zone": move,
@@ -31,7 +33,7 @@
     except SettingsInvalid as invalid:
         print(invalid, file=sys.stderr)
         return ExitStatus.USAGE
-    except ValueError as error:
+    except (ValueError, TraceInvalid) as error:
         print(f"rhubarbbend: {error}", file=sys.stderr)
         return ExitStatus.USAGE
     except SCHEMA.Conflict as conflict:
@@ -64,3 +66,14 @@
     load_settings(options.settings)
     print(f"{options.settings}: settings are valid")
     return ExitStatus.DONE
+
+
+def _replay(options: Options) -> int:
+    assert options.path is not None
+    report = replay_trace(options.path)
+    if report.difference is not None:
+        print(f"{options.path}: the actions differ\n{report.difference}")
+        return ExitStatus.FAILED
+    cut = "; the last line is cut and was left out" if report.cut else ""
+    print(f"{options.path}: {report.events} events, {report.actions} actions, all the same{cut}")
+    return ExitStatus.DONE
--- a/rhubarbbend/http/_server.py
+++ b/rhubarbbend/http/_server.py
@@ -22,6 +22,8 @@
 # A client that takes no byte of its answer for this long is given up when the server closes.
 FLUSH_TIMEOUT: Final = 10.0
 FLUSH_POLL: Final = 0.02
+# A client that takes nothing of its answer for this long is given up, in seconds.
+STALL_TIMEOUT: Final = 30.0
 
 Headers = list[tuple[str, str]]
 Handler = Callable[["Exchange"], Awaitable[None]]
@@ -108,10 +110,20 @@
         if data:
             self._send(h11.Data(data=data))
 
+    def is_behind(self) -> bool:
+        """Whether the client reads slower than the body is written."""
+        return self._writer.transport.get_write_buffer_size() > WRITE_HIGH_WATER
+
     async def drain(self) -> None:
         """Wait while the client reads slower than the body is written."""
-        if self._writer.transport.get_write_buffer_size() > WRITE_HIGH_WATER:
-            await _flush(self._writer, WRITE_HIGH_WATER)
+        if not self.is_behind():
+            return
+        try:
+            async with asyncio.timeout(STALL_TIMEOUT):
+                await self._writer.drain()
+        except TimeoutError:
+            # A client that reads nothing would keep its target's slot for ever.
+            self.abort()
 
     def finish(self) -> None:
         """End the body, which tells the client that the answer is whole."""
@@ -311,8 +323,8 @@
         return False
 
 
-async def _flush(writer: asyncio.StreamWriter, limit: int = 0) -> None:
-    """Wait until at most `limit` bytes of what was written have still to go out.
+async def _flush(writer: asyncio.StreamWriter) -> None:
+    """Wait until what was written has gone out.
 
     The loop ends with the process, and what a slow client has not yet taken would be lost: its
     answer would be cut although the server had finished it. A client that takes nothing for long
@@ -321,12 +333,12 @@
     transport = writer.transport
     left = transport.get_write_buffer_size()
     waited = 0.0
-    while left > limit and waited < FLUSH_TIMEOUT:
+    while left and waited < FLUSH_TIMEOUT:
         await asyncio.sleep(FLUSH_POLL)
         size = transport.get_write_buffer_size()
         waited = 0.0 if size < left else waited + FLUSH_POLL
         left = size
-    if left > limit:
+    if left:
         transport.abort()
 
 
--- a/tests/http/__init__.py
+++ b/tests/http/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of HTTP on both sides."""
+"""Tests of the HTTP sides."""
