--- a/tests/core/test_follower.py
+++ b/tests/core/test_follower.py
@@ -7,6 +7,7 @@
 from rhubarbbend.core import Core, actions, events
 from rhubarbbend.core.configuration import Item
 from rhubarbbend.core.messages import ConfigQuery, ConfigReply, Heartbeat
+from rhubarbbend.peers._codec import MAX_FRAME_BYTES, encode_frame
 from tests.core.drive import (
     introduce,
     make_core,
@@ -271,3 +272,35 @@
     assert fresh.context.configuration.list_after(0) == [
         Item("zone", "a", 3, rows[2] and make_zone("a", True)[2])
     ]
+
+
+def test_a_configuration_larger_than_a_peer_frame_arrives_in_pages() -> None:
+    """A fleet's whole configuration is larger than a frame between instances may be.
+
+    An instance that starts without the platform gets it from a peer. Sent as one frame, the peer
+    would close the connection as broken, each time, and the start would never end.
+    """
+    names = [f"account-{number:05d}-{'x' * 80}" for number in range(30_000)]
+    items = [
+        ("account", name, msgspec.json.encode({"name": name, "key_digest": f"{number:064x}"}))
+        for number, name in enumerate(names)
+    ]
+    ready = start_core("e1")
+    scan(ready, 3.5, make_row(1, *items))
+    starter = start_core("e2")
+    introduce(ready, starter)
+    introduce(starter, ready)
+    cores = {"e1": ready, "e2": starter}
+    first = pick(run_timers(starter, 1.2), actions.SendPeer)
+    waiting = [action for action in first if isinstance(action.message, ConfigQuery)][:1]
+    sender = "e2"
+    sizes: list[int] = []
+    while waiting:
+        action = waiting[0]
+        sizes.append(len(encode_frame(sender, action.message)))
+        found = cores[action.peer].handle(events.PeerSaid(sender, action.message), 1.3)
+        waiting = pick(found, actions.SendPeer)
+        sender = action.peer
+    assert sum(sizes) > MAX_FRAME_BYTES
+    assert max(sizes) < MAX_FRAME_BYTES // 50
+    assert len(starter.context.configuration.accounts) == len(names)
