--- a/loadtool/_analysis.py
+++ b/loadtool/_analysis.py
@@ -169,9 +169,10 @@
 
 
 def count_failures(sent: Sequence[Sent]) -> dict[str, int]:
-    """Count the requests without a good answer by refusal code or failure."""
+    """Count the requests without a good answer by kind and refusal code or failure."""
     reasons: Counter[str] = Counter()
     for one in sent:
         if not one.answer.good:
-            reasons[one.answer.code or one.answer.failure or "wrong or cut answer"] += 1
+            why = one.answer.code or one.answer.failure or "wrong or cut answer"
+            reasons[f"{one.kind}: {why}"] += 1
     return dict(reasons)
--- a/loadtool/_chats.py
+++ b/loadtool/_chats.py
@@ -85,7 +85,7 @@
                 chat.messages.pop()
                 await asyncio.sleep(RETRY_PAUSE)
                 continue
-            await asyncio.sleep(pick_pause(rng))
+            await asyncio.sleep(min(pick_pause(rng), max(0.0, self._seconds - self.now())))
 
     async def _ask(self, chat: Chat, caller: Caller, words: int, kind: str) -> bool:
         at = self.now()
--- a/loadtool/_deployments.py
+++ b/loadtool/_deployments.py
@@ -41,7 +41,7 @@
     commands_per_second: float
     lookups_per_second: float
     prefill_rate: float = 10_000.0
-    token_time: float = 0.012
+    token_time: float = 0.03
     engine_slots: int = 16
     cache_tokens: int = 120_000
 
--- a/loadtool/_report.py
+++ b/loadtool/_report.py
@@ -12,6 +12,8 @@
 from loadtool._scenario import CHURN, STEADY, ZONE_BACK, ZONE_OUT
 
 KILOBYTE: Final = 1000.0
+# The table of phases shows the measures before this one.
+SHOWN_FROM: Final = 13
 
 
 @attrs.define(slots=True, frozen=True)
@@ -111,7 +113,10 @@
         f"{result.seconds:.0f} s; one second stands for {result.time_scale:.0f} s of chats' pauses",
         *_align(rows),
         f"wrong answers {result.wrong}, commands run twice {result.run_twice}",
-        *(f"{one.name}: {one.read(result):.3f} {one.unit}".rstrip() for one in MEASURES[13:]),
+        *(
+            f"{one.name}: {one.read(result):.3f} {one.unit}".rstrip()
+            for one in MEASURES[SHOWN_FROM:]
+        ),
     ]
     for kind, rate in result.busy.bytes_per_second.items():
         idle = result.idle.bytes_per_second.get(kind, 0.0)
