--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: demo test measure compare chaos slopes binary lint
+.PHONY: demo test measure compare measure-tables chaos slopes binary lint
 
 PYTHON := .venv/bin/python
 
@@ -8,6 +8,29 @@
 test: .venv/.ready
 	@$(PYTHON) -m pytest -n 6
 
+# A randomised run of faults: make chaos SEED=1 DURATION=60
+SEED ?= 1
+DURATION ?= 60
+chaos: .venv/.ready
+	@$(PYTHON) -m loadtool chaos --seed $(SEED) --duration $(DURATION)
+
+# One run, e.g. make measure DEPLOYMENT=riegos POLICY=random SEED=2 SECONDS=40
+DEPLOYMENT ?= tengri
+POLICY ?= affinity
+SECONDS ?= 40
+measure: .venv/.ready
+	@$(PYTHON) -m loadtool measure $(DEPLOYMENT) --policy $(POLICY) --seed $(SEED) --seconds $(SECONDS)
+
+# Two results, or folders of results, beside each other: make compare A=results/tengri/random B=...
+compare: .venv/.ready
+	@$(PYTHON) -m loadtool compare $(A) $(B)
+
+# Both deployments, every policy, three seeds, two runs at a time; about 12 minutes.
+JOBS ?= 2
+TABLE_SECONDS ?= 34
+measure-tables: .venv/.ready
+	@$(PYTHON) -m loadtool tables --jobs $(JOBS) --seconds $(TABLE_SECONDS)
+
 lint: .venv/.ready
 	@$(PYTHON) -m black --check -q rhubarbbend standins loadtool tests
 	@$(PYTHON) -m ruff check -q rhubarbbend standins loadtool tests
--- a/loadtool/__main__.py
+++ b/loadtool/__main__.py
@@ -6,10 +6,11 @@
 import sys
 from collections.abc import Callable
 
-from loadtool import _commands, _demo
+from loadtool import _chaos, _commands, _demo
 
 COMMANDS: dict[str, Callable[[argparse.Namespace], int]] = {
     "demo": lambda options: _demo.main(),
+    "chaos": lambda options: _chaos.main(options.seed, options.duration),
     "measure": _commands.run_measure,
     "compare": _commands.run_compare,
     "tables": _commands.run_tables,
@@ -19,9 +20,12 @@
 
 def _parse() -> argparse.Namespace:
     parser = argparse.ArgumentParser(prog="loadtool")
-    commands = parser.add_subparsers(dest="what", required=True)
-    commands.add_parser("demo", help="the demo")
-    _commands.add_parsers(commands)
+    parts = parser.add_subparsers(dest="what", required=True)
+    parts.add_parser("demo", help="a whole deployment for about 15 s")
+    chaos = parts.add_parser("chaos", help="a randomised run of faults")
+    chaos.add_argument("--seed", type=int, default=1)
+    chaos.add_argument("--duration", type=float, default=60.0, help="seconds")
+    _commands.add_parsers(parts)
     return parser.parse_args()
 
 
