Order only the targets that a request can ask

plan() sorted every candidate and computed each rank twice. It now ranks each once, keeps the best six beside the ticket's places, and builds no lambda keys.

--- a/rhubarbbend/core/routing/_affinity.py
+++ b/rhubarbbend/core/routing/_affinity.py
@@ -9,10 +9,10 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from heapq import nlargest
 from random import Random
 from typing import Final
 
-from rhubarbbend.core._fleet import rank
 from rhubarbbend.core.routing._base import (
     POLICIES,
     Candidate,
@@ -20,12 +20,16 @@
     Reason,
     RoutedRequest,
     RoutingPolicy,
+    rank_candidates,
 )
 
 # Of the time that reading the context again would take, this share is worth waiting.
 WAIT_SHARE: Final = 1.0
 # A wait never uses up more than this share of the time to the deadline.
 DEADLINE_SHARE: Final = 0.5
+# Targets tried beside the ticket's places. Ordering more would cost time for each target of the
+# service and gain nothing, because a request moves only a few times.
+MAX_MOVES: Final = 6
 
 
 @POLICIES.register("affinity")
@@ -36,24 +40,29 @@
         self, request: RoutedRequest, candidates: Sequence[Candidate], random: Random
     ) -> list[Choice]:
         """Give ticket places first, then the candidates in rendezvous order, the full ones last."""
-        by_id = {candidate.target: candidate for candidate in candidates}
-        choices = self._follow_ticket(request, by_id)
+        choices = self._follow_ticket(request, candidates)
         chosen = {choice.target for choice in choices}
-        ordered = sorted(candidates, key=lambda c: rank(request.chat, c.target), reverse=True)
-        rest = [candidate for candidate in ordered if candidate.target not in chosen]
+        ranks = rank_candidates(request.chat, candidates)
+        home = candidates[max(range(len(ranks)), key=ranks.__getitem__)].target
         # A full target is asked only after those that may have room.
-        open_first = [c for c in rest if not c.full] + [c for c in rest if c.full]
-        home = ordered[0].target
-        for candidate in open_first:
-            is_home = candidate.target == home and not choices
+        scored = [
+            (not candidate.full, rank, candidate.target)
+            for candidate, rank in zip(candidates, ranks, strict=True)
+            if candidate.target not in chosen
+        ]
+        for _, _, target in nlargest(MAX_MOVES, scored):
+            is_home = target == home and not choices
             wait = self._compute_wait(request, request.tokens) if is_home else 0.0
-            reason = Reason.HOME if is_home else Reason.MOVED
-            choices.append(Choice(candidate.target, wait, reason))
-        return self._add_last_resort(request, choices, candidates)
+            choices.append(Choice(target, wait, Reason.HOME if is_home else Reason.MOVED))
+        choices.append(self._find_last_resort(request, candidates, ranks))
+        return choices
 
-    def _follow_ticket(self, request: RoutedRequest, by_id: dict[str, Candidate]) -> list[Choice]:
+    def _follow_ticket(
+        self, request: RoutedRequest, candidates: Sequence[Candidate]
+    ) -> list[Choice]:
         if request.ticket is None:
             return []
+        by_id = {candidate.target: candidate for candidate in candidates}
         choices: list[Choice] = []
         for place in request.ticket.places:
             candidate = by_id.get(place.target)
@@ -67,10 +76,12 @@
         reread = WAIT_SHARE * tokens / request.prefill_rate
         return min(reread, request.max_wait, DEADLINE_SHARE * request.time_left)
 
-    def _add_last_resort(
-        self, request: RoutedRequest, choices: list[Choice], candidates: Sequence[Candidate]
-    ) -> list[Choice]:
+    def _find_last_resort(
+        self, request: RoutedRequest, candidates: Sequence[Candidate], ranks: Sequence[int]
+    ) -> Choice:
         """When every target is full, wait for the least loaded one as long as is allowed."""
-        least = min(candidates, key=lambda c: (c.load - c.limit, rank(request.chat, c.target)))
-        wait = min(request.max_wait, request.time_left)
-        return [*choices, Choice(least.target, wait, Reason.MOVED)]
+        least = min(
+            (candidate.load - candidate.limit, rank, candidate.target)
+            for candidate, rank in zip(candidates, ranks, strict=True)
+        )
+        return Choice(least[2], min(request.max_wait, request.time_left), Reason.MOVED)
--- a/rhubarbbend/core/routing/_base.py
+++ b/rhubarbbend/core/routing/_base.py
@@ -9,6 +9,7 @@
 from typing import Final
 
 import attrs
+import xxhash
 
 from rhubarbbend.core._tickets import Ticket
 from rhubarbbend.kernel import Registry
@@ -71,6 +72,12 @@
     reason: Reason
 
 
+def rank_candidates(chat: str, candidates: Sequence[Candidate]) -> list[int]:
+    """Give each candidate's rendezvous weight for a chat; every instance computes the same."""
+    seed = xxhash.xxh64_intdigest(chat.encode())
+    return [xxhash.xxh64_intdigest(candidate.target.encode(), seed) for candidate in candidates]
+
+
 class RoutingPolicy(abc.ABC):
     """Puts candidates in the order in which their owners are asked for a slot.
 
