--- a/rhubarbbend/core/_slots.py
+++ b/rhubarbbend/core/_slots.py
@@ -8,7 +8,7 @@
 from rhubarbbend.codes import ErrorCode
 from rhubarbbend.core._context import Context
 from rhubarbbend.core._fleet import TargetView
-from rhubarbbend.core._owner import (
+from rhubarbbend.core._grants import (
     REFUSAL_FULL,
     REFUSAL_NOT_OWNER,
     REFUSAL_NOT_READY,
@@ -173,12 +173,32 @@
             last = request.position + 1 == len(request.plan)
             if request.position >= self._context.options.max_moves and not last:
                 continue
+            if request.choice.target in request.excluded:
+                continue
             if view is not None and request.time_left(now) > 0:
                 self._ask_owner(request, view, self._context.fleet.find_owner(view), now)
                 return
+        if request.last_refusal == REFUSAL_NOT_READY and request.time_left(now) > 0:
+            self._plan_again(request, now)
+            return
         code = _REFUSAL_CODES.get(request.last_refusal, codes.OVERLOADED)
         self._listener.slot_refused(request, code, now)
 
+    def _plan_again(self, request: Request, now: float) -> None:
+        """Plan without the targets that were not ready; refuse if none is left.
+
+        Views lag: while a zone leaves, the last target to wait for may be one of those that its
+        owner does not give out any more, and the request would be refused although others have
+        room. Each further plan lacks at least one target, so their number is bounded.
+        """
+        request.last_refusal = ""
+        request.position = -1
+        request.plan = self.planner.plan(request, now)
+        if request.plan:
+            self.ask_next(request, now)
+        else:
+            self._listener.slot_refused(request, codes.NO_TARGET, now)
+
     def handle_reply(self, sender: str, message: SlotReply, now: float) -> None:
         """Take an owner's answer."""
         request = self._table.find_attempt(message.attempt)
@@ -222,6 +242,7 @@
             suspect=request.wants_suspect_slot,
             service_name=request.service.name,
             weight=request.account.weight,
+            model=request.arrived.model,
         )
         self._context.send(owner, message)
         if owner != identity.instance:
@@ -252,6 +273,8 @@
             return
         if not redirected:
             request.last_refusal = message.refusal
+            if message.refusal == REFUSAL_NOT_READY:
+                request.excluded.add(message.target)
             request.owner_retry_after = message.retry_after
             self._context.count(_REFUSAL_COUNTERS.get(message.refusal, codes.RETRY_FULL))
         self.ask_next(request, now)
--- a/rhubarbbend/schema/peers.thrift
+++ b/rhubarbbend/schema/peers.thrift
@@ -62,6 +62,7 @@
   7: bool suspect = false,
   8: string service_name = "",
   9: i32 weight = 1,
+  10: string model = "",
 }
 
 /** Answer to a SlotRequest. `refusal` is empty when the slot is granted. */
@@ -143,6 +144,7 @@
   9: binary body = "",
   10: string digest = "",
   11: double time_left = 0,
+  12: double arrived = 0,
 }
 
 struct ReservedReply {
@@ -153,6 +155,7 @@
   5: string content_type = "",
   6: binary body = "",
   7: bool replayed = false,
+  8: double at = 0,
 }
 
 /** How often a request digest was running when its target crashed. */
