Keep a prompt that is read at once in its own zone

Cause: a short question without a ticket went to its home, in two of three cases another zone, one trip for the slot and one for the answer. Now a prompt read in under 10 ms is asked for in its own zone first, if that has room. Tests seen to fail without the rule, with it for every prompt, and with it before the check for room. Tried and not kept: a wait of twice the rereading time.

--- a/rhubarbbend/core/routing/_affinity.py
+++ b/rhubarbbend/core/routing/_affinity.py
@@ -3,7 +3,8 @@
 A ticket names where the context was left. Waiting there costs time, moving costs reading the
 context again; the policy waits for as long as the reading would take, so a long chat waits and a
 short one moves at once. Without a ticket the home is the first in rendezvous order of the chat's
-id, which every instance computes alike.
+id, which every instance computes alike. A prompt that is read faster than another zone answers
+stays in its own zone.
 """
 
 from __future__ import annotations
@@ -30,6 +31,9 @@
 # Targets tried beside the ticket's places. Ordering more would cost time for each target of the
 # service and gain nothing, because a request moves only a few times.
 MAX_MOVES: Final = 6
+# A prompt that is read in this time costs less to read again than two trips to another zone, one
+# for the slot and one for the answer.
+NEAR_SECONDS: Final = 0.01
 
 
 @POLICIES.register("affinity")
@@ -43,15 +47,16 @@
         choices = self._follow_ticket(request, candidates)
         chosen = {choice.target for choice in choices}
         ranks = rank_candidates(request.chat, candidates)
-        home = candidates[max(range(len(ranks)), key=ranks.__getitem__)].target
+        near = request.tokens < NEAR_SECONDS * request.prefill_rate
+        best = max(ranks)
         # A full target is asked only after those that may have room.
         scored = [
-            (not candidate.full, rank, candidate.target)
+            (not candidate.full, near and candidate.own_zone, rank, candidate.target)
             for candidate, rank in zip(candidates, ranks, strict=True)
             if candidate.target not in chosen
         ]
-        for _, _, target in nlargest(MAX_MOVES, scored):
-            is_home = target == home and not choices
+        for _, is_near, rank, target in nlargest(MAX_MOVES, scored):
+            is_home = not choices and (is_near or rank == best)
             wait = self._compute_wait(request, request.tokens) if is_home else 0.0
             choices.append(Choice(target, wait, Reason.HOME if is_home else Reason.MOVED))
         choices.append(self._find_last_resort(request, candidates, ranks))
--- a/rhubarbbend/core/routing/_base.py
+++ b/rhubarbbend/core/routing/_base.py
@@ -27,8 +27,8 @@
 class Candidate:
     """A target that may be asked for a slot.
 
-    `load` and `limit` are as last heard; `known` says whether they have been heard at all, which
-    they have not for targets of other zones.
+    `load` and `limit` are as last heard, those of other zones' targets some seconds ago; `known`
+    says whether they have been heard at all.
     """
 
     target: str
--- a/tests/core/routing/test_affinity.py
+++ b/tests/core/routing/test_affinity.py
@@ -154,3 +154,21 @@
 def test_orders_no_more_targets_than_are_asked() -> None:
     # The plan of a service with very many targets must not cost time for each of them twice.
     assert len(plan(make_request(), make_targets(950))) <= 8
+
+
+def test_prompt_that_is_read_at_once_stays_in_its_zone() -> None:
+    # A desk's short question without a ticket. Its home may be in another zone, two trips away;
+    # reading the question costs less than one of them. A long prompt goes to its home, wherever.
+    targets = make_targets(9)
+    for number in range(30):
+        short = plan(make_request(f"chat-{number}", tokens=30), targets)
+        assert short[0].target in ("engine-0", "engine-3", "engine-6")
+    homes = {plan(make_request(f"chat-{number}"), targets)[0].target for number in range(60)}
+    assert len(homes) == len(targets)
+
+
+def test_short_prompt_leaves_a_zone_that_is_full() -> None:
+    # Every target of the own zone is full when last heard. The question goes to another zone.
+    targets = [attrs.evolve(t, load=4) if t.known else t for t in make_targets(9)]
+    first = plan(make_request(tokens=30), targets)[0].target
+    assert first not in ("engine-0", "engine-3", "engine-6")
