--- a/rhubarbbend/core/_context.py
+++ b/rhubarbbend/core/_context.py
@@ -14,15 +14,11 @@
 
 from rhubarbbend.core import actions, events
 from rhubarbbend.core._fleet import Fleet
-from rhubarbbend.core._rooms import Rooms
 from rhubarbbend.core.configuration import Configuration
 from rhubarbbend.core.messages import Message
 
 Callback = Callable[[float], None]
 
-# Loads of another zone's targets that are older than so many of its answers are no hint.
-ROOM_INTERVALS = 2
-
 
 class Identity(msgspec.Struct, frozen=True):
     """Who this instance is. `incarnation` differs at each start; `secret` signs hints and keys."""
@@ -91,7 +87,6 @@
         self.random = Random(seed)
         self.configuration = Configuration()
         self.fleet = Fleet(identity.instance, identity.zone, options.peer_silence)
-        self.rooms = Rooms(ROOM_INTERVALS * options.zone_interval)
         self.out: list[actions.Action] = []
         self.local: deque[Message] = deque()
         self.wall_offset = 0.0
--- a/rhubarbbend/core/_members.py
+++ b/rhubarbbend/core/_members.py
@@ -21,7 +21,6 @@
     ZoneSums,
 )
 from rhubarbbend.core._owner import OwnerDuty
-from rhubarbbend.core._rooms import pack_rooms
 from rhubarbbend.core._suspects import SuspectDuty
 from rhubarbbend.core.messages import (
     Heartbeat,
@@ -328,19 +327,13 @@
             config_version=context.configuration.version,
             sums=sums,
             crashes=self._suspects.list_crashes(now),
-            rooms=pack_rooms(self._list_ready()),
         )
         context.send(sender, reply)
         self._follow_version(sender, message.config_version, now)
 
-    def _list_ready(self) -> list[TargetView]:
-        fleet = self._context.fleet
-        return [view for view in fleet.targets.values() if fleet.is_counted(view.id)]
-
     def _handle_zone_reply(self, sender: str, message: ZoneReply, now: float) -> None:
         sums = {entry.service_name: LoadSum(entry.load, entry.targets) for entry in message.sums}
         self._context.fleet.zone_sums[message.zone] = ZoneSums(now, sums)
-        self._context.rooms.take(message.zone, message.rooms, now)
         view = self._context.fleet.instances.get(sender)
         if view is not None:
             view.config_version = message.config_version
--- a/rhubarbbend/core/_planner.py
+++ b/rhubarbbend/core/_planner.py
@@ -57,15 +57,14 @@
             if not context.fleet.is_reachable(context.fleet.find_owner(view)):
                 # Asking an owner behind a partition costs a time-out for each request.
                 continue
-            room = view if known else context.rooms.find(view.zone, view.id, now)
             found.append(
                 Candidate(
                     view.id,
                     view.zone,
                     view.boot_id,
-                    0 if room is None else room.load,
-                    0 if room is None else room.limit,
-                    room is not None,
+                    view.load,
+                    view.limit,
+                    known,
                     view.cold,
                     view.zone == own_zone,
                 )
--- a/rhubarbbend/core/messages.py
+++ b/rhubarbbend/core/messages.py
@@ -73,8 +73,6 @@
     config_version: int = 0
     sums: list[ServiceSum] = []
     crashes: list[CrashCount] = []
-    # Loads of the zone's targets, as `_rooms` packs them.
-    rooms: bytes = b""
 
 
 class SlotRequest(Message, tag=True):
--- a/rhubarbbend/core/routing/_affinity.py
+++ b/rhubarbbend/core/routing/_affinity.py
@@ -59,8 +59,6 @@
             is_home = not choices and (is_near or rank == best)
             wait = self._compute_wait(request, request.tokens) if is_home else 0.0
             choices.append(Choice(target, wait, Reason.HOME if is_home else Reason.MOVED))
-        if request.ticket is None and not near:
-            _take_emptier(choices, candidates)
         choices.append(self._find_last_resort(request, candidates, ranks))
         return choices
 
@@ -92,20 +90,3 @@
             for candidate, rank in zip(candidates, ranks, strict=True)
         )
         return Choice(least[2], min(request.max_wait, request.time_left), Reason.MOVED)
-
-
-def _take_emptier(choices: list[Choice], candidates: Sequence[Candidate]) -> None:
-    """Of a chat's first two targets, put the one first that is less loaded for its limit.
-
-    A chat stays where it is put, so what is spread unevenly now has to move later, at the cost of
-    reading its context again. Two are enough, and a lost ticket still leads to one of two.
-    """
-    if len(choices) < 2:
-        return
-    by_id = {candidate.target: candidate for candidate in candidates}
-    first, second = (by_id[choice.target] for choice in choices[:2])
-    if first.known and second.known and second.load * first.limit < first.load * second.limit:
-        choices[0], choices[1] = (
-            Choice(second.target, choices[0].max_wait, choices[0].reason),
-            Choice(first.target, choices[1].max_wait, choices[1].reason),
-        )
--- a/rhubarbbend/schema/peers.thrift
+++ b/rhubarbbend/schema/peers.thrift
@@ -49,7 +49,6 @@
   3: i64 config_version = 0,
   4: list<ServiceSum> sums = [],
   5: list<CrashCount> crashes = [],
-  6: binary rooms = "",
 }
 
 /** Asks the owner of a target for a slot; waits at most max_wait seconds in its queue. */
