--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: demo test measure compare measure-tables chaos slopes binary lint
+.PHONY: demo test measure compare measure-tables measure-costs chaos slopes binary lint
 
 PYTHON := .venv/bin/python
 
@@ -25,6 +25,10 @@
 compare: .venv/.ready
 	@$(PYTHON) -m loadtool compare $(A) $(B)
 
+# Processor time of a routing decision and of relaying a chunk.
+measure-costs: .venv/.ready
+	@$(PYTHON) -m loadtool costs
+
 # Both deployments, every policy, three seeds, two runs at a time; about 12 minutes.
 JOBS ?= 2
 TABLE_SECONDS ?= 34
--- a/loadtool/__main__.py
+++ b/loadtool/__main__.py
@@ -15,6 +15,7 @@
     "compare": _commands.run_compare,
     "tables": _commands.run_tables,
     "show": _commands.run_show,
+    "costs": _commands.run_costs,
 }
 
 
--- a/loadtool/_commands.py
+++ b/loadtool/_commands.py
@@ -12,8 +12,10 @@
 
 from loadtool._deployments import DEPLOYMENTS
 from loadtool._measure import RunOptions, measure
+from loadtool._planning import show_planning
 from loadtool._plots import draw_plots
 from loadtool._processes import ROOT
+from loadtool._relay import measure_relay, show_relay
 from loadtool._report import compare, show_markdown, show_run
 from loadtool._results import RunResult, read_results, write_result
 from rhubarbbend.core.routing import POLICIES
@@ -43,6 +45,7 @@
     tables.add_argument("--seconds", type=float, default=DEFAULT_SECONDS)
     tables.add_argument("--jobs", type=int, default=1)
     tables.add_argument("--results", type=Path, default=RESULTS)
+    commands.add_parser("costs", help="processor time of a routing decision and of a chunk")
     shown = commands.add_parser("show", help="print the tables of results in markdown")
     shown.add_argument("--results", type=Path, default=RESULTS)
 
@@ -90,6 +93,16 @@
     return 0
 
 
+def run_costs(options: argparse.Namespace) -> int:
+    """Print the processor time of a routing decision and of relaying a chunk."""
+    print(show_planning())
+    result = _run_interruptible(measure_relay())
+    if result is None:
+        return INTERRUPTED
+    print(show_relay(result))
+    return 0
+
+
 async def _measure_and_write(options: RunOptions, folder: Path) -> RunResult:
     result = await measure(options)
     name = f"{options.deployment}/{options.policy}/{options.seed}.json"
