--- a/loadtool/_bound.py
+++ b/loadtool/_bound.py
@@ -1,9 +1,10 @@
 """An upper bound of cache reuse: what the same requests could have found with perfect placement.
 
 The served requests are replayed offline in their order. Each goes to the engine that holds most of
-its prompt, whatever that engine's load, and a new chat to the engine with the least work so far.
-Engines have the memory, and lose it at the times, that they had in the run. No policy that keeps
-to the bound on load can reach more than this, so reuse over it shows what is left to gain.
+its prompt, whatever that engine's load, and a prompt that none holds to the engine with most free
+memory or, when all are full, to the one that has read least. Engines have the memory, and lose it
+at the times, that they had in the run. What is evicted depends on the order of requests, so while
+memory is short a run may come out a little above it.
 """
 
 from __future__ import annotations
@@ -65,24 +66,25 @@
 ) -> list[BoundCount]:
     """Replay the turns; gives the counts by phase."""
     caches = {span.name: PrefixCache(cache_tokens) for span in spans}
-    work = dict.fromkeys(caches, 0)
-    homes: dict[str, list[str]] = {}
+    read = dict.fromkeys(caches, 0)
+    visited: dict[str, set[str]] = {}
     counts = [BoundCount() for _ in phase_ends]
     for turn in sorted(turns, key=lambda turn: turn.at):
         usable = [span.name for span in spans if span.is_usable(turn.at)]
         if not usable:
             continue
-        places = homes.setdefault(turn.chat, [])
-        place = next((name for name in reversed(places) if name in usable), "")
-        if not place:
-            place = min(usable, key=lambda name: work[name])
-        if place in places:
-            places.remove(place)
-        places.append(place)
         text = turn.join_prompt()
+        places = visited.setdefault(turn.chat, set())
+        held = {name: caches[name].count_held(text) for name in places.intersection(usable)}
+        if any(held.values()):
+            place = max(held, key=lambda name: held[name])
+        else:
+            place = min(usable, key=lambda name: (caches[name].size, read[name]))
+            places.add(place)
         tokens = len(text) // CHARS_PER_TOKEN
-        work[place] += tokens
+        found = caches[place].read(text)
+        read[place] += tokens - found
         phase = next((i for i, end in enumerate(phase_ends) if turn.at < end), -1)
         counts[phase].prompt += tokens
-        counts[phase].held += caches[place].read(text)
+        counts[phase].held += found
     return counts
--- a/standins/_engine.py
+++ b/standins/_engine.py
@@ -111,6 +111,22 @@
             self._blocks.popitem(last=False)
         return held
 
+    def count_held(self, text: str) -> int:
+        """Count the tokens of a prompt that are held, without reading it."""
+        digest = hashlib.blake2b(digest_size=12)
+        held = 0
+        for start in range(0, len(text) - BLOCK_CHARS + 1, BLOCK_CHARS):
+            digest.update(text[start : start + BLOCK_CHARS].encode())
+            if digest.digest() not in self._blocks:
+                break
+            held += BLOCK_CHARS // CHARS_PER_TOKEN
+        return held
+
+    @property
+    def size(self) -> int:
+        """Blocks held."""
+        return len(self._blocks)
+
     def clear(self) -> None:
         """Forget everything."""
         self._blocks.clear()
