--- a/loadtool/_analysis.py
+++ b/loadtool/_analysis.py
@@ -9,6 +9,7 @@
 from typing import Final
 
 from loadtool._bound import BoundCount
+from loadtool._caller import Answer
 from loadtool._chats import Sent
 from loadtool._histograms import Histogram
 from loadtool._results import PhaseResult, Series, ZoneResult
@@ -72,6 +73,16 @@
     return excesses
 
 
+def _sum_reuse(answers: Sequence[Answer]) -> float:
+    """Give the share of prompt tokens that engines had, as they say in their answers.
+
+    Requests count where they began, as in the bound. By the engines' running counts a prompt that
+    waited in a queue would count in a later phase than its turn does in the bound.
+    """
+    prompt = sum(answer.prompt_tokens for answer in answers)
+    return sum(answer.cached_tokens for answer in answers) / prompt if prompt else 0.0
+
+
 def describe_phase(
     phase: Phase,
     sent: Sequence[Sent],
@@ -93,7 +104,7 @@
         requests=len(chosen),
         served=sum(one.answer.good for one in chosen),
         served_late=sum(one.answer.good and not is_served_well(one) for one in chosen),
-        reuse=compute_reuse(samples, phase.begin, phase.end),
+        reuse=_sum_reuse(good),
         reuse_bound=bound.reuse,
         skew_p50=skews[len(skews) // 2],
         skew_p95=skews[int(len(skews) * 0.95)],
