Count tickets that lead nowhere any more

The counter tickets_stale was declared and never raised, so an operator could not tell lost contexts from lost tickets. Tests seen to fail without the count and with the boot id ignored; one more for forged tickets, seen to fail with the signature unchecked.

--- a/rhubarbbend/core/_planner.py
+++ b/rhubarbbend/core/_planner.py
@@ -24,8 +24,11 @@
         candidates = self._list_candidates(request, now)
         if not candidates:
             return []
+        described = self._describe(request, now)
+        if described.ticket is not None:
+            self._count_stale(described.ticket)
         policy = self._find_policy(request.service)
-        return policy.plan(self._describe(request, now), candidates, self._context.random)
+        return policy.plan(described, candidates, self._context.random)
 
     def make_ticket(self, request: Request, now: float) -> str:
         """Make the ticket that leads the chat's next request back to this target."""
@@ -95,6 +98,14 @@
             self._context.count(codes.TICKETS_BAD)
         return found
 
+    def _count_stale(self, ticket: Ticket) -> None:
+        """Count a ticket of which no place can be in memory any more."""
+        for place in ticket.places:
+            view = self._context.fleet.targets.get(place.target)
+            if view is not None and view.boot_id in ("", place.boot_id):
+                return
+        self._context.count(codes.TICKETS_STALE)
+
     def _find_policy(self, service: Service) -> Policy:
         policy = self._policies.get(service.policy)
         if policy is None:
--- a/tests/core/routing/test_search.py
+++ b/tests/core/routing/test_search.py
@@ -5,6 +5,7 @@
 from rhubarbbend import codes
 from rhubarbbend.core import actions, events
 from rhubarbbend.core._grants import REFUSAL_FULL, REFUSAL_NOT_READY
+from rhubarbbend.core._tickets import Place, Ticket, encode_ticket
 from rhubarbbend.core.configuration import Account, Model, Service, Zone
 from rhubarbbend.core.messages import SlotReply, SlotRequest
 from tests.core.driver import KINDS, SERVICE, Driver, list_target
@@ -22,7 +23,7 @@
     return driver
 
 
-def arrive(driver: Driver, request: str = "r1") -> list[actions.Action]:
+def arrive(driver: Driver, request: str = "r1", ticket: str = "") -> list[actions.Action]:
     """Give the core a chat of a caller."""
     return driver.handle(
         events.RequestArrived(
@@ -36,10 +37,18 @@
             time_left=10.0,
             chat="c1",
             tokens=400,
+            ticket=ticket,
         )
     )
 
 
+def make_ticket(driver: Driver, target: str, boot_id: str) -> str:
+    """Make the ticket of the chat that `arrive` gives."""
+    secret = driver.core.context.identity.secret
+    held = Ticket((Place(target, boot_id, 0.0, 400),))
+    return encode_ticket(secret, "agents", "c1", held)
+
+
 def find_question(driver: Driver) -> tuple[str, SlotRequest]:
     """Find the last question for a slot and whom it was put to."""
     found = [(peer, m) for peer, m in driver.sent if isinstance(m, SlotRequest)]
@@ -135,3 +144,27 @@
     dispatched = [action.target for action in done if isinstance(action, actions.Dispatch)]
     assert dispatched == ["engine-a1"]
     assert count_questions(driver) == before
+
+
+def test_tickets_of_targets_gone_or_restarted_are_counted() -> None:
+    # One ticket names a target that is gone, one a target that has restarted since, one a target
+    # that still runs. The first two lead nowhere, and operators see how many such come.
+    driver = start("engine-a1", zone="almaty-a")
+    driver.pass_probation("engine-a1")
+    for target, boot_id, stale in (
+        ("engine-a9", "b1", 1),
+        ("engine-a1", "b0", 2),
+        ("engine-a1", "b1", 2),
+    ):
+        arrive(driver, f"r-{target}-{boot_id}", make_ticket(driver, target, boot_id))
+        assert driver.counts.get(codes.TICKETS_STALE, 0) == stale
+
+
+def test_forged_ticket_leads_nowhere() -> None:
+    # A caller sends the ticket of another chat. It is counted and the chat is served all the same.
+    driver = start("engine-a1", zone="almaty-a")
+    driver.pass_probation("engine-a1")
+    ticket = make_ticket(driver, "engine-a1", "b1")
+    done = arrive(driver, ticket=ticket[:-2] + ("AA" if ticket[-2:] != "AA" else "BB"))
+    assert driver.counts[codes.TICKETS_BAD] > 0
+    assert [action for action in done if isinstance(action, actions.Dispatch)]
