--- a/rhubarbbend/cli/_options.py
+++ b/rhubarbbend/cli/_options.py
@@ -25,7 +25,7 @@
     secret_file: str = ""
     # Environment variable that holds it instead.
     secret_env: str = ""
-    # A declaration file, or a folder of them (apply).
+    # A declaration file, or a folder of them (apply); a trace (replay).
     path: Path | None = None
     # Send the change without asking (apply).
     yes: bool = False
@@ -33,6 +33,8 @@
     author: str = ""
     # Id of the change set; given again it answers with the version already accepted.
     change_id: str = ""
+    # Seconds to wait until an accepted change is in force everywhere; 0 does not look.
+    wait: float = 5.0
     # What to show: config, zones, targets or instances.
     what: str = ""
     # Print JSON in place of a table (show).
@@ -53,6 +55,13 @@
 def _add_change_options(parser: argparse.ArgumentParser) -> None:
     parser.add_argument("--author", default="", help="who makes the change (default: $USER)")
     parser.add_argument("--change-id", default="", help="id of the change set, to send it again")
+    parser.add_argument(
+        "--wait",
+        type=float,
+        default=5.0,
+        metavar="SECONDS",
+        help="how long to watch until it is in force everywhere (default: 5; 0: not at all)",
+    )
 
 
 def make_parser() -> argparse.ArgumentParser:
@@ -69,6 +78,9 @@
     check = commands.add_parser("check-settings", help="check a settings file, print every error")
     check.add_argument("settings", type=Path)
 
+    replay = commands.add_parser("replay", help="replay a recorded trace, compare the actions")
+    replay.add_argument("path", type=Path, metavar="FILE", help="file of the [record] settings")
+
     apply = commands.add_parser("apply", help="show what declarations change, and send it")
     apply.add_argument("path", type=Path, help="declaration file, or folder of *.toml")
     apply.add_argument("--yes", action="store_true", help="send without asking")
--- a/rhubarbbend/core/_grants.py
+++ b/rhubarbbend/core/_grants.py
@@ -60,6 +60,22 @@
                 return
             self._grant(books, waiter.sender, waiter.request, now)
 
+    def note_service(self, books: Books, now: float) -> None:
+        """Act on a target that has gone out of service or come back.
+
+        Waiters of one that is out would wait for a slot that it does not give any more. One that
+        comes back was idle for a while and may have been restarted or emptied without a sign: it
+        is refilled as from a cold start, by work done.
+        """
+        view = self._context.fleet.targets.get(books.target)
+        out = view is None or not self._context.takes_work(view)
+        if out:
+            self.refuse_all(books, REFUSAL_NOT_READY)
+        elif books.out_of_service:
+            self._ledger.turn_cold(books, "returned", now)
+            self._ledger.update(books, now)
+        books.out_of_service = out
+
     def register(
         self, books: Books, held: HeldSlot, holder: str, incarnation: int, now: float
     ) -> None:
@@ -94,6 +110,7 @@
             self._context.count(codes.SLOTS_REFUSED)
             return
         self._note_incarnation(message.instance, message.incarnation, now)
+        self.note_service(books, now)
         self._expire_waiters(books, now)
         refusal = self._check_ready(books) or self._check_model(books, message.model)
         if refusal:
@@ -113,9 +130,7 @@
 
     def _check_ready(self, books: Books) -> str:
         view = self._context.fleet.targets.get(books.target)
-        if view is None or view.leaving or not books.ready:
-            return REFUSAL_NOT_READY
-        if not self._context.configuration.is_target_in_service(view.id, view.zone):
+        if view is None or not books.ready or not self._context.takes_work(view):
             return REFUSAL_NOT_READY
         return ""
 
--- a/rhubarbbend/core/_requests.py
+++ b/rhubarbbend/core/_requests.py
@@ -43,6 +43,8 @@
     attempt: str = ""
     asked_owner: str = ""
     redirects: int = 0
+    # Whether a planned target turned out not to be ready.
+    plan_outdated: bool = False
     target: str = ""
     boot_id: str = ""
     excluded: set[str] = attrs.Factory(set)
--- a/rhubarbbend/core/events.py
+++ b/rhubarbbend/core/events.py
@@ -22,6 +22,15 @@
     wall: float
 
 
+class SeedNamed(Event):
+    """The settings name an instance, to be asked while the platform is away."""
+
+    instance: str
+    zone: str
+    host: str
+    peer_port: int
+
+
 class TimerDue(Event):
     """Time has passed; the core runs the timers that are due."""
 
@@ -214,6 +223,10 @@
     items: list[tuple[str, str, bytes]]
 
 
+class VersionsAsked(Event):
+    """An operator wants to see how far every instance has come."""
+
+
 class StopRequested(Event):
     """The process was told to stop."""
 
@@ -226,6 +239,7 @@
 
 AnyEvent = (
     Started
+    | SeedNamed
     | TimerDue
     | RequestArrived
     | CallerLeft
@@ -243,6 +257,7 @@
     | SnapshotRead
     | SnapshotWritten
     | ChangeProposed
+    | VersionsAsked
     | StopRequested
     | ProcessPaused
 )
