--- a/loadtool/_analysis.py
+++ b/loadtool/_analysis.py
@@ -4,11 +4,12 @@
 
 import math
 import statistics
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Sequence
 from typing import Final
 
 from loadtool._bound import BoundCount
+from loadtool._caller import Answer
 from loadtool._chats import Sent
 from loadtool._histograms import Histogram
 from loadtool._results import PhaseResult, Series, ZoneResult
@@ -19,6 +20,8 @@
 BIN_SECONDS: Final = 1.0
 # A request is served well if its first byte came within this; a dip is a bin below the share.
 GOOD_FIRST_BYTE: Final = 3.0
+# About as long as a request runs after its slot was granted.
+MEAN_SECONDS: Final = 2.0
 DIP_SHARE: Final = 0.99
 CHAT_KINDS_EXCLUDED: Final = ("command", "lookup")
 
@@ -50,18 +53,34 @@
     return max(loads) / mean if mean else 1.0
 
 
-def compute_excess(sample: EngineSample, out: set[str], service: Service) -> int:
-    """Give how many requests the most loaded engine has above what the bound allows.
+def compute_excesses(samples: Sequence[EngineSample], out: set[str], service: Service) -> list[int]:
+    """Give, for each sample, how far the most loaded engine is above the bound's limit.
 
-    The bound is the one that owners grant by, worked out from the loads of the sample. A slot
-    granted while the mean was higher is not taken back when the mean falls, so a sample may show
-    an excess for as long as a request lasts though every grant was within the bound.
+    The limit is the owners', worked out from the highest mean of the last seconds: what was
+    granted within the bound is not taken back when the mean falls, and runs on for a while.
     """
-    loads = [figures.running for name, figures in sample.engines.items() if name not in out]
-    if not loads:
-        return 0
-    limit = max(service.floor, math.ceil(service.bound * (sum(loads) + 1) / len(loads)))
-    return max(0, max(loads) - limit)
+    excesses: list[int] = []
+    limits: deque[tuple[float, int]] = deque()
+    for sample in samples:
+        loads = [figures.running for name, figures in sample.engines.items() if name not in out]
+        if not loads:
+            continue
+        mean = (sum(loads) + 1) / len(loads)
+        limits.append((sample.at, max(service.floor, math.ceil(service.bound * mean))))
+        while limits[0][0] < sample.at - MEAN_SECONDS:
+            limits.popleft()
+        excesses.append(max(0, max(loads) - max(limit for _, limit in limits)))
+    return excesses
+
+
+def _sum_reuse(answers: Sequence[Answer]) -> float:
+    """Give the share of prompt tokens that engines had, as they say in their answers.
+
+    Requests count where they began, as in the bound. By the engines' running counts a prompt that
+    waited in a queue would count in a later phase than its turn does in the bound.
+    """
+    prompt = sum(answer.prompt_tokens for answer in answers)
+    return sum(answer.cached_tokens for answer in answers) / prompt if prompt else 0.0
 
 
 def describe_phase(
@@ -77,7 +96,7 @@
     chats = [one for one in chosen if one.kind not in CHAT_KINDS_EXCLUDED]
     inside = [sample for sample in samples if phase.begin <= sample.at < phase.end]
     skews = sorted(compute_skew(sample, out) for sample in inside) or [1.0]
-    excesses = [compute_excess(sample, out, service) for sample in inside] or [0]
+    excesses = compute_excesses(inside, out, service) or [0]
     good = [one.answer for one in chats if one.answer.good]
     return PhaseResult(
         name=phase.name,
@@ -85,7 +104,7 @@
         requests=len(chosen),
         served=sum(one.answer.good for one in chosen),
         served_late=sum(one.answer.good and not is_served_well(one) for one in chosen),
-        reuse=compute_reuse(samples, phase.begin, phase.end),
+        reuse=_sum_reuse(good),
         reuse_bound=bound.reuse,
         skew_p50=skews[len(skews) // 2],
         skew_p95=skews[int(len(skews) * 0.95)],
@@ -169,9 +188,10 @@
 
 
 def count_failures(sent: Sequence[Sent]) -> dict[str, int]:
-    """Count the requests without a good answer by refusal code or failure."""
+    """Count the requests without a good answer by kind and refusal code or failure."""
     reasons: Counter[str] = Counter()
     for one in sent:
         if not one.answer.good:
-            reasons[one.answer.code or one.answer.failure or "wrong or cut answer"] += 1
+            why = one.answer.code or one.answer.failure or "wrong or cut answer"
+            reasons[f"{one.kind}: {why}"] += 1
     return dict(reasons)
--- a/rhubarbbend/core/_grants.py
+++ b/rhubarbbend/core/_grants.py
@@ -112,7 +112,7 @@
         self._note_incarnation(message.instance, message.incarnation, now)
         self.note_service(books, now)
         self._expire_waiters(books, now)
-        refusal = self._check_ready(books)
+        refusal = self._check_ready(books) or self._check_model(books, message.model)
         if refusal:
             self._refuse(sender, message, refusal)
         elif len(books.queue) == 0 and self._has_room(books, message.suspect):
@@ -134,6 +134,16 @@
             return REFUSAL_NOT_READY
         return ""
 
+    def _check_model(self, books: Books, model: str) -> str:
+        """Refuse a model or adapter that the target has not loaded.
+
+        What a target has loaded is known in its own zone only. An instance of another zone asks
+        without knowing; granted the slot, it would send the request to where it fails.
+        """
+        view = self._context.fleet.targets.get(books.target)
+        loaded = [] if view is None else view.models
+        return REFUSAL_NOT_READY if model and loaded and model not in loaded else ""
+
     def _enqueue(self, books: Books, sender: str, message: SlotRequest, now: float) -> None:
         """Queue a request, or refuse it at once if its turn cannot come in time."""
         if message.max_wait <= 0:
--- a/rhubarbbend/core/messages.py
+++ b/rhubarbbend/core/messages.py
@@ -111,6 +111,7 @@
     suspect: bool = False
     service_name: str = ""
     weight: int = 1
+    model: str = ""
 
 
 class SlotReply(SlotMessage, tag=True):
--- a/rhubarbbend/schema/peers.thrift
+++ b/rhubarbbend/schema/peers.thrift
@@ -80,6 +80,7 @@
   7: bool suspect = false,
   8: string service_name = "",
   9: i32 weight = 1,
+  10: string model = "",
   20: list<LoadFigure> figures = [],
   21: list<ServiceSum> sums = [],
 }
