Build one file with shiv, check that it serves as one process

make binary copies the pinned libraries from the tested environment (no registry asked) and packs them. Ruled out by a run: the standard-library zipapp, which cannot import msgspec's extension module; compiled files inside, which shiv leaves out. Failed first: the file did not start, since thriftpy2 imports ijson and requirements.txt did not pin it.

--- a/Makefile
+++ b/Makefile
@@ -14,9 +14,12 @@
 chaos: .venv/.ready
 	@$(PYTHON) -m loadtool chaos --seed $(SEED) --duration $(DURATION)
 
+binary: .venv/.ready
+	@$(PYTHON) -m tools.binary
+
 lint: .venv/.ready
-	@$(PYTHON) -m black --check -q rhubarbbend standins loadtool tests
-	@$(PYTHON) -m ruff check -q rhubarbbend standins loadtool tests
+	@$(PYTHON) -m black --check -q rhubarbbend standins loadtool tools tests
+	@$(PYTHON) -m ruff check -q rhubarbbend standins loadtool tools tests
 	@$(PYTHON) -m mypy
 
 .venv/.ready: requirements-dev.txt
--- /dev/null
+++ b/tests/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what builds and checks the product."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""What builds and checks the product; not shipped."""
