--- a/rhubarbbend/core/_attempts.py
+++ b/rhubarbbend/core/_attempts.py
@@ -67,10 +67,11 @@
     def dispatch(self, request: Request, now: float) -> None:
         """Send a request to the target whose slot it holds."""
         view = self._find_view(request)
-        if view is None:
+        if view is None or not self._context.takes_work(view):
+            # Since the slot was granted, while a claim was written perhaps, the target has left
+            # or was taken out of service; a slow table would bring it new work long after.
             self._slots.release(request, completed=False)
-            request.phase = Phase.SLOT
-            self._search.ask_next(request, now)
+            self._search.start(request, now)
             return
         request.phase = Phase.RUNNING
         request.attempts += 1
@@ -230,7 +231,8 @@
     def _repeat(self, request: Request, now: float) -> None:
         view = self._find_view(request)
         request.resumes += 1
-        if view is None or request.resumes > self._context.options.max_resumes:
+        spent = request.resumes > self._context.options.max_resumes
+        if view is None or spent or not self._context.takes_work(view):
             self._retry_elsewhere(request, codes.RETRY_FAILED, now)
             return
         self._emit_dispatch(request, view, fresh=True, now=now)
--- a/rhubarbbend/core/_fleet.py
+++ b/rhubarbbend/core/_fleet.py
@@ -42,6 +42,8 @@
     # Since when messages to an instance of another zone have failed; negative: they do not.
     lost_since: float = -1.0
     config_version: int = 0
+    # When `config_version` was last told, by heartbeat or in answer to a question.
+    version_heard: float = -1.0
 
     @property
     def leaving(self) -> bool:
--- a/rhubarbbend/core/messages.py
+++ b/rhubarbbend/core/messages.py
@@ -52,6 +52,7 @@
     loads: list[TargetLoad] = []
     host: str = ""
     peer_port: int = 0
+    leaving_targets: list[str] = []
 
 
 class ZoneQuery(Message, tag=True):
@@ -61,6 +62,7 @@
 
     instance: str = ""
     config_version: int = 0
+    leaving: bool = False
 
 
 class ZoneReply(Message, tag=True):
@@ -73,6 +75,8 @@
     config_version: int = 0
     sums: list[ServiceSum] = []
     crashes: list[CrashCount] = []
+    leaving: bool = False
+    leaving_targets: list[str] = []
 
 
 class SlotRequest(Message, tag=True):
@@ -178,7 +182,10 @@
 
 
 class ReservedRun(Message, tag=True):
-    """Asks the issuer of a reserved key to run a command under it; answered by ReservedReply."""
+    """Asks the issuer of a reserved key to run a command under it; answered by ReservedReply.
+
+    `arrived` is the Unix time at which the sender read its caller's request.
+    """
 
     FIELD: ClassVar[str] = "reserved_run"
 
@@ -193,10 +200,11 @@
     body: bytes = b""
     digest: str = ""
     time_left: float = 0.0
+    arrived: float = 0.0
 
 
 class ReservedReply(Message, tag=True):
-    """Answer to ReservedQuery."""
+    """Answer to ReservedRun; `at` is the Unix time at which it was decided."""
 
     FIELD: ClassVar[str] = "reserved_reply"
 
@@ -207,6 +215,7 @@
     content_type: str = ""
     body: bytes = b""
     replayed: bool = False
+    at: float = 0.0
 
 
 class CrashCount(Message, tag=True):
