--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,9 @@
 chaos: .venv/.ready
 	@$(PYTHON) -m loadtool chaos --seed $(SEED) --duration $(DURATION)
 
+slopes: .venv/.ready
+	@$(PYTHON) -m loadtool slopes
+
 binary: .venv/.ready
 	@$(PYTHON) -m tools.binary
 
