Share the reads of list and changes within a zone; measure slopes

make slopes measures decisions, memory, frames and real processes at four sizes each and fits lines. Instances of a zone now take turns: 4 readers an interval (core.zone_readers); at up to 4 instances a zone nothing changes, and one that hears nobody reads each time. Ruled out: a chosen reader for each zone, which would have to be agreed on and replaced. Conditional reads would need more of the platform.

--- a/loadtool/_slopes_core.py
+++ b/loadtool/_slopes_core.py
@@ -230,14 +230,16 @@
     chat = sample(TARGET_SIZES, lambda n: _wrap(Bench(targets=n)))
     full = sample(TARGET_SIZES, lambda n: _wrap(Bench(targets=n, services=max(1, n // 38))))
     report = sample(TARGET_SIZES, _prepare_report)
+    owner = sample(TARGET_SIZES, _prepare_owner)
+    claim = sample([0, 2_000, 6_000, 12_000], _prepare_claim, 3)
     return [
         fit("chat, entry, targets of its service", "us", "target", chat),
         fit("chat, entry, 38 targets a service", "us", "target", full),
-        fit("slot granted and released, owner", "us", "target", sample(TARGET_SIZES, _prepare_owner)),
+        fit("slot granted and released, owner", "us", "target", owner),
         fit("load report of an owned target", "us", "target", report),
         fit("heartbeat heard", "us", "load in it", sample([2, 8, 32, 128], _prepare_beat)),
         fit("configuration change", "us", "account", sample(ACCOUNT_SIZES, _prepare_change)),
-        fit("command, entry, with claim", "us", "key record", sample([0, 2_000, 6_000, 12_000], _prepare_claim, 3)),
+        fit("command, entry, with claim", "us", "key record", claim),
         fit("list read", "us", "target", sample(TARGET_SIZES, _prepare_list)),
     ]  # fmt: skip
 
@@ -346,7 +348,7 @@
     """Give the bytes of the frames of one slot."""
     attempt = f"{OWN}-18bcfe56800-1a2b"
     messages: list[Message] = [
-        SlotRequest(attempt, OWN, 1_700_000_000_000, "engine-000", "account-00001", 1.0, False, "service-0"),
+        SlotRequest(attempt, OWN, 1_700_000_000_000, "engine-000", "account-00001", 1.0),
         SlotReply(attempt, "engine-000", boot_id="1f3c9a77", load=7, limit=9),
         SlotRelease(attempt, "engine-000", True, 0.1, 1.0),
     ]  # fmt: skip
--- a/loadtool/_slopes_wire.py
+++ b/loadtool/_slopes_wire.py
@@ -22,6 +22,8 @@
 REQUESTS: Final = 48
 AT_ONCE: Final = 6
 RELAY_ROUNDS: Final = 3
+# Every instance reads the list every second, to measure what one read costs.
+ALL_READ: Final = "zone_readers = 1000"
 STREAMS: Final = [10, 40, 80, 160]
 PEERS: Final = [2, 5, 10, 18]
 WINDOW: Final = 3.0
@@ -125,7 +127,7 @@
     cost = IdleCost()
     sink, port = await open_sink(HOST)
     statsd = f'[statsd]\nhost = "{HOST}"\nport = {port}\n'
-    async with Cluster(folder, [ZONE]) as cluster:
+    async with Cluster(folder, [ZONE], core_settings=ALL_READ) as cluster:
         await cluster.start_platform()
         for count in PEERS:
             wanted = [f"entry-{n}" for n in range(len(cluster.instances), count)]
--- a/rhubarbbend/core/_context.py
+++ b/rhubarbbend/core/_context.py
@@ -41,6 +41,8 @@
     peer_silence: float = 3.0
     zone_interval: float = 2.0
     list_interval: float = 1.0
+    # How many instances of a zone read the list and the changes in each of their intervals.
+    zone_readers: int = 4
     # A target that has left the list for this long is forgotten.
     list_grace: float = 5.0
     report_interval: float = 0.5
--- a/rhubarbbend/core/_follower.py
+++ b/rhubarbbend/core/_follower.py
@@ -14,6 +14,7 @@
 from rhubarbbend import codes
 from rhubarbbend.core import actions, events
 from rhubarbbend.core._context import Context, EventHandler
+from rhubarbbend.core._polls import SharedPoll
 from rhubarbbend.core.configuration import Item, Position
 from rhubarbbend.core.messages import ConfigItem, ConfigQuery, ConfigReply, Message
 
@@ -79,6 +80,7 @@
 
     def __init__(self, context: Context) -> None:
         self._context = context
+        self._poll = SharedPoll(context, context.options.config_interval)
         self._started_at = 0.0
         self._scanning_since = -1.0
         self._table_read = False
@@ -162,7 +164,8 @@
         if not self._context.config_ready:
             self._ask_some(now)
             self._check_ready(now)
-        self.scan(now)
+        if self._poll.take_turn(now) or not self._context.config_ready:
+            self.scan(now)
 
     def _handle_list(self, event: events.ListRead, now: float) -> None:
         if not self._list_read:
--- a/rhubarbbend/core/_members.py
+++ b/rhubarbbend/core/_members.py
@@ -21,6 +21,7 @@
     ZoneSums,
 )
 from rhubarbbend.core._owner import OwnerDuty
+from rhubarbbend.core._polls import SharedPoll
 from rhubarbbend.core._suspects import SuspectDuty
 from rhubarbbend.core.messages import (
     Heartbeat,
@@ -66,6 +67,7 @@
         self._suspects = suspects
         self._versions: VersionListener | None = None
         self._list_read = False
+        self._list_poll = SharedPoll(context, context.options.list_interval)
         self._unlisted_since: dict[str, float] = {}
 
     def set_version_listener(self, listener: VersionListener) -> None:
@@ -149,7 +151,8 @@
         self._learn_instance(member, now)
 
     def _ask_list(self, now: float) -> None:
-        self._context.emit(actions.ReadList())
+        if self._list_poll.take_turn(now) or not self._list_read:
+            self._context.emit(actions.ReadList())
 
     def _beat(self, now: float) -> None:
         context = self._context
