--- a/rhubarbbend/core/_fleet.py
+++ b/rhubarbbend/core/_fleet.py
@@ -61,6 +61,8 @@
     host: str
     port: int
     leaving: bool = False
+    # What the last list read here said; `leaving` is also set by a peer's word.
+    listed_leaving: bool = False
     listed: bool = True
     boot_id: str = ""
     load: int = 0
--- a/rhubarbbend/core/_members.py
+++ b/rhubarbbend/core/_members.py
@@ -269,7 +269,7 @@
             fleet.add_target(view)
         view.host = entry.host
         view.port = entry.port
-        view.leaving = entry.state == STATE_LEAVING
+        view.listed_leaving = view.leaving = entry.state == STATE_LEAVING
         fleet.note_target(view, self._context.configuration)
 
     def _learn_instance(self, member: Member, now: float) -> None:
@@ -318,7 +318,12 @@
         self._follow_version(message.instance, message.config_version, now)
 
     def _list_leaving_targets(self) -> list[str]:
-        return [view.id for view in self._context.fleet.targets.values() if view.leaving]
+        """List what the last read list says leaves.
+
+        A peer's word is not passed on: instances that read the list at different times would tell
+        one another for ever that a target leaves which has come back.
+        """
+        return [view.id for view in self._context.fleet.targets.values() if view.listed_leaving]
 
     def _note_leaving_targets(self, targets: list[str]) -> None:
         """Take a peer's word that targets leave.
--- a/tests/core/test_polls.py
+++ b/tests/core/test_polls.py
@@ -46,6 +46,31 @@
     assert least <= _count(given, actions.ScanRows) <= most
 
 
+def test_a_target_that_has_come_back_is_not_told_to_leave_for_ever() -> None:
+    """Two instances hear from a third that a target leaves; then each reads that it has come back.
+
+    If each passed the other's word on, the target would get no work again from either of them.
+    """
+    cores = [start_core(name) for name in ("one", "two")]
+    target = events.Listed("t1", "target", "a", "h", 9, 0, "planner")
+    told = Heartbeat("three", "a", 1, host="h", peer_port=2, leaving_targets=["t1"])
+    for core, other in zip(cores, ("two", "one"), strict=True):
+        core.handle(events.ListRead([target]), 1.0)
+        core.handle(events.PeerSaid("three", told), 1.1)
+        core.handle(events.PeerSaid(other, Heartbeat(other, "a", 1, host="h", peer_port=2)), 1.1)
+        assert core.context.fleet.targets["t1"].leaving
+    for step in range(4):
+        index = step % 2
+        reader, teller = cores[index], cores[1 - index]
+        now = 2.0 + step
+        reader.handle(events.ListRead([target]), now)
+        # The one that has not read yet still believes the third and tells the one that has.
+        for action in teller.handle(events.TimerDue(), now + 0.5):
+            if isinstance(action, actions.SendPeer) and isinstance(action.message, Heartbeat):
+                reader.handle(events.PeerSaid(action.message.instance, action.message), now + 0.5)
+    assert [core.context.fleet.targets["t1"].leaving for core in cores] == [False, False]
+
+
 def test_an_instance_that_hears_nobody_reads_each_time() -> None:
     """Cut off from its zone it learns nothing from others, so it has to read for itself."""
     core = start_core("own")
