--- a/rhubarbbend/core/_members.py
+++ b/rhubarbbend/core/_members.py
@@ -21,6 +21,7 @@
     ZoneSums,
 )
 from rhubarbbend.core._owner import OwnerDuty
+from rhubarbbend.core._polls import SharedPoll
 from rhubarbbend.core._suspects import SuspectDuty
 from rhubarbbend.core.messages import (
     Heartbeat,
@@ -76,6 +77,7 @@
         self._list_read = False
         self._shared_at = -1.0
         context.add_loads = self._add_loads
+        self._list_poll = SharedPoll(context, context.options.list_interval)
         self._unlisted_since: dict[str, float] = {}
 
     def set_version_listener(self, listener: VersionListener) -> None:
@@ -184,7 +186,8 @@
         self._learn_instance(member, now)
 
     def _ask_list(self, now: float) -> None:
-        self._context.emit(actions.ReadList())
+        if self._list_poll.take_turn(now) or not self._list_read:
+            self._context.emit(actions.ReadList())
 
     def _beat(self, now: float) -> None:
         context = self._context
@@ -303,7 +306,7 @@
             fleet.add_target(view)
         view.host = entry.host
         view.port = entry.port
-        view.leaving = entry.state == STATE_LEAVING
+        view.listed_leaving = view.leaving = entry.state == STATE_LEAVING
         fleet.note_target(view, self._context.configuration)
 
     def _learn_instance(self, member: Member, now: float) -> None:
@@ -352,7 +355,12 @@
         self._follow_version(message.instance, message.config_version, now)
 
     def _list_leaving_targets(self) -> list[str]:
-        return [view.id for view in self._context.fleet.targets.values() if view.leaving]
+        """List what the last read list says leaves.
+
+        A peer's word is not passed on: instances that read the list at different times would tell
+        one another for ever that a target leaves which has come back.
+        """
+        return [view.id for view in self._context.fleet.targets.values() if view.listed_leaving]
 
     def _note_leaving_targets(self, targets: list[str]) -> None:
         """Take a peer's word that targets leave.
