--- /dev/null
+++ b/tests/core/test_suspects.py
@@ -0,0 +1,65 @@
+"""Crashes are counted against the requests that were there, and against no others."""
+
+from __future__ import annotations
+
+from rhubarbbend.core import events
+from rhubarbbend.core.messages import CrashCount, CrashNotice
+from tests.core.fakes import ENGINE, PendingRun, World
+
+TWO = {"a1": "a", "b1": "b"}
+
+
+def ask(world: World, instance: str, request: str, body: str) -> PendingRun:
+    """Let a chat arrive and be dispatched; gives its run."""
+    world.send(instance, request, body=body, service=ENGINE)
+    return world.runs[-1]
+
+
+def crash(world: World, run: PendingRun, silent: bool = False) -> None:
+    """Let a run's engine crash, or become unreachable."""
+    world.fail(run, "sent")
+    name, probe = world.probes.pop()
+    boot = "" if silent else f"{probe.target}-after-{world.now}"
+    world.feed(name, events.ProbeAnswered(probe.target, probe.attempt, boot, silent))
+
+
+def test_second_crash_refuses_the_request_everywhere() -> None:
+    """The request is tried again after the first crash. After the second it is refused, also by
+    an instance that ran none of it."""
+    world = World(TWO)
+    crash(world, ask(world, "a1", "r1", "bad"))
+    crash(world, world.runs[-1])
+    assert world.read_answer("r1").code == "request_crashes_targets"
+    world.send("b1", "r2", body="bad", service=ENGINE)
+    assert world.read_answer("r2").code == "request_crashes_targets"
+    assert not world.runs
+    world.advance(700.0)
+    assert ask(world, "b1", "r3", "bad")
+
+
+def test_silent_target_is_no_crash() -> None:
+    """The target gives no sign at all, twice. That is a partition's mark as much as a crash's."""
+    world = World(TWO)
+    crash(world, ask(world, "a1", "r1", "good"), silent=True)
+    crash(world, world.runs[-1], silent=True)
+    assert not world.cores["a1"].suspects.count_crashes("good")
+
+
+def test_one_crash_counts_once_for_each_request() -> None:
+    """Two callers sent the same request and both were on the engine when it crashed; both
+    instances tell the others. It is one crash."""
+    world = World(TWO)
+    notice = CrashNotice(crashes=[CrashCount(digest="x", count=1, last_target="boot-1")])
+    for _ in range(2):
+        world.feed("a1", events.PeerSaid("b1", notice))
+    assert world.cores["a1"].suspects.count_crashes("x") == 1
+
+
+def test_request_that_ran_to_its_end_is_no_suspect() -> None:
+    """An innocent request was beside the crash. It runs elsewhere to its end and is forgotten, so
+    that a later crash beside it counts as its first."""
+    world = World(TWO)
+    crash(world, ask(world, "a1", "r1", "good"))
+    assert world.cores["a1"].suspects.count_crashes("good") == 1
+    world.finish(world.runs[-1])
+    assert world.cores["a1"].suspects.count_crashes("good") == 0
