--- a/tests/core/test_claims.py
+++ b/tests/core/test_claims.py
@@ -153,6 +153,114 @@
     assert len(world.runs) == 2
 
 
+def test_request_from_before_a_refusal_does_not_run_after_it() -> None:
+    """r2 waits for its slot at b1 when r1 is refused at a1 with "not run". r2 came first, so it
+    must not take the key when its slot comes."""
+    world = World(TWO)
+    world.feed("b1", events.TimerDue())
+    world.send("b1", "r2", "k1")
+    waiting = world.writes.pop(0)
+    _close_targets(world, "a1")
+    world.send("a1", "r1", "k1")
+    world.answer(world.writes[0])
+    assert world.read_answer("r1").verdict == "not_run"
+    world.advance(0.2)
+    world.writes.append(waiting)
+    world.settle()
+    assert not world.runs
+    assert world.read_answer("r2").verdict == "not_run"
+
+
+def test_request_from_before_a_claim_was_given_up_is_left_in_doubt() -> None:
+    """a1 gave its claim up when its caller left. r2 came before that and learns it late; r3 came
+    after and may take the key at any moment, so r2 is not told "not run"."""
+    world = World(TWO, hold_messages=True)
+    world.send("a1", "r1", "k1")
+    world.apply(world.writes[0])
+    world.send("b1", "r2", "k1")
+    world.answer(next(write for write in world.writes if write.instance == "b1"))
+    world.feed("a1", events.CallerLeft("r1"))
+    world.advance(0.1)
+    while world.messages:
+        world.deliver(world.messages[0])
+    assert world.read_answer("r2").verdict == "may_have_run"
+
+
+def test_late_reply_to_a_forwarded_command_fits_no_other() -> None:
+    """A caller gives up a command under a reserved key that its instance forwarded, and sends
+    another under the same request id. The first one's reply comes late: it is not taken for the
+    second's."""
+    world = World(TWO, hold_messages=True)
+    first, second = world.reserve("b1"), world.reserve("b1")
+    world.send("a1", "r1", first)
+    world.deliver(world.messages[0])
+    world.feed("a1", events.CallerLeft("r1"))
+    world.send("a1", "r1", second)
+    world.finish(world.runs[0], b"first")
+    late = next(m for m in world.messages if m.peer == "a1")
+    world.deliver(late)
+    assert not world.answers["r1"]
+    world.deliver(world.messages[0])
+    world.finish(world.runs[0], b"second")
+    world.deliver(world.messages[0])
+    assert world.read_answer("r1").body == b"second"
+
+
+def test_reserved_refusal_holds_back_what_came_before_it() -> None:
+    """The issuer refuses a reserved key for lack of a slot. A command under it that another
+    instance forwarded before that arrives afterwards: it does not run."""
+    world = World(TWO, hold_messages=True)
+    key = world.reserve("a1")
+    world.send("b1", "r1", key)
+    _close_targets(world, "a1")
+    world.advance(0.3)
+    world.send("a1", "r2", key)
+    assert world.read_answer("r2").verdict == "not_run"
+    _open_targets(world, "a1")
+    world.advance(3.0)
+    world.deliver(world.messages[0])
+    assert not world.runs
+    world.send("a1", "r3", key)
+    assert len(world.runs) == 1
+
+
+def test_late_reserved_refusal_is_not_passed_on() -> None:
+    """The issuer's "not run" is under way for long. A later request runs the key meanwhile, so
+    the caller that waits for the refusal is told that the key may have run."""
+    world = World(TWO, hold_messages=True)
+    key = world.reserve("a1")
+    _close_targets(world, "a1")
+    world.send("b1", "r1", key)
+    world.deliver(world.messages[0])
+    late = world.messages[0]
+    world.advance(5.0)
+    _open_targets(world, "a1")
+    world.send("a1", "r2", key)
+    assert len(world.runs) == 1
+    world.deliver(late)
+    assert world.read_answer("r1").verdict == "may_have_run"
+
+
+def test_large_outcome_is_not_kept_in_memory() -> None:
+    """The answer is too large to keep. Its caller gets it whole; asked again, the fleet says that
+    the command ran and that the answer was not kept, and holds no copy of it."""
+    world = World(ONE)
+    world.send("a1", "r1", "k1")
+    world.settle()
+    run = world.runs.pop()
+    large = b"x" * 100_000
+    world.feed("a1", events.AttemptDone(run.action.attempt, 200, 0.1, body=large, kept=False))
+    assert world.read_answer("r1").body == large
+    world.send("a1", "r2", "k1")
+    assert world.read_answer("r2").code == "outcome_not_kept"
+    assert all(len(entry.value) < 1_000 for write in world.writes for entry in write.action.writes)
+
+
+def _open_targets(world: World, name: str) -> None:
+    for view in world.cores[name].context.fleet.targets.values():
+        view.down_until = 0.0
+
+
 def _close_targets(world: World, name: str) -> None:
     """Let an instance believe that every target has just failed."""
     for view in world.cores[name].context.fleet.targets.values():
--- a/tests/fleet/test_commands.py
+++ b/tests/fleet/test_commands.py
@@ -43,6 +43,13 @@
     raise AssertionError(f"not known after {tries} tries: {told}")
 
 
+async def ask_everyone(cluster: Cluster, caller: Caller, key: str, told: list[Answer]) -> None:
+    """Send the key through every living instance at once."""
+    living = [node for node in cluster.instances.values() if node.process.running]
+    asked = [caller.send_command(PATH, key, BODY, node.address, 4.0) for node in living]
+    told.extend(await asyncio.gather(*asked))
+
+
 async def wait_for_run(cluster: Cluster, key: str) -> None:
     """Wait until a service has run the key."""
 
@@ -91,6 +98,7 @@
                 await cluster.set_faults(cluster.platform, lose_answers=number)
                 await ask_until_known(caller, key, told[key])
                 await cluster.set_faults(cluster.platform, lose_answers=0)
+                await ask_everyone(cluster, caller, key, told[key])
             check_runs(cluster, told)
             assert len(cluster.read_runs()) == 3
 
@@ -133,12 +141,14 @@
                 told["k"].append(answer)
             if fault == "kill":
                 assert (await sending).failure
+                await ask_everyone(cluster, caller, "k", told["k"])
                 check_runs(cluster, told)
                 return
             first.process.thaw()
             told["k"].append(await sending)
             known = await ask_until_known(caller, "k", told["k"])
             assert known.good
+            await ask_everyone(cluster, caller, "k", told["k"])
             check_runs(cluster, told)
 
     run(work)
@@ -157,6 +167,7 @@
             for node in cluster.instances.values():
                 told.append(await caller.send_command(PATH, "k", BODY, node.address))
             assert [answer.verdict for answer in told] == ["may_have_run"] * 3, told
+            await ask_everyone(cluster, caller, "k", told)
             check_runs(cluster, {"k": told})
 
     run(work)
@@ -191,6 +202,7 @@
                 answer = await caller.send_command(PATH, "k", BODY, node.address, deadline=1.0)
                 assert answer.verdict == "may_have_run", answer
                 told.append(answer)
+            await ask_everyone(cluster, caller, "k", told)
             check_runs(cluster, {"k": told, "other": [other]})
 
     run(work)
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -90,7 +90,7 @@
     started = time.monotonic()
     got, _ = run(*parts[:12], pause=0.1)
     assert read_error(got)[0] == 408
-    assert time.monotonic() - started < 2.5
+    assert time.monotonic() - started < 1.2
 
 
 def test_many_bodies_at_once_are_bounded_together() -> None:
