Ask peers for members at a start, and bear owners that are just changing

And a target just taken over was not_ready until its first report came; requests now wait for that report, one second at most.

--- a/rhubarbbend/core/_grants.py
+++ b/rhubarbbend/core/_grants.py
@@ -26,6 +26,8 @@
 
 # A renewal may have been formed before a grant reached its holder.
 RENEWAL_GRACE: Final = 2.0
+# A target that has given no report this long after it was taken over is not ready.
+FIRST_REPORT: Final = 1.0
 
 
 class Granter:
@@ -69,7 +71,8 @@
         """
         view = self._context.fleet.targets.get(books.target)
         out = view is None or not self._context.takes_work(view)
-        if out:
+        unheard = books.report_at < 0 and not self._awaits_report(books, now)
+        if out or unheard:
             self.refuse_all(books, REFUSAL_NOT_READY)
         elif books.out_of_service:
             self._ledger.turn_cold(books, "returned", now)
@@ -113,7 +116,9 @@
         self.note_service(books, now)
         self._expire_waiters(books, now)
         refusal = self._check_ready(books)
-        if refusal:
+        if refusal and self._awaits_report(books, now):
+            self._enqueue(books, sender, message, now)
+        elif refusal:
             self._refuse(sender, message, refusal)
         elif len(books.queue) == 0 and self._has_room(books, message.suspect):
             self._grant(books, sender, message, now)
@@ -128,6 +133,16 @@
         refusal = REFUSAL_NOT_OWNER if owner else REFUSAL_NOT_READY
         self._refuse(sender, message, refusal, owner=owner)
 
+    def _awaits_report(self, books: Books, now: float) -> bool:
+        """Whether a target was taken over so lately that its first report is still to come.
+
+        Refused meanwhile, requests would fail at each change of owner although the target is well.
+        """
+        view = self._context.fleet.targets.get(books.target)
+        if view is None or not self._context.takes_work(view):
+            return False
+        return books.report_at < 0 and now - books.taken_at < FIRST_REPORT
+
     def _check_ready(self, books: Books) -> str:
         view = self._context.fleet.targets.get(books.target)
         if view is None or not books.ready or not self._context.takes_work(view):
--- a/rhubarbbend/core/_members.py
+++ b/rhubarbbend/core/_members.py
@@ -37,6 +37,9 @@
 # Loads that have not been heard for this many intervals are forgotten.
 STALE_INTERVALS: Final = 4
 
+# How many instances are asked whom they know, each second until the first answer.
+START_PEERS: Final = 2
+
 
 class OwnerListener(Protocol):
     """Told when targets may have a new owner."""
@@ -149,7 +152,14 @@
         self._learn_instance(member, now)
 
     def _ask_list(self, now: float) -> None:
-        self._context.emit(actions.ReadList())
+        context = self._context
+        context.emit(actions.ReadList())
+        if context.members_known:
+            return
+        # The platform may be down: the peers named in the settings know the others.
+        known = [peer for peer in context.fleet.instances if peer != context.identity.instance]
+        for peer in context.random.sample(known, min(len(known), START_PEERS)):
+            context.send(peer, MembersQuery(instance=context.identity.instance))
 
     def _beat(self, now: float) -> None:
         context = self._context
--- a/rhubarbbend/core/_requests.py
+++ b/rhubarbbend/core/_requests.py
@@ -43,6 +43,9 @@
     attempt: str = ""
     asked_owner: str = ""
     redirects: int = 0
+    # Whether instances disagree about the owner of a planned target, and how often that was so.
+    unsettled: bool = False
+    settles: int = 0
     # Whether a planned target turned out not to be ready.
     plan_outdated: bool = False
     target: str = ""
--- a/rhubarbbend/core/_slots.py
+++ b/rhubarbbend/core/_slots.py
@@ -30,6 +30,9 @@
 from rhubarbbend.core.routing import Reason
 
 MAX_REDIRECTS: Final = 2
+# How often, and after how long, targets are planned again while their ownership moves.
+MAX_SETTLES: Final = 4
+SETTLE_WAIT: Final = 0.25
 
 _REFUSAL_COUNTERS: Final = {
     REFUSAL_FULL: codes.RETRY_FULL,
@@ -182,9 +185,29 @@
             # any more; others may well have room, and were only asked without waiting.
             self.start(request, now)
             return
+        if request.unsettled and request.settles < MAX_SETTLES:
+            self._settle(request, now)
+            return
         code = _REFUSAL_CODES.get(request.last_refusal, codes.OVERLOADED)
         self._listener.slot_refused(request, code, now)
 
+    def _settle(self, request: Request, now: float) -> None:
+        """Plan again in a moment, because instances disagree about who owns a target.
+
+        An instance has just come or gone, and one that knows it sends the request to one that does
+        not yet. Their views agree within a heartbeat; a refusal in between would be one that
+        another instance would not have made.
+        """
+        request.unsettled = False
+        request.settles += 1
+        request.asked_owner = ""
+        self._context.set_timer(now + SETTLE_WAIT, lambda at: self._start_again(request, at))
+
+    def _start_again(self, request: Request, now: float) -> None:
+        idle = request.phase is Phase.SLOT and not request.has_slot and not request.asked_owner
+        if idle and self._table.find(request.id) is request:
+            self.start(request, now)
+
     def handle_reply(self, sender: str, message: SlotReply, now: float) -> None:
         """Take an owner's answer."""
         request = self._table.find_attempt(message.attempt)
@@ -209,6 +232,7 @@
             waiting = request.phase is Phase.SLOT and not request.has_slot
             if waiting and request.asked_owner == peer:
                 self._context.count(codes.RETRY_OWNER)
+                request.unsettled = True
                 self.ask_next(request, now)
 
     def _ask_owner(self, request: Request, view: TargetView, owner: str, now: float) -> None:
@@ -246,6 +270,7 @@
         self._context.count(codes.RETRY_OWNER)
         release = SlotRelease(attempt=attempt, target=request.target)
         self._held.send_release(request, release)
+        request.unsettled = True
         self.ask_next(request, now)
 
     def _handle_refusal(self, request: Request, message: SlotReply, now: float) -> None:
@@ -256,7 +281,9 @@
             self._context.count(codes.RETRY_REDIRECT)
             self._ask_owner(request, view, message.owner, now)
             return
-        if not redirected:
+        if redirected:
+            request.unsettled = True
+        else:
             request.last_refusal = message.refusal
             if message.refusal == REFUSAL_NOT_READY and message.target not in request.excluded:
                 # Each new plan leaves out one target more, so there is an end of them.
--- a/tests/core/test_follower.py
+++ b/tests/core/test_follower.py
@@ -83,6 +83,28 @@
     assert pick(found, actions.SetReady) == [actions.SetReady(True)]
 
 
+def test_a_start_without_the_list_learns_the_targets_from_a_seed() -> None:
+    """The platform is down when an instance starts; its settings name one instance.
+
+    With the configuration alone it would know no target and refuse every request, or never get
+    ready at all.
+    """
+    ready, _ = serve_two()
+    target = events.Listed("t1", "target", "a", "h", 80, service_name="booking")
+    ready.handle(events.ListRead([target]), 4.0)
+    starter = make_core("e9")
+    starter.handle(events.Started(1_000.0), 4.0)
+    starter.handle(events.SnapshotRead("failed"), 4.0)
+    introduce(starter, ready, 4.0)
+    introduce(ready, starter, 4.0)
+    for now in (5.5, 7.0):
+        found = run_timers(starter, now)
+        relay({"e1": ready, "e9": starter}, "e9", found, now)
+    run_timers(starter, 8.5)
+    assert list(starter.context.fleet.targets) == ["t1"]
+    assert starter.context.config_ready
+
+
 def test_old_rows_and_gaps_change_nothing() -> None:
     ready, _ = serve_two()
     scan(ready, 4.0, make_row(1, make_zone("a", True)), make_row(5, make_zone("a", True)))
