--- a/rhubarbbend/core/_owner.py
+++ b/rhubarbbend/core/_owner.py
@@ -18,7 +18,14 @@
 from rhubarbbend.core._grants import REFUSAL_NOT_OWNER, REFUSAL_NOT_READY, Granter
 from rhubarbbend.core._ledger import Ledger
 from rhubarbbend.core._ramp import Probation
-from rhubarbbend.core.messages import Handover, HeldSlot, Message, SlotRenewal, TargetLoad
+from rhubarbbend.core.messages import (
+    Handover,
+    HeldSlot,
+    LoadFigure,
+    Message,
+    SlotRenewal,
+    TargetLoad,
+)
 
 STATE_LOADING: Final = "loading"
 STATE_LEAVING: Final = "leaving"
@@ -57,6 +64,15 @@
         """List the load of each owned target for the heartbeat."""
         return [self._ledger.describe(books) for books in self._ledger.books.values()]
 
+    def list_figures(self, service_name: str) -> list[LoadFigure]:
+        """List the loads of the owned targets of a service."""
+        targets = self._context.fleet.targets
+        return [
+            LoadFigure(target=books.target, load=books.count_load())
+            for books in self._ledger.books.values()
+            if books.target in targets and targets[books.target].service_name == service_name
+        ]
+
     def list_owned(self) -> list[str]:
         """List the owned targets."""
         return list(self._ledger.books)
@@ -97,6 +113,9 @@
             return
         books = self._ledger.books[view.id] = Books(view.id, service, now)
         books.boot_id = view.boot_id
+        # Until the first report the former owner's word holds. Told unready meanwhile, every
+        # instance of the zone would pass a target over that is well.
+        books.ready = view.ready
         if view.boot_id and not view.cold:
             # The owner before had seen it warm; whether it still is shows its boot id.
             books.ramp.finish()
--- a/tests/core/test_stop.py
+++ b/tests/core/test_stop.py
@@ -16,6 +16,7 @@
     core = start_owner(("t1", "a", "live"))
     found = core.handle(STOP, 10.0)
     assert pick(found, actions.SetReady) == [actions.SetReady(False)]
+    run_timers(core, 10.5)
     assert core.handle(STOP, 10.5) == []
     found = run_timers(core, 20.0)
     assert len(pick(found, actions.StopAccepting)) == 1
