--- a/tests/core/test_follower.py
+++ b/tests/core/test_follower.py
@@ -302,10 +302,11 @@
     An instance that starts without the platform gets it from a peer. Sent as one frame, the peer
     would close the connection as broken, each time, and the start would never end.
     """
-    names = [f"account-{number:05d}-{'x' * 80}" for number in range(30_000)]
+    operations = [{"path": f"/{number:04d}/{'x' * 60}"} for number in range(300)]
+    names = [f"service-{number:03d}" for number in range(400)]
     items = [
-        ("account", name, msgspec.json.encode({"name": name, "key_digest": f"{number:064x}"}))
-        for number, name in enumerate(names)
+        ("service", name, msgspec.json.encode({"name": name, "operations": operations}))
+        for name in names
     ]
     ready = start_core("e1")
     scan(ready, 3.5, make_row(1, *items))
@@ -325,4 +326,4 @@
         sender = action.peer
     assert sum(sizes) > MAX_FRAME_BYTES
     assert max(sizes) < MAX_FRAME_BYTES // 50
-    assert len(starter.context.configuration.accounts) == len(names)
+    assert sorted(starter.context.configuration.services) == names
