--- a/tests/cli/test_declarations.py
+++ b/tests/cli/test_declarations.py
@@ -67,6 +67,12 @@
     assert [f"{d.sign} {d.kind} {d.name} {d.detail}" for d in found] == expected
 
 
+@pytest.mark.parametrize("folder", sorted(TENGRI.parent.iterdir()), ids=lambda p: p.name)
+def test_the_examples_are_valid(folder: Path) -> None:
+    differences = find_differences({}, read_declarations(folder))
+    assert differences and check_differences({}, differences) == []
+
+
 def test_what_is_no_longer_declared_is_removed(tmp_path: Path) -> None:
     current = {("model", "m"): b'{"name": "m", "service": "s"}', ("zone", "a"): b'{"name": "a"}'}
     found = find_differences(current, read_declarations(write(tmp_path, "")))
--- a/tests/fleet/test_operators.py
+++ b/tests/fleet/test_operators.py
@@ -85,5 +85,7 @@
             monkeypatch.setenv(SECRET_ENV, "not the secret of this fleet")
             status, said = await operate("show", "zones")
             assert status == ExitStatus.FAILED and "the operator key does not fit" in said
+            for path in [*tmp_path.glob("*.log"), *tmp_path.glob("*.err")]:
+                assert SECRET not in path.read_text("utf-8"), f"{path.name} shows the secret"
 
     run(work)
