--- a/rhubarbbend/core/_core.py
+++ b/rhubarbbend/core/_core.py
@@ -14,6 +14,7 @@
 from rhubarbbend.core._members import MemberDuty
 from rhubarbbend.core._owner import OwnerDuty
 from rhubarbbend.core._proposals import ProposalDuty
+from rhubarbbend.core._snapshots import SnapshotDuty
 from rhubarbbend.core._stop import StopDuty
 from rhubarbbend.core._suspects import SuspectDuty
 from rhubarbbend.core.messages import Message, SlotMessage
@@ -29,7 +30,8 @@
         self.owner = OwnerDuty(self.context)
         self.entry = EntryDuty(self.context, self.claims, self.suspects)
         self.members = MemberDuty(self.context, self.owner, self.entry, self.suspects)
-        self.follower = FollowerDuty(self.context)
+        self.snapshots = SnapshotDuty(self.context)
+        self.follower = FollowerDuty(self.context, self.snapshots)
         self.members.set_version_listener(self.follower)
         self.proposals = ProposalDuty(self.context, self.follower)
         self.stop = StopDuty(self.context, self.entry, self.owner, self.claims, self.members)
@@ -38,6 +40,7 @@
         # Members learn first what happened, so that the others decide on the newest views.
         self._register(self.members)
         self._register(self.follower)
+        self._register(self.snapshots)
         self._register(self.proposals)
         self._register(self.suspects)
         self._register(self.owner)
--- a/rhubarbbend/core/_follower.py
+++ b/rhubarbbend/core/_follower.py
@@ -15,15 +15,12 @@
 from rhubarbbend.core import actions, events
 from rhubarbbend.core._context import Context, EventHandler
 from rhubarbbend.core._polls import SharedPoll
+from rhubarbbend.core._snapshots import Snapshot, SnapshotDuty
 from rhubarbbend.core.configuration import Item, Position
 from rhubarbbend.core.messages import ConfigItem, ConfigQuery, ConfigReply, Message
 
 CHANGE_TABLE: Final = "changes"
-STATE_TABLE: Final = "config_state"
-SNAPSHOT_ROW: Final = "snapshot"
 SCAN_OP: Final = "config:scan"
-SNAPSHOT_READ_OP: Final = "config:snapshot:read"
-SNAPSHOT_WRITE_OP: Final = "config:snapshot:write"
 SCAN_LIMIT: Final = 100
 # A page is bounded in bytes well below a peer frame; one declaration may go over it.
 PAGE_ITEMS: Final = 500
@@ -36,8 +33,6 @@
 START_PEERS: Final = 3
 # An instance that starts waits this long for a peer's word before it trusts the table alone.
 START_PATIENCE: Final = 3.0
-# Instances that notice an old snapshot look again within this time, so that one writes it.
-SNAPSHOT_SPREAD: Final = 20.0
 
 
 class Change(msgspec.Struct, frozen=True):
@@ -53,13 +48,6 @@
         return [Item(kind, name, self.version, value) for kind, name, value in self.items]
 
 
-class Snapshot(msgspec.Struct, frozen=True):
-    """The whole configuration at a version, for instances that start."""
-
-    version: int
-    items: list[Item]
-
-
 @attrs.define(slots=True)
 class Download:
     """Pages of one peer that are not in force yet; `position` is the last item's."""
@@ -78,8 +66,9 @@
 class FollowerDuty:
     """Follows accepted changes. Invariant: the version in force only grows."""
 
-    def __init__(self, context: Context) -> None:
+    def __init__(self, context: Context, snapshots: SnapshotDuty) -> None:
         self._context = context
+        self._snapshots = snapshots
         self._poll = SharedPoll(context, context.options.config_interval)
         self._started_at = 0.0
         self._scanning_since = -1.0
@@ -90,9 +79,6 @@
         self._download: Download | None = None
         self._following_until = 0.0
         self._unreadable_key = ""
-        self._snapshot_version = 0
-        self._snapshot_checking = False
-        self._snapshot_writing = 0
 
     def list_events(self) -> dict[type[events.Event], EventHandler]:
         """Handle the start and the platform's answers."""
@@ -100,7 +86,6 @@
             events.Started: self._start,
             events.ListRead: self._handle_list,
             events.SnapshotRead: self._handle_snapshot,
-            events.SnapshotWritten: self._handle_snapshot_written,
             events.RowsRead: self._handle_rows,
         }
 
@@ -186,15 +171,11 @@
             self._context.log("snapshot_unreadable")
             return
         self._apply(snapshot.version, snapshot.items)
-        self._snapshot_version = max(self._snapshot_version, snapshot.version)
+        self._snapshots.note_stored(snapshot.version)
 
     def _handle_rows(self, event: events.RowsRead, now: float) -> None:
-        if event.op == SCAN_OP:
-            self._handle_scan(event, now)
-        elif event.op == SNAPSHOT_READ_OP:
-            self._handle_snapshot_row(event)
-
-    def _handle_scan(self, event: events.RowsRead, now: float) -> None:
+        if event.op != SCAN_OP:
+            return
         self._scanning_since = -1.0
         context = self._context
         if event.status != "done":
@@ -210,7 +191,7 @@
             return
         self._table_read = True
         self._check_ready(now)
-        self._check_snapshot(now)
+        self._snapshots.check(now)
 
     def _take_row(self, row: events.Row) -> None:
         try:
@@ -256,50 +237,6 @@
         if not context.stopping:
             context.emit(actions.SetReady(True))
 
-    # Snapshots.
-
-    def _check_snapshot(self, now: float) -> None:
-        """Look, at a time drawn at random, whether another has stored a snapshot already.
-
-        Whoever accepted the changes may be gone; without a recent snapshot each start would read
-        every change since the first.
-        """
-        due = self._snapshot_version + self._context.options.snapshot_every
-        if self._snapshot_checking or self._context.configuration.version < due:
-            return
-        self._snapshot_checking = True
-        delay = self._context.random.uniform(0.0, SNAPSHOT_SPREAD)
-        self._context.set_timer(now + delay, self._read_snapshot_row)
-
-    def _read_snapshot_row(self, now: float) -> None:
-        self._context.emit(actions.ReadRow(SNAPSHOT_READ_OP, STATE_TABLE, SNAPSHOT_ROW))
-
-    def _handle_snapshot_row(self, event: events.RowsRead) -> None:
-        if event.status != "done":
-            self._snapshot_checking = False
-            return
-        if event.rows:
-            stored = event.rows[0].value
-            known = int(stored) if stored.isdigit() else 0
-            self._snapshot_version = max(self._snapshot_version, known)
-        configuration = self._context.configuration
-        if configuration.version < self._snapshot_version + self._context.options.snapshot_every:
-            self._snapshot_checking = False
-            return
-        self._snapshot_writing = configuration.version
-        snapshot = Snapshot(configuration.version, configuration.list_after(0))
-        self._context.emit(actions.WriteSnapshot(msgspec.msgpack.encode(snapshot)))
-
-    def _handle_snapshot_written(self, event: events.SnapshotWritten, now: float) -> None:
-        self._snapshot_checking = False
-        if event.status != "done":
-            return
-        self._snapshot_version = max(self._snapshot_version, self._snapshot_writing)
-        self._context.count(codes.CONFIG_SNAPSHOTS)
-        value = str(self._snapshot_writing).encode("ascii")
-        write = actions.Write(STATE_TABLE, SNAPSHOT_ROW, value, -1)
-        self._context.emit(actions.WriteRows(SNAPSHOT_WRITE_OP, [write]))
-
     # Peers.
 
     def _ask_some(self, now: float) -> None:
