--- a/rhubarbbend/core/_members.py
+++ b/rhubarbbend/core/_members.py
@@ -48,6 +48,9 @@
 # In a larger zone each instance carries little of the load, so that stale figures average out.
 SMALL_ZONE: Final = 16
 
+# How many instances are asked whom they know, each second until the first answer.
+START_PEERS: Final = 2
+
 
 class OwnerListener(Protocol):
     """Told when targets may have a new owner."""
--- a/rhubarbbend/core/_owner.py
+++ b/rhubarbbend/core/_owner.py
@@ -113,6 +113,9 @@
             return
         books = self._ledger.books[view.id] = Books(view.id, service, now)
         books.boot_id = view.boot_id
+        # Until the first report the former owner's word holds. Told unready meanwhile, every
+        # instance of the zone would pass a target over that is well.
+        books.ready = view.ready
         if view.boot_id and not view.cold:
             # The owner before had seen it warm; whether it still is shows its boot id.
             books.ramp.finish()
