Reopen links under steady traffic; pass over owners that cannot be reached

Cause: a link that was held back after a failure was held back anew by each message that found it so; with loads every 0.25 s it stayed closed for good after a partition healed (two instances did not name one owner again within 15 s).

--- a/rhubarbbend/core/_core.py
+++ b/rhubarbbend/core/_core.py
@@ -51,6 +51,7 @@
         context.out = []
         self._run_timers(now)
         if isinstance(event, events.PeerSaid):
+            self.members.hear(event.sender)
             self._handle_message(event.sender, event.message, now)
         else:
             for handler in self._events.get(type(event), ()):
--- a/rhubarbbend/core/_members.py
+++ b/rhubarbbend/core/_members.py
@@ -44,6 +44,8 @@
 SHARE_INTERVAL_PER_PEER: Final = 0.05
 # In a larger zone each instance carries little of the load, so that stale figures average out.
 SMALL_ZONE: Final = 16
+# An instance that was lost is asked again after this, when its link is no longer held back.
+LOST_RETRY: Final = 0.6
 
 
 class OwnerListener(Protocol):
@@ -431,19 +433,33 @@
         self._follow_version(sender, message.config_version, now)
 
     def _handle_lost(self, event: events.PeerLost, now: float) -> None:
-        """Pass over the targets of an owner in another zone that cannot be reached.
+        """Pass over the targets of an owner that cannot be reached.
 
-        Its zone's instances decide by heartbeat whether it is gone; from here only failed
+        Whether it is gone is for its zone's instances to say by heartbeat; from here only failed
         messages tell, and it may be the path that failed. So its targets are passed over at once,
-        but it is taken for gone, and its duties for another's, only after a longer silence.
+        but one of another zone is taken for gone, and its duties for another's, only after a
+        longer silence.
         """
         view = self._context.fleet.instances.get(event.peer)
-        if view is None or view.zone == self._context.identity.zone:
+        if view is None:
             return
         if view.lost_since < 0:
             view.lost_since = now
+            if view.zone != self._context.identity.zone:
+                self._context.set_timer(now + LOST_RETRY, lambda at: self._ask_zone(event.peer))
         self.refresh(now)
 
+    def hear(self, sender: str) -> None:
+        """Take an instance for reachable: a message of it has come."""
+        view = self._context.fleet.instances.get(sender)
+        if view is not None:
+            view.lost_since = -1.0
+
+    def _ask_zone(self, peer: str) -> None:
+        identity = self._context.identity
+        version = self._context.configuration.version
+        self._context.send(peer, ZoneQuery(instance=identity.instance, config_version=version))
+
     def _handle_pause(self, event: events.ProcessPaused, now: float) -> None:
         """Do not take peers for silent because this process did not listen."""
         for view in self._context.fleet.instances.values():
--- a/rhubarbbend/core/_planner.py
+++ b/rhubarbbend/core/_planner.py
@@ -46,6 +46,7 @@
         own_zone = context.identity.zone
         model = request.arrived.model
         found: list[Candidate] = []
+        unreachable: list[Candidate] = []
         for view in context.fleet.list_targets(request.service.name):
             known = view.zone == own_zone and view.updated >= 0
             if view.leaving or view.id in request.excluded or view.down_until > now:
@@ -54,10 +55,8 @@
                 continue
             if known and (not view.ready or not _has_model(view, model)):
                 continue
-            if not context.fleet.is_reachable(context.fleet.find_owner(view)):
-                # Asking an owner behind a partition costs a time-out for each request.
-                continue
-            found.append(
+            reachable = context.fleet.is_reachable(context.fleet.find_owner(view))
+            (found if reachable else unreachable).append(
                 Candidate(
                     view.id,
                     view.zone,
@@ -69,7 +68,8 @@
                     view.zone == own_zone,
                 )
             )
-        return found
+        # Asking an owner behind a partition costs a time-out, so it is left for want of others.
+        return found or unreachable
 
     def _describe(self, request: Request, now: float) -> RoutedRequest:
         arrived = request.arrived
--- a/rhubarbbend/peers/_links.py
+++ b/rhubarbbend/peers/_links.py
@@ -128,8 +128,8 @@
         loop = asyncio.get_running_loop()
         writer: asyncio.StreamWriter | None = None
         try:
-            if loop.time() < self._hold_until:
-                raise ConnectionError("held back after a failure")
+            if self._is_held(loop.time()):
+                return
             async with asyncio.timeout(CONNECT_TIMEOUT):
                 reader, writer = await asyncio.open_connection(*self.address)
             opening = self._links.hello + b"".join(self._queue)
@@ -139,6 +139,8 @@
             self._writer = writer
             await self._keep_alive(reader, writer)
         except (OSError, TimeoutError):
+            # Set by a failure alone: if each message that is held back put it off again, steady
+            # traffic would keep the connection closed for good after the peer has come back.
             self._hold_until = loop.time() + RECONNECT_HOLD
         finally:
             self._writer = None
@@ -148,6 +150,9 @@
                 writer.transport.abort()
             self._links.report_lost(self, len(dropped))
 
+    def _is_held(self, now: float) -> bool:
+        return now < self._hold_until
+
     async def _keep_alive(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         while True:
             writer.write(PING)
--- a/tests/fleet/test_bound.py
+++ b/tests/fleet/test_bound.py
@@ -43,21 +43,22 @@
     return len(load.answers) >= count
 
 
-def test_two_instances_that_both_own_an_engine_stay_within_the_bound(tmp_path: Path) -> None:
+def test_two_instances_that_both_own_an_engine_stay_within_its_limit(tmp_path: Path) -> None:
     """The way between the two instances of a zone is cut; both still reach the engines.
 
-    Each takes the other for gone and owns every engine. Callers go to both. Without probation and
-    without counting what reports show beyond the own slots, both fill the same engine.
+    Each takes the other for gone and owns every engine, whose own limit is six. Callers ask for
+    more than that on either side. Granting each from its own books, the two would fill an engine
+    twice.
     """
 
     async def work() -> None:
-        options = ("--report-lag", "0.3", "--slots", "40")
+        options = ("--report-lag", "0.3", "--slots", "6")
         async with start_fleet(
             tmp_path, zones=1, instances=2, engines=2, plains=0, engine_options=options
         ) as cluster:
             nodes = list(cluster.instances.values())
-            async with run_load(nodes, 16, max_tokens=50) as load:
-                await wait_until("40 answers", lambda: _has_answers(load, 40))
+            async with run_load(nodes, 30, max_tokens=50, one_chat=False) as load:
+                await wait_until("60 answers", lambda: _has_answers(load, 60))
                 await reset_engines(cluster)
                 await cluster.set_route_faults("almaty-a", nodes, blackhole=True)
 
@@ -70,10 +71,22 @@
                 took = await wait_until("both own every engine", both_own)
                 answered = len(load.answers)
                 await wait_until("150 more", lambda: _has_answers(load, answered + 150))
+                during = await read_most(cluster)
+                await cluster.set_route_faults("almaty-a", nodes, blackhole=False, cut=True)
+
+                async def one_owns() -> bool:
+                    owners = [await find_owners(node) for node in nodes]
+                    return owners[0] == owners[1]
+
+                await wait_until("both name one owner", one_owns)
+                answered = len(load.answers)
+                await wait_until("100 more", lambda: _has_answers(load, answered + 100))
             most = await read_most(cluster)
-            # The second owner may have as many slots out as a cold target gets.
-            bound = compute_bound(16, 2) + 1
-            print(f"MEASURED most {most}, bound {bound}, cut seen after {took:.1f} s")
+            # The second owner may have as many slots out as a cold target gets, which is one.
+            bound = 6 + 1
+            print(f"MEASURED during {during}, after {most}, bound {bound}, seen after {took:.1f} s")
+            print(f"MEASURED {load.good} of {len(load.answers)} good, {load.count_codes()}")
             assert max(most.values()) <= bound
+            assert load.good >= 0.9 * len(load.answers), load.count_codes()
 
     run(work)
--- /dev/null
+++ b/tests/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the protocol between instances."""
--- /dev/null
+++ b/tests/peers/test_links.py
@@ -0,0 +1,109 @@
+"""Connections between instances: lost, silent and open again."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+
+from rhubarbbend.core.messages import Message, SlotRequest
+from rhubarbbend.peers import PeerLinks, PeerListener
+
+HOST = "127.0.0.1"
+SECRET = b"a secret of the test"
+
+
+class Receiver:
+    """A listener that keeps the attempts that it was told."""
+
+    def __init__(self) -> None:
+        self.attempts: list[str] = []
+        self.bad = 0
+        self.listener = PeerListener(SECRET, self._take, self._count_bad)
+
+    def _take(self, sender: str, message: Message) -> None:
+        assert isinstance(message, SlotRequest)
+        self.attempts.append(message.attempt)
+
+    def _count_bad(self) -> None:
+        self.bad += 1
+
+
+async def wait_for(check: Callable[[], bool], timeout: float = 8.0) -> None:
+    started = time.monotonic()
+    while not check():
+        assert time.monotonic() - started < timeout, "not in time"
+        await asyncio.sleep(0.02)
+
+
+def run(work: Callable[[], Awaitable[None]]) -> None:
+    async def limited() -> None:
+        async with asyncio.timeout(20.0):
+            await work()
+
+    asyncio.run(limited())
+
+
+def test_steady_traffic_does_not_keep_a_link_closed() -> None:
+    """A peer is away while messages to it go on, one every 50 ms, and then comes back.
+
+    After a failure the link is held back for a moment. If each message that finds it so held it
+    back anew, the link would stay closed for as long as there is traffic.
+    """
+
+    async def work() -> None:
+        receiver = Receiver()
+        port = await receiver.listener.listen(HOST, 0)
+        await receiver.listener.close()
+        lost: list[str] = []
+        links = PeerLinks("entry-a1", SECRET, lost.append)
+
+        async def keep_sending() -> None:
+            number = 0
+            while True:
+                links.send("entry-a2", (HOST, port), SlotRequest(attempt=str(number)))
+                number += 1
+                await asyncio.sleep(0.05)
+
+        sending = asyncio.create_task(keep_sending())
+        await wait_for(lambda: len(lost) > 5)
+        back = Receiver()
+        await back.listener.listen(HOST, port)
+        await wait_for(lambda: len(back.attempts) > 5)
+        sending.cancel()
+        await links.close()
+        await back.listener.close()
+
+    run(work)
+
+
+def test_messages_to_a_peer_that_is_away_are_dropped_and_reported_at_once() -> None:
+    async def work() -> None:
+        receiver = Receiver()
+        port = await receiver.listener.listen(HOST, 0)
+        await receiver.listener.close()
+        lost: list[str] = []
+        links = PeerLinks("entry-a1", SECRET, lost.append)
+        links.send("entry-a2", (HOST, port), SlotRequest(attempt="1"))
+        await wait_for(lambda: len(lost) == 1)
+        links.send("entry-a2", (HOST, port), SlotRequest(attempt="2"))
+        await wait_for(lambda: len(lost) == 2, timeout=0.3)
+        assert links.dropped == 2
+        await links.close()
+
+    run(work)
+
+
+def test_an_instance_of_another_fleet_is_turned_away() -> None:
+    async def work() -> None:
+        receiver = Receiver()
+        port = await receiver.listener.listen(HOST, 0)
+        lost: list[str] = []
+        links = PeerLinks("stranger", b"another secret here", lost.append)
+        links.send("entry-a2", (HOST, port), SlotRequest(attempt="1"))
+        await wait_for(lambda: receiver.bad == 1 and len(lost) == 1)
+        assert not receiver.attempts
+        await links.close()
+        await receiver.listener.close()
+
+    run(work)
