Let a target that is still warming turn cold again

Cause: the ramp stays on until six rounds are done, long after it has reached the target's own limit, and a target on the ramp was not taken for cold again.

--- a/rhubarbbend/core/_grants.py
+++ b/rhubarbbend/core/_grants.py
@@ -210,7 +210,7 @@
             return
         if message.completed:
             self._note_work(books, slot, message, now)
-        elif message.failed and books.watch.take_failure() and not books.ramp.cold:
+        elif message.failed and books.watch.take_failure() and books.ramp.raised:
             self._ledger.turn_cold(books, "failures", now)
         self._ledger.update(books, now)
         self.serve_queue(books, now)
@@ -223,7 +223,7 @@
         rate = 0.0 if service is None else service.prefill_rate
         prefill = message.tokens / rate if rate > 0 else 0.0
         slow = books.watch.take_first_byte(message.first_byte, prefill)
-        if slow and not books.ramp.cold:
+        if slow and books.ramp.raised:
             self._ledger.turn_cold(books, "latency", now)
 
     def _expire_waiters(self, books: Books, now: float) -> None:
--- a/rhubarbbend/core/_ramp.py
+++ b/rhubarbbend/core/_ramp.py
@@ -34,6 +34,11 @@
         """Whether the ramp still limits the target."""
         return self._rounds < RAMP_ROUNDS
 
+    @property
+    def raised(self) -> bool:
+        """Whether the target may have more than at the begin of a cold start."""
+        return self._rounds > 0
+
     def add_work(self) -> None:
         """Count a request that ran to its end."""
         self.work += 1
--- a/tests/core/test_owner.py
+++ b/tests/core/test_owner.py
@@ -352,6 +352,21 @@
     assert granted.count(True) == OPEN.cold_slots
 
 
+def test_a_target_that_is_still_warming_can_turn_cold_again() -> None:
+    # Its limit has risen to eight and it falls over; taken for cold already, it would keep eight.
+    driver = make_owner(OPEN, warm=False)
+    for _ in range(20):
+        driver.release(TARGET, driver.ask(TARGET), first_byte=0.05)
+    held = [driver.ask(TARGET) for _ in range(8)]
+    assert all(driver.is_granted(attempt) for attempt in held)
+    for attempt in held:
+        driver.release(TARGET, attempt, completed=False, failed=True)
+    driver.now += 1.0
+    driver.report(TARGET, 0)
+    granted = [driver.is_granted(driver.ask(TARGET)) for _ in range(5)]
+    assert granted.count(True) == OPEN.cold_slots
+
+
 # Waiting.
 
 
