--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: demo test measure compare chaos slopes binary lint
+.PHONY: demo test measure compare measure-tables measure-costs chaos slopes binary lint
 
 PYTHON := .venv/bin/python
 
@@ -14,9 +14,36 @@
 chaos: .venv/.ready
 	@$(PYTHON) -m loadtool chaos --seed $(SEED) --duration $(DURATION)
 
+# One run, e.g. make measure DEPLOYMENT=riegos POLICY=random SEED=2 SECONDS=40
+DEPLOYMENT ?= tengri
+POLICY ?= affinity
+SECONDS ?= 40
+measure: .venv/.ready
+	@$(PYTHON) -m loadtool measure $(DEPLOYMENT) --policy $(POLICY) --seed $(SEED) --seconds $(SECONDS)
+
+# Two results, or folders of results, beside each other: make compare A=results/tengri/random B=...
+compare: .venv/.ready
+	@$(PYTHON) -m loadtool compare $(A) $(B)
+
+# Processor time of a routing decision and of relaying a chunk.
+measure-costs: .venv/.ready
+	@$(PYTHON) -m loadtool costs
+
+# Both deployments, every policy, three seeds, two runs at a time; about 12 minutes.
+JOBS ?= 2
+TABLE_SECONDS ?= 34
+measure-tables: .venv/.ready
+	@$(PYTHON) -m loadtool tables --jobs $(JOBS) --seconds $(TABLE_SECONDS)
+
+slopes: .venv/.ready
+	@$(PYTHON) -m loadtool slopes
+
+binary: .venv/.ready
+	@$(PYTHON) -m tools.binary
+
 lint: .venv/.ready
-	@$(PYTHON) -m black --check -q rhubarbbend standins loadtool tests
-	@$(PYTHON) -m ruff check -q rhubarbbend standins loadtool tests
+	@$(PYTHON) -m black --check -q rhubarbbend standins loadtool tools tests
+	@$(PYTHON) -m ruff check -q rhubarbbend standins loadtool tools tests
 	@$(PYTHON) -m mypy
 
 .venv/.ready: requirements-dev.txt
--- a/rhubarbbend/cli/_options.py
+++ b/rhubarbbend/cli/_options.py
@@ -21,11 +21,11 @@
     settings: Path | None = None
     # Operator address of an instance, host:port (apply, show, zone, target).
     instance: str = ""
-    # File that holds the fleet's secret, from which the operators' key is derived.
+    # File that holds the operators' secret, or the fleet's where operators have none of their own.
     secret_file: str = ""
     # Environment variable that holds it instead.
     secret_env: str = ""
-    # A declaration file, or a folder of them (apply).
+    # A declaration file, or a folder of them (apply); a trace (replay).
     path: Path | None = None
     # Send the change without asking (apply).
     yes: bool = False
@@ -33,6 +33,8 @@
     author: str = ""
     # Id of the change set; given again it answers with the version already accepted.
     change_id: str = ""
+    # Seconds to wait until an accepted change is in force everywhere; 0 does not look.
+    wait: float = 5.0
     # What to show: config, zones, targets or instances.
     what: str = ""
     # Print JSON in place of a table (show).
@@ -46,13 +48,20 @@
 def _add_operator_options(parser: argparse.ArgumentParser) -> None:
     parser.add_argument("--instance", required=True, help="operator address host:port")
     secret = parser.add_mutually_exclusive_group(required=True)
-    secret.add_argument("--secret-file", default="", help="file that holds the fleet's secret")
+    secret.add_argument("--secret-file", default="", help="file that holds the operators' secret")
     secret.add_argument("--secret-env", default="", help="environment variable that holds it")
 
 
 def _add_change_options(parser: argparse.ArgumentParser) -> None:
     parser.add_argument("--author", default="", help="who makes the change (default: $USER)")
     parser.add_argument("--change-id", default="", help="id of the change set, to send it again")
+    parser.add_argument(
+        "--wait",
+        type=float,
+        default=5.0,
+        metavar="SECONDS",
+        help="how long to watch until it is in force everywhere (default: 5; 0: not at all)",
+    )
 
 
 def make_parser() -> argparse.ArgumentParser:
@@ -69,6 +78,9 @@
     check = commands.add_parser("check-settings", help="check a settings file, print every error")
     check.add_argument("settings", type=Path)
 
+    replay = commands.add_parser("replay", help="replay a recorded trace, compare the actions")
+    replay.add_argument("path", type=Path, metavar="FILE", help="file of the [record] settings")
+
     apply = commands.add_parser("apply", help="show what declarations change, and send it")
     apply.add_argument("path", type=Path, help="declaration file, or folder of *.toml")
     apply.add_argument("--yes", action="store_true", help="send without asking")
--- a/rhubarbbend/core/_context.py
+++ b/rhubarbbend/core/_context.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from rhubarbbend.core import actions, events
-from rhubarbbend.core._fleet import Fleet, InstanceView
+from rhubarbbend.core._fleet import Fleet, InstanceView, TargetView
 from rhubarbbend.core.configuration import Configuration
 from rhubarbbend.core.messages import Message, SlotMessage
 
@@ -41,6 +41,8 @@
     peer_silence: float = 3.0
     zone_interval: float = 2.0
     list_interval: float = 1.0
+    # How many instances of a zone read the list and the changes in each of their intervals.
+    zone_readers: int = 4
     # A target that has left the list for this long is forgotten.
     list_grace: float = 5.0
     report_interval: float = 0.5
@@ -92,6 +94,8 @@
         self.wall_offset = 0.0
         self.stopping = False
         self.config_ready = False
+        # Whether the targets have been learned, from the list or from a peer.
+        self.members_known = False
         # Local time of the last platform failure and success, for the claim duty's breaker.
         self.platform_failed = -1.0
         self.platform_worked = 0.0
@@ -153,6 +157,10 @@
         """Give Unix time at a local time, for what is compared between instances."""
         return now + self.wall_offset
 
+    def takes_work(self, view: TargetView) -> bool:
+        """Whether operators and the platform's list allow new work to a target."""
+        return not view.leaving and self.configuration.is_target_in_service(view.id, view.zone)
+
     @property
     def platform_down(self) -> bool:
         """Whether the last call to the table service failed."""
--- a/rhubarbbend/core/_grants.py
+++ b/rhubarbbend/core/_grants.py
@@ -60,6 +60,22 @@
                 return
             self._grant(books, waiter.sender, waiter.request, now)
 
+    def note_service(self, books: Books, now: float) -> None:
+        """Act on a target that has gone out of service or come back.
+
+        Waiters of one that is out would wait for a slot that it does not give any more. One that
+        comes back was idle for a while and may have been restarted or emptied without a sign: it
+        is refilled as from a cold start, by work done.
+        """
+        view = self._context.fleet.targets.get(books.target)
+        out = view is None or not self._context.takes_work(view)
+        if out:
+            self.refuse_all(books, REFUSAL_NOT_READY)
+        elif books.out_of_service:
+            self._ledger.turn_cold(books, "returned", now)
+            self._ledger.update(books, now)
+        books.out_of_service = out
+
     def register(
         self, books: Books, held: HeldSlot, holder: str, incarnation: int, now: float
     ) -> None:
@@ -94,8 +110,9 @@
             self._context.count(codes.SLOTS_REFUSED)
             return
         self._note_incarnation(message.instance, message.incarnation, now)
+        self.note_service(books, now)
         self._expire_waiters(books, now)
-        refusal = self._check_ready(books)
+        refusal = self._check_ready(books) or self._check_model(books, message.model)
         if refusal:
             self._refuse(sender, message, refusal)
         elif len(books.queue) == 0 and self._has_room(books, message.suspect):
@@ -113,12 +130,20 @@
 
     def _check_ready(self, books: Books) -> str:
         view = self._context.fleet.targets.get(books.target)
-        if view is None or view.leaving or not books.ready:
-            return REFUSAL_NOT_READY
-        if not self._context.configuration.is_target_in_service(view.id, view.zone):
+        if view is None or not books.ready or not self._context.takes_work(view):
             return REFUSAL_NOT_READY
         return ""
 
+    def _check_model(self, books: Books, model: str) -> str:
+        """Refuse a model or adapter that the target has not loaded.
+
+        What a target has loaded is known in its own zone only. An instance of another zone asks
+        without knowing; granted the slot, it would send the request to where it fails.
+        """
+        view = self._context.fleet.targets.get(books.target)
+        loaded = [] if view is None else view.models
+        return REFUSAL_NOT_READY if model and loaded and model not in loaded else ""
+
     def _enqueue(self, books: Books, sender: str, message: SlotRequest, now: float) -> None:
         """Queue a request, or refuse it at once if its turn cannot come in time."""
         if message.max_wait <= 0:
--- a/rhubarbbend/core/_members.py
+++ b/rhubarbbend/core/_members.py
@@ -21,6 +21,7 @@
     ZoneSums,
 )
 from rhubarbbend.core._owner import OwnerDuty
+from rhubarbbend.core._polls import SharedPoll
 from rhubarbbend.core._suspects import SuspectDuty
 from rhubarbbend.core.messages import (
     Heartbeat,
@@ -78,6 +79,7 @@
         self._list_read = False
         self._shared_at = -1.0
         context.add_loads = self._add_loads
+        self._list_poll = SharedPoll(context, context.options.list_interval)
         self._unlisted_since: dict[str, float] = {}
 
     def set_version_listener(self, listener: VersionListener) -> None:
@@ -85,12 +87,14 @@
         self._versions = listener
 
     def list_events(self) -> dict[type[events.Event], EventHandler]:
-        """Handle the start, the platform's list, peers that fail and pauses."""
+        """Handle the start, seeds, the platform's list, peers that fail and pauses."""
         return {
             events.Started: self._start,
+            events.SeedNamed: self._handle_seed,
             events.ListRead: self._handle_list,
             events.PeerLost: self._handle_lost,
             events.ProcessPaused: self._handle_pause,
+            events.VersionsAsked: self._ask_versions,
         }
 
     def list_messages(self) -> dict[type[Message], EventHandler]:
@@ -103,10 +107,6 @@
             MembersReply: self._handle_members_reply,
         }
 
-    def add_seed(self, seed: Member, now: float) -> None:
-        """Add an instance named in the settings, for a start while the platform is away."""
-        self._learn_instance(seed, now)
-
     def announce(self, now: float, loads: list[TargetLoad] | None = None) -> None:
         """Send a heartbeat, with loads if given, to every other instance of the zone."""
         context = self._context
@@ -120,10 +120,17 @@
             loads=loads or [],
             host=identity.host,
             peer_port=identity.peer_port,
+            leaving_targets=self._list_leaving_targets(),
         )
-        for peer in self._list_peers():
+        # The last instance of a zone hands its targets over to another zone, which has to know.
+        last = context.stopping and not context.fleet.list_live(identity.zone)
+        for peer in self._list_others() if last else self._list_peers():
             context.send(peer, beat)
 
+    def _list_others(self) -> list[str]:
+        own = self._context.identity.instance
+        return [peer for peer in self._context.fleet.instances if peer != own]
+
     def _list_peers(self) -> list[str]:
         identity = self._context.identity
         return [
@@ -170,8 +177,19 @@
         context.repeat(SHARE_INTERVAL, self._share_loads, now)
         context.repeat(context.options.zone_interval, self._ask_zones, now)
 
+    def _handle_seed(self, event: events.SeedNamed, now: float) -> None:
+        member = Member(
+            id=event.instance,
+            kind=KIND_INSTANCE,
+            zone=event.zone,
+            host=event.host,
+            peer_port=event.peer_port,
+        )
+        self._learn_instance(member, now)
+
     def _ask_list(self, now: float) -> None:
-        self._context.emit(actions.ReadList())
+        if self._list_poll.take_turn(now) or not self._list_read:
+            self._context.emit(actions.ReadList())
 
     def _beat(self, now: float) -> None:
         context = self._context
@@ -202,7 +220,9 @@
         """
         context = self._context
         query = ZoneQuery(
-            instance=context.identity.instance, config_version=context.configuration.version
+            instance=context.identity.instance,
+            config_version=context.configuration.version,
+            leaving=context.stopping,
         )
         for zone, lost in self._list_lost().items():
             live = context.fleet.list_live(zone)
@@ -237,6 +257,8 @@
                 self._unlisted_since.pop(known, None)
             else:
                 self._note_unlisted(known, now)
+        context = self._context
+        context.members_known = True
         if not self._list_read:
             self._list_read = True
             self._context.log("list_read", entries=str(len(event.entries)))
@@ -286,7 +308,7 @@
             fleet.add_target(view)
         view.host = entry.host
         view.port = entry.port
-        view.leaving = entry.state == STATE_LEAVING
+        view.listed_leaving = view.leaving = entry.state == STATE_LEAVING
         fleet.note_target(view, self._context.configuration)
 
     def _learn_instance(self, member: Member, now: float) -> None:
@@ -323,15 +345,36 @@
         view.incarnation = message.incarnation
         view.said_leaving = message.leaving
         view.config_version = message.config_version
+        view.version_heard = now
         if restarted:
             self._owner.free_holder(view.id, view.incarnation, now)
         for load in message.loads:
             self._take_load(load, now)
+        self._note_leaving_targets(message.leaving_targets)
         if not was_live or view.leaving != was_leaving:
             # Who is live is recomputed only if it may have changed: a zone sends many heartbeats.
             self.refresh(now)
         self._follow_version(message.instance, message.config_version, now)
 
+    def _list_leaving_targets(self) -> list[str]:
+        """List what the last read list says leaves.
+
+        A peer's word is not passed on: instances that read the list at different times would tell
+        one another for ever that a target leaves which has come back.
+        """
+        return [view.id for view in self._context.fleet.targets.values() if view.listed_leaving]
+
+    def _note_leaving_targets(self, targets: list[str]) -> None:
+        """Take a peer's word that targets leave.
+
+        The list may have gone away between the peer's last read and this instance's, which may
+        own the target and would grant its slots until the list is back.
+        """
+        for target in targets:
+            view = self._context.fleet.targets.get(target)
+            if view is not None:
+                view.leaving = True
+
     def _take_load(self, load: TargetLoad, now: float) -> None:
         view = self._context.fleet.targets.get(load.target)
         if view is None or self._owner.owns(load.target):
@@ -418,8 +461,13 @@
             config_version=context.configuration.version,
             sums=sums,
             crashes=self._suspects.list_crashes(now),
+            leaving=context.stopping,
+            leaving_targets=self._list_leaving_targets(),
         )
         context.send(sender, reply)
+        view = context.fleet.instances.get(sender)
+        if view is not None:
+            view.said_leaving = message.leaving
         self._follow_version(sender, message.config_version, now)
 
     def _handle_zone_reply(self, sender: str, message: ZoneReply, now: float) -> None:
@@ -428,10 +476,25 @@
         view = self._context.fleet.instances.get(sender)
         if view is not None:
             view.config_version = message.config_version
+            view.version_heard = now
             view.lost_since = -1.0
+            view.said_leaving = message.leaving
+        self._note_leaving_targets(message.leaving_targets)
         self._suspects.merge(message.crashes, now)
         self._follow_version(sender, message.config_version, now)
 
+    def _ask_versions(self, event: events.VersionsAsked, now: float) -> None:
+        """Ask every instance for its version; heartbeats do not tell those of other zones."""
+        context = self._context
+        query = ZoneQuery(
+            instance=context.identity.instance,
+            config_version=context.configuration.version,
+            leaving=context.stopping,
+        )
+        for view in context.fleet.instances.values():
+            if view.id != context.identity.instance:
+                context.send(view.id, query)
+
     def _handle_lost(self, event: events.PeerLost, now: float) -> None:
         """Pass over the targets of an owner that cannot be reached.
 
@@ -500,6 +563,7 @@
         """Take over a peer's view; only used while this instance has read no list itself."""
         if self._list_read:
             return
+        self._context.members_known = True
         for member in message.members:
             if member.kind == KIND_TARGET:
                 entry = events.Listed(
--- a/rhubarbbend/core/_owner.py
+++ b/rhubarbbend/core/_owner.py
@@ -42,7 +42,6 @@
         self._context = context
         self._ledger = Ledger(context)
         self._granter = Granter(context, self._ledger)
-        self._stopped = False
 
     def list_events(self) -> dict[type[events.Event], EventHandler]:
         """Handle the start, load reports and pauses of the process."""
@@ -91,7 +90,7 @@
         context = self._context
         own = context.identity.instance
         for view in list(context.fleet.targets.values()):
-            mine = not self._stopped and context.fleet.find_owner(view) == own
+            mine = context.fleet.find_owner(view) == own
             if mine and view.id not in self._ledger.books:
                 self._take_over(view, now)
             elif not mine and view.id in self._ledger.books:
@@ -101,7 +100,6 @@
 
     def hand_over_all(self, now: float) -> None:
         """Give every owned target to its next owner; part of a planned stop."""
-        self._stopped = True
         self.refresh_ownership(now)
 
     def _start(self, event: events.Started, now: float) -> None:
@@ -170,7 +168,8 @@
         self._granter.serve_queue(books, now)
 
     def _ask_reports(self, now: float) -> None:
-        for target in self._ledger.books:
+        for target, books in self._ledger.books.items():
+            self._granter.note_service(books, now)
             view = self._context.fleet.targets.get(target)
             if view is not None:
                 self._ask_report(view)
--- a/rhubarbbend/schema/peers.thrift
+++ b/rhubarbbend/schema/peers.thrift
@@ -35,12 +35,15 @@
   6: list<TargetLoad> loads = [],
   7: string host = "",
   8: i32 peer_port = 0,
+  /** Targets that the sender's list calls leaving. */
+  9: list<string> leaving_targets = [],
 }
 
 /** Asks an instance of another zone for its zone's sums; answered by ZoneReply. */
 struct ZoneQuery {
   1: string instance = "",
   2: i64 config_version = 0,
+  3: bool leaving = false,
 }
 
 struct ZoneReply {
@@ -49,6 +52,8 @@
   3: i64 config_version = 0,
   4: list<ServiceSum> sums = [],
   5: list<CrashCount> crashes = [],
+  6: bool leaving = false,
+  7: list<string> leaving_targets = [],
 }
 
 /** The load of one target that the sender owns. */
@@ -75,6 +80,7 @@
   7: bool suspect = false,
   8: string service_name = "",
   9: i32 weight = 1,
+  10: string model = "",
   20: list<LoadFigure> figures = [],
   21: list<ServiceSum> sums = [],
 }
@@ -162,6 +168,7 @@
   9: binary body = "",
   10: string digest = "",
   11: double time_left = 0,
+  12: double arrived = 0,
 }
 
 struct ReservedReply {
@@ -172,6 +179,7 @@
   5: string content_type = "",
   6: binary body = "",
   7: bool replayed = false,
+  8: double at = 0,
 }
 
 /** How often a request digest was running when its target crashed. */
