--- a/rhubarbbend/core/_members.py
+++ b/rhubarbbend/core/_members.py
@@ -145,6 +145,7 @@
         The mean that bounds a target is as old as the loads it is made of: an owner that hears
         late that others have emptied would let its own targets carry too much.
         """
+        self._context.set_timer(now + SHARE_INTERVAL, self._share_loads)
         interval = SHARE_INTERVAL_PER_PEER * len(self._list_peers())
         if now - self._shared_at < interval - SHARE_INTERVAL / 2:
             return
@@ -174,7 +175,7 @@
         )
         context.repeat(context.options.list_interval, self._ask_list, now)
         context.repeat(context.options.heartbeat_interval, self._beat, now)
-        context.repeat(SHARE_INTERVAL, self._share_loads, now)
+        self._share_loads(now)
         context.repeat(context.options.zone_interval, self._ask_zones, now)
 
     def _handle_seed(self, event: events.SeedNamed, now: float) -> None:
