Renew for targets whose slots were given back of late, so that lost releases come back

Cause: releases sent into a partition were lost, and renewals named only targets with slots held, so the other zone kept the lost slots for their lease of 16 s and its engine got no work again within 15 s.

--- a/rhubarbbend/core/_slots.py
+++ b/rhubarbbend/core/_slots.py
@@ -56,6 +56,8 @@
     def __init__(self, context: Context, table: RequestTable) -> None:
         self._context = context
         self._table = table
+        # Targets whose slots were given back of late, and when that was first told in a renewal.
+        self._released: dict[str, float] = {}
 
     def release(self, request: Request, completed: bool, total: float = 0.0) -> None:
         """Free a request's slot, or withdraw its question for one, and end its attempt."""
@@ -75,6 +77,7 @@
                 tokens=request.arrived.tokens,
             )
             self.send_release(request, release)
+            self._released[request.target] = -1.0
         request.has_slot = False
         self._table.forget_attempt(request)
 
@@ -82,9 +85,10 @@
         """Tell the present owners of targets which slots are held here.
 
         A new owner learns the running requests this way; a present one frees those whose release
-        was lost.
+        was lost. For that a target is told of for a while also when no slot of it is held: one
+        behind a partition would keep the lost slots until their lease ends.
         """
-        held: dict[str, list[HeldSlot]] = {}
+        held: dict[str, list[HeldSlot]] = {target: [] for target in self._list_released(now)}
         for request in self._table.list_all():
             if request.has_slot:
                 slot = HeldSlot(
@@ -103,6 +107,15 @@
             )
             self.send_owner(target, renewal)
 
+    def _list_released(self, now: float) -> list[str]:
+        lease = self._context.options.slot_lease
+        for target, told in list(self._released.items()):
+            if told < 0:
+                self._released[target] = now
+            elif now - told > lease:
+                del self._released[target]
+        return list(self._released)
+
     def send_release(self, request: Request, release: SlotRelease) -> None:
         """Give a slot back to the owner that granted it and to the present one, if another.
 
