--- /dev/null
+++ b/tests/core/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the limits of client accounts."""
