Wait for three times what reading a context again takes

Cause: with every engine near its limit each chat that moved made another move, and the four engines left read contexts of each other's chats.

--- a/rhubarbbend/core/routing/_affinity.py
+++ b/rhubarbbend/core/routing/_affinity.py
@@ -1,8 +1,8 @@
 """The default policy: the target that holds the chat's context, then its home, then the rest.
 
 A ticket names where the context was left. Waiting there costs time, moving costs reading the
-context again; the policy waits for as long as the reading would take, so a long chat waits and a
-short one moves at once. Without a ticket the home is the first in rendezvous order of the chat's
+context again; the policy waits for a few times as long as the reading would take, so a long chat waits and a
+short one soon moves. Without a ticket the home is the first in rendezvous order of the chat's
 id, which every instance computes alike. A prompt that is read faster than another zone answers
 stays in its own zone.
 """
@@ -24,8 +24,10 @@
     rank_candidates,
 )
 
-# Of the time that reading the context again would take, this share is worth waiting.
-WAIT_SHARE: Final = 1.0
+# So many times what reading the context again would take is worth waiting. Reading costs the chat
+# its time and every other chat of the engine theirs; when all engines are near their limits, each
+# chat that moves makes the next one move, and contexts are read everywhere.
+WAIT_SHARE: Final = 3.0
 # A wait never uses up more than this share of the time to the deadline.
 DEADLINE_SHARE: Final = 0.5
 # Targets tried beside the ticket's places. Ordering more would cost time for each target of the
