--- a/rhubarbbend/core/routing/_affinity.py
+++ b/rhubarbbend/core/routing/_affinity.py
@@ -1,10 +1,10 @@
 """The default policy: the target that holds the chat's context, then its home, then the rest.
 
 A ticket names where the context was left. Waiting there costs time, moving costs reading the
-context again; the policy waits for a few times as long as the reading would take, so a long chat waits and a
-short one soon moves. Without a ticket the home is the first in rendezvous order of the chat's
-id, which every instance computes alike. A prompt that is read faster than another zone answers
-stays in its own zone.
+context again; the policy waits for a few times as long as the reading would take, so a long chat
+waits and a short one soon moves. Without a ticket the home is the first in rendezvous order of
+the chat's id, which every instance computes alike. A prompt that is read faster than another zone
+answers stays in its own zone.
 """
 
 from __future__ import annotations
@@ -27,7 +27,7 @@
 # So many times what reading the context again would take is worth waiting. Reading costs the chat
 # its time and every other chat of the engine theirs; when all engines are near their limits, each
 # chat that moves makes the next one move, and contexts are read everywhere.
-WAIT_SHARE: Final = 3.0
+WAIT_FACTOR: Final = 3.0
 # A wait never uses up more than this share of the time to the deadline.
 DEADLINE_SHARE: Final = 0.5
 # Targets tried beside the ticket's places. Ordering more would cost time for each target of the
@@ -80,7 +80,7 @@
         return choices
 
     def _compute_wait(self, request: RoutedRequest, tokens: int) -> float:
-        reread = WAIT_SHARE * tokens / request.prefill_rate
+        reread = WAIT_FACTOR * tokens / request.prefill_rate
         return min(reread, request.max_wait, DEADLINE_SHARE * request.time_left)
 
     def _find_last_resort(
