--- a/Makefile
+++ b/Makefile
@@ -35,9 +35,15 @@
 measure-tables: .venv/.ready
 	@$(PYTHON) -m loadtool tables --jobs $(JOBS) --seconds $(TABLE_SECONDS)
 
+slopes: .venv/.ready
+	@$(PYTHON) -m loadtool slopes
+
+binary: .venv/.ready
+	@$(PYTHON) -m tools.binary
+
 lint: .venv/.ready
-	@$(PYTHON) -m black --check -q rhubarbbend standins loadtool tests
-	@$(PYTHON) -m ruff check -q rhubarbbend standins loadtool tests
+	@$(PYTHON) -m black --check -q rhubarbbend standins loadtool tools tests
+	@$(PYTHON) -m ruff check -q rhubarbbend standins loadtool tools tests
 	@$(PYTHON) -m mypy
 
 .venv/.ready: requirements-dev.txt
--- a/rhubarbbend/core/_stop.py
+++ b/rhubarbbend/core/_stop.py
@@ -68,12 +68,14 @@
         context.log("stop_begun", open=str(self._entry.count_open()))
         context.emit(actions.SetReady(False))
         context.fleet.instances[context.identity.instance].said_leaving = True
+        context.fleet.refresh_live(now)
         # Peers learn first that this instance leaves, then that they own its targets.
         self._members.announce(now)
-        context.fleet.refresh_live(now)
         self._owner.hand_over_all(now)
         self._entry.register_slots(now)
-        context.set_timer(now + context.options.balancer_lag, self._drain)
+        # An instance that never was ready is not known to the balancer.
+        lag = context.options.balancer_lag if context.config_ready else 0.0
+        context.set_timer(now + lag, self._drain)
 
     def _drain(self, now: float) -> None:
         self._phase = StopPhase.DRAINING
--- a/rhubarbbend/operators/_server.py
+++ b/rhubarbbend/operators/_server.py
@@ -212,17 +212,18 @@
     return error
 
 
-# What the codec raises for bytes that are no call of the schema.
+class MalformedCall(Exception):
+    """Bytes that are no call of the schema."""
+
+
+# What a handler raises when a field holds something else than the schema says.
 MALFORMED: Final = (
+    MalformedCall,
     TException,
-    ValueError,
-    TypeError,
-    ArithmeticError,
     AttributeError,
     LookupError,
-    MemoryError,
-    RecursionError,
-    SystemError,
+    TypeError,
+    ValueError,
 )
 
 
@@ -269,7 +270,7 @@
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError, TimeoutError):
             pass
         except MALFORMED:
-            # Bytes that are no call of the schema: the connection is of no more use.
+            # The connection is of no more use.
             pass
         finally:
             self._tasks.discard(task)
@@ -295,7 +296,11 @@
         arguments = TCyBinaryProtocol(TCyMemoryBuffer(data))
         output = TCyMemoryBuffer()
         answer = TCyBinaryProtocol(output)
-        api, sequence, result, call = self._processor.process_in(arguments)
+        try:
+            api, sequence, result, call = self._processor.process_in(arguments)
+        except Exception as error:
+            # The C codec raises errors of many kinds; all of them speak of these bytes alone.
+            raise MalformedCall(f"{type(error).__name__}: {error}") from error
         if call is None:
             self._processor.send_exception(answer, api, result, sequence)
             return bytes(output.getvalue())
--- a/rhubarbbend/settings/__init__.py
+++ b/rhubarbbend/settings/__init__.py
@@ -5,6 +5,7 @@
     InstanceSettings,
     LimitSettings,
     LogSettings,
+    OperatorSettings,
     PlatformSettings,
     RecordSettings,
     SecretSettings,
@@ -12,6 +13,7 @@
     Settings,
     StatsdSettings,
     parse_address,
+    read_operator_secret,
     read_secret,
 )
 
@@ -19,6 +21,7 @@
     "InstanceSettings",
     "LimitSettings",
     "LogSettings",
+    "OperatorSettings",
     "PlatformSettings",
     "RecordSettings",
     "SecretSettings",
@@ -30,5 +33,6 @@
     "decode_toml",
     "load_settings",
     "parse_address",
+    "read_operator_secret",
     "read_secret",
 ]
--- a/rhubarbbend/trace/_format.py
+++ b/rhubarbbend/trace/_format.py
@@ -56,7 +56,11 @@
 
 
 def _list_kinds(base: type[msgspec.Struct]) -> list[type[msgspec.Struct]]:
-    return sorted(base.__subclasses__(), key=lambda kind: kind.__name__)
+    """List the types derived from a base, also by way of another."""
+    found = set(base.__subclasses__())
+    for kind in list(found):
+        found.update(_list_kinds(kind))
+    return sorted(found, key=lambda kind: kind.__name__)
 
 
 def _unite(kinds: list[type[msgspec.Struct]]) -> Any:
--- a/tests/trace/storm.py
+++ b/tests/trace/storm.py
@@ -106,7 +106,12 @@
             self.waiting.append(events.ProbeAnswered(action.target, action.attempt, boot))
         elif isinstance(action, actions.SendPeer) and isinstance(action.message, SlotRequest):
             refusal = self.rng.choice(["", "", "full"])
-            reply = SlotReply(action.message.attempt, action.message.target, refusal, "boot-1")
+            reply = SlotReply(
+                attempt=action.message.attempt,
+                target=action.message.target,
+                refusal=refusal,
+                boot_id="boot-1",
+            )
             self.waiting.append(events.PeerSaid(action.peer, reply))
 
     def _write(self, action: actions.WriteRows) -> events.Event:
