--- a/loadtool/_report.py
+++ b/loadtool/_report.py
@@ -132,10 +132,17 @@
 
 
 def _summarize(values: Sequence[float]) -> str:
-    mean = statistics.fmean(values)
+    mean = _show_number(statistics.fmean(values))
     if len(values) == 1:
-        return f"{mean:.3f}"
-    return f"{mean:.3f} ({min(values):.3f}-{max(values):.3f})"
+        return mean
+    return f"{mean} ({_show_number(min(values))} to {_show_number(max(values))})"
+
+
+def _show_number(value: float) -> str:
+    """Show three figures or so, and no decimals that a measurement does not have."""
+    if abs(value) >= 100 or value == int(value):
+        return f"{value:.0f}"
+    return f"{value:.1f}" if abs(value) >= 10 else f"{value:.3f}"
 
 
 def compare(first: Sequence[RunResult], second: Sequence[RunResult]) -> str:
