--- a/loadtool/_report.py
+++ b/loadtool/_report.py
@@ -14,6 +14,7 @@
 KILOBYTE: Final = 1000.0
 # The table of phases shows the measures before this one.
 SHOWN_FROM: Final = 13
+LEAST_SEEDS: Final = 2
 
 
 @attrs.define(slots=True, frozen=True)
@@ -168,10 +169,12 @@
 
 
 def _judge(one: Measure, ratios: Sequence[float]) -> str:
-    """Say which is better where every seed agrees."""
-    if ratios and all((ratio - 1) * one.better > 0 for ratio in ratios):
+    """Say which is better where every seed agrees; one seed alone says nothing."""
+    if len(ratios) < LEAST_SEEDS:
+        return ""
+    if all((ratio - 1) * one.better > 0 for ratio in ratios):
         return "B better"
-    if ratios and all((ratio - 1) * one.better < 0 for ratio in ratios):
+    if all((ratio - 1) * one.better < 0 for ratio in ratios):
         return "A better"
     return ""
 
--- a/tests/loadtool/test_report.py
+++ b/tests/loadtool/test_report.py
@@ -38,8 +38,10 @@
 
 def test_comparison_ignores_seeds_that_one_side_lacks() -> None:
     first = [make_result("random", 1, 0.4)]
-    second = [make_result("affinity", 1, 0.4), make_result("affinity", 2, 0.8)]
-    assert "1.000-1.000" in compare(first, second).splitlines()[1]
+    second = [make_result("affinity", 1, 0.6), make_result("affinity", 2, 0.8)]
+    line = compare(first, second).splitlines()[1]
+    # One shared seed gives a ratio and no judgement.
+    assert "1.500-1.500" in line and "better" not in line
 
 
 def test_markdown_has_a_column_for_each_policy() -> None:
