--- a/loadtool/_report.py
+++ b/loadtool/_report.py
@@ -14,6 +14,7 @@
 KILOBYTE: Final = 1000.0
 # The table of phases shows the measures before this one.
 SHOWN_FROM: Final = 13
+LEAST_SEEDS: Final = 2
 
 
 @attrs.define(slots=True, frozen=True)
@@ -132,10 +133,17 @@
 
 
 def _summarize(values: Sequence[float]) -> str:
-    mean = statistics.fmean(values)
+    mean = _show_number(statistics.fmean(values))
     if len(values) == 1:
-        return f"{mean:.3f}"
-    return f"{mean:.3f} ({min(values):.3f}-{max(values):.3f})"
+        return mean
+    return f"{mean} ({_show_number(min(values))} to {_show_number(max(values))})"
+
+
+def _show_number(value: float) -> str:
+    """Show three figures or so, and no decimals that a measurement does not have."""
+    if abs(value) >= 100 or value == int(value):
+        return f"{value:.0f}"
+    return f"{value:.1f}" if abs(value) >= 10 else f"{value:.3f}"
 
 
 def compare(first: Sequence[RunResult], second: Sequence[RunResult]) -> str:
@@ -161,10 +169,12 @@
 
 
 def _judge(one: Measure, ratios: Sequence[float]) -> str:
-    """Say which is better where every seed agrees."""
-    if ratios and all((ratio - 1) * one.better > 0 for ratio in ratios):
+    """Say which is better where every seed agrees; one seed alone says nothing."""
+    if len(ratios) < LEAST_SEEDS:
+        return ""
+    if all((ratio - 1) * one.better > 0 for ratio in ratios):
         return "B better"
-    if ratios and all((ratio - 1) * one.better < 0 for ratio in ratios):
+    if all((ratio - 1) * one.better < 0 for ratio in ratios):
         return "A better"
     return ""
 
