--- a/tests/core/test_polls.py
+++ b/tests/core/test_polls.py
@@ -82,6 +82,6 @@
     core = start_core("own")
     _run(core, 79)
     given: list[actions.Action] = []
-    for step in range(20):
-        given.extend(_handle(core, events.TimerDue(), SECONDS + 10.0 + step))
+    for step in range(80):
+        given.extend(_handle(core, events.TimerDue(), SECONDS + 10.0 + step / 4))
     assert _count(given, actions.ReadList) >= 16
