--- a/rhubarbbend/http/_server.py
+++ b/rhubarbbend/http/_server.py
@@ -17,6 +17,8 @@
 
 READ_SIZE: Final = 65_536
 WRITE_HIGH_WATER: Final = 262_144
+LINGER_SECONDS: Final = 1.0
+LINGER_BYTES: Final = 8 * 1024 * 1024
 # A client that takes nothing of its answer for this long is given up, in seconds.
 STALL_TIMEOUT: Final = 30.0
 
@@ -195,10 +197,11 @@
                 async with asyncio.timeout(self._limits.body_timeout):
                     body = await self._read_body(conn, reader, writer)
             except RequestRejected as rejected:
-                await _reject(conn, writer, rejected)
+                await _reject(conn, reader, writer, rejected)
                 return
             except TimeoutError:
-                await _reject(conn, writer, RequestRejected(408, "request took too long to send"))
+                late = RequestRejected(408, "request took too long to send")
+                await _reject(conn, reader, writer, late)
                 return
             exchange = Exchange(head, body, conn, writer)
             self._held_bytes += len(body)
@@ -306,7 +309,10 @@
 
 
 async def _reject(
-    conn: h11.Connection, writer: asyncio.StreamWriter, rejected: RequestRejected
+    conn: h11.Connection,
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    rejected: RequestRejected,
 ) -> None:
     """Answer an unreadable request in the shape of every other error, then close."""
     error = {"code": "bad_request", "message": rejected.reason, "verdict": "not_run"}
@@ -323,3 +329,21 @@
         for event in (head, h11.Data(data=body), h11.EndOfMessage()):
             writer.write(conn.send(event) or b"")
         await writer.drain()
+        await _linger(reader, writer)
+
+
+async def _linger(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Read and drop what the client still sends, for a short while.
+
+    Closing with bytes unread resets the connection, and the client may lose the answer that says
+    what was wrong with its request.
+    """
+    writer.write_eof()
+    dropped = 0
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(LINGER_SECONDS):
+            while dropped < LINGER_BYTES:
+                data = await reader.read(READ_SIZE)
+                if not data:
+                    return
+                dropped += len(data)
--- a/tests/core/test_claims.py
+++ b/tests/core/test_claims.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from rhubarbbend.core import events
+from rhubarbbend.core._claim_rows import make_key
 from tests.core.fakes import World
 
 ONE = {"a1": "a"}
@@ -145,12 +146,47 @@
 
 
 def test_keys_of_two_accounts_never_meet() -> None:
-    """Account "agents" uses the key that, joined to another account's name, reads the same."""
+    """Two accounts send the same key; and one account's name and key, joined, read like the
+    other's."""
     world = World(ONE)
     world.send("a1", "r1", "k1", account="agents")
     world.send("a1", "r2", "k1")
     world.settle()
     assert len(world.runs) == 2
+    assert make_key("a", "b/c") != make_key("a/b", "c")
+
+
+def test_replaced_instance_runs_nothing_of_its_former_self() -> None:
+    """a1 is replaced with a command claimed and one reserved key handed out. Its successor of the
+    same name knows of neither: both are in doubt and neither is run."""
+    world = World(ONE)
+    key = world.reserve("a1")
+    world.send("a1", "r1", "k1")
+    world.answer(world.writes[0])
+    assert len(world.runs) == 1
+    world.start("a1", 2)
+    world.advance(2.0)
+    for request, again in (("r2", "k1"), ("r3", key)):
+        world.send("a1", request, again)
+        world.settle()
+        assert world.read_answer(request).verdict == "may_have_run"
+    assert not world.runs
+
+
+def test_reserved_refusal_holds_back_what_comes_while_it_is_under_way() -> None:
+    """The issuer's "not run" is on its way to a caller at another instance. A request under the
+    key that comes to the issuer meanwhile does not run, so the refusal is true when it is told."""
+    world = World(TWO, hold_messages=True)
+    key = world.reserve("a1")
+    _close_targets(world, "a1")
+    world.send("b1", "r1", key)
+    world.deliver(world.messages[0])
+    world.advance(0.5)
+    _open_targets(world, "a1")
+    world.send("a1", "r2", key)
+    world.deliver(world.messages[0])
+    assert world.read_answer("r1").verdict == "not_run"
+    assert not world.runs
 
 
 def test_request_from_before_a_refusal_does_not_run_after_it() -> None:
