--- a/loadtool/_deployments.py
+++ b/loadtool/_deployments.py
@@ -41,9 +41,12 @@
     commands_per_second: float
     lookups_per_second: float
     prefill_rate: float = 10_000.0
-    token_time: float = 0.012
+    token_time: float = 0.03
     engine_slots: int = 16
     cache_tokens: int = 120_000
+    # A new engine bears so many at once until it has finished so many.
+    cold_bears: int = 2
+    cold_requests: int = 4
 
     @property
     def declarations(self) -> Path:
@@ -57,7 +60,7 @@
             *("--cache-tokens", str(self.cache_tokens)),
             *("--prefill-rate", str(self.prefill_rate)),
             *("--token-time", str(self.token_time)),
-            *("--cold-requests", "3", "--cold-bears", "2"),
+            *("--cold-requests", str(self.cold_requests), "--cold-bears", str(self.cold_bears)),
         )
 
 
--- a/loadtool/_fleet.py
+++ b/loadtool/_fleet.py
@@ -10,7 +10,6 @@
 from loadtool._cluster import HOST, Cluster, Node
 from loadtool._deployments import Deployment
 
-# The platform is as far away as another zone.
 DECLARATION_FILE: Final = "fleet.toml"
 
 
@@ -111,6 +110,7 @@
         self.caller_addresses[node.id] = (HOST, port)
 
     async def _delay_platform(self) -> None:
+        """Put the platform as far away as another zone."""
         platform = self.cluster.platform
         assert platform is not None
         for zone in self.deployment.zones:
@@ -118,10 +118,13 @@
             await self.cluster.set_route_faults(zone, [platform], delay=delay)
 
     def _write_declarations(self) -> Path:
-        """Write the deployment's declarations with the policy and the engines' reading rate."""
+        """Write the deployment's declarations with the policy and what its engines bear."""
         path = self._folder / DECLARATION_FILE
         text = (self.deployment.declarations / DECLARATION_FILE).read_text("utf-8")
         text = text.replace("[[service]]", f'[[service]]\npolicy = "{self._policy}"')
-        rate = f"prefill_rate = {self.deployment.prefill_rate}"
-        path.write_text(re.sub(r"prefill_rate = [0-9.]+", rate, text), "utf-8")
+        deployment = self.deployment
+        text = text.replace("cold_slots = 1", f"cold_slots = {deployment.cold_bears}")
+        rate = f"prefill_rate = {deployment.prefill_rate}"
+        cold = f"cold_requests = {deployment.cold_requests}"
+        path.write_text(re.sub(r"prefill_rate = [0-9.]+", f"{rate}\n{cold}", text), "utf-8")
         return path
--- a/rhubarbbend/cli/_options.py
+++ b/rhubarbbend/cli/_options.py
@@ -21,7 +21,7 @@
     settings: Path | None = None
     # Operator address of an instance, host:port (apply, show, zone, target).
     instance: str = ""
-    # File that holds the fleet's secret, from which the operators' key is derived.
+    # File that holds the operators' secret, or the fleet's where operators have none of their own.
     secret_file: str = ""
     # Environment variable that holds it instead.
     secret_env: str = ""
@@ -48,7 +48,7 @@
 def _add_operator_options(parser: argparse.ArgumentParser) -> None:
     parser.add_argument("--instance", required=True, help="operator address host:port")
     secret = parser.add_mutually_exclusive_group(required=True)
-    secret.add_argument("--secret-file", default="", help="file that holds the fleet's secret")
+    secret.add_argument("--secret-file", default="", help="file that holds the operators' secret")
     secret.add_argument("--secret-env", default="", help="environment variable that holds it")
 
 
--- a/rhubarbbend/core/_context.py
+++ b/rhubarbbend/core/_context.py
@@ -13,9 +13,9 @@
 import msgspec
 
 from rhubarbbend.core import actions, events
-from rhubarbbend.core._fleet import Fleet, TargetView
+from rhubarbbend.core._fleet import Fleet, InstanceView, TargetView
 from rhubarbbend.core.configuration import Configuration
-from rhubarbbend.core.messages import Message
+from rhubarbbend.core.messages import Message, SlotMessage
 
 Callback = Callable[[float], None]
 
@@ -41,6 +41,8 @@
     peer_silence: float = 3.0
     zone_interval: float = 2.0
     list_interval: float = 1.0
+    # How many instances of a zone read the list and the changes in each of their intervals.
+    zone_readers: int = 4
     # A target that has left the list for this long is forgotten.
     list_grace: float = 5.0
     report_interval: float = 0.5
@@ -92,9 +94,13 @@
         self.wall_offset = 0.0
         self.stopping = False
         self.config_ready = False
+        # Whether the targets have been learned, from the list or from a peer.
+        self.members_known = False
         # Local time of the last platform failure and success, for the claim duty's breaker.
         self.platform_failed = -1.0
         self.platform_worked = 0.0
+        # Set by the member duty; adds the newest loads to slot messages.
+        self.add_loads: Callable[[InstanceView, SlotMessage], None] = lambda view, message: None
         self._timers: list[tuple[float, int, Callback]] = []
         self._sequence = itertools.count()
 
@@ -117,6 +123,8 @@
             return
         view = self.fleet.instances.get(peer)
         if view is not None:
+            if isinstance(message, SlotMessage):
+                self.add_loads(view, message)
             self.out.append(actions.SendPeer(peer, view.host, view.peer_port, message))
 
     def set_timer(self, at: float, callback: Callback) -> None:
--- a/rhubarbbend/core/_slots.py
+++ b/rhubarbbend/core/_slots.py
@@ -174,6 +174,8 @@
             last = request.position + 1 == len(request.plan)
             if request.position >= self._context.options.max_moves and not last:
                 continue
+            if request.choice.target in request.excluded:
+                continue
             if view is not None and request.time_left(now) > 0:
                 self._ask_owner(request, view, self._context.fleet.find_owner(view), now)
                 return
@@ -228,6 +230,7 @@
             suspect=request.wants_suspect_slot,
             service_name=request.service.name,
             weight=request.account.weight,
+            model=request.arrived.model,
         )
         self._context.send(owner, message)
         if owner != identity.instance:
--- a/rhubarbbend/http/_server.py
+++ b/rhubarbbend/http/_server.py
@@ -17,8 +17,14 @@
 
 READ_SIZE: Final = 65_536
 WRITE_HIGH_WATER: Final = 262_144
-LINGER_SECONDS: Final = 1.0
-LINGER_BYTES: Final = 8 * 1024 * 1024
+# What a rejected client still sends is read and dropped within these bounds.
+REJECT_SECONDS: Final = 1.0
+REJECT_BYTES: Final = 8 * 1024 * 1024
+# How long idle connections stay open once the server stops accepting: a request may be on its way.
+LINGER: Final = 0.5
+# A client that takes no byte of its answer for this long is given up when the server closes.
+FLUSH_TIMEOUT: Final = 10.0
+FLUSH_POLL: Final = 0.02
 # A client that takes nothing of its answer for this long is given up, in seconds.
 STALL_TIMEOUT: Final = 30.0
 
@@ -49,10 +55,27 @@
         self.reason = reason
 
 
+@attrs.define(slots=True)
+class DrainState:
+    """Whether the server is about to stop; shared with every exchange."""
+
+    draining: bool = False
+
+
 class Exchange:
     """One request and its response. Invariant: at most one response is started."""
 
-    __slots__ = ("method", "target", "headers", "body", "closed", "_conn", "_writer", "_started")
+    __slots__ = (
+        "method",
+        "target",
+        "headers",
+        "body",
+        "closed",
+        "_conn",
+        "_writer",
+        "_drain_state",
+        "_started",
+    )
 
     def __init__(
         self,
@@ -60,6 +83,7 @@
         body: bytes,
         conn: h11.Connection,
         writer: asyncio.StreamWriter,
+        drain_state: DrainState | None = None,
     ) -> None:
         self.method = request.method.decode("ascii")
         self.target = request.target.decode("ascii", "replace")
@@ -69,6 +93,7 @@
         self.closed = asyncio.Event()
         self._conn = conn
         self._writer = writer
+        self._drain_state = drain_state or DrainState()
         self._started = False
 
     @property
@@ -79,6 +104,9 @@
     def start(self, status: int, headers: Headers) -> None:
         """Send the response head; a body without Content-Length goes out chunked."""
         self._started = True
+        if self._drain_state.draining:
+            # The client opens its next connection elsewhere instead of reusing one that ends.
+            headers = [*headers, ("Connection", "close")]
         raw = [(k.encode("ascii"), v.encode("latin-1", "replace")) for k, v in headers]
         self._send(h11.Response(status_code=status, headers=raw))
 
@@ -147,20 +175,42 @@
         self._busy: set[asyncio.Task[None]] = set()
         self._stopping = False
         self._held_bytes = 0
+        self._drain_state = DrainState()
 
     async def listen(self, host: str, port: int) -> int:
         """Start to accept connections; returns the port in use."""
         self._server = await asyncio.start_server(self._accept, host, port, backlog=1024)
         return int(self._server.sockets[0].getsockname()[1])
 
+    def announce_stop(self) -> None:
+        """Tell clients with each answer that their connection will not be used again."""
+        self._drain_state.draining = True
+
     def stop_accepting(self) -> None:
-        """Close the listening socket and idle connections; requests in flight go on."""
+        """Close the listening socket, and idle connections a little later.
+
+        Requests in flight go on. One that was sent on an idle connection before its client could
+        know of the stop is still read and answered; closing at once would cut it.
+        """
+        self.announce_stop()
+        if self._stopping:
+            return
         self._stopping = True
         if self._server is not None:
             self._server.close()
+            asyncio.get_running_loop().call_later(LINGER, self._close_idle)
+
+    def _close_idle(self) -> None:
         for task in self._tasks - self._busy:
             task.cancel()
 
+    async def finish(self) -> None:
+        """Stop accepting, and wait until every answer has gone out."""
+        self.stop_accepting()
+        while self._tasks:
+            await asyncio.wait(list(self._tasks), timeout=LINGER)
+            self._close_idle()
+
     async def close(self) -> None:
         """Stop accepting and end every connection."""
         self.stop_accepting()
@@ -180,9 +230,12 @@
         except (ConnectionError, asyncio.CancelledError, TimeoutError):
             pass
         finally:
-            self._tasks.discard(task)
-            self._busy.discard(task)
             writer.close()
+            try:
+                await _flush(writer)
+            finally:
+                self._tasks.discard(task)
+                self._busy.discard(task)
 
     async def _serve_connection(
         self, task: asyncio.Task[None], reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -190,10 +243,9 @@
         conn = h11.Connection(h11.SERVER, max_incomplete_event_size=self._limits.max_header_bytes)
         while not self._stopping:
             try:
-                head = await self._read_head(conn, reader)
+                head = await self._read_head(task, conn, reader)
                 if head is None:
                     return
-                self._busy.add(task)
                 async with asyncio.timeout(self._limits.body_timeout):
                     body = await self._read_body(conn, reader, writer)
             except RequestRejected as rejected:
@@ -203,18 +255,18 @@
                 late = RequestRejected(408, "request took too long to send")
                 await _reject(conn, reader, writer, late)
                 return
-            exchange = Exchange(head, body, conn, writer)
+            exchange = Exchange(head, body, conn, writer, self._drain_state)
             self._held_bytes += len(body)
             try:
                 await self._run_handler(exchange, conn, reader)
             finally:
                 self._held_bytes -= len(body)
-            self._busy.discard(task)
             if not await self._prepare_next(conn, writer):
                 return
+            self._busy.discard(task)
 
     async def _read_head(
-        self, conn: h11.Connection, reader: asyncio.StreamReader
+        self, task: asyncio.Task[None], conn: h11.Connection, reader: asyncio.StreamReader
     ) -> h11.Request | None:
         """Read a request's head; None if the client sends none.
 
@@ -227,6 +279,7 @@
         while True:
             event = _next_event(conn)
             if isinstance(event, h11.Request):
+                self._busy.add(task)
                 return event
             if event is not h11.NEED_DATA:
                 return None
@@ -235,7 +288,10 @@
                 deadline = loop.time() + self._limits.head_timeout
             try:
                 async with asyncio.timeout_at(deadline):
-                    conn.receive_data(await reader.read(READ_SIZE))
+                    data = await reader.read(READ_SIZE)
+                # From its first byte on a request is in flight.
+                self._busy.add(task)
+                conn.receive_data(data)
             except TimeoutError:
                 if begun:
                     raise
@@ -279,13 +335,32 @@
     async def _prepare_next(self, conn: h11.Connection, writer: asyncio.StreamWriter) -> bool:
         if writer.transport.is_closing():
             return False
-        await writer.drain()
+        await _flush(writer)
         if conn.our_state is h11.DONE and conn.their_state is h11.DONE:
             conn.start_next_cycle()
             return True
         return False
 
 
+async def _flush(writer: asyncio.StreamWriter) -> None:
+    """Wait until what was written has gone out.
+
+    The loop ends with the process, and what a slow client has not yet taken would be lost: its
+    answer would be cut although the server had finished it. A client that takes nothing for long
+    is gone without a sign; waiting for it would hold its slot, and a planned stop, for ever.
+    """
+    transport = writer.transport
+    left = transport.get_write_buffer_size()
+    waited = 0.0
+    while left and waited < FLUSH_TIMEOUT:
+        await asyncio.sleep(FLUSH_POLL)
+        size = transport.get_write_buffer_size()
+        waited = 0.0 if size < left else waited + FLUSH_POLL
+        left = size
+    if left:
+        transport.abort()
+
+
 async def _watch_client(
     exchange: Exchange, conn: h11.Connection, reader: asyncio.StreamReader
 ) -> None:
@@ -329,10 +404,10 @@
         for event in (head, h11.Data(data=body), h11.EndOfMessage()):
             writer.write(conn.send(event) or b"")
         await writer.drain()
-        await _linger(reader, writer)
+        await _drop_rest(reader, writer)
 
 
-async def _linger(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+async def _drop_rest(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
     """Read and drop what the client still sends, for a short while.
 
     Closing with bytes unread resets the connection, and the client may lose the answer that says
@@ -341,8 +416,8 @@
     writer.write_eof()
     dropped = 0
     with contextlib.suppress(TimeoutError):
-        async with asyncio.timeout(LINGER_SECONDS):
-            while dropped < LINGER_BYTES:
+        async with asyncio.timeout(REJECT_SECONDS):
+            while dropped < REJECT_BYTES:
                 data = await reader.read(READ_SIZE)
                 if not data:
                     return
--- a/rhubarbbend/peers/__init__.py
+++ b/rhubarbbend/peers/__init__.py
@@ -1,6 +1,6 @@
 """The protocol between instances: Thrift structs in length-prefixed frames over TCP."""
 
-from rhubarbbend.peers._codec import FrameError, FrameSeal, decode_envelope, encode_envelope
+from rhubarbbend.peers._codec import FrameError, FrameSeal, decode_frame, encode_frame
 from rhubarbbend.peers._links import PeerLinks, PeerListener
 
 __all__ = [
@@ -8,6 +8,6 @@
     "FrameSeal",
     "PeerLinks",
     "PeerListener",
-    "decode_envelope",
-    "encode_envelope",
+    "decode_frame",
+    "encode_frame",
 ]
--- a/rhubarbbend/peers/_codec.py
+++ b/rhubarbbend/peers/_codec.py
@@ -21,6 +21,7 @@
 
 MAX_FRAME_BYTES: Final = 8 * 1024 * 1024
 SCHEMA: Final = "peers.thrift"
+LENGTH_BYTES: Final = 4
 SEAL_BYTES: Final = 8
 SEAL_CONTEXT: Final = b"rhubarbbend peer frame 1"
 
@@ -40,10 +41,11 @@
     def __init__(self, secret: bytes) -> None:
         self._key = hmac.new(secret, SEAL_CONTEXT, hashlib.blake2b).digest()
 
-    def close(self, data: bytes) -> bytes:
-        """Make a frame: four bytes of length, then the seal, then the envelope."""
+    def close(self, frame: bytes) -> bytes:
+        """Seal a frame: four bytes of length, then the seal, then the envelope."""
+        data = frame[LENGTH_BYTES:]
         seal = self._sign(data)
-        return (len(data) + SEAL_BYTES).to_bytes(4, "big") + seal + data
+        return (len(data) + SEAL_BYTES).to_bytes(LENGTH_BYTES, "big") + seal + data
 
     def open(self, frame: bytes) -> bytes:
         """Give the envelope of a frame without its length; raises `FrameError` if damaged."""
@@ -104,19 +106,19 @@
 _FIELDS: Final = _bind_classes()
 
 
-def encode_envelope(sender: str, message: Message) -> bytes:
-    """Encode a message and its sender."""
+def encode_frame(sender: str, message: Message) -> bytes:
+    """Encode a message as a frame that is not sealed: four bytes of length, then the envelope."""
     envelope = Envelope()
     envelope.sender = sender
     setattr(envelope, message.FIELD, message)
     buffer = TCyMemoryBuffer()
     TCyBinaryProtocol(buffer).write_struct(envelope)
     data: bytes = buffer.getvalue()
-    return data
+    return len(data).to_bytes(LENGTH_BYTES, "big") + data
 
 
-def decode_envelope(data: bytes) -> tuple[str, Message]:
-    """Decode an envelope that an instance of the fleet sealed.
+def decode_frame(data: bytes) -> tuple[str, Message]:
+    """Decode an envelope without its length, which an instance of the fleet has sealed.
 
     Raises `FrameError` if it is not one message.
     """
--- a/rhubarbbend/peers/_links.py
+++ b/rhubarbbend/peers/_links.py
@@ -18,8 +18,8 @@
     MAX_FRAME_BYTES,
     FrameError,
     FrameSeal,
-    decode_envelope,
-    encode_envelope,
+    decode_frame,
+    encode_frame,
 )
 
 PING_INTERVAL: Final = 0.5
@@ -99,7 +99,7 @@
                 raise FrameError("frame too large")
             data = await reader.readexactly(length)
             self.traffic += length + 4
-            sender, message = decode_envelope(self._seal.open(data))
+            sender, message = decode_frame(self._seal.open(data))
             self._on_message(sender, message)
 
 
@@ -135,8 +135,8 @@
         loop = asyncio.get_running_loop()
         writer: asyncio.StreamWriter | None = None
         try:
-            if loop.time() < self._hold_until:
-                raise ConnectionError("held back after a failure")
+            # Waited out here, so that frames sent meanwhile cannot put the next try off again.
+            await asyncio.sleep(self._hold_until - loop.time())
             async with asyncio.timeout(CONNECT_TIMEOUT):
                 reader, writer = await asyncio.open_connection(*self.address)
             opening = self._links.hello + b"".join(self._queue)
@@ -174,6 +174,8 @@
         self._own_id = own_id
         self._on_lost = on_lost
         self._links: dict[str, _Link] = {}
+        # A heartbeat goes to every peer of a zone: it is encoded once.
+        self._last: tuple[Message | None, bytes] = (None, b"")
         self._closed = False
         # Bytes both ways on the connections that this instance opened.
         self.traffic = 0
@@ -186,7 +188,9 @@
             if link is not None:
                 link.close()
             link = self._links[peer] = _Link(self, peer, address)
-        frame = self._seal.close(encode_envelope(self._own_id, message))
+        if self._last[0] is not message:
+            self._last = (message, self._seal.close(encode_frame(self._own_id, message)))
+        frame = self._last[1]
         link.send(frame)
 
     def report_lost(self, link: _Link, dropped: int) -> None:
--- a/rhubarbbend/settings/_decode.py
+++ b/rhubarbbend/settings/_decode.py
@@ -17,7 +17,8 @@
     IterableValidationNote,
 )
 
-from rhubarbbend.settings._types import Settings, read_secret
+from rhubarbbend.settings._checks import find_problems
+from rhubarbbend.settings._types import Settings, read_operator_secret, read_secret
 
 T = TypeVar("T")
 
@@ -171,9 +172,15 @@
 
 
 def load_settings(path: Path) -> tuple[Settings, bytes]:
-    """Load an instance's settings and the fleet's secret."""
+    """Load an instance's settings and the fleet's secret; raises `SettingsInvalid`."""
     settings = decode_toml(path, Settings)
+    errors = [SettingError(str(path), key, problem) for key, problem in find_problems(settings)]
+    secret = b""
     try:
-        return settings, read_secret(settings.secret)
+        secret = read_secret(settings.secret)
+        read_operator_secret(settings.operators, secret)
     except ValueError as error:
-        raise SettingsInvalid([SettingError(str(path), "secret", str(error))]) from error
+        errors.append(SettingError(str(path), "operators" if secret else "secret", str(error)))
+    if errors:
+        raise SettingsInvalid(errors)
+    return settings, secret
--- a/rhubarbbend/settings/_types.py
+++ b/rhubarbbend/settings/_types.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
+import ipaddress
+import math
 import os
 from pathlib import Path
-from typing import Any
+from typing import Any, Final
 
 import attrs
 
 from rhubarbbend.core import CoreOptions
 
+LEAST_SECRET_BYTES: Final = 16
+
 
 def parse_address(text: str) -> tuple[str, int]:
     """Read "host:port"; raises ValueError if it is not that."""
@@ -34,10 +38,18 @@
 
 
 def _check_positive(instance: object, attribute: attrs.Attribute[Any], value: float) -> None:
-    if value <= 0:
+    # Written so that TOML's nan fails too.
+    if not 0 < value < math.inf:
         raise ValueError(f"expected a number above 0, got {value!r}")
 
 
+def _check_host(instance: object, attribute: attrs.Attribute[str], value: str) -> None:
+    try:
+        ipaddress.ip_address(value)
+    except ValueError as error:
+        raise ValueError(f"expected an IP number, got {value!r}") from error
+
+
 @attrs.define(slots=True, frozen=True)
 class InstanceSettings:
     """Who the instance is and where it listens."""
@@ -47,7 +59,7 @@
     # The availability zone it runs in.
     zone: str = attrs.field(validator=_check_filled)
     # The IP number that it listens on and that peers reach it by.
-    host: str
+    host: str = attrs.field(validator=_check_host)
     # Port for callers and for the balancer's checks.
     http_port: int = attrs.field(validator=_check_port)
     # Port for the other instances.
@@ -78,6 +90,20 @@
     env: str = ""
 
 
+@attrs.define(slots=True, frozen=True)
+class OperatorSettings:
+    """Where the secret of the operators is, from which their key is derived.
+
+    Give at most one; with none it is the fleet's secret. A secret of their own lets operators do
+    their work without a secret that also signs tickets and reserved keys and admits instances.
+    """
+
+    # A file that holds it.
+    file: str = ""
+    # An environment variable that holds it.
+    env: str = ""
+
+
 @attrs.define(slots=True, frozen=True)
 class SeedSettings:
     """An instance to ask at a start while the platform is away."""
@@ -137,6 +163,7 @@
     instance: InstanceSettings
     platform: PlatformSettings
     secret: SecretSettings
+    operators: OperatorSettings = attrs.Factory(OperatorSettings)
     seeds: list[SeedSettings] = attrs.Factory(list)
     statsd: StatsdSettings = attrs.Factory(StatsdSettings)
     log: LogSettings = attrs.Factory(LogSettings)
@@ -146,10 +173,10 @@
     core: CoreOptions = attrs.Factory(CoreOptions)
 
 
-def read_secret(settings: SecretSettings) -> bytes:
-    """Read the fleet's secret; raises ValueError naming the setting, never the secret."""
+def read_secret(settings: SecretSettings | OperatorSettings, section: str = "secret") -> bytes:
+    """Read a secret; raises ValueError naming the setting, never the secret."""
     if bool(settings.file) == bool(settings.env):
-        raise ValueError("secret: expected exactly one of secret.file and secret.env")
+        raise ValueError(f"expected exactly one of {section}.file and {section}.env")
     if settings.env:
         value = os.environ.get(settings.env, "").encode()
         source = f"environment variable {settings.env}"
@@ -157,8 +184,15 @@
         try:
             value = Path(settings.file).read_bytes().strip()
         except OSError as error:
-            raise ValueError(f"secret.file: cannot read {settings.file}: {error}") from error
+            raise ValueError(f"cannot read {settings.file}: {error.strerror}") from error
         source = f"file {settings.file}"
-    if len(value) < 16:
-        raise ValueError(f"secret: expected at least 16 bytes in {source}")
+    if len(value) < LEAST_SECRET_BYTES:
+        raise ValueError(f"expected at least {LEAST_SECRET_BYTES} bytes in {source}")
     return value
+
+
+def read_operator_secret(settings: OperatorSettings, fleet_secret: bytes) -> bytes:
+    """Read the operators' secret, which is the fleet's if none is set."""
+    if not settings.file and not settings.env:
+        return fleet_secret
+    return read_secret(settings, "operators")
--- a/rhubarbbend/shell/_runtime.py
+++ b/rhubarbbend/shell/_runtime.py
@@ -31,7 +31,7 @@
 from rhubarbbend.operators import ChangeAnswer, OperatorServer, make_operator_key
 from rhubarbbend.peers import PeerLinks, PeerListener
 from rhubarbbend.platform import PLATFORMS, PlatformError
-from rhubarbbend.settings import Settings, parse_address
+from rhubarbbend.settings import Settings, parse_address, read_operator_secret
 from rhubarbbend.shell._attempts import AttemptRunner
 from rhubarbbend.shell._callers import OpenRequest
 from rhubarbbend.shell._metrics import Metrics
@@ -93,8 +93,9 @@
         self._links = PeerLinks(own.id, secret, self._lose_peer)
         self._listener = PeerListener(secret, self._hear_peer, self._count_bad_frame)
         self._server = HttpServer(self._serve_caller, _make_limits(settings))
+        operator_secret = read_operator_secret(settings.operators, secret)
         self._operators = OperatorServer(
-            self.core, make_operator_key(secret), self._propose, self.feed, self._now
+            self.core, make_operator_key(operator_secret), self._propose, self.feed, self._now
         )
         self._traffic = ControlTraffic(
             {
@@ -110,12 +111,13 @@
         """Serve until a planned stop has ended."""
         own = self.settings.instance
         loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, lambda: self.feed(events.StopRequested()))
         await self._listener.listen(own.host, own.peer_port)
         await self._operators.listen(own.host, own.operator_port)
         self._alive_at = self._now()
         self.feed(events.Started(time.time()))
+        # Before its first event the core cannot stop; the signal's own effect does until then.
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, lambda: self.feed(events.StopRequested()))
         for seed in self.settings.seeds:
             host, port = parse_address(seed.address)
             self.feed(events.SeedNamed(seed.id, seed.zone, host, port))
@@ -364,6 +366,8 @@
 
     def _set_ready(self, action: actions.SetReady) -> None:
         self._ready = action.ready
+        if not action.ready:
+            self._server.announce_stop()
         eliot.log_message("readiness", ready=action.ready)
 
     async def _read_list(self) -> None:
@@ -438,9 +442,11 @@
                 self._recorder.flush()
 
     async def _close(self) -> None:
+        if not self._open:
+            # Otherwise the operator's limit for a stop has passed, and requests are cut.
+            await self._server.finish()
         await self._operators.close()
         await self._attempts.close()
-        await self._server.close()
         await self._links.close()
         await self._listener.close()
         for task in list(self._background):
--- /dev/null
+++ b/tests/operators/test_server.py
@@ -0,0 +1,121 @@
+"""The operators' port: garbage, wrong keys, silence and too many connections."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from rhubarbbend.core import Core
+from rhubarbbend.core.events import ChangeProposed, Event
+from rhubarbbend.operators import SCHEMA, ChangeAnswer, OperatorClient, OperatorServer, _server
+from tests.core.drive import make_row, make_zone, scan, start_core
+
+KEY = "k" * 64
+# The head of a valid call of show_config, whose rest hypothesis makes up.
+HEAD = b"\x80\x01\x00\x01\x00\x00\x00\x0bshow_config\x00\x00\x00\x00"
+APPLY = b"\x80\x01\x00\x01\x00\x00\x00\x0capply_change\x00\x00\x00\x00"
+
+
+async def propose(event: ChangeProposed) -> ChangeAnswer:
+    return ChangeAnswer("", 2, "")
+
+
+def make_server(core: Core) -> OperatorServer:
+    def feed(event: Event) -> None:
+        core.handle(event, 5.0)
+
+    return OperatorServer(core, KEY, propose, feed, lambda: 5.0)
+
+
+def make_core() -> Core:
+    core = start_core("e1")
+    scan(core, 4.0, make_row(1, make_zone("a", True)))
+    return core
+
+
+@settings(max_examples=300, suppress_health_check=[HealthCheck.too_slow], deadline=None)
+@given(
+    st.one_of(
+        st.binary(max_size=200),
+        st.binary(max_size=80).map(lambda b: HEAD + b),
+        st.binary(max_size=80).map(lambda b: APPLY + b),
+    )
+)
+def test_garbage_ends_the_connection_and_nothing_else(data: bytes) -> None:
+    """Bytes that are no call come in a frame: a scanner, or another version of the schema.
+
+    They must raise only what the server expects, or the connection's task would die with a
+    traceback for each; and never be taken for a call that changes something.
+    """
+    server = make_server(make_core())
+    with contextlib.suppress(*_server.MALFORMED):
+        answer = asyncio.run(server._run_call(data))
+        assert isinstance(answer, bytes)
+
+
+def run_with_client(check: object) -> None:
+    async def work() -> None:
+        server = make_server(make_core())
+        await server.listen("127.0.0.1", 0)
+        assert server._server is not None
+        address = server._server.sockets[0].getsockname()[:2]
+        try:
+            await check(address)  # type: ignore[operator]
+        finally:
+            await server.close()
+
+    asyncio.run(work())
+
+
+def test_a_wrong_key_is_refused_with_a_typed_error() -> None:
+    async def check(address: tuple[str, int]) -> None:
+        def call() -> None:
+            with OperatorClient(address, "wrong") as client:
+                for what in ("config", "zones", "targets", "instances"):
+                    with pytest.raises(SCHEMA.NotAllowed):
+                        client.show(what)
+                with pytest.raises(SCHEMA.NotAllowed):
+                    client.apply_change("c", "ana", 1, [make_zone("a", False)])
+
+        await asyncio.to_thread(call)
+
+    run_with_client(check)
+
+
+def test_an_unknown_target_kind_and_a_missing_author_are_typed_errors() -> None:
+    async def check(address: tuple[str, int]) -> None:
+        def call() -> None:
+            with OperatorClient(address, KEY) as client:
+                item = ("service", "s", b'{"name": "s", "kind": "gpu"}')
+                with pytest.raises(SCHEMA.InvalidChange, match="expected one of engine, plain"):
+                    client.apply_change("c", "ana", 1, [item])
+                with pytest.raises(SCHEMA.InvalidChange, match="author"):
+                    client.apply_change("c", "", 1, [make_zone("a", False)])
+                assert client.apply_change("c", "ana", 1, [make_zone("a", False)]) == 2
+
+        await asyncio.to_thread(call)
+
+    run_with_client(check)
+
+
+def test_silent_connections_are_closed_and_their_number_is_bounded(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Something opens connections and says nothing; operators must get through nevertheless."""
+    monkeypatch.setattr(_server, "IDLE_TIMEOUT", 0.3)
+    monkeypatch.setattr(_server, "MAX_CONNECTIONS", 3)
+
+    async def check(address: tuple[str, int]) -> None:
+        opened = [await asyncio.open_connection(*address) for _ in range(4)]
+        reader, _ = opened[3]
+        with contextlib.suppress(ConnectionError):
+            assert await asyncio.wait_for(reader.read(1), 0.25) == b""
+        for reader, writer in opened[:3]:
+            assert await asyncio.wait_for(reader.read(1), 2.0) == b""
+            writer.close()
+
+    run_with_client(check)
--- a/tests/peers/__init__.py
+++ b/tests/peers/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the protocol between instances."""
+"""Tests of the connections between instances."""
--- a/tests/peers/test_codec.py
+++ b/tests/peers/test_codec.py
@@ -14,8 +14,8 @@
     FrameError,
     FrameSeal,
     PeerListener,
-    decode_envelope,
-    encode_envelope,
+    decode_frame,
+    encode_frame,
 )
 from rhubarbbend.peers._links import make_hello
 
@@ -27,7 +27,7 @@
     if isinstance(kind, type) and issubclass(kind, Message) and getattr(kind, "FIELD", "")
 ]
 FRAMES = [
-    SEAL.close(encode_envelope("a1", message))
+    SEAL.close(encode_frame("a1", message))
     for message in (
         SlotRequest(attempt="x", instance="a1", target="t", account="acc"),
         ReservedRun(request="x", key="k", body=b"body", time_left=3.0, arrived=1e9),
@@ -39,8 +39,8 @@
 
 @pytest.mark.parametrize("kind", KINDS, ids=lambda kind: kind.__name__)
 def test_every_message_comes_back(kind: type[Message]) -> None:
-    data = encode_envelope("a1", kind())
-    assert decode_envelope(SEAL.open(SEAL.close(data)[4:])) == ("a1", kind())
+    frame = SEAL.close(encode_frame("a1", kind()))
+    assert decode_frame(SEAL.open(frame[4:])) == ("a1", kind())
 
 
 @BOUNDED
