--- a/rhubarbbend/core/_answers.py
+++ b/rhubarbbend/core/_answers.py
@@ -7,8 +7,8 @@
 from rhubarbbend import codes
 from rhubarbbend.codes import ErrorCode, Verdict
 from rhubarbbend.core import actions
+from rhubarbbend.core._claim_records import CLOCK_SKEW
 from rhubarbbend.core._claim_rows import Outcome
-from rhubarbbend.core._claims import CLOCK_SKEW
 from rhubarbbend.core._context import Context
 from rhubarbbend.core._request_table import RequestTable
 from rhubarbbend.core._requests import Request
--- a/rhubarbbend/core/_claims.py
+++ b/rhubarbbend/core/_claims.py
@@ -9,21 +9,17 @@
 
 from __future__ import annotations
 
-from typing import Final, Protocol
-
 from returns.result import Success
 
 from rhubarbbend import codes
 from rhubarbbend.codes import ErrorCode, Verdict
 from rhubarbbend.core import events
+from rhubarbbend.core._claim_listener import ClaimListener
 from rhubarbbend.core._claim_queries import (
-    STATE_DONE,
-    STATE_NEVER,
-    STATE_RUNNING,
-    STATE_UNKNOWN,
     ClaimQueries,
     Query,
 )
+from rhubarbbend.core._claim_records import CLOCK_SKEW, ClaimRecords, key_of
 from rhubarbbend.core._claim_rows import (
     ClaimRow,
     Outcome,
@@ -34,7 +30,6 @@
     WritePurpose,
     decode_row,
     judge_state,
-    make_key,
 )
 from rhubarbbend.core._claim_writes import ClaimWrites
 from rhubarbbend.core._context import Context, EventHandler
@@ -47,45 +42,6 @@
 from rhubarbbend.core._requests import Request
 from rhubarbbend.core.messages import ClaimQuery, ClaimReply, Message
 
-# Clocks of instances may differ by this much; only the finality of "not run" leans on it.
-CLOCK_SKEW: Final = 0.5
-
-_REPLY_STATES: Final = {
-    RecordState.CLAIMING: STATE_RUNNING,
-    RecordState.RUNNING: STATE_RUNNING,
-    RecordState.DONE: STATE_DONE,
-    RecordState.UNKNOWN: STATE_UNKNOWN,
-    RecordState.NOT_RUN: STATE_NEVER,
-}
-
-
-class ClaimListener(Protocol):
-    """Told what became of a claim."""
-
-    def claim_won(self, request: str, generation: int, now: float) -> None:
-        """The request's own attempt is in the table: it may be dispatched."""
-        ...
-
-    def claim_retake(self, request: str, version: int, generation: int, now: float) -> None:
-        """The key was refused before; claim it with this version and generation."""
-        ...
-
-    def claim_waits(self, request: str, now: float) -> None:
-        """Another attempt under the key is running; its outcome will be the request's."""
-        ...
-
-    def claim_replayed(self, request: str, outcome: Outcome, now: float) -> None:
-        """The key has run; this is its answer."""
-        ...
-
-    def claim_refused(self, request: str, code: ErrorCode, verdict: Verdict, now: float) -> None:
-        """The request gets no run; `verdict` speaks of the key."""
-        ...
-
-    def find_request(self, request: str) -> Request | None:
-        """Find a request that is still open."""
-        ...
-
 
 class ClaimDuty:
     """Claims, their outcomes and the questions about them."""
@@ -93,11 +49,9 @@
     def __init__(self, context: Context) -> None:
         self._context = context
         self._listener: ClaimListener | None = None
-        self._records: dict[str, Record] = {}
+        self._records = ClaimRecords(context)
         self._writes = ClaimWrites(context, self._settle_write, self._give_up, self._is_wanted)
         self._queries = ClaimQueries(context, self)
-        # Attempts of this incarnation that were never dispatched and never will be, and since when.
-        self._never: dict[str, float] = {}
         self._next_number = 0
 
     def set_listener(self, listener: ClaimListener) -> None:
@@ -120,7 +74,7 @@
 
     def list_messages(self) -> dict[type[Message], EventHandler]:
         """Handle questions and answers about claims."""
-        return {ClaimQuery: self._handle_query, ClaimReply: self._queries.handle_reply}
+        return {ClaimQuery: self._records.handle_query, ClaimReply: self._queries.handle_reply}
 
     def has_pending_writes(self) -> bool:
         """Whether outcomes still wait to be written; a planned stop waits for them."""
@@ -161,7 +115,7 @@
 
     def settle_from_memory(self, request: Request, now: float) -> bool:
         """Settle a request whose key this instance knows; False if it has to be claimed."""
-        record = self._records.get(_key_of(request))
+        record = self._records.find(request)
         if record is None:
             return False
         if record.digest != request.arrived.body_digest:
@@ -197,13 +151,13 @@
         """Claim the key for the request's present attempt."""
         if self.settle_from_memory(request, now):
             return
-        record = self._open_record(request, now)
+        record = self._records.open(request, now)
         if record.reserved:
             record.state = RecordState.RUNNING
             self._context.count(codes.RESERVED_RUNS)
             self.listener.claim_won(request.id, record.generation, now)
             return
-        row = self._make_row(record, RowState.CLAIMED, now)
+        row = self._records.make_row(record, RowState.CLAIMED, now)
         self._write(WritePurpose.CLAIM, record.key, row, request, codes.PLATFORM_DOWN, now)
 
     def refuse(self, request: Request, code: ErrorCode, now: float) -> None:
@@ -216,7 +170,7 @@
         if self.settle_from_memory(request, now):
             return
         if is_reserved(request.arrived.key):
-            self._mark_never(self._open_record(request, now), now)
+            self._records.mark_never(self._records.open(request, now), now)
             self.listener.claim_refused(request.id, code, Verdict.NOT_RUN, now)
             return
         self._write_refusal(request, code, now)
@@ -231,41 +185,20 @@
 
     def abandon(self, request: Request, now: float) -> None:
         """Give up an attempt that was claimed, or is being claimed, and never dispatched."""
-        record = self._find_own(request)
+        record = self._records.find_own(request)
         if record is None or not record.open:
             return
-        self._mark_never(record, now)
+        self._records.mark_never(record, now)
         self._tell_waiting(record, now)
         if record.won:
             self._write_outcome(record, RowState.NOT_RUN, now)
 
     # Writing.
 
-    def _open_record(self, request: Request, now: float) -> Record:
-        reserved = is_reserved(request.arrived.key)
-        record = Record(
-            _key_of(request),
-            request.arrived.body_digest,
-            request.attempt,
-            RecordState.CLAIMING,
-            now,
-            generation=max(1, request.generation),
-            reserved=reserved,
-            won=reserved,
-        )
-        request.claim_id = request.attempt
-        self._records[record.key] = record
-        return record
-
-    def _mark_never(self, record: Record, now: float) -> None:
-        record.state = RecordState.NOT_RUN
-        record.at = now
-        self._never[record.attempt] = now
-
     def _end_run(
         self, request: Request, state: RecordState, outcome: Outcome | None, now: float
     ) -> None:
-        record = self._find_own(request)
+        record = self._records.find_own(request)
         if record is None:
             return
         record.state = state
@@ -274,23 +207,6 @@
         self._tell_waiting(record, now)
         self._write_outcome(record, RowState(state.value), now)
 
-    def _make_row(self, record: Record, state: RowState, now: float) -> ClaimRow:
-        identity = self._context.identity
-        outcome = record.outcome or Outcome(0, "", b"", True)
-        return ClaimRow(
-            record.digest,
-            record.attempt,
-            identity.instance,
-            identity.incarnation,
-            record.generation,
-            state,
-            self._context.read_wall(now),
-            status=outcome.status,
-            content_type=outcome.content_type,
-            body=outcome.body,
-            kept=outcome.kept,
-        )
-
     def _write(
         self,
         purpose: WritePurpose,
@@ -314,12 +230,12 @@
             RowState.NOT_RUN,
             self._context.read_wall(now),
         )
-        self._write(WritePurpose.REFUSE, _key_of(request), row, request, code, now)
+        self._write(WritePurpose.REFUSE, key_of(request), row, request, code, now)
 
     def _write_outcome(self, record: Record, state: RowState, now: float) -> None:
         if record.reserved:
             return
-        row = self._make_row(record, state, now)
+        row = self._records.make_row(record, state, now)
         write = PendingWrite(WritePurpose.OUTCOME, record.key, row, record.version, "", now)
         self._writes.add(write, now)
 
@@ -332,9 +248,9 @@
         The write may still take effect; the attempt is never dispatched, and this instance says
         so when asked. Of the key's other attempts nothing is known.
         """
-        record = self._find_written(write)
+        record = self._records.find_written(write)
         if record is not None:
-            self._mark_never(record, now)
+            self._records.mark_never(record, now)
             self._tell_waiting(record, now)
         self.listener.claim_refused(write.request, write.code, Verdict.MAY_HAVE_RUN, now)
 
@@ -344,7 +260,7 @@
         found = None if row is None else decode_row(row)
         # The answer to an earlier try of this write may have been lost after it took effect.
         mine = applied or (found is not None and found.attempt == write.row.attempt)
-        record = self._find_written(write)
+        record = self._records.find_written(write)
         if mine and record is not None and row is not None:
             record.version = row.version
         if write.purpose is WritePurpose.OUTCOME:
@@ -367,7 +283,7 @@
             return
         elif record.state is not RecordState.CLAIMING or not self._is_wanted(write):
             record.won = True
-            self._mark_never(record, now)
+            self._records.mark_never(record, now)
             self._tell_waiting(record, now)
             self._write_outcome(record, RowState.NOT_RUN, now)
         else:
@@ -392,7 +308,7 @@
         """Forget the record of an attempt that lost; those waiting on it are settled anew."""
         if record is None:
             return
-        del self._records[record.key]
+        self._records.drop(record)
         for waiting in record.waiting:
             if self.listener.find_request(waiting) is not None:
                 self.listener.claim_retake(waiting, 0, 1, now)
@@ -445,9 +361,10 @@
         identity = self._context.identity
         view = self._context.fleet.instances.get(row.instance)
         restarted = view is not None and view.incarnation not in (0, row.incarnation)
-        query = Query(_key_of(request), row.instance, version, row.generation, [])
-        if row.attempt in self._never:
-            self.holder_never(request.id, query, self._never[row.attempt], now)
+        query = Query(key_of(request), row.instance, version, row.generation, [])
+        never = self._records.find_never(row.attempt)
+        if never is not None:
+            self.holder_never(request.id, query, never, now)
         elif row.instance == identity.instance or restarted:
             # The incarnation that held it is gone, and with it what it knew.
             self._refuse_unknown(request.id, now)
@@ -487,53 +404,10 @@
         """Leave in doubt what only a silent holder knows."""
         self.listener.claim_refused(request, codes.HOLDER_SILENT, Verdict.MAY_HAVE_RUN, now)
 
-    def _handle_query(self, sender: str, message: ClaimQuery, now: float) -> None:
-        reply = ClaimReply(attempt=message.attempt, key=message.key, state=STATE_UNKNOWN)
-        since = self._never.get(message.attempt)
-        record = self._records.get(message.key)
-        if since is not None:
-            reply.state = STATE_NEVER
-            reply.age = now - since
-            self._context.send(sender, reply)
-        elif record is not None and record.attempt == message.attempt:
-            if record.open:
-                record.asking.add(sender)
-            self._answer_query(sender, record, now)
-        else:
-            self._context.send(sender, reply)
-
-    def _answer_query(self, peer: str, record: Record, now: float) -> None:
-        reply = ClaimReply(
-            attempt=record.attempt, key=record.key, state=_REPLY_STATES[record.state]
-        )
-        if record.state is RecordState.NOT_RUN:
-            reply.age = now - record.at
-        if record.outcome is not None:
-            reply.status = record.outcome.status
-            reply.content_type = record.outcome.content_type
-            reply.body = record.outcome.body
-            reply.kept = record.outcome.kept
-        self._context.send(peer, reply)
-
     # Keeping records.
 
-    def _find_own(self, request: Request) -> Record | None:
-        record = self._records.get(_key_of(request))
-        if record is None or record.attempt != request.claim_id:
-            return None
-        return record
-
-    def _find_written(self, write: PendingWrite) -> Record | None:
-        record = self._records.get(write.key)
-        if record is None or record.attempt != write.row.attempt:
-            return None
-        return record
-
     def _tell_waiting(self, record: Record, now: float) -> None:
-        # Sorted, since the order of a set of strings differs from process to process.
-        for peer in sorted(record.asking):
-            self._answer_query(peer, record, now)
-        record.asking.clear()
+        self._records.answer_asking(record, now)
         waiting, record.waiting = record.waiting, []
         for request in waiting:
             if record.state is RecordState.DONE and record.outcome is not None:
@@ -545,25 +419,4 @@
                 self._refuse_unknown(request, now)
 
     def _start(self, event: events.Started, now: float) -> None:
-        self._context.repeat(self._context.options.record_lifetime / 30, self._trim, now)
-
-    def _trim(self, now: float) -> None:
-        """Forget old records.
-
-        A reserved key's record is the only proof that the key has run; it is kept for as long as
-        the key is valid, whatever their number.
-        """
-        options = self._context.options
-        lifetime = max(options.record_lifetime, options.reserved_lifetime) + CLOCK_SKEW
-        for key, record in list(self._records.items()):
-            if record.open or record.asking or record.waiting:
-                continue
-            too_many = len(self._records) > options.max_records and not record.reserved
-            if now - record.at > lifetime or too_many:
-                del self._records[key]
-        for attempt in [a for a, since in self._never.items() if now - since > lifetime]:
-            del self._never[attempt]
-
-
-def _key_of(request: Request) -> str:
-    return make_key(request.account.name, request.arrived.key)
+        self._context.repeat(self._context.options.record_lifetime / 30, self._records.trim, now)
--- a/rhubarbbend/core/_entry.py
+++ b/rhubarbbend/core/_entry.py
@@ -15,8 +15,9 @@
 from rhubarbbend.core import events
 from rhubarbbend.core._answers import Answers
 from rhubarbbend.core._attempts import Attempts
+from rhubarbbend.core._claim_records import CLOCK_SKEW
 from rhubarbbend.core._claim_rows import Outcome
-from rhubarbbend.core._claims import CLOCK_SKEW, ClaimDuty
+from rhubarbbend.core._claims import ClaimDuty
 from rhubarbbend.core._context import Context, EventHandler
 from rhubarbbend.core._keys import is_reserved, is_valid_key
 from rhubarbbend.core._request_table import RequestTable
