--- a/tests/fleet/test_commands.py
+++ b/tests/fleet/test_commands.py
@@ -292,3 +292,32 @@
             check_runs(cluster, {"k": told})
 
     run(work)
+
+
+def test_same_key_in_a_zone_cut_off_from_the_platform(tmp_path: Path) -> None:
+    """One zone cannot reach the platform. The same key is sent there and in another zone at once:
+    the other zone runs it, and the one cut off, which cannot see its own claim, runs nothing and
+    says that it may have run. Joined again, it finds the outcome."""
+
+    async def work() -> None:
+        async with start_fleet(tmp_path, engines=0) as cluster:
+            assert cluster.platform is not None
+            caller = make_caller(cluster)
+            cut = cluster.instances["entry-a1"]
+            whole = cluster.instances["entry-b1"]
+            await cluster.set_route_faults("almaty-a", [cluster.platform], blackhole=True)
+            both = [
+                caller.send_command(PATH, "k", BODY, node.address, 5.0) for node in (cut, whole)
+            ]
+            told = await asyncio.gather(*both)
+            assert (told[0].verdict, told[1].good) == ("may_have_run", True), told
+            await cluster.set_route_faults("almaty-a", [cluster.platform], blackhole=False)
+            for _ in range(5):
+                told.append(await caller.send_command(PATH, "k", BODY, cut.address, 5.0))
+                if told[-1].good:
+                    break
+                await asyncio.sleep(1.0)
+            assert told[-1].good and told[-1].replayed, told
+            check_runs(cluster, {"k": told})
+
+    run(work)
