Blame no request for a crash that it came after

Between a crash and its owner's notice the dead engine is still chosen; the proxy takes the connection and closes it, which looked like a crash with the chat on it, twice. Reading showed this; it was not traced. An attempt that was sent after the boot was known to have ended is not counted. Not mended: a crashing request that is faster than the notice of its first crash (docs/PROMISES.md, 7).

--- a/rhubarbbend/core/_attempts.py
+++ b/rhubarbbend/core/_attempts.py
@@ -20,7 +20,7 @@
 from rhubarbbend.core._requests import Phase, Request
 from rhubarbbend.core._retries import RetryBudget
 from rhubarbbend.core._slots import HeldSlots, SlotSearch
-from rhubarbbend.core._suspects import SuspectDuty
+from rhubarbbend.core._suspects import Crash, SuspectDuty
 from rhubarbbend.core.configuration import KIND_ENGINE
 
 STAGE_CONNECT: Final = "connect"
@@ -251,6 +251,7 @@
             self._fail(request, now)
             return
         request.phase = Phase.PROBING
+        request.failed_at = now
         self._context.emit(actions.Probe(view.id, request.attempt, view.host, view.port))
         silent = events.ProbeAnswered(view.id, request.attempt, "", silent=True)
         timeout = now + self._context.options.probe_timeout
@@ -259,7 +260,8 @@
     def _note_lost(self, request: Request, event: events.ProbeAnswered, now: float) -> None:
         """Count a crash, unless the target is silent: a partition is no fault of a request."""
         if not event.silent and request.boot_id:
-            self._suspects.record_crash(request.arrived.body_digest, request.boot_id, now)
+            crash = Crash(request.boot_id, request.dispatched_at, request.failed_at)
+            self._suspects.record_crash(request.arrived.body_digest, crash, now)
         view = self._find_view(request)
         if view is not None and not event.boot_id:
             view.down_until = now + self._context.options.down_hold
--- a/rhubarbbend/core/_requests.py
+++ b/rhubarbbend/core/_requests.py
@@ -54,6 +54,7 @@
     sent: bool = False
     started: bool = False
     dispatched_at: float = 0.0
+    failed_at: float = 0.0
     first_byte: float = 0.0
     relayed: int = 0
     last_refusal: str = ""
--- a/rhubarbbend/core/_suspects.py
+++ b/rhubarbbend/core/_suspects.py
@@ -25,12 +25,23 @@
     at: float
 
 
+@attrs.define(slots=True, frozen=True)
+class Crash:
+    """A crash as an attempt saw it: when it was sent, and when its connection failed."""
+
+    boot_id: str
+    dispatched_at: float
+    failed_at: float
+
+
 class SuspectDuty:
     """Counts crashes by request digest. Invariant: a digest is forgotten after suspect_hold."""
 
     def __init__(self, context: Context) -> None:
         self._context = context
         self._suspicions: dict[str, Suspicion] = {}
+        # Since when each boot of a target is known to have ended.
+        self._ended: dict[str, float] = {}
 
     def list_events(self) -> dict[type[events.Event], EventHandler]:
         """Handle the start."""
@@ -49,8 +60,18 @@
         """Whether a digest has reached the limit."""
         return self.count_crashes(digest) >= self._context.options.suspect_limit
 
-    def record_crash(self, digest: str, boot_id: str, now: float) -> None:
-        """Count a crash against a digest and tell every instance known."""
+    def record_crash(self, digest: str, crash: Crash, now: float) -> None:
+        """Count a crash against a digest and tell every instance known.
+
+        A dead target is still chosen until its owner notices. Where something in between takes the
+        connection and then closes it, a request that came after the crash looks as if it had been
+        there; sent to two dead targets it would be refused for crashes of another's making.
+        """
+        boot_id = crash.boot_id
+        since = self._ended.setdefault(boot_id, crash.failed_at)
+        if crash.dispatched_at > since:
+            return
+        self._ended[boot_id] = min(since, crash.failed_at)
         if not self._add(digest, boot_id, 0.0, now):
             return
         self._context.count(codes.SUSPECTS)
@@ -78,6 +99,7 @@
     def merge(self, crashes: list[CrashCount], now: float) -> None:
         """Take over what another instance knows."""
         for crash in crashes:
+            self._ended.setdefault(crash.last_target, now - crash.age)
             self._add(crash.digest, crash.last_target, crash.age, now)
 
     def _add(self, digest: str, boot_id: str, age: float, now: float) -> bool:
@@ -103,3 +125,5 @@
         oldest = now - self._context.options.suspect_hold
         for digest in [d for d, entry in self._suspicions.items() if entry.at <= oldest]:
             del self._suspicions[digest]
+        for boot_id in [b for b, since in self._ended.items() if since <= oldest]:
+            del self._ended[boot_id]
--- a/tests/core/test_suspects.py
+++ b/tests/core/test_suspects.py
@@ -86,3 +86,18 @@
     told = [answer.code for answer in world.answers[innocent]]
     assert "request_crashes_targets" not in told
     assert world.cores["a1"].suspects.count_crashes(f"body-{innocent[1:]}") == 1
+
+
+def test_request_sent_to_a_target_that_was_dead_already_is_not_blamed() -> None:
+    """A proxy in between takes connections for two engines that have crashed, and closes them. A
+    request that came after the crashes fails at both; it was there at neither."""
+    world = World({"a1": "a"})
+    late = ask(world, "a1", "r2", "good")
+    world.finish(late)
+    boot = f"{late.action.target}-1"
+    notice = CrashNotice(crashes=[CrashCount(digest="bad", count=1, last_target=boot)])
+    world.feed("a1", events.PeerSaid("b1", notice))
+    world.advance(0.1)
+    world.send("a1", "r3", body="good", service=ENGINE)
+    crash(world, world.runs[-1])
+    assert world.cores["a1"].suspects.count_crashes("good") == 0
