--- a/rhubarbbend/core/_members.py
+++ b/rhubarbbend/core/_members.py
@@ -50,9 +50,6 @@
 # An instance that was lost is asked again after this, when its link is no longer held back.
 LOST_RETRY: Final = 0.6
 
-# How many instances are asked whom they know, each second until the first answer.
-START_PEERS: Final = 2
-
 
 class OwnerListener(Protocol):
     """Told when targets may have a new owner."""
--- a/rhubarbbend/peers/_links.py
+++ b/rhubarbbend/peers/_links.py
@@ -18,8 +18,8 @@
     MAX_FRAME_BYTES,
     FrameError,
     FrameSeal,
-    decode_envelope,
-    encode_envelope,
+    decode_frame,
+    encode_frame,
 )
 
 PING_INTERVAL: Final = 0.5
@@ -99,7 +99,7 @@
                 raise FrameError("frame too large")
             data = await reader.readexactly(length)
             self.traffic += length + 4
-            sender, message = decode_envelope(self._seal.open(data))
+            sender, message = decode_frame(self._seal.open(data))
             self._on_message(sender, message)
 
 
@@ -194,7 +194,7 @@
                 link.close()
             link = self._links[peer] = _Link(self, peer, address)
         if self._last[0] is not message:
-            envelope = encode_envelope(self._own_id, message)
+            envelope = encode_frame(self._own_id, message)
             self._last = (message, self._seal.close(envelope))
         frame = self._last[1]
         link.send(frame)
