Part the member duty; say that one leaves in every question to a zone

Moving the questions together showed a fault: the one sent to a zone that had been lost did not say that the sender leaves, so whoever had been told before took the word back. One function now makes all of them. tests/core/test_stop.py failed with that question as it was, passes now; 196 core tests pass.

--- a/rhubarbbend/core/_core.py
+++ b/rhubarbbend/core/_core.py
@@ -80,7 +80,7 @@
 
     def _handle_message(self, sender: str, message: Message, now: float) -> None:
         if isinstance(message, SlotMessage):
-            self.members.take_loads(sender, message, now)
+            self.members.loads.take_loads(sender, message, now)
         handler = self._messages.get(type(message))
         if handler is not None:
             handler(sender, message, now)
--- a/tests/core/test_stop.py
+++ b/tests/core/test_stop.py
@@ -4,7 +4,7 @@
 
 from rhubarbbend.core import actions, events
 from rhubarbbend.core._fleet import rank
-from rhubarbbend.core.messages import Handover, Heartbeat
+from rhubarbbend.core.messages import Handover, Heartbeat, ZoneQuery
 from tests.core.drive import introduce, pick, run_timers, scan, start_core
 from tests.core.test_service import ask, read_refusals, start_owner
 
@@ -87,3 +87,22 @@
     assert pick(run_timers(core, 13.0), actions.Exit) == []
     core.handle(events.AttemptDone(dispatched[0].attempt, 200, 1.0), 13.1)
     assert len(pick(run_timers(core, 14.0), actions.Exit)) == 1
+
+
+def test_a_stopping_instance_says_so_whenever_it_asks() -> None:
+    """While it stops it asks a zone that it had lost whether it can be reached again.
+
+    That question did not say that it leaves, and whoever had been told before took the word back:
+    its targets were its own again while it gave them up.
+    """
+    core = start_core("e1", "a")
+    listed = [events.Listed(name, "instance", zone, "h", 1, 2) for name, zone in (("e2", "b"),)]
+    core.handle(events.ListRead(listed), 1.0)
+    core.handle(STOP, 2.0)
+    core.handle(events.PeerLost("e2"), 2.1)
+    asked = [
+        action.message
+        for action in pick(run_timers(core, 8.0), actions.SendPeer)
+        if isinstance(action.message, ZoneQuery)
+    ]
+    assert asked and all(query.leaving for query in asked)
