Keep an error in one decision to itself; part the platform's calls from the runtime

Found by reading: an exception of the core passed through feed to whatever had brought its event, a peer's connection or a timer, and the next timer was not set.

--- a/rhubarbbend/codes.py
+++ b/rhubarbbend/codes.py
@@ -184,6 +184,9 @@
     "control.target_bytes", "bytes of load reports, probes and cancellations"
 )
 CONTROL_METRICS: Final = _declare_counter("control.statsd_bytes", "bytes of counters sent")
+INTERNAL_ERRORS: Final = _declare_counter(
+    "internal_errors", "events whose handling raised an error; a fault of this program"
+)
 PAUSES: Final = _declare_counter("pauses", "pauses of this process noticed on waking")
 PLATFORM_ERRORS: Final = _declare_counter("platform.errors", "platform calls that failed")
 CONFIG_APPLIED: Final = _declare_counter("config.applied", "configuration changes applied")
--- a/rhubarbbend/shell/_runtime.py
+++ b/rhubarbbend/shell/_runtime.py
@@ -30,11 +30,12 @@
 from rhubarbbend.http import ConnectionPool, Exchange, HttpServer, ServerLimits
 from rhubarbbend.operators import ChangeAnswer, OperatorServer, make_operator_key
 from rhubarbbend.peers import PeerLinks, PeerListener
-from rhubarbbend.platform import PLATFORMS, PlatformError
+from rhubarbbend.platform import PLATFORMS
 from rhubarbbend.settings import Settings, parse_address, read_operator_secret
 from rhubarbbend.shell._attempts import AttemptRunner
 from rhubarbbend.shell._callers import OpenRequest
 from rhubarbbend.shell._metrics import Metrics
+from rhubarbbend.shell._platform_calls import PlatformCalls
 from rhubarbbend.shell._requests import (
     HEALTH_PATH,
     KEYS_PATH,
@@ -47,7 +48,6 @@
 from rhubarbbend.shell._traffic import ControlTraffic
 from rhubarbbend.trace import Recorder
 
-SNAPSHOT_OBJECT: Final = "configuration-snapshot"
 WATCH_INTERVAL: Final = 0.25
 # A loop that was away this much longer than it slept has been paused.
 PAUSE_MARGIN: Final = 1.0
@@ -90,6 +90,7 @@
         self._platform = PLATFORMS.find(settings.platform.kind)(
             parse_address(settings.platform.address), settings.platform.timeout, own.zone
         )
+        self._calls = PlatformCalls(self._platform, self.feed, self._spawn, self.metrics)
         self._links = PeerLinks(own.id, secret, self._lose_peer)
         self._listener = PeerListener(secret, self._hear_peer, self._count_bad_frame)
         self._server = HttpServer(self._serve_caller, _make_limits(settings))
@@ -137,12 +138,24 @@
         self._note_pause()
         try:
             while self._queue:
-                for action in self._handle(self._queue.popleft(), self._now()):
-                    self._performers[type(action)](action)
+                self._handle_event(self._queue.popleft())
         finally:
             self._handling = False
         self._set_timer()
 
+    def _handle_event(self, event: events.Event) -> None:
+        """Let the core decide on one event and carry out what it says.
+
+        An error in one decision would otherwise end the connection that happened to bring its
+        event, and leave the timers of every other request unset until the next one.
+        """
+        try:
+            for action in self._handle(event, self._now()):
+                self._performers[type(action)](action)
+        except Exception:
+            self.metrics.add(codes.INTERNAL_ERRORS)
+            eliot.write_traceback()
+
     def _note_pause(self) -> None:
         """Put a pause of this process before whatever is handled first after it.
 
@@ -276,6 +289,7 @@
 
     def _list_performers(self) -> dict[type[actions.Action], Callable[[Any], None]]:
         return {
+            **self._calls.list_performers(),
             actions.Refuse: self._refuse,
             actions.Reply: self._reply,
             actions.GiveKeys: self._give_keys,
@@ -287,12 +301,6 @@
             actions.ReadReport: self._read_report,
             actions.SendPeer: self._send_peer,
             actions.SendReserved: self._send_reserved,
-            actions.ReadList: lambda action: self._spawn(self._read_list()),
-            actions.WriteRows: lambda action: self._spawn(self._write_rows(action)),
-            actions.ReadRow: lambda action: self._spawn(self._read_row(action)),
-            actions.ScanRows: lambda action: self._spawn(self._scan_rows(action)),
-            actions.ReadSnapshot: lambda action: self._spawn(self._read_snapshot()),
-            actions.WriteSnapshot: lambda action: self._spawn(self._write_snapshot(action)),
             actions.AnswerOperator: self._answer_operator,
             actions.SetReady: self._set_ready,
             actions.StopAccepting: lambda action: self._server.stop_accepting(),
@@ -370,55 +378,6 @@
             self._server.announce_stop()
         eliot.log_message("readiness", ready=action.ready)
 
-    async def _read_list(self) -> None:
-        try:
-            entries = await self._platform.read_list()
-        except PlatformError:
-            self.metrics.add(codes.PLATFORM_ERRORS)
-            return
-        self.feed(events.ListRead(entries))
-
-    async def _write_rows(self, action: actions.WriteRows) -> None:
-        try:
-            applied, rows = await self._platform.write_rows(action.writes, action.atomic)
-        except PlatformError:
-            self.feed(events.WriteDone(action.op, "unknown"))
-            return
-        self.feed(events.WriteDone(action.op, "done", applied, rows))
-
-    async def _read_row(self, action: actions.ReadRow) -> None:
-        try:
-            row = await self._platform.read_row(action.table, action.key)
-        except PlatformError:
-            self.feed(events.RowsRead(action.op, "failed"))
-            return
-        self.feed(events.RowsRead(action.op, "done", [] if row is None else [row]))
-
-    async def _scan_rows(self, action: actions.ScanRows) -> None:
-        try:
-            rows = await self._platform.scan_rows(action.table, action.after, action.limit)
-        except PlatformError:
-            self.feed(events.RowsRead(action.op, "failed"))
-            return
-        self.feed(events.RowsRead(action.op, "done", rows))
-
-    async def _read_snapshot(self) -> None:
-        try:
-            data = await self._platform.read_object(SNAPSHOT_OBJECT)
-        except PlatformError:
-            self.feed(events.SnapshotRead("failed"))
-            return
-        self.feed(events.SnapshotRead("done", data))
-
-    async def _write_snapshot(self, action: actions.WriteSnapshot) -> None:
-        try:
-            await self._platform.write_object(SNAPSHOT_OBJECT, action.data)
-        except PlatformError:
-            self.metrics.add(codes.PLATFORM_ERRORS)
-            self.feed(events.SnapshotWritten("failed"))
-            return
-        self.feed(events.SnapshotWritten("done"))
-
     # Background work.
 
     async def _watch_pauses(self) -> None:
--- /dev/null
+++ b/tests/shell/test_runtime.py
@@ -0,0 +1,66 @@
+"""The runtime around the core: errors in one decision stay with it."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+import eliot
+
+from loadtool._processes import pick_port
+from rhubarbbend import codes
+from rhubarbbend.core import actions, events
+from rhubarbbend.settings import load_settings
+from rhubarbbend.shell import Runtime
+
+SETTINGS = """
+[instance]
+id = "e1"
+zone = "a"
+host = "127.0.0.1"
+http_port = {0}
+peer_port = {1}
+operator_port = {2}
+[platform]
+address = "127.0.0.1:{3}"
+[secret]
+file = "{4}"
+"""
+
+
+def test_an_error_in_one_decision_leaves_the_others(tmp_path: Path) -> None:
+    """A message that brings out a fault of the core arrives; then the core's timers come due.
+
+    The error used to pass through to the peer's connection, which ended, and left the timer
+    unset. It is counted and logged, and the next event is handled as ever.
+    """
+
+    async def work() -> None:
+        secret = tmp_path / "secret"
+        secret.write_text("a secret of the tests of the runtime", "utf-8")
+        path = tmp_path / "settings.toml"
+        path.write_text(SETTINGS.format(*(pick_port() for _ in range(4)), secret), "utf-8")
+        runtime = Runtime(*load_settings(path))
+        handled: list[events.Event] = []
+
+        def handle(event: events.Event, now: float) -> list[actions.Action]:
+            if isinstance(event, events.PeerLost):
+                raise LookupError("a fault")
+            handled.append(event)
+            return []
+
+        runtime._handle = handle
+        runtime.core.context.set_timer(asyncio.get_running_loop().time() + 0.05, lambda now: None)
+        runtime.feed(events.PeerLost("e2"))
+        assert runtime.metrics.totals[codes.INTERNAL_ERRORS] == 1
+        async with asyncio.timeout(5.0):
+            while not any(isinstance(event, events.TimerDue) for event in handled):
+                await asyncio.sleep(0.01)
+
+    logged: list[object] = []
+    eliot.add_destinations(logged.append)
+    try:
+        asyncio.run(work())
+    finally:
+        eliot.remove_destination(logged.append)
+    assert any("a fault" in str(message) for message in logged)
