--- a/rhubarbbend/peers/_links.py
+++ b/rhubarbbend/peers/_links.py
@@ -26,6 +26,9 @@
 PONG_TIMEOUT: Final = 1.5
 CONNECT_TIMEOUT: Final = 1.0
 RECONNECT_HOLD: Final = 0.5
+# A connection that has carried no message for this long is closed, in seconds: with hundreds of
+# instances in other zones the pings of idle ones would cost more than all that is said.
+IDLE_LIMIT: Final = 15.0
 MAX_QUEUED_FRAMES: Final = 10_000
 HELLO_BYTES: Final = 32
 # A frame of length zero asks for a pong, a single byte on the way back.
@@ -61,6 +64,10 @@
         self._server = await asyncio.start_server(self._accept, host, port)
         return int(self._server.sockets[0].getsockname()[1])
 
+    def count_open(self) -> int:
+        """Count the connections that others have opened and not closed."""
+        return len(self._tasks)
+
     async def close(self) -> None:
         """Close the socket and every connection."""
         if self._server is not None:
@@ -114,9 +121,11 @@
         self._queue: list[bytes] = []
         self._task: asyncio.Task[None] | None = None
         self._hold_until = 0.0
+        self._sent_at = 0.0
 
     def send(self, frame: bytes) -> None:
         """Send a frame now, or once the connection is open."""
+        self._sent_at = asyncio.get_running_loop().time()
         if self._writer is not None:
             self._writer.write(frame)
             self._links.traffic += len(frame)
@@ -134,6 +143,7 @@
     async def _run(self) -> None:
         loop = asyncio.get_running_loop()
         writer: asyncio.StreamWriter | None = None
+        idle = False
         try:
             if self._is_held(loop.time()):
                 return
@@ -145,6 +155,7 @@
             self._queue.clear()
             self._writer = writer
             await self._keep_alive(reader, writer)
+            idle = True
         except (OSError, TimeoutError):
             # Set by a failure alone: if each message that is held back put it off again, steady
             # traffic would keep the connection closed for good after the peer has come back.
@@ -155,13 +166,16 @@
             dropped, self._queue = self._queue, []
             if writer is not None:
                 writer.transport.abort()
-            self._links.report_lost(self, len(dropped))
+            if not idle:
+                self._links.report_lost(self, len(dropped))
 
     def _is_held(self, now: float) -> bool:
         return now < self._hold_until
 
     async def _keep_alive(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        while True:
+        """Prove the connection by pings until it has been idle for long."""
+        loop = asyncio.get_running_loop()
+        while loop.time() - self._sent_at < self._links.idle_limit:
             writer.write(PING)
             self._links.traffic += len(PING) + len(PONG)
             async with asyncio.timeout(PONG_TIMEOUT):
@@ -173,7 +187,10 @@
 class PeerLinks:
     """Sends messages to other instances."""
 
-    def __init__(self, own_id: str, secret: bytes, on_lost: OnLost) -> None:
+    def __init__(
+        self, own_id: str, secret: bytes, on_lost: OnLost, idle_limit: float = IDLE_LIMIT
+    ) -> None:
+        self.idle_limit = idle_limit
         self.hello = make_hello(secret)
         self._seal = FrameSeal(secret)
         self._own_id = own_id
--- a/tests/peers/test_links.py
+++ b/tests/peers/test_links.py
@@ -139,3 +139,28 @@
         await listener.close()
 
     asyncio.run(work())
+
+
+def test_an_idle_connection_is_closed_without_a_word() -> None:
+    """Nothing is said to a peer for a while; then a message goes to it again.
+
+    Pings on connections that say nothing would cost a large fleet more than its messages. Closing
+    one must not look like the loss of the peer, and the next message must arrive.
+    """
+
+    async def work() -> None:
+        receiver = Receiver()
+        port = await receiver.listener.listen(HOST, 0)
+        lost: list[str] = []
+        links = PeerLinks("entry-a1", SECRET, lost.append, idle_limit=0.3)
+        links.send("entry-b1", (HOST, port), SlotRequest(attempt="1"))
+        await wait_for(lambda: receiver.attempts == ["1"])
+        await wait_for(lambda: receiver.listener.count_open() == 0)
+        assert lost == [] and links.dropped == 0
+        links.send("entry-b1", (HOST, port), SlotRequest(attempt="2"))
+        await wait_for(lambda: receiver.attempts == ["1", "2"])
+        assert lost == []
+        await links.close()
+        await receiver.listener.close()
+
+    run(work)
