--- a/tests/core/test_claims_model.py
+++ b/tests/core/test_claims_model.py
@@ -12,7 +12,7 @@
 
 ZONES = {"a1": "a", "a2": "a", "b1": "b"}
 SKEWS = (0.0, 0.2, -0.2)
-STEPS = st.lists(st.tuples(st.integers(0, 15), st.integers(0, 63)), min_size=30, max_size=90)
+STEPS = st.lists(st.tuples(st.integers(0, 15), st.integers(0, 63)), min_size=40, max_size=140)
 
 
 class Trial:
@@ -140,7 +140,7 @@
         return key
 
 
-@settings(max_examples=100, deadline=None, derandomize=True)
+@settings(max_examples=200, deadline=None, derandomize=True)
 @given(STEPS)
 def test_one_run_and_true_refusals_in_any_order(steps: list[tuple[int, int]]) -> None:
     trial = Trial()
