Give a slot back before the caller has the end of its answer

Cause of the flaky test of the path (once in 6 runs side by side, the next turn found nothing in the cache): the caller had the end of its answer before the owner had the slot back, and the next turn, through another instance, found the one slot of a cold engine taken and was moved. The report to the core now comes first. Ruled out: a longer wait at the ticket's place, which costs short chats. tests/shell/test_attempts.py failed with the order as it was (end before AttemptDone). The flake itself is to be watched: it was too rare to be counted before and after.

--- a/rhubarbbend/shell/_attempts.py
+++ b/rhubarbbend/shell/_attempts.py
@@ -155,8 +155,8 @@
                 await self._collect(action, connection, response, started)
             else:
                 request.start(response, action.ticket)
-                await self._relay(action.attempt, action.progress_timeout, connection, request)
-                self._report_done(action.attempt, response.status, started)
+                await connection.relay_body(request, action.progress_timeout)
+                self._end_whole(action.attempt, response.status, started, request)
             self._pool.give_back(connection, self._now())
         except HttpFailure as failure:
             self._fail(action.attempt, failure, reused, request, connection)
@@ -184,8 +184,8 @@
                 raise HttpFailure(SendStage.RESPONSE, f"resume answered {response.status}")
             self._begin(action.attempt, response, started)
             request.start(response, action.ticket)
-            await self._relay(action.attempt, action.progress_timeout, connection, request)
-            self._report_done(action.attempt, response.status, started)
+            await connection.relay_body(request, action.progress_timeout)
+            self._end_whole(action.attempt, response.status, started, request)
             self._pool.give_back(connection, self._now())
         except HttpFailure as failure:
             # The attempt has been sent before, whatever failed on the way to its rest.
@@ -207,12 +207,6 @@
         if response.headers.get(ATTEMPT_HEADER.lower()) != attempt:
             raise WrongAnswer
 
-    async def _relay(
-        self, attempt: str, progress: float, connection: Connection, request: OpenRequest
-    ) -> None:
-        await connection.relay_body(request, progress)
-        request.finish()
-
     async def _collect(
         self,
         action: actions.Dispatch,
@@ -240,8 +234,15 @@
             )
         )
 
-    def _report_done(self, attempt: str, status: int, started: float) -> None:
+    def _end_whole(self, attempt: str, status: int, started: float, request: OpenRequest) -> None:
+        """Report a whole answer, and only then give the caller its end.
+
+        The report gives the slot back. A caller that has the end first may send the chat's next
+        turn through another instance at once; it would find the slot still taken and be moved
+        away from its context.
+        """
         self._feed(events.AttemptDone(attempt, status, self._now() - started))
+        request.finish()
 
     def _fail(
         self,
--- a/tests/shell/test_attempts.py
+++ b/tests/shell/test_attempts.py
@@ -29,7 +29,7 @@
         self.runner = AttemptRunner(ConnectionPool(5.0), self.events.put_nowait, 1_000)
         self.opened = 0
         self._reply = reply
-        self._port = 0
+        self.port = 0
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.opened += 1
@@ -42,7 +42,7 @@
     async def run(self, work: Callable[[], Awaitable[None]]) -> None:
         """Listen, and run a test's steps."""
         server = await asyncio.start_server(self._accept, HOST, 0)
-        self._port = int(server.sockets[0].getsockname()[1])
+        self.port = int(server.sockets[0].getsockname()[1])
         try:
             async with asyncio.timeout(TIMEOUT):
                 await work()
@@ -59,7 +59,7 @@
         async def serve(exchange: Exchange) -> None:
             opened = OpenRequest("r", "GET", "/booking/plots/1", {}, b"", exchange)
             action = actions.Dispatch(
-                "r", attempt, "t", HOST, self._port, False, keep=keep, head_timeout=5.0
+                "r", attempt, "t", HOST, self.port, False, keep=keep, head_timeout=5.0
             )
             self.runner.dispatch(action, opened, "plain")
             event = await self.events.get()
@@ -148,3 +148,32 @@
         assert event.reason == "answer too large"
 
     asyncio.run(bench.run(work))
+
+
+def test_the_slot_is_given_back_before_the_caller_has_its_end() -> None:
+    """A chat's answer ends. Its caller sends the next turn at once, through another instance.
+
+    Were the end given first, that turn could ask for the engine's slot before this one's is back,
+    and be sent to an engine that has never read the chat.
+    """
+    order: list[str] = []
+
+    class Watched(OpenRequest):
+        def finish(self) -> None:
+            order.append("end")
+
+    def put(event: events.Event) -> None:
+        order.append(f"fed {type(event).__name__}")
+
+    bench = Bench(lambda attempt, writer: writer.write(make_answer(attempt, b"words")))
+    bench.runner = AttemptRunner(ConnectionPool(5.0), put, 1_000)
+
+    async def work() -> None:
+        action = actions.Dispatch("r", "one", "t", HOST, bench.port, False, head_timeout=5.0)
+        request = Watched("r", "GET", "/booking/plots/1", {}, b"", None)
+        bench.runner.dispatch(action, request, "plain")
+        while "end" not in order:
+            await asyncio.sleep(0.01)
+
+    asyncio.run(bench.run(work))
+    assert order == ["fed AttemptHead", "fed AttemptDone", "end"]
