--- a/loadtool/_measure.py
+++ b/loadtool/_measure.py
@@ -133,7 +133,7 @@
                 scenario.zone,
                 scenario.zone_engines,
                 scenario.out_at,
-                scenario.back_at,
+                scenario.back_asked_at,
                 load.sent,
                 sampler.samples,
             ),
--- a/loadtool/_scenario.py
+++ b/loadtool/_scenario.py
@@ -57,6 +57,7 @@
         self.zone_engines: set[str] = set()
         self.out_at = 0.0
         self.back_at = 0.0
+        self.back_asked_at = 0.0
         self._fleet = fleet
         self._phases = {phase.name: phase for phase in phases}
         self._now = now
@@ -97,6 +98,9 @@
             self.spans[name].out_from = self.out_at
 
     async def _take_zone_back(self) -> None:
+        # The zone gets work again from the moment that the change is accepted, which the command
+        # tells only after it has seen it in force everywhere.
+        self.back_asked_at = self._now()
         await self._fleet.move_zone("in", self.zone)
         self.back_at = self._now()
         for name in self.zone_engines:
