Take out what nothing uses, and a setting that did nothing

Found by reading the whole change: core.prefer_own_zone was declared and its page said what it does, but no decision read it, so an operator who set it would have been misled; naming it is now an unknown key. Also unused: the unions AnyEvent and AnyAction (traces build theirs from the types), Configuration.find_item, load_items, Series.predict and a dictionary of the runtime.

No test was changed.

--- a/loadtool/_slopes_fit.py
+++ b/loadtool/_slopes_fit.py
@@ -33,10 +33,6 @@
     slope: float
     error: float
 
-    def predict(self, size: float) -> float:
-        """Give the line's value at a size."""
-        return self.base + self.slope * size
-
 
 def fit(name: str, unit: str, per: str, samples: dict[float, list[float]]) -> Series:
     """Fit a line through the medians of the samples at each size."""
--- a/rhubarbbend/core/_context.py
+++ b/rhubarbbend/core/_context.py
@@ -77,7 +77,6 @@
     balancer_lag: float = 2.0
     # No limit of its own unless the operator sets one.
     stop_limit: float = 0.0
-    prefer_own_zone: bool = False
 
 
 class Context:
--- a/rhubarbbend/core/_validation.py
+++ b/rhubarbbend/core/_validation.py
@@ -17,7 +17,6 @@
     Account,
     Configuration,
     Declaration,
-    Item,
     Model,
     Operation,
     Service,
@@ -196,10 +195,3 @@
         return False
     account = declared[("account", name)]
     return not isinstance(account, Account) or account.key_digest != digest
-
-
-def load_items(items: Sequence[Item]) -> Configuration:
-    """Make a configuration from the items of one version, to check a change against."""
-    configuration = Configuration()
-    configuration.apply(max((item.version for item in items), default=0) or 1, items)
-    return configuration
--- a/rhubarbbend/core/actions.py
+++ b/rhubarbbend/core/actions.py
@@ -215,28 +215,3 @@
 
     what: str
     details: dict[str, str]
-
-
-AnyAction = (
-    Refuse
-    | Reply
-    | GiveKeys
-    | Dispatch
-    | Resume
-    | CutAnswer
-    | CancelAttempt
-    | Probe
-    | ReadReport
-    | ReadList
-    | WriteRows
-    | ReadRow
-    | ScanRows
-    | ReadSnapshot
-    | WriteSnapshot
-    | AnswerOperator
-    | SetReady
-    | StopAccepting
-    | Exit
-    | Count
-    | LogState
-)
--- a/rhubarbbend/core/configuration.py
+++ b/rhubarbbend/core/configuration.py
@@ -185,11 +185,6 @@
                     break
         return found
 
-    def find_item(self, kind: str, name: str) -> Item | None:
-        """Find a declaration that is not removed, as stored."""
-        item = self._items.get((kind, name))
-        return item if item is not None and item.value else None
-
     def iterate_live(self) -> Iterator[Item]:
         """Yield the declarations that are not removed."""
         return (item for item in self._items.values() if item.value)
--- a/rhubarbbend/core/events.py
+++ b/rhubarbbend/core/events.py
@@ -235,29 +235,3 @@
     """The shell noticed that the process did not run for `seconds`."""
 
     seconds: float
-
-
-AnyEvent = (
-    Started
-    | SeedNamed
-    | TimerDue
-    | RequestArrived
-    | CallerLeft
-    | KeysRequested
-    | AttemptHead
-    | AttemptDone
-    | AttemptFailed
-    | ProbeAnswered
-    | ReportRead
-    | ReportFailed
-    | PeerLost
-    | ListRead
-    | WriteDone
-    | RowsRead
-    | SnapshotRead
-    | SnapshotWritten
-    | ChangeProposed
-    | VersionsAsked
-    | StopRequested
-    | ProcessPaused
-)
--- a/rhubarbbend/shell/_runtime.py
+++ b/rhubarbbend/shell/_runtime.py
@@ -75,7 +75,6 @@
         self._handle = self.core.handle if self._recorder is None else self._recorder.handle
         self.metrics = Metrics(settings.statsd, own.id)
         self._open: dict[str, OpenRequest] = {}
-        self._attempt_requests: dict[str, str] = {}
         self._key_futures: dict[str, asyncio.Future[actions.Action]] = {}
         self._operator_futures: dict[str, asyncio.Future[ChangeAnswer]] = {}
         self._queue: deque[events.Event] = deque()
