--- a/rhubarbbend/codes.py
+++ b/rhubarbbend/codes.py
@@ -9,7 +9,7 @@
 import enum
 from typing import Final
 
-import attrs
+import msgspec
 
 
 class Verdict(enum.Enum):
@@ -24,8 +24,7 @@
     MAY_HAVE_RUN = "may_have_run"
 
 
-@attrs.define(slots=True, frozen=True)
-class ErrorCode:
+class ErrorCode(msgspec.Struct, frozen=True):
     """A refusal or failure as the caller sees it; `retry_after` in seconds, 0 for never."""
 
     name: str
@@ -83,6 +82,9 @@
 SUSPECT: Final = _declare_error(
     "request_crashes_targets", 422, "this request crashed the targets that ran it", 600.0
 )
+CRASHES_TARGETS: Final = _declare_error(
+    "crashes_targets", 503, "targets crashed when they ran this request; it was not sent", 60.0
+)
 ACCOUNT_LIMIT: Final = _declare_error(
     "account_limit", 429, "the client account is at its limit", 1.0
 )
@@ -143,12 +145,28 @@
 RETRY_REDIRECT: Final = _declare_counter("retry.redirect", "slot asked again: owner redirected")
 RETRY_NOT_READY: Final = _declare_counter("retry.not_ready", "slot asked elsewhere: not ready")
 RETRY_CLAIM: Final = _declare_counter("retry.claim", "claim writes repeated: answer lost")
+RETRY_UNREACHED: Final = _declare_counter(
+    "retry.unreached", "attempts moved: the target took no connection"
+)
+RETRY_REJECTED: Final = _declare_counter(
+    "retry.rejected", "attempts moved: the target said that it did not run the request"
+)
+RETRY_MISDIRECTED: Final = _declare_counter(
+    "retry.misdirected", "attempts moved: another target answered at the address"
+)
+RETRY_BROKEN: Final = _declare_counter("retry.broken", "attempts moved: no whole answer came back")
 RESUMES: Final = _declare_counter("resumes", "cut streams resumed at their offset")
 WRONG_ID: Final = _declare_counter("wrong_id", "answers dropped: they carried another request's id")
 
 ROUTED_TICKET: Final = _declare_counter("routed.ticket", "requests sent where their ticket says")
 ROUTED_HOME: Final = _declare_counter("routed.home", "requests sent to their home target")
 ROUTED_MOVED: Final = _declare_counter("routed.moved", "requests sent past their first choice")
+ROUTED_LEAST: Final = _declare_counter(
+    "routed.least_loaded", "requests sent to the least loaded target"
+)
+ROUTED_LAST: Final = _declare_counter(
+    "routed.last_resort", "requests sent above the load bound: every target was there"
+)
 TICKETS_BAD: Final = _declare_counter("tickets_bad", "tickets that were forged or unreadable")
 TICKETS_STALE: Final = _declare_counter(
     "tickets_stale", "tickets whose target has gone or rebooted"
--- /dev/null
+++ b/rhubarbbend/core/placement/__init__.py
@@ -0,0 +1,21 @@
+"""Placement: which target a request is sent to, decided where the request came in.
+
+The views that it decides on are this instance's own: what it has under way, what targets said of
+their load in answers, and how they answered of late.
+"""
+
+from rhubarbbend.core.placement._health import HealthBook
+from rhubarbbend.core.placement._loads import LoadBook
+from rhubarbbend.core.placement._placement import Choice, Placement, PlacementOptions, Reason
+from rhubarbbend.core.placement._prompts import Prompt, PromptPart
+
+__all__ = [
+    "Choice",
+    "HealthBook",
+    "LoadBook",
+    "Placement",
+    "PlacementOptions",
+    "Prompt",
+    "PromptPart",
+    "Reason",
+]
--- /dev/null
+++ b/rhubarbbend/core/placement/_health.py
@@ -0,0 +1,101 @@
+"""How targets have answered of late: which are unreachable, and which fail while they look well."""
+
+from __future__ import annotations
+
+from typing import Final
+
+# A target that refuses connections is left alone for so long, doubled with each further failure.
+FIRST_HOLD: Final = 0.25
+LONGEST_HOLD: Final = 2.0
+# Failures and successes lose half of their weight in this time: a fault of some seconds is seen
+# within one of them, and a target that is well again is used again soon after.
+HALF_LIFE: Final = 3.0
+# A target is avoided if it fails so large a share of its requests, with so much evidence,
+FAILING_SHARE: Final = 0.25
+LEAST_EVIDENCE: Final = 3.0
+# and so many times the share of the service's other targets: what all fail alike is no fault of
+# one of them, and avoiding it gains nothing.
+FAILING_FACTOR: Final = 2.0
+
+
+class _Record:
+    """One target's recent past. Invariant: weights are as of `at`."""
+
+    __slots__ = ("failed", "total", "at", "hold", "down_until")
+
+    def __init__(self, now: float) -> None:
+        self.failed = 0.0
+        self.total = 0.0
+        self.at = now
+        self.hold = 0.0
+        self.down_until = 0.0
+
+    def fade(self, now: float) -> None:
+        """Let what is known lose its weight."""
+        factor = 0.5 ** ((now - self.at) / HALF_LIFE)
+        self.failed *= factor
+        self.total *= factor
+        self.at = now
+
+
+class HealthBook:
+    """Judges targets by the answers to callers' requests. No probe is sent for it."""
+
+    def __init__(self) -> None:
+        self._records: dict[str, _Record] = {}
+
+    def note_answer(self, target: str, failed: bool, now: float) -> None:
+        """Count an answer, or a request that got none."""
+        record = self._find(target, now)
+        record.fade(now)
+        record.total += 1.0
+        record.failed += 1.0 if failed else 0.0
+        if not failed:
+            record.hold = 0.0
+            record.down_until = 0.0
+
+    def note_unreachable(self, target: str, now: float) -> float:
+        """Hold a target down that took no connection; gives until when."""
+        record = self._find(target, now)
+        if now >= record.down_until:
+            record.hold = min(LONGEST_HOLD, max(FIRST_HOLD, 2.0 * record.hold))
+            record.down_until = now + record.hold
+        return record.down_until
+
+    def is_down(self, target: str, now: float) -> bool:
+        """Whether a target is held down."""
+        record = self._records.get(target)
+        return record is not None and now < record.down_until
+
+    def compute_failing_share(self, target: str, now: float) -> float:
+        """Give the recent share of failures; 0 with too little evidence."""
+        record = self._records.get(target)
+        if record is None:
+            return 0.0
+        record.fade(now)
+        if record.total < LEAST_EVIDENCE:
+            return 0.0
+        return record.failed / record.total
+
+    def list_failing(self, targets: list[str], now: float) -> set[str]:
+        """List those that fail much more often than the others of their service."""
+        shares = {target: self.compute_failing_share(target, now) for target in targets}
+        failing: set[str] = set()
+        for target, share in shares.items():
+            if share < FAILING_SHARE:
+                continue
+            others = [s for other, s in shares.items() if other != target]
+            typical = sorted(others)[len(others) // 2] if others else share
+            if share > FAILING_FACTOR * typical:
+                failing.add(target)
+        return failing
+
+    def forget(self, target: str) -> None:
+        """Forget a target that has gone."""
+        self._records.pop(target, None)
+
+    def _find(self, target: str, now: float) -> _Record:
+        record = self._records.get(target)
+        if record is None:
+            record = self._records[target] = _Record(now)
+        return record
--- /dev/null
+++ b/rhubarbbend/core/placement/_loads.py
@@ -0,0 +1,66 @@
+"""How many requests each target holds, as far as one instance can tell."""
+
+from __future__ import annotations
+
+from typing import Final
+
+import msgspec
+
+# What a target said of its load counts less as it ages and nothing after so many seconds: streams
+# of the known deployments last one to two seconds, so the requests it counted have ended by then.
+REPORT_LIFE: Final = 3.0
+
+
+class LoadReport(msgspec.Struct, frozen=True):
+    """What a target said: requests running and waiting there; `own` were this instance's."""
+
+    held: int
+    own: int
+    at: float
+
+
+class LoadBook:
+    """Own requests under way, and those of others by the targets' word. No probe is sent for it."""
+
+    def __init__(self) -> None:
+        self._own: dict[str, int] = {}
+        self._reports: dict[str, LoadReport] = {}
+
+    def begin(self, target: str) -> None:
+        """Count a request that is being sent to a target."""
+        self._own[target] = self._own.get(target, 0) + 1
+
+    def end(self, target: str) -> None:
+        """Count it no more."""
+        left = self._own.get(target, 0) - 1
+        if left > 0:
+            self._own[target] = left
+        else:
+            self._own.pop(target, None)
+
+    def count_own(self, target: str) -> int:
+        """Give how many requests this instance has at a target."""
+        return self._own.get(target, 0)
+
+    def take_report(self, target: str, held: int, now: float) -> None:
+        """Take in what a target's answer says of its load."""
+        self._reports[target] = LoadReport(held, self.count_own(target), now)
+
+    def estimate(self, target: str, now: float) -> float:
+        """Estimate how many requests a target holds."""
+        own = self.count_own(target)
+        report = self._reports.get(target)
+        if report is None:
+            return float(own)
+        others = max(0, report.held - report.own)
+        freshness = max(0.0, 1.0 - (now - report.at) / REPORT_LIFE)
+        return own + others * freshness
+
+    def read_age(self, target: str, now: float) -> float | None:
+        """Give the age of a target's report in seconds; None without one."""
+        report = self._reports.get(target)
+        return None if report is None else now - report.at
+
+    def forget(self, target: str) -> None:
+        """Forget the reports of a target that has gone."""
+        self._reports.pop(target, None)
--- /dev/null
+++ b/rhubarbbend/core/placement/_placement.py
@@ -0,0 +1,249 @@
+"""Chooses a target for a request.
+
+Requests with a prompt go to its home, the first target in rendezvous order of the prompt's
+affinity key. Every instance computes the same home, so the parts of a prompt are read by one
+engine and found there again. A home that is down, cold, failing or above the load bound is passed
+over for the next in the order; the engine that gets the request is told where the parts lie, and
+fetches them, which costs a fraction of reading them again.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections import OrderedDict
+from collections.abc import Sequence
+from random import Random
+from typing import Final
+
+import msgspec
+import xxhash
+
+from rhubarbbend.core.catalog import Service
+from rhubarbbend.core.directory import Directory, Target
+from rhubarbbend.core.placement._health import HealthBook
+from rhubarbbend.core.placement._loads import LoadBook
+from rhubarbbend.core.placement._prompts import Prompt
+from rhubarbbend.core.shares import ColdAllowance
+
+# Loads are estimates from answers that are up to some seconds old, so a target is passed over
+# somewhat below the bound that the deployment sets: at this part of its factor,
+FACTOR_PART: Final = 0.75
+# and with this many requests beyond the mean, however small that is.
+LEAST_SLACK: Final = 3.0
+# Fetching fewer shared tokens than this takes longer than reading them.
+LEAST_FETCH_TOKENS: Final = 256
+# A target that registered within this many seconds is sent what others hold of its prompts.
+YOUNG: Final = 60.0
+# Where prompts were sent last is kept for this many keys: chats of the known deployments by the
+# hundred, at about 200 bytes each.
+MAX_PLACES: Final = 4_096
+# The other zone is chosen only if the own zone's target holds this many requests more.
+ZONE_ADVANTAGE: Final = 0.75
+
+
+class Reason(enum.Enum):
+    """Why a target was chosen; counted and logged."""
+
+    HOME = "home"
+    MOVED = "moved"
+    LEAST_LOADED = "least_loaded"
+    LAST_RESORT = "last_resort"
+
+
+class PlacementOptions(msgspec.Struct, frozen=True):
+    """`load_factor`: no target is to hold more than this many times the mean of its service."""
+
+    zone: str
+    load_factor: float = 2.0
+
+
+class Choice(msgspec.Struct, frozen=True):
+    """A target, why, and the views that decided: loads are numbers of requests, ages seconds.
+
+    `source` is a target that may hold the prompt's shared parts.
+    """
+
+    target: Target
+    reason: Reason
+    load: float
+    mean: float
+    report_age: float | None
+    cold: bool
+    source: Target | None = None
+
+
+class _Candidates:
+    """The targets of a service that may get a request now, and how loaded they are."""
+
+    __slots__ = ("all", "open", "loads", "mean", "failing")
+
+    def __init__(self, targets: list[Target], loads: dict[str, float]) -> None:
+        self.all = targets
+        self.open: list[Target] = []
+        self.loads = loads
+        self.mean = sum(loads.values()) / len(loads) if loads else 0.0
+        self.failing: set[str] = set()
+
+
+class Placement:
+    """Decides for each request. Invariant: a target that may not get work is never chosen."""
+
+    def __init__(
+        self,
+        options: PlacementOptions,
+        directory: Directory,
+        loads: LoadBook,
+        health: HealthBook,
+        cold: ColdAllowance,
+    ) -> None:
+        self._options = options
+        self._directory = directory
+        self._loads = loads
+        self._health = health
+        self._cold = cold
+        self._places: OrderedDict[str, str] = OrderedDict()
+
+    def choose(
+        self,
+        service: Service,
+        prompt: Prompt | None,
+        excluded: set[str],
+        instances: Sequence[str],
+        random: Random,
+        now: float,
+    ) -> Choice | None:
+        """Choose a target; None if no target of the service can take the request now.
+
+        `excluded` are ids of targets that this request has been to; `instances` all instances
+        that share the bounds.
+        """
+        candidates = self._find_candidates(service, excluded, instances, now)
+        if not candidates.open:
+            return None
+        if prompt is not None and prompt.parts and service.engine is not None:
+            return self._choose_by_prompt(candidates, service, prompt, now)
+        return self._choose_by_load(candidates, random, now)
+
+    def note_sent(self, target: Target, prompt: Prompt | None, now: float) -> None:
+        """Remember where a request was sent."""
+        self._cold.note_sent(target.id, now)
+        if prompt is not None and prompt.parts:
+            self._places[prompt.affinity_key] = target.id
+            self._places.move_to_end(prompt.affinity_key)
+            if len(self._places) > MAX_PLACES:
+                self._places.popitem(last=False)
+
+    def forget(self, target: str) -> None:
+        """Forget a target that has gone."""
+        self._loads.forget(target)
+        self._health.forget(target)
+        self._cold.forget(target)
+
+    def _find_candidates(
+        self, service: Service, excluded: set[str], instances: Sequence[str], now: float
+    ) -> _Candidates:
+        targets = self._directory.list_service(service.name, now)
+        loads = {target.id: self._loads.estimate(target.id, now) for target in targets}
+        found = _Candidates(targets, loads)
+        found.failing = self._health.list_failing([target.id for target in targets], now)
+        most = max(2, int(service.max_connections * 0.8 / max(1, len(instances))))
+        for target in targets:
+            if target.id in excluded or self._health.is_down(target.id, now):
+                continue
+            if self._loads.count_own(target.id) >= most:
+                continue
+            if target.is_cold(now) and not self._may_send_cold(service, target, instances, now):
+                continue
+            found.open.append(target)
+        return found
+
+    def _may_send_cold(
+        self, service: Service, target: Target, instances: Sequence[str], now: float
+    ) -> bool:
+        if service.cold_rate <= 0.0:
+            return True
+        part = self._cold.compute_part(target.id, service.cold_rate, instances)
+        return self._cold.has_room(target.id, part, now)
+
+    # By prompt.
+
+    def _choose_by_prompt(
+        self, candidates: _Candidates, service: Service, prompt: Prompt, now: float
+    ) -> Choice:
+        seed = xxhash.xxh64_intdigest(prompt.affinity_key)
+        order = sorted(
+            candidates.all, key=lambda t: xxhash.xxh64_intdigest(t.id, seed), reverse=True
+        )
+        target, reason = self._pick(candidates, service, order, now)
+        source = self._find_source(prompt, order, target, now)
+        return self._make_choice(candidates, target, reason, source, now)
+
+    def _pick(
+        self, candidates: _Candidates, service: Service, order: list[Target], now: float
+    ) -> tuple[Target, Reason]:
+        open_ids = {target.id for target in candidates.open}
+        bound = self._options.load_factor * FACTOR_PART * candidates.mean + LEAST_SLACK
+        if service.engine is not None:
+            bound = min(bound, float(service.engine.slots))
+        fitting = [t for t in order if t.id in open_ids and candidates.loads[t.id] < bound]
+        well = [t for t in fitting if t.id not in candidates.failing]
+        warm = [t for t in well if not t.is_cold(now)]
+        for choices in (warm, well, fitting):
+            if choices:
+                chosen = choices[0]
+                return chosen, Reason.HOME if chosen is order[0] else Reason.MOVED
+        least = min(candidates.open, key=lambda t: candidates.loads[t.id])
+        return least, Reason.LAST_RESORT
+
+    def _find_source(
+        self, prompt: Prompt, order: list[Target], target: Target, now: float
+    ) -> Target | None:
+        """Find a target that probably holds the shared parts which `target` lacks."""
+        if prompt.shared_tokens < LEAST_FETCH_TOKENS:
+            return None
+        last = self._directory.find(self._places.get(prompt.affinity_key, ""))
+        if last is not None and last is not target:
+            return last if self._may_hold(last, now) else None
+        if last is target:
+            return None
+        others = [t for t in order if t is not target]
+        if target is order[0] and now - target.known_since > YOUNG:
+            return None
+        return next((t for t in others if self._may_hold(t, now)), None)
+
+    def _may_hold(self, target: Target, now: float) -> bool:
+        return (
+            not self._health.is_down(target.id, now)
+            and target.zone not in self._directory.zones_out
+            and not target.is_cold(now)
+        )
+
+    # By load.
+
+    def _choose_by_load(self, candidates: _Candidates, random: Random, now: float) -> Choice:
+        well = [t for t in candidates.open if t.id not in candidates.failing] or candidates.open
+
+        def weigh(target: Target) -> tuple[bool, float, float]:
+            near = ZONE_ADVANTAGE if target.zone == self._options.zone else 0.0
+            return target.is_cold(now), candidates.loads[target.id] - near, random.random()
+
+        target = min(well, key=weigh)
+        return self._make_choice(candidates, target, Reason.LEAST_LOADED, None, now)
+
+    def _make_choice(
+        self,
+        candidates: _Candidates,
+        target: Target,
+        reason: Reason,
+        source: Target | None,
+        now: float,
+    ) -> Choice:
+        return Choice(
+            target,
+            reason,
+            round(candidates.loads[target.id], 2),
+            round(candidates.mean, 2),
+            self._loads.read_age(target.id, now),
+            target.is_cold(now),
+            source,
+        )
--- /dev/null
+++ b/rhubarbbend/core/shares/_cold.py
@@ -0,0 +1,57 @@
+"""How many requests a second one instance may send to a cold target."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Sequence
+from typing import Final
+
+import xxhash
+
+# Sends are counted over a little more than the second of the bound: two requests that leave a
+# second apart can arrive closer together, by what their ways differ.
+WINDOW: Final = 1.15
+
+
+class ColdAllowance:
+    """Counts what is sent to cold targets.
+
+    A cold target that gets more than it bears crashes, and every request on it is lost. The bound
+    is on all instances together, in touch or not, so each takes a fixed part of it. Where the
+    bound is smaller than the number of instances, the first few in rendezvous order of the target
+    may send one request a second each, and the others none.
+    Invariant: in any window at most the part of one instance is sent.
+    """
+
+    def __init__(self, instance: str, overshoot: float, slack: float) -> None:
+        self._instance = instance
+        self._overshoot = overshoot
+        self._slack = slack
+        self._sent: dict[str, deque[float]] = {}
+
+    def compute_part(self, target: str, cold_rate: float, instances: Sequence[str]) -> int:
+        """Give the number of requests that this instance may send in a window."""
+        bound = int(cold_rate * self._overshoot + self._slack)
+        count = max(1, len(instances))
+        if bound >= count:
+            return bound // count
+        seed = xxhash.xxh64_intdigest(target)
+        ranked = sorted(instances, key=lambda name: xxhash.xxh64_intdigest(name, seed))
+        return int(self._instance in ranked[:bound])
+
+    def has_room(self, target: str, part: int, now: float) -> bool:
+        """Whether one more request may be sent within the part."""
+        sent = self._sent.get(target)
+        if sent is None:
+            return part > 0
+        while sent and now - sent[0] >= WINDOW:
+            sent.popleft()
+        return len(sent) < part
+
+    def note_sent(self, target: str, now: float) -> None:
+        """Count a request to a target, cold or not: it may turn out to have been cold."""
+        self._sent.setdefault(target, deque(maxlen=64)).append(now)
+
+    def forget(self, target: str) -> None:
+        """Forget a target that has gone."""
+        self._sent.pop(target, None)
--- /dev/null
+++ b/rhubarbbend/gateway/_attempts.py
@@ -0,0 +1,309 @@
+"""One attempt: a request at one target, from the connection to the end of its answer."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Final
+
+from rhubarbbend import codes
+from rhubarbbend.core.catalog import RequestKind
+from rhubarbbend.core.delivery import AttemptEnd
+from rhubarbbend.core.directory import Target
+from rhubarbbend.core.placement import Choice
+from rhubarbbend.gateway._interfaces import TargetAnswer, TargetOrder, TargetProtocol
+from rhubarbbend.gateway._requests import KeptAnswer, OpenRequest
+from rhubarbbend.gateway._state import Clock, State
+from rhubarbbend.http import (
+    REASON_TIMEOUT,
+    Connection,
+    ConnectionPool,
+    HttpFailure,
+    SendStage,
+)
+
+# A target takes a connection in about a millisecond; one that has not in this time is down, cut
+# off or out of room, and the shortest objective of the known deployments is 0.2 s.
+CONNECT_TIMEOUT: Final = 0.08
+# A request that may run once at most goes over a connection that was used within this time, or a
+# new one: on one that the target closes as the request arrives, nobody could tell whether it ran.
+PROVEN_SECONDS: Final = 0.5
+# A safe read is asked for elsewhere after this part of its objective, so that the second answer
+# can still come in time; nine tenths of the reads of the known deployments take under a third.
+SAFE_PATIENCE: Final = 0.6
+# A stream that may be resumed is asked for elsewhere after this many times its objective without
+# a first event, or its longest good pause without another one, but never sooner than LEAST_SILENCE:
+# below that, a busy engine is likelier than a dead one.
+STREAM_PATIENCE: Final = 2.0
+LEAST_SILENCE: Final = 1.0
+# Answers up to this size are held until they are whole, so that one cut short can be replaced.
+MAX_HELD_ANSWER: Final = 262_144
+# An answer that belongs to no request is read off a connection within this time.
+STRAY_TIMEOUT: Final = 0.5
+# Kept connections are closed this long before the target would, in seconds.
+IDLE_MARGIN: Final = 1.0
+# Statuses that promise a caller that its request did not and will not run.
+PROMISES: Final = frozenset({408, 421, 429, 503})
+
+
+class BudgetSpent(Exception):
+    """A second send was due, and this instance's part of the retry budget is used up."""
+
+
+class AttemptRunner:
+    """Runs attempts. Invariant: each is counted in the load book from its choice to its end."""
+
+    def __init__(self, state: State, pool: ConnectionPool, protocol: TargetProtocol, clock: Clock):
+        self._state = state
+        self._pool = pool
+        self._protocol = protocol
+        self._clock = clock
+        # Told of a request that a target broke off before it answered; set by the instance.
+        self.crash_listener: Callable[[OpenRequest, Target], None] = lambda request, target: None
+
+    async def run(self, request: OpenRequest, choice: Choice) -> AttemptEnd:
+        """Send a request to a target; pass its answer on, or tell how it failed."""
+        target = choice.target
+        request.attempt_target = target
+        self._state.loads.begin(target.id)
+        try:
+            connection = await self._connect(request, target)
+            if connection is None:
+                return AttemptEnd.UNREACHED
+            return await self._exchange(request, choice, connection)
+        finally:
+            self._state.loads.end(target.id)
+
+    async def _connect(self, request: OpenRequest, target: Target) -> Connection | None:
+        now = self._clock()
+        limit = None if request.route.idempotent else PROVEN_SECONDS
+        try:
+            return await self._pool.take(
+                target.address, now, False, CONNECT_TIMEOUT, max_idle=limit
+            )
+        except HttpFailure as failure:
+            now = self._clock()
+            held = self._state.health.note_unreachable(target.id, now)
+            self._state.metrics.add(codes.RETRY_CONNECT)
+            self._state.journal.write(
+                "target_unreachable",
+                now,
+                id=request.id,
+                target=target.id,
+                reason=failure.reason,
+                held_for=round(held - now, 3),
+            )
+            return None
+
+    async def _exchange(
+        self, request: OpenRequest, choice: Choice, connection: Connection
+    ) -> AttemptEnd:
+        """Send over a connection and read the answer; the connection is kept if it is sound."""
+        if request.progress.sends > 0:
+            self._take_retry(request, connection)
+        end = AttemptEnd.BROKEN
+        answer: TargetAnswer | None = None
+        try:
+            self._send(request, choice, connection)
+            answer = await self._receive_head(request, choice.target, connection)
+            end = await self._receive_rest(request, answer, connection)
+        except HttpFailure as failure:
+            end = self._note_failure(request, choice.target, failure)
+        finally:
+            self._settle(connection, answer, end)
+        self._note_health(choice.target, request, end)
+        return end
+
+    def _take_retry(self, request: OpenRequest, connection: Connection) -> None:
+        instances = len(self._state.list_instances())
+        share = self._state.find_retries(request.service.name)
+        if not share.take(instances, self._clock()):
+            self._pool.give_back(connection, self._clock())
+            raise BudgetSpent
+
+    def _send(self, request: OpenRequest, choice: Choice, connection: Connection) -> None:
+        now = self._clock()
+        caller = request.caller
+        order = TargetOrder(
+            target=choice.target.id,
+            time_left=request.time_left(now),
+            account="" if request.account is None else request.account.name,
+            priority=request.priority,
+            resume_after=request.relay.last_id,
+            source=None if choice.source is None else choice.source.address,
+        )
+        headers = self._protocol.make_headers(caller, order)
+        connection.send_raw(caller.method, caller.target, headers, caller.body)
+        self._state.placement.note_sent(choice.target, caller.prompt, now)
+        self._state.journal.write(
+            "sent",
+            now,
+            id=request.id,
+            target=choice.target.id,
+            send=request.progress.sends + 1,
+            reason=choice.reason.value,
+            load=choice.load,
+            mean=choice.mean,
+            load_age=None if choice.report_age is None else round(choice.report_age, 3),
+            cold=choice.cold,
+            source=None if choice.source is None else choice.source.id,
+            reused=connection.reused,
+            config=request.version,
+            time_left=round(request.time_left(now), 3),
+            resume_after=request.relay.last_id or None,
+        )
+
+    async def _receive_head(
+        self, request: OpenRequest, target: Target, connection: Connection
+    ) -> TargetAnswer:
+        """Wait for the answer to this request; others that come before it belong to nobody."""
+        patience = self._choose_patience(request)
+        while True:
+            response = await connection.receive_head(patience)
+            answer = self._protocol.read_answer(response)
+            if answer.request == request.id or answer.misdirected:
+                break
+            now = self._clock()
+            self._state.metrics.add(codes.WRONG_ID)
+            self._state.journal.write(
+                "stray_answer", now, id=request.id, target=target.id, carried=answer.request
+            )
+            if not answer.request:
+                raise HttpFailure(SendStage.RESPONSE, "the answer carries no id")
+            await connection.skip_response(STRAY_TIMEOUT)
+        if answer.held is not None:
+            self._state.loads.take_report(target.id, answer.held, self._clock())
+        return answer
+
+    def _choose_patience(self, request: OpenRequest) -> float:
+        """Give how long to wait for a head before the request is sent elsewhere."""
+        route = request.route
+        rest = max(0.0, request.time_left(self._clock())) + 1.0
+        if not route.idempotent or request.progress.targets + 1 >= route.max_attempts:
+            return rest
+        if route.kind is RequestKind.SAFE:
+            return min(rest, SAFE_PATIENCE * route.objective)
+        return min(rest, max(LEAST_SILENCE, STREAM_PATIENCE * route.objective))
+
+    async def _receive_rest(
+        self, request: OpenRequest, answer: TargetAnswer, connection: Connection
+    ) -> AttemptEnd:
+        if answer.misdirected:
+            await _read_all(connection, request)
+            return AttemptEnd.MISDIRECTED
+        if answer.not_run:
+            await _read_all(connection, request)
+            return AttemptEnd.REJECTED
+        if not answer.genuine or answer.status in PROMISES:
+            # It ran, or may have: passed on, its status would promise that it did not.
+            raise HttpFailure(SendStage.RESPONSE, f"no answer of its own, status {answer.status}")
+        if request.route.kind is RequestKind.STREAM and answer.status < 300:
+            return await self._relay_stream(request, answer, connection)
+        body = await _read_all(connection, request)
+        if body is None:
+            raise HttpFailure(SendStage.RESPONSE, "the answer is too large to hold")
+        failed = answer.status >= 500
+        if failed and request.route.idempotent and self._may_repeat(request):
+            request.kept_answer = KeptAnswer(answer, body)
+            return AttemptEnd.FAILED
+        pass_on(request, KeptAnswer(answer, body))
+        return AttemptEnd.FAILED if failed else AttemptEnd.ANSWERED
+
+    def _may_repeat(self, request: OpenRequest) -> bool:
+        if request.progress.targets + 1 >= request.route.max_attempts:
+            return False
+        instances = len(self._state.list_instances())
+        share = self._state.find_retries(request.service.name)
+        return share.compute_left(instances, self._clock()) >= 1.0
+
+    async def _relay_stream(
+        self, request: OpenRequest, answer: TargetAnswer, connection: Connection
+    ) -> AttemptEnd:
+        relay = request.relay
+        resumed = request.answer is not None and relay.started
+        if not resumed:
+            request.answer = answer
+        relay.begin_run(resumed)
+        await connection.relay_body(relay, self._choose_silence(request))
+        if not relay.is_whole():
+            raise HttpFailure(SendStage.RESPONSE, "the stream ended within an event")
+        if not relay.started:
+            request.answer = answer
+            request.progress.started = True
+            request.exchange.start_raw(answer.status, answer.headers)
+        request.exchange.finish()
+        return AttemptEnd.ANSWERED
+
+    def _choose_silence(self, request: OpenRequest) -> float:
+        """Give how long a stream may be silent before it is resumed at another target.
+
+        One that cannot be resumed is lost if it is given up, so it is waited for.
+        """
+        route = request.route
+        if not route.idempotent or request.progress.targets + 1 >= route.max_attempts:
+            return max(0.0, request.time_left(self._clock())) + 1.0
+        return max(LEAST_SILENCE, STREAM_PATIENCE * route.pause_objective)
+
+    def _note_failure(
+        self, request: OpenRequest, target: Target, failure: HttpFailure
+    ) -> AttemptEnd:
+        now = self._clock()
+        self._state.journal.write(
+            "attempt_failed",
+            now,
+            id=request.id,
+            target=target.id,
+            stage=failure.stage.value,
+            reason=failure.reason,
+            after=round(now - request.arrived, 4),
+            last_event=request.relay.last_id or None,
+        )
+        if failure.stage is SendStage.CONNECT:
+            return AttemptEnd.UNREACHED
+        if failure.stage is SendStage.SENT and failure.reason != REASON_TIMEOUT:
+            self.crash_listener(request, target)
+        return AttemptEnd.BROKEN
+
+    def _settle(self, connection: Connection, answer: TargetAnswer | None, end: AttemptEnd) -> None:
+        """Keep a connection whose answer was read whole; close every other, which ends its work."""
+        if answer is None or answer.closes or end in (AttemptEnd.BROKEN, AttemptEnd.MISDIRECTED):
+            connection.close()
+            return
+        if answer.idle_limit is not None:
+            connection.idle_limit = answer.idle_limit - IDLE_MARGIN
+        self._pool.give_back(connection, self._clock())
+
+    def _note_health(self, target: Target, request: OpenRequest, end: AttemptEnd) -> None:
+        now = self._clock()
+        health = self._state.health
+        if end is AttemptEnd.MISDIRECTED:
+            health.note_unreachable(target.id, now)
+            return
+        health.note_answer(target.id, end is not AttemptEnd.ANSWERED, now)
+        if end is AttemptEnd.ANSWERED:
+            self._state.crashes.clear(request.digest)
+
+
+def pass_on(request: OpenRequest, kept: KeptAnswer) -> None:
+    """Give the caller a whole answer of a target."""
+    exchange = request.exchange
+    request.progress.started = True
+    request.answer = kept.head
+    length = (b"Content-Length", str(len(kept.body)).encode("ascii"))
+    exchange.start_raw(kept.head.status, [*kept.head.headers, length])
+    if exchange.method != "HEAD":
+        exchange.write(kept.body)
+    exchange.finish()
+
+
+async def _read_all(connection: Connection, request: OpenRequest) -> bytes | None:
+    """Read a body; None if it is larger than what is held."""
+    parts: list[bytes] = []
+    size = 0
+    silence = request.time_left(asyncio.get_running_loop().time()) + 1.0
+    async for part in connection.receive_body(max(silence, 1.0)):
+        size += len(part)
+        if size > MAX_HELD_ANSWER:
+            return None
+        parts.append(part)
+    return b"".join(parts)
--- /dev/null
+++ b/rhubarbbend/gateway/_instance.py
@@ -0,0 +1,274 @@
+"""One gateway instance: its servers, its life from start to planned stop, and what it watches."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import time
+from collections.abc import Callable, Coroutine
+from typing import Any, Final
+
+import msgspec
+
+from rhubarbbend import VERSION, codes
+from rhubarbbend.core.directory import Target
+from rhubarbbend.gateway._attempts import AttemptRunner
+from rhubarbbend.gateway._follower import StateFollower
+from rhubarbbend.gateway._interfaces import Adapter
+from rhubarbbend.gateway._journal import Journal
+from rhubarbbend.gateway._metrics import CONTENT_TYPE
+from rhubarbbend.gateway._peers import CrashNote, PeerClient, PeerServer
+from rhubarbbend.gateway._requests import OpenRequest
+from rhubarbbend.gateway._serving import RequestServer
+from rhubarbbend.gateway._settings import GatewaySettings
+from rhubarbbend.gateway._state import INSTANCE_TABLE, InstanceRow, State, read_clock
+from rhubarbbend.http import Connection, ConnectionPool, Exchange, HttpFailure, HttpServer
+from rhubarbbend.http import ServerLimits
+from rhubarbbend.storage import StoreError
+
+# Idle connections to targets are kept for so long at the most, in seconds.
+TARGET_IDLE: Final = 10.0
+# Descriptors that are not for callers: connections to targets, store and peers, files.
+RESERVED_DESCRIPTORS: Final = 700
+# How often the process looks whether it has been away, and how long away counts.
+WATCH_INTERVAL: Final = 0.25
+PAUSE_MARGIN: Final = 0.75
+HOUSEKEEPING_INTERVAL: Final = 1.0
+# The platform asks for readiness once a second and takes an instance out after two misses; until
+# then new connections still come and are served.
+OUT_OF_ROTATION: Final = 2.6
+# Of the time until the process is killed, what is left for the last bytes to go out.
+STOP_MARGIN: Final = 0.6
+STOP_POLL: Final = 0.05
+# A target that takes a connection this soon after it broke one off has not crashed.
+CRASH_CHECK_TIMEOUT: Final = 0.2
+REGISTER_PAUSE: Final = 1.0
+
+
+class Instance:
+    """One process of the fleet. Invariant: it serves from its start until `run` returns."""
+
+    def __init__(self, settings: GatewaySettings, adapter: Adapter, journal: Journal) -> None:
+        self.settings = settings
+        self.state = State(settings, adapter.decoder.tables, journal)
+        self._adapter = adapter
+        self._journal = journal
+        self._pool = ConnectionPool(TARGET_IDLE)
+        self._peer_pool = ConnectionPool(TARGET_IDLE)
+        attempts = AttemptRunner(self.state, self._pool, adapter.targets, read_clock)
+        attempts.crash_listener = self._suspect_crash
+        self._requests = RequestServer(self.state, adapter.callers, attempts, read_clock)
+        self._peers = PeerClient(self.state, self._peer_pool)
+        self._follower = StateFollower(self.state, adapter.store, adapter.decoder, self._peers)
+        self._callers = HttpServer(self._requests.serve)
+        self._servers: list[HttpServer] = [self._callers]
+        self._background: set[asyncio.Task[None]] = set()
+        self._stop_asked = asyncio.Event()
+        self._limits_version = -1
+
+    async def run(self) -> None:
+        """Serve until a planned stop has ended."""
+        own = self.settings
+        self._log("started", version=VERSION, pid=os.getpid(), zone=own.zone)
+        self._set_gauges()
+        self._handle_signals()
+        await self._listen()
+        self._follower.start()
+        for work in (self._register(), self._watch_pauses(), self._keep_house()):
+            self._spawn(work)
+        await self._stop_asked.wait()
+        await self._stop()
+
+    async def _listen(self) -> None:
+        own = self.settings
+        await self._callers.listen(*own.callers)
+        await self._serve_on(own.ready, self._serve_ready)
+        if own.peers is not None:
+            await self._serve_on(own.peers, PeerServer(self.state).serve)
+        if own.metrics is not None:
+            await self._serve_on(own.metrics, self._serve_metrics)
+
+    async def _serve_on(
+        self, address: tuple[str, int], handler: Callable[[Exchange], Coroutine[Any, Any, None]]
+    ) -> None:
+        server = HttpServer(handler)
+        await server.listen(*address)
+        self._servers.append(server)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._background.add(task)
+        task.add_done_callback(self._note_done)
+
+    def _note_done(self, task: asyncio.Task[None]) -> None:
+        self._background.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.state.metrics.add(codes.INTERNAL_ERRORS)
+            self._log("internal_error", reason=repr(task.exception()))
+
+    def _log(self, event: str, **fields: Any) -> None:
+        self._journal.write(event, read_clock(), **fields)
+
+    # What others ask.
+
+    async def _serve_ready(self, exchange: Exchange) -> None:
+        if self.state.ready:
+            exchange.respond(200, [("Content-Type", "text/plain")], b"ready\n")
+        else:
+            exchange.respond(503, [("Content-Type", "text/plain")], b"not ready\n")
+
+    async def _serve_metrics(self, exchange: Exchange) -> None:
+        exchange.respond(200, [("Content-Type", CONTENT_TYPE)], self.state.metrics.render())
+
+    def _set_gauges(self) -> None:
+        state = self.state
+        metrics = state.metrics
+        metrics.set_gauge("open_requests", lambda: self._requests.open)
+        metrics.set_gauge("targets", state.directory.count)
+        metrics.set_gauge("instances", lambda: len(state.list_instances()))
+        metrics.set_gauge("ready", lambda: float(state.ready))
+        metrics.set_gauge("store_reached", lambda: float(self._follower.store_reached))
+        metrics.set_gauge(
+            "config_version", lambda: -1 if state.catalog is None else state.catalog.version
+        )
+        metrics.set_gauge("log_lines_dropped", lambda: self._journal.dropped)
+
+    # Crashes.
+
+    def _suspect_crash(self, request: OpenRequest, target: Target) -> None:
+        self._spawn(self._confirm_crash(request.id, request.digest, target))
+
+    async def _confirm_crash(self, request: str, digest: str, target: Target) -> None:
+        """Count a crash if the target that broke a connection off takes no new one.
+
+        Connections are reset for many reasons; blaming the request for each of them would refuse
+        sound requests after two.
+        """
+        try:
+            connection = await Connection.open(target.address, CRASH_CHECK_TIMEOUT)
+            connection.close()
+            return
+        except HttpFailure as failure:
+            reason = failure.reason
+        now = read_clock()
+        self.state.health.note_unreachable(target.id, now)
+        if self.state.crashes.note_crash(digest, target.id, now):
+            self.state.metrics.add(codes.SUSPECTS)
+            self._log("crash_counted", id=request, digest=digest, target=target.id, reason=reason)
+            await self._peers.tell_crash(CrashNote(digest, target.id))
+
+    # Housekeeping.
+
+    async def _register(self) -> None:
+        """Tell the other instances, by the store, where this one is reached."""
+        own = self.settings
+        if own.peers is None:
+            return
+        row = msgspec.json.encode(InstanceRow(own.zone, *own.peers))
+        while True:
+            try:
+                await self._adapter.store.put_row(INSTANCE_TABLE, own.instance, row)
+                return
+            except StoreError as error:
+                self._log("register_failed", reason=str(error))
+                await asyncio.sleep(REGISTER_PAUSE)
+
+    async def _watch_pauses(self) -> None:
+        """Notice that this process did not run for a while.
+
+        What it knows may be out of date and its connections dead; the steady clock may not have
+        counted the time, so the clock that does is looked at too.
+        """
+        before, before_boot = read_clock(), _read_boot_clock()
+        while True:
+            await asyncio.sleep(WATCH_INTERVAL)
+            now, boot = read_clock(), _read_boot_clock()
+            away = max(now - before, boot - before_boot) - WATCH_INTERVAL
+            before, before_boot = now, boot
+            if away > PAUSE_MARGIN:
+                self.state.metrics.add(codes.PAUSES)
+                self._log("paused", seconds=round(away, 3))
+                self._pool.drop_all()
+                self._peer_pool.drop_all()
+                self._follower.refresh()
+
+    async def _keep_house(self) -> None:
+        while True:
+            await asyncio.sleep(HOUSEKEEPING_INTERVAL)
+            now = read_clock()
+            self._pool.drop_expired(now)
+            self._peer_pool.drop_expired(now)
+            self._apply_limits()
+
+    def _apply_limits(self) -> None:
+        catalog = self.state.catalog
+        if catalog is None or catalog.version == self._limits_version:
+            return
+        self._limits_version = catalog.version
+        limits = catalog.limits
+        self._callers.set_limits(
+            ServerLimits(
+                max_header_bytes=limits.max_header_bytes,
+                max_body_bytes=limits.max_body_bytes,
+                head_timeout=limits.header_timeout,
+                idle_timeout=limits.idle_timeout,
+                max_connections=max(64, self.settings.max_descriptors - RESERVED_DESCRIPTORS),
+            )
+        )
+
+    # The end.
+
+    def _handle_signals(self) -> None:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stop_asked.set)
+        loop.add_signal_handler(signal.SIGHUP, lambda: self._log("reload_asked"))
+
+    async def _stop(self) -> None:
+        """End without cutting a request: out of rotation first, then the last answers.
+
+        Readiness goes at once. Connections still come until the platform has seen that, and are
+        served; every answer from now on ends its connection.
+        """
+        began = read_clock()
+        killed_at = began + self.settings.stop_grace - STOP_MARGIN
+        self.state.stopping = True
+        self._log("stopping", open=self._requests.open)
+        self._callers.announce_stop()
+        self._spawn(self._unregister())
+        await asyncio.sleep(min(OUT_OF_ROTATION, self.settings.stop_grace / 3))
+        self._callers.stop_accepting()
+        while self._requests.open and read_clock() < killed_at:
+            await asyncio.sleep(STOP_POLL)
+        cut = self._requests.open
+        if not cut:
+            # Answers that were written may still be on their way out.
+            try:
+                async with asyncio.timeout_at(killed_at):
+                    await self._callers.finish()
+            except TimeoutError:
+                self._log("callers_slow")
+        self._follower.stop()
+        self._log("stopped", cut=cut, after=round(read_clock() - began, 3))
+        self._journal.close()
+
+    async def _unregister(self) -> None:
+        if self.settings.peers is None:
+            return
+        try:
+            await self._adapter.store.remove_row(INSTANCE_TABLE, self.settings.instance)
+        except StoreError as error:
+            self._log("unregister_failed", reason=str(error))
+
+
+def _read_boot_clock() -> float:
+    """Give the time since the machine started, with the time that it was suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def serve(settings: GatewaySettings, adapter: Adapter) -> int:
+    """Run an instance to its planned stop; gives the exit status."""
+    journal = Journal(settings.instance)
+    asyncio.run(Instance(settings, adapter, journal).run())
+    return 0
--- /dev/null
+++ b/rhubarbbend/gateway/_peers.py
@@ -0,0 +1,114 @@
+"""What instances tell one another: changes of the store's tables, and crashes.
+
+An instance that reaches the store needs none of this. One that does not, because the store is
+away, turns it away or is cut off from it, learns from the others what has come into force.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Final
+
+import msgspec
+
+from rhubarbbend.core.mirror import TablePage
+from rhubarbbend.gateway._settings import Address
+from rhubarbbend.gateway._state import State, read_clock
+from rhubarbbend.http import ConnectionPool, Exchange, HttpFailure, fetch
+
+CHANGES_PATH: Final = "/peer/changes"
+CRASHES_PATH: Final = "/peer/crashes"
+CONTENT_TYPE: Final = "application/msgpack"
+# An instance of the same region answers in about 3 ms; one that does not in this time is asked
+# again later, and another one at once.
+TIMEOUT: Final = 0.4
+
+
+class ChangesQuery(msgspec.Struct, array_like=True):
+    """The positions of the asker's tables."""
+
+    asker: str
+    positions: dict[str, int]
+
+
+class ChangesReply(msgspec.Struct, array_like=True):
+    """What the tables of the one asked have beyond them."""
+
+    pages: dict[str, TablePage]
+
+
+class CrashNote(msgspec.Struct, array_like=True):
+    """A request was at the crash of a target."""
+
+    digest: str
+    target: str
+
+
+class PeerServer:
+    """Answers other instances."""
+
+    def __init__(self, state: State) -> None:
+        self._state = state
+
+    async def serve(self, exchange: Exchange) -> None:
+        """Serve one request of an instance; the handler of the peers' HTTP server."""
+        try:
+            if exchange.target == CHANGES_PATH:
+                query = msgspec.msgpack.decode(exchange.body, type=ChangesQuery)
+                pages = self._state.mirror.list_changes(query.positions)
+                _respond(exchange, msgspec.msgpack.encode(ChangesReply(pages)))
+            elif exchange.target == CRASHES_PATH:
+                note = msgspec.msgpack.decode(exchange.body, type=CrashNote)
+                self._state.crashes.note_crash(note.digest, note.target, read_clock())
+                _respond(exchange, b"")
+            else:
+                exchange.respond(404, [], b"")
+        except msgspec.MsgspecError as error:
+            self._state.journal.write("peer_unreadable", read_clock(), reason=str(error))
+            exchange.respond(400, [], b"")
+
+
+class PeerClient:
+    """Asks and tells other instances. Every call ends within TIMEOUT."""
+
+    def __init__(self, state: State, pool: ConnectionPool) -> None:
+        self._state = state
+        self._pool = pool
+
+    async def ask_changes(self, peer: Address) -> dict[str, TablePage] | None:
+        """Ask an instance for what its tables have beyond the own; None without an answer."""
+        tables = self._state.mirror.tables
+        positions = {name: table.position for name, table in tables.items()}
+        query = ChangesQuery(self._state.settings.instance, positions)
+        body = await self._send(peer, CHANGES_PATH, msgspec.msgpack.encode(query))
+        if body is None:
+            return None
+        try:
+            return msgspec.msgpack.decode(body, type=ChangesReply).pages
+        except msgspec.MsgspecError as error:
+            self._state.journal.write("peer_unreadable", read_clock(), reason=str(error))
+            return None
+
+    async def tell_crash(self, note: CrashNote) -> None:
+        """Tell every other instance of a crash."""
+        body = msgspec.msgpack.encode(note)
+        peers = self._state.list_peers()
+        await asyncio.gather(*(self._send(peer, CRASHES_PATH, body) for peer in peers))
+
+    async def _send(self, peer: Address, path: str, body: bytes) -> bytes | None:
+        headers = [("Content-Type", CONTENT_TYPE)]
+        now = read_clock()
+        try:
+            response, data = await fetch(
+                self._pool, peer, "POST", path, now, body, headers, timeout=TIMEOUT
+            )
+        except HttpFailure as failure:
+            self._state.journal.write(
+                "peer_silent", read_clock(), peer=f"{peer[0]}:{peer[1]}", reason=str(failure)
+            )
+            return None
+        return data if response.status == 200 else None
+
+
+def _respond(exchange: Exchange, body: bytes) -> None:
+    exchange.respond(200, [("Content-Type", CONTENT_TYPE)], body)
--- /dev/null
+++ b/rhubarbbend/gateway/_settings.py
@@ -0,0 +1,38 @@
+"""Settings of a gateway instance, as an adapter reads them from its platform."""
+
+from __future__ import annotations
+
+import msgspec
+
+Address = tuple[str, int]
+
+
+class GatewaySettings(msgspec.Struct, frozen=True):
+    """Who the instance is, where it listens, and the bounds of its deployment.
+
+    Times are seconds. `seeds` are peer addresses of some instances, perhaps stale.
+    """
+
+    instance: str
+    zone: str
+    callers: Address
+    ready: Address
+    store: Address
+    # Where other instances reach this one; None where the deployment gives no such address.
+    peers: Address | None = None
+    metrics: Address | None = None
+    seeds: tuple[Address, ...] = ()
+    # No target is to hold more than this many times the mean of its service.
+    load_factor: float = 2.0
+    # A cold target bears its rate times `cold_overshoot` plus `cold_slack` requests in a second.
+    cold_overshoot: float = 1.0
+    cold_slack: float = 0.0
+    # Second sends to a service within `retry_window`: this share of its requests plus the slack.
+    retry_ratio: float = 0.1
+    retry_slack: float = 10.0
+    retry_window: float = 10.0
+    # From the signal to stop until the process is killed.
+    stop_grace: float = 8.0
+    max_descriptors: int = 1_024
+    # How often targets renew what they registered.
+    heartbeat: float = 1.2
--- a/rhubarbbend/http/_client.py
+++ b/rhubarbbend/http/_client.py
@@ -13,8 +13,8 @@
 from collections.abc import AsyncIterator
 from typing import Final
 
-import attrs
 import h11
+import msgspec
 
 from rhubarbbend.http._protocol import ClientProtocol
 
@@ -47,23 +47,29 @@
         self.reason = reason
 
 
-@attrs.define(slots=True)
-class Response:
-    """A response head; the body is read from its connection."""
+class Response(msgspec.Struct):
+    """A response head; the body is read from its connection.
+
+    `raw_headers` holds every header as sent, with names in lower case.
+    """
 
     status: int
     headers: dict[str, str]
+    raw_headers: list[tuple[bytes, bytes]] = []
 
 
 class Connection:
     """One client connection. Invariant: carries one request at a time."""
 
-    __slots__ = ("address", "idle_since", "reused", "_conn", "_protocol")
+    __slots__ = ("address", "idle_since", "idle_limit", "reused", "_conn", "_protocol", "_sent")
 
     def __init__(self, address: Address, protocol: ClientProtocol) -> None:
         self.address = address
         self.idle_since = 0.0
+        # For how many seconds the other side keeps it open while it idles; None: not said.
+        self.idle_limit: float | None = None
         self.reused = False
+        self._sent: list[h11.Event] = []
         self._conn = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._protocol = protocol
 
@@ -86,22 +92,49 @@
     async def send(
         self, method: str, target: str, headers: list[tuple[str, str]], body: bytes
     ) -> None:
-        """Write a whole request."""
+        """Write a whole request to the address itself."""
         raw = [(k.encode("ascii"), v.encode("latin-1")) for k, v in headers]
         raw.append((b"Host", f"{self.address[0]}:{self.address[1]}".encode("ascii")))
         raw.append((b"Content-Length", str(len(body)).encode("ascii")))
-        events: list[h11.Event] = [h11.Request(method=method, target=target, headers=raw)]
-        if body:
-            events.append(h11.Data(data=body))
-        events.append(h11.EndOfMessage())
+        self.send_raw(method.encode("ascii"), target.encode("ascii"), raw, body)
         try:
-            data = b"".join(self._conn.send(event) or b"" for event in events)
-            self._protocol.traffic += len(data)
-            self._protocol.transport.write(data)
             await self._protocol.drain()
-        except (OSError, h11.LocalProtocolError) as error:
+        except OSError as error:
             raise HttpFailure(SendStage.SENT, str(error)) from error
 
+    def send_raw(
+        self, method: bytes, target: bytes, headers: list[tuple[bytes, bytes]], body: bytes
+    ) -> None:
+        """Write a whole request whose headers are complete, without waiting for the other side.
+
+        A target may answer before it has taken the body; waiting here would leave that unread.
+        """
+        try:
+            head = h11.Request(method=method, target=target, headers=headers)
+            self._sent = [head, h11.EndOfMessage()]
+            if body:
+                self._sent.insert(1, h11.Data(data=body))
+            data = b"".join(self._conn.send(event) or b"" for event in self._sent)
+        except h11.LocalProtocolError as error:
+            raise HttpFailure(SendStage.CONNECT, str(error)) from error
+        self._protocol.traffic += len(data)
+        self._protocol.transport.write(data)
+
+    async def skip_response(self, timeout: float) -> None:
+        """Read to the end of a response that belongs to no request and wait for the next.
+
+        A target may send an answer twice, the second where that of the next request is due.
+        h11 allows one response to a request, so a new state takes what follows.
+        """
+        async for _ in self.receive_body(timeout):
+            pass
+        rest, _ = self._conn.trailing_data
+        self._conn = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+        for event in self._sent:
+            self._conn.send(event)
+        if rest:
+            self._conn.receive_data(rest)
+
     async def receive_head(self, timeout: float) -> Response:
         """Wait at most `timeout` seconds for the response head."""
         try:
@@ -112,7 +145,7 @@
                         self._conn.receive_data(await self._protocol.read())
                     elif isinstance(event, h11.Response):
                         headers = {k.decode(): v.decode("latin-1") for k, v in event.headers}
-                        return Response(event.status_code, headers)
+                        return Response(event.status_code, headers, list(event.headers))
                     elif not isinstance(event, h11.InformationalResponse):
                         raise HttpFailure(SendStage.SENT, "closed before the response")
         except TimeoutError as error:
@@ -162,11 +195,17 @@
         """Prepare for a next request; False if the connection must be closed."""
         if self._conn.our_state is not h11.DONE or self._conn.their_state is not h11.DONE:
             return False
-        if self._protocol.closed:
+        if self._protocol.closed or self.has_stray_bytes or self._protocol.unsent:
             return False
         self._conn.start_next_cycle()
+        self._sent = []
         return True
 
+    @property
+    def has_stray_bytes(self) -> bool:
+        """Whether the other side has sent more than it was asked for."""
+        return bool(self._conn.trailing_data[0]) or self._protocol.unread > 0
+
     @property
     def closed(self) -> bool:
         """Whether the other side has closed."""
@@ -302,18 +341,44 @@
         self.fetch_traffic = 0
 
     async def take(
-        self, address: Address, now: float, fresh: bool, timeout: float = DEFAULT_CONNECT_TIMEOUT
+        self,
+        address: Address,
+        now: float,
+        fresh: bool,
+        timeout: float = DEFAULT_CONNECT_TIMEOUT,
+        max_idle: float | None = None,
     ) -> Connection:
-        """Give an idle connection, or a new one if `fresh` is asked or none is idle."""
+        """Give an idle connection, or a new one if `fresh` is asked or none is idle.
+
+        With `max_idle` only one that has idled for no longer; the others stay for other requests.
+        """
         idle = self._idle.get(address)
         while idle and not fresh:
+            if max_idle is not None and now - idle[-1].idle_since > max_idle:
+                break
             connection = idle.pop()
-            if now - connection.idle_since <= self._max_idle and not connection.closed:
+            if self._is_usable(connection, now):
                 connection.reused = True
                 return connection
             connection.close()
         return await Connection.open(address, timeout)
 
+    def _is_usable(self, connection: Connection, now: float) -> bool:
+        idle = now - connection.idle_since
+        limit = connection.idle_limit
+        if idle > self._max_idle or (limit is not None and idle > limit):
+            return False
+        return not connection.closed and not connection.has_stray_bytes
+
+    def count_idle(self, address: Address) -> int:
+        """Count the idle connections to an address."""
+        return len(self._idle.get(address, ()))
+
+    def drop_all(self) -> None:
+        """Close every idle connection: this process may have been away while they broke."""
+        for address in list(self._idle):
+            self.drop_address(address)
+
     def give_back(self, connection: Connection, now: float) -> None:
         """Keep a connection for the next request if it can carry one."""
         idle = self._idle.setdefault(connection.address, deque())
--- a/rhubarbbend/http/_protocol.py
+++ b/rhubarbbend/http/_protocol.py
@@ -8,15 +8,39 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 from typing import Final, cast
 
 # Bytes that may wait unread before the other side is held back.
 READ_LIMIT: Final = 262_144
+# Keep-alive probes: the first after so many idle seconds, then one each interval, so that three
+# unanswered ones end a dead connection within 3 s, the least time in which a partition of the
+# known deployments has to be noticed.
+KEEPALIVE_IDLE: Final = 1
+KEEPALIVE_INTERVAL: Final = 1
+KEEPALIVE_PROBES: Final = 2
+# Written bytes that are not acknowledged for so many milliseconds end the connection.
+USER_TIMEOUT_MS: Final = 2_500
 
 Sink = Callable[[bytes], None]
 
 
+def set_keepalive(sock: socket.socket | None) -> None:
+    """Have the system notice a connection whose other side does not answer any more.
+
+    A connection can go silent for good while new ones work. Without probes a long poll on it
+    waits for its whole time and misses what is in force meanwhile.
+    """
+    if sock is None:
+        return
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+
 class ClientProtocol(asyncio.Protocol):
     """Received bytes, read by a task or given to a sink. Invariant: never both at once."""
 
@@ -44,6 +68,16 @@
         """Whether nothing more can come."""
         return self.eof or self._transport is None or self._transport.is_closing()
 
+    @property
+    def unread(self) -> int:
+        """How many received bytes nobody has read yet."""
+        return len(self._buffer)
+
+    @property
+    def unsent(self) -> int:
+        """How many written bytes have not left this process yet."""
+        return self.transport.get_write_buffer_size()
+
     async def read(self) -> bytes:
         """Read what has come, waiting for something; empty at the end of the stream."""
         while not self._buffer and not self.eof:
@@ -99,6 +133,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take the transport."""
         self._transport = cast(asyncio.Transport, transport)
+        set_keepalive(transport.get_extra_info("socket"))
 
     def data_received(self, data: bytes) -> None:
         """Give a part to the sink, or keep it for the reader."""
--- a/rhubarbbend/http/_server.py
+++ b/rhubarbbend/http/_server.py
@@ -11,7 +11,6 @@
 from collections.abc import Awaitable, Callable
 from typing import Final
 
-import attrs
 import h11
 import msgspec
 
@@ -29,11 +28,11 @@
 STALL_TIMEOUT: Final = 30.0
 
 Headers = list[tuple[str, str]]
+RawHeaders = list[tuple[bytes, bytes]]
 Handler = Callable[["Exchange"], Awaitable[None]]
 
 
-@attrs.define(slots=True, frozen=True)
-class ServerLimits:
+class ServerLimits(msgspec.Struct, frozen=True):
     """Bounds on what one client connection may cost; sizes in bytes, times in seconds."""
 
     max_header_bytes: int = 32_768
@@ -55,8 +54,7 @@
         self.reason = reason
 
 
-@attrs.define(slots=True)
-class DrainState:
+class DrainState(msgspec.Struct):
     """Whether the server is about to stop; shared with every exchange."""
 
     draining: bool = False
@@ -69,8 +67,10 @@
         "method",
         "target",
         "headers",
+        "raw_headers",
         "body",
         "closed",
+        "on_closed",
         "_conn",
         "_writer",
         "_drain_state",
@@ -88,9 +88,13 @@
         self.method = request.method.decode("ascii")
         self.target = request.target.decode("ascii", "replace")
         self.headers = {k.decode("ascii"): v.decode("latin-1") for k, v in request.headers}
+        # As sent, repeated names included, for whoever passes them on.
+        self.raw_headers: list[tuple[bytes, bytes]] = list(request.headers)
         self.body = body
         # Set once the client has gone, so that a handler can cancel the work.
         self.closed = asyncio.Event()
+        # Called in the loop's turn in which the client is seen to have gone.
+        self.on_closed: Callable[[], None] | None = None
         self._conn = conn
         self._writer = writer
         self._drain_state = drain_state or DrainState()
@@ -103,12 +107,15 @@
 
     def start(self, status: int, headers: Headers) -> None:
         """Send the response head; a body without Content-Length goes out chunked."""
+        self.start_raw(status, [(k.encode(), v.encode("latin-1", "replace")) for k, v in headers])
+
+    def start_raw(self, status: int, headers: RawHeaders) -> None:
+        """Send a response head whose headers are bytes already, as a target sent them."""
         self._started = True
         if self._drain_state.draining:
             # The client opens its next connection elsewhere instead of reusing one that ends.
-            headers = [*headers, ("Connection", "close")]
-        raw = [(k.encode("ascii"), v.encode("latin-1", "replace")) for k, v in headers]
-        self._send(h11.Response(status_code=status, headers=raw))
+            headers = [*headers, (b"Connection", b"close")]
+        self._send(h11.Response(status_code=status, headers=headers))
 
     def write(self, data: bytes) -> None:
         """Send part of the body."""
@@ -155,6 +162,12 @@
             self.write(body)
         self.finish()
 
+    def mark_closed(self) -> None:
+        """Note that the client has gone, and tell whoever works for it."""
+        self.closed.set()
+        if self.on_closed is not None:
+            self.on_closed()
+
     def _send(self, event: h11.Event) -> None:
         if self.closed.is_set() or self._writer.transport.is_closing():
             self.closed.set()
@@ -177,6 +190,10 @@
         self._drain_state = DrainState()
         self._held_bytes = 0
 
+    def set_limits(self, limits: ServerLimits) -> None:
+        """Bound clients by these limits from the next request on."""
+        self._limits = limits
+
     async def listen(self, host: str, port: int) -> int:
         """Start to accept connections; returns the port in use."""
         self._server = await asyncio.start_server(self._accept, host, port, backlog=1024)
@@ -280,6 +297,7 @@
             event = _next_event(conn)
             if isinstance(event, h11.Request):
                 self._busy.add(task)
+                _check_framing(event)
                 return event
             if event is not h11.NEED_DATA:
                 return None
@@ -368,7 +386,7 @@
     while True:
         data = await reader.read(READ_SIZE)
         if not data:
-            exchange.closed.set()
+            exchange.mark_closed()
             return
         conn.receive_data(data)
         if len(conn.trailing_data[0]) > READ_SIZE:
@@ -376,6 +394,17 @@
             return
 
 
+def _check_framing(request: h11.Request) -> None:
+    """Refuse a request that tells the length of its body in two ways.
+
+    Something before this server may have gone by the other one; what it took for the body would
+    be read here as a second request, which nobody sent.
+    """
+    names = [name for name, _ in request.headers]
+    if b"transfer-encoding" in names and b"content-length" in names:
+        raise RequestRejected(400, "both Content-Length and Transfer-Encoding")
+
+
 def _next_event(conn: h11.Connection) -> object:
     try:
         return conn.next_event()
--- a/rhubarbbend/settings/_checks.py
+++ b/rhubarbbend/settings/_checks.py
@@ -9,7 +9,7 @@
 import attrs
 
 from rhubarbbend.core import CoreOptions
-from rhubarbbend.platform import PLATFORMS
+from rhubarbbend.storage import PLATFORMS
 from rhubarbbend.settings._types import Settings
 
 # Options of the core for which 0 means "none".
--- a/rhubarbbend/shell/_platform_calls.py
+++ b/rhubarbbend/shell/_platform_calls.py
@@ -7,7 +7,7 @@
 
 from rhubarbbend import codes
 from rhubarbbend.core import actions, events
-from rhubarbbend.platform import PlatformClient, PlatformError
+from rhubarbbend.storage import PlatformClient, PlatformError
 from rhubarbbend.shell._metrics import Metrics
 
 SNAPSHOT_OBJECT: Final = "configuration-snapshot"
--- a/rhubarbbend/platform/_http.py
+++ b/rhubarbbend/storage/_http.py
@@ -12,7 +12,7 @@
 from rhubarbbend.core.actions import Write
 from rhubarbbend.core.events import Listed, Row
 from rhubarbbend.http import ConnectionPool, HttpFailure, fetch
-from rhubarbbend.platform._base import PLATFORMS, PlatformClient, PlatformError
+from rhubarbbend.storage._base import PLATFORMS, PlatformClient, PlatformError
 
 T = TypeVar("T")
 MAX_IDLE = 3.0
