--- a/rhubarbbend/core/placement/_placement.py
+++ b/rhubarbbend/core/placement/_placement.py
@@ -16,8 +16,8 @@
 from typing import Final
 
 import msgspec
-import xxhash
 
+from rhubarbbend.core._rendezvous import rank_names
 from rhubarbbend.core.catalog import Service
 from rhubarbbend.core.directory import Directory, Target
 from rhubarbbend.core.placement._health import HealthBook
@@ -170,10 +170,8 @@
     def _choose_by_prompt(
         self, candidates: _Candidates, service: Service, prompt: Prompt, now: float
     ) -> Choice:
-        seed = xxhash.xxh64_intdigest(prompt.affinity_key)
-        order = sorted(
-            candidates.all, key=lambda t: xxhash.xxh64_intdigest(t.id, seed), reverse=True
-        )
+        by_id = {target.id: target for target in candidates.all}
+        order = [by_id[name] for name in rank_names(prompt.affinity_key, by_id)]
         target, reason = self._pick(candidates, service, order, now)
         source = self._find_source(prompt, order, target, now)
         return self._make_choice(candidates, target, reason, source, now)
--- a/rhubarbbend/core/shares/_cold.py
+++ b/rhubarbbend/core/shares/_cold.py
@@ -6,7 +6,7 @@
 from collections.abc import Sequence
 from typing import Final
 
-import xxhash
+from rhubarbbend.core._rendezvous import rank_names
 
 # Sends are counted over a little more than the second of the bound: two requests that leave a
 # second apart can arrive closer together, by what their ways differ.
@@ -35,9 +35,7 @@
         count = max(1, len(instances))
         if bound >= count:
             return bound // count
-        seed = xxhash.xxh64_intdigest(target)
-        ranked = sorted(instances, key=lambda name: xxhash.xxh64_intdigest(name, seed))
-        return int(self._instance in ranked[:bound])
+        return int(self._instance in rank_names(target, instances)[:bound])
 
     def has_room(self, target: str, part: int, now: float) -> bool:
         """Whether one more request may be sent within the part."""
