--- a/rhubarbbend/core/directory/_directory.py
+++ b/rhubarbbend/core/directory/_directory.py
@@ -56,6 +56,10 @@
             and (target.gone_at is None or now < target.gone_at)
         ]
 
+    def list_all(self, service: str) -> list[Target]:
+        """List every registered target of a service, whether it may get work or not."""
+        return list(self._by_service.get(service, ()))
+
     def note_store_returned(self, now: float) -> None:
         """Note that the store answers again after an outage."""
         self._store_returned = now
--- a/rhubarbbend/core/placement/_placement.py
+++ b/rhubarbbend/core/placement/_placement.py
@@ -77,11 +77,11 @@
 
     __slots__ = ("all", "open", "loads", "mean", "failing")
 
-    def __init__(self, targets: list[Target], loads: dict[str, float]) -> None:
+    def __init__(self, targets: list[Target], loads: dict[str, float], mean: float) -> None:
         self.all = targets
         self.open: list[Target] = []
         self.loads = loads
-        self.mean = sum(loads.values()) / len(loads) if loads else 0.0
+        self.mean = mean
         self.failing: set[str] = set()
 
 
@@ -144,7 +144,7 @@
     ) -> _Candidates:
         targets = self._directory.list_service(service.name, now)
         loads = {target.id: self._loads.estimate(target.id, now) for target in targets}
-        found = _Candidates(targets, loads)
+        found = _Candidates(targets, loads, self._compute_mean(service, now))
         found.failing = self._health.list_failing([target.id for target in targets], now)
         most = max(2, int(service.max_connections * 0.8 / max(1, len(instances))))
         for target in targets:
@@ -157,6 +157,17 @@
             found.open.append(target)
         return found
 
+    def _compute_mean(self, service: Service, now: float) -> float:
+        """Give the mean load of all targets of a service, those that get no work included.
+
+        While a zone is out its targets stand idle and the bound on the others is lower: measured
+        against the mean of the working ones alone, a hot key would carry its engine beyond it.
+        """
+        everyone = self._directory.list_all(service.name)
+        if not everyone:
+            return 0.0
+        return sum(self._loads.estimate(t.id, now) for t in everyone) / len(everyone)
+
     def _may_send_cold(
         self, service: Service, target: Target, instances: Sequence[str], now: float
     ) -> bool:
--- a/rhubarbbend/gateway/_attempts.py
+++ b/rhubarbbend/gateway/_attempts.py
@@ -53,7 +53,9 @@
 class AttemptRunner:
     """Runs attempts. Invariant: each is counted in the load book from its choice to its end."""
 
-    def __init__(self, state: State, pool: ConnectionPool, protocol: TargetProtocol, clock: Clock):
+    def __init__(
+        self, state: State, pool: ConnectionPool, protocol: TargetProtocol, clock: Clock
+    ) -> None:
         self._state = state
         self._pool = pool
         self._protocol = protocol
--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -23,8 +23,14 @@
 from rhubarbbend.gateway._serving import RequestServer
 from rhubarbbend.gateway._settings import GatewaySettings
 from rhubarbbend.gateway._state import INSTANCE_TABLE, InstanceRow, State, read_clock
-from rhubarbbend.http import Connection, ConnectionPool, Exchange, HttpFailure, HttpServer
-from rhubarbbend.http import ServerLimits
+from rhubarbbend.http import (
+    Connection,
+    ConnectionPool,
+    Exchange,
+    HttpFailure,
+    HttpServer,
+    ServerLimits,
+)
 from rhubarbbend.storage import StoreError
 
 # Idle connections to targets are kept for so long at the most, in seconds.
--- a/rhubarbbend/gateway/_serving.py
+++ b/rhubarbbend/gateway/_serving.py
@@ -121,7 +121,7 @@
         if request.route.kind is not RequestKind.UNSAFE:
             # Work that nobody waits for is ended. A command that was sent is left to finish:
             # ended midway it would be half done.
-            request.exchange.on_closed = task.cancel
+            request.exchange.on_closed = lambda: _cancel(task)
         try:
             async with asyncio.timeout_at(request.deadline):
                 await self._try_targets(request)
@@ -264,3 +264,8 @@
             took=round(now - request.arrived, 4),
             config=request.version,
         )
+
+
+def _cancel(task: asyncio.Task[None]) -> None:
+    """End the work for a caller that has gone."""
+    task.cancel()
--- a/rhubarbbend/gateway/_state.py
+++ b/rhubarbbend/gateway/_state.py
@@ -37,7 +37,9 @@
 class State:
     """One instance's views, and the books of what it does."""
 
-    def __init__(self, settings: GatewaySettings, tables: tuple[str, ...], journal: Journal):
+    def __init__(
+        self, settings: GatewaySettings, tables: tuple[str, ...], journal: Journal
+    ) -> None:
         self.settings = settings
         self.journal = journal
         self.metrics = Metrics()
--- a/rhubarbbend/settings/_checks.py
+++ b/rhubarbbend/settings/_checks.py
@@ -9,8 +9,8 @@
 import attrs
 
 from rhubarbbend.core import CoreOptions
-from rhubarbbend.storage import PLATFORMS
 from rhubarbbend.settings._types import Settings
+from rhubarbbend.storage import PLATFORMS
 
 # Options of the core for which 0 means "none".
 MAY_BE_ZERO: Final = frozenset(
--- a/rhubarbbend/shell/_platform_calls.py
+++ b/rhubarbbend/shell/_platform_calls.py
@@ -7,8 +7,8 @@
 
 from rhubarbbend import codes
 from rhubarbbend.core import actions, events
-from rhubarbbend.storage import PlatformClient, PlatformError
 from rhubarbbend.shell._metrics import Metrics
+from rhubarbbend.storage import PlatformClient, PlatformError
 
 SNAPSHOT_OBJECT: Final = "configuration-snapshot"
 
--- a/rhubarbbend/shell/_runtime.py
+++ b/rhubarbbend/shell/_runtime.py
@@ -30,7 +30,6 @@
 from rhubarbbend.http import ConnectionPool, Exchange, HttpServer, ServerLimits
 from rhubarbbend.operators import ChangeAnswer, OperatorServer, make_operator_key
 from rhubarbbend.peers import PeerLinks, PeerListener
-from rhubarbbend.storage import PLATFORMS
 from rhubarbbend.settings import Settings, parse_address, read_operator_secret
 from rhubarbbend.shell._attempts import AttemptRunner
 from rhubarbbend.shell._callers import OpenRequest
@@ -46,6 +45,7 @@
     write_error,
 )
 from rhubarbbend.shell._traffic import ControlTraffic
+from rhubarbbend.storage import PLATFORMS
 from rhubarbbend.trace import Recorder
 
 WATCH_INTERVAL: Final = 0.25
--- /dev/null
+++ b/tests/adapter/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the platform's adapter."""
--- /dev/null
+++ b/tests/core/catalog/test_catalog.py
@@ -0,0 +1,71 @@
+"""Routes by host and longest prefix; accounts by key."""
+
+from __future__ import annotations
+
+import pytest
+
+from rhubarbbend.core.catalog import (
+    Catalog,
+    ClientAccount,
+    RequestKind,
+    Route,
+    ServiceShare,
+    TrafficLimits,
+)
+
+LIMITS = TrafficLimits(16_384, 4_194_304, 3.0, 15.0)
+
+
+def make_route(name: str, prefix: str, host: str = "plots.example") -> Route:
+    shares = (ServiceShare("bookings", 1),)
+    return Route(name, host, prefix, RequestKind.SAFE, 1.0, 0.2, 0, shares, 2)
+
+
+CATALOG = Catalog(
+    3,
+    [
+        make_route("outer", "/a/"),
+        make_route("inner", "/a/b/"),
+        make_route("root", "/", "x.example"),
+    ],
+    [],
+    [ClientAccount("pilgrims", ("key-1", "key-2"))],
+    LIMITS,
+)
+
+
+@pytest.mark.parametrize(
+    ("host", "path", "expected"),
+    [
+        ("plots.example", "/a/1", "outer"),
+        ("plots.example", "/a/b/1", "inner"),
+        ("plots.example", "/a/b/", "inner"),
+        ("plots.example", "/a/b", "outer"),
+        ("plots.example", "/a/bc/1", "outer"),
+        ("plots.example", "/a", None),
+        ("plots.example", "/ab/1", None),
+        ("plots.example", "/", None),
+        ("PLOTS.example:8080", "/a/1", "outer"),
+        ("x.example", "/anything/at/all", "root"),
+        ("y.example", "/a/1", None),
+        ("", "/a/1", None),
+        ("plots.example", "", None),
+        ("plots.example", "/a/../c/1", "outer"),
+    ],
+)
+def test_the_longest_prefix_of_the_host_decides(host: str, path: str, expected: str | None) -> None:
+    route = CATALOG.find_route(host, path)
+    assert (None if route is None else route.name) == expected
+
+
+def test_accounts_are_found_by_each_of_their_keys() -> None:
+    for key in ("key-1", "key-2"):
+        account = CATALOG.find_account(key)
+        assert account is not None and account.name == "pilgrims"
+    assert CATALOG.find_account("") is None
+    assert CATALOG.find_account("key-3") is None
+
+
+def test_a_configuration_without_accounts_asks_for_no_key() -> None:
+    assert CATALOG.needs_key
+    assert not Catalog(1, [], [], None, LIMITS).needs_key
--- /dev/null
+++ b/tests/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the gateway: its parts alone, then real processes before stand-ins."""
