Test the whole path before stand-ins of the users' store and workers; close what that showed

Faults found by the tests, each failing first: - forty requests at once passed a cold engine's bound of eight: the allowance was counted when a request left, after a connection had opened, and others chose meanwhile. Counted at the choice. - instances that started together each read the list of instances before the others were on it and took the whole of a bound. An instance now writes its row, reads the list, and tells those on it that it joined. - an instance that started while the store was away asked one dead seed twelve times in a row (seen once). The peer was drawn at random each time; now all are asked in turn.

--- a/loadtool/_processes.py
+++ b/loadtool/_processes.py
@@ -103,16 +103,27 @@
     async def start(
         self, name: str, arguments: list[str], environment: dict[str, str] | None = None
     ) -> ManagedProcess:
-        """Start `python -m` with the arguments; its output goes to files in the folder."""
+        """Start `python -m` with the arguments; its errors go to a file in the folder."""
+        return await self._run(name, ["-m", *arguments], environment, asyncio.subprocess.PIPE)
+
+    async def start_script(
+        self, name: str, script: Path, environment: dict[str, str]
+    ) -> ManagedProcess:
+        """Start a script; its output and its errors go to files in the folder."""
+        with (self.folder / f"{name}.log").open("ab") as output:
+            return await self._run(name, [str(script)], environment, output.fileno())
+
+    async def _run(
+        self, name: str, arguments: list[str], environment: dict[str, str] | None, output: int
+    ) -> ManagedProcess:
         with (self.folder / f"{name}.err").open("ab") as errors:
             process = await asyncio.create_subprocess_exec(
                 sys.executable,
-                "-m",
                 *arguments,
                 cwd=ROOT,
                 env={**os.environ, **(environment or {})},
                 stdin=asyncio.subprocess.DEVNULL,
-                stdout=asyncio.subprocess.PIPE,
+                stdout=output,
                 stderr=errors,
                 preexec_fn=_die_with_parent,
             )
--- a/rhubarbbend/core/placement/_placement.py
+++ b/rhubarbbend/core/placement/_placement.py
@@ -39,6 +39,8 @@
 MAX_PLACES: Final = 4_096
 # The other zone is chosen only if the own zone's target holds this many requests more.
 ZONE_ADVANTAGE: Final = 0.75
+# A request that leaves this many seconds after its choice counts for the time it left as well.
+SLOW_CONNECT: Final = 0.02
 
 
 class Reason(enum.Enum):
@@ -124,9 +126,16 @@
             return self._choose_by_prompt(candidates, service, prompt, now)
         return self._choose_by_load(candidates, random, now)
 
-    def note_sent(self, target: Target, prompt: Prompt | None, now: float) -> None:
-        """Remember where a request was sent."""
+    def note_chosen(self, target: Target, now: float) -> None:
+        """Count a request that is about to be sent to a target."""
         self._cold.note_sent(target.id, now)
+
+    def note_sent(
+        self, target: Target, prompt: Prompt | None, chosen_at: float, now: float
+    ) -> None:
+        """Remember where a request was sent, some time after it was chosen."""
+        if now - chosen_at > SLOW_CONNECT:
+            self._cold.note_sent(target.id, now)
         if prompt is not None and prompt.parts:
             self._places[prompt.affinity_key] = target.id
             self._places.move_to_end(prompt.affinity_key)
--- a/rhubarbbend/core/shares/_cold.py
+++ b/rhubarbbend/core/shares/_cold.py
@@ -11,6 +11,8 @@
 # Sends are counted over a little more than the second of the bound: two requests that leave a
 # second apart can arrive closer together, by what their ways differ.
 WINDOW: Final = 1.15
+# Sends that are remembered of one target; no cold target bears more in a window.
+MAX_COUNTED: Final = 256
 
 
 class ColdAllowance:
@@ -47,8 +49,11 @@
         return len(sent) < part
 
     def note_sent(self, target: str, now: float) -> None:
-        """Count a request to a target, cold or not: it may turn out to have been cold."""
-        self._sent.setdefault(target, deque(maxlen=64)).append(now)
+        """Count a request to a target, cold or not: it may turn out to have been cold.
+
+        It is counted when the target is chosen: while a connection to it opens, others choose.
+        """
+        self._sent.setdefault(target, deque(maxlen=MAX_COUNTED)).append(now)
 
     def forget(self, target: str) -> None:
         """Forget a target that has gone."""
--- a/rhubarbbend/gateway/_attempts.py
+++ b/rhubarbbend/gateway/_attempts.py
@@ -67,7 +67,9 @@
         """Send a request to a target; pass its answer on, or tell how it failed."""
         target = choice.target
         request.attempt_target = target
+        request.chosen_at = self._clock()
         self._state.loads.begin(target.id)
+        self._state.placement.note_chosen(target, request.chosen_at)
         try:
             connection = await self._connect(request, target)
             if connection is None:
@@ -136,7 +138,7 @@
         )
         headers = self._protocol.make_headers(caller, order)
         connection.send_raw(caller.method, caller.target, headers, caller.body)
-        self._state.placement.note_sent(choice.target, caller.prompt, now)
+        self._state.placement.note_sent(choice.target, caller.prompt, request.chosen_at, now)
         self._state.journal.write(
             "sent",
             now,
--- a/rhubarbbend/gateway/_follower.py
+++ b/rhubarbbend/gateway/_follower.py
@@ -19,7 +19,8 @@
     Unreadable,
     ZoneMoved,
 )
-from rhubarbbend.gateway._peers import PeerClient
+from rhubarbbend.gateway._peers import Hello, PeerClient
+from rhubarbbend.gateway._settings import Address
 from rhubarbbend.gateway._state import INSTANCE_TABLE, InstanceRow, State, read_clock
 from rhubarbbend.storage import HistoryGone, RowStore, StoreError
 
@@ -37,8 +38,9 @@
 # While the store gives no answer, one peer is asked this often. A reader that is turned away for
 # some seconds still has to follow within 2 s.
 PEER_INTERVAL: Final = 0.4
-# The list of instances only divides bounds among them.
+# The list of instances only divides bounds among them, and those that join say so themselves.
 INSTANCES_INTERVAL: Final = 20.0
+JOIN_PAUSE: Final = 1.0
 
 
 class StoreContact:
@@ -157,30 +159,65 @@
             # Waits on other connections may have been lost with this one.
             self._store.reset()
 
+    async def join(self, row: InstanceRow) -> None:
+        """Tell the other instances where this one is reached, and learn of them.
+
+        The row is written before the list is read: of two that join at once, at least the later
+        one reads of the other, and tells it.
+        """
+        own = self._state.settings.instance
+        value = msgspec.json.encode(row)
+        while True:
+            try:
+                await self._store.put_row(INSTANCE_TABLE, own, value)
+                await self._read_instances()
+            except StoreError as error:
+                self._log("join_failed", reason=str(error))
+                await asyncio.sleep(JOIN_PAUSE)
+                continue
+            await self._peers.tell_hello(Hello(own, row))
+            return
+
+    async def leave(self) -> None:
+        """Take this instance off the list."""
+        try:
+            await self._store.remove_row(INSTANCE_TABLE, self._state.settings.instance)
+        except StoreError as error:
+            self._log("leave_failed", reason=str(error))
+
     async def _follow_instances(self) -> None:
         while True:
+            await asyncio.sleep(INSTANCES_INTERVAL * self._state.random.uniform(0.8, 1.2))
             try:
-                page = await self._store.read_table(INSTANCE_TABLE)
-                self.take_pages({INSTANCE_TABLE: page}, "store")
-                await asyncio.sleep(INSTANCES_INTERVAL * self._state.random.uniform(0.8, 1.2))
+                await self._read_instances()
             except StoreError as error:
                 self._note_failure(INSTANCE_TABLE, error)
-                await asyncio.sleep(1.0)
+
+    async def _read_instances(self) -> None:
+        page = await self._store.read_table(INSTANCE_TABLE)
+        self.take_pages({INSTANCE_TABLE: page}, "store")
 
     # Peers.
 
     async def _ask_peers(self) -> None:
+        queue: list[Address] = []
         while True:
             await asyncio.sleep(PEER_INTERVAL * self._state.random.uniform(0.8, 1.2))
             if self.store_reached:
                 continue
-            peers = self._state.list_peers()
-            if not peers:
+            # In turn, so that some that are gone do not keep the others from being asked.
+            queue = queue or self._shuffle_peers()
+            if not queue:
                 continue
-            pages = await self._peers.ask_changes(self._state.random.choice(peers))
+            pages = await self._peers.ask_changes(queue.pop())
             if pages:
                 self.take_pages(pages, "peer")
 
+    def _shuffle_peers(self) -> list[Address]:
+        peers = self._state.list_peers()
+        self._state.random.shuffle(peers)
+        return peers
+
     # What has changed.
 
     def take_pages(self, pages: dict[str, TablePage], source: str) -> int:
--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -9,8 +9,6 @@
 from collections.abc import Callable, Coroutine
 from typing import Any, Final
 
-import msgspec
-
 from rhubarbbend import VERSION, codes
 from rhubarbbend.core.directory import Target
 from rhubarbbend.gateway._attempts import AttemptRunner
@@ -22,7 +20,7 @@
 from rhubarbbend.gateway._requests import OpenRequest
 from rhubarbbend.gateway._serving import RequestServer
 from rhubarbbend.gateway._settings import GatewaySettings
-from rhubarbbend.gateway._state import INSTANCE_TABLE, InstanceRow, State, read_clock
+from rhubarbbend.gateway._state import InstanceRow, State, read_clock
 from rhubarbbend.http import (
     Connection,
     ConnectionPool,
@@ -31,7 +29,6 @@
     HttpServer,
     ServerLimits,
 )
-from rhubarbbend.storage import StoreError
 
 # Idle connections to targets are kept for so long at the most, in seconds.
 TARGET_IDLE: Final = 10.0
@@ -49,7 +46,6 @@
 STOP_POLL: Final = 0.05
 # A target that takes a connection this soon after it broke one off has not crashed.
 CRASH_CHECK_TIMEOUT: Final = 0.2
-REGISTER_PAUSE: Final = 1.0
 
 
 class Instance:
@@ -81,8 +77,10 @@
         self._handle_signals()
         await self._listen()
         self._follower.start()
-        for work in (self._register(), self._watch_pauses(), self._keep_house()):
-            self._spawn(work)
+        self._spawn(self._watch_pauses())
+        self._spawn(self._keep_house())
+        if own.peers is not None:
+            self._spawn(self._follower.join(InstanceRow(own.zone, *own.peers)))
         await self._stop_asked.wait()
         await self._stop()
 
@@ -93,7 +91,11 @@
         if own.peers is not None:
             await self._serve_on(own.peers, PeerServer(self.state).serve)
         if own.metrics is not None:
-            await self._serve_on(own.metrics, self._serve_metrics)
+            try:
+                await self._serve_on(own.metrics, self._serve_metrics)
+            except OSError as error:
+                # Callers are served without it; whoever reads metrics sees that they are missing.
+                self._log("metrics_unavailable", reason=str(error))
 
     async def _serve_on(
         self, address: tuple[str, int], handler: Callable[[Exchange], Coroutine[Any, Any, None]]
@@ -166,20 +168,6 @@
 
     # Housekeeping.
 
-    async def _register(self) -> None:
-        """Tell the other instances, by the store, where this one is reached."""
-        own = self.settings
-        if own.peers is None:
-            return
-        row = msgspec.json.encode(InstanceRow(own.zone, *own.peers))
-        while True:
-            try:
-                await self._adapter.store.put_row(INSTANCE_TABLE, own.instance, row)
-                return
-            except StoreError as error:
-                self._log("register_failed", reason=str(error))
-                await asyncio.sleep(REGISTER_PAUSE)
-
     async def _watch_pauses(self) -> None:
         """Notice that this process did not run for a while.
 
@@ -242,7 +230,8 @@
         self.state.stopping = True
         self._log("stopping", open=self._requests.open)
         self._callers.announce_stop()
-        self._spawn(self._unregister())
+        if self.settings.peers is not None:
+            self._spawn(self._follower.leave())
         await asyncio.sleep(min(OUT_OF_ROTATION, self.settings.stop_grace / 3))
         self._callers.stop_accepting()
         while self._requests.open and read_clock() < killed_at:
@@ -259,14 +248,6 @@
         self._log("stopped", cut=cut, after=round(read_clock() - began, 3))
         self._journal.close()
 
-    async def _unregister(self) -> None:
-        if self.settings.peers is None:
-            return
-        try:
-            await self._adapter.store.remove_row(INSTANCE_TABLE, self.settings.instance)
-        except StoreError as error:
-            self._log("unregister_failed", reason=str(error))
-
 
 def _read_boot_clock() -> float:
     """Give the time since the machine started, with the time that it was suspended."""
--- a/rhubarbbend/gateway/_peers.py
+++ b/rhubarbbend/gateway/_peers.py
@@ -1,4 +1,4 @@
-"""What instances tell one another: changes of the store's tables, and crashes.
+"""What instances tell one another: changes of the store's tables, crashes, and that they joined.
 
 An instance that reaches the store needs none of this. One that does not, because the store is
 away, turns it away or is cut off from it, learns from the others what has come into force.
@@ -13,11 +13,12 @@
 
 from rhubarbbend.core.mirror import TablePage
 from rhubarbbend.gateway._settings import Address
-from rhubarbbend.gateway._state import State, read_clock
+from rhubarbbend.gateway._state import InstanceRow, State, read_clock
 from rhubarbbend.http import ConnectionPool, Exchange, HttpFailure, fetch
 
 CHANGES_PATH: Final = "/peer/changes"
 CRASHES_PATH: Final = "/peer/crashes"
+HELLO_PATH: Final = "/peer/hello"
 CONTENT_TYPE: Final = "application/msgpack"
 # An instance of the same region answers in about 3 ms; one that does not in this time is asked
 # again later, and another one at once.
@@ -44,6 +45,13 @@
     target: str
 
 
+class Hello(msgspec.Struct, array_like=True):
+    """An instance has joined."""
+
+    instance: str
+    row: InstanceRow
+
+
 class PeerServer:
     """Answers other instances."""
 
@@ -61,6 +69,10 @@
                 note = msgspec.msgpack.decode(exchange.body, type=CrashNote)
                 self._state.crashes.note_crash(note.digest, note.target, read_clock())
                 _respond(exchange, b"")
+            elif exchange.target == HELLO_PATH:
+                hello = msgspec.msgpack.decode(exchange.body, type=Hello)
+                self._state.instances[hello.instance] = hello.row
+                _respond(exchange, b"")
             else:
                 exchange.respond(404, [], b"")
         except msgspec.MsgspecError as error:
@@ -91,9 +103,19 @@
 
     async def tell_crash(self, note: CrashNote) -> None:
         """Tell every other instance of a crash."""
-        body = msgspec.msgpack.encode(note)
+        await self._tell_all(CRASHES_PATH, msgspec.msgpack.encode(note))
+
+    async def tell_hello(self, hello: Hello) -> None:
+        """Tell every other instance known that this one shares the bounds from now on.
+
+        Their list of instances may be some time old; until they read it again their parts and
+        this one's would add up to more than the bound.
+        """
+        await self._tell_all(HELLO_PATH, msgspec.msgpack.encode(hello))
+
+    async def _tell_all(self, path: str, body: bytes) -> None:
         peers = self._state.list_peers()
-        await asyncio.gather(*(self._send(peer, CRASHES_PATH, body) for peer in peers))
+        await asyncio.gather(*(self._send(peer, path, body) for peer in peers))
 
     async def _send(self, peer: Address, path: str, body: bytes) -> bytes | None:
         headers = [("Content-Type", CONTENT_TYPE)]
--- a/rhubarbbend/gateway/_requests.py
+++ b/rhubarbbend/gateway/_requests.py
@@ -43,6 +43,7 @@
         "answer",
         "kept_answer",
         "attempt_target",
+        "chosen_at",
         "version",
     )
 
@@ -72,6 +73,7 @@
         # A failure of a target's own, for the caller if no other target can do better.
         self.kept_answer: KeptAnswer | None = None
         self.attempt_target: Target | None = None
+        self.chosen_at = arrived
         self.version = version
 
     @property
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -6,7 +6,7 @@
 import asyncio
 import signal
 
-from standins import _engine, _plain, _platform, _proxy
+from standins import _engine, _plain, _platform, _proxy, _tables, _worker
 from standins._server import StandIn
 
 
@@ -20,16 +20,22 @@
     _engine.add_options(kinds.add_parser("engine"))
     _plain.add_options(kinds.add_parser("plain"))
     kinds.add_parser("proxy")
+    kinds.add_parser("tables")
+    _worker.add_options(kinds.add_parser("worker"))
     return parser
 
 
-def _make_stand_in(options: argparse.Namespace) -> StandIn:
+def _make_stand_in(options: argparse.Namespace) -> StandIn | _worker.Worker:
     if options.kind == "platform":
         return _platform.Platform(options.lag)
     if options.kind == "engine":
         return _engine.make_engine(options)
     if options.kind == "plain":
         return _plain.make_service(options)
+    if options.kind == "tables":
+        return _tables.Tables()
+    if options.kind == "worker":
+        return _worker.make_worker(options)
     return _proxy.Proxy(options.host)
 
 
--- a/tests/core/placement/test_placement.py
+++ b/tests/core/placement/test_placement.py
@@ -130,7 +130,7 @@
         now = 10.0 + step * 0.01
         choice = world.choose(now=now)
         if choice is not None:
-            world.placement.note_sent(choice.target, CHAT, now)
+            world.placement.note_chosen(choice.target, now)
             sent += 1
     assert sent == 3
 
@@ -139,7 +139,7 @@
     world = World()
     first = world.choose()
     assert first is not None
-    world.placement.note_sent(first.target, CHAT, 10.0)
+    world.placement.note_sent(first.target, CHAT, 10.0, 10.0)
     # A new engine becomes the home of the chat.
     newcomer = next(
         name
--- /dev/null
+++ b/tests/gateway/test_store.py
@@ -0,0 +1,197 @@
+"""The store away, for all or for some: what is in force stays so, and what changes is learned."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+import pytest
+
+from tests.gateway.harness import Fleet, make_config, run, start_fleet, wait_until
+
+
+async def wait_refused(fleet: Fleet, instance: str, key: str, timeout: float) -> None:
+    """Wait until an instance refuses a key."""
+
+    async def is_refused() -> bool:
+        return (await fleet.ask("/read/x", instance=instance, X_Api_Key=key)).status == 401
+
+    await wait_until(f"{instance} refuses {key}", is_refused, timeout)
+
+
+def revoke(version: int) -> dict[str, object]:
+    config = make_config(version)
+    config["tenants"][0]["apiKeys"] = ["key-of-the-pilgrims"]
+    return config
+
+
+@pytest.mark.parametrize(
+    "faults", [{"status": 503}, {"status": 429}, {"silent": True}, {"delay": 0.3}]
+)
+def test_callers_are_served_while_the_store_is_away(
+    tmp_path: Path, faults: dict[str, object]
+) -> None:
+    async def work() -> None:
+        async with start_fleet(tmp_path, instances=2, engines=1) as fleet:
+            await fleet.set_store(**faults)
+            for _ in range(20):
+                assert (await fleet.ask("/read/x")).status == 200
+                await asyncio.sleep(0.1)
+            await fleet.set_store(status=0, silent=False, delay=0.0)
+            await fleet.write_row("op", "config", revoke(9))
+            await wait_refused(fleet, "front-0", "second-key", 3.5)
+
+    run(work)
+
+
+@pytest.mark.parametrize("fault", ["refuse", "blackhole", "freeze"])
+def test_an_instance_that_the_store_turns_away_learns_from_the_others(
+    tmp_path: Path, fault: str
+) -> None:
+    # One instance loses its path to the store, or only the connections that it has. A key is
+    # taken away meanwhile. The others know; the one asks them.
+    async def work() -> None:
+        async with start_fleet(tmp_path, instances=2, engines=1) as fleet:
+            await asyncio.sleep(0.5)
+            port = fleet.instances["front-1"].store_port
+            await fleet.set_route(port, **{fault: True, "cut": fault == "refuse"})
+            await asyncio.sleep(0.2)
+            await fleet.write_row("op", "config", revoke(4))
+            await fleet.register("plain-0", state="draining")
+            await wait_refused(fleet, "front-0", "second-key", 2.0)
+            await wait_refused(fleet, "front-1", "second-key", 5.0)
+            before = len((await fleet.read_stats("plain-0")).seen)
+            for _ in range(10):
+                assert (await fleet.ask("/read/x", instance="front-1")).status == 200
+            assert len((await fleet.read_stats("plain-0")).seen) == before
+
+    run(work)
+
+
+def test_an_instance_that_starts_while_the_store_is_away_learns_from_the_others(
+    tmp_path: Path,
+) -> None:
+    # The instance is killed and started again while the store refuses everyone. The settings name
+    # seeds; one of them has the configuration and the workers.
+    async def work() -> None:
+        async with start_fleet(tmp_path, instances=2, engines=1) as fleet:
+            await fleet.set_store(status=503)
+            node = fleet.instances["front-1"]
+            assert node.process is not None
+            await node.process.kill()
+            await fleet.start_instance("front-1")
+            await fleet.wait_ready("front-1", 5.0)
+            assert (await fleet.ask("/read/x", instance="front-1")).status == 200
+
+    run(work)
+
+
+def test_a_feed_whose_history_is_gone_is_read_anew(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with start_fleet(tmp_path, instances=1, engines=1) as fleet:
+            await fleet.set_store(status=503)
+            await asyncio.sleep(0.3)
+            await fleet.write_row("op", "config", revoke(4))
+            await fleet.write_row("servers", "plain-0", None)
+            await fleet.set_store(status=0, forget=True)
+            await wait_refused(fleet, "front-0", "second-key", 3.0)
+
+            async def is_gone() -> bool:
+                before = len((await fleet.read_stats("plain-0")).seen)
+                for _ in range(6):
+                    await fleet.ask("/read/x")
+                return len((await fleet.read_stats("plain-0")).seen) == before
+
+            # An entry may have lapsed with the store, so it is used for two seconds more.
+            await wait_until("plain-0 gets nothing", is_gone, 6.0)
+
+    run(work)
+
+
+@pytest.mark.parametrize(
+    "entry",
+    [
+        {"service": "plain"},
+        {"service": "plain", "address": 7, "zone": "z", "slots": 6, "state": "ready"},
+        {"service": "plain", "address": "nowhere", "zone": "z", "slots": 6, "state": "ready"},
+        {"service": "plain", "address": "127.0.0.1:1", "zone": "z", "slots": 6, "state": "odd"},
+        ["a", "list"],
+    ],
+)
+def test_entries_of_other_writers_name_no_worker(tmp_path: Path, entry: object) -> None:
+    async def work() -> None:
+        async with start_fleet(tmp_path, instances=1, plains=1, engines=1) as fleet:
+            await fleet.write_row("servers", "forged", entry)
+            await fleet.write_row("servers", "bytes", None, raw="//79/w==")
+            await fleet.write_row("op", "config", {"version": "nine"})
+            await asyncio.sleep(0.4)
+            for _ in range(6):
+                assert (await fleet.ask("/read/x")).status == 200
+            events = [line["event"] for line in fleet.read_log("front-0")]
+            assert events.count("row_unreadable") >= 3
+
+    run(work)
+
+
+def test_an_older_configuration_never_comes_back_into_force(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with start_fleet(tmp_path, instances=1, engines=1) as fleet:
+            await fleet.write_row("op", "config", revoke(7))
+            await wait_refused(fleet, "front-0", "second-key", 2.0)
+            await fleet.write_row("op", "config", make_config(6))
+            await asyncio.sleep(0.5)
+            assert (await fleet.ask("/read/x", X_Api_Key="second-key")).status == 401
+
+    run(work)
+
+
+def test_a_zone_that_is_taken_out_gets_nothing_until_it_is_back(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with start_fleet(tmp_path, instances=2, plains=3, engines=1) as fleet:
+            await fleet.write_row("op", "evacuate/zone-b", {})
+            await asyncio.sleep(0.5)
+            for number in range(12):
+                reply = await fleet.ask("/read/x", instance=f"front-{number % 2}")
+                assert reply.status == 200
+            assert (await fleet.read_stats("plain-1")).seen == []
+            await fleet.write_row("op", "evacuate/zone-b", None)
+
+            async def is_used() -> bool:
+                await asyncio.gather(*(fleet.ask("/read/x") for _ in range(6)))
+                return bool((await fleet.read_stats("plain-1")).seen)
+
+            await wait_until("the zone gets work again", is_used)
+
+    run(work)
+
+
+def test_a_worker_that_drains_gets_nothing_more(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with start_fleet(tmp_path, instances=1, engines=1) as fleet:
+            await fleet.register("plain-0", state="draining")
+            await asyncio.sleep(0.4)
+            before = len((await fleet.read_stats("plain-0")).seen)
+            for _ in range(8):
+                assert (await fleet.ask("/read/x")).status == 200
+            assert len((await fleet.read_stats("plain-0")).seen) == before
+
+    run(work)
+
+
+def test_cold_engines_get_no_more_than_they_bear_from_all_instances(tmp_path: Path) -> None:
+    # Every engine is cold and bears 4 x 1.5 + 2 = 8 requests a second. Both instances are asked
+    # for much more at once.
+    async def work() -> None:
+        async with start_fleet(tmp_path, instances=2, engines=1) as fleet:
+            await fleet.register("engine-0", coldLeftMs=20_000, born=2)
+            await asyncio.sleep(0.5)
+            asks = [
+                fleet.ask("/plan/stream", b"x", instance=f"front-{n % 2}", Prefix_Hash="a:9,b:9")
+                for n in range(40)
+            ]
+            replies = await asyncio.gather(*asks)
+            assert sum(reply.status == 200 for reply in replies) <= 8
+            refused = [reply for reply in replies if reply.status == 503]
+            assert refused and all(float(r.headers["retry-after"]) > 0 for r in refused)
+
+    run(work)
