--- a/rhubarbbend/cli/_main.py
+++ b/rhubarbbend/cli/_main.py
@@ -7,6 +7,7 @@
 
 from thriftpy2.thrift import TException
 
+from rhubarbbend.cli._explain import explain_request, read_logs
 from rhubarbbend.cli._operate import ChangeUnsettled, apply, describe_error, move, show
 from rhubarbbend.cli._options import Options, parse_options
 from rhubarbbend.cli._status import ExitStatus
@@ -23,6 +24,7 @@
         "serve": _serve,
         "check-settings": _check_settings,
         "replay": _replay,
+        "explain": _explain,
         "apply": apply,
         "show": show,
         "zone": move,
@@ -68,6 +70,15 @@
     return ExitStatus.DONE
 
 
+def _explain(options: Options) -> int:
+    story = explain_request(options.request, read_logs(options.logs))
+    if not story:
+        print(f"rhubarbbend: no line about {options.request}", file=sys.stderr)
+        return ExitStatus.FAILED
+    print("\n".join(story))
+    return ExitStatus.DONE
+
+
 def _replay(options: Options) -> int:
     assert options.path is not None
     report = replay_trace(options.path)
--- a/rhubarbbend/cli/_options.py
+++ b/rhubarbbend/cli/_options.py
@@ -39,6 +39,9 @@
     what: str = ""
     # Print JSON in place of a table (show).
     json: bool = False
+    # Id of a request, and the logs to look through (explain).
+    request: str = ""
+    logs: list[Path] = attrs.Factory(list)
     # "in" or "out" (zone, target).
     direction: str = ""
     # Name of the zone or target.
@@ -81,6 +84,10 @@
     replay = commands.add_parser("replay", help="replay a recorded trace, compare the actions")
     replay.add_argument("path", type=Path, metavar="FILE", help="file of the [record] settings")
 
+    explain = commands.add_parser("explain", help="tell what became of a request, from logs")
+    explain.add_argument("request", metavar="ID", help="the request's id")
+    explain.add_argument("logs", type=Path, nargs="+", metavar="LOG", help="logs of instances")
+
     apply = commands.add_parser("apply", help="show what declarations change, and send it")
     apply.add_argument("path", type=Path, help="declaration file, or folder of *.toml")
     apply.add_argument("--yes", action="store_true", help="send without asking")
--- /dev/null
+++ b/tests/cli/test_explain.py
@@ -0,0 +1,50 @@
+"""The story of a request: its own lines and what its instances learned around it, in order."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import pytest
+
+from rhubarbbend.cli import main
+from rhubarbbend.cli._explain import explain_request, read_lines
+
+
+def make_line(event: str, time: float, instance: str, **fields: object) -> str:
+    return json.dumps({"event": event, "time": time, "mono": 1.0, "instance": instance, **fields})
+
+
+LINES = [
+    make_line("ended", 12.0, "front-2", id="r-1", outcome="answered"),
+    make_line("store_lost", 9.5, "front-1", reason="status 503"),
+    make_line("store_lost", 9.6, "front-3", reason="status 503"),
+    make_line("config_applied", 1.0, "front-1", version=1),
+    "  12.1 front-1 " + make_line("sent", 10.0, "front-1", id="r-1", target="t-1", source=None),
+    make_line("sent", 10.1, "front-1", id="r-2", target="t-1"),
+    "Traceback (most recent call last):",
+    '{"cut',
+]
+
+
+def test_a_story_holds_the_request_s_lines_and_what_its_instances_learned() -> None:
+    story = explain_request("r-1", read_lines(LINES))
+    assert [line.split()[:5] for line in story] == [
+        ["-500.0", "ms", "front-1", "store_lost", "reason=status"],
+        ["*", "+0.0", "ms", "front-1", "sent"],
+        ["*", "+2000.0", "ms", "front-2", "ended"],
+    ]
+    assert "target=t-1" in story[1] and "source" not in story[1]
+
+
+def test_the_command_reads_several_logs_and_says_when_there_is_nothing(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    first, second = tmp_path / "a.log", tmp_path / "b.log"
+    first.write_text("\n".join(LINES[:4]), "utf-8")
+    second.write_text("\n".join(LINES[4:]), "utf-8")
+    assert main(["explain", "r-1", str(first), str(second)]) == 0
+    assert capsys.readouterr().out.count("* ") == 2
+    assert main(["explain", "r-9", str(first)]) == 1
+    assert "no line about r-9" in capsys.readouterr().err
+    assert main(["explain", "r-1", str(tmp_path / "missing.log")]) == 1
