Take a missing registration for a lapse only as long as a leaving target may get work

Ruled out: a dead feed (the change came within 10 ms). Now it is used until 2.2 s after the store's return, 1.7 s after it went at the most, and after all others.

--- a/rhubarbbend/core/directory/_directory.py
+++ b/rhubarbbend/core/directory/_directory.py
@@ -12,9 +12,10 @@
 
 # A registration that lapsed while the store was away is back within two seconds of its return if
 # the target lives; one that is still missing then is taken for gone.
-LAPSE_GRACE: Final = 2.2
-# For so long after the store has come back a missing registration may be such a lapse.
-LAPSE_WINDOW: Final = 3.0
+LAPSE_WINDOW: Final = 2.2
+# A target that has really left may not get work for longer than this after its registration went;
+# the least time that known deployments allow is 2 s.
+LAPSE_GRACE: Final = 1.7
 # A zone's targets may have turned cold while it was out. Their registrations say so within one
 # heartbeat (1.2 s in the known deployments); until then they are taken for cold.
 RETURN_CAUTION: Final = 2.0
@@ -83,7 +84,7 @@
         if target is None:
             return
         if now - self._store_returned < LAPSE_WINDOW and target.state is TargetState.READY:
-            target.gone_at = now + LAPSE_GRACE
+            target.gone_at = min(self._store_returned + LAPSE_WINDOW, now + LAPSE_GRACE)
             return
         self._forget(target, now)
 
--- a/rhubarbbend/core/directory/_targets.py
+++ b/rhubarbbend/core/directory/_targets.py
@@ -57,6 +57,11 @@
         # When its missing registration is taken for its end; None while it is registered.
         self.gone_at: float | None = None
 
+    @property
+    def is_doubtful(self) -> bool:
+        """Whether its registration is missing and may or may not come back."""
+        return self.gone_at is not None
+
     def is_cold(self, now: float) -> bool:
         """Whether it bears only a little work yet."""
         return now < self.cold_until
--- a/rhubarbbend/core/placement/_placement.py
+++ b/rhubarbbend/core/placement/_placement.py
@@ -205,7 +205,7 @@
             bound = min(bound, float(service.engine.slots))
         fitting = [t for t in order if t.id in open_ids and candidates.loads[t.id] < bound]
         well = [t for t in fitting if t.id not in candidates.failing]
-        warm = [t for t in well if not t.is_cold(now)]
+        warm = [t for t in well if not t.is_cold(now) and not t.is_doubtful]
         for choices in (warm, well, fitting):
             if choices:
                 chosen = choices[0]
@@ -243,7 +243,11 @@
 
         def weigh(target: Target) -> tuple[bool, float, float]:
             near = ZONE_ADVANTAGE if target.zone == self._options.zone else 0.0
-            return target.is_cold(now), candidates.loads[target.id] - near, random.random()
+            return (
+                target.is_cold(now) or target.is_doubtful,
+                candidates.loads[target.id] - near,
+                random.random(),
+            )
 
         target = min(well, key=weigh)
         return self._make_choice(candidates, target, Reason.LEAST_LOADED, None, now)
--- a/rhubarbbend/gateway/_attempts.py
+++ b/rhubarbbend/gateway/_attempts.py
@@ -115,9 +115,26 @@
             end = self._note_failure(request, choice.target, failure)
         finally:
             self._settle(connection, answer, end)
+        if end in (AttemptEnd.REJECTED, AttemptEnd.MISDIRECTED, AttemptEnd.FAILED):
+            self._log_rejection(request, choice.target, answer, end)
         self._note_health(choice.target, request, end)
         return end
 
+    def _log_rejection(
+        self, request: OpenRequest, target: Target, answer: TargetAnswer | None, end: AttemptEnd
+    ) -> None:
+        now = self._clock()
+        self._state.journal.write(
+            "attempt_ended",
+            now,
+            id=request.id,
+            target=target.id,
+            end=end.value,
+            status=None if answer is None else answer.status,
+            held=None if answer is None else answer.held,
+            after=round(now - request.arrived, 4),
+        )
+
     def _take_retry(self, request: OpenRequest, connection: Connection) -> None:
         instances = len(self._state.list_instances())
         share = self._state.find_retries(request.service.name)
--- a/rhubarbbend/gateway/_peers.py
+++ b/rhubarbbend/gateway/_peers.py
@@ -86,6 +86,7 @@
     def __init__(self, state: State, pool: ConnectionPool) -> None:
         self._state = state
         self._pool = pool
+        self._silent: set[Address] = set()
 
     async def ask_changes(self, peer: Address) -> dict[str, TablePage] | None:
         """Ask an instance for what its tables have beyond the own; None without an answer."""
@@ -125,11 +126,20 @@
                 self._pool, peer, "POST", path, now, body, headers, timeout=TIMEOUT
             )
         except HttpFailure as failure:
+            self._note_silent(peer, failure)
+            return None
+        if peer in self._silent:
+            self._silent.discard(peer)
+            self._state.journal.write("peer_regained", read_clock(), peer=f"{peer[0]}:{peer[1]}")
+        return data if response.status == 200 else None
+
+    def _note_silent(self, peer: Address, failure: HttpFailure) -> None:
+        """Log a peer that gives no answer, once until it does again."""
+        if peer not in self._silent:
+            self._silent.add(peer)
             self._state.journal.write(
                 "peer_silent", read_clock(), peer=f"{peer[0]}:{peer[1]}", reason=str(failure)
             )
-            return None
-        return data if response.status == 200 else None
 
 
 def _respond(exchange: Exchange, body: bytes) -> None:
