--- a/rhubarbbend/codes.py
+++ b/rhubarbbend/codes.py
@@ -93,7 +93,7 @@
 WAIT_TOO_LONG: Final = _declare_error(
     "wait_too_long", 503, "no slot can be had before the deadline", 1.0
 )
-NO_TARGET: Final = _declare_error("no_target", 503, "no target of the service is ready", 1.0)
+NO_TARGET: Final = _declare_error("no_target", 503, "no target of the service is ready", 0.6)
 NOT_READY: Final = _declare_error("not_ready", 503, "this instance has no configuration yet", 1.0)
 STOPPING: Final = _declare_error("stopping", 503, "this instance is stopping", 0.2)
 PLATFORM_DOWN: Final = _declare_error(
--- a/rhubarbbend/core/placement/_health.py
+++ b/rhubarbbend/core/placement/_health.py
@@ -4,9 +4,13 @@
 
 from typing import Final
 
-# A target that refuses connections is left alone for so long, doubled with each further failure.
+# A target that takes no connection is left alone for so long, doubled with each further failure.
+# The request that tries it next loses a connect time-out; while it is held others go elsewhere.
 FIRST_HOLD: Final = 0.25
-LONGEST_HOLD: Final = 2.0
+LONGEST_HOLD: Final = 0.6
+# A connection that times out once may have lost a packet; so many seconds after another one it
+# says that the target is away.
+SECOND_TIMEOUT: Final = 2.0
 # Failures and successes lose half of their weight in this time: a fault of some seconds is seen
 # within one of them, and a target that is well again is used again soon after.
 HALF_LIFE: Final = 3.0
@@ -21,7 +25,7 @@
 class _Record:
     """One target's recent past. Invariant: weights are as of `at`."""
 
-    __slots__ = ("failed", "total", "at", "hold", "down_until")
+    __slots__ = ("failed", "total", "at", "hold", "down_until", "timed_out_at")
 
     def __init__(self, now: float) -> None:
         self.failed = 0.0
@@ -29,6 +33,7 @@
         self.at = now
         self.hold = 0.0
         self.down_until = 0.0
+        self.timed_out_at: float | None = None
 
     def fade(self, now: float) -> None:
         """Let what is known lose its weight."""
@@ -53,9 +58,18 @@
         if not failed:
             record.hold = 0.0
             record.down_until = 0.0
+            record.timed_out_at = None
+
+    def note_timeout(self, target: str, now: float) -> float:
+        """Note a connection that timed out; gives until when the target is held down."""
+        record = self._find(target, now)
+        before, record.timed_out_at = record.timed_out_at, now
+        if before is None or now - before > SECOND_TIMEOUT:
+            return record.down_until
+        return self.note_unreachable(target, now)
 
     def note_unreachable(self, target: str, now: float) -> float:
-        """Hold a target down that took no connection; gives until when."""
+        """Hold a target down that refused a connection; gives until when."""
         record = self._find(target, now)
         if now >= record.down_until:
             record.hold = min(LONGEST_HOLD, max(FIRST_HOLD, 2.0 * record.hold))
--- a/rhubarbbend/core/placement/_placement.py
+++ b/rhubarbbend/core/placement/_placement.py
@@ -77,7 +77,7 @@
 class _Candidates:
     """The targets of a service that may get a request now, and how loaded they are."""
 
-    __slots__ = ("all", "open", "loads", "mean", "failing")
+    __slots__ = ("all", "open", "loads", "mean", "failing", "shut")
 
     def __init__(self, targets: list[Target], loads: dict[str, float], mean: float) -> None:
         self.all = targets
@@ -85,6 +85,8 @@
         self.loads = loads
         self.mean = mean
         self.failing: set[str] = set()
+        # How many targets cannot get the request, by reason.
+        self.shut: dict[str, int] = {}
 
 
 class Placement:
@@ -104,6 +106,8 @@
         self._health = health
         self._cold = cold
         self._places: OrderedDict[str, str] = OrderedDict()
+        # For the log of a refusal: why targets were shut at the last choice, by number.
+        self.last_shut: dict[str, int] = {}
 
     def choose(
         self,
@@ -157,15 +161,34 @@
         found.failing = self._health.list_failing([target.id for target in targets], now)
         most = max(2, int(service.max_connections * 0.8 / max(1, len(instances))))
         for target in targets:
-            if target.id in excluded or self._health.is_down(target.id, now):
-                continue
-            if self._loads.count_own(target.id) >= most:
-                continue
-            if target.is_cold(now) and not self._may_send_cold(service, target, instances, now):
-                continue
-            found.open.append(target)
+            reason = self._find_obstacle(service, target, excluded, most, instances, now)
+            if reason is None:
+                found.open.append(target)
+            else:
+                found.shut[reason] = found.shut.get(reason, 0) + 1
+        self.last_shut = found.shut
         return found
 
+    def _find_obstacle(
+        self,
+        service: Service,
+        target: Target,
+        excluded: set[str],
+        most: int,
+        instances: Sequence[str],
+        now: float,
+    ) -> str | None:
+        """Say why a target cannot get a request now; None if it can."""
+        if target.id in excluded:
+            return "tried"
+        if self._health.is_down(target.id, now):
+            return "unreachable"
+        if self._loads.count_own(target.id) >= most:
+            return "connections"
+        if target.is_cold(now) and not self._may_send_cold(service, target, instances, now):
+            return "cold"
+        return None
+
     def _compute_mean(self, service: Service, now: float) -> float:
         """Give the mean load of all targets of a service, those that get no work included.
 
--- a/rhubarbbend/gateway/_attempts.py
+++ b/rhubarbbend/gateway/_attempts.py
@@ -87,7 +87,10 @@
             )
         except HttpFailure as failure:
             now = self._clock()
-            held = self._state.health.note_unreachable(target.id, now)
+            health = self._state.health
+            timed_out = failure.reason == REASON_TIMEOUT
+            note = health.note_timeout if timed_out else health.note_unreachable
+            held = note(target.id, now)
             self._state.metrics.add(codes.RETRY_CONNECT)
             self._state.journal.write(
                 "target_unreachable",
@@ -95,7 +98,7 @@
                 id=request.id,
                 target=target.id,
                 reason=failure.reason,
-                held_for=round(held - now, 3),
+                held_for=round(max(0.0, held - now), 3),
             )
             return None
 
--- a/rhubarbbend/gateway/_requests.py
+++ b/rhubarbbend/gateway/_requests.py
@@ -44,6 +44,7 @@
         "kept_answer",
         "attempt_target",
         "chosen_at",
+        "shut",
         "version",
     )
 
@@ -74,6 +75,8 @@
         self.kept_answer: KeptAnswer | None = None
         self.attempt_target: Target | None = None
         self.chosen_at = arrived
+        # Why no target could be chosen, by number of targets.
+        self.shut: dict[str, int] | None = None
         self.version = version
 
     @property
--- a/rhubarbbend/gateway/_serving.py
+++ b/rhubarbbend/gateway/_serving.py
@@ -24,6 +24,8 @@
 RETRY_SPREAD: Final = 0.5
 # So many targets that take no connection are tried in a row for one request.
 MAX_UNREACHED: Final = 4
+# Why targets are shut that are there and will take work again soon.
+BUSY_REASONS: Final = frozenset({"cold", "connections"})
 
 
 class RequestServer:
@@ -147,7 +149,8 @@
                 now,
             )
             if choice is None or unreached > MAX_UNREACHED:
-                self._give_up(request, codes.NO_TARGET if unreached else codes.OVERLOADED)
+                request.shut = dict(self._state.placement.last_shut)
+                self._give_up(request, self._explain_none(request.shut))
                 return
             self._state.metrics.add(f"routed.{choice.reason.value}")
             request.excluded.add(choice.target.id)
@@ -160,6 +163,10 @@
             if not self._go_on(request, end):
                 return
 
+    def _explain_none(self, shut: dict[str, int]) -> ErrorCode:
+        """Name the refusal of a request that no target can take now."""
+        return codes.OVERLOADED if BUSY_REASONS & shut.keys() else codes.NO_TARGET
+
     def _go_on(self, request: OpenRequest, end: AttemptEnd) -> bool:
         """Whether another target is to be tried; settles the request if not."""
         request.progress.note_end(end)
@@ -261,6 +268,7 @@
             service=request.service.name,
             target=None if target is None else target.id,
             sends=request.progress.sends,
+            shut=request.shut,
             took=round(now - request.arrived, 4),
             config=request.version,
         )
