Look at a target that broke a connection off a moment later, so that its crash is counted

Cause: the test of a request that crashes workers failed once in a whole run and once in ten runs side by side. The log shows that the first crash was not counted: the dying process still took the connection that was to prove it alive, a millisecond after it had closed the others. Ruled out: lost notes between instances (the later ones arrived). Now it is asked 0.1 s later; 12 runs side by side passed.

--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -44,7 +44,10 @@
 # Of the time until the process is killed, what is left for the last bytes to go out.
 STOP_MARGIN: Final = 0.6
 STOP_POLL: Final = 0.05
-# A target that takes a connection this soon after it broke one off has not crashed.
+# A target that broke a connection off is looked at after so many seconds: a process that ends
+# may take one more connection while its others are being closed. Crashed ones are away for some
+# seconds in the known deployments.
+CRASH_CHECK_DELAY: Final = 0.1
 CRASH_CHECK_TIMEOUT: Final = 0.2
 
 
@@ -153,6 +156,7 @@
         Connections are reset for many reasons; blaming the request for each of them would refuse
         sound requests after two.
         """
+        await asyncio.sleep(CRASH_CHECK_DELAY)
         try:
             connection = await Connection.open(target.address, CRASH_CHECK_TIMEOUT)
             connection.close()
