--- a/loadtool/_planning.py
+++ b/loadtool/_planning.py
@@ -6,8 +6,8 @@
 import time
 from typing import Final
 
-from rhubarbbend.core._tickets import Place, Ticket
 from rhubarbbend.core.routing import POLICIES, Candidate, RoutedRequest
+from rhubarbbend.core.routing._tickets import Place, Ticket
 
 # Today's larger pool, a model's share of the size to design for, and all of its workers.
 SIZES: Final = (9, 38, 950)
--- a/rhubarbbend/cli/_declarations.py
+++ b/rhubarbbend/cli/_declarations.py
@@ -9,7 +9,11 @@
 import attrs
 import msgspec
 
-from rhubarbbend.core._validation import check_declaration, find_problems, find_unknown_fields
+from rhubarbbend.core.accepted._validation import (
+    check_declaration,
+    find_problems,
+    find_unknown_fields,
+)
 from rhubarbbend.core.configuration import (
     KINDS,
     Configuration,
--- a/rhubarbbend/core/_core.py
+++ b/rhubarbbend/core/_core.py
@@ -7,17 +7,17 @@
 from __future__ import annotations
 
 from rhubarbbend.core import actions, events
-from rhubarbbend.core._claims import ClaimDuty
 from rhubarbbend.core._context import Context, CoreOptions, Duty, EventHandler, Identity
-from rhubarbbend.core._entry import EntryDuty
-from rhubarbbend.core._follower import FollowerDuty
-from rhubarbbend.core._members import MemberDuty
-from rhubarbbend.core._owner import OwnerDuty
-from rhubarbbend.core._proposals import ProposalDuty
-from rhubarbbend.core._snapshots import SnapshotDuty
 from rhubarbbend.core._stop import StopDuty
 from rhubarbbend.core._suspects import SuspectDuty
+from rhubarbbend.core.accepted._follower import FollowerDuty
+from rhubarbbend.core.accepted._proposals import ProposalDuty
+from rhubarbbend.core.accepted._snapshots import SnapshotDuty
+from rhubarbbend.core.claims._claims import ClaimDuty
+from rhubarbbend.core.members._members import MemberDuty
 from rhubarbbend.core.messages import Message, SlotMessage
+from rhubarbbend.core.owners._owner import OwnerDuty
+from rhubarbbend.core.requests._entry import EntryDuty
 
 
 class Core:
--- a/rhubarbbend/core/_stop.py
+++ b/rhubarbbend/core/_stop.py
@@ -10,12 +10,12 @@
 from typing import Final
 
 from rhubarbbend.core import actions, events
-from rhubarbbend.core._claims import ClaimDuty
 from rhubarbbend.core._context import Context, EventHandler
-from rhubarbbend.core._entry import EntryDuty
-from rhubarbbend.core._members import MemberDuty
-from rhubarbbend.core._owner import OwnerDuty
+from rhubarbbend.core.claims._claims import ClaimDuty
+from rhubarbbend.core.members._members import MemberDuty
 from rhubarbbend.core.messages import Message
+from rhubarbbend.core.owners._owner import OwnerDuty
+from rhubarbbend.core.requests._entry import EntryDuty
 
 CHECK_INTERVAL: Final = 0.1
 # How long outcomes that the table does not take may hold up the end of the process.
--- a/rhubarbbend/core/_follower.py
+++ b/rhubarbbend/core/accepted/_follower.py
@@ -14,9 +14,9 @@
 from rhubarbbend import codes
 from rhubarbbend.core import actions, events
 from rhubarbbend.core._context import Context, EventHandler
-from rhubarbbend.core._polls import SharedPoll
-from rhubarbbend.core._snapshots import Snapshot, SnapshotDuty
+from rhubarbbend.core.accepted._snapshots import Snapshot, SnapshotDuty
 from rhubarbbend.core.configuration import Item, Position
+from rhubarbbend.core.members._polls import SharedPoll
 from rhubarbbend.core.messages import ConfigItem, ConfigQuery, ConfigReply, Message
 
 CHANGE_TABLE: Final = "changes"
--- a/rhubarbbend/core/_proposals.py
+++ b/rhubarbbend/core/accepted/_proposals.py
@@ -15,8 +15,8 @@
 
 from rhubarbbend.core import actions, events
 from rhubarbbend.core._context import Context, EventHandler
-from rhubarbbend.core._follower import CHANGE_TABLE, Change, FollowerDuty, make_change_key
-from rhubarbbend.core._validation import find_problems
+from rhubarbbend.core.accepted._follower import CHANGE_TABLE, Change, FollowerDuty, make_change_key
+from rhubarbbend.core.accepted._validation import find_problems
 from rhubarbbend.core.messages import Message
 
 CHANGE_ID_TABLE: Final = "change_ids"
--- a/rhubarbbend/core/_claim_listener.py
+++ b/rhubarbbend/core/claims/_claim_listener.py
@@ -5,8 +5,8 @@
 from typing import Protocol
 
 from rhubarbbend.codes import ErrorCode, Verdict
-from rhubarbbend.core._claim_rows import Outcome
-from rhubarbbend.core._requests import Request
+from rhubarbbend.core.claims._claim_rows import Outcome
+from rhubarbbend.core.requests._requests import Request
 
 
 class ClaimListener(Protocol):
--- a/rhubarbbend/core/_claim_queries.py
+++ b/rhubarbbend/core/claims/_claim_queries.py
@@ -8,10 +8,10 @@
 
 from rhubarbbend import codes
 from rhubarbbend.core import events
-from rhubarbbend.core._claim_rows import Outcome
 from rhubarbbend.core._context import Context
-from rhubarbbend.core._requests import Request
+from rhubarbbend.core.claims._claim_rows import Outcome
 from rhubarbbend.core.messages import ClaimQuery, ClaimReply
+from rhubarbbend.core.requests._requests import Request
 
 MAX_SILENT_QUERIES: Final = 2
 STATE_NEVER: Final = "never"
--- a/rhubarbbend/core/_claim_records.py
+++ b/rhubarbbend/core/claims/_claim_records.py
@@ -4,13 +4,14 @@
 
 from typing import Final
 
-from rhubarbbend.core._claim_queries import (
+from rhubarbbend.core._context import Context
+from rhubarbbend.core.claims._claim_queries import (
     STATE_DONE,
     STATE_NEVER,
     STATE_RUNNING,
     STATE_UNKNOWN,
 )
-from rhubarbbend.core._claim_rows import (
+from rhubarbbend.core.claims._claim_rows import (
     ClaimRow,
     Outcome,
     PendingWrite,
@@ -19,10 +20,9 @@
     RowState,
     make_key,
 )
-from rhubarbbend.core._context import Context
-from rhubarbbend.core._keys import is_reserved
-from rhubarbbend.core._requests import Request
+from rhubarbbend.core.claims._keys import is_reserved
 from rhubarbbend.core.messages import ClaimQuery, ClaimReply
+from rhubarbbend.core.requests._requests import Request
 
 # Clocks of instances may differ by this much; only the finality of "not run" leans on it.
 CLOCK_SKEW: Final = 0.5
--- a/rhubarbbend/core/_claim_writes.py
+++ b/rhubarbbend/core/claims/_claim_writes.py
@@ -9,8 +9,8 @@
 
 from rhubarbbend import codes
 from rhubarbbend.core import actions, events
-from rhubarbbend.core._claim_rows import CLAIM_TABLE, PendingWrite, WritePurpose
 from rhubarbbend.core._context import Context
+from rhubarbbend.core.claims._claim_rows import CLAIM_TABLE, PendingWrite, WritePurpose
 
 OP_PREFIX: Final = "claim:"
 MAX_TRANSACTIONS: Final = 2
--- a/rhubarbbend/core/_claims.py
+++ b/rhubarbbend/core/claims/_claims.py
@@ -14,13 +14,14 @@
 from rhubarbbend import codes
 from rhubarbbend.codes import ErrorCode, Verdict
 from rhubarbbend.core import events
-from rhubarbbend.core._claim_listener import ClaimListener
-from rhubarbbend.core._claim_queries import (
+from rhubarbbend.core._context import Context, EventHandler
+from rhubarbbend.core.claims._claim_listener import ClaimListener
+from rhubarbbend.core.claims._claim_queries import (
     ClaimQueries,
     Query,
 )
-from rhubarbbend.core._claim_records import CLOCK_SKEW, ClaimRecords, key_of
-from rhubarbbend.core._claim_rows import (
+from rhubarbbend.core.claims._claim_records import CLOCK_SKEW, ClaimRecords, key_of
+from rhubarbbend.core.claims._claim_rows import (
     ClaimRow,
     Outcome,
     PendingWrite,
@@ -31,16 +32,15 @@
     decode_row,
     judge_state,
 )
-from rhubarbbend.core._claim_writes import ClaimWrites
-from rhubarbbend.core._context import Context, EventHandler
-from rhubarbbend.core._keys import (
+from rhubarbbend.core.claims._claim_writes import ClaimWrites
+from rhubarbbend.core.claims._keys import (
     ReservedKey,
     decode_reserved,
     encode_reserved,
     is_reserved,
 )
-from rhubarbbend.core._requests import Request
 from rhubarbbend.core.messages import ClaimQuery, ClaimReply, Message
+from rhubarbbend.core.requests._requests import Request
 
 
 class ClaimDuty:
--- a/rhubarbbend/core/_reserved.py
+++ b/rhubarbbend/core/claims/_reserved.py
@@ -8,15 +8,15 @@
 from rhubarbbend import codes
 from rhubarbbend.codes import Verdict
 from rhubarbbend.core import actions, events
-from rhubarbbend.core._answers import Answers, make_peer_request
-from rhubarbbend.core._claim_rows import Outcome
-from rhubarbbend.core._claims import ClaimDuty
 from rhubarbbend.core._context import Context
-from rhubarbbend.core._keys import ReservedKey
-from rhubarbbend.core._request_table import RequestTable
-from rhubarbbend.core._requests import Phase, Request
+from rhubarbbend.core.claims._claim_rows import Outcome
+from rhubarbbend.core.claims._claims import ClaimDuty
+from rhubarbbend.core.claims._keys import ReservedKey
 from rhubarbbend.core.configuration import Account
 from rhubarbbend.core.messages import ReservedReply, ReservedRun
+from rhubarbbend.core.requests._answers import Answers, make_peer_request
+from rhubarbbend.core.requests._request_table import RequestTable
+from rhubarbbend.core.requests._requests import Phase, Request
 
 MAX_KEYS_AT_ONCE: Final = 100
 
--- a/rhubarbbend/core/_load_sharing.py
+++ b/rhubarbbend/core/members/_load_sharing.py
@@ -6,8 +6,8 @@
 
 from rhubarbbend.core._context import Context
 from rhubarbbend.core._fleet import InstanceView, LoadSum, TargetView, ZoneSums
-from rhubarbbend.core._owner import OwnerDuty
 from rhubarbbend.core.messages import ServiceSum, SlotMessage, SlotRelease, TargetLoad
+from rhubarbbend.core.owners._owner import OwnerDuty
 
 # In a larger zone each instance carries little of the load, so that stale figures average out.
 SMALL_ZONE: Final = 16
--- a/rhubarbbend/core/_members.py
+++ b/rhubarbbend/core/members/_members.py
@@ -12,12 +12,11 @@
 from rhubarbbend.core import actions, events
 from rhubarbbend.core._context import Context, EventHandler
 from rhubarbbend.core._fleet import KIND_INSTANCE, KIND_TARGET, InstanceView
-from rhubarbbend.core._load_sharing import LoadSharing
-from rhubarbbend.core._member_list import MemberList
-from rhubarbbend.core._owner import OwnerDuty
-from rhubarbbend.core._polls import SharedPoll
 from rhubarbbend.core._suspects import SuspectDuty
-from rhubarbbend.core._zone_links import ZoneLinks
+from rhubarbbend.core.members._load_sharing import LoadSharing
+from rhubarbbend.core.members._member_list import MemberList
+from rhubarbbend.core.members._polls import SharedPoll
+from rhubarbbend.core.members._zone_links import ZoneLinks
 from rhubarbbend.core.messages import (
     Heartbeat,
     Member,
@@ -28,6 +27,7 @@
     ZoneQuery,
     ZoneReply,
 )
+from rhubarbbend.core.owners._owner import OwnerDuty
 
 # Loads that have not been heard for this many intervals are forgotten.
 STALE_INTERVALS: Final = 4
--- a/rhubarbbend/core/_zone_links.py
+++ b/rhubarbbend/core/members/_zone_links.py
@@ -11,8 +11,8 @@
 from rhubarbbend.core import events
 from rhubarbbend.core._context import Context
 from rhubarbbend.core._fleet import LoadSum, ZoneSums
-from rhubarbbend.core._member_list import MemberList
 from rhubarbbend.core._suspects import SuspectDuty
+from rhubarbbend.core.members._member_list import MemberList
 from rhubarbbend.core.messages import ServiceSum, ZoneQuery, ZoneReply
 
 Follow = Callable[[str, int, float], None]
--- a/rhubarbbend/core/_books.py
+++ b/rhubarbbend/core/owners/_books.py
@@ -8,10 +8,10 @@
 
 import attrs
 
-from rhubarbbend.core._queue import FairQueue
-from rhubarbbend.core._ramp import ColdRamp, Probation
 from rhubarbbend.core.configuration import Service
 from rhubarbbend.core.messages import HeldSlot, SlotRelease
+from rhubarbbend.core.owners._queue import FairQueue
+from rhubarbbend.core.owners._ramp import ColdRamp, Probation
 
 # First bytes this many times slower than usual, in a row, say that a target has turned cold.
 SLOW_FACTOR: Final = 4.0
--- a/rhubarbbend/core/_grants.py
+++ b/rhubarbbend/core/owners/_grants.py
@@ -5,10 +5,7 @@
 from typing import Final
 
 from rhubarbbend import codes
-from rhubarbbend.core._books import Books, Slot
 from rhubarbbend.core._context import Context, EventHandler
-from rhubarbbend.core._ledger import Ledger
-from rhubarbbend.core._queue import Waiter
 from rhubarbbend.core.messages import (
     HeldSlot,
     Message,
@@ -17,6 +14,9 @@
     SlotReply,
     SlotRequest,
 )
+from rhubarbbend.core.owners._books import Books, Slot
+from rhubarbbend.core.owners._ledger import Ledger
+from rhubarbbend.core.owners._queue import Waiter
 
 REFUSAL_FULL: Final = "full"
 REFUSAL_QUEUE: Final = "queue_full"
--- a/rhubarbbend/core/_ledger.py
+++ b/rhubarbbend/core/owners/_ledger.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 from rhubarbbend import codes
-from rhubarbbend.core._books import Books, ColdWatch, Slot
 from rhubarbbend.core._context import Context
-from rhubarbbend.core._ramp import ColdRamp
 from rhubarbbend.core.configuration import Service
 from rhubarbbend.core.messages import TargetLoad
+from rhubarbbend.core.owners._books import Books, ColdWatch, Slot
+from rhubarbbend.core.owners._ramp import ColdRamp
 
 
 class Ledger:
--- a/rhubarbbend/core/_owner.py
+++ b/rhubarbbend/core/owners/_owner.py
@@ -12,12 +12,8 @@
 
 from rhubarbbend import codes
 from rhubarbbend.core import actions, events
-from rhubarbbend.core._books import Books
 from rhubarbbend.core._context import Context, EventHandler
 from rhubarbbend.core._fleet import TargetView
-from rhubarbbend.core._grants import REFUSAL_NOT_OWNER, REFUSAL_NOT_READY, Granter
-from rhubarbbend.core._ledger import Ledger
-from rhubarbbend.core._ramp import Probation
 from rhubarbbend.core.messages import (
     Handover,
     HeldSlot,
@@ -26,6 +22,10 @@
     SlotRenewal,
     TargetLoad,
 )
+from rhubarbbend.core.owners._books import Books
+from rhubarbbend.core.owners._grants import REFUSAL_NOT_OWNER, REFUSAL_NOT_READY, Granter
+from rhubarbbend.core.owners._ledger import Ledger
+from rhubarbbend.core.owners._ramp import Probation
 
 STATE_LOADING: Final = "loading"
 STATE_LEAVING: Final = "leaving"
--- a/rhubarbbend/core/_answers.py
+++ b/rhubarbbend/core/requests/_answers.py
@@ -7,13 +7,13 @@
 from rhubarbbend import codes
 from rhubarbbend.codes import ErrorCode, Verdict
 from rhubarbbend.core import actions
-from rhubarbbend.core._claim_records import CLOCK_SKEW
-from rhubarbbend.core._claim_rows import Outcome
 from rhubarbbend.core._context import Context
-from rhubarbbend.core._request_table import RequestTable
-from rhubarbbend.core._requests import Request
-from rhubarbbend.core._slots import HeldSlots
+from rhubarbbend.core.claims._claim_records import CLOCK_SKEW
+from rhubarbbend.core.claims._claim_rows import Outcome
 from rhubarbbend.core.messages import ReservedReply
+from rhubarbbend.core.requests._request_table import RequestTable
+from rhubarbbend.core.requests._requests import Request
+from rhubarbbend.core.requests._slots import HeldSlots
 
 # Refusals of slots, for which the owner has told when one may be had.
 SLOT_REFUSALS: Final = (codes.OVERLOADED, codes.QUEUE_FULL, codes.WAIT_TOO_LONG, codes.NO_TARGET)
--- a/rhubarbbend/core/_attempts.py
+++ b/rhubarbbend/core/requests/_attempts.py
@@ -11,17 +11,17 @@
 from rhubarbbend import codes
 from rhubarbbend.codes import ErrorCode
 from rhubarbbend.core import actions, events
-from rhubarbbend.core._answers import Answers
-from rhubarbbend.core._claim_rows import Outcome
-from rhubarbbend.core._claims import ClaimDuty
 from rhubarbbend.core._context import Context
 from rhubarbbend.core._fleet import TargetView
-from rhubarbbend.core._request_table import RequestTable
-from rhubarbbend.core._requests import Phase, Request
-from rhubarbbend.core._retries import RetryBudget
-from rhubarbbend.core._slots import HeldSlots, SlotSearch
 from rhubarbbend.core._suspects import Crash, SuspectDuty
+from rhubarbbend.core.claims._claim_rows import Outcome
+from rhubarbbend.core.claims._claims import ClaimDuty
 from rhubarbbend.core.configuration import KIND_ENGINE
+from rhubarbbend.core.requests._answers import Answers
+from rhubarbbend.core.requests._request_table import RequestTable
+from rhubarbbend.core.requests._requests import Phase, Request
+from rhubarbbend.core.requests._retries import RetryBudget
+from rhubarbbend.core.requests._slots import HeldSlots, SlotSearch
 
 STAGE_CONNECT: Final = "connect"
 # The target answered that it does not take the request now.
--- a/rhubarbbend/core/_entry.py
+++ b/rhubarbbend/core/requests/_entry.py
@@ -13,21 +13,21 @@
 from rhubarbbend import codes
 from rhubarbbend.codes import ErrorCode, Verdict
 from rhubarbbend.core import events
-from rhubarbbend.core._answers import Answers
-from rhubarbbend.core._attempts import Attempts
-from rhubarbbend.core._claim_records import CLOCK_SKEW
-from rhubarbbend.core._claim_rows import Outcome
-from rhubarbbend.core._claims import ClaimDuty
 from rhubarbbend.core._context import Context, EventHandler
-from rhubarbbend.core._keys import is_reserved, is_valid_key
-from rhubarbbend.core._request_table import RequestTable
-from rhubarbbend.core._requests import Phase, Request
-from rhubarbbend.core._reserved import ReservedCommands
-from rhubarbbend.core._retries import RetryBudget
-from rhubarbbend.core._slots import HeldSlots, SlotSearch
 from rhubarbbend.core._suspects import SuspectDuty
+from rhubarbbend.core.claims._claim_records import CLOCK_SKEW
+from rhubarbbend.core.claims._claim_rows import Outcome
+from rhubarbbend.core.claims._claims import ClaimDuty
+from rhubarbbend.core.claims._keys import is_reserved, is_valid_key
+from rhubarbbend.core.claims._reserved import ReservedCommands
 from rhubarbbend.core.configuration import KIND_ENGINE, Account, Service
 from rhubarbbend.core.messages import Message, ReservedReply, ReservedRun, SlotReply
+from rhubarbbend.core.requests._answers import Answers
+from rhubarbbend.core.requests._attempts import Attempts
+from rhubarbbend.core.requests._request_table import RequestTable
+from rhubarbbend.core.requests._requests import Phase, Request
+from rhubarbbend.core.requests._retries import RetryBudget
+from rhubarbbend.core.requests._slots import HeldSlots, SlotSearch
 
 LEAST_TIME_LEFT: Final = 0.0
 
--- a/rhubarbbend/core/_planner.py
+++ b/rhubarbbend/core/requests/_planner.py
@@ -5,11 +5,11 @@
 from rhubarbbend import codes
 from rhubarbbend.core._context import Context
 from rhubarbbend.core._fleet import TargetView
-from rhubarbbend.core._requests import Request
-from rhubarbbend.core._tickets import Place, Ticket, decode_ticket, encode_ticket
 from rhubarbbend.core.configuration import KIND_ENGINE, Service
+from rhubarbbend.core.requests._requests import Request
 from rhubarbbend.core.routing import POLICIES, Candidate, Choice, RoutedRequest
 from rhubarbbend.core.routing import RoutingPolicy as Policy
+from rhubarbbend.core.routing._tickets import Place, Ticket, decode_ticket, encode_ticket
 
 
 class Planner:
--- a/rhubarbbend/core/_request_table.py
+++ b/rhubarbbend/core/requests/_request_table.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from rhubarbbend.core._context import Context
-from rhubarbbend.core._requests import Request
 from rhubarbbend.core.limits import LIMITS
+from rhubarbbend.core.requests._requests import Request
 
 
 class RequestTable:
--- a/rhubarbbend/core/_slots.py
+++ b/rhubarbbend/core/requests/_slots.py
@@ -8,16 +8,6 @@
 from rhubarbbend.codes import ErrorCode
 from rhubarbbend.core._context import Context
 from rhubarbbend.core._fleet import TargetView
-from rhubarbbend.core._grants import (
-    REFUSAL_FULL,
-    REFUSAL_NOT_OWNER,
-    REFUSAL_NOT_READY,
-    REFUSAL_QUEUE,
-    REFUSAL_WAIT,
-)
-from rhubarbbend.core._planner import Planner
-from rhubarbbend.core._request_table import RequestTable
-from rhubarbbend.core._requests import Phase, Request
 from rhubarbbend.core._suspects import SuspectDuty
 from rhubarbbend.core.messages import (
     HeldSlot,
@@ -27,6 +17,16 @@
     SlotReply,
     SlotRequest,
 )
+from rhubarbbend.core.owners._grants import (
+    REFUSAL_FULL,
+    REFUSAL_NOT_OWNER,
+    REFUSAL_NOT_READY,
+    REFUSAL_QUEUE,
+    REFUSAL_WAIT,
+)
+from rhubarbbend.core.requests._planner import Planner
+from rhubarbbend.core.requests._request_table import RequestTable
+from rhubarbbend.core.requests._requests import Phase, Request
 from rhubarbbend.core.routing import Reason
 
 MAX_REDIRECTS: Final = 2
--- a/rhubarbbend/core/routing/_base.py
+++ b/rhubarbbend/core/routing/_base.py
@@ -11,7 +11,7 @@
 import attrs
 import xxhash
 
-from rhubarbbend.core._tickets import Ticket
+from rhubarbbend.core.routing._tickets import Ticket
 from rhubarbbend.kernel import Registry
 
 
--- a/rhubarbbend/operators/_server.py
+++ b/rhubarbbend/operators/_server.py
@@ -14,7 +14,7 @@
 
 from rhubarbbend.core import Core
 from rhubarbbend.core._fleet import InstanceView
-from rhubarbbend.core._proposals import ERROR_BEHIND, ERROR_CONFLICT, ERROR_UNKNOWN
+from rhubarbbend.core.accepted._proposals import ERROR_BEHIND, ERROR_CONFLICT, ERROR_UNKNOWN
 from rhubarbbend.core.events import ChangeProposed, Event, VersionsAsked
 from rhubarbbend.operators._checks import find_unknown_target_kinds
 from rhubarbbend.operators._schema import SCHEMA
--- a/rhubarbbend/shell/_runtime.py
+++ b/rhubarbbend/shell/_runtime.py
@@ -25,8 +25,8 @@
 from rhubarbbend import codes
 from rhubarbbend.codes import Verdict
 from rhubarbbend.core import Core, Identity, actions, events
-from rhubarbbend.core._answers import make_peer_request
 from rhubarbbend.core.messages import Message, ReservedReply, ReservedRun
+from rhubarbbend.core.requests._answers import make_peer_request
 from rhubarbbend.http import ConnectionPool, Exchange, HttpServer, ServerLimits
 from rhubarbbend.operators import ChangeAnswer, OperatorServer, make_operator_key
 from rhubarbbend.peers import PeerLinks, PeerListener
--- a/rhubarbbend/trace/_redaction.py
+++ b/rhubarbbend/trace/_redaction.py
@@ -21,17 +21,17 @@
 from returns.result import Success
 
 from rhubarbbend.core import actions, events
-from rhubarbbend.core._claim_rows import CLAIM_TABLE, make_key, split_key
-from rhubarbbend.core._claim_writes import OP_PREFIX as CLAIM_OP_PREFIX
-from rhubarbbend.core._keys import (
+from rhubarbbend.core.claims._claim_rows import CLAIM_TABLE, make_key, split_key
+from rhubarbbend.core.claims._claim_writes import OP_PREFIX as CLAIM_OP_PREFIX
+from rhubarbbend.core.claims._keys import (
     RESERVED_PREFIX,
     decode_reserved,
     encode_reserved,
     is_reserved,
     is_valid_key,
 )
-from rhubarbbend.core._tickets import SIGNATURE_BYTES, decode_ticket, encode_ticket
 from rhubarbbend.core.messages import ReservedRun
+from rhubarbbend.core.routing._tickets import SIGNATURE_BYTES, decode_ticket, encode_ticket
 from rhubarbbend.trace._format import TRACE_SECRET
 
 _DIGEST_CHARS: Final = 24
--- a/tests/core/test_claims.py
+++ b/tests/core/claims/test_claims.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from rhubarbbend.core import events
-from rhubarbbend.core._claim_rows import make_key
+from rhubarbbend.core.claims._claim_rows import make_key
 from tests.core.fakes import World
 
 ONE = {"a1": "a"}
--- a/tests/core/fakes.py
+++ b/tests/core/fakes.py
@@ -12,9 +12,9 @@
 import msgspec
 
 from rhubarbbend.core import Core, CoreOptions, Identity, actions, events
-from rhubarbbend.core._answers import make_peer_request
 from rhubarbbend.core.configuration import Account, Item, Operation, Service
 from rhubarbbend.core.messages import ClaimQuery, ClaimReply, Message, ReservedReply, ReservedRun
+from rhubarbbend.core.requests._answers import make_peer_request
 
 SECRET = b"a secret for tests of the core"
 ACCOUNT = "pilgrim-groups"
--- a/tests/core/test_owner.py
+++ b/tests/core/owners/test_owner.py
@@ -10,9 +10,14 @@
 from hypothesis import strategies as st
 
 from rhubarbbend.core import events
-from rhubarbbend.core._grants import REFUSAL_FULL, REFUSAL_NOT_READY, REFUSAL_QUEUE, REFUSAL_WAIT
 from rhubarbbend.core.configuration import Service
 from rhubarbbend.core.messages import Handover, HeldSlot, SlotRenewal, TargetLoad
+from rhubarbbend.core.owners._grants import (
+    REFUSAL_FULL,
+    REFUSAL_NOT_READY,
+    REFUSAL_QUEUE,
+    REFUSAL_WAIT,
+)
 from tests.core.driver import SERVICE, ZONE, Driver, list_instance, list_target
 
 PLANNER = Service(name=SERVICE, bound=1.25, floor=2, cold_slots=1, cold_requests=1)
--- a/tests/core/test_queue.py
+++ b/tests/core/owners/test_queue.py
@@ -5,8 +5,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from rhubarbbend.core._queue import FairQueue, Waiter
 from rhubarbbend.core.messages import SlotRequest
+from rhubarbbend.core.owners._queue import FairQueue, Waiter
 
 
 def make_waiter(number: int, account: str, weight: int = 1, deadline: float = 100.0) -> Waiter:
--- a/tests/core/test_retries.py
+++ b/tests/core/requests/test_retries.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from rhubarbbend.core._retries import RetryBudget
+from rhubarbbend.core.requests._retries import RetryBudget
 
 
 @given(steps=st.lists(st.booleans(), max_size=300), share=st.floats(0.0, 0.5))
--- a/tests/core/routing/test_affinity.py
+++ b/tests/core/routing/test_affinity.py
@@ -7,8 +7,8 @@
 
 import attrs
 
-from rhubarbbend.core._tickets import Place, Ticket
 from rhubarbbend.core.routing import POLICIES, Candidate, Choice, Reason, RoutedRequest
+from rhubarbbend.core.routing._tickets import Place, Ticket
 
 RATE = 10_000.0
 
--- a/tests/core/routing/test_search.py
+++ b/tests/core/routing/test_search.py
@@ -4,10 +4,10 @@
 
 from rhubarbbend import codes
 from rhubarbbend.core import actions, events
-from rhubarbbend.core._grants import REFUSAL_FULL, REFUSAL_NOT_READY
-from rhubarbbend.core._tickets import Place, Ticket, encode_ticket
 from rhubarbbend.core.configuration import Account, Model, Service, Zone
 from rhubarbbend.core.messages import SlotReply, SlotRequest
+from rhubarbbend.core.owners._grants import REFUSAL_FULL, REFUSAL_NOT_READY
+from rhubarbbend.core.routing._tickets import Place, Ticket, encode_ticket
 from tests.core.driver import KINDS, SERVICE, Driver, list_target
 
 OTHER_ZONE = "almaty-b"
--- a/tests/core/test_tokens.py
+++ b/tests/core/test_tokens.py
@@ -6,8 +6,13 @@
 from hypothesis import strategies as st
 from returns.result import Success
 
-from rhubarbbend.core._keys import ReservedKey, decode_reserved, encode_reserved, is_valid_key
-from rhubarbbend.core._tickets import Place, Ticket, decode_ticket, encode_ticket
+from rhubarbbend.core.claims._keys import (
+    ReservedKey,
+    decode_reserved,
+    encode_reserved,
+    is_valid_key,
+)
+from rhubarbbend.core.routing._tickets import Place, Ticket, decode_ticket, encode_ticket
 
 SECRET = b"a secret of the tests"
 NAMES = st.text(st.characters(min_codepoint=33, max_codepoint=126), min_size=1, max_size=30)
