--- a/rhubarbbend/http/__init__.py
+++ b/rhubarbbend/http/__init__.py
@@ -4,17 +4,12 @@
 asyncio streams around h11; neither takes a decision, which is the core's work.
 """
 
-from rhubarbbend.http._client import (
-    REASON_TIMEOUT,
-    BodyRelay,
-    Connection,
-    ConnectionPool,
-    HttpFailure,
-    Response,
-    SendStage,
-    fetch,
-)
-from rhubarbbend.http._server import Exchange, HttpServer, ServerLimits
+from rhubarbbend.http._connection import Connection, Response
+from rhubarbbend.http._exchange import Exchange
+from rhubarbbend.http._failures import REASON_TIMEOUT, HttpFailure, SendStage
+from rhubarbbend.http._pool import ConnectionPool, fetch
+from rhubarbbend.http._pump import BodyRelay
+from rhubarbbend.http._server import HttpServer, ServerLimits
 
 __all__ = [
     "BodyRelay",
--- a/rhubarbbend/http/_server.py
+++ b/rhubarbbend/http/_server.py
@@ -14,21 +14,15 @@
 import h11
 import msgspec
 
-READ_SIZE: Final = 65_536
-WRITE_HIGH_WATER: Final = 262_144
-# What a rejected client still sends is read and dropped within these bounds.
-REJECT_SECONDS: Final = 1.0
-REJECT_BYTES: Final = 8 * 1024 * 1024
+from rhubarbbend.http._exchange import DrainState, Exchange
+from rhubarbbend.http._rejection import READ_SIZE, RequestRejected, reject_request
+
 # How long idle connections stay open once the server stops accepting: a request may be on its way.
 LINGER: Final = 0.5
 # A client that takes no byte of its answer for this long is given up when the server closes.
 FLUSH_TIMEOUT: Final = 10.0
 FLUSH_POLL: Final = 0.02
-# A client that takes nothing of its answer for this long is given up, in seconds.
-STALL_TIMEOUT: Final = 30.0
 
-Headers = list[tuple[str, str]]
-RawHeaders = list[tuple[bytes, bytes]]
 Handler = Callable[["Exchange"], Awaitable[None]]
 
 
@@ -45,138 +39,6 @@
     max_connections: int = 4_096
 
 
-class RequestRejected(Exception):
-    """A request that cannot be read; carries the status to answer with."""
-
-    def __init__(self, status: int, reason: str) -> None:
-        super().__init__(reason)
-        self.status = status
-        self.reason = reason
-
-
-class DrainState(msgspec.Struct):
-    """Whether the server is about to stop; shared with every exchange."""
-
-    draining: bool = False
-
-
-class Exchange:
-    """One request and its response. Invariant: at most one response is started."""
-
-    __slots__ = (
-        "method",
-        "target",
-        "headers",
-        "raw_headers",
-        "body",
-        "closed",
-        "on_closed",
-        "_conn",
-        "_writer",
-        "_drain_state",
-        "_started",
-    )
-
-    def __init__(
-        self,
-        request: h11.Request,
-        body: bytes,
-        conn: h11.Connection,
-        writer: asyncio.StreamWriter,
-        drain_state: DrainState | None = None,
-    ) -> None:
-        self.method = request.method.decode("ascii")
-        self.target = request.target.decode("ascii", "replace")
-        self.headers = {k.decode("ascii"): v.decode("latin-1") for k, v in request.headers}
-        # As sent, repeated names included, for whoever passes them on.
-        self.raw_headers: list[tuple[bytes, bytes]] = list(request.headers)
-        self.body = body
-        # Set once the client has gone, so that a handler can cancel the work.
-        self.closed = asyncio.Event()
-        # Called in the loop's turn in which the client is seen to have gone.
-        self.on_closed: Callable[[], None] | None = None
-        self._conn = conn
-        self._writer = writer
-        self._drain_state = drain_state or DrainState()
-        self._started = False
-
-    @property
-    def started(self) -> bool:
-        """Whether the response head has been sent."""
-        return self._started
-
-    def start(self, status: int, headers: Headers) -> None:
-        """Send the response head; a body without Content-Length goes out chunked."""
-        self.start_raw(status, [(k.encode(), v.encode("latin-1", "replace")) for k, v in headers])
-
-    def start_raw(self, status: int, headers: RawHeaders) -> None:
-        """Send a response head whose headers are bytes already, as a target sent them."""
-        self._started = True
-        if self._drain_state.draining:
-            # The client opens its next connection elsewhere instead of reusing one that ends.
-            headers = [*headers, (b"Connection", b"close")]
-        self._send(h11.Response(status_code=status, headers=headers))
-
-    def write(self, data: bytes) -> None:
-        """Send part of the body."""
-        if data:
-            self._send(h11.Data(data=data))
-
-    def is_behind(self) -> bool:
-        """Whether the client reads slower than the body is written."""
-        return self._writer.transport.get_write_buffer_size() > WRITE_HIGH_WATER
-
-    async def drain(self) -> None:
-        """Wait while the client reads slower than the body is written."""
-        if not self.is_behind():
-            return
-        try:
-            async with asyncio.timeout(STALL_TIMEOUT):
-                await self._writer.drain()
-        except TimeoutError:
-            # A client that reads nothing would keep its target's slot for ever.
-            self.abort()
-
-    def finish(self) -> None:
-        """End the body, which tells the client that the answer is whole."""
-        self._send(h11.EndOfMessage())
-
-    def abort(self) -> None:
-        """Drop the connection without ending the body.
-
-        A client that gets no final chunk knows that the answer is not whole; ending the message
-        instead would pass a truncated answer off as complete.
-        """
-        self.closed.set()
-        self._writer.transport.abort()
-
-    def abort_after_flush(self) -> None:
-        """Close the connection without ending the body, once what was written has gone out."""
-        self.closed.set()
-        self._writer.close()
-
-    def respond(self, status: int, headers: Headers, body: bytes) -> None:
-        """Send a whole response at once."""
-        self.start(status, [*headers, ("Content-Length", str(len(body)))])
-        if self.method != "HEAD":
-            self.write(body)
-        self.finish()
-
-    def mark_closed(self) -> None:
-        """Note that the client has gone, and tell whoever works for it."""
-        self.closed.set()
-        if self.on_closed is not None:
-            self.on_closed()
-
-    def _send(self, event: h11.Event) -> None:
-        if self.closed.is_set() or self._writer.transport.is_closing():
-            self.closed.set()
-            return
-        data = self._conn.send(event)
-        if data:
-            self._writer.write(data)
-
-
 class HttpServer:
     """Listens on one address. Invariant: every open connection has one task in `_tasks`."""
 
@@ -266,11 +128,11 @@
                 async with asyncio.timeout(self._limits.body_timeout):
                     body = await self._read_body(conn, reader, writer)
             except RequestRejected as rejected:
-                await _reject(conn, reader, writer, rejected)
+                await reject_request(conn, reader, writer, rejected)
                 return
             except TimeoutError:
                 late = RequestRejected(408, "request took too long to send")
-                await _reject(conn, reader, writer, late)
+                await reject_request(conn, reader, writer, late)
                 return
             exchange = Exchange(head, body, conn, writer, self._drain_state)
             self._held_bytes += len(body)
@@ -410,44 +272,3 @@
         return conn.next_event()
     except h11.RemoteProtocolError as error:
         raise RequestRejected(error.error_status_hint, str(error)) from error
-
-
-async def _reject(
-    conn: h11.Connection,
-    reader: asyncio.StreamReader,
-    writer: asyncio.StreamWriter,
-    rejected: RequestRejected,
-) -> None:
-    """Answer an unreadable request in the shape of every other error, then close."""
-    error = {"code": "bad_request", "message": rejected.reason, "verdict": "not_run"}
-    body = msgspec.json.encode({"error": error})
-    if conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-        head = h11.Response(
-            status_code=rejected.status,
-            headers=[
-                (b"Content-Type", b"application/json"),
-                (b"Content-Length", str(len(body)).encode("ascii")),
-                (b"Connection", b"close"),
-            ],
-        )
-        for event in (head, h11.Data(data=body), h11.EndOfMessage()):
-            writer.write(conn.send(event) or b"")
-        await writer.drain()
-        await _drop_rest(reader, writer)
-
-
-async def _drop_rest(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-    """Read and drop what the client still sends, for a short while.
-
-    Closing with bytes unread resets the connection, and the client may lose the answer that says
-    what was wrong with its request.
-    """
-    writer.write_eof()
-    dropped = 0
-    with contextlib.suppress(TimeoutError):
-        async with asyncio.timeout(REJECT_SECONDS):
-            while dropped < REJECT_BYTES:
-                data = await reader.read(READ_SIZE)
-                if not data:
-                    return
-                dropped += len(data)
