--- a/Makefile
+++ b/Makefile
@@ -42,8 +42,8 @@
 	@$(PYTHON) -m tools.binary
 
 lint: .venv/.ready
-	@$(PYTHON) -m black --check -q rhubarbbend standins loadtool tools tests
-	@$(PYTHON) -m ruff check -q rhubarbbend standins loadtool tools tests
+	@$(PYTHON) -m black --check -q rhubarbbend platform standins loadtool tools tests
+	@$(PYTHON) -m ruff check -q rhubarbbend platform standins loadtool tools tests
 	@$(PYTHON) -m mypy
 
 .venv/.ready: requirements-dev.txt
--- /dev/null
+++ b/tests/adapter/test_rows.py
@@ -0,0 +1,131 @@
+"""Rows of the operator and the workers: each field is read once, and what is wrong says so."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+import pytest
+
+from adapter import PlatformDecoder
+from rhubarbbend.core.catalog import RequestKind
+from rhubarbbend.core.directory import TargetState
+from rhubarbbend.core.mirror import Change
+from rhubarbbend.gateway import (
+    CatalogRead,
+    StateChange,
+    TargetMissing,
+    TargetRead,
+    Unreadable,
+    ZoneMoved,
+)
+
+ROUTE = {
+    "name": "r-1",
+    "host": "plots.example",
+    "prefix": "/plan/",
+    "kind": "streaming",
+    "timeoutMs": 12_000,
+    "sloMs": 800,
+    "priority": 1,
+    "backends": [{"service": "llm-a", "weight": 90}, {"service": "llm-b", "weight": 10}],
+    "maxAttempts": 2,
+    "public": False,
+    "sticky": True,
+    "resumable": True,
+    "gapTargetMs": 400,
+    "somethingNew": [1, 2],
+}
+CONFIG = {
+    "version": 7,
+    "routes": [ROUTE],
+    "services": [{"name": "llm-a", "maxConns": 360, "coldStartS": 3.0, "coldPerS": 11.0}],
+    "limits": {
+        "maxHeaderBytes": 16_384,
+        "maxBodyBytes": 4_194_304,
+        "headerTimeoutMs": 3_000,
+        "idleTimeoutMs": 15_000,
+    },
+    "tenants": [{"name": "pilgrims", "apiKeys": ["k-1", "k-2"], "priority": 0}],
+}
+WORKER = {
+    "service": "llm-a",
+    "address": "10.1.0.9:8080",
+    "zone": "almaty-a",
+    "version": "v1",
+    "slots": 64,
+    "state": "ready",
+    "coldLeftMs": 1_500,
+    "seqNo": 4,
+    "born": 1_775_300_355_245,
+}
+
+
+def decode(table: str, key: str, value: Any) -> list[StateChange]:
+    data = None if value is None else msgspec.json.encode(value)
+    return PlatformDecoder().decode(table, [Change(key, data)])
+
+
+def test_a_configuration_is_read_into_the_product_s_types() -> None:
+    (change,) = decode("op", "config", CONFIG)
+    assert isinstance(change, CatalogRead)
+    catalog = change.catalog
+    route = catalog.find_route("plots.example", "/plan/2f")
+    assert route is not None
+    assert (route.kind, route.idempotent, route.by_prompt) == (RequestKind.STREAM, True, True)
+    assert (route.timeout, route.objective, route.pause_objective) == (12.0, 0.8, 0.4)
+    assert [(share.service, share.weight) for share in route.shares] == [
+        ("llm-a", 90),
+        ("llm-b", 10),
+    ]
+    assert (catalog.services["llm-a"].cold_rate, catalog.limits.idle_timeout) == (11.0, 15.0)
+    account = catalog.find_account("k-2")
+    assert account is not None and (account.name, account.priority) == ("pilgrims", 0)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"version": "seven"},
+        {"routes": [{**ROUTE, "kind": "odd"}]},
+        {"routes": 3},
+        {"services": None},
+    ],
+)
+def test_an_unreadable_configuration_is_named_and_changes_nothing(change: dict[str, Any]) -> None:
+    (found,) = decode("op", "config", {**CONFIG, **change})
+    assert isinstance(found, Unreadable) and found.row == "op/config" and found.reason
+
+
+def test_a_worker_s_entry_is_read_into_a_target() -> None:
+    (change,) = decode("servers", "i-1", WORKER)
+    assert isinstance(change, TargetRead)
+    record = change.record
+    assert (record.id, record.host, record.port) == ("i-1", "10.1.0.9", 8080)
+    assert (record.cold_left, record.boot) == (1.5, 1_775_300_355_245)
+    assert record.state is TargetState.READY
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"address": "10.1.0.9"},
+        {"address": 5},
+        {"address": "10.1.0.9:port"},
+        {"state": "resting"},
+        {"slots": "many"},
+        {"born": 1.5},
+        {"zone": None},
+    ],
+)
+def test_an_entry_that_cannot_be_read_names_no_worker(change: dict[str, Any]) -> None:
+    found = decode("servers", "i-1", {**WORKER, **change})
+    assert isinstance(found[0], Unreadable)
+    assert found[1] == TargetMissing("i-1")
+
+
+def test_rows_that_go_and_zones_that_move() -> None:
+    assert decode("servers", "i-1", None) == [TargetMissing("i-1")]
+    assert decode("op", "evacuate/almaty-a", {}) == [ZoneMoved("almaty-a", True)]
+    assert decode("op", "evacuate/almaty-a", None) == [ZoneMoved("almaty-a", False)]
+    assert decode("op", "something-else", {"x": 1}) == []
--- /dev/null
+++ b/tests/adapter/test_settings.py
@@ -0,0 +1,61 @@
+"""The settings file: every field that is used is checked, and the others are left."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from adapter import SettingsInvalid, decode_settings, read_settings
+
+FILE: dict[str, Any] = {
+    "nodeName": "front-a-1",
+    "ip": "10.1.0.40",
+    "zone": "almaty-a",
+    "listen": {"front": "10.1.0.40:8227", "ready": "10.1.0.40:8220", "control": "10.1.0.40:8229"},
+    "seeds": ["10.2.0.29:8229"],
+    "limits": {"maxFds": 4_100},
+    "bounds": {"retryBudgetRatio": 0.2, "budgetSlack": 52, "capFactor": 2, "graceS": 8},
+    "platform": {"address": "10.200.1.7:8223", "form": "table"},
+    "newField": {"unknown": True},
+}
+
+
+def test_fields_are_decoded_into_the_product_s_settings() -> None:
+    settings = decode_settings(json.dumps(FILE).encode())
+    assert settings.instance == "front-a-1"
+    assert settings.callers == ("10.1.0.40", 8227)
+    assert settings.peers == ("10.1.0.40", 8229)
+    assert settings.seeds == (("10.2.0.29", 8229),)
+    assert settings.store == ("10.200.1.7", 8223)
+    assert (settings.retry_ratio, settings.retry_slack, settings.load_factor) == (0.2, 52, 2)
+    assert (settings.stop_grace, settings.max_descriptors) == (8, 4_100)
+
+
+def test_an_instance_that_serves_no_control_has_no_address_for_peers() -> None:
+    listen = {"front": "10.1.0.40:8227", "ready": "10.1.0.40:8220"}
+    assert decode_settings(json.dumps({**FILE, "listen": listen}).encode()).peers is None
+
+
+@pytest.mark.parametrize(
+    ("change", "named"),
+    [
+        ({"nodeName": 7}, "nodeName"),
+        ({"listen": {"front": "10.1.0.40", "ready": "10.1.0.40:8220"}}, "listen.front"),
+        ({"seeds": ["10.2.0.29:99999"]}, "seeds"),
+        ({"platform": {}}, "address"),
+        ({"bounds": {"capFactor": "two"}}, "capFactor"),
+    ],
+)
+def test_a_wrong_field_is_named(change: dict[str, Any], named: str) -> None:
+    with pytest.raises(SettingsInvalid, match=named):
+        decode_settings(json.dumps({**FILE, **change}).encode())
+
+
+def test_a_missing_file_or_variable_is_told(tmp_path: Path) -> None:
+    with pytest.raises(SettingsInvalid, match="RHUBARBBEND_CONFIG"):
+        read_settings({})
+    with pytest.raises(SettingsInvalid, match="No such file"):
+        read_settings({"RHUBARBBEND_CONFIG": str(tmp_path / "none.json")})
