--- a/rhubarbbend/gateway/_attempts.py
+++ b/rhubarbbend/gateway/_attempts.py
@@ -171,6 +171,7 @@
             load_age=None if choice.report_age is None else round(choice.report_age, 3),
             cold=choice.cold,
             source=None if choice.source is None else choice.source.id,
+            prompt=None if caller.prompt is None else caller.prompt.affinity_key,
             reused=connection.reused,
             config=request.version,
             time_left=round(request.time_left(now), 3),
