--- a/rhubarbbend/codes.py
+++ b/rhubarbbend/codes.py
@@ -161,6 +161,9 @@
 ROUTED_TICKET: Final = _declare_counter("routed.ticket", "requests sent where their ticket says")
 ROUTED_HOME: Final = _declare_counter("routed.home", "requests sent to their home target")
 ROUTED_MOVED: Final = _declare_counter("routed.moved", "requests sent past their first choice")
+ROUTED_HELD: Final = _declare_counter(
+    "routed.held", "requests sent to the target that got their prompt last, not its home"
+)
 ROUTED_LEAST: Final = _declare_counter(
     "routed.least_loaded", "requests sent to the least loaded target"
 )
--- a/rhubarbbend/core/directory/_directory.py
+++ b/rhubarbbend/core/directory/_directory.py
@@ -31,13 +31,13 @@
         self._targets: dict[str, Target] = {}
         self._by_service: dict[str, list[Target]] = {}
         self._ended: dict[str, tuple[int, TargetState, float]] = {}
-        self._zones_out: set[str] = set()
+        # Zones that operators have taken out, and since when.
+        self._zones_out: dict[str, float] = {}
         self._store_returned = -LAPSE_WINDOW
 
-    @property
-    def zones_out(self) -> frozenset[str]:
-        """The zones that operators have taken out."""
-        return frozenset(self._zones_out)
+    def find_exit(self, zone: str) -> float | None:
+        """Give the time since which a zone is out; None if it is in service."""
+        return self._zones_out.get(zone)
 
     def find(self, target: str) -> Target | None:
         """Find a target by its id."""
@@ -97,15 +97,14 @@
             del self._ended[target_id]
         return [target.id for target in gone]
 
-    def take_zone_out(self, zone: str) -> None:
+    def take_zone_out(self, zone: str, now: float) -> None:
         """Give the targets of a zone no work from now on."""
-        self._zones_out.add(zone)
+        self._zones_out.setdefault(zone, now)
 
     def take_zone_in(self, zone: str, now: float) -> None:
         """Give a zone's targets work again, at first as if they were cold."""
-        if zone not in self._zones_out:
+        if self._zones_out.pop(zone, None) is None:
             return
-        self._zones_out.discard(zone)
         for target in self._targets.values():
             if target.zone == zone:
                 target.cold_until = max(target.cold_until, now + RETURN_CAUTION)
--- a/rhubarbbend/core/placement/__init__.py
+++ b/rhubarbbend/core/placement/__init__.py
@@ -7,12 +7,15 @@
 from rhubarbbend.core.placement._health import HealthBook
 from rhubarbbend.core.placement._loads import LoadBook
 from rhubarbbend.core.placement._placement import Choice, Placement, PlacementOptions, Reason
+from rhubarbbend.core.placement._places import Place, PlaceBook
 from rhubarbbend.core.placement._prompts import Prompt, PromptPart
 
 __all__ = [
     "Choice",
     "HealthBook",
     "LoadBook",
+    "Place",
+    "PlaceBook",
     "Placement",
     "PlacementOptions",
     "Prompt",
--- a/rhubarbbend/core/placement/_placement.py
+++ b/rhubarbbend/core/placement/_placement.py
@@ -1,16 +1,16 @@
 """Chooses a target for a request.
 
-Requests with a prompt go to its home, the first target in rendezvous order of the prompt's
-affinity key. Every instance computes the same home, so the parts of a prompt are read by one
-engine and found there again. A home that is down, cold, failing or above the load bound is passed
-over for the next in the order; the engine that gets the request is told where the parts lie, and
-fetches them, which costs a fraction of reading them again.
+Requests with a prompt go where its parts were sent last; if that is not known, to its home, the
+first target in rendezvous order of the prompt's affinity key. Every instance computes the same
+home, so the parts of a prompt are read by one engine and found there again. A target that is down,
+cold, failing or above the load bound is passed over for the next in the order; the engine that
+gets the request is told where the parts lie, and fetches them, which costs a fraction of reading
+them again.
 """
 
 from __future__ import annotations
 
 import enum
-from collections import OrderedDict
 from collections.abc import Sequence
 from random import Random
 from typing import Final
@@ -22,6 +22,7 @@
 from rhubarbbend.core.directory import Directory, Target
 from rhubarbbend.core.placement._health import HealthBook
 from rhubarbbend.core.placement._loads import LoadBook
+from rhubarbbend.core.placement._places import PlaceBook
 from rhubarbbend.core.placement._prompts import Prompt
 from rhubarbbend.core.shares import ColdAllowance
 
@@ -34,18 +35,18 @@
 LEAST_FETCH_TOKENS: Final = 256
 # A target that registered within this many seconds is sent what others hold of its prompts.
 YOUNG: Final = 60.0
-# Where prompts were sent last is kept for this many keys: chats of the known deployments by the
-# hundred, at about 200 bytes each.
-MAX_PLACES: Final = 4_096
 # The other zone is chosen only if the own zone's target holds this many requests more.
 ZONE_ADVANTAGE: Final = 0.75
 # A request that leaves this many seconds after its choice counts for the time it left as well.
 SLOW_CONNECT: Final = 0.02
+# The grace of a zone that is taken out is used up to this part, since the word of it took time.
+GRACE_PART: Final = 0.7
 
 
 class Reason(enum.Enum):
     """Why a target was chosen; counted and logged."""
 
+    HELD = "held"
     HOME = "home"
     MOVED = "moved"
     LEAST_LOADED = "least_loaded"
@@ -53,10 +54,15 @@
 
 
 class PlacementOptions(msgspec.Struct, frozen=True):
-    """`load_factor`: no target is to hold more than this many times the mean of its service."""
+    """`load_factor`: no target is to hold more than this many times the mean of its service.
+
+    `evacuation_grace` is for how many seconds after a zone is taken out its targets may still be
+    asked for what they hold.
+    """
 
     zone: str
     load_factor: float = 2.0
+    evacuation_grace: float = 0.0
 
 
 class Choice(msgspec.Struct, frozen=True):
@@ -105,7 +111,7 @@
         self._loads = loads
         self._health = health
         self._cold = cold
-        self._places: OrderedDict[str, str] = OrderedDict()
+        self.places = PlaceBook()
         # For the log of a refusal: why targets were shut at the last choice, by number.
         self.last_shut: dict[str, int] = {}
 
@@ -135,16 +141,17 @@
         self._cold.note_sent(target.id, now)
 
     def note_sent(
-        self, target: Target, prompt: Prompt | None, chosen_at: float, now: float
+        self, choice: Choice, prompt: Prompt | None, chosen_at: float, now: float
     ) -> None:
         """Remember where a request was sent, some time after it was chosen."""
+        target = choice.target
         if now - chosen_at > SLOW_CONNECT:
             self._cold.note_sent(target.id, now)
         if prompt is not None and prompt.parts:
-            self._places[prompt.affinity_key] = target.id
-            self._places.move_to_end(prompt.affinity_key)
-            if len(self._places) > MAX_PLACES:
-                self._places.popitem(last=False)
+            known = self.places.find(prompt.affinity_key, now)
+            moved = choice.reason is not Reason.HOME or choice.source is not None
+            is_news = moved and known != target.id
+            self.places.note(prompt.affinity_key, target.id, is_news, now)
 
     def forget(self, target: str) -> None:
         """Forget a target that has gone."""
@@ -215,12 +222,18 @@
     ) -> Choice:
         by_id = {target.id: target for target in candidates.all}
         order = [by_id[name] for name in rank_names(prompt.affinity_key, by_id)]
-        target, reason = self._pick(candidates, service, order, now)
+        place = self.places.find(prompt.affinity_key, now)
+        target, reason = self._pick(candidates, service, order, place, now)
         source = self._find_source(prompt, order, target, now)
         return self._make_choice(candidates, target, reason, source, now)
 
     def _pick(
-        self, candidates: _Candidates, service: Service, order: list[Target], now: float
+        self,
+        candidates: _Candidates,
+        service: Service,
+        order: list[Target],
+        place: str | None,
+        now: float,
     ) -> tuple[Target, Reason]:
         open_ids = {target.id for target in candidates.open}
         bound = self._options.load_factor * FACTOR_PART * candidates.mean + LEAST_SLACK
@@ -230,9 +243,13 @@
         well = [t for t in fitting if t.id not in candidates.failing]
         warm = [t for t in well if not t.is_cold(now) and not t.is_doubtful]
         for choices in (warm, well, fitting):
-            if choices:
-                chosen = choices[0]
-                return chosen, Reason.HOME if chosen is order[0] else Reason.MOVED
+            if not choices:
+                continue
+            held = next((t for t in choices if t.id == place), None)
+            chosen = held or choices[0]
+            if chosen is order[0]:
+                return chosen, Reason.HOME
+            return chosen, Reason.MOVED if held is None else Reason.HELD
         least = min(candidates.open, key=lambda t: candidates.loads[t.id])
         return least, Reason.LAST_RESORT
 
@@ -242,22 +259,26 @@
         """Find a target that probably holds the shared parts which `target` lacks."""
         if prompt.shared_tokens < LEAST_FETCH_TOKENS:
             return None
-        last = self._directory.find(self._places.get(prompt.affinity_key, ""))
-        if last is not None and last is not target:
-            return last if self._may_hold(last, now) else None
+        last = self._directory.find(self.places.find(prompt.affinity_key, now) or "")
         if last is target:
             return None
+        if last is not None:
+            return last if self._may_hold(last, now) else None
         others = [t for t in order if t is not target]
         if target is order[0] and now - target.known_since > YOUNG:
             return None
         return next((t for t in others if self._may_hold(t, now)), None)
 
     def _may_hold(self, target: Target, now: float) -> bool:
-        return (
-            not self._health.is_down(target.id, now)
-            and target.zone not in self._directory.zones_out
-            and not target.is_cold(now)
-        )
+        """Whether a target may be named as the place of a prompt.
+
+        Operators want nothing more sent to a zone that is out, within a grace; in it the others
+        take over what its targets hold, in place of reading it all again.
+        """
+        out_at = self._directory.find_exit(target.zone)
+        if out_at is not None and now - out_at > GRACE_PART * self._options.evacuation_grace:
+            return False
+        return not self._health.is_down(target.id, now) and not target.is_cold(now)
 
     # By load.
 
--- a/rhubarbbend/gateway/_attempts.py
+++ b/rhubarbbend/gateway/_attempts.py
@@ -158,7 +158,7 @@
         )
         headers = self._protocol.make_headers(caller, order)
         connection.send_raw(caller.method, caller.target, headers, caller.body)
-        self._state.placement.note_sent(choice.target, caller.prompt, request.chosen_at, now)
+        self._state.placement.note_sent(choice, caller.prompt, request.chosen_at, now)
         self._state.journal.write(
             "sent",
             now,
--- a/rhubarbbend/gateway/_follower.py
+++ b/rhubarbbend/gateway/_follower.py
@@ -255,7 +255,7 @@
             self._log("target_unregistered", target=change.target, source=source)
         elif isinstance(change, ZoneMoved):
             if change.out:
-                self._state.directory.take_zone_out(change.zone)
+                self._state.directory.take_zone_out(change.zone, now)
             else:
                 self._state.directory.take_zone_in(change.zone, now)
             self._log("zone_out" if change.out else "zone_in", zone=change.zone, source=source)
--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -44,6 +44,8 @@
 # Of the time until the process is killed, what is left for the last bytes to go out.
 STOP_MARGIN: Final = 0.6
 STOP_POLL: Final = 0.05
+# Places are told together after this time; a chat's next request comes seconds later.
+PLACES_DELAY: Final = 0.05
 # A target that broke a connection off is looked at after so many seconds: a process that ends
 # may take one more connection while its others are being closed. Crashed ones are away for some
 # seconds in the known deployments.
@@ -71,6 +73,8 @@
         self._background: set[asyncio.Task[None]] = set()
         self._stop_asked = asyncio.Event()
         self._limits_version = -1
+        self._has_places = asyncio.Event()
+        self.state.placement.places.on_news = self._has_places.set
 
     async def run(self) -> None:
         """Serve until a planned stop has ended."""
@@ -82,6 +86,7 @@
         self._follower.start()
         self._spawn(self._watch_pauses())
         self._spawn(self._keep_house())
+        self._spawn(self._tell_places())
         if own.peers is not None:
             self._spawn(self._follower.join(InstanceRow(own.zone, *own.peers)))
         await self._stop_asked.wait()
@@ -191,6 +196,14 @@
                 self._peer_pool.drop_all()
                 self._follower.refresh()
 
+    async def _tell_places(self) -> None:
+        """Tell the other instances of prompts that are not where they would look."""
+        while True:
+            await self._has_places.wait()
+            await asyncio.sleep(PLACES_DELAY)
+            self._has_places.clear()
+            await self._peers.tell_places(self.state.placement.places.take_news(read_clock()))
+
     async def _keep_house(self) -> None:
         while True:
             await asyncio.sleep(HOUSEKEEPING_INTERVAL)
--- a/rhubarbbend/gateway/_peers.py
+++ b/rhubarbbend/gateway/_peers.py
@@ -1,7 +1,7 @@
-"""What instances tell one another: changes of the store's tables, crashes, and that they joined.
+"""What instances tell one another: changes of the store's tables, crashes, places, joining.
 
-An instance that reaches the store needs none of this. One that does not, because the store is
-away, turns it away or is cut off from it, learns from the others what has come into force.
+An instance that reaches the store asks the others for nothing. One that does not, because the
+store is away, turns it away or is cut off from it, learns from them what has come into force.
 """
 
 from __future__ import annotations
@@ -12,6 +12,7 @@
 import msgspec
 
 from rhubarbbend.core.mirror import TablePage
+from rhubarbbend.core.placement import Place
 from rhubarbbend.gateway._settings import Address
 from rhubarbbend.gateway._state import InstanceRow, State, read_clock
 from rhubarbbend.http import ConnectionPool, Exchange, HttpFailure, fetch
@@ -19,6 +20,7 @@
 CHANGES_PATH: Final = "/peer/changes"
 CRASHES_PATH: Final = "/peer/crashes"
 HELLO_PATH: Final = "/peer/hello"
+PLACES_PATH: Final = "/peer/places"
 CONTENT_TYPE: Final = "application/msgpack"
 # An instance of the same region answers in about 3 ms; one that does not in this time is asked
 # again later, and another one at once.
@@ -45,6 +47,12 @@
     target: str
 
 
+class PlacesNote(msgspec.Struct, array_like=True):
+    """Prompts and where they were sent last."""
+
+    places: list[Place]
+
+
 class Hello(msgspec.Struct, array_like=True):
     """An instance has joined."""
 
@@ -72,6 +80,11 @@
             elif exchange.target == HELLO_PATH:
                 hello = msgspec.msgpack.decode(exchange.body, type=Hello)
                 self._state.instances[hello.instance] = hello.row
+                places = self._state.placement.places.list_recent(read_clock())
+                _respond(exchange, msgspec.msgpack.encode(PlacesNote(places)))
+            elif exchange.target == PLACES_PATH:
+                told = msgspec.msgpack.decode(exchange.body, type=PlacesNote)
+                self._state.placement.places.hear(told.places, read_clock())
                 _respond(exchange, b"")
             else:
                 exchange.respond(404, [], b"")
@@ -112,11 +125,19 @@
         Their list of instances may be some time old; until they read it again their parts and
         this one's would add up to more than the bound.
         """
-        await self._tell_all(HELLO_PATH, msgspec.msgpack.encode(hello))
+        replies = await self._tell_all(HELLO_PATH, msgspec.msgpack.encode(hello))
+        for reply in replies:
+            if reply:
+                told = msgspec.msgpack.decode(reply, type=PlacesNote)
+                self._state.placement.places.hear(told.places, read_clock())
+
+    async def tell_places(self, places: list[Place]) -> None:
+        """Tell every other instance where prompts were sent."""
+        await self._tell_all(PLACES_PATH, msgspec.msgpack.encode(PlacesNote(places)))
 
-    async def _tell_all(self, path: str, body: bytes) -> None:
+    async def _tell_all(self, path: str, body: bytes) -> list[bytes | None]:
         peers = self._state.list_peers()
-        await asyncio.gather(*(self._send(peer, path, body) for peer in peers))
+        return await asyncio.gather(*(self._send(peer, path, body) for peer in peers))
 
     async def _send(self, peer: Address, path: str, body: bytes) -> bytes | None:
         headers = [("Content-Type", CONTENT_TYPE)]
--- a/rhubarbbend/gateway/_state.py
+++ b/rhubarbbend/gateway/_state.py
@@ -52,7 +52,7 @@
         self.health = HealthBook()
         self.cold = ColdAllowance(settings.instance, settings.cold_overshoot, settings.cold_slack)
         self.crashes = CrashBook()
-        options = PlacementOptions(settings.zone, settings.load_factor)
+        options = PlacementOptions(settings.zone, settings.load_factor, settings.evacuation_grace)
         self.placement = Placement(options, self.directory, self.loads, self.health, self.cold)
         self.instances: dict[str, InstanceRow] = {}
         self.stopping = False
--- a/tests/core/directory/test_directory.py
+++ b/tests/core/directory/test_directory.py
@@ -78,7 +78,7 @@
 def test_a_zone_gets_nothing_while_it_is_out_and_little_right_after() -> None:
     directory = Directory()
     directory.register(make(), 0.0)
-    directory.take_zone_out("a")
+    directory.take_zone_out("a", 1.0)
     assert list_ids(directory, 1.0) == []
     directory.take_zone_in("a", 5.0)
     assert list_ids(directory, 5.0) == ["t-1"]
--- a/tests/core/placement/test_placement.py
+++ b/tests/core/placement/test_placement.py
@@ -96,7 +96,7 @@
         assert target is not None
         if target.zone != "b":
             world.load(engine, 6)
-    world.directory.take_zone_out("b")
+    world.directory.take_zone_out("b", 0.0)
     home = next(
         name for name in rank_names(CHAT.affinity_key, world.engines) if name[-1] not in "147"
     )
@@ -139,14 +139,18 @@
     world = World()
     first = world.choose()
     assert first is not None
-    world.placement.note_sent(first.target, CHAT, 10.0, 10.0)
-    # A new engine becomes the home of the chat.
+    world.placement.note_sent(first, CHAT, 10.0, 10.0)
+    # A new engine becomes the home of the chat, and the one that holds it leaves.
     newcomer = next(
         name
         for name in (f"new-{number}" for number in range(1_000))
         if rank_names(CHAT.affinity_key, [*world.engines, name])[0] == name
     )
     world.directory.register(make_record(newcomer, "llm", "a"), 11.0)
+    stays = world.choose(now=12.0)
+    assert stays is not None and (stays.target, stays.reason) == (first.target, Reason.HELD)
+    leaving = make_record(first.target.id, "llm", first.target.zone, state=TargetState.DRAINING)
+    world.directory.register(leaving, 12.0)
     choice = world.choose(now=12.0)
     assert choice is not None and choice.target.id == newcomer
     assert choice.source is not None and choice.source.id == first.target.id
@@ -160,7 +164,7 @@
         world.directory.unregister(engine, 0.0)
     only = world.engines[0]
     if state == "zone out":
-        world.directory.take_zone_out("a")
+        world.directory.take_zone_out("a", 0.0)
     elif state == "draining":
         world.directory.register(make_record(only, "llm", "a", state=TargetState.DRAINING), 9.0)
     elif state == "unreachable":
