Keep earlier places of a prompt, and none at a target that has started anew

Cause: with the latest place gone a prompt was looked for at targets that had never held it, and a target that came back under its id was taken to hold what it held before.

--- a/rhubarbbend/core/directory/_directory.py
+++ b/rhubarbbend/core/directory/_directory.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Final
 
 from rhubarbbend.core.directory._targets import Target, TargetRecord, TargetState
@@ -34,6 +35,7 @@
         # Zones that operators have taken out, and since when.
         self._zones_out: dict[str, float] = {}
         self._store_returned = -LAPSE_WINDOW
+        self._first_read = True
 
     def find_exit(self, zone: str) -> float | None:
         """Give the time since which a zone is out; None if it is in service."""
@@ -61,6 +63,10 @@
         """List every registered target of a service, whether it may get work or not."""
         return list(self._by_service.get(service, ()))
 
+    def finish_first_read(self) -> None:
+        """Note that every target is known that was there before this instance."""
+        self._first_read = False
+
     def note_store_returned(self, now: float) -> None:
         """Note that the store answers again after an outage."""
         self._store_returned = now
@@ -113,7 +119,8 @@
         old = self._targets.get(record.id)
         if old is not None:
             self._remove(old)
-        target = Target(record, now)
+        known_since = -math.inf if self._first_read else now
+        target = Target(record, known_since, now)
         boot, state, _ = self._ended.pop(record.id, (-1, TargetState.READY, 0.0))
         if boot == record.boot and state is TargetState.DRAINING:
             target.state = TargetState.DRAINING
--- a/rhubarbbend/core/directory/_targets.py
+++ b/rhubarbbend/core/directory/_targets.py
@@ -44,7 +44,7 @@
         "gone_at",
     )
 
-    def __init__(self, record: TargetRecord, now: float) -> None:
+    def __init__(self, record: TargetRecord, known_since: float, now: float) -> None:
         self.id = record.id
         self.service = record.service
         self.address = (record.host, record.port)
@@ -53,7 +53,8 @@
         self.boot = record.boot
         self.state = record.state
         self.cold_until = now + record.cold_left
-        self.known_since = now
+        # When this instance learned of it; what it held before is not known here.
+        self.known_since = known_since
         # When its missing registration is taken for its end; None while it is registered.
         self.gone_at: float | None = None
 
--- a/rhubarbbend/core/placement/_placement.py
+++ b/rhubarbbend/core/placement/_placement.py
@@ -148,9 +148,9 @@
         if now - chosen_at > SLOW_CONNECT:
             self._cold.note_sent(target.id, now)
         if prompt is not None and prompt.parts:
-            known = self.places.find(prompt.affinity_key, now)
+            known = self._list_holders(prompt, now)
             moved = choice.reason is not Reason.HOME or choice.source is not None
-            is_news = moved and known != target.id
+            is_news = moved and target not in known[:1]
             self.places.note(prompt.affinity_key, target.id, is_news, now)
 
     def forget(self, target: str) -> None:
@@ -222,9 +222,9 @@
     ) -> Choice:
         by_id = {target.id: target for target in candidates.all}
         order = [by_id[name] for name in rank_names(prompt.affinity_key, by_id)]
-        place = self.places.find(prompt.affinity_key, now)
-        target, reason = self._pick(candidates, service, order, place, now)
-        source = self._find_source(prompt, order, target, now)
+        holders = self._list_holders(prompt, now)
+        target, reason = self._pick(candidates, service, order, holders, now)
+        source = self._find_source(prompt, order, holders, target, now)
         return self._make_choice(candidates, target, reason, source, now)
 
     def _pick(
@@ -232,7 +232,7 @@
         candidates: _Candidates,
         service: Service,
         order: list[Target],
-        place: str | None,
+        holders: list[Target],
         now: float,
     ) -> tuple[Target, Reason]:
         open_ids = {target.id for target in candidates.open}
@@ -245,7 +245,7 @@
         for choices in (warm, well, fitting):
             if not choices:
                 continue
-            held = next((t for t in choices if t.id == place), None)
+            held = next((t for t in holders if t in choices), None)
             chosen = held or choices[0]
             if chosen is order[0]:
                 return chosen, Reason.HOME
@@ -253,21 +253,27 @@
         least = min(candidates.open, key=lambda t: candidates.loads[t.id])
         return least, Reason.LAST_RESORT
 
+    def _list_holders(self, prompt: Prompt, now: float) -> list[Target]:
+        """List the targets that a prompt was sent to since they started, first the latest."""
+        found = self.places.list_targets(prompt.affinity_key, now)
+        targets = [(self._directory.find(target), at) for target, at in found]
+        return [t for t, at in targets if t is not None and at >= t.known_since]
+
     def _find_source(
-        self, prompt: Prompt, order: list[Target], target: Target, now: float
+        self,
+        prompt: Prompt,
+        order: list[Target],
+        holders: list[Target],
+        target: Target,
+        now: float,
     ) -> Target | None:
         """Find a target that probably holds the shared parts which `target` lacks."""
-        if prompt.shared_tokens < LEAST_FETCH_TOKENS:
-            return None
-        last = self._directory.find(self.places.find(prompt.affinity_key, now) or "")
-        if last is target:
+        if prompt.shared_tokens < LEAST_FETCH_TOKENS or target in holders:
             return None
-        if last is not None:
-            return last if self._may_hold(last, now) else None
-        others = [t for t in order if t is not target]
-        if target is order[0] and now - target.known_since > YOUNG:
+        if not holders and target is order[0] and now - target.known_since > YOUNG:
             return None
-        return next((t for t in others if self._may_hold(t, now)), None)
+        likely = [*holders, *order]
+        return next((t for t in likely if t is not target and self._may_hold(t, now)), None)
 
     def _may_hold(self, target: Target, now: float) -> bool:
         """Whether a target may be named as the place of a prompt.
--- a/rhubarbbend/core/placement/_places.py
+++ b/rhubarbbend/core/placement/_places.py
@@ -20,6 +20,8 @@
 # Engines drop the parts that were used longest ago. A place that was not used for so many seconds
 # is no better than the home.
 PLACE_LIFE: Final = 60.0
+# Earlier places are kept as well: when the latest target crashes, the one before still holds.
+MAX_STAYS: Final = 3
 
 
 class Place(msgspec.Struct, frozen=True, array_like=True):
@@ -30,51 +32,65 @@
     age: float
 
 
+class _Stay(msgspec.Struct, frozen=True):
+    """A prompt was sent to a target at a time."""
+
+    target: str
+    at: float
+
+
 class PlaceBook:
-    """The places known. Invariant: of two words on a prompt the newer one holds."""
+    """The places known. Invariant: the stays of a prompt are at different targets, newest first."""
 
     def __init__(self) -> None:
-        self._places: OrderedDict[str, tuple[str, float]] = OrderedDict()
-        self._news: dict[str, tuple[str, float]] = {}
+        self._stays: OrderedDict[str, list[_Stay]] = OrderedDict()
+        self._news: dict[str, _Stay] = {}
         # Called when there is something to tell others; set by the instance.
         self.on_news: Callable[[], None] = lambda: None
 
-    def find(self, key: str, now: float) -> str | None:
-        """Find the target that a prompt was sent to last."""
-        target, at = self._places.get(key, ("", -PLACE_LIFE))
-        return target if target and now - at < PLACE_LIFE else None
+    def list_targets(self, key: str, now: float) -> list[tuple[str, float]]:
+        """List the targets that a prompt was sent to and when, first the latest."""
+        stays = self._stays.get(key, ())
+        return [(stay.target, stay.at) for stay in stays if now - stay.at < PLACE_LIFE]
 
     def note(self, key: str, target: str, is_news: bool, now: float) -> None:
         """Note where this instance sent a prompt; `is_news` if others would not expect it."""
-        self._put(key, target, now)
+        stay = _Stay(target, now)
+        self._put(key, stay)
         if is_news:
-            self._news[key] = (target, now)
+            self._news[key] = stay
             self.on_news()
 
     def hear(self, places: Iterable[Place], now: float) -> None:
         """Take in what another instance tells."""
         for place in places:
-            at = now - place.age
-            _, known_at = self._places.get(place.key, ("", at - 1.0))
-            if at > known_at:
-                self._put(place.key, place.target, at)
+            self._put(place.key, _Stay(place.target, now - place.age))
 
     def take_news(self, now: float) -> list[Place]:
         """Take what has not been told yet."""
-        news = [Place(key, target, now - at) for key, (target, at) in self._news.items()]
+        news = [Place(key, stay.target, now - stay.at) for key, stay in self._news.items()]
         self._news.clear()
         return news
 
     def list_recent(self, now: float) -> list[Place]:
-        """List all that is known and still holds, for an instance that has just joined."""
+        """List all latest places that still hold, for an instance that has just joined."""
+        latest = [(key, stays[0]) for key, stays in self._stays.items()]
         return [
-            Place(key, target, now - at)
-            for key, (target, at) in self._places.items()
-            if now - at < PLACE_LIFE
+            Place(key, stay.target, now - stay.at)
+            for key, stay in latest
+            if now - stay.at < PLACE_LIFE
         ]
 
-    def _put(self, key: str, target: str, at: float) -> None:
-        self._places[key] = (target, at)
-        self._places.move_to_end(key)
-        if len(self._places) > MAX_PLACES:
-            self._places.popitem(last=False)
+    def _put(self, key: str, stay: _Stay) -> None:
+        stays = self._stays.setdefault(key, [])
+        known = next((s for s in stays if s.target == stay.target), None)
+        if known is not None:
+            if known.at >= stay.at:
+                return
+            stays.remove(known)
+        stays.append(stay)
+        stays.sort(key=lambda s: s.at, reverse=True)
+        del stays[MAX_STAYS:]
+        self._stays.move_to_end(key)
+        if len(self._stays) > MAX_PLACES:
+            self._stays.popitem(last=False)
--- a/rhubarbbend/gateway/_follower.py
+++ b/rhubarbbend/gateway/_follower.py
@@ -227,9 +227,11 @@
             count += len(changes)
             if table == INSTANCE_TABLE:
                 self._take_instances(changes)
-            elif changes:
-                for change in self._decoder.decode(table, changes):
-                    self._take(change, source)
+                continue
+            for change in self._decoder.decode(table, changes):
+                self._take(change, source)
+        if all(table.known for table in self._state.mirror.tables.values()):
+            self._state.directory.finish_first_read()
         return count
 
     def _take_instances(self, changes: list[Change]) -> None:
--- a/tests/core/placement/test_placement.py
+++ b/tests/core/placement/test_placement.py
@@ -237,3 +237,37 @@
     assert not health.is_down("x", 1.0)
     health.note_timeout("x", 2.0)
     assert health.is_down("x", 2.1)
+
+
+def test_a_target_that_has_started_anew_holds_nothing_of_before() -> None:
+    # An engine crashes and comes back under its id with an empty memory. What was sent to the
+    # start before is no reason to send the chat there rather than to its home.
+    world = World()
+    world.directory.finish_first_read()
+    second = rank_names(CHAT.affinity_key, world.engines)[1]
+    world.load(world.home, 12)
+    moved = world.choose()
+    assert moved is not None and moved.target.id == second
+    world.placement.note_sent(moved, CHAT, 10.0, 10.0)
+    for _ in range(12):
+        world.loads.end(world.home)
+    held = world.choose(now=11.0)
+    assert held is not None and (held.target.id, held.reason) == (second, Reason.HELD)
+    world.directory.register(make_record(second, "llm", held.target.zone, boot=9), 12.0)
+    home = world.choose(now=13.0)
+    assert home is not None and (home.target.id, home.reason) == (world.home, Reason.HOME)
+
+
+def test_a_zone_that_goes_out_gives_up_its_prompts_within_the_grace() -> None:
+    world = World()
+    options = PlacementOptions("a", 2.0, evacuation_grace=5.0)
+    placement = Placement(options, world.directory, world.loads, world.health, world.cold)
+    world.placement = placement
+    first = world.choose()
+    assert first is not None
+    placement.note_sent(first, CHAT, 10.0, 10.0)
+    world.directory.take_zone_out(first.target.zone, 10.5)
+    early = world.choose(now=12.0)
+    assert early is not None and early.source is first.target
+    late = world.choose(now=15.0)
+    assert late is not None and late.source is not first.target
