--- a/rhubarbbend/codes.py
+++ b/rhubarbbend/codes.py
@@ -1,7 +1,7 @@
 """The one registry of verdicts, error codes and counters.
 
 Every refusal that a caller can see, every retry reason and every counter is declared here and
-nowhere else, so that docs/OPERATING.md and docs/INTERFACES.md can be checked against it.
+nowhere else, so that docs/OPERATIONS.md and docs/INTERFACES.md can be checked against it.
 """
 
 from __future__ import annotations
--- a/rhubarbbend/core/placement/_health.py
+++ b/rhubarbbend/core/placement/_health.py
@@ -25,7 +25,7 @@
 class _Record:
     """One target's recent past. Invariant: weights are as of `at`."""
 
-    __slots__ = ("failed", "total", "at", "hold", "down_until", "timed_out_at")
+    __slots__ = ("failed", "total", "at", "hold", "down_until", "down_since", "timed_out_at")
 
     def __init__(self, now: float) -> None:
         self.failed = 0.0
@@ -33,6 +33,8 @@
         self.at = now
         self.hold = 0.0
         self.down_until = 0.0
+        # Since when it has taken no connection.
+        self.down_since: float | None = None
         self.timed_out_at: float | None = None
 
     def fade(self, now: float) -> None:
@@ -58,6 +60,7 @@
         if not failed:
             record.hold = 0.0
             record.down_until = 0.0
+            record.down_since = None
             record.timed_out_at = None
 
     def note_timeout(self, target: str, now: float) -> float:
@@ -71,11 +74,18 @@
     def note_unreachable(self, target: str, now: float) -> float:
         """Hold a target down that refused a connection; gives until when."""
         record = self._find(target, now)
+        if record.down_since is None:
+            record.down_since = now
         if now >= record.down_until:
             record.hold = min(LONGEST_HOLD, max(FIRST_HOLD, 2.0 * record.hold))
             record.down_until = now + record.hold
         return record.down_until
 
+    def count_lost_since(self, at: float) -> int:
+        """Count the targets that have taken no connection since some time after `at`."""
+        records = self._records.values()
+        return sum(r.down_since is not None and r.down_since >= at for r in records)
+
     def is_down(self, target: str, now: float) -> bool:
         """Whether a target is held down."""
         record = self._records.get(target)
--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -51,6 +51,8 @@
 # seconds in the known deployments.
 CRASH_CHECK_DELAY: Final = 0.1
 CRASH_CHECK_TIMEOUT: Final = 0.2
+# Targets that are lost within so many seconds of one another are cut off rather than crashed.
+CRASH_CHECK_WINDOW: Final = 0.4
 
 
 class Instance:
@@ -159,7 +161,7 @@
         """Count a crash if the target that broke a connection off takes no new one.
 
         Connections are reset for many reasons; blaming the request for each of them would refuse
-        sound requests after two.
+        sound requests after two. Nor can one request have lost several targets at once.
         """
         await asyncio.sleep(CRASH_CHECK_DELAY)
         try:
@@ -168,8 +170,14 @@
             return
         except HttpFailure as failure:
             reason = failure.reason
+        self.state.health.note_unreachable(target.id, read_clock())
+        # Others that went at the same time are found out by now.
+        await asyncio.sleep(CRASH_CHECK_DELAY)
         now = read_clock()
-        self.state.health.note_unreachable(target.id, now)
+        lost = self.state.health.count_lost_since(now - CRASH_CHECK_WINDOW)
+        if lost > 1:
+            self._log("crash_doubted", id=request, target=target.id, lost_together=lost)
+            return
         if self.state.crashes.note_crash(digest, target.id, now):
             self.state.metrics.add(codes.SUSPECTS)
             self._log("crash_counted", id=request, digest=digest, target=target.id, reason=reason)
--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -44,7 +44,7 @@
 
 
 def test_every_counter_and_error_is_on_the_operators_page() -> None:
-    page = _read("OPERATING.md")
+    page = _read("OPERATIONS.md")
     assert [name for name in codes.list_counters() if f"`{name}`" not in page] == []
 
 
@@ -56,14 +56,14 @@
 
 
 def test_every_setting_is_on_the_operators_page() -> None:
-    page = _read("OPERATING.md")
+    page = _read("OPERATIONS.md")
     assert [key for key in _list_settings() if f"`{key}`" not in page] == []
     core = [field.name for field in attrs.fields(CoreOptions)]
     assert [name for name in core if f"`{name}`" not in page] == []
 
 
 def test_every_command_and_exit_status_is_on_the_operators_page() -> None:
-    page = _read("OPERATING.md")
+    page = _read("OPERATIONS.md")
     for command in _list_commands():
         assert f"`rhubarbbend {command}" in page, command
     for status in ExitStatus:
--- a/tests/gateway/test_commands.py
+++ b/tests/gateway/test_commands.py
@@ -139,3 +139,29 @@
             assert (await fleet.ask("/book/x", b"sound")).status == 200
 
     run(work)
+
+
+def test_targets_that_go_together_blame_no_request(tmp_path: Path) -> None:
+    # A zone is cut off and refuses connections: every request at its targets is broken off, and
+    # none of them takes a new connection. It happens twice to the same booking, which its caller
+    # sends again. One request cannot have crashed several targets at once.
+    async def work() -> None:
+        async with start_fleet(tmp_path, instances=1, plains=6, engines=1) as fleet:
+            await fleet.set_workers("plain", hang=True)
+            for _ in range(2):
+                bodies = (b"tent", b"ghat", b"ration")
+                asked = [asyncio.ensure_future(fleet.ask("/book/x", body)) for body in bodies]
+                await asyncio.sleep(0.3)
+                stats = await fleet.read_all_stats("plain")
+                busy = [name for name, s in stats.items() if s.running]
+                assert len(busy) == 3
+                await asyncio.gather(*(fleet.workers[name].process.kill() for name in busy))
+                assert [reply.status for reply in await asyncio.gather(*asked)] == [502] * 3
+                for name in busy:
+                    del fleet.workers[name]
+            await asyncio.sleep(0.6)
+            await fleet.start_worker("plain-9", "plain", "zone-a")
+            await asyncio.sleep(0.4)
+            assert (await fleet.ask("/book/x", b"tent")).status == 200
+
+    run(work)
