--- a/rhubarbbend/core/_rendezvous.py
+++ b/rhubarbbend/core/_rendezvous.py
@@ -10,13 +10,14 @@
 import xxhash
 
 
-def weigh_name(key: str, name: str) -> int:
-    """Give a name's weight for a key; the heaviest name comes first."""
-    return xxhash.xxh64_intdigest(name.encode(), xxhash.xxh64_intdigest(key.encode()))
+def weigh_names(key: str, names: Iterable[str]) -> list[int]:
+    """Give each name's weight for a key; the heaviest name comes first in the order."""
+    seed = xxhash.xxh64_intdigest(key.encode())
+    return [xxhash.xxh64_intdigest(name.encode(), seed) for name in names]
 
 
 def rank_names(key: str, names: Iterable[str]) -> list[str]:
     """Give names in rendezvous order for a key, first the heaviest."""
-    seed = xxhash.xxh64_intdigest(key.encode())
-    weights = {name: xxhash.xxh64_intdigest(name.encode(), seed) for name in names}
-    return sorted(weights, key=weights.__getitem__, reverse=True)
+    listed = list(names)
+    weights = dict(zip(listed, weigh_names(key, listed), strict=True))
+    return sorted(listed, key=weights.__getitem__, reverse=True)
--- a/rhubarbbend/core/routing/_base.py
+++ b/rhubarbbend/core/routing/_base.py
@@ -9,8 +9,8 @@
 from typing import Final
 
 import attrs
-import xxhash
 
+from rhubarbbend.core._rendezvous import weigh_names
 from rhubarbbend.core.routing._tickets import Ticket
 from rhubarbbend.kernel import Registry
 
@@ -74,8 +74,7 @@
 
 def rank_candidates(chat: str, candidates: Sequence[Candidate]) -> list[int]:
     """Give each candidate's rendezvous weight for a chat; every instance computes the same."""
-    seed = xxhash.xxh64_intdigest(chat.encode())
-    return [xxhash.xxh64_intdigest(candidate.target.encode(), seed) for candidate in candidates]
+    return weigh_names(chat, [candidate.target for candidate in candidates])
 
 
 class RoutingPolicy(abc.ABC):
--- a/tests/core/drive.py
+++ b/tests/core/drive.py
@@ -12,15 +12,17 @@
 T = TypeVar("T", bound=actions.Action)
 
 
-def make_core(name: str, zone: str = "a", seed: int = 1, **options: float) -> Core:
+def make_core(
+    name: str, zone: str = "a", seed: int = 1, options: CoreOptions | None = None
+) -> Core:
     """Make a core that has not started."""
     identity = Identity(name, zone, "127.0.0.1", 1, 2, 7, b"s" * 16)
-    return Core(identity, CoreOptions(**options), seed)  # type: ignore[arg-type]
+    return Core(identity, options or CoreOptions(), seed)
 
 
 def start_core(name: str, zone: str = "a", now: float = 0.0, **options: float) -> Core:
     """Start a core whose platform has no snapshot."""
-    core = make_core(name, zone, **options)
+    core = make_core(name, zone, options=CoreOptions(**options))  # type: ignore[arg-type]
     core.handle(events.Started(1_000.0), now)
     core.handle(events.SnapshotRead("done"), now)
     core.context.members_known = True
--- a/tests/core/driver.py
+++ b/tests/core/driver.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from rhubarbbend.core import Core, CoreOptions, Identity, actions, events
+from rhubarbbend.core import CoreOptions, actions, events
 from rhubarbbend.core.configuration import Account, Declaration, Item, Service
 from rhubarbbend.core.messages import (
     Heartbeat,
@@ -17,6 +17,7 @@
     SlotRequest,
     TargetLoad,
 )
+from tests.core.drive import make_core
 
 ZONE = "almaty-a"
 SERVICE = "planner"
@@ -50,8 +51,7 @@
         options: CoreOptions | None = None,
     ) -> None:
         self.now = 100.0
-        identity = Identity(name, zone, HOST, 1, 2, incarnation=1, secret=b"s" * 16)
-        self.core = Core(identity, options or CoreOptions(), seed=1)
+        self.core = make_core(name, zone, options=options)
         self.sent: list[tuple[str, Message]] = []
         self.counts: dict[str, int] = {}
         # Instances of the own zone that are alive: their heartbeats come as time passes.
