--- a/rhubarbbend/shell/_runtime.py
+++ b/rhubarbbend/shell/_runtime.py
@@ -13,37 +13,26 @@
 import signal
 import sys
 import time
-import uuid
 from collections import deque
 from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any, Final
 
 import eliot
-import msgspec
 
 from rhubarbbend import codes
-from rhubarbbend.codes import Verdict
 from rhubarbbend.core import Core, Identity, actions, events
 from rhubarbbend.core.messages import Message, ReservedReply, ReservedRun
 from rhubarbbend.core.requests._answers import make_peer_request
-from rhubarbbend.http import ConnectionPool, Exchange, HttpServer, ServerLimits
+from rhubarbbend.http import ConnectionPool, HttpServer, ServerLimits
 from rhubarbbend.operators import ChangeAnswer, OperatorServer, make_operator_key
 from rhubarbbend.peers import PeerLinks, PeerListener
 from rhubarbbend.settings import Settings, parse_address, read_operator_secret
 from rhubarbbend.shell._attempts import AttemptRunner
+from rhubarbbend.shell._caller_server import CallerServer
 from rhubarbbend.shell._callers import OpenRequest
 from rhubarbbend.shell._metrics import Metrics
 from rhubarbbend.shell._platform_calls import PlatformCalls
-from rhubarbbend.shell._requests import (
-    HEALTH_PATH,
-    KEYS_PATH,
-    READY_PATH,
-    digest_key,
-    read_count,
-    read_request,
-    write_error,
-)
 from rhubarbbend.shell._traffic import ControlTraffic
 from rhubarbbend.storage import PLATFORMS
 from rhubarbbend.trace import Recorder
@@ -55,7 +44,7 @@
 
 
 class Runtime:
-    """One instance. Invariant: every open caller's request is in `_open` until it is done."""
+    """One instance. Invariant: an event is handled whole before the next."""
 
     def __init__(self, settings: Settings, secret: bytes) -> None:
         self.settings = settings
@@ -74,12 +63,10 @@
         self._recorder = _open_recorder(settings, self.core, self._identity, seed)
         self._handle = self.core.handle if self._recorder is None else self._recorder.handle
         self.metrics = Metrics(settings.statsd, own.id)
-        self._open: dict[str, OpenRequest] = {}
-        self._key_futures: dict[str, asyncio.Future[actions.Action]] = {}
+        self._callers = CallerServer(settings.limits, self.feed, self.metrics)
         self._operator_futures: dict[str, asyncio.Future[ChangeAnswer]] = {}
         self._queue: deque[events.Event] = deque()
         self._handling = False
-        self._ready = False
         self._alive_at = 0.0
         self._timer: asyncio.TimerHandle | None = None
         self._background: set[asyncio.Task[None]] = set()
@@ -92,7 +79,7 @@
         self._calls = PlatformCalls(self._platform, self.feed, self._spawn, self.metrics)
         self._links = PeerLinks(own.id, secret, self._lose_peer)
         self._listener = PeerListener(secret, self._hear_peer, self._count_bad_frame)
-        self._server = HttpServer(self._serve_caller, _make_limits(settings))
+        self._server = HttpServer(self._callers.serve, _make_limits(settings))
         operator_secret = read_operator_secret(settings.operators, secret)
         self._operators = OperatorServer(
             self.core, make_operator_key(operator_secret), self._propose, self.feed, self._now
@@ -190,75 +177,6 @@
         self._background.add(task)
         task.add_done_callback(self._background.discard)
 
-    # Callers.
-
-    async def _serve_caller(self, exchange: Exchange) -> None:
-        path = exchange.target.partition("?")[0]
-        if path == HEALTH_PATH:
-            exchange.respond(200, [("Content-Type", "text/plain")], b"ok\n")
-        elif path == READY_PATH:
-            status, text = (200, b"ready\n") if self._ready else (503, b"not ready\n")
-            exchange.respond(status, [("Content-Type", "text/plain")], text)
-        elif path == KEYS_PATH:
-            await self._serve_keys(exchange)
-        else:
-            await self._serve_request(exchange)
-
-    async def _serve_request(self, exchange: Exchange) -> None:
-        request = exchange.headers.get("x-request-id", "")
-        if not request or len(request) > 100 or request in self._open or "/" in request:
-            request = uuid.uuid4().hex
-        limits = self.settings.limits
-        read = read_request(
-            exchange, request, time.time(), limits.default_deadline, limits.max_deadline
-        )
-        event = read.value_or(None)
-        if event is None:
-            bad = read.failure()
-            self.metrics.add(f"refused.{bad.code.name}")
-            not_run = Verdict.NOT_RUN.value
-            write_error(exchange, request, bad.code, not_run, not_run, 0.0, bad.detail)
-            return
-        opened = OpenRequest(
-            request, exchange.method, exchange.target, exchange.headers, exchange.body, exchange
-        )
-        self._open[request] = opened
-        try:
-            self.feed(event)
-            await self._wait_for_answer(opened, exchange)
-        finally:
-            self._open.pop(request, None)
-
-    async def _wait_for_answer(self, opened: OpenRequest, exchange: Exchange) -> None:
-        answered = asyncio.ensure_future(opened.done.wait())
-        left = asyncio.ensure_future(exchange.closed.wait())
-        try:
-            await asyncio.wait((answered, left), return_when=asyncio.FIRST_COMPLETED)
-            if not opened.done.is_set():
-                self.feed(events.CallerLeft(opened.id))
-        finally:
-            answered.cancel()
-            left.cancel()
-
-    async def _serve_keys(self, exchange: Exchange) -> None:
-        request = uuid.uuid4().hex
-        count = exchange.headers.get("rhubarbbend-count", "1")
-        event = events.KeysRequested(
-            request,
-            digest_key(exchange.headers.get("authorization", "")),
-            read_count(count),
-        )
-        future: asyncio.Future[actions.Action] = asyncio.get_running_loop().create_future()
-        self._key_futures[request] = future
-        self.feed(event)
-        action = await future
-        if isinstance(action, actions.GiveKeys):
-            body = msgspec.json.encode({"keys": action.keys})
-            exchange.respond(200, [("Content-Type", "application/json")], body)
-        elif isinstance(action, actions.Refuse):
-            code = codes.find_error(action.code)
-            write_error(exchange, request, code, action.verdict, action.attempt, action.retry_after)
-
     # Peers and operators.
 
     def _hear_peer(self, sender: str, message: Message) -> None:
@@ -266,7 +184,7 @@
             request = make_peer_request(sender, message.request)
             headers = {"content-type": message.content_type, "idempotency-key": message.key}
             path = f"/{message.service_name}{message.path}"
-            self._open[request] = OpenRequest(
+            self._callers.open[request] = OpenRequest(
                 request, message.method, path, headers, message.body, None
             )
             message.body = b""
@@ -289,12 +207,12 @@
     def _list_performers(self) -> dict[type[actions.Action], Callable[[Any], None]]:
         return {
             **self._calls.list_performers(),
-            actions.Refuse: self._refuse,
-            actions.Reply: self._reply,
-            actions.GiveKeys: self._give_keys,
+            actions.Refuse: self._callers.refuse,
+            actions.Reply: self._callers.reply,
+            actions.GiveKeys: self._callers.give_keys,
             actions.Dispatch: self._dispatch,
             actions.Resume: self._resume,
-            actions.CutAnswer: self._cut,
+            actions.CutAnswer: self._callers.cut,
             actions.CancelAttempt: self._attempts.cancel,
             actions.Probe: self._attempts.probe,
             actions.ReadReport: self._read_report,
@@ -308,24 +226,6 @@
             actions.LogState: lambda action: eliot.log_message(action.what, **action.details),
         }
 
-    def _refuse(self, action: actions.Refuse) -> None:
-        future = self._key_futures.pop(action.request, None)
-        if future is not None and not future.done():
-            future.set_result(action)
-        opened = self._open.get(action.request)
-        if opened is not None:
-            opened.refuse(action)
-
-    def _reply(self, action: actions.Reply) -> None:
-        opened = self._open.get(action.request)
-        if opened is not None:
-            opened.reply(action)
-
-    def _give_keys(self, action: actions.GiveKeys) -> None:
-        future = self._key_futures.pop(action.request, None)
-        if future is not None and not future.done():
-            future.set_result(action)
-
     def _find_kind(self, target: str) -> str:
         view = self.core.context.fleet.targets.get(target)
         name = "" if view is None else view.service_name
@@ -333,32 +233,27 @@
         return "engine" if service is None else service.kind
 
     def _dispatch(self, action: actions.Dispatch) -> None:
-        opened = self._open.get(action.request)
+        opened = self._callers.open.get(action.request)
         if opened is not None:
             self._attempts.dispatch(action, opened, self._find_kind(action.target))
 
     def _resume(self, action: actions.Resume) -> None:
-        opened = self._open.get(action.request)
+        opened = self._callers.open.get(action.request)
         if opened is not None:
             self._attempts.resume(action, opened, "engine")
 
-    def _cut(self, action: actions.CutAnswer) -> None:
-        opened = self._open.get(action.request)
-        if opened is not None:
-            opened.cut(action.code)
-
     def _read_report(self, action: actions.ReadReport) -> None:
         self._attempts.read_report(action, self._find_kind(action.target))
 
     def _send_peer(self, action: actions.SendPeer) -> None:
         if isinstance(action.message, ReservedReply):
-            self._open.pop(make_peer_request(action.peer, action.message.request), None)
+            self._callers.open.pop(make_peer_request(action.peer, action.message.request), None)
         self._links.send(action.peer, (action.host, action.port), action.message)
 
     def _send_reserved(self, action: actions.SendReserved) -> None:
         message = action.message
         assert isinstance(message, ReservedRun)
-        opened = self._open.get(action.request)
+        opened = self._callers.open.get(action.request)
         if opened is None:
             return
         message.content_type = opened.headers.get("content-type", "")
@@ -372,7 +267,7 @@
             future.set_result(ChangeAnswer(action.error, action.version, action.author))
 
     def _set_ready(self, action: actions.SetReady) -> None:
-        self._ready = action.ready
+        self._callers.ready = action.ready
         if not action.ready:
             self._server.announce_stop()
         eliot.log_message("readiness", ready=action.ready)
@@ -400,7 +295,7 @@
                 self._recorder.flush()
 
     async def _close(self) -> None:
-        if not self._open:
+        if not self._callers.open:
             # Otherwise the operator's limit for a stop has passed, and requests are cut.
             await self._server.finish()
         await self._operators.close()
