--- a/rhubarbbend/core/placement/_placement.py
+++ b/rhubarbbend/core/placement/_placement.py
@@ -115,6 +115,10 @@
         # For the log of a refusal: why targets were shut at the last choice, by number.
         self.last_shut: dict[str, int] = {}
 
+    def set_options(self, options: PlacementOptions) -> None:
+        """Go by other options from now on."""
+        self._options = options
+
     def choose(
         self,
         service: Service,
--- a/rhubarbbend/core/shares/_cold.py
+++ b/rhubarbbend/core/shares/_cold.py
@@ -27,9 +27,13 @@
 
     def __init__(self, instance: str, overshoot: float, slack: float) -> None:
         self._instance = instance
+        self.set_bound(overshoot, slack)
+        self._sent: dict[str, deque[float]] = {}
+
+    def set_bound(self, overshoot: float, slack: float) -> None:
+        """Take the bound to be a target's rate times `overshoot` plus `slack` in a second."""
         self._overshoot = overshoot
         self._slack = slack
-        self._sent: dict[str, deque[float]] = {}
 
     def compute_part(self, target: str, cold_rate: float, instances: Sequence[str]) -> int:
         """Give the number of requests that this instance may send in a window."""
--- a/rhubarbbend/core/shares/_retries.py
+++ b/rhubarbbend/core/shares/_retries.py
@@ -22,11 +22,15 @@
     """
 
     def __init__(self, ratio: float, slack: float, window: float) -> None:
+        self.set_bound(ratio, slack, window)
+        self._requests: deque[float] = deque()
+        self._repeats: deque[float] = deque()
+
+    def set_bound(self, ratio: float, slack: float, window: float) -> None:
+        """Take the bound over all instances to be `slack` plus `ratio` of all requests."""
         self._ratio = ratio * RATIO_PART
         self._slack = slack * (1.0 - RESERVE)
         self._window = window
-        self._requests: deque[float] = deque()
-        self._repeats: deque[float] = deque()
 
     def note_request(self, now: float) -> None:
         """Count a request of a caller."""
--- a/rhubarbbend/gateway/__init__.py
+++ b/rhubarbbend/gateway/__init__.py
@@ -21,7 +21,7 @@
     Unreadable,
     ZoneMoved,
 )
-from rhubarbbend.gateway._settings import Address, GatewaySettings
+from rhubarbbend.gateway._settings import Address, GatewaySettings, SettingsInvalid
 
 __all__ = [
     "Adapter",
@@ -32,6 +32,7 @@
     "CatalogRead",
     "GatewaySettings",
     "Instance",
+    "SettingsInvalid",
     "StateChange",
     "StateDecoder",
     "TargetAnswer",
--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -9,6 +9,8 @@
 from collections.abc import Callable, Coroutine
 from typing import Any, Final
 
+import msgspec
+
 from rhubarbbend import VERSION, codes
 from rhubarbbend.core.directory import Target
 from rhubarbbend.gateway._attempts import AttemptRunner
@@ -19,7 +21,7 @@
 from rhubarbbend.gateway._peers import CrashNote, PeerClient, PeerServer
 from rhubarbbend.gateway._requests import OpenRequest
 from rhubarbbend.gateway._serving import RequestServer
-from rhubarbbend.gateway._settings import GatewaySettings
+from rhubarbbend.gateway._settings import GatewaySettings, SettingsInvalid, SettingsReader
 from rhubarbbend.gateway._state import InstanceRow, State, read_clock
 from rhubarbbend.http import (
     Connection,
@@ -38,6 +40,12 @@
 WATCH_INTERVAL: Final = 0.25
 PAUSE_MARGIN: Final = 0.75
 HOUSEKEEPING_INTERVAL: Final = 1.0
+# The settings may change without a signal; reading the file takes 0.1 ms.
+SETTINGS_INTERVAL: Final = 5.0
+# Settings that hold for the life of a process.
+FIXED_SETTINGS: Final = frozenset(
+    {"instance", "zone", "callers", "ready", "store", "peers", "metrics"}
+)
 # The platform asks for readiness once a second and takes an instance out after two misses; until
 # then new connections still come and are served.
 OUT_OF_ROTATION: Final = 2.6
@@ -58,8 +66,15 @@
 class Instance:
     """One process of the fleet. Invariant: it serves from its start until `run` returns."""
 
-    def __init__(self, settings: GatewaySettings, adapter: Adapter, journal: Journal) -> None:
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        adapter: Adapter,
+        journal: Journal,
+        read_settings: SettingsReader,
+    ) -> None:
         self.settings = settings
+        self._read_settings = read_settings
         self.state = State(settings, adapter.decoder.tables, journal)
         self._adapter = adapter
         self._journal = journal
@@ -75,6 +90,7 @@
         self._background: set[asyncio.Task[None]] = set()
         self._stop_asked = asyncio.Event()
         self._limits_version = -1
+        self._settings_read_at = 0.0
         self._has_places = asyncio.Event()
         self.state.placement.places.on_news = self._has_places.set
 
@@ -219,6 +235,33 @@
             self._pool.drop_expired(now)
             self._peer_pool.drop_expired(now)
             self._apply_limits()
+            if now - self._settings_read_at >= SETTINGS_INTERVAL:
+                self._reload()
+
+    def _reload(self) -> None:
+        """Read the settings anew; they may change with a signal or without one.
+
+        Bounds are in force at once. An address on which this process listens, or the store's,
+        cannot change while it runs; the log says that it has to be started again for them.
+        """
+        self._settings_read_at = read_clock()
+        try:
+            settings = self._read_settings()
+        except SettingsInvalid as invalid:
+            self._log("settings_invalid", reason=str(invalid))
+            return
+        changed = [
+            name
+            for name in settings.__struct_fields__
+            if getattr(settings, name) != getattr(self.settings, name)
+        ]
+        if not changed:
+            return
+        fixed = [name for name in changed if name in FIXED_SETTINGS]
+        kept = {name: getattr(self.settings, name) for name in fixed}
+        self.settings = msgspec.structs.replace(settings, **kept)
+        self.state.apply_settings(self.settings)
+        self._log("reloaded", changed=changed, needs_start=fixed or None)
 
     def _apply_limits(self) -> None:
         catalog = self.state.catalog
@@ -242,7 +285,7 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stop_asked.set)
-        loop.add_signal_handler(signal.SIGHUP, lambda: self._log("reload_asked"))
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
 
     async def _stop(self) -> None:
         """End without cutting a request: out of rotation first, then the last answers.
@@ -279,8 +322,8 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
-def serve(settings: GatewaySettings, adapter: Adapter) -> int:
+def serve(settings: GatewaySettings, adapter: Adapter, read_settings: SettingsReader) -> int:
     """Run an instance to its planned stop; gives the exit status."""
     journal = Journal(settings.instance)
-    asyncio.run(Instance(settings, adapter, journal).run())
+    asyncio.run(Instance(settings, adapter, journal, read_settings).run())
     return 0
--- a/rhubarbbend/gateway/_settings.py
+++ b/rhubarbbend/gateway/_settings.py
@@ -2,11 +2,17 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import msgspec
 
 Address = tuple[str, int]
 
 
+class SettingsInvalid(Exception):
+    """Settings that cannot be used; the message says what is wrong with them."""
+
+
 class GatewaySettings(msgspec.Struct, frozen=True):
     """Who the instance is, where it listens, and the bounds of its deployment.
 
@@ -38,3 +44,7 @@
     max_descriptors: int = 1_024
     # How often targets renew what they registered.
     heartbeat: float = 1.2
+
+
+# Reads the settings anew or raises `SettingsInvalid`.
+SettingsReader = Callable[[], GatewaySettings]
--- a/rhubarbbend/gateway/_state.py
+++ b/rhubarbbend/gateway/_state.py
@@ -52,12 +52,20 @@
         self.health = HealthBook()
         self.cold = ColdAllowance(settings.instance, settings.cold_overshoot, settings.cold_slack)
         self.crashes = CrashBook()
-        options = PlacementOptions(settings.zone, settings.load_factor, settings.evacuation_grace)
+        options = _make_options(settings)
         self.placement = Placement(options, self.directory, self.loads, self.health, self.cold)
         self.instances: dict[str, InstanceRow] = {}
         self.stopping = False
         self._retries: dict[str, RetryShare] = {}
 
+    def apply_settings(self, settings: GatewaySettings) -> None:
+        """Go by other bounds from now on; what has been counted towards them stays counted."""
+        self.settings = settings
+        self.cold.set_bound(settings.cold_overshoot, settings.cold_slack)
+        self.placement.set_options(_make_options(settings))
+        for share in self._retries.values():
+            share.set_bound(settings.retry_ratio, settings.retry_slack, settings.retry_window)
+
     @property
     def ready(self) -> bool:
         """Whether callers can be served: configuration and targets are known."""
@@ -90,6 +98,10 @@
         return [peer for peer in known or self.settings.seeds if peer != own]
 
 
+def _make_options(settings: GatewaySettings) -> PlacementOptions:
+    return PlacementOptions(settings.zone, settings.load_factor, settings.evacuation_grace)
+
+
 def read_clock() -> float:
     """Give the loop's time, which all decisions of an instance are made at."""
     return asyncio.get_running_loop().time()
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -8,7 +8,8 @@
 
 import pytest
 
-from adapter import SettingsInvalid, decode_settings, read_settings
+from adapter import decode_settings, read_settings
+from rhubarbbend.gateway import SettingsInvalid
 
 FILE: dict[str, Any] = {
     "nodeName": "front-a-1",
--- a/tests/gateway/test_store.py
+++ b/tests/gateway/test_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 from pathlib import Path
 
 import pytest
@@ -195,3 +196,24 @@
             assert refused and all(float(r.headers["retry-after"]) > 0 for r in refused)
 
     run(work)
+
+
+def test_settings_are_read_again_and_a_wrong_file_changes_nothing(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with start_fleet(tmp_path, instances=1, engines=1) as fleet:
+            node = fleet.instances["front-0"]
+            assert node.process is not None
+            path = tmp_path / "front-0.json"
+            before = path.read_text("utf-8")
+            path.write_text("{broken", "utf-8")
+            node.process.send(signal.SIGHUP)
+            await asyncio.sleep(0.2)
+            assert (await fleet.ask("/read/x")).status == 200
+            path.write_text(before.replace('"capFactor": 2', '"capFactor": 3'), "utf-8")
+            node.process.send(signal.SIGHUP)
+            await asyncio.sleep(0.2)
+            lines = {line["event"]: line for line in fleet.read_log("front-0")}
+            assert lines["settings_invalid"]["reason"]
+            assert lines["reloaded"]["changed"] == ["load_factor"]
+
+    run(work)
