--- a/standins/_worker.py
+++ b/standins/_worker.py
@@ -50,8 +50,10 @@
     early: bool = False
     # End the process when a body holds this text.
     crash_on: str = ""
-    # Leave without a word after each request: the connection closes when it is next used.
+    # Close a connection when it brings a second request, without running that.
     drop_idle: bool = False
+    # Begin each stream with its first event, also one that is to be resumed.
+    repeat_events: bool = False
 
 
 class Seen(msgspec.Struct):
@@ -105,19 +107,25 @@
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         conn = h11.Connection(h11.SERVER)
+        first = True
         try:
-            while await self._serve_one(conn, reader, writer):
+            while await self._serve_one(conn, reader, writer, first):
                 conn.start_next_cycle()
+                first = False
         except (ConnectionError, h11.RemoteProtocolError):
             pass
         finally:
             writer.close()
 
     async def _serve_one(
-        self, conn: h11.Connection, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        conn: h11.Connection,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        first: bool,
     ) -> bool:
         head = await _read_event(conn, reader)
-        if not isinstance(head, h11.Request):
+        if not isinstance(head, h11.Request) or (self._faults.drop_idle and not first):
             return False
         headers = {k.decode(): v.decode("latin-1") for k, v in head.headers}
         target = head.target.decode()
@@ -225,7 +233,7 @@
         kept = _finish(conn, writer, 200, sent, text)
         if faults.extra:
             writer.write(_make_stray())
-        return kept and not faults.drop_idle
+        return kept
 
     async def _stream(
         self,
@@ -236,7 +244,8 @@
         writer: asyncio.StreamWriter,
     ) -> bool:
         faults = self._faults
-        first = int(headers.get("last-event-id", "0")) + 1
+        resumed = 0 if faults.repeat_events else int(headers.get("last-event-id", "0"))
+        first = resumed + 1
         content = ("Content-Type", "text/event-stream")
         writer.write(conn.send(_make_head(200, [*sent, content])) or b"")
         for number in range(first, faults.events + 1):
--- a/tests/gateway/test_answers.py
+++ b/tests/gateway/test_answers.py
@@ -95,6 +95,43 @@
     run(work)
 
 
+def test_events_that_a_second_engine_repeats_reach_the_caller_once(tmp_path: Path) -> None:
+    # The engine that is to go on after event 3 begins with event 1 again.
+    async def work() -> None:
+        async with start_fleet(tmp_path, instances=1, engines=2) as fleet:
+            await fleet.set_workers("llm", events=EVENTS, cut_after=3, repeat_events=True)
+            asked = asyncio.ensure_future(fleet.ask("/chat/stream", b"hi", Prefix_Hash=PROMPT))
+
+            async def is_running() -> bool:
+                stats = await fleet.read_all_stats("llm")
+                return any(s.running for s in stats.values())
+
+            await wait_until("a run", is_running)
+            stats = await fleet.read_all_stats("llm")
+            idle = next(name for name, s in stats.items() if not s.running)
+            await fleet.set_worker(idle, cut_after=-1)
+            reply = await asked
+            assert (reply.whole, reply.body) == (True, join_events(b"hi"))
+
+    run(work)
+
+
+def test_a_rejection_after_a_spoilt_answer_is_no_word_that_nothing_ran(tmp_path: Path) -> None:
+    # One worker ran the read and spoilt its answer, the other rejects it. 503 would say that it
+    # has not run.
+    async def work() -> None:
+        async with start_fleet(tmp_path, instances=1, engines=1) as fleet:
+            await fleet.set_worker("plain-0", truncate=True)
+            await fleet.set_worker("plain-1", reject=True)
+            seen: set[int] = set()
+            for _ in range(8):
+                seen.add((await fleet.ask("/read/x")).status)
+            stats = await fleet.read_stats("plain-0")
+            assert stats.runs and seen == {502}
+
+    run(work)
+
+
 def test_a_stream_that_falls_silent_goes_on_at_another_engine(tmp_path: Path) -> None:
     # The engine's connection stays open and brings nothing more.
     async def work() -> None:
--- a/tests/gateway/test_commands.py
+++ b/tests/gateway/test_commands.py
@@ -123,6 +123,39 @@
     run(work)
 
 
+def test_the_end_of_an_instance_waits_for_a_long_booking(tmp_path: Path) -> None:
+    # The booking takes longer than the balancer needs to take the instance out.
+    async def work() -> None:
+        async with start_fleet(tmp_path, instances=1, engines=1) as fleet:
+            config = make_config(2)
+            for route in config["routes"]:
+                route["timeoutMs"] = 9_000
+            await fleet.write_row("op", "config", config)
+            await fleet.set_workers("plain", delay=4.0)
+            await asyncio.sleep(0.5)
+            asked = asyncio.ensure_future(fleet.ask("/book/x", b"tent", Deadline_Ms="8000"))
+            await asyncio.sleep(0.3)
+            node = fleet.instances["front-0"]
+            assert node.process is not None
+            assert await node.process.stop(8.0) == 0
+            assert (await asked).status == 200
+
+    run(work)
+
+
+def test_a_booking_does_not_go_over_a_connection_that_may_be_closing(tmp_path: Path) -> None:
+    # A worker closes connections that have idled, as the next request arrives. Nobody could tell
+    # whether that request ran; a booking would fail with 502 for no reason.
+    async def work() -> None:
+        async with start_fleet(tmp_path, instances=1, plains=1, engines=1) as fleet:
+            await fleet.set_worker("plain-0", drop_idle=True)
+            for _ in range(3):
+                assert (await fleet.ask("/book/x", b"tent")).status == 200
+                await asyncio.sleep(0.7)
+
+    run(work)
+
+
 def test_a_request_that_crashes_workers_is_refused_at_every_instance(tmp_path: Path) -> None:
     # Its caller sends it again each time, to one instance after the other. Each crash costs all
     # that the worker runs, so after two it is refused everywhere.
