--- a/loadtool/_processes.py
+++ b/loadtool/_processes.py
@@ -109,9 +109,12 @@
     async def start_script(
         self, name: str, script: Path, environment: dict[str, str]
     ) -> ManagedProcess:
-        """Start a script; its output and its errors go to files in the folder."""
+        """Start a script; its output and its errors go to files in the folder.
+
+        It runs without assertions, as it is deployed (`deploy/system.toml`).
+        """
         with (self.folder / f"{name}.log").open("ab") as output:
-            return await self._run(name, [str(script)], environment, output.fileno())
+            return await self._run(name, ["-OO", str(script)], environment, output.fileno())
 
     async def _run(
         self, name: str, arguments: list[str], environment: dict[str, str] | None, output: int
