--- a/rhubarbbend/core/_rendezvous.py
+++ b/rhubarbbend/core/_rendezvous.py
@@ -21,3 +21,8 @@
     listed = list(names)
     weights = dict(zip(listed, weigh_names(key, listed), strict=True))
     return sorted(listed, key=weights.__getitem__, reverse=True)
+
+
+def place_key(key: str) -> float:
+    """Give a key's place from 0 to 1, the same at every instance."""
+    return xxhash.xxh64_intdigest(key.encode()) / 2**64
--- a/rhubarbbend/core/catalog/_types.py
+++ b/rhubarbbend/core/catalog/_types.py
@@ -31,7 +31,7 @@
     `timeout` is the longest time that a caller is kept waiting, `objective` the time to an answer
     (of a stream: to its first event) that counts as good, `pause_objective` the longest good
     pause between events. `priority` 0 goes first. `max_attempts` is the number of targets that
-    one request may be sent to. `by_prompt` says that its requests describe their prompts.
+    one request may be sent to.
     """
 
     name: str
@@ -44,10 +44,22 @@
     shares: tuple[ServiceShare, ...]
     max_attempts: int
     public: bool = False
-    by_prompt: bool = False
     resumable: bool = False
     pause_objective: float = 0.0
 
+    def choose_service(self, point: float) -> str:
+        """Choose a service by weight for a point from 0 to 1; empty if none has any weight."""
+        rest = point * sum(share.weight for share in self.shares)
+        chosen = ""
+        for share in self.shares:
+            if share.weight <= 0:
+                continue
+            chosen = share.service
+            rest -= share.weight
+            if rest < 0:
+                break
+        return chosen
+
     @property
     def idempotent(self) -> bool:
         """Whether a request that may have run can be sent once more."""
--- a/rhubarbbend/core/placement/_placement.py
+++ b/rhubarbbend/core/placement/_placement.py
@@ -39,6 +39,10 @@
 ZONE_ADVANTAGE: Final = 0.75
 # A request that leaves this many seconds after its choice counts for the time it left as well.
 SLOW_CONNECT: Final = 0.02
+# Of the connections that a target takes from all instances together, what is shared out: idle ones
+# and those of instances that the others do not know of yet take the rest.
+CONNECTION_PART: Final = 0.8
+LEAST_CONNECTIONS: Final = 2
 # The grace of a zone that is taken out is used up to this part, since the word of it took time.
 GRACE_PART: Final = 0.7
 
@@ -170,7 +174,8 @@
         loads = {target.id: self._loads.estimate(target.id, now) for target in targets}
         found = _Candidates(targets, loads, self._compute_mean(service, now))
         found.failing = self._health.list_failing([target.id for target in targets], now)
-        most = max(2, int(service.max_connections * 0.8 / max(1, len(instances))))
+        part = service.max_connections * CONNECTION_PART / max(1, len(instances))
+        most = max(LEAST_CONNECTIONS, int(part))
         for target in targets:
             reason = self._find_obstacle(service, target, excluded, most, instances, now)
             if reason is None:
--- a/rhubarbbend/core/placement/_prompts.py
+++ b/rhubarbbend/core/placement/_prompts.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from rhubarbbend.core._rendezvous import place_key
+
 
 class PromptPart(msgspec.Struct, frozen=True):
     """A run of tokens with a name that is the same wherever it is used."""
@@ -29,6 +31,11 @@
             return ""
         return self.parts[-2].id if len(self.parts) > 1 else self.parts[0].id
 
+    @property
+    def point(self) -> float:
+        """The key's place from 0 to 1, for whatever divides prompts by weight."""
+        return place_key(self.affinity_key)
+
     @property
     def shared_tokens(self) -> int:
         """How many tokens other requests may have left in memory."""
--- a/rhubarbbend/gateway/_follower.py
+++ b/rhubarbbend/gateway/_follower.py
@@ -254,6 +254,8 @@
             self._take_target(change, source, now)
         elif isinstance(change, TargetMissing):
             self._state.directory.unregister(change.target, now)
+            if self._state.directory.find(change.target) is None:
+                self._state.placement.forget(change.target)
             self._log("target_unregistered", target=change.target, source=source)
         elif isinstance(change, ZoneMoved):
             if change.out:
--- a/rhubarbbend/gateway/_serving.py
+++ b/rhubarbbend/gateway/_serving.py
@@ -99,9 +99,10 @@
                 detail = f"unknown key in version {catalog.version}"
                 self._reject(exchange, caller.id, codes.UNAUTHORIZED, detail, now)
                 return None
-        names = [share.service for share in route.shares if share.weight > 0]
-        weights = [share.weight for share in route.shares if share.weight > 0]
-        name = self._state.random.choices(names, weights)[0] if names else ""
+        # A chat stays with one service, or each change would have its prompts read there anew.
+        chat = caller.prompt
+        point = self._state.random.random() if chat is None else chat.point
+        name = route.choose_service(point)
         service = catalog.services.get(name)
         if service is None:
             self._reject(exchange, caller.id, codes.NO_TARGET, f"no service {name!r}", now)
--- a/tests/core/catalog/test_catalog.py
+++ b/tests/core/catalog/test_catalog.py
@@ -69,3 +69,14 @@
 def test_a_configuration_without_accounts_asks_for_no_key() -> None:
     assert CATALOG.needs_key
     assert not Catalog(1, [], [], None, LIMITS).needs_key
+
+
+def test_services_are_chosen_by_weight_and_the_same_for_the_same_point() -> None:
+    shares = (ServiceShare("a", 90), ServiceShare("none", 0), ServiceShare("b", 10))
+    route = Route("r", "h", "/", RequestKind.SAFE, 1.0, 0.2, 0, shares, 2)
+    points = [number / 1_000 for number in range(1_000)]
+    chosen = [route.choose_service(point) for point in points]
+    assert (chosen.count("a"), chosen.count("b")) == (900, 100)
+    assert route.choose_service(1.0) == "b"
+    empty = Route("r", "h", "/", RequestKind.SAFE, 1.0, 0.2, 0, (), 2)
+    assert empty.choose_service(0.5) == ""
