--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -36,6 +36,9 @@
 TARGET_IDLE: Final = 10.0
 # Descriptors that are not for callers: connections to targets, store and peers, files.
 RESERVED_DESCRIPTORS: Final = 700
+# Of the memory that the process may use, what callers' bodies may take together. The rest is for
+# the program (17 MB), answers on their way and what the system holds of connections.
+HELD_PART: Final = 0.25
 # How often the process looks whether it has been away, and how long away counts.
 WATCH_INTERVAL: Final = 0.25
 PAUSE_MARGIN: Final = 0.75
@@ -273,6 +276,7 @@
             ServerLimits(
                 max_header_bytes=limits.max_header_bytes,
                 max_body_bytes=limits.max_body_bytes,
+                max_held_bytes=int(self.settings.memory * HELD_PART),
                 head_timeout=limits.header_timeout,
                 idle_timeout=limits.idle_timeout,
                 max_connections=max(64, self.settings.max_descriptors - RESERVED_DESCRIPTORS),
--- a/rhubarbbend/gateway/_settings.py
+++ b/rhubarbbend/gateway/_settings.py
@@ -42,6 +42,8 @@
     # From the signal to stop until the process is killed.
     stop_grace: float = 8.0
     max_descriptors: int = 1_024
+    # Beyond this many bytes the process is killed.
+    memory: int = 256 * 1024 * 1024
     # How often targets renew what they registered.
     heartbeat: float = 1.2
 
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -17,7 +17,7 @@
     "zone": "almaty-a",
     "listen": {"front": "10.1.0.40:8227", "ready": "10.1.0.40:8220", "control": "10.1.0.40:8229"},
     "seeds": ["10.2.0.29:8229"],
-    "limits": {"maxFds": 4_100},
+    "limits": {"maxFds": 4_100, "memoryMb": 300},
     "bounds": {"retryBudgetRatio": 0.2, "budgetSlack": 52, "capFactor": 2, "graceS": 8},
     "platform": {"address": "10.200.1.7:8223", "form": "table"},
     "newField": {"unknown": True},
@@ -33,6 +33,7 @@
     assert settings.store == ("10.200.1.7", 8223)
     assert (settings.retry_ratio, settings.retry_slack, settings.load_factor) == (0.2, 52, 2)
     assert (settings.stop_grace, settings.max_descriptors) == (8, 4_100)
+    assert settings.memory == 300 * 1024 * 1024
 
 
 def test_an_instance_that_serves_no_control_has_no_address_for_peers() -> None:
