--- a/rhubarbbend/gateway/_serving.py
+++ b/rhubarbbend/gateway/_serving.py
@@ -24,6 +24,8 @@
 RETRY_SPREAD: Final = 0.5
 # So many targets that take no connection are tried in a row for one request.
 MAX_UNREACHED: Final = 4
+# Turns of the loop in which the end of a connection is read that came right after a request.
+TURNS_TO_EOF: Final = 3
 # Why targets are shut that are there and will take work again soon.
 BUSY_REASONS: Final = frozenset({"cold", "connections"})
 
@@ -125,6 +127,10 @@
             # Work that nobody waits for is ended. A command that was sent is left to finish:
             # ended midway it would be half done.
             request.exchange.on_closed = lambda: _cancel(task)
+        elif await _has_left(request.exchange):
+            self._state.metrics.add(codes.CALLER_GONE)
+            self._log_end(request, "caller_gone", 0)
+            return
         try:
             async with asyncio.timeout_at(request.deadline):
                 await self._try_targets(request)
@@ -275,6 +281,17 @@
         )
 
 
+async def _has_left(exchange: Exchange) -> bool:
+    """Whether a caller has gone already as its request is read.
+
+    After a pause of this process a request and the end of its connection lie there together, and
+    are read one after the other.
+    """
+    for _ in range(TURNS_TO_EOF):
+        await asyncio.sleep(0)
+    return exchange.closed.is_set()
+
+
 def _cancel(task: asyncio.Task[None]) -> None:
     """End the work for a caller that has gone."""
     task.cancel()
--- a/tests/gateway/test_commands.py
+++ b/tests/gateway/test_commands.py
@@ -198,3 +198,31 @@
             assert (await fleet.ask("/book/x", b"tent")).status == 200
 
     run(work)
+
+
+def test_a_booking_whose_caller_gave_up_while_the_instance_stood_still_is_not_sent(
+    tmp_path: Path,
+) -> None:
+    # The instance is frozen as the booking comes. The caller waits for its deadline and goes. When
+    # the instance goes on, the request and the end of its connection lie there together; sent on,
+    # the booking would run with nobody to hear of it.
+    async def work() -> None:
+        async with start_fleet(tmp_path, instances=1, engines=1) as fleet:
+            node = fleet.instances["front-0"]
+            assert node.process is not None
+            node.process.freeze()
+            reader, writer = await asyncio.open_connection(*node.callers)
+            writer.write(
+                b"POST /book/x HTTP/1.1\r\nHost: chats.example\r\nAttempt-Id: gone\r\n"
+                b"X-Api-Key: key-of-the-pilgrims\r\nContent-Length: 4\r\n\r\ntent"
+            )
+            await writer.drain()
+            await asyncio.sleep(0.3)
+            writer.close()
+            await asyncio.sleep(0.1)
+            node.process.thaw()
+            assert (await fleet.ask("/book/x", b"other")).status == 200
+            stats = await fleet.read_all_stats("plain")
+            assert "gone" not in {seen.id for s in stats.values() for seen in s.seen}
+
+    run(work)
