Wait for the log line of a request's end in its test

The log of the failed run ends with the line of the send: the instance was killed by the end of the test before the next turn. Ruled out: a line that was dropped or never written (eight runs side by side wrote it). The test waits for it for 2 s now and asserts the same.

--- a/tests/gateway/test_path.py
+++ b/tests/gateway/test_path.py
@@ -126,6 +126,12 @@
         async with start_fleet(tmp_path, instances=1, engines=1) as fleet:
             reply = await fleet.ask("/chat/stream", b"hi", Prefix_Hash=PROMPT)
             assert reply.status == 200
+
+            # The line is written once the answer has gone out, so the caller may be faster.
+            async def is_told() -> bool:
+                return any(line["event"] == "ended" for line in fleet.read_log("front-0"))
+
+            await wait_until("the line about the request's end", is_told, 2.0)
             lines = {line["event"]: line for line in fleet.read_log("front-0")}
             sent, ended = lines["sent"], lines["ended"]
             assert sent["id"] == ended["id"]
