Read the change once more: one place for what stood twice, and nothing that nothing uses

Behaviour stays. Whether a request may move was asked in three places in three ways; lines about an attempt repeated the same four fields; loads were estimated twice for each request, once for the mean and once for the candidates; a table was read whole by two functions; a caller's end was passed on through a function of its own; two tests waited for a run in the same lines. Taken out as never used: the counter retry.unreached (declared and on the page, but connections that were never made count as retry.connect), Step.repeats, the heartbeat setting, a method of the pool. No test lost an assertion.

--- a/rhubarbbend/codes.py
+++ b/rhubarbbend/codes.py
@@ -145,9 +145,6 @@
 RETRY_REDIRECT: Final = _declare_counter("retry.redirect", "slot asked again: owner redirected")
 RETRY_NOT_READY: Final = _declare_counter("retry.not_ready", "slot asked elsewhere: not ready")
 RETRY_CLAIM: Final = _declare_counter("retry.claim", "claim writes repeated: answer lost")
-RETRY_UNREACHED: Final = _declare_counter(
-    "retry.unreached", "attempts moved: the target took no connection"
-)
 RETRY_REJECTED: Final = _declare_counter(
     "retry.rejected", "attempts moved: the target said that it did not run the request"
 )
--- a/rhubarbbend/core/delivery/_steps.py
+++ b/rhubarbbend/core/delivery/_steps.py
@@ -54,14 +54,10 @@
 
 
 class Step(msgspec.Struct, frozen=True):
-    """What to do next: try again if `retry`, else end with `code` (None: pass the answer on).
-
-    `repeats` says that trying again is a second send, which draws on the retry budget.
-    """
+    """What to do next: try again if `retry`, else end with `code` (None: pass the answer on)."""
 
     retry: bool
     code: ErrorCode | None = None
-    repeats: bool = False
 
 
 PASS_ON = Step(False)
@@ -82,14 +78,14 @@
         return PASS_ON
     more = progress.targets < route.max_attempts
     if end is AttemptEnd.UNREACHED:
-        return Step(True, repeats=progress.sends > 0)
+        return Step(True)
     if end is AttemptEnd.MISDIRECTED:
-        return Step(True, repeats=True)
+        return Step(True)
     if end is AttemptEnd.REJECTED and (not progress.may_have_run or route.idempotent):
-        return Step(more, codes.OVERLOADED, repeats=True)
+        return Step(more, codes.OVERLOADED)
     if end is AttemptEnd.FAILED:
         # Its own answer tells the caller more than one made here.
-        return Step(True, repeats=True) if more and route.idempotent else PASS_ON
+        return Step(True) if more and route.idempotent else PASS_ON
     if more and route.idempotent:
-        return Step(True, codes.TARGET_FAILED, repeats=True)
+        return Step(True, codes.TARGET_FAILED)
     return Step(False, codes.TARGET_FAILED)
--- a/rhubarbbend/core/placement/_placement.py
+++ b/rhubarbbend/core/placement/_placement.py
@@ -89,11 +89,11 @@
 
     __slots__ = ("all", "open", "loads", "mean", "failing", "shut")
 
-    def __init__(self, targets: list[Target], loads: dict[str, float], mean: float) -> None:
+    def __init__(self, targets: list[Target], loads: dict[str, float]) -> None:
         self.all = targets
         self.open: list[Target] = []
         self.loads = loads
-        self.mean = mean
+        self.mean = sum(loads.values()) / len(loads) if loads else 0.0
         self.failing: set[str] = set()
         # How many targets cannot get the request, by reason.
         self.shut: dict[str, int] = {}
@@ -171,8 +171,7 @@
         self, service: Service, excluded: set[str], instances: Sequence[str], now: float
     ) -> _Candidates:
         targets = self._directory.list_service(service.name, now)
-        loads = {target.id: self._loads.estimate(target.id, now) for target in targets}
-        found = _Candidates(targets, loads, self._compute_mean(service, now))
+        found = _Candidates(targets, self._estimate_loads(service, now))
         found.failing = self._health.list_failing([target.id for target in targets], now)
         part = service.max_connections * CONNECTION_PART / max(1, len(instances))
         most = max(LEAST_CONNECTIONS, int(part))
@@ -205,16 +204,14 @@
             return "cold"
         return None
 
-    def _compute_mean(self, service: Service, now: float) -> float:
-        """Give the mean load of all targets of a service, those that get no work included.
+    def _estimate_loads(self, service: Service, now: float) -> dict[str, float]:
+        """Estimate the loads of all targets of a service, those that get no work included.
 
         While a zone is out its targets stand idle and the bound on the others is lower: measured
         against the mean of the working ones alone, a hot key would carry its engine beyond it.
         """
         everyone = self._directory.list_all(service.name)
-        if not everyone:
-            return 0.0
-        return sum(self._loads.estimate(t.id, now) for t in everyone) / len(everyone)
+        return {target.id: self._loads.estimate(target.id, now) for target in everyone}
 
     def _may_send_cold(
         self, service: Service, target: Target, instances: Sequence[str], now: float
--- a/rhubarbbend/gateway/_attempts.py
+++ b/rhubarbbend/gateway/_attempts.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
-from typing import Final
+from typing import Any, Final
 
 from rhubarbbend import codes
 from rhubarbbend.core.catalog import RequestKind
@@ -13,7 +12,7 @@
 from rhubarbbend.core.placement import Choice
 from rhubarbbend.gateway._interfaces import TargetAnswer, TargetOrder, TargetProtocol
 from rhubarbbend.gateway._requests import KeptAnswer, OpenRequest
-from rhubarbbend.gateway._state import Clock, State
+from rhubarbbend.gateway._state import Clock, State, read_clock
 from rhubarbbend.http import (
     REASON_TIMEOUT,
     Connection,
@@ -92,13 +91,9 @@
             note = health.note_timeout if timed_out else health.note_unreachable
             held = note(target.id, now)
             self._state.metrics.add(codes.RETRY_CONNECT)
-            self._state.journal.write(
-                "target_unreachable",
-                now,
-                id=request.id,
-                target=target.id,
-                reason=failure.reason,
-                held_for=round(max(0.0, held - now), 3),
+            held_for = round(max(0.0, held - now), 3)
+            self._log(
+                "target_unreachable", request, target, reason=failure.reason, held_for=held_for
             )
             return None
 
@@ -119,24 +114,21 @@
         finally:
             self._settle(connection, answer, end)
         if end in (AttemptEnd.REJECTED, AttemptEnd.MISDIRECTED, AttemptEnd.FAILED):
-            self._log_rejection(request, choice.target, answer, end)
+            self._log(
+                "attempt_ended",
+                request,
+                choice.target,
+                end=end.value,
+                status=None if answer is None else answer.status,
+                held=None if answer is None else answer.held,
+                after=round(self._clock() - request.arrived, 4),
+            )
         self._note_health(choice.target, request, end)
         return end
 
-    def _log_rejection(
-        self, request: OpenRequest, target: Target, answer: TargetAnswer | None, end: AttemptEnd
-    ) -> None:
+    def _log(self, event: str, request: OpenRequest, target: Target, **fields: Any) -> None:
         now = self._clock()
-        self._state.journal.write(
-            "attempt_ended",
-            now,
-            id=request.id,
-            target=target.id,
-            end=end.value,
-            status=None if answer is None else answer.status,
-            held=None if answer is None else answer.held,
-            after=round(now - request.arrived, 4),
-        )
+        self._state.journal.write(event, now, id=request.id, target=target.id, **fields)
 
     def _take_retry(self, request: OpenRequest, connection: Connection) -> None:
         instances = len(self._state.list_instances())
@@ -159,11 +151,10 @@
         headers = self._protocol.make_headers(caller, order)
         connection.send_raw(caller.method, caller.target, headers, caller.body)
         self._state.placement.note_sent(choice, caller.prompt, request.chosen_at, now)
-        self._state.journal.write(
+        self._log(
             "sent",
-            now,
-            id=request.id,
-            target=choice.target.id,
+            request,
+            choice.target,
             send=request.progress.sends + 1,
             reason=choice.reason.value,
             load=choice.load,
@@ -188,11 +179,8 @@
             answer = self._protocol.read_answer(response)
             if answer.request == request.id or answer.misdirected:
                 break
-            now = self._clock()
             self._state.metrics.add(codes.WRONG_ID)
-            self._state.journal.write(
-                "stray_answer", now, id=request.id, target=target.id, carried=answer.request
-            )
+            self._log("stray_answer", request, target, carried=answer.request)
             if not answer.request:
                 raise HttpFailure(SendStage.RESPONSE, "the answer carries no id")
             await connection.skip_response(STRAY_TIMEOUT)
@@ -203,8 +191,8 @@
     def _choose_patience(self, request: OpenRequest) -> float:
         """Give how long to wait for a head before the request is sent elsewhere."""
         route = request.route
-        rest = max(0.0, request.time_left(self._clock())) + 1.0
-        if not route.idempotent or request.progress.targets + 1 >= route.max_attempts:
+        rest = _compute_rest(request, self._clock())
+        if not _may_move(request):
             return rest
         if route.kind is RequestKind.SAFE:
             return min(rest, SAFE_PATIENCE * route.objective)
@@ -228,15 +216,13 @@
         if body is None:
             raise HttpFailure(SendStage.RESPONSE, "the answer is too large to hold")
         failed = answer.status >= 500
-        if failed and request.route.idempotent and self._may_repeat(request):
+        if failed and _may_move(request) and self._has_retry_left(request):
             request.kept_answer = KeptAnswer(answer, body)
             return AttemptEnd.FAILED
         pass_on(request, KeptAnswer(answer, body))
         return AttemptEnd.FAILED if failed else AttemptEnd.ANSWERED
 
-    def _may_repeat(self, request: OpenRequest) -> bool:
-        if request.progress.targets + 1 >= request.route.max_attempts:
-            return False
+    def _has_retry_left(self, request: OpenRequest) -> bool:
         instances = len(self._state.list_instances())
         share = self._state.find_retries(request.service.name)
         return share.compute_left(instances, self._clock()) >= 1.0
@@ -264,23 +250,20 @@
 
         One that cannot be resumed is lost if it is given up, so it is waited for.
         """
-        route = request.route
-        if not route.idempotent or request.progress.targets + 1 >= route.max_attempts:
-            return max(0.0, request.time_left(self._clock())) + 1.0
-        return max(LEAST_SILENCE, STREAM_PATIENCE * route.pause_objective)
+        if not _may_move(request):
+            return _compute_rest(request, self._clock())
+        return max(LEAST_SILENCE, STREAM_PATIENCE * request.route.pause_objective)
 
     def _note_failure(
         self, request: OpenRequest, target: Target, failure: HttpFailure
     ) -> AttemptEnd:
-        now = self._clock()
-        self._state.journal.write(
+        self._log(
             "attempt_failed",
-            now,
-            id=request.id,
-            target=target.id,
+            request,
+            target,
             stage=failure.stage.value,
             reason=failure.reason,
-            after=round(now - request.arrived, 4),
+            after=round(self._clock() - request.arrived, 4),
             last_event=request.relay.last_id or None,
         )
         if failure.stage is SendStage.CONNECT:
@@ -309,6 +292,17 @@
             self._state.crashes.clear(request.digest)
 
 
+def _may_move(request: OpenRequest) -> bool:
+    """Whether a request that may have run here can be sent to one more target."""
+    route = request.route
+    return route.idempotent and request.progress.targets + 1 < route.max_attempts
+
+
+def _compute_rest(request: OpenRequest, now: float) -> float:
+    """Give a time-out that ends after the request's own deadline, which settles it first."""
+    return max(0.0, request.time_left(now)) + 1.0
+
+
 def pass_on(request: OpenRequest, kept: KeptAnswer) -> None:
     """Give the caller a whole answer of a target."""
     exchange = request.exchange
@@ -325,8 +319,7 @@
     """Read a body; None if it is larger than what is held."""
     parts: list[bytes] = []
     size = 0
-    silence = request.time_left(asyncio.get_running_loop().time()) + 1.0
-    async for part in connection.receive_body(max(silence, 1.0)):
+    async for part in connection.receive_body(_compute_rest(request, read_clock())):
         size += len(part)
         if size > MAX_HELD_ANSWER:
             return None
--- a/rhubarbbend/gateway/_follower.py
+++ b/rhubarbbend/gateway/_follower.py
@@ -107,13 +107,14 @@
     async def _follow(self, table: str) -> None:
         wait = CONFIG_WAIT if table == self._state.config_table else TABLE_WAIT
         pause = FIRST_PAUSE
+        whole = False
         while True:
             try:
-                changed = await self._read_once(table, wait)
+                changed = await self._read_once(table, wait, whole)
             except HistoryGone:
                 # The whole table is read next; until then what is known holds.
-                self._state.journal.write("history_gone", read_clock(), table=table)
-                await self._read_whole(table)
+                self._log("history_gone", table=table)
+                whole = True
                 continue
             except StoreError as error:
                 self._note_failure(table, error)
@@ -121,28 +122,20 @@
                 pause = min(LONGEST_PAUSE, 2.0 * pause)
                 continue
             pause = FIRST_PAUSE
+            whole = False
             if changed:
                 await asyncio.sleep(COALESCE)
 
-    async def _read_once(self, table: str, wait: float) -> bool:
+    async def _read_once(self, table: str, wait: float, whole: bool) -> bool:
+        """Read a table, or wait for what changes in it; tells whether anything has."""
         mirrored = self._state.mirror.tables[table]
-        if not mirrored.known:
+        if whole or not mirrored.known:
             page = await self._store.read_table(table)
         else:
             page = await self._store.follow_table(table, mirrored.position, wait)
         self._note_answer()
         return bool(self.take_pages({table: page}, "store"))
 
-    async def _read_whole(self, table: str) -> None:
-        try:
-            page = await self._store.read_table(table)
-        except StoreError as error:
-            self._note_failure(table, error)
-            await asyncio.sleep(FIRST_PAUSE)
-            return
-        self._note_answer()
-        self.take_pages({table: page}, "store")
-
     def _note_answer(self) -> None:
         now = read_clock()
         away = self._contact.note_answer(now)
--- a/rhubarbbend/gateway/_serving.py
+++ b/rhubarbbend/gateway/_serving.py
@@ -126,7 +126,7 @@
         if request.route.kind is not RequestKind.UNSAFE:
             # Work that nobody waits for is ended. A command that was sent is left to finish:
             # ended midway it would be half done.
-            request.exchange.on_closed = lambda: _cancel(task)
+            request.exchange.on_closed = task.cancel
         elif await _has_left(request.exchange):
             self._state.metrics.add(codes.CALLER_GONE)
             self._log_end(request, "caller_gone", 0)
@@ -290,8 +290,3 @@
     for _ in range(TURNS_TO_EOF):
         await asyncio.sleep(0)
     return exchange.closed.is_set()
-
-
-def _cancel(task: asyncio.Task[None]) -> None:
-    """End the work for a caller that has gone."""
-    task.cancel()
--- a/rhubarbbend/gateway/_settings.py
+++ b/rhubarbbend/gateway/_settings.py
@@ -44,8 +44,6 @@
     max_descriptors: int = 1_024
     # Beyond this many bytes the process is killed.
     memory: int = 256 * 1024 * 1024
-    # How often targets renew what they registered.
-    heartbeat: float = 1.2
 
 
 # Reads the settings anew or raises `SettingsInvalid`.
--- a/rhubarbbend/http/_exchange.py
+++ b/rhubarbbend/http/_exchange.py
@@ -57,7 +57,7 @@
         # Set once the client has gone, so that a handler can cancel the work.
         self.closed = asyncio.Event()
         # Called in the loop's turn in which the client is seen to have gone.
-        self.on_closed: Callable[[], None] | None = None
+        self.on_closed: Callable[[], object] | None = None
         self._conn = conn
         self._writer = writer
         self._drain_state = drain_state or DrainState()
--- a/rhubarbbend/http/_pool.py
+++ b/rhubarbbend/http/_pool.py
@@ -58,10 +58,6 @@
             return False
         return not connection.closed and not connection.has_stray_bytes
 
-    def count_idle(self, address: Address) -> int:
-        """Count the idle connections to an address."""
-        return len(self._idle.get(address, ()))
-
     def drop_all(self) -> None:
         """Close every idle connection: this process may have been away while they broke."""
         for address in list(self._idle):
--- a/tests/gateway/test_answers.py
+++ b/tests/gateway/test_answers.py
@@ -9,7 +9,7 @@
 import pytest
 
 from standins._worker import make_body, make_event
-from tests.gateway.harness import Reply, run, start_fleet, wait_until
+from tests.gateway.harness import Fleet, Reply, run, start_fleet, wait_until
 
 PROMPT = "aa11:400,bb22:9000,cc33:120"
 EVENTS = 8
@@ -19,6 +19,19 @@
     return b"".join(make_event(body, number) for number in range(first, last + 1))
 
 
+async def wait_for_run(fleet: Fleet) -> tuple[str, str]:
+    """Wait until one of two engines runs a request; gives its name and the other's."""
+
+    async def is_running() -> bool:
+        stats = await fleet.read_all_stats("llm")
+        return any(s.running for s in stats.values())
+
+    await wait_until("a run", is_running)
+    stats = await fleet.read_all_stats("llm")
+    idle = next(name for name, s in stats.items() if not s.running)
+    return next(name for name in stats if name != idle), idle
+
+
 @pytest.mark.parametrize("fault", ["stray", "extra"])
 def test_an_answer_to_another_request_never_reaches_a_caller(tmp_path: Path, fault: str) -> None:
     # A worker sends an answer twice. The second one lies on the connection where the answer to
@@ -75,20 +88,12 @@
         async with start_fleet(tmp_path, instances=1, engines=2) as fleet:
             await fleet.set_workers("llm", events=EVENTS, cut_after=3)
             asked = asyncio.ensure_future(fleet.ask("/chat/stream", b"hi", Prefix_Hash=PROMPT))
-
-            async def is_running() -> bool:
-                stats = await fleet.read_all_stats("llm")
-                return any(s.running for s in stats.values())
-
-            await wait_until("a run", is_running)
-            stats = await fleet.read_all_stats("llm")
-            idle = next(name for name, s in stats.items() if not s.running)
+            busy, idle = await wait_for_run(fleet)
             await fleet.set_worker(idle, cut_after=-1)
             reply = await asked
             assert (reply.status, reply.whole) == (200, True)
             assert reply.body == join_events(b"hi")
-            first = next(name for name in stats if name != idle)
-            assert reply.headers["response-seal"] == f"seal-{first}"
+            assert reply.headers["response-seal"] == f"seal-{busy}"
             resumed = (await fleet.read_stats(idle)).seen[-1]
             assert resumed.headers["last-event-id"] == "3"
 
@@ -101,14 +106,7 @@
         async with start_fleet(tmp_path, instances=1, engines=2) as fleet:
             await fleet.set_workers("llm", events=EVENTS, cut_after=3, repeat_events=True)
             asked = asyncio.ensure_future(fleet.ask("/chat/stream", b"hi", Prefix_Hash=PROMPT))
-
-            async def is_running() -> bool:
-                stats = await fleet.read_all_stats("llm")
-                return any(s.running for s in stats.values())
-
-            await wait_until("a run", is_running)
-            stats = await fleet.read_all_stats("llm")
-            idle = next(name for name, s in stats.items() if not s.running)
+            _, idle = await wait_for_run(fleet)
             await fleet.set_worker(idle, cut_after=-1)
             reply = await asked
             assert (reply.whole, reply.body) == (True, join_events(b"hi"))
