--- a/rhubarbbend/gateway/_attempts.py
+++ b/rhubarbbend/gateway/_attempts.py
@@ -41,6 +41,9 @@
 STRAY_TIMEOUT: Final = 0.5
 # Kept connections are closed this long before the target would, in seconds.
 IDLE_MARGIN: Final = 1.0
+# After these nothing more goes over a connection. A target that rejects a request may not have read
+# its body yet and may close while the next request is on its way, which would then fail unrun.
+UNSETTLED: Final = frozenset({AttemptEnd.BROKEN, AttemptEnd.MISDIRECTED, AttemptEnd.REJECTED})
 # Statuses that promise a caller that its request did not and will not run.
 PROMISES: Final = frozenset({408, 421, 429, 503})
 
@@ -274,7 +277,7 @@
 
     def _settle(self, connection: Connection, answer: TargetAnswer | None, end: AttemptEnd) -> None:
         """Keep a connection whose answer was read whole; close every other, which ends its work."""
-        if answer is None or answer.closes or end in (AttemptEnd.BROKEN, AttemptEnd.MISDIRECTED):
+        if answer is None or answer.closes or end in UNSETTLED:
             connection.close()
             return
         if answer.idle_limit is not None:
