--- a/tests/gateway/test_commands.py
+++ b/tests/gateway/test_commands.py
@@ -123,6 +123,19 @@
     run(work)
 
 
+def test_no_booking_goes_over_a_connection_on_which_one_was_rejected(tmp_path: Path) -> None:
+    # A worker rejects a booking and closes the connection as the next one comes over it. That one
+    # has not run, but nobody could tell, and its caller would get 502 for no reason.
+    async def work() -> None:
+        async with start_fleet(tmp_path, instances=1, plains=1, engines=1) as fleet:
+            await fleet.set_worker("plain-0", reject=True, drop_idle=True)
+            assert (await fleet.ask("/book/x", b"tent")).status == 503
+            await fleet.set_worker("plain-0", reject=False)
+            assert (await fleet.ask("/book/y", b"tent")).status == 200
+
+    run(work)
+
+
 def test_the_end_of_an_instance_waits_for_a_long_booking(tmp_path: Path) -> None:
     # The booking takes longer than the balancer needs to take the instance out.
     async def work() -> None:
