Let a few instances of a large zone read the store for the others

Cause: on the grown deployments (77 and 85 instances) each instance followed the store's tables by itself. A change woke 85 calls.

Change: zones of five or more work out one reader for 16 instances from the list of instances; the others wait at it, in calls held for 0.7 s, and read the store themselves as soon as what they know is older than 1.3 s. Notes (places, crashes, joining) go to the readers of a zone and ride on the same answers, where each went to all. Strong machines read first. While the store is away one feed an instance tries it, and less often where there is a reader to hear from.

Two things found on the way, each with a test that failed: a feed whose connection alone went silent was not noticed for 25 s (both feeds now wait 2 s); a crash that an instance heard of was taken for a second simultaneous loss, so that no request was blamed.

Ruled out: an elected reader with a lease in the store (calls to keep it, and a wait when it goes); pushes to listeners (a listener could not tell silence from nothing new).

--- a/rhubarbbend/codes.py
+++ b/rhubarbbend/codes.py
@@ -207,6 +207,9 @@
 )
 PAUSES: Final = _declare_counter("pauses", "pauses of this process noticed on waking")
 PLATFORM_ERRORS: Final = _declare_counter("platform.errors", "platform calls that failed")
+STORE_READS_BEGUN: Final = _declare_counter(
+    "platform.reads_begun", "times that the store was read in place of the zone's reader"
+)
 CONFIG_APPLIED: Final = _declare_counter("config.applied", "configuration changes applied")
 CONFIG_FROM_PEER: Final = _declare_counter("config.from_peer", "changes learned from a peer")
 CONFIG_STALE: Final = _declare_counter("config.stale", "older configuration versions ignored")
--- a/rhubarbbend/core/directory/_directory.py
+++ b/rhubarbbend/core/directory/_directory.py
@@ -34,7 +34,8 @@
         self._ended: dict[str, tuple[int, TargetState, float]] = {}
         # Zones that operators have taken out, and since when.
         self._zones_out: dict[str, float] = {}
-        self._store_returned = -LAPSE_WINDOW
+        # When the store was last seen to answer again after an outage.
+        self.store_returned_at = -math.inf
         self._first_read = True
 
     def find_exit(self, zone: str) -> float | None:
@@ -68,8 +69,8 @@
         self._first_read = False
 
     def note_store_returned(self, now: float) -> None:
-        """Note that the store answers again after an outage."""
-        self._store_returned = now
+        """Note that the store answers again after an outage, since `now` or an earlier time."""
+        self.store_returned_at = max(self.store_returned_at, now)
 
     def register(self, record: TargetRecord, now: float) -> Target:
         """Take in what a target says of itself."""
@@ -89,8 +90,8 @@
         target = self._targets.get(target_id)
         if target is None:
             return
-        if now - self._store_returned < LAPSE_WINDOW and target.state is TargetState.READY:
-            target.gone_at = min(self._store_returned + LAPSE_WINDOW, now + LAPSE_GRACE)
+        if now - self.store_returned_at < LAPSE_WINDOW and target.state is TargetState.READY:
+            target.gone_at = min(self.store_returned_at + LAPSE_WINDOW, now + LAPSE_GRACE)
             return
         self._forget(target, now)
 
--- a/rhubarbbend/core/placement/_places.py
+++ b/rhubarbbend/core/placement/_places.py
@@ -31,6 +31,10 @@
     target: str
     age: float
 
+    def grow_older(self, seconds: float) -> Place:
+        """Give the place as it has to be told some seconds later."""
+        return Place(self.key, self.target, self.age + seconds)
+
 
 class _Stay(msgspec.Struct, frozen=True):
     """A prompt was sent to a target at a time."""
--- a/rhubarbbend/core/shares/_cold.py
+++ b/rhubarbbend/core/shares/_cold.py
@@ -29,6 +29,8 @@
         self._instance = instance
         self.set_bound(overshoot, slack)
         self._sent: dict[str, deque[float]] = {}
+        # Whether this instance is among the first for a target, as of a list of instances.
+        self._first: dict[str, tuple[Sequence[str], bool]] = {}
 
     def set_bound(self, overshoot: float, slack: float) -> None:
         """Take the bound to be a target's rate times `overshoot` plus `slack` in a second."""
@@ -41,7 +43,16 @@
         count = max(1, len(instances))
         if bound >= count:
             return bound // count
-        return int(self._instance in rank_names(target, instances)[:bound])
+        return int(self._is_first(target, bound, instances))
+
+    def _is_first(self, target: str, bound: int, instances: Sequence[str]) -> bool:
+        """Whether this instance is among the first few for a target; worked out once a list."""
+        known = self._first.get(target)
+        if known is not None and known[0] is instances:
+            return known[1]
+        found = self._instance in rank_names(target, instances)[:bound]
+        self._first[target] = (instances, found)
+        return found
 
     def has_room(self, target: str, part: int, now: float) -> bool:
         """Whether one more request may be sent within the part."""
@@ -62,3 +73,4 @@
     def forget(self, target: str) -> None:
         """Forget a target that has gone."""
         self._sent.pop(target, None)
+        self._first.pop(target, None)
--- a/rhubarbbend/gateway/_follower.py
+++ b/rhubarbbend/gateway/_follower.py
@@ -1,45 +1,56 @@
-"""Keeps the mirror up to date: from the store, and while that gives no answer from peers."""
+"""Keeps the mirror up to date: from the store, from the zone's reader, or from any other instance.
+
+In a large zone an instance waits at a reader and leaves the store alone. It reads the store itself
+as soon as what it knows is older than MAX_AGE, and while the store gives no answer either it asks
+whoever may know more.
+"""
 
 from __future__ import annotations
 
 import asyncio
+import itertools
+import math
 from collections.abc import Coroutine
 from typing import Any, Final
 
 import msgspec
 
 from rhubarbbend import codes
-from rhubarbbend.core.mirror import Change, TablePage
-from rhubarbbend.gateway._interfaces import (
-    CatalogRead,
-    StateChange,
-    StateDecoder,
-    TargetMissing,
-    TargetRead,
-    Unreadable,
-    ZoneMoved,
-)
-from rhubarbbend.gateway._peers import Hello, PeerClient
+from rhubarbbend.core.readers import InstanceRow, ReaderPlan
+from rhubarbbend.gateway._intake import StateIntake
+from rhubarbbend.gateway._interfaces import StateDecoder
+from rhubarbbend.gateway._peers import ChangesReply, Hello, PeerClient
 from rhubarbbend.gateway._settings import Address
-from rhubarbbend.gateway._state import INSTANCE_TABLE, InstanceRow, State, read_clock
+from rhubarbbend.gateway._state import INSTANCE_TABLE, MAX_AGE, State, read_clock
 from rhubarbbend.storage import HistoryGone, RowStore, StoreError
 
-# A wait for changes of the configuration is also the check that the store still answers: a call
-# may be lost without a sign, and what comes into force must be so within 2 s.
-CONFIG_WAIT: Final = 2.0
-# Other tables are waited for as long as the store allows; a failing check ends these waits too.
-TABLE_WAIT: Final = 25.0
+# A wait for changes is also the check that its connection still carries answers: one can go silent
+# for good while others work, and what comes into force must be so within 2 s.
+TABLE_WAIT: Final = 2.0
+# The same at an instance at which others wait: within MAX_AGE it has to prove that the store still
+# answers it, and a slow store takes up to 0.4 s for that.
+READER_WAIT: Final = 0.7
 # Changes that come in quick succession are read together: each call has its price, and the
 # shortest bound on a change is 2 s.
 COALESCE: Final = 0.15
-# Pauses after a call that failed, doubled each time.
+# Pauses after a call that failed, doubled each time up to the longest. One that has a reader to
+# wait at learns from that when the store is back, so it calls less often itself.
 FIRST_PAUSE: Final = 0.1
 LONGEST_PAUSE: Final = 0.5
+LONGEST_LISTENER_PAUSE: Final = 1.5
 # While the store gives no answer, one peer is asked this often. A reader that is turned away for
 # some seconds still has to follow within 2 s.
 PEER_INTERVAL: Final = 0.4
+# How long a reader holds a question while nothing changes. With the time that it then has to
+# answer, a reader that stands still is found out within a second.
+HOLD: Final = 0.7
+# How often an instance that reads for itself looks whether it should.
+PLAN_INTERVAL: Final = 0.5
 # The list of instances only divides bounds among them, and those that join say so themselves.
 INSTANCES_INTERVAL: Final = 20.0
+# Of those that start together the first read a list without the others, and may take a large zone
+# for a small one, in which nobody would tell them more. All start within 0.3 s of one another.
+FIRST_INTERVALS: Final = (1.0, 2.0)
 JOIN_PAUSE: Final = 1.0
 
 
@@ -49,10 +60,12 @@
     def __init__(self) -> None:
         self.lost_at: float | None = None
         self.reached = False
+        self._regained = asyncio.Event()
 
     def note_answer(self, now: float) -> float | None:
         """Note an answer; gives for how long there was none if this is the first after it."""
         self.reached = True
+        self._regained.set()
         lost_at, self.lost_at = self.lost_at, None
         return None if lost_at is None else now - lost_at
 
@@ -61,32 +74,56 @@
         if self.lost_at is not None:
             return False
         self.lost_at = now
+        self._regained.clear()
         return True
 
+    async def wait_regained(self) -> None:
+        """Wait until the store answers again."""
+        if self.lost_at is not None:
+            await self._regained.wait()
+
 
 class StateFollower:
     """Follows every table of the decoder, and the list of instances."""
 
     def __init__(
-        self, state: State, store: RowStore, decoder: StateDecoder, peers: PeerClient
+        self,
+        state: State,
+        store: RowStore,
+        decoder: StateDecoder,
+        peers: PeerClient,
+        plan: ReaderPlan,
     ) -> None:
         self._state = state
         self._store = store
-        self._decoder = decoder
+        self._tables = decoder.tables
+        self._intake = StateIntake(state, decoder)
         self._peers = peers
+        self._plan = plan
         self._contact = StoreContact()
+        # Set while this instance reads the store itself.
+        self._reads = asyncio.Event()
+        self._reads.set()
         self._tasks: list[asyncio.Task[None]] = []
 
     @property
     def store_reached(self) -> bool:
-        """Whether the store answered last."""
+        """Whether the store answered last, this instance or the reader it waits at."""
+        if not self._reads.is_set():
+            return True
         return self._contact.reached and self._contact.lost_at is None
 
+    @property
+    def reads_store(self) -> bool:
+        """Whether this instance reads the store itself."""
+        return self._reads.is_set()
+
     def start(self) -> None:
         """Begin to follow."""
-        for table in self._decoder.tables:
+        for table in self._tables:
             self._spawn(self._follow(table))
         self._spawn(self._follow_instances())
+        self._spawn(self._listen())
         self._spawn(self._ask_peers())
         self._spawn(self._drop_gone())
 
@@ -97,6 +134,8 @@
 
     def refresh(self) -> None:
         """Ask for everything anew, over new connections: this process has been away."""
+        self._state.known_at = -math.inf
+        self._begin_reading("paused")
         self._store.reset()
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
@@ -105,53 +144,77 @@
     # The store.
 
     async def _follow(self, table: str) -> None:
-        wait = CONFIG_WAIT if table == self._state.config_table else TABLE_WAIT
         pause = FIRST_PAUSE
         whole = False
         while True:
+            await self._reads.wait()
             try:
-                changed = await self._read_once(table, wait, whole)
+                changed = await self._read_once(table, whole)
             except HistoryGone:
                 # The whole table is read next; until then what is known holds.
                 self._log("history_gone", table=table)
                 whole = True
                 continue
             except StoreError as error:
+                if not self._reads.is_set():
+                    # The call was given up because a reader tells what it would have.
+                    continue
                 self._note_failure(table, error)
                 await asyncio.sleep(pause * self._state.random.uniform(0.7, 1.3))
-                pause = min(LONGEST_PAUSE, 2.0 * pause)
+                pause = min(self._find_longest_pause(), 2.0 * pause)
+                if table != self._state.config_table:
+                    # One call at a time is enough to see when the store is back.
+                    await self._contact.wait_regained()
                 continue
             pause = FIRST_PAUSE
             whole = False
             if changed:
                 await asyncio.sleep(COALESCE)
 
-    async def _read_once(self, table: str, wait: float, whole: bool) -> bool:
+    def _find_longest_pause(self) -> float:
+        has_reader = self._plan.choose(self._state.instances, read_clock()) is not None
+        return LONGEST_LISTENER_PAUSE if has_reader else LONGEST_PAUSE
+
+    async def _read_once(self, table: str, whole: bool) -> bool:
         """Read a table, or wait for what changes in it; tells whether anything has."""
         mirrored = self._state.mirror.tables[table]
+        asked = read_clock()
+        wait = 0.0
         if whole or not mirrored.known:
             page = await self._store.read_table(table)
         else:
+            wait = self._choose_wait(asked)
             page = await self._store.follow_table(table, mirrored.position, wait)
-        self._note_answer()
-        return bool(self.take_pages({table: page}, "store"))
-
-    def _note_answer(self) -> None:
         now = read_clock()
+        self._note_answer(now)
+        if table == self._state.config_table:
+            # The store spoke at the end of the wait, if it did not speak before.
+            self._state.known_at = max(self._state.known_at, min(now, asked + wait))
+        return bool(self._intake.take_pages({table: page}, "store"))
+
+    def _choose_wait(self, now: float) -> float:
+        if self._contact.lost_at is not None:
+            return 0.0
+        is_reader = self._plan.is_reader(self._state.instances, now)
+        return READER_WAIT if is_reader else TABLE_WAIT
+
+    def _note_answer(self, now: float) -> None:
         away = self._contact.note_answer(now)
         if away is None:
             return
         self._state.directory.note_store_returned(now)
-        self._state.journal.write("store_regained", now, away=round(away, 3))
+        self._log("store_regained", away=round(away, 3))
 
     def _note_failure(self, table: str, error: StoreError) -> None:
         now = read_clock()
         self._state.metrics.add(codes.PLATFORM_ERRORS)
         if self._contact.note_failure(now):
-            self._state.journal.write("store_lost", now, table=table, reason=str(error))
+            self._log("store_lost", table=table, reason=str(error))
             # Waits on other connections may have been lost with this one.
             self._store.reset()
 
+    # The list of instances.
+
     async def join(self, row: InstanceRow) -> None:
         """Tell the other instances where this one is reached, and learn of them.
 
@@ -179,8 +242,11 @@
             self._log("leave_failed", reason=str(error))
 
     async def _follow_instances(self) -> None:
-        while True:
-            await asyncio.sleep(INSTANCES_INTERVAL * self._state.random.uniform(0.8, 1.2))
+        intervals = itertools.chain(FIRST_INTERVALS, itertools.repeat(INSTANCES_INTERVAL))
+        for interval in intervals:
+            await self._state.joined.wait(interval * self._state.random.uniform(0.8, 1.2))
+            if not self._reads.is_set():
+                continue
             try:
                 await self._read_instances()
             except StoreError as error:
@@ -188,9 +254,82 @@
 
     async def _read_instances(self) -> None:
         page = await self._store.read_table(INSTANCE_TABLE)
-        self.take_pages({INSTANCE_TABLE: page}, "store")
+        self._intake.take_pages({INSTANCE_TABLE: page}, "store")
+
+    # The zone's reader.
+
+    async def _listen(self) -> None:
+        """Wait at the zone's reader, if it has one that is not this instance."""
+        news: tuple[str, int | None] = ("", None)
+        while True:
+            now = read_clock()
+            reader = self._plan.choose(self._state.instances, now)
+            if reader is None:
+                self._begin_reading("no reader to wait at")
+                await asyncio.sleep(PLAN_INTERVAL)
+                continue
+            if news[0] != reader:
+                news = (reader, None)
+            reply = await self._ask_reader(reader, news[1])
+            if reply is None:
+                continue
+            news = (reader, reply.news.position)
+            if reply.pages or reply.news.items:
+                await asyncio.sleep(COALESCE)
+            elif self._reads.is_set():
+                await asyncio.sleep(PEER_INTERVAL)
+
+    async def _ask_reader(self, reader: str, news: int | None) -> ChangesReply | None:
+        """Ask the reader once; decides whether this instance has to read the store."""
+        row = self._state.instances[reader]
+        hold = 0.0 if self._reads.is_set() or news is None else HOLD
+        asked = read_clock()
+        reply = await self._peers.ask_changes((row.host, row.port), hold, news)
+        now = read_clock()
+        if reply is None:
+            self._plan.note_silence(reader, now)
+            self._log("reader_silent", reader=reader, known_age=self._state.show_age(now))
+        else:
+            self._plan.note_answer(reader)
+            self._take_reply(reply, asked, now)
+        if self._state.measure_age(now) > MAX_AGE:
+            self._begin_reading("what the reader tells is too old")
+        elif reply is not None and reply.age <= MAX_AGE:
+            self._stop_reading(reader)
+        return reply
+
+    def _take_reply(self, reply: ChangesReply, asked: float, now: float) -> None:
+        """Take in what an instance answered, and how old that is."""
+        on_the_way = max(0.0, now - asked - reply.held)
+        known_at = now - reply.age - on_the_way
+        if now - known_at <= MAX_AGE:
+            # Who told it has the store's answers: entries that lapsed with the store are not gone.
+            self._note_answer(now)
+        self._note_return(reply, asked)
+        self._state.known_at = max(self._state.known_at, known_at)
+        if reply.pages:
+            self._intake.take_pages(reply.pages, "peer")
+        for note in reply.news.items:
+            self._state.hear(note, now)
+
+    def _note_return(self, reply: ChangesReply, asked: float) -> None:
+        """Take in that the store has returned: what lapsed with it is not gone yet."""
+        if reply.since_return is not None:
+            self._state.directory.note_store_returned(asked - reply.since_return)
+
+    def _begin_reading(self, reason: str) -> None:
+        if not self._reads.is_set():
+            self._reads.set()
+            self._state.metrics.add(codes.STORE_READS_BEGUN)
+            self._log("reads_store", reason=reason, known_age=self._state.show_age(read_clock()))
+
+    def _stop_reading(self, reader: str) -> None:
+        if self._reads.is_set():
+            self._reads.clear()
+            self._store.reset()
+            self._log("waits_at_reader", reader=reader)
 
-    # Peers.
+    # Any other instance.
 
     async def _ask_peers(self) -> None:
         queue: list[Address] = []
@@ -202,94 +341,17 @@
             queue = queue or self._shuffle_peers()
             if not queue:
                 continue
-            pages = await self._peers.ask_changes(queue.pop())
-            if pages:
-                self.take_pages(pages, "peer")
+            asked = read_clock()
+            reply = await self._peers.ask_changes(queue.pop(), 0.0, None)
+            if reply is not None and reply.pages:
+                self._note_return(reply, asked)
+                self._intake.take_pages(reply.pages, "peer")
 
     def _shuffle_peers(self) -> list[Address]:
         peers = self._state.list_peers()
         self._state.random.shuffle(peers)
         return peers
 
-    # What has changed.
-
-    def take_pages(self, pages: dict[str, TablePage], source: str) -> int:
-        """Take pages in, act on what they change, and give the number of changes."""
-        count = 0
-        for table, changes in self._state.mirror.merge(pages).items():
-            count += len(changes)
-            if table == INSTANCE_TABLE:
-                self._take_instances(changes)
-                continue
-            for change in self._decoder.decode(table, changes):
-                self._take(change, source)
-        if all(table.known for table in self._state.mirror.tables.values()):
-            self._state.directory.finish_first_read()
-        return count
-
-    def _take_instances(self, changes: list[Change]) -> None:
-        for change in changes:
-            self._state.instances.pop(change.key, None)
-            if change.value is None:
-                continue
-            try:
-                row = msgspec.json.decode(change.value, type=InstanceRow)
-            except msgspec.MsgspecError as error:
-                self._log("row_unreadable", row=change.key, reason=str(error))
-                continue
-            self._state.instances[change.key] = row
-
-    def _take(self, change: StateChange, source: str) -> None:
-        now = read_clock()
-        if isinstance(change, CatalogRead):
-            self._take_catalog(change, source)
-        elif isinstance(change, TargetRead):
-            self._take_target(change, source, now)
-        elif isinstance(change, TargetMissing):
-            self._state.directory.unregister(change.target, now)
-            if self._state.directory.find(change.target) is None:
-                self._state.placement.forget(change.target)
-            self._log("target_unregistered", target=change.target, source=source)
-        elif isinstance(change, ZoneMoved):
-            if change.out:
-                self._state.directory.take_zone_out(change.zone, now)
-            else:
-                self._state.directory.take_zone_in(change.zone, now)
-            self._log("zone_out" if change.out else "zone_in", zone=change.zone, source=source)
-        elif isinstance(change, Unreadable):
-            self._state.metrics.add(codes.CONFIG_UNREADABLE)
-            self._log("row_unreadable", row=change.row, reason=change.reason, source=source)
-
-    def _take_catalog(self, change: CatalogRead, source: str) -> None:
-        known = self._state.catalog
-        if known is not None and change.catalog.version <= known.version:
-            self._state.metrics.add(codes.CONFIG_STALE)
-            return
-        self._state.catalog = change.catalog
-        self._state.metrics.add(codes.CONFIG_APPLIED)
-        self._log(
-            "config_applied",
-            version=change.catalog.version,
-            before=None if known is None else known.version,
-            routes=change.catalog.route_count,
-            source=source,
-        )
-
-    def _take_target(self, change: TargetRead, source: str, now: float) -> None:
-        record = change.record
-        target = self._state.directory.register(record, now)
-        self._log(
-            "target_registered",
-            target=record.id,
-            service=record.service,
-            address=f"{record.host}:{record.port}",
-            zone=record.zone,
-            state=target.state.value,
-            cold_left=record.cold_left or None,
-            boot=record.boot,
-            source=source,
-        )
-
     async def _drop_gone(self) -> None:
         while True:
             await asyncio.sleep(1.0)
--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -13,16 +13,17 @@
 
 from rhubarbbend import VERSION, codes
 from rhubarbbend.core.directory import Target
+from rhubarbbend.core.readers import InstanceRow, ReaderPlan
 from rhubarbbend.gateway._attempts import AttemptRunner
 from rhubarbbend.gateway._follower import StateFollower
 from rhubarbbend.gateway._interfaces import Adapter
 from rhubarbbend.gateway._journal import Journal
 from rhubarbbend.gateway._metrics import CONTENT_TYPE
-from rhubarbbend.gateway._peers import CrashNote, PeerClient, PeerServer
+from rhubarbbend.gateway._peers import PeerClient, PeerServer
 from rhubarbbend.gateway._requests import OpenRequest
 from rhubarbbend.gateway._serving import RequestServer
 from rhubarbbend.gateway._settings import GatewaySettings, SettingsInvalid, SettingsReader
-from rhubarbbend.gateway._state import InstanceRow, State, read_clock
+from rhubarbbend.gateway._state import CrashNote, Note, State, read_clock
 from rhubarbbend.http import (
     Connection,
     ConnectionPool,
@@ -86,8 +87,11 @@
         attempts = AttemptRunner(self.state, self._pool, adapter.targets, read_clock)
         attempts.crash_listener = self._suspect_crash
         self._requests = RequestServer(self.state, adapter.callers, attempts, read_clock)
-        self._peers = PeerClient(self.state, self._peer_pool)
-        self._follower = StateFollower(self.state, adapter.store, adapter.decoder, self._peers)
+        plan = ReaderPlan(settings.instance, settings.zone)
+        self._peers = PeerClient(self.state, self._peer_pool, plan)
+        self._follower = StateFollower(
+            self.state, adapter.store, adapter.decoder, self._peers, plan
+        )
         self._callers = HttpServer(self._requests.serve)
         self._servers: list[HttpServer] = [self._callers]
         self._background: set[asyncio.Task[None]] = set()
@@ -109,7 +113,8 @@
         self._spawn(self._keep_house())
         self._spawn(self._tell_places())
         if own.peers is not None:
-            self._spawn(self._follower.join(InstanceRow(own.zone, *own.peers)))
+            row = InstanceRow(own.zone, *own.peers, link=own.link, cores=own.cores)
+            self._spawn(self._follower.join(row))
         await self._stop_asked.wait()
         await self._stop()
 
@@ -166,6 +171,7 @@
         metrics.set_gauge("instances", lambda: len(state.list_instances()))
         metrics.set_gauge("ready", lambda: float(state.ready))
         metrics.set_gauge("store_reached", lambda: float(self._follower.store_reached))
+        metrics.set_gauge("reads_store", lambda: float(self._follower.reads_store))
         metrics.set_gauge(
             "config_version", lambda: -1 if state.catalog is None else state.catalog.version
         )
@@ -200,7 +206,7 @@
         if self.state.crashes.note_crash(digest, target.id, now):
             self.state.metrics.add(codes.SUSPECTS)
             self._log("crash_counted", id=request, digest=digest, target=target.id, reason=reason)
-            await self._peers.tell_crash(CrashNote(digest, target.id))
+            await self._peers.tell(Note(crashes=[CrashNote(digest, target.id)]))
 
     # Housekeeping.
 
@@ -229,7 +235,8 @@
             await self._has_places.wait()
             await asyncio.sleep(PLACES_DELAY)
             self._has_places.clear()
-            await self._peers.tell_places(self.state.placement.places.take_news(read_clock()))
+            places = self.state.placement.places.take_news(read_clock())
+            await self._peers.tell(Note(places))
 
     async def _keep_house(self) -> None:
         while True:
--- /dev/null
+++ b/rhubarbbend/gateway/_intake.py
@@ -0,0 +1,111 @@
+"""Takes in what the copies of the store's tables have become, whoever it was learned from."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from rhubarbbend import codes
+from rhubarbbend.core.mirror import Change, TablePage
+from rhubarbbend.core.readers import InstanceRow
+from rhubarbbend.gateway._interfaces import (
+    CatalogRead,
+    StateChange,
+    StateDecoder,
+    TargetMissing,
+    TargetRead,
+    Unreadable,
+    ZoneMoved,
+)
+from rhubarbbend.gateway._state import INSTANCE_TABLE, State, read_clock
+
+
+class StateIntake:
+    """Turns pages of tables into what an instance believes."""
+
+    def __init__(self, state: State, decoder: StateDecoder) -> None:
+        self._state = state
+        self._decoder = decoder
+
+    def take_pages(self, pages: dict[str, TablePage], source: str) -> int:
+        """Take pages in, act on what they change, and give the number of changes."""
+        count = 0
+        for table, changes in self._state.mirror.merge(pages).items():
+            count += len(changes)
+            if table == INSTANCE_TABLE:
+                self._take_instances(changes)
+                continue
+            for change in self._decoder.decode(table, changes):
+                self._take(change, source)
+        if all(table.known for table in self._state.mirror.tables.values()):
+            self._state.directory.finish_first_read()
+        if count:
+            self._state.changed.notify()
+        return count
+
+    def _take_instances(self, changes: list[Change]) -> None:
+        for change in changes:
+            if change.value is None:
+                self._state.drop_instance(change.key)
+                continue
+            try:
+                row = msgspec.json.decode(change.value, type=InstanceRow)
+            except msgspec.MsgspecError as error:
+                self._log("row_unreadable", row=change.key, reason=str(error))
+                continue
+            self._state.put_instance(change.key, row)
+
+    def _take(self, change: StateChange, source: str) -> None:
+        now = read_clock()
+        if isinstance(change, CatalogRead):
+            self._take_catalog(change, source)
+        elif isinstance(change, TargetRead):
+            self._take_target(change, source, now)
+        elif isinstance(change, TargetMissing):
+            self._state.directory.unregister(change.target, now)
+            if self._state.directory.find(change.target) is None:
+                self._state.placement.forget(change.target)
+            self._log("target_unregistered", target=change.target, source=source)
+        elif isinstance(change, ZoneMoved):
+            if change.out:
+                self._state.directory.take_zone_out(change.zone, now)
+            else:
+                self._state.directory.take_zone_in(change.zone, now)
+            self._log("zone_out" if change.out else "zone_in", zone=change.zone, source=source)
+        elif isinstance(change, Unreadable):
+            self._state.metrics.add(codes.CONFIG_UNREADABLE)
+            self._log("row_unreadable", row=change.row, reason=change.reason, source=source)
+
+    def _take_catalog(self, change: CatalogRead, source: str) -> None:
+        known = self._state.catalog
+        if known is not None and change.catalog.version <= known.version:
+            self._state.metrics.add(codes.CONFIG_STALE)
+            return
+        self._state.catalog = change.catalog
+        self._state.metrics.add(codes.CONFIG_APPLIED)
+        self._log(
+            "config_applied",
+            version=change.catalog.version,
+            before=None if known is None else known.version,
+            routes=change.catalog.route_count,
+            source=source,
+        )
+
+    def _take_target(self, change: TargetRead, source: str, now: float) -> None:
+        record = change.record
+        target = self._state.directory.register(record, now)
+        self._log(
+            "target_registered",
+            target=record.id,
+            service=record.service,
+            address=f"{record.host}:{record.port}",
+            zone=record.zone,
+            state=target.state.value,
+            cold_left=record.cold_left or None,
+            boot=record.boot,
+            source=source,
+        )
+
+    def _log(self, event: str, **fields: Any) -> None:
+        self._state.journal.write(event, read_clock(), **fields)
--- a/rhubarbbend/gateway/_peers.py
+++ b/rhubarbbend/gateway/_peers.py
@@ -1,50 +1,67 @@
 """What instances tell one another: changes of the store's tables, crashes, places, joining.
 
-An instance that reaches the store asks the others for nothing. One that does not, because the
-store is away, turns it away or is cut off from it, learns from them what has come into force.
+An instance that reads the store and is answered asks the others for nothing. One that waits at its
+zone's reader, or whose store is away, turns it away or is cut off, learns from the others what has
+come into force. Notes that concern all go to one or two instances a zone, which pass them on to
+those that wait there.
 """
 
 from __future__ import annotations
 
 import asyncio
+import zlib
 from typing import Final
 
 import msgspec
 
 from rhubarbbend.core.mirror import TablePage
 from rhubarbbend.core.placement import Place
+from rhubarbbend.core.readers import InstanceRow, NewsPage, ReaderPlan
 from rhubarbbend.gateway._settings import Address
-from rhubarbbend.gateway._state import InstanceRow, State, read_clock
-from rhubarbbend.http import ConnectionPool, Exchange, HttpFailure, fetch
+from rhubarbbend.gateway._state import MAX_AGE, Note, State, read_clock
+from rhubarbbend.http import ConnectionPool, Exchange, HttpFailure, Response, fetch
 
 CHANGES_PATH: Final = "/peer/changes"
-CRASHES_PATH: Final = "/peer/crashes"
+NOTE_PATH: Final = "/peer/note"
 HELLO_PATH: Final = "/peer/hello"
-PLACES_PATH: Final = "/peer/places"
 CONTENT_TYPE: Final = "application/msgpack"
 # An instance of the same region answers in about 3 ms; one that does not in this time is asked
 # again later, and another one at once.
 TIMEOUT: Final = 0.4
+# Answers from this size on are compressed: a configuration shrinks to a fifth in 0.5 ms, and the
+# weakest links known carry 0.6 MB a second.
+LEAST_COMPRESSED: Final = 2_048
+COMPRESSION_LEVEL: Final = 1
+COMPRESSED: Final = "deflate"
+# What the store's return excuses lasts for 2 s; an older one is not told.
+LONGEST_RETURN: Final = 5.0
 
 
 class ChangesQuery(msgspec.Struct, array_like=True):
-    """The positions of the asker's tables."""
+    """The positions of the asker's tables.
+
+    `hold` is for how many seconds the answer may be held back while there is nothing to tell,
+    `news` the asker's position in the notes of the one asked; None: it has none.
+    """
 
     asker: str
     positions: dict[str, int]
+    hold: float = 0.0
+    news: int | None = None
 
 
 class ChangesReply(msgspec.Struct, array_like=True):
-    """What the tables of the one asked have beyond them."""
-
-    pages: dict[str, TablePage]
-
+    """What the tables of the one asked have beyond them, and notes.
 
-class CrashNote(msgspec.Struct, array_like=True):
-    """A request was at the crash of a target."""
+    `age`: for how many seconds it has not known that this is all; `held`: for how many the answer
+    was held back; `since_return`: how many ago it saw the store return, None if that is long ago.
+    """
 
-    digest: str
-    target: str
+    pages: dict[str, TablePage]
+    age: float
+    held: float
+    since_return: float | None
+    news: NewsPage[Note]
 
 
 class PlacesNote(msgspec.Struct, array_like=True):
@@ -71,53 +88,72 @@
         try:
             if exchange.target == CHANGES_PATH:
                 query = msgspec.msgpack.decode(exchange.body, type=ChangesQuery)
-                pages = self._state.mirror.list_changes(query.positions)
-                _respond(exchange, msgspec.msgpack.encode(ChangesReply(pages)))
-            elif exchange.target == CRASHES_PATH:
-                note = msgspec.msgpack.decode(exchange.body, type=CrashNote)
-                self._state.crashes.note_crash(note.digest, note.target, read_clock())
+                await self._serve_changes(exchange, query)
+            elif exchange.target == NOTE_PATH:
+                note = msgspec.msgpack.decode(exchange.body, type=Note)
+                self._state.hear(note, read_clock())
                 _respond(exchange, b"")
             elif exchange.target == HELLO_PATH:
                 hello = msgspec.msgpack.decode(exchange.body, type=Hello)
-                self._state.instances[hello.instance] = hello.row
+                self._state.put_instance(hello.instance, hello.row)
+                self._state.joined.notify_soon()
                 places = self._state.placement.places.list_recent(read_clock())
                 _respond(exchange, msgspec.msgpack.encode(PlacesNote(places)))
-            elif exchange.target == PLACES_PATH:
-                told = msgspec.msgpack.decode(exchange.body, type=PlacesNote)
-                self._state.placement.places.hear(told.places, read_clock())
-                _respond(exchange, b"")
             else:
                 exchange.respond(404, [], b"")
         except msgspec.MsgspecError as error:
             self._state.journal.write("peer_unreadable", read_clock(), reason=str(error))
             exchange.respond(400, [], b"")
 
+    async def _serve_changes(self, exchange: Exchange, query: ChangesQuery) -> None:
+        asked = read_clock()
+        while not exchange.closed.is_set():
+            now = read_clock()
+            pages = self._state.mirror.list_changes(query.positions)
+            news = self._state.news.list_after(query.news)
+            age = self._state.measure_age(now)
+            # The asker goes by the age: it must hear of one that has grown too old at once.
+            left = min(query.hold - (now - asked), MAX_AGE - age)
+            if pages or news.items or left <= 0.0:
+                break
+            await self._state.changed.wait(left)
+        since_return: float | None = now - self._state.directory.store_returned_at
+        if since_return is not None and since_return > LONGEST_RETURN:
+            since_return = None
+        aged = NewsPage([note.grow_older(now) for note in news.items], news.position)
+        reply = ChangesReply(pages, age, now - asked, since_return, aged)
+        _respond(exchange, msgspec.msgpack.encode(reply))
+
 
 class PeerClient:
-    """Asks and tells other instances. Every call ends within TIMEOUT."""
+    """Asks and tells other instances. Every call ends within its time-out."""
 
-    def __init__(self, state: State, pool: ConnectionPool) -> None:
+    def __init__(self, state: State, pool: ConnectionPool, plan: ReaderPlan) -> None:
         self._state = state
         self._pool = pool
+        self._plan = plan
         self._silent: set[Address] = set()
 
-    async def ask_changes(self, peer: Address) -> dict[str, TablePage] | None:
+    async def ask_changes(
+        self, peer: Address, hold: float, news: int | None
+    ) -> ChangesReply | None:
         """Ask an instance for what its tables have beyond the own; None without an answer."""
         tables = self._state.mirror.tables
         positions = {name: table.position for name, table in tables.items()}
-        query = ChangesQuery(self._state.settings.instance, positions)
-        body = await self._send(peer, CHANGES_PATH, msgspec.msgpack.encode(query))
+        query = ChangesQuery(self._state.settings.instance, positions, hold, news)
+        body = await self._send(peer, CHANGES_PATH, msgspec.msgpack.encode(query), hold + TIMEOUT)
         if body is None:
             return None
         try:
-            return msgspec.msgpack.decode(body, type=ChangesReply).pages
+            return msgspec.msgpack.decode(body, type=ChangesReply)
         except msgspec.MsgspecError as error:
             self._state.journal.write("peer_unreadable", read_clock(), reason=str(error))
             return None
 
-    async def tell_crash(self, note: CrashNote) -> None:
-        """Tell every other instance of a crash."""
-        await self._tell_all(CRASHES_PATH, msgspec.msgpack.encode(note))
+    async def tell(self, note: Note) -> None:
+        """Tell every other instance; this one passes on to those that wait here."""
+        self._state.pass_on(note, read_clock())
+        await self._tell_relays(NOTE_PATH, msgspec.msgpack.encode(note))
 
     async def tell_hello(self, hello: Hello) -> None:
         """Tell every other instance known that this one shares the bounds from now on.
@@ -125,43 +161,65 @@
         Their list of instances may be some time old; until they read it again their parts and
         this one's would add up to more than the bound.
         """
-        replies = await self._tell_all(HELLO_PATH, msgspec.msgpack.encode(hello))
+        replies = await self._tell_relays(HELLO_PATH, msgspec.msgpack.encode(hello))
         for reply in replies:
             if reply:
                 told = msgspec.msgpack.decode(reply, type=PlacesNote)
                 self._state.placement.places.hear(told.places, read_clock())
 
-    async def tell_places(self, places: list[Place]) -> None:
-        """Tell every other instance where prompts were sent."""
-        await self._tell_all(PLACES_PATH, msgspec.msgpack.encode(PlacesNote(places)))
-
-    async def _tell_all(self, path: str, body: bytes) -> list[bytes | None]:
-        peers = self._state.list_peers()
-        return await asyncio.gather(*(self._send(peer, path, body) for peer in peers))
+    async def _tell_relays(self, path: str, body: bytes) -> list[bytes | None]:
+        names = self._plan.list_relays(self._state.instances, read_clock())
+        return await asyncio.gather(*(self._tell_one(name, path, body) for name in names))
 
-    async def _send(self, peer: Address, path: str, body: bytes) -> bytes | None:
+    async def _tell_one(self, name: str, path: str, body: bytes) -> bytes | None:
+        row = self._state.instances.get(name)
+        if row is None:
+            return None
+        reply = await self._send((row.host, row.port), path, body)
+        if reply is None:
+            # The next in the order passes on for it.
+            self._plan.note_silence(name, read_clock())
+        return reply
+
+    async def _send(
+        self, peer: Address, path: str, body: bytes, timeout: float = TIMEOUT
+    ) -> bytes | None:
         headers = [("Content-Type", CONTENT_TYPE)]
         now = read_clock()
         try:
-            response, data = await fetch(
-                self._pool, peer, "POST", path, now, body, headers, timeout=TIMEOUT
-            )
-        except HttpFailure as failure:
-            self._note_silent(peer, failure)
+            async with asyncio.timeout(timeout):
+                response, data = await fetch(
+                    self._pool, peer, "POST", path, now, body, headers, timeout=timeout
+                )
+            data = _expand(response, data)
+        except TimeoutError:
+            self._note_silent(peer, "no answer in time")
+            return None
+        except (HttpFailure, zlib.error) as failure:
+            self._note_silent(peer, str(failure))
             return None
         if peer in self._silent:
             self._silent.discard(peer)
             self._state.journal.write("peer_regained", read_clock(), peer=f"{peer[0]}:{peer[1]}")
         return data if response.status == 200 else None
 
-    def _note_silent(self, peer: Address, failure: HttpFailure) -> None:
+    def _note_silent(self, peer: Address, reason: str) -> None:
         """Log a peer that gives no answer, once until it does again."""
         if peer not in self._silent:
             self._silent.add(peer)
             self._state.journal.write(
-                "peer_silent", read_clock(), peer=f"{peer[0]}:{peer[1]}", reason=str(failure)
+                "peer_silent", read_clock(), peer=f"{peer[0]}:{peer[1]}", reason=reason
             )
 
 
 def _respond(exchange: Exchange, body: bytes) -> None:
-    exchange.respond(200, [("Content-Type", CONTENT_TYPE)], body)
+    headers = [("Content-Type", CONTENT_TYPE)]
+    if len(body) >= LEAST_COMPRESSED:
+        body = zlib.compress(body, COMPRESSION_LEVEL)
+        headers.append(("Content-Encoding", COMPRESSED))
+    exchange.respond(200, headers, body)
+
+
+def _expand(response: Response, body: bytes) -> bytes:
+    is_compressed = response.headers.get("content-encoding") == COMPRESSED
+    return zlib.decompress(body) if is_compressed else body
--- a/rhubarbbend/gateway/_settings.py
+++ b/rhubarbbend/gateway/_settings.py
@@ -42,6 +42,9 @@
     # From the signal to stop until the process is killed.
     stop_grace: float = 8.0
     max_descriptors: int = 1_024
+    # What the machine has, in Mbit/s and in processor seconds a second; 0: not told.
+    link: float = 0.0
+    cores: float = 0.0
     # Beyond this many bytes the process is killed.
     memory: int = 256 * 1024 * 1024
 
--- a/rhubarbbend/gateway/_state.py
+++ b/rhubarbbend/gateway/_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 from typing import Final
@@ -13,11 +14,13 @@
 from rhubarbbend.core.delivery import CrashBook
 from rhubarbbend.core.directory import Directory
 from rhubarbbend.core.mirror import Mirror
-from rhubarbbend.core.placement import HealthBook, LoadBook, Placement, PlacementOptions
+from rhubarbbend.core.placement import HealthBook, LoadBook, Place, Placement, PlacementOptions
+from rhubarbbend.core.readers import InstanceRow, NewsLog
 from rhubarbbend.core.shares import ColdAllowance, RetryShare
 from rhubarbbend.gateway._journal import Journal
 from rhubarbbend.gateway._metrics import Metrics
 from rhubarbbend.gateway._settings import Address, GatewaySettings
+from rhubarbbend.gateway._signal import Signal
 
 # The table in which instances tell one another their addresses.
 INSTANCE_TABLE: Final = "instances"
@@ -26,12 +29,30 @@
 ASSUMED_INSTANCES: Final = 12
 
 
-class InstanceRow(msgspec.Struct, frozen=True):
-    """What an instance tells of itself in the store."""
+# What an instance knows is too old for others, or for itself, if it has not known for so many
+# seconds that the store holds nothing newer. The shortest bound on a change is 2 s; reading the
+# store once it is passed takes up to 0.4 s, and applying the change a part of that.
+MAX_AGE: Final = 1.3
 
-    zone: str
-    host: str
-    port: int
+
+class CrashNote(msgspec.Struct, frozen=True, array_like=True):
+    """A request was at the crash of a target."""
+
+    digest: str
+    target: str
+
+
+class Note(msgspec.Struct, frozen=True, array_like=True):
+    """What an instance tells all others. `at` is the local time at which it was heard."""
+
+    places: list[Place] = []
+    crashes: list[CrashNote] = []
+    at: float | None = None
+
+    def grow_older(self, now: float) -> Note:
+        """Give the note as it has to be passed on now."""
+        waited = 0.0 if self.at is None else now - self.at
+        return Note([p.grow_older(waited) for p in self.places], self.crashes)
 
 
 class State:
@@ -55,7 +76,15 @@
         options = _make_options(settings)
         self.placement = Placement(options, self.directory, self.loads, self.health, self.cold)
         self.instances: dict[str, InstanceRow] = {}
+        self.news: NewsLog[Note] = NewsLog()
+        # Up to when it is known that the store held nothing newer.
+        self.known_at = -math.inf
+        # Something has changed that others may wait for.
+        self.changed = Signal()
+        # Instances have joined that the list, as it was read, may not hold.
+        self.joined = Signal()
         self.stopping = False
+        self._instance_ids: tuple[str, ...] | None = None
         self._retries: dict[str, RetryShare] = {}
 
     def apply_settings(self, settings: GatewaySettings) -> None:
@@ -83,12 +112,53 @@
             self._retries[service] = share
         return share
 
-    def list_instances(self) -> list[str]:
-        """List the ids of all instances that share the bounds, this one among them."""
-        if not self.mirror.tables[INSTANCE_TABLE].known:
-            others = [f"unknown-{number}" for number in range(1, ASSUMED_INSTANCES)]
-            return [self.settings.instance, *others]
-        return list(self.instances.keys() | {self.settings.instance})
+    def list_instances(self) -> tuple[str, ...]:
+        """List the ids of all instances that share the bounds, this one among them.
+
+        The same object is given until the list changes, so that others can keep what they work
+        out from it.
+        """
+        if self._instance_ids is None:
+            own = self.settings.instance
+            if self.mirror.tables[INSTANCE_TABLE].known:
+                self._instance_ids = tuple(self.instances.keys() | {own})
+            else:
+                others = (f"unknown-{number}" for number in range(1, ASSUMED_INSTANCES))
+                self._instance_ids = (own, *others)
+        return self._instance_ids
+
+    def put_instance(self, name: str, row: InstanceRow) -> None:
+        """Take in that an instance is there."""
+        self.instances[name] = row
+        self._instance_ids = None
+
+    def drop_instance(self, name: str) -> None:
+        """Take in that an instance is not there any more."""
+        self.instances.pop(name, None)
+        self._instance_ids = None
+
+    def measure_age(self, now: float) -> float:
+        """Give for how long it has not been known that the store holds nothing newer."""
+        return now - self.known_at
+
+    def show_age(self, now: float) -> float | None:
+        """Give that age for the log; None if nothing was ever known."""
+        return None if math.isinf(self.known_at) else round(self.measure_age(now), 3)
+
+    def hear(self, note: Note, now: float) -> None:
+        """Take in what another instance tells, and keep it for those that wait at this one."""
+        self.placement.places.hear(note.places, now)
+        for crash in note.crashes:
+            self.crashes.note_crash(crash.digest, crash.target, now)
+            # Found out only with the next crash, it would look as if both went together, and no
+            # request would be blamed.
+            self.health.note_unreachable(crash.target, now)
+        self.pass_on(note, now)
+
+    def pass_on(self, note: Note, now: float) -> None:
+        """Keep a note for those that wait at this instance."""
+        self.news.add(msgspec.structs.replace(note, at=now))
+        self.changed.notify_soon()
 
     def list_peers(self) -> list[Address]:
         """List the addresses of the other instances; those of the settings if none is known."""
--- /dev/null
+++ b/tests/core/readers/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of who reads the store."""
--- /dev/null
+++ b/tests/core/readers/test_readers.py
@@ -0,0 +1,98 @@
+"""Who reads the store for a zone, and what is passed on to those that wait there."""
+
+from __future__ import annotations
+
+import pytest
+
+from rhubarbbend.core.readers import InstanceRow, NewsLog, ReaderPlan, list_zone_readers
+
+
+def make_zone(count: int, zone: str = "a", link: float = 100.0) -> dict[str, InstanceRow]:
+    return {f"{zone}-{n}": InstanceRow(zone, "h", n, link, 2.0) for n in range(count)}
+
+
+@pytest.mark.parametrize(
+    ("members", "readers"), [(1, 0), (4, 0), (5, 1), (16, 1), (17, 2), (85, 6)]
+)
+def test_a_large_zone_has_a_few_readers_and_a_small_one_none(members: int, readers: int) -> None:
+    zone = make_zone(members)
+    assert len(list_zone_readers(zone, "a")) == readers
+    assert len(list_zone_readers({**zone, **make_zone(3, "b")}, "b")) == 0
+
+
+def test_strong_instances_read_before_weak_ones() -> None:
+    # A configuration of 64 KB to 16 instances takes 1.5 s over a link of 10 Mbit/s, and a change
+    # has to be in force within 2 s.
+    zone = make_zone(20, link=10.0)
+    zone["strong"] = InstanceRow("a", "h", 99, 200.0, 2.0)
+    assert list_zone_readers(zone, "a")[0] == "strong"
+    assert "strong" not in list_zone_readers(zone, "a", {"strong"})
+
+
+def test_every_instance_waits_at_a_reader_and_readers_at_nobody() -> None:
+    zone = make_zone(20)
+    readers = list_zone_readers(zone, "a")
+    for name in zone:
+        chosen = ReaderPlan(name, "a").choose(zone, 0.0)
+        assert chosen in readers if name not in readers else chosen is None
+        assert ReaderPlan(name, "a").is_reader(zone, 0.0) == (name in readers)
+
+
+def test_when_readers_are_silent_all_come_to_the_same_next_ones() -> None:
+    # Both readers of a zone are gone, and their rows stay on the list. Each of the others finds
+    # them silent; one of the next two finds that it is a reader, and the others wait at it.
+    zone = make_zone(20)
+    gone = list_zone_readers(zone, "a")
+    following = list_zone_readers(zone, "a", set(gone))
+    chosen: set[str | None] = set()
+    for name in zone:
+        if name in gone:
+            continue
+        plan = ReaderPlan(name, "a")
+        for reader in gone:
+            plan.note_silence(reader, 0.0)
+        chosen.add(plan.choose(zone, 1.0))
+        assert plan.is_reader(zone, 1.0) == (name in following)
+    assert chosen == {None, *following}
+
+
+def test_a_silent_reader_is_tried_again_later_and_later() -> None:
+    zone = make_zone(6)
+    reader = list_zone_readers(zone, "a")[0]
+    plan = ReaderPlan(next(name for name in zone if name != reader), "a")
+    plan.note_silence(reader, 0.0)
+    assert plan.choose(zone, 1.9) != reader
+    assert plan.choose(zone, 2.1) == reader
+    plan.note_silence(reader, 2.1)
+    assert plan.choose(zone, 6.0) != reader
+    plan.note_answer(reader)
+    assert plan.choose(zone, 6.0) == reader
+
+
+def test_relays_reach_every_zone_but_not_every_instance() -> None:
+    everyone = {**make_zone(20, "a"), **make_zone(20, "b"), **make_zone(3, "c")}
+    relays = ReaderPlan("a-0", "a").list_relays(everyone, 0.0)
+    by_zone = {zone: sum(name.startswith(zone) for name in relays) for zone in "abc"}
+    assert by_zone["b"] == 2 and by_zone["c"] == 3
+    assert "a-0" not in relays
+
+
+def test_news_are_given_once_and_in_order_to_each_that_waits() -> None:
+    log: NewsLog[str] = NewsLog()
+    begin = log.list_after(None)
+    assert begin.items == [] and begin.position == 0
+    for item in "xyz":
+        log.add(item)
+    assert log.list_after(begin.position).items == ["x", "y", "z"]
+    assert log.list_after(2).items == ["z"]
+    assert log.list_after(3).items == []
+    # Whoever comes from another instance's log takes up here, with nothing.
+    assert log.list_after(99).items == []
+
+
+def test_a_listener_that_is_far_behind_gets_what_is_kept() -> None:
+    log: NewsLog[int] = NewsLog()
+    for item in range(2_500):
+        log.add(item)
+    page = log.list_after(10)
+    assert page.items == list(range(1_500, 2_500)) and page.position == 2_500
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -128,7 +128,9 @@
         self._ports = {name: pick_port() for name in ("front", "ready", "control")}
         self._next_id = 0
 
-    async def start(self, instances: int = 2, plains: int = 2, engines: int = 2) -> None:
+    async def start(
+        self, instances: int = 2, plains: int = 2, engines: int = 2, zones: int = len(ZONES)
+    ) -> None:
         """Start the stand-ins and the instances, and wait until they are ready."""
         _, self.store_port = await self.group.start_stand_in("store", ["tables"])
         _, self.proxy_port = await self.group.start_stand_in("proxy", ["proxy"])
@@ -138,7 +140,7 @@
         for number in range(engines):
             await self.start_worker(f"engine-{number}", "llm", ZONES[number % 3])
         for number in range(instances):
-            await self.add_instance(f"front-{number}", ZONES[number % 3])
+            await self.add_instance(f"front-{number}", ZONES[number % zones])
         await asyncio.gather(*(self.start_instance(name) for name in self.instances))
         for name in self.instances:
             await self.wait_ready(name)
@@ -225,6 +227,10 @@
         """Set faults of the store."""
         await self.admin(self.store_port, "faults", faults)
 
+    async def count_store_calls(self) -> int:
+        """Count the calls that the store has had from the fleet."""
+        return sum(json.loads(await self.admin(self.store_port, "counts", {})).values())
+
     async def set_worker(self, name: str, **faults: Any) -> None:
         """Set faults of a worker."""
         await self.admin(self.workers[name].port, "faults", faults)
--- /dev/null
+++ b/tests/gateway/test_follower.py
@@ -0,0 +1,136 @@
+"""Following the store's tables, against a store that is told what to do and without sockets."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from rhubarbbend.core.mirror import MirroredRow, TablePage
+from rhubarbbend.core.readers import ReaderPlan
+from rhubarbbend.gateway._follower import TABLE_WAIT, StateFollower
+from rhubarbbend.gateway._interfaces import StateChange, StateDecoder
+from rhubarbbend.gateway._journal import Journal
+from rhubarbbend.gateway._peers import PeerClient
+from rhubarbbend.gateway._settings import GatewaySettings
+from rhubarbbend.gateway._state import State
+from rhubarbbend.http import ConnectionPool
+from rhubarbbend.storage import RowStore, StoreError
+from tests.gateway.harness import run, wait_until
+
+TABLES = ("config", "targets")
+
+
+class Decoder(StateDecoder):
+    """Finds nothing in any row."""
+
+    tables = TABLES
+
+    def decode(self, table: str, changes: object) -> list[StateChange]:
+        return []
+
+
+class ScriptedStore(RowStore):
+    """Rows in memory. Calls of a table in `dead` are on a connection that has gone silent."""
+
+    def __init__(self) -> None:
+        self.pages = {name: TablePage([], 1, True) for name in (*TABLES, "instances")}
+        self.dead: set[str] = set()
+        self.failing = False
+        self.calls = 0
+        self.resets = 0
+
+    async def read_table(self, table: str) -> TablePage:
+        self.calls += 1
+        if self.failing:
+            raise StoreError("away")
+        return self.pages[table]
+
+    async def follow_table(self, table: str, after: int, wait: float) -> TablePage:
+        self.calls += 1
+        if self.failing:
+            raise StoreError("away")
+        if table in self.dead:
+            # Nothing comes until the client gives up; the next call is on a new connection.
+            self.dead.discard(table)
+            await asyncio.sleep(wait + 0.6)
+            raise StoreError("timeout")
+        ends = asyncio.get_running_loop().time() + wait
+        resets = self.resets
+        while self.pages[table].position <= after:
+            if self.resets > resets:
+                raise StoreError("given up")
+            if asyncio.get_running_loop().time() >= ends:
+                return TablePage([], after, False)
+            await asyncio.sleep(0.02)
+        page = self.pages[table]
+        return TablePage(page.rows, page.position, False)
+
+    async def put_row(self, table: str, key: str, value: bytes) -> None:
+        self.calls += 1
+
+    async def remove_row(self, table: str, key: str) -> None:
+        self.calls += 1
+
+    def reset(self) -> None:
+        self.resets += 1
+
+
+def make_follower(store: RowStore) -> tuple[State, StateFollower]:
+    address = ("127.0.0.1", 1)
+    settings = GatewaySettings("front-0", "zone-a", address, address, address)
+    state = State(settings, TABLES, Journal("front-0", descriptor=2))
+    plan = ReaderPlan("front-0", "zone-a")
+    peers = PeerClient(state, ConnectionPool(1.0), plan)
+    return state, StateFollower(state, store, Decoder(), peers, plan)
+
+
+def follow(work: Callable[[State, ScriptedStore], Awaitable[None]]) -> None:
+    async def started() -> None:
+        store = ScriptedStore()
+        state, follower = make_follower(store)
+        follower.start()
+        await asyncio.sleep(0.1)
+        try:
+            await work(state, store)
+        finally:
+            follower.stop()
+
+    run(started)
+
+
+def test_one_feed_that_goes_silent_alone_is_noticed() -> None:
+    # The connection on which changes of targets are waited for goes silent for good, while that of
+    # the configuration goes on. A target begins to leave; whoever does not hear of it sends it
+    # work until the feed's wait ends, which was 25 s, and the target is gone in the meantime.
+    async def work(state: State, store: ScriptedStore) -> None:
+        store.dead.add("targets")
+        await asyncio.sleep(TABLE_WAIT)
+        row = MirroredRow("target-0", b"leaving", 7)
+        store.pages["targets"] = TablePage([row], 7, True)
+
+        async def is_known() -> bool:
+            return state.mirror.tables["targets"].position == 7
+
+        await wait_until("the change is known", is_known, 3.0)
+
+    follow(work)
+
+
+def test_one_call_at_a_time_tries_a_store_that_is_away() -> None:
+    # The store turns every call away at once, and each call has its price. One feed finds out when
+    # it is back; the others wait for that.
+    async def work(state: State, store: ScriptedStore) -> None:
+        store.failing = True
+        await asyncio.sleep(2.5)
+        before = store.calls
+        await asyncio.sleep(2.0)
+        assert store.calls - before <= 6
+        store.failing = False
+        store.pages["targets"] = TablePage([], 9, True)
+
+        async def is_known() -> bool:
+            return state.mirror.tables["targets"].position == 9
+
+        await wait_until("what changed meanwhile is known", is_known, 1.0)
+
+    follow(work)
