Move the tests' fleet to the load tool; workers write down what reaches them

The soak on the users' platform needs the same fleet of real processes as the tests; one copy serves both.

--- /dev/null
+++ b/loadtool/_gateway_fleet.py
@@ -0,0 +1,356 @@
+"""A fleet of real gateway instances before stand-ins of the users' store and workers.
+
+Each instance has a loopback address of its own, and reaches the store through a route of the
+fault-injecting proxy, so that one path can be cut while the others work.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any, Final
+
+import attrs
+import msgspec
+
+from loadtool._processes import ROOT, ManagedProcess, ProcessGroup, pick_port
+from loadtool._waiting import wait_until
+from rhubarbbend.http import Connection, HttpFailure
+from standins._worker import Arrival, Stats
+
+PROGRAM: Final = ROOT / "platform" / "serve.py"
+HOST: Final = "chats.example"
+KEY: Final = "key-of-the-pilgrims"
+ACCOUNT: Final = "pilgrims"
+ZONES: Final = ("zone-a", "zone-b", "zone-c")
+# Loopback addresses of this test process alone: ports of an instance that are fixed, as that of
+# its metrics, would meet those of a test beside it.
+NETWORK: Final = f"127.{1 + os.getpid() % 250}.{1 + os.getpid() // 250 % 250}"
+
+# The file in a run's folder to which all workers append what reaches them.
+ARRIVALS: Final = "arrivals.jsonl"
+
+Address = tuple[str, int]
+
+
+@attrs.define(slots=True)
+class Reply:
+    """What a caller got. `whole` is False if the connection ended before the answer did."""
+
+    status: int = 0
+    headers: dict[str, str] = attrs.Factory(dict)
+    body: bytes = b""
+    whole: bool = False
+
+
+@attrs.define(slots=True)
+class InstanceNode:
+    """One instance: its settings file, its process and the proxy's port to the store."""
+
+    name: str
+    ip: str
+    settings: dict[str, Any]
+    store_port: int
+    process: ManagedProcess | None = None
+
+    @property
+    def callers(self) -> Address:
+        host, _, port = self.settings["listen"]["front"].rpartition(":")
+        return host, int(port)
+
+
+@attrs.define(slots=True)
+class WorkerNode:
+    """One worker, its port, and the port by which instances reach it, a route's or its own."""
+
+    name: str
+    service: str
+    zone: str
+    port: int
+    reached_at: int
+    process: ManagedProcess
+
+
+def make_route(name: str, prefix: str, kind: str, service: str, **fields: Any) -> dict[str, Any]:
+    route = {
+        "name": name,
+        "host": HOST,
+        "prefix": prefix,
+        "kind": kind,
+        "timeoutMs": 3_000,
+        "sloMs": 300,
+        "priority": 1,
+        "service": service,
+        "maxAttempts": 2,
+        "public": False,
+        "sticky": False,
+        "resumable": False,
+        "gapTargetMs": 200,
+    }
+    return {**route, **fields}
+
+
+def make_config(version: int = 1, **changes: Any) -> dict[str, Any]:
+    engine = {"slots": 64, "kvCapacityTokens": 100_000, "kvTokenBytes": 1_000}
+    config = {
+        "version": version,
+        "routes": [
+            make_route("read", "/read/", "safe", "plain"),
+            make_route("book", "/book/", "unsafe", "plain", maxAttempts=1),
+            make_route("open", "/open/", "safe", "plain", public=True),
+            make_route("chat", "/chat/", "streaming", "llm", sticky=True, resumable=True),
+            make_route("plan", "/plan/", "streaming", "llm", sticky=True, maxAttempts=1),
+        ],
+        "services": [
+            {"name": "plain", "maxConns": 96, "coldStartS": 0.0, "coldPerS": 0.0},
+            {"name": "llm", "maxConns": 96, "coldStartS": 3.0, "coldPerS": 4.0, "engine": engine},
+        ],
+        "limits": {
+            "maxHeaderBytes": 16_384,
+            "maxBodyBytes": 1_048_576,
+            "headerTimeoutMs": 3_000,
+            "idleTimeoutMs": 15_000,
+        },
+        "tenants": [{"name": ACCOUNT, "apiKeys": [KEY, "second-key"], "priority": 3}],
+    }
+    return {**config, **changes}
+
+
+class Fleet:
+    """All processes of a test."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.group = ProcessGroup(folder)
+        self.instances: dict[str, InstanceNode] = {}
+        self.workers: dict[str, WorkerNode] = {}
+        self.store_port = 0
+        self.proxy_port = 0
+        self._ports = {name: pick_port() for name in ("front", "ready", "control")}
+        self._next_id = 0
+
+    async def start(
+        self, instances: int = 2, plains: int = 2, engines: int = 2, zones: int = len(ZONES)
+    ) -> None:
+        """Start the stand-ins and the instances, and wait until they are ready."""
+        _, self.store_port = await self.group.start_stand_in("store", ["tables"])
+        _, self.proxy_port = await self.group.start_stand_in("proxy", ["proxy"])
+        await self.write_row("op", "config", make_config())
+        for number in range(plains):
+            await self.start_worker(f"plain-{number}", "plain", ZONES[number % 3])
+        for number in range(engines):
+            await self.start_worker(f"engine-{number}", "llm", ZONES[number % 3])
+        for number in range(instances):
+            await self.add_instance(f"front-{number}", ZONES[number % zones])
+        await asyncio.gather(*(self.start_instance(name) for name in self.instances))
+        for name in self.instances:
+            await self.wait_ready(name)
+
+    async def add_instance(self, name: str, zone: str) -> InstanceNode:
+        """Lay an instance's settings, without starting it."""
+        ip = f"{NETWORK}.{len(self.instances) + 1}"
+        store_port = await self.open_route(self.store_port)
+        listen = {key: f"{ip}:{port}" for key, port in self._ports.items()}
+        seeds = [f"{NETWORK}.{n}:{self._ports['control']}" for n in (1, 2, 3)]
+        settings = {
+            "nodeName": name,
+            "ip": ip,
+            "zone": zone,
+            "listen": listen,
+            "seeds": seeds,
+            "limits": {"maxFds": 1_024},
+            "bounds": {
+                "retryBudgetRatio": 0.2,
+                "budgetWindowS": 10,
+                "budgetSlack": 52,
+                "coldOvershoot": 1.5,
+                "coldSlack": 2,
+                "capFactor": 2,
+                "graceS": 8,
+            },
+            "platform": {"address": f"127.0.0.1:{store_port}"},
+            "aFieldNobodyKnows": {"of": "the future"},
+        }
+        node = InstanceNode(name, ip, settings, store_port)
+        self.instances[name] = node
+        return node
+
+    async def start_instance(self, name: str) -> None:
+        """Start an instance's process, again if it has ended."""
+        node = self.instances[name]
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(node.settings), "utf-8")
+        environment = {"RHUBARBBEND_CONFIG": str(path)}
+        node.process = await self.group.start_script(name, PROGRAM, environment)
+
+    async def wait_ready(self, name: str, timeout: float = 10.0) -> None:
+        """Wait until an instance says that it is ready."""
+        node = self.instances[name]
+        address = (node.ip, self._ports["ready"])
+
+        async def check() -> bool:
+            return (await self.call(address, "GET", "/ready")).status == 200
+
+        await wait_until(f"{name} is ready", check, timeout)
+
+    async def start_worker(
+        self, name: str, service: str, zone: str, routed: bool = False, **fields: Any
+    ) -> WorkerNode:
+        """Start a worker and register it; `routed`: it is reached by a route of the proxy.
+
+        The proxy takes connections also for a worker that has ended, as some networks do.
+        """
+        arguments = ["worker", "--name", name, "--arrivals", str(self.folder / ARRIVALS)]
+        process, port = await self.group.start_stand_in(name, arguments)
+        reached_at = await self.open_route(port) if routed else port
+        node = WorkerNode(name, service, zone, port, reached_at, process)
+        self.workers[name] = node
+        await self.register(name, **fields)
+        return node
+
+    async def register(self, name: str, **fields: Any) -> None:
+        """Write a worker's entry."""
+        node = self.workers[name]
+        entry = {
+            "service": node.service,
+            "address": f"127.0.0.1:{node.reached_at}",
+            "zone": node.zone,
+            "version": "v1",
+            "slots": 6,
+            "state": "ready",
+            "coldLeftMs": 0,
+            "seqNo": 1,
+            "born": 1,
+        }
+        await self.write_row("servers", name, {**entry, **fields})
+
+    # Stand-ins.
+
+    async def write_row(self, table: str, key: str, value: Any, raw: str | None = None) -> None:
+        """Write a row as operators and workers do; None drops it."""
+        call = {"table": table, "key": key, "value": value, "raw": raw}
+        await self.admin(self.store_port, "rows", call)
+
+    async def set_store(self, **faults: Any) -> None:
+        """Set faults of the store."""
+        await self.admin(self.store_port, "faults", faults)
+
+    async def count_store_calls(self) -> int:
+        """Count the calls that the store has had from the fleet."""
+        return sum(json.loads(await self.admin(self.store_port, "counts", {})).values())
+
+    async def set_worker(self, name: str, **faults: Any) -> None:
+        """Set faults of a worker."""
+        await self.admin(self.workers[name].port, "faults", faults)
+
+    async def set_workers(self, service: str, **faults: Any) -> None:
+        """Set faults of every worker of a service."""
+        for name, node in self.workers.items():
+            if node.service == service:
+                await self.set_worker(name, **faults)
+
+    async def read_stats(self, name: str) -> Stats:
+        """Read what a worker has seen."""
+        data = await self.admin(self.workers[name].port, "stats", {})
+        return msgspec.json.decode(data, type=Stats)
+
+    async def read_all_stats(self, service: str) -> dict[str, Stats]:
+        """Read what the workers of a service have seen."""
+        names = [name for name, node in self.workers.items() if node.service == service]
+        return {name: await self.read_stats(name) for name in names}
+
+    async def set_route(self, port: int, **faults: Any) -> None:
+        """Set faults of a route of the proxy."""
+        await self.admin(self.proxy_port, "faults", {"ports": [port], **faults})
+
+    async def open_route(self, to: int) -> int:
+        """Open a route of the proxy to a local port."""
+        data = await self.admin(self.proxy_port, "routes", {"to": ["127.0.0.1", to]})
+        return int(json.loads(data)["port"])
+
+    async def admin(self, port: int, name: str, value: Any) -> bytes:
+        """Call a stand-in's interface for tests."""
+        body = json.dumps(value).encode()
+        reply = await self.call(("127.0.0.1", port), "POST", f"/admin/{name}", body)
+        assert reply.status == 200, (port, name, reply)
+        return reply.body
+
+    # Callers.
+
+    def make_id(self) -> str:
+        """Make the id of a caller's try."""
+        self._next_id += 1
+        return f"try-{self._next_id:06}"
+
+    async def ask(
+        self, path: str, body: bytes = b"", instance: str = "front-0", **headers: str
+    ) -> Reply:
+        """Send a request as a client does; underscores in header names stand for hyphens."""
+        method = "POST" if body else "GET"
+        sent = {
+            "Host": HOST,
+            "Attempt-Id": self.make_id(),
+            "X-Api-Key": KEY,
+            "Deadline-Ms": "2000",
+            **{name.replace("_", "-"): value for name, value in headers.items()},
+        }
+        return await self.call(self.instances[instance].callers, method, path, body, sent)
+
+    async def call(
+        self,
+        address: Address,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+        timeout: float = 10.0,
+    ) -> Reply:
+        """Send one request over a new connection; status 0: no answer."""
+        try:
+            connection = await Connection.open(address)
+        except HttpFailure:
+            return Reply()
+        reply = Reply()
+        sent = [(k.encode(), v.encode("latin-1")) for k, v in (headers or {"Host": "x"}).items()]
+        if body:
+            sent.append((b"Content-Length", str(len(body)).encode()))
+        try:
+            async with asyncio.timeout(timeout):
+                connection.send_raw(method.encode(), path.encode(), sent, body)
+                response = await connection.receive_head(timeout)
+                reply.status = response.status
+                reply.headers = response.headers
+                async for part in connection.receive_body(timeout):
+                    reply.body += part
+                reply.whole = True
+        except (HttpFailure, TimeoutError):
+            pass
+        finally:
+            connection.close()
+        return reply
+
+    def read_arrivals(self) -> list[Arrival]:
+        """Read what has reached any worker, those that have ended too."""
+        path = self.folder / ARRIVALS
+        lines = path.read_bytes().splitlines() if path.exists() else []
+        return [msgspec.json.decode(line, type=Arrival) for line in lines]
+
+    def read_log(self, name: str) -> list[dict[str, Any]]:
+        """Read the log lines of an instance."""
+        text = (self.folder / f"{name}.log").read_text("utf-8")
+        return [json.loads(line) for line in text.splitlines() if line]
+
+
+@asynccontextmanager
+async def start_fleet(folder: Path, **options: int) -> AsyncIterator[Fleet]:
+    """Start a fleet; its processes end with the test."""
+    fleet = Fleet(folder)
+    try:
+        await fleet.start(**options)
+        yield fleet
+    finally:
+        await fleet.group.close()
--- a/standins/_proxy.py
+++ b/standins/_proxy.py
@@ -3,7 +3,8 @@
 `POST /admin/routes` {"to": [host, port], "port": 0} opens a route and gives its port.
 `POST /admin/faults` {"ports": [...], ...} sets on routes any of: `refuse` (new connections are
 closed), `cut` (close the open ones now), `freeze` (the open ones go silent for good, both ways,
-while new ones work), `blackhole` (open and new ones are silent), `delay` (seconds each way),
+while new ones work), `blackhole` (open and new ones are silent), `mute` (what comes back is held
+up, so that requests arrive and answers do not), `delay` (seconds each way),
 `truncate` (close after that many bytes of answer; -1: never).
 """
 
@@ -36,6 +37,7 @@
     to: tuple[str, int]
     refuse: bool = False
     blackhole: bool = False
+    mute: bool = False
     delay: float = 0.0
     truncate: int = -1
     pipes: set[Pipe] = attrs.Factory(set)
@@ -58,6 +60,7 @@
     cut: bool = False
     freeze: bool = False
     blackhole: bool | None = None
+    mute: bool | None = None
     delay: float | None = None
     truncate: int | None = None
 
@@ -103,7 +106,7 @@
         return port
 
     def _set_faults(self, route: Route, faults: FaultCall) -> None:
-        for field in ("refuse", "blackhole", "delay", "truncate"):
+        for field in ("refuse", "blackhole", "mute", "delay", "truncate"):
             value = getattr(faults, field)
             if value is not None:
                 setattr(route, field, value)
@@ -156,7 +159,7 @@
                 break
             if route.delay:
                 await asyncio.sleep(route.delay)
-            while pipe.frozen or route.blackhole:
+            while pipe.frozen or route.blackhole or (is_back and route.mute):
                 await asyncio.sleep(0.05)
             if is_back:
                 route.bytes_back += len(data)
--- a/standins/_worker.py
+++ b/standins/_worker.py
@@ -12,6 +12,7 @@
 import asyncio
 import hashlib
 import os
+import time
 from collections import Counter
 
 import h11
@@ -68,6 +69,18 @@
     instance: str = ""
 
 
+class Arrival(msgspec.Struct):
+    """A line of the file of arrivals: a request reached a worker at a Unix time."""
+
+    id: str
+    worker: str
+    at: float
+    ran: bool
+    method: str
+    target: str
+    account: str
+
+
 class Stats(msgspec.Struct):
     """Figures since the start."""
 
@@ -92,8 +105,10 @@
 class Worker:
     """One worker on one port."""
 
-    def __init__(self, name: str) -> None:
+    def __init__(self, name: str, arrivals: str = "") -> None:
         self._name = name
+        # Arrivals are written as they come, so that they outlive this process.
+        self._arrivals = open(arrivals, "ab", buffering=0) if arrivals else None  # noqa: SIM115
         self._faults = Faults()
         self._seen: list[Seen] = []
         self._runs: Counter[str] = Counter()
@@ -162,6 +177,10 @@
         target = head.target.decode()
         method = head.method.decode()
         self._seen.append(Seen(request, method, target, headers, body.decode("latin-1"), runs))
+        if self._arrivals is not None:
+            account = headers.get("tenant", "")
+            line = Arrival(request, self._name, time.time(), runs, method, target, account)
+            self._arrivals.write(msgspec.json.encode(line) + b"\n")
         echo = [("Attempt-Id", request)]
         if expected != self._name:
             return _finish(conn, writer, 421, [*echo, ("Instance-Id", self._name)], b"")
@@ -335,8 +354,9 @@
 def add_options(parser: argparse.ArgumentParser) -> None:
     """Add the options of a worker."""
     parser.add_argument("--name", required=True, help="the id that requests have to expect")
+    parser.add_argument("--arrivals", default="", help="a file to which arrivals are appended")
 
 
 def make_worker(options: argparse.Namespace) -> Worker:
     """Make a worker from its options."""
-    return Worker(options.name)
+    return Worker(options.name, options.arrivals)
