--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: demo test measure compare measure-tables measure-costs chaos slopes binary lint
+.PHONY: demo test measure compare measure-tables measure-costs soak slopes binary lint
 
 PYTHON := .venv/bin/python
 
@@ -8,11 +8,15 @@
 test: .venv/.ready
 	@$(PYTHON) -m pytest -n 6
 
-# A randomised run of faults: make chaos SEED=1 DURATION=60
+# Randomised runs of faults, e.g. make soak SEED=1 SEEDS=10 DURATION=40 SIZE=6, on the stand-ins of
+# the users' platform; ON=product: on the product's own.
 SEED ?= 1
-DURATION ?= 60
-chaos: .venv/.ready
-	@$(PYTHON) -m loadtool chaos --seed $(SEED) --duration $(DURATION)
+SEEDS ?= 1
+DURATION ?= 40
+SIZE ?= 6
+ON ?= platform
+soak: .venv/.ready
+	@$(PYTHON) -m loadtool soak --on $(ON) --seed $(SEED) --seeds $(SEEDS) --duration $(DURATION) --size $(SIZE)
 
 # One run, e.g. make measure DEPLOYMENT=riegos POLICY=random SEED=2 SECONDS=40
 DEPLOYMENT ?= tengri
--- a/loadtool/_gateway_fleet.py
+++ b/loadtool/_gateway_fleet.py
@@ -9,6 +9,7 @@
 import asyncio
 import json
 import os
+import signal
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -134,16 +135,26 @@
         self._next_id = 0
 
     async def start(
-        self, instances: int = 2, plains: int = 2, engines: int = 2, zones: int = len(ZONES)
+        self,
+        instances: int = 2,
+        plains: int = 2,
+        engines: int = 2,
+        zones: int = len(ZONES),
+        routed: bool = False,
     ) -> None:
-        """Start the stand-ins and the instances, and wait until they are ready."""
+        """Start the stand-ins and the instances, and wait until they are ready.
+
+        `routed`: every other target is reached by a route of the proxy.
+        """
         _, self.store_port = await self.group.start_stand_in("store", ["tables"])
         _, self.proxy_port = await self.group.start_stand_in("proxy", ["proxy"])
         await self.write_row("op", "config", make_config())
         for number in range(plains):
-            await self.start_worker(f"plain-{number}", "plain", ZONES[number % 3])
+            behind = routed and number % 2 == 0
+            await self.start_worker(f"plain-{number}", "plain", ZONES[number % 3], behind)
         for number in range(engines):
-            await self.start_worker(f"engine-{number}", "llm", ZONES[number % 3])
+            behind = routed and number % 2 == 0
+            await self.start_worker(f"engine-{number}", "llm", ZONES[number % 3], behind)
         for number in range(instances):
             await self.add_instance(f"front-{number}", ZONES[number % zones])
         await asyncio.gather(*(self.start_instance(name) for name in self.instances))
@@ -189,13 +200,20 @@
 
     async def wait_ready(self, name: str, timeout: float = 10.0) -> None:
         """Wait until an instance says that it is ready."""
-        node = self.instances[name]
-        address = (node.ip, self._ports["ready"])
+        await wait_until(f"{name} is ready", lambda: self.is_ready(name), timeout)
 
-        async def check() -> bool:
-            return (await self.call(address, "GET", "/ready")).status == 200
+    async def is_ready(self, name: str, timeout: float = 10.0) -> bool:
+        """Whether an instance says within a time that it is ready."""
+        address = (self.instances[name].ip, self._ports["ready"])
+        return (await self.call(address, "GET", "/ready", timeout=timeout)).status == 200
 
-        await wait_until(f"{name} is ready", check, timeout)
+    def reload(self, name: str) -> None:
+        """Tell an instance that its settings have changed: one bound did."""
+        node = self.instances[name]
+        node.settings["bounds"]["budgetSlack"] += 1
+        (self.folder / f"{name}.json").write_text(json.dumps(node.settings), "utf-8")
+        if node.process is not None:
+            node.process.send(signal.SIGHUP)
 
     async def start_worker(
         self, name: str, service: str, zone: str, routed: bool = False, **fields: Any
@@ -346,7 +364,7 @@
 
 
 @asynccontextmanager
-async def start_fleet(folder: Path, **options: int) -> AsyncIterator[Fleet]:
+async def start_fleet(folder: Path, **options: Any) -> AsyncIterator[Fleet]:
     """Start a fleet; its processes end with the test."""
     fleet = Fleet(folder)
     try:
--- a/tests/fleet/test_chaos.py
+++ b/tests/fleet/test_chaos.py
@@ -1,8 +1,8 @@
 """Randomised runs of faults over all processes, while callers check every promise.
 
 Each seed is one schedule of kills, freezes, cuts, partitions, outages of the platform, zones and
-targets out of service and planned stops; `make chaos SEED=n` prints and runs it alone. A seed
-that has shown a fault stays here unchanged.
+targets out of service and planned stops; `make soak ON=product SEED=n` prints and runs it alone. A
+seed that has shown a fault stays here unchanged.
 """
 
 from __future__ import annotations
