--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -12,26 +12,18 @@
 import msgspec
 
 from rhubarbbend import VERSION, codes
-from rhubarbbend.core.directory import Target
 from rhubarbbend.core.readers import InstanceRow, ReaderPlan
 from rhubarbbend.gateway._attempts import AttemptRunner
+from rhubarbbend.gateway._crash_watch import CrashWatch
 from rhubarbbend.gateway._follower import StateFollower
 from rhubarbbend.gateway._interfaces import Adapter
 from rhubarbbend.gateway._journal import Journal
 from rhubarbbend.gateway._metrics import CONTENT_TYPE
 from rhubarbbend.gateway._peers import PeerClient, PeerServer
-from rhubarbbend.gateway._requests import OpenRequest
 from rhubarbbend.gateway._serving import RequestServer
 from rhubarbbend.gateway._settings import GatewaySettings, SettingsInvalid, SettingsReader
-from rhubarbbend.gateway._state import CrashNote, Note, State, read_clock
-from rhubarbbend.http import (
-    Connection,
-    ConnectionPool,
-    Exchange,
-    HttpFailure,
-    HttpServer,
-    ServerLimits,
-)
+from rhubarbbend.gateway._state import Note, State, read_clock
+from rhubarbbend.http import ConnectionPool, Exchange, HttpServer, ServerLimits
 
 # Idle connections to targets are kept for so long at the most, in seconds.
 TARGET_IDLE: Final = 10.0
@@ -58,13 +50,6 @@
 STOP_POLL: Final = 0.05
 # Places are told together after this time; a chat's next request comes seconds later.
 PLACES_DELAY: Final = 0.05
-# A target that broke a connection off is looked at after so many seconds: a process that ends
-# may take one more connection while its others are being closed. Crashed ones are away for some
-# seconds in the known deployments.
-CRASH_CHECK_DELAY: Final = 0.1
-CRASH_CHECK_TIMEOUT: Final = 0.2
-# Targets that are lost within so many seconds of one another are cut off rather than crashed.
-CRASH_CHECK_WINDOW: Final = 0.4
 
 
 class Instance:
@@ -85,10 +70,11 @@
         self._pool = ConnectionPool(TARGET_IDLE)
         self._peer_pool = ConnectionPool(TARGET_IDLE)
         attempts = AttemptRunner(self.state, self._pool, adapter.targets, read_clock)
-        attempts.crash_listener = self._suspect_crash
         self._requests = RequestServer(self.state, adapter.callers, attempts, read_clock)
         plan = ReaderPlan(settings.instance, settings.zone)
         self._peers = PeerClient(self.state, self._peer_pool, plan)
+        crashes = CrashWatch(self.state, self._peers, self._spawn)
+        attempts.crash_listener = crashes.suspect
         self._follower = StateFollower(
             self.state, adapter.store, adapter.decoder, self._peers, plan
         )
@@ -177,37 +163,6 @@
         )
         metrics.set_gauge("log_lines_dropped", lambda: self._journal.dropped)
 
-    # Crashes.
-
-    def _suspect_crash(self, request: OpenRequest, target: Target) -> None:
-        self._spawn(self._confirm_crash(request.id, request.digest, target))
-
-    async def _confirm_crash(self, request: str, digest: str, target: Target) -> None:
-        """Count a crash if the target that broke a connection off takes no new one.
-
-        Connections are reset for many reasons; blaming the request for each of them would refuse
-        sound requests after two. Nor can one request have lost several targets at once.
-        """
-        await asyncio.sleep(CRASH_CHECK_DELAY)
-        try:
-            connection = await Connection.open(target.address, CRASH_CHECK_TIMEOUT)
-            connection.close()
-            return
-        except HttpFailure as failure:
-            reason = failure.reason
-        self.state.health.note_unreachable(target.id, read_clock())
-        # Others that went at the same time are found out by now.
-        await asyncio.sleep(CRASH_CHECK_DELAY)
-        now = read_clock()
-        lost = self.state.health.count_lost_since(now - CRASH_CHECK_WINDOW)
-        if lost > 1:
-            self._log("crash_doubted", id=request, target=target.id, lost_together=lost)
-            return
-        if self.state.crashes.note_crash(digest, target.id, now):
-            self.state.metrics.add(codes.SUSPECTS)
-            self._log("crash_counted", id=request, digest=digest, target=target.id, reason=reason)
-            await self._peers.tell(Note(crashes=[CrashNote(digest, target.id)]))
-
     # Housekeeping.
 
     async def _watch_pauses(self) -> None:
