--- /dev/null
+++ b/tests/test_main.py
@@ -0,0 +1,27 @@
+"""The program before it has begun to do anything."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+
+# Stands for a part of the program whose loading takes long, in which the signal comes.
+SCRIPT = """
+import os, signal, sys, types
+import rhubarbbend.__main__ as program
+
+class Slow(types.ModuleType):
+    def __getattr__(self, name):
+        os.kill(os.getpid(), signal.SIGTERM)
+        raise SystemExit(7)
+
+sys.modules["rhubarbbend.cli"] = Slow("rhubarbbend.cli")
+program.run()
+"""
+
+
+def test_a_stop_while_the_program_loads_is_a_planned_stop() -> None:
+    # An instance is started again and told to stop before it has loaded, on a machine with much
+    # else to do. It ended by the signal, and whoever stopped it took the stop for failed.
+    ended = subprocess.run([sys.executable, "-c", SCRIPT], check=False, timeout=20)
+    assert ended.returncode == 0
