Leave repeated orders to stop unheeded at the end of a planned stop

Found by the soak (seed 200, 25 s): 'stop: front-3 ended with -15', three times for three overlapping orders to stop. Traced: the loop gives the signals back as it closes, and one more SIGTERM in the few ms until the process has ended kills it. Callers were answered by then; whoever stopped it took the planned stop for a crash. A test that repeats the order every 2 ms failed before and passes now; seed 200 stays as a regression case.

--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -48,6 +48,7 @@
 # Of the time until the process is killed, what is left for the last bytes to go out.
 STOP_MARGIN: Final = 0.6
 STOP_POLL: Final = 0.05
+STOP_SIGNALS: Final = (signal.SIGTERM, signal.SIGINT)
 # Places are told together after this time; a chat's next request comes seconds later.
 PLACES_DELAY: Final = 0.05
 
@@ -249,7 +250,7 @@
 
     def _handle_signals(self) -> None:
         loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in STOP_SIGNALS:
             loop.add_signal_handler(number, self._stop_asked.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
 
@@ -281,6 +282,19 @@
         self._follower.stop()
         self._log("stopped", cut=cut, after=round(read_clock() - began, 3))
         self._journal.close()
+        _ignore_stop_signals()
+
+
+def _ignore_stop_signals() -> None:
+    """Leave further orders to stop unheeded: nothing is left to do but to end.
+
+    The loop gives the signals back as it closes, and one more would then end a process by the
+    signal that has ended as planned.
+    """
+    loop = asyncio.get_running_loop()
+    for number in STOP_SIGNALS:
+        loop.remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
 
 
 def _read_boot_clock() -> float:
--- a/tests/gateway/test_commands.py
+++ b/tests/gateway/test_commands.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import signal
 from pathlib import Path
 
 import pytest
@@ -158,6 +159,21 @@
     run(work)
 
 
+def test_orders_to_stop_that_are_repeated_do_not_spoil_a_planned_stop(tmp_path: Path) -> None:
+    # Whoever stops an instance repeats the order until it has ended. One that came just before the
+    # end killed the process, and the planned stop looked like a crash.
+    async def work() -> None:
+        async with start_fleet(tmp_path, instances=1, engines=1) as fleet:
+            process = fleet.instances["front-0"].process
+            assert process is not None
+            while process.running:
+                process.send(signal.SIGTERM)
+                await asyncio.sleep(0.002)
+            assert process.process.returncode == 0
+
+    run(work)
+
+
 @pytest.mark.parametrize("rest", [0.7, 0.3])
 def test_a_booking_does_not_go_over_a_connection_that_may_be_closing(
     tmp_path: Path, rest: float
--- a/tests/loadtool/test_soak.py
+++ b/tests/loadtool/test_soak.py
@@ -19,8 +19,9 @@
 DURATION = 25.0
 SIZE = 6
 # 1: no fault; series of draining and failing targets, a path that is mute. 2: a resumed stream that
-# was answered by a failure was given a second head.
-SEEDS = [1, 2]
+# was answered by a failure was given a second head. 200: one more order to
+# stop, just before the end of a planned stop, killed the instance.
+SEEDS = [1, 2, 200]
 BODY = b"book 7"
 PATH = "/book/7"
 
