--- a/tests/loadtool/test_soak.py
+++ b/tests/loadtool/test_soak.py
@@ -105,6 +105,8 @@
     assert schedule != make_soak_schedule(8, DURATION, layout)
 
 
+# One at a time: each keeps a core or two busy, and what runs beside it has bounds in time.
+@pytest.mark.xdist_group("soak")
 @pytest.mark.parametrize("seed", SEEDS)
 def test_every_promise_holds_through_a_soak(seed: int, tmp_path: Path) -> None:
     result = asyncio.run(run_soak(seed, DURATION, SIZE, tmp_path))
