Own no other zone's targets while out of touch with the platform

Known red: an entry instance cut off from the rest sent work to a zone that is out for more than 9 s, beside load, never traced. Cause: the cut-off instance takes the instances of that zone for gone after 3 s and owns its targets itself; the test ended, on an idle machine, before those 3 s were over. With a cut of 7 s before the zone goes out it failed at once and passes now, as does a test of the core.

An instance that the table service has not answered for 3 s grants only its own zone's targets. What it costs: targets of a zone that has lost all its instances stay idle while the platform is down.

--- a/rhubarbbend/core/_context.py
+++ b/rhubarbbend/core/_context.py
@@ -165,6 +165,13 @@
         """Whether the last call to the table service failed."""
         return self.platform_failed > self.platform_worked
 
+    def is_out_of_touch(self, now: float) -> bool:
+        """Whether operators may have changed something since the table service last answered.
+
+        It counts from as long a silence on as that of a peer does.
+        """
+        return self.platform_down and now - self.platform_worked > self.options.peer_silence
+
 
 EventHandler = Callable[..., None]
 
--- a/rhubarbbend/core/owners/_owner.py
+++ b/rhubarbbend/core/owners/_owner.py
@@ -88,9 +88,8 @@
     def refresh_ownership(self, now: float) -> None:
         """Take over targets that have become this instance's, give up those that have not."""
         context = self._context
-        own = context.identity.instance
         for view in list(context.fleet.targets.values()):
-            mine = context.fleet.find_owner(view) == own
+            mine = self._may_own(view, now)
             if mine and view.id not in self._ledger.books:
                 self._take_over(view, now)
             elif not mine and view.id in self._ledger.books:
@@ -98,6 +97,19 @@
         for target in [name for name in self._ledger.books if name not in context.fleet.targets]:
             self._give_up(target, now)
 
+    def _may_own(self, view: TargetView, now: float) -> bool:
+        """Whether a target is this instance's to grant.
+
+        To an instance that is cut off, all others look gone, and it comes to own their zones'
+        targets. Operators may have taken such a zone out since, which it cannot know: its targets
+        got work for as long as the cut lasted. Its own zone's targets it serves on; those of other
+        zones only while the table service answers.
+        """
+        if self._context.fleet.find_owner(view) != self._context.identity.instance:
+            return False
+        is_own_zone = view.zone == self._context.identity.zone
+        return is_own_zone or not self._context.is_out_of_touch(now)
+
     def hand_over_all(self, now: float) -> None:
         """Give every owned target to its next owner; part of a planned stop."""
         self.refresh_ownership(now)
--- a/tests/core/owners/test_owner.py
+++ b/tests/core/owners/test_owner.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 
 from rhubarbbend.core import events
+from rhubarbbend.core.accepted._follower import SCAN_OP
 from rhubarbbend.core.configuration import Service
 from rhubarbbend.core.messages import Handover, HeldSlot, SlotRenewal, TargetLoad
 from rhubarbbend.core.owners._grants import (
@@ -18,7 +19,7 @@
     REFUSAL_QUEUE,
     REFUSAL_WAIT,
 )
-from tests.core.driver import SERVICE, ZONE, Driver, list_instance, list_target
+from tests.core.driver import HOLDERS, SERVICE, ZONE, Driver, list_instance, list_target
 
 PLANNER = Service(name=SERVICE, bound=1.25, floor=2, cold_slots=1, cold_requests=1)
 OPEN = Service(name=SERVICE, bound=1.25, floor=8, cold_slots=1, cold_requests=1)
@@ -460,3 +461,26 @@
     driver.beat("entry-a2", load)
     assert driver.read_load(TARGET) == 1
     assert driver.core.context.fleet.targets[TARGET].zone == ZONE
+
+
+# Zones that are cut off.
+
+
+def test_an_instance_out_of_touch_owns_no_targets_of_other_zones() -> None:
+    """An instance is cut off from the platform and from all others, but reaches another zone's
+    targets. Operators take that zone out. Nobody of it is left as far as the instance can tell, so
+    its targets would be its own to grant, and they got its callers' work while the cut lasted."""
+    driver = Driver([list_target(TARGET), list_target("engine-b1", "almaty-b")], OPEN)
+    for holder in HOLDERS:
+        driver.handle(events.PeerLost(holder))
+    for _ in range(6):
+        driver.pass_time(1.0)
+        driver.handle(events.RowsRead(SCAN_OP, "failed"))
+    assert driver.core.owner.list_owned() == [TARGET]
+    driver.handle(events.RowsRead(SCAN_OP, "done"))
+    driver.pass_time(1.0)
+    assert sorted(driver.core.owner.list_owned()) == [TARGET, "engine-b1"]
+    for _ in range(6):
+        driver.pass_time(1.0)
+        driver.handle(events.RowsRead(SCAN_OP, "failed"))
+    assert driver.core.owner.list_owned() == [TARGET]
--- a/tests/fleet/test_zones.py
+++ b/tests/fleet/test_zones.py
@@ -6,6 +6,8 @@
 import time
 from pathlib import Path
 
+import pytest
+
 from loadtool import Answer, Chat, Cluster
 from loadtool._cluster import Node
 from tests.fleet.harness import ZONES, make_caller, run, start_fleet, wait_until
@@ -112,13 +114,15 @@
     return [answer for answer in answers if not answer.good]
 
 
+@pytest.mark.parametrize("cut_before", [0.0, 7.0])
 def test_an_entry_instance_cut_off_from_the_rest_sends_no_work_to_a_zone_that_is_out(
-    tmp_path: Path,
+    tmp_path: Path, cut_before: float
 ) -> None:
     """Zone b is cut off from the platform and from every instance, but reaches zone a's targets.
 
-    Zone a goes out; the instance of zone b has not heard of it. It has to ask the owner in zone a
-    for a slot, which it cannot reach, so its callers are served by zone b alone.
+    Zone a goes out, at once or some seconds later; the instance of zone b has not heard of it. It
+    has to ask the owner in zone a for a slot, which it cannot reach, and after some seconds takes
+    all instances of zone a for gone. Its callers are served by zone b alone.
     """
 
     async def work() -> None:
@@ -128,6 +132,7 @@
             await set_cut(cluster, "almaty-b", True)
             targets = list_targets(cluster, "almaty-a")
             await cluster.set_route_faults("almaty-b", targets, blackhole=False)
+            await asyncio.sleep(cut_before)
             status, output = await cluster.run_command(
                 "zone", "out", "almaty-a", "--wait", "0.5", node=nodes["almaty-a"]
             )
