Drop the rows of instances that are gone for good

A row of an instance that was lost stayed in the list for ever: each such row made everybody's part of the bounds smaller, and readers were looked for among the lost.

A row is now a lease, judged by versions and the reader's own time in which it read the list, so no clock and no outage of the store can drop those that live; the removal is conditional on the version judged.

Cost: a write an instance each 5 minutes.

--- a/rhubarbbend/core/readers/__init__.py
+++ b/rhubarbbend/core/readers/__init__.py
@@ -7,7 +7,16 @@
 told is too old. A wrong guess costs calls, never a change.
 """
 
+from rhubarbbend.core.readers._leases import RENEW_INTERVAL, InstanceLeases
 from rhubarbbend.core.readers._news import NewsLog, NewsPage
 from rhubarbbend.core.readers._plan import InstanceRow, ReaderPlan, list_zone_readers
 
-__all__ = ["InstanceRow", "NewsLog", "NewsPage", "ReaderPlan", "list_zone_readers"]
+__all__ = [
+    "RENEW_INTERVAL",
+    "InstanceLeases",
+    "InstanceRow",
+    "NewsLog",
+    "NewsPage",
+    "ReaderPlan",
+    "list_zone_readers",
+]
--- a/rhubarbbend/gateway/_follower.py
+++ b/rhubarbbend/gateway/_follower.py
@@ -16,13 +16,14 @@
 import msgspec
 
 from rhubarbbend import codes
-from rhubarbbend.core.readers import InstanceRow, ReaderPlan
+from rhubarbbend.core.mirror import MirroredRow
+from rhubarbbend.core.readers import RENEW_INTERVAL, InstanceLeases, InstanceRow, ReaderPlan
 from rhubarbbend.gateway._intake import StateIntake
 from rhubarbbend.gateway._interfaces import StateDecoder
 from rhubarbbend.gateway._peers import ChangesReply, Hello, PeerClient, ReaderPosition
 from rhubarbbend.gateway._settings import Address
 from rhubarbbend.gateway._state import INSTANCE_TABLE, MAX_AGE, Note, State, read_clock
-from rhubarbbend.storage import HistoryGone, RowStore, StoreError
+from rhubarbbend.storage import HistoryGone, RowChanged, RowStore, StoreError
 
 # A wait for changes is also the check that its connection still carries answers: one can go silent
 # for good while others work, and what comes into force must be so within 2 s.
@@ -55,6 +56,9 @@
 # for a small one, in which nobody would tell them more. All start within 0.3 s of one another.
 FIRST_INTERVALS: Final = (1.0, 2.0)
 JOIN_PAUSE: Final = 1.0
+# How often an instance looks whether its row is on the list and due to be written again: not more
+# often than the list is read, or one that is missed would be written twice.
+ROW_CHECK_INTERVAL: Final = 30.0
 
 
 class StoreContact:
@@ -109,6 +113,7 @@
         self._reads.set()
         # Whether the list of instances has been read after all that started together are on it.
         self._knows_zone = False
+        self._leases = InstanceLeases()
         self._tasks: list[asyncio.Task[None]] = []
 
     @property
@@ -224,7 +229,7 @@
     # The list of instances.
 
     async def join(self, row: InstanceRow) -> None:
-        """Tell the other instances where this one is reached, and learn of them.
+        """Tell the other instances where this one is reached, learn of them, stay on the list.
 
         The row is written before the list is read: of two that join at once, at least the later
         one reads of the other, and tells it.
@@ -239,8 +244,30 @@
                 self._log("join_failed", reason=str(error))
                 await asyncio.sleep(JOIN_PAUSE)
                 continue
-            await self._peers.tell_hello(Hello(own, row))
-            return
+            break
+        await self._peers.tell_hello(Hello(own, row))
+        await self._keep_row(own, value)
+
+    async def _keep_row(self, own: str, value: bytes) -> None:
+        """Write the own row anew now and then, and as soon as it is missed, until it is to go.
+
+        One that could not write it for long finds it dropped when the store is back.
+        """
+        written_at = read_clock()
+        while not self._state.stopping:
+            await asyncio.sleep(ROW_CHECK_INTERVAL * self._state.random.uniform(0.8, 1.2))
+            now = read_clock()
+            is_listed = own in self._state.instances
+            if self._state.stopping or (is_listed and now - written_at < RENEW_INTERVAL):
+                continue
+            if not is_listed:
+                self._log("row_missing")
+            try:
+                await self._store.put_row(INSTANCE_TABLE, own, value)
+            except StoreError as error:
+                self._log("renewal_failed", reason=str(error))
+            else:
+                written_at = now
 
     async def leave(self) -> None:
         """Take this instance off the list."""
@@ -270,6 +297,19 @@
     async def _read_instances(self) -> None:
         page = await self._store.read_table(INSTANCE_TABLE)
         self._intake.take_pages({INSTANCE_TABLE: page}, "store")
+        own = self._state.settings.instance
+        for row in self._leases.observe(page.rows, read_clock()):
+            if row.key != own:
+                await self._drop_lapsed(row)
+
+    async def _drop_lapsed(self, row: MirroredRow) -> None:
+        """Take a lost instance off the list, unless it has just written its row again."""
+        try:
+            await self._store.remove_row(INSTANCE_TABLE, row.key, row.version)
+        except RowChanged:
+            self._log("row_renewed", row=row.key)
+        else:
+            self._log("row_lapsed", row=row.key)
 
     # The zone's reader.
 
--- a/rhubarbbend/storage/__init__.py
+++ b/rhubarbbend/storage/__init__.py
@@ -9,7 +9,7 @@
 import importlib
 from typing import TYPE_CHECKING, Any, Final
 
-from rhubarbbend.storage._rows import HistoryGone, RowStore, StoreError
+from rhubarbbend.storage._rows import HistoryGone, RowChanged, RowStore, StoreError
 
 if TYPE_CHECKING:
     from rhubarbbend.storage._base import PLATFORMS, PlatformClient, PlatformError
@@ -19,6 +19,7 @@
     "PLATFORMS",
     "PlatformClient",
     "PlatformError",
+    "RowChanged",
     "RowStore",
     "StoreError",
 ]
--- a/rhubarbbend/storage/_rows.py
+++ b/rhubarbbend/storage/_rows.py
@@ -15,6 +15,10 @@
     """The store no longer has the changes after the version asked for; read the whole table."""
 
 
+class RowChanged(StoreError):
+    """A row is not of the version that a write asked for; nothing was done."""
+
+
 class RowStore(abc.ABC):
     """A store with versioned rows in tables. Every method raises `StoreError` on failure.
 
@@ -35,8 +39,8 @@
         """Write a row, whatever it held."""
 
     @abc.abstractmethod
-    async def remove_row(self, table: str, key: str) -> None:
-        """Drop a row, whatever it held."""
+    async def remove_row(self, table: str, key: str, version: int | None = None) -> None:
+        """Drop a row, if a version is given only as that; raises `RowChanged` if it is another."""
 
     @abc.abstractmethod
     def reset(self) -> None:
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from collections.abc import Awaitable, Callable
 
+import pytest
+
 from rhubarbbend.core.mirror import MirroredRow, TablePage
 from rhubarbbend.core.readers import InstanceRow, ReaderPlan
+from rhubarbbend.gateway import _follower
 from rhubarbbend.gateway._follower import TABLE_WAIT, StateFollower
 from rhubarbbend.gateway._interfaces import StateChange, StateDecoder
 from rhubarbbend.gateway._journal import Journal
@@ -14,7 +18,7 @@
 from rhubarbbend.gateway._settings import GatewaySettings
 from rhubarbbend.gateway._state import State
 from rhubarbbend.http import ConnectionPool
-from rhubarbbend.storage import RowStore, StoreError
+from rhubarbbend.storage import RowChanged, RowStore, StoreError
 from tests.gateway.harness import run, wait_until
 
 TABLES = ("config", "targets")
@@ -37,6 +41,9 @@
         self.dead: set[str] = set()
         self.failing = False
         self.calls = 0
+        self.written: list[str] = []
+        self.removed: list[tuple[str, int | None]] = []
+        self.renewed: set[str] = set()
         self.resets = 0
 
     async def read_table(self, table: str) -> TablePage:
@@ -67,9 +74,13 @@
 
     async def put_row(self, table: str, key: str, value: bytes) -> None:
         self.calls += 1
+        self.written.append(key)
 
-    async def remove_row(self, table: str, key: str) -> None:
+    async def remove_row(self, table: str, key: str, version: int | None = None) -> None:
         self.calls += 1
+        self.removed.append((key, version))
+        if key in self.renewed:
+            raise RowChanged(key)
 
     def reset(self) -> None:
         self.resets += 1
@@ -157,3 +168,54 @@
         await wait_until("what changed meanwhile is known", is_known, 1.0)
 
     follow(work)
+
+
+def make_instance_page(version: int, *names: str) -> TablePage:
+    row = json.dumps({"zone": "zone-a", "host": "127.0.0.1", "port": 1}).encode()
+    return TablePage([MirroredRow(name, row, version) for name in names], version, True)
+
+
+def test_row_of_a_lost_instance_is_dropped_and_one_renewed_meanwhile_stays(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Two instances were lost without a word; their rows made everybody's part of the bounds smaller
+    # for good. One of them is back and writes its row just as it is judged; the store refuses to
+    # drop that, and the store is not taken for lost because of it.
+    monkeypatch.setattr("rhubarbbend.core.readers._leases.ROW_LIFE", 0.0)
+
+    async def work(state: State, store: ScriptedStore) -> None:
+        store.pages["instances"] = make_instance_page(7, "front-0", "front-8", "front-9")
+        store.renewed.add("front-9")
+        state.joined.notify()
+        await wait_until("both are judged", lambda: has_removed(store, 2), 2.0)
+        assert store.removed[:2] == [("front-8", 7), ("front-9", 7)]
+        assert store.resets == 0
+
+    follow(work)
+
+
+async def has_removed(store: ScriptedStore, count: int) -> bool:
+    return len(store.removed) >= count
+
+
+def test_an_instance_that_finds_itself_off_the_list_writes_its_row_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # It was cut off from the store for so long that the others dropped its row. Left off the list,
+    # it would share the bounds uncounted.
+    monkeypatch.setattr(_follower, "ROW_CHECK_INTERVAL", 0.05)
+
+    async def work() -> None:
+        store = ScriptedStore()
+        state, follower = make_follower(store)
+        store.pages["instances"] = make_instance_page(2, "front-0")
+        joining = asyncio.create_task(follower.join(InstanceRow("zone-a", "127.0.0.1", 1)))
+        await asyncio.sleep(0.3)
+        assert store.written == ["front-0"]
+        state.drop_instance("front-0")
+        await asyncio.sleep(0.3)
+        assert len(store.written) > 1
+        state.stopping = True
+        await asyncio.wait_for(joining, 1.0)
+
+    run(work)
