Try targets that are away with one request at a time; refuse after one time-out

Traced by id: an instance that is cut off (or a service whose targets are dark) had each request wait for a connection to every target in turn, 80 ms each, since each target had to time out twice before it was held, all holds ended together, and whoever came in the moment of a trial went along.

Now the second time-out in a row, at whatever target, says that a target is away, if no target took a connection in between; a target that is away is tried by one request at a time, and a request that has met one tries no other. Whoever is refused learns it after one time-out at most, or at once, and is told to come back, to another instance.

Ruled out: refusing without any trial (a target that is back would stay unused without traffic).

--- a/rhubarbbend/core/placement/_health.py
+++ b/rhubarbbend/core/placement/_health.py
@@ -8,9 +8,12 @@
 # The request that tries it next loses a connect time-out; while it is held others go elsewhere.
 FIRST_HOLD: Final = 0.25
 LONGEST_HOLD: Final = 0.6
-# A connection that times out once may have lost a packet; so many seconds after another one it
-# says that the target is away.
+# A connection that times out once may have lost a packet; so many seconds after another one, to
+# this target or with none taken in between by any, it says that the target is away.
 SECOND_TIMEOUT: Final = 2.0
+# One request at a time tries a target again that took no connection, for so many seconds: somewhat
+# longer than a connection may take. Before, all that came in that time waited with it.
+TRIAL: Final = 0.12
 # Failures and successes lose half of their weight in this time: a fault of some seconds is seen
 # within one of them, and a target that is well again is used again soon after.
 HALF_LIFE: Final = 3.0
@@ -25,7 +28,16 @@
 class _Record:
     """One target's recent past. Invariant: weights are as of `at`."""
 
-    __slots__ = ("failed", "total", "at", "hold", "down_until", "down_since", "timed_out_at")
+    __slots__ = (
+        "failed",
+        "total",
+        "at",
+        "hold",
+        "down_until",
+        "trial_until",
+        "down_since",
+        "timed_out_at",
+    )
 
     def __init__(self, now: float) -> None:
         self.failed = 0.0
@@ -33,6 +45,8 @@
         self.at = now
         self.hold = 0.0
         self.down_until = 0.0
+        # Until when a request tries it, alone.
+        self.trial_until = 0.0
         # Since when it has taken no connection.
         self.down_since: float | None = None
         self.timed_out_at: float | None = None
@@ -44,12 +58,21 @@
         self.total *= factor
         self.at = now
 
+    def open(self) -> None:
+        """Let everyone go there."""
+        self.down_until = 0.0
+        self.trial_until = 0.0
+        self.down_since = None
+        self.timed_out_at = None
+
 
 class HealthBook:
     """Judges targets by the answers to callers' requests. No probe is sent for it."""
 
     def __init__(self) -> None:
         self._records: dict[str, _Record] = {}
+        # Since the last connection that any target took: when one timed out, and where.
+        self._last_timeout: tuple[str, float] | None = None
 
     def note_answer(self, target: str, failed: bool, now: float) -> None:
         """Count an answer, or a request that got none."""
@@ -59,17 +82,41 @@
         record.failed += 1.0 if failed else 0.0
         if not failed:
             record.hold = 0.0
-            record.down_until = 0.0
-            record.down_since = None
-            record.timed_out_at = None
+            record.open()
+            self._last_timeout = None
 
     def note_timeout(self, target: str, now: float) -> float:
         """Note a connection that timed out; gives until when the target is held down."""
         record = self._find(target, now)
         before, record.timed_out_at = record.timed_out_at, now
-        if before is None or now - before > SECOND_TIMEOUT:
-            return record.down_until
-        return self.note_unreachable(target, now)
+        others, self._last_timeout = self._last_timeout, (target, now)
+        again = before is not None and now - before <= SECOND_TIMEOUT
+        after_others = others is not None and now - others[1] <= SECOND_TIMEOUT
+        if again or after_others or record.down_since is not None:
+            return self.note_unreachable(target, now)
+        return record.down_until
+
+    def begin_trial(self, target: str, now: float) -> bool:
+        """Let a request try a target that took no connection, and no other until it has.
+
+        False if the target is not one of these, and anyone may go there.
+        """
+        record = self._records.get(target)
+        if record is None or record.down_since is None:
+            return False
+        record.trial_until = now + TRIAL
+        return True
+
+    def note_connected(self, target: str) -> None:
+        """Note that a target has taken a connection: it is there for everyone."""
+        self._last_timeout = None
+        record = self._records.get(target)
+        if record is not None:
+            record.open()
+
+    def list_lost(self) -> set[str]:
+        """List the targets that have taken no connection since one failed."""
+        return {name for name, r in self._records.items() if r.down_since is not None}
 
     def note_unreachable(self, target: str, now: float) -> float:
         """Hold a target down that refused a connection; gives until when."""
@@ -79,6 +126,7 @@
         if now >= record.down_until:
             record.hold = min(LONGEST_HOLD, max(FIRST_HOLD, 2.0 * record.hold))
             record.down_until = now + record.hold
+        record.trial_until = 0.0
         return record.down_until
 
     def count_lost_since(self, at: float) -> int:
@@ -89,7 +137,7 @@
     def is_down(self, target: str, now: float) -> bool:
         """Whether a target is held down."""
         record = self._records.get(target)
-        return record is not None and now < record.down_until
+        return record is not None and now < max(record.down_until, record.trial_until)
 
     def compute_failing_share(self, target: str, now: float) -> float:
         """Give the recent share of failures; 0 with too little evidence."""
--- a/rhubarbbend/gateway/_attempts.py
+++ b/rhubarbbend/gateway/_attempts.py
@@ -86,13 +86,14 @@
     async def _connect(self, request: OpenRequest, target: Target) -> Connection | None:
         now = self._clock()
         limit = None if request.route.idempotent else PROVEN_SECONDS
+        health = self._state.health
+        health.begin_trial(target.id, now)
         try:
-            return await self._pool.take(
+            connection = await self._pool.take(
                 target.address, now, False, CONNECT_TIMEOUT, max_idle=limit
             )
         except HttpFailure as failure:
             now = self._clock()
-            health = self._state.health
             timed_out = failure.reason == REASON_TIMEOUT
             note = health.note_timeout if timed_out else health.note_unreachable
             held = note(target.id, now)
@@ -102,6 +103,9 @@
                 "target_unreachable", request, target, reason=failure.reason, held_for=held_for
             )
             return None
+        if not connection.reused:
+            health.note_connected(target.id)
+        return connection
 
     async def _exchange(
         self, request: OpenRequest, choice: Choice, connection: Connection
--- a/rhubarbbend/gateway/_serving.py
+++ b/rhubarbbend/gateway/_serving.py
@@ -166,7 +166,10 @@
             except BudgetSpent:
                 self._give_up(request, codes.RETRY_BUDGET)
                 return
-            unreached += end is AttemptEnd.UNREACHED
+            if end is AttemptEnd.UNREACHED:
+                unreached += 1
+                # A request waits for one time-out of those that may be away, not for each.
+                request.excluded |= self._state.health.list_lost()
             if not self._go_on(request, end):
                 return
 
