--- a/rhubarbbend/core/claims/_claims.py
+++ b/rhubarbbend/core/claims/_claims.py
@@ -9,17 +9,12 @@
 
 from __future__ import annotations
 
-from returns.result import Success
-
 from rhubarbbend import codes
 from rhubarbbend.codes import ErrorCode, Verdict
 from rhubarbbend.core import events
 from rhubarbbend.core._context import Context, EventHandler
 from rhubarbbend.core.claims._claim_listener import ClaimListener
-from rhubarbbend.core.claims._claim_queries import (
-    ClaimQueries,
-    Query,
-)
+from rhubarbbend.core.claims._claim_queries import ClaimQueries, Query
 from rhubarbbend.core.claims._claim_records import CLOCK_SKEW, ClaimRecords, key_of
 from rhubarbbend.core.claims._claim_rows import (
     ClaimRow,
@@ -33,12 +28,7 @@
     judge_state,
 )
 from rhubarbbend.core.claims._claim_writes import ClaimWrites
-from rhubarbbend.core.claims._keys import (
-    ReservedKey,
-    decode_reserved,
-    encode_reserved,
-    is_reserved,
-)
+from rhubarbbend.core.claims._keys import is_reserved
 from rhubarbbend.core.messages import ClaimQuery, ClaimReply, Message
 from rhubarbbend.core.requests._requests import Request
 
@@ -52,7 +42,6 @@
         self._records = ClaimRecords(context)
         self._writes = ClaimWrites(context, self._settle_write, self._give_up, self._is_wanted)
         self._queries = ClaimQueries(context, self)
-        self._next_number = 0
 
     def set_listener(self, listener: ClaimListener) -> None:
         """Set the entry duty, which is told what becomes of claims."""
@@ -80,37 +69,6 @@
         """Whether outcomes still wait to be written; a planned stop waits for them."""
         return self._writes.has_outcomes()
 
-    # Reserved keys.
-
-    def issue_keys(self, account: str, count: int, now: float) -> list[str]:
-        """Issue reserved keys for an account."""
-        identity = self._context.identity
-        lifetime = self._context.options.reserved_lifetime
-        expires = int(self._context.read_wall(now) + lifetime)
-        keys: list[str] = []
-        for _ in range(count):
-            self._next_number += 1
-            key = ReservedKey(identity.instance, identity.incarnation, self._next_number, expires)
-            keys.append(encode_reserved(identity.secret, account, key))
-        self._context.count(codes.RESERVED_ISSUED, count)
-        return keys
-
-    def read_reserved(self, request: Request) -> ReservedKey | None:
-        """Read a request's reserved key; None if it is not one of this fleet for the account."""
-        found = decode_reserved(
-            self._context.identity.secret, request.account.name, request.arrived.key
-        )
-        return found.unwrap() if isinstance(found, Success) else None
-
-    def is_own(self, key: ReservedKey) -> bool:
-        """Whether this very incarnation issued a reserved key."""
-        identity = self._context.identity
-        return key.issuer == identity.instance and key.incarnation == identity.incarnation
-
-    def is_expired(self, key: ReservedKey, now: float) -> bool:
-        """Whether a reserved key's record may have been forgotten."""
-        return key.expires < self._context.read_wall(now)
-
     # What the entry duty asks.
 
     def settle_from_memory(self, request: Request, now: float) -> bool:
--- a/rhubarbbend/core/claims/_reserved.py
+++ b/rhubarbbend/core/claims/_reserved.py
@@ -11,6 +11,7 @@
 from rhubarbbend.core._context import Context
 from rhubarbbend.core.claims._claim_rows import Outcome
 from rhubarbbend.core.claims._claims import ClaimDuty
+from rhubarbbend.core.claims._key_issuer import KeyIssuer
 from rhubarbbend.core.claims._keys import ReservedKey
 from rhubarbbend.core.configuration import Account
 from rhubarbbend.core.messages import ReservedReply, ReservedRun
@@ -40,6 +41,7 @@
         self._table = table
         self._answers = answers
         self._claims = claims
+        self._issuer = KeyIssuer(context)
         self._admit = admit
         self._route = route
 
@@ -53,18 +55,18 @@
         elif not 1 <= event.count <= MAX_KEYS_AT_ONCE:
             self._answers.reject(event.request, "", codes.BAD_REQUEST, now)
         else:
-            keys = self._claims.issue_keys(account.name, event.count, now)
+            keys = self._issuer.issue(account.name, event.count, now)
             self._context.emit(actions.GiveKeys(event.request, keys))
 
     def open(self, request: Request, now: float) -> None:
         """Run a command here if this incarnation issued its key, else ask the issuer to."""
-        key = self._claims.read_reserved(request)
+        key = self._issuer.read(request)
         if key is None:
             self._answers.refuse(request, codes.KEY_INVALID, Verdict.NOT_RUN, now)
-        elif self._claims.is_expired(key, now):
+        elif self._issuer.is_expired(key, now):
             # Its record may be gone already, so whether it has run is not known any more.
             self._answers.refuse(request, codes.ISSUER_GONE, Verdict.MAY_HAVE_RUN, now)
-        elif self._claims.is_own(key):
+        elif self._issuer.is_own(key):
             self._route(request, now)
         elif request.arrived.on_behalf_of:
             self._answers.refuse(request, codes.ISSUER_GONE, Verdict.MAY_HAVE_RUN, now)
--- a/tests/core/test_stop.py
+++ b/tests/core/test_stop.py
@@ -4,6 +4,7 @@
 
 from rhubarbbend.core import actions, events
 from rhubarbbend.core._fleet import rank
+from rhubarbbend.core.claims._key_issuer import KeyIssuer
 from rhubarbbend.core.messages import Handover, Heartbeat, ZoneQuery
 from tests.core.drive import introduce, pick, run_timers, scan, start_core
 from tests.core.test_service import ask, read_refusals, start_owner
@@ -75,7 +76,7 @@
     Only its issuer may run it. It gives no new keys, but runs what it has issued to the end.
     """
     core = start_owner(("t1", "a", "live"))
-    keys = core.claims.issue_keys("desk", 1, 9.0)
+    keys = KeyIssuer(core.context).issue("desk", 1, 9.0)
     core.handle(STOP, 10.0)
     refused = pick(core.handle(events.KeysRequested("q1", "a" * 64, 1), 10.1), actions.Refuse)
     assert [action.code for action in refused] == ["stopping"]
