--- a/rhubarbbend/gateway/_follower.py
+++ b/rhubarbbend/gateway/_follower.py
@@ -8,22 +8,19 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
 import math
 from collections.abc import Coroutine
 from typing import Any, Final
 
-import msgspec
-
 from rhubarbbend import codes
-from rhubarbbend.core.mirror import MirroredRow
-from rhubarbbend.core.readers import RENEW_INTERVAL, InstanceLeases, InstanceRow, ReaderPlan
+from rhubarbbend.core.readers import ReaderPlan
+from rhubarbbend.gateway._instance_list import InstanceList
 from rhubarbbend.gateway._intake import StateIntake
 from rhubarbbend.gateway._interfaces import StateDecoder
-from rhubarbbend.gateway._peers import ChangesReply, Hello, PeerClient, ReaderPosition
+from rhubarbbend.gateway._peers import ChangesReply, PeerClient, ReaderPosition
 from rhubarbbend.gateway._settings import Address
-from rhubarbbend.gateway._state import INSTANCE_TABLE, MAX_AGE, Note, State, read_clock
-from rhubarbbend.storage import HistoryGone, RowChanged, RowStore, StoreError
+from rhubarbbend.gateway._state import MAX_AGE, Note, State, read_clock
+from rhubarbbend.storage import HistoryGone, RowStore, StoreError
 
 # A wait for changes is also the check that its connection still carries answers: one can go silent
 # for good while others work, and what comes into force must be so within 2 s.
@@ -55,15 +52,6 @@
 HOLD: Final = 0.4
 # How often an instance that reads for itself looks whether it should.
 PLAN_INTERVAL: Final = 0.5
-# The list of instances only divides bounds among them, and those that join say so themselves.
-INSTANCES_INTERVAL: Final = 20.0
-# Of those that start together the first read a list without the others, and may take a large zone
-# for a small one, in which nobody would tell them more. All start within 0.3 s of one another.
-FIRST_INTERVALS: Final = (1.0, 2.0)
-JOIN_PAUSE: Final = 1.0
-# How often an instance looks whether its row is on the list and due to be written again: not more
-# often than the list is read, or one that is missed would be written twice.
-ROW_CHECK_INTERVAL: Final = 30.0
 
 
 class StoreContact:
@@ -110,15 +98,13 @@
         self._store = store
         self._tables = decoder.tables
         self._intake = StateIntake(state, decoder)
+        self.instances = InstanceList(state, store, self._intake, peers, self._note_failure)
         self._peers = peers
         self._plan = plan
         self._contact = StoreContact()
         # Set while this instance reads the store itself.
         self._reads = asyncio.Event()
         self._reads.set()
-        # Whether the list of instances has been read after all that started together are on it.
-        self._knows_zone = False
-        self._leases = InstanceLeases()
         self._tasks: list[asyncio.Task[None]] = []
 
     @property
@@ -137,7 +123,7 @@
         """Begin to follow."""
         for table in self._tables:
             self._spawn(self._follow(table))
-        self._spawn(self._follow_instances())
+        self._spawn(self.instances.follow(self._reads))
         self._spawn(self._listen())
         self._spawn(self._share_loads())
         self._spawn(self._ask_peers())
@@ -213,7 +199,7 @@
             return 0.0
         if table != self._state.config_table:
             return TABLE_WAIT
-        may_read = not self._knows_zone or self._plan.is_reader(self._state.instances, now)
+        may_read = not self.instances.is_settled or self._plan.is_reader(self._state.instances, now)
         return READER_WAIT if may_read else TABLE_WAIT
 
     def _note_answer(self, now: float) -> None:
@@ -231,91 +217,6 @@
             # Waits on other connections may have been lost with this one.
             self._store.reset()
 
-    # The list of instances.
-
-    async def join(self, row: InstanceRow) -> None:
-        """Tell the other instances where this one is reached, learn of them, stay on the list.
-
-        The row is written before the list is read: of two that join at once, at least the later
-        one reads of the other, and tells it.
-        """
-        own = self._state.settings.instance
-        value = msgspec.json.encode(row)
-        while True:
-            try:
-                await self._store.put_row(INSTANCE_TABLE, own, value)
-                await self._read_instances()
-            except StoreError as error:
-                self._log("join_failed", reason=str(error))
-                await asyncio.sleep(JOIN_PAUSE)
-                continue
-            break
-        await self._peers.tell_hello(Hello(own, row))
-        await self._keep_row(own, value)
-
-    async def _keep_row(self, own: str, value: bytes) -> None:
-        """Write the own row anew now and then, and as soon as it is missed, until it is to go.
-
-        One that could not write it for long finds it dropped when the store is back.
-        """
-        written_at = read_clock()
-        while not self._state.stopping:
-            await asyncio.sleep(ROW_CHECK_INTERVAL * self._state.random.uniform(0.8, 1.2))
-            now = read_clock()
-            is_listed = own in self._state.instances
-            if self._state.stopping or (is_listed and now - written_at < RENEW_INTERVAL):
-                continue
-            if not is_listed:
-                self._log("row_missing")
-            try:
-                await self._store.put_row(INSTANCE_TABLE, own, value)
-            except StoreError as error:
-                self._log("renewal_failed", reason=str(error))
-            else:
-                written_at = now
-
-    async def leave(self) -> None:
-        """Take this instance off the list."""
-        try:
-            await self._store.remove_row(INSTANCE_TABLE, self._state.settings.instance)
-        except StoreError as error:
-            self._log("leave_failed", reason=str(error))
-
-    async def _follow_instances(self) -> None:
-        intervals = itertools.chain(FIRST_INTERVALS, itertools.repeat(INSTANCES_INTERVAL))
-        due_at = read_clock()
-        while True:
-            now = read_clock()
-            if now >= due_at:
-                interval = next(intervals)
-                self._knows_zone = interval == INSTANCES_INTERVAL
-                due_at = now + interval * self._state.random.uniform(0.8, 1.2)
-            # One that joins is read at once, and puts off nothing: others may have joined unheard.
-            await self._state.joined.wait(due_at - now)
-            if not self._reads.is_set():
-                continue
-            try:
-                await self._read_instances()
-            except StoreError as error:
-                self._note_failure(INSTANCE_TABLE, error)
-
-    async def _read_instances(self) -> None:
-        page = await self._store.read_table(INSTANCE_TABLE)
-        self._intake.take_pages({INSTANCE_TABLE: page}, "store")
-        own = self._state.settings.instance
-        for row in self._leases.observe(page.rows, read_clock()):
-            if row.key != own:
-                await self._drop_lapsed(row)
-
-    async def _drop_lapsed(self, row: MirroredRow) -> None:
-        """Take a lost instance off the list, unless it has just written its row again."""
-        try:
-            await self._store.remove_row(INSTANCE_TABLE, row.key, row.version)
-        except RowChanged:
-            self._log("row_renewed", row=row.key)
-        else:
-            self._log("row_lapsed", row=row.key)
-
     # The zone's reader.
 
     async def _listen(self) -> None:
--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -101,7 +101,7 @@
         self._spawn(self._tell_places())
         if own.reached_at is not None:
             row = InstanceRow(own.zone, *own.reached_at, link=own.link, cores=own.cores)
-            self._spawn(self._follower.join(row))
+            self._spawn(self._follower.instances.join(row))
         await self._stop_asked.wait()
         await self._stop()
 
@@ -266,7 +266,7 @@
         self._log("stopping", open=self._requests.open)
         self._callers.announce_stop()
         if self.settings.peers is not None:
-            self._spawn(self._follower.leave())
+            self._spawn(self._follower.instances.leave())
         await asyncio.sleep(min(OUT_OF_ROTATION, self.settings.stop_grace / 3))
         self._callers.stop_accepting()
         while self._requests.open and read_clock() < killed_at:
