--- a/loadtool/_soak.py
+++ b/loadtool/_soak.py
@@ -24,6 +24,8 @@
 DEFAULT_SIZE: Final = 6
 TARGETS_PER_SERVICE: Final = 3
 CALLERS_PER_INSTANCE: Final = 3
+# All callers share this process, which serves about so many; beyond 20 instances each has fewer.
+MAX_CALLERS: Final = 60
 CALLER_TIMEOUT: Final = 4.0
 DEADLINE_MS: Final = "2000"
 # After the last fault everything asked must be answered within this time.
@@ -169,7 +171,7 @@
     watching = asyncio.create_task(_watch_ready(fleet, ready))
     callers = [
         SoakCaller(fleet, record, ready, f"{seed}-{number}")
-        for number in range(CALLERS_PER_INSTANCE * len(fleet.instances))
+        for number in range(min(MAX_CALLERS, CALLERS_PER_INSTANCE * len(fleet.instances)))
     ]
     until = record.started + duration
     await asyncio.gather(
