--- a/rhubarbbend/core/placement/_health.py
+++ b/rhubarbbend/core/placement/_health.py
@@ -101,10 +101,9 @@
 
         False if the target is not one of these, and anyone may go there.
         """
-        record = self._records.get(target)
-        if record is None or record.down_since is None:
+        if not self.is_lost(target):
             return False
-        record.trial_until = now + TRIAL
+        self._records[target].trial_until = now + TRIAL
         return True
 
     def note_connected(self, target: str) -> None:
@@ -114,9 +113,14 @@
         if record is not None:
             record.open()
 
+    def is_lost(self, target: str) -> bool:
+        """Whether a target has taken no connection since one failed."""
+        record = self._records.get(target)
+        return record is not None and record.down_since is not None
+
     def list_lost(self) -> set[str]:
         """List the targets that have taken no connection since one failed."""
-        return {name for name, r in self._records.items() if r.down_since is not None}
+        return {target for target in self._records if self.is_lost(target)}
 
     def note_unreachable(self, target: str, now: float) -> float:
         """Hold a target down that refused a connection; gives until when."""
--- a/rhubarbbend/core/placement/_placement.py
+++ b/rhubarbbend/core/placement/_placement.py
@@ -197,7 +197,7 @@
     ) -> str | None:
         """Say why a target cannot get a request now; None if it can."""
         if target.id in excluded:
-            return "tried"
+            return "unreachable" if self._health.is_lost(target.id) else "tried"
         if self._health.is_down(target.id, now):
             return "unreachable"
         if self._loads.count_own(target.id) >= most:
--- a/rhubarbbend/gateway/_attempts.py
+++ b/rhubarbbend/gateway/_attempts.py
@@ -87,7 +87,7 @@
         now = self._clock()
         limit = None if request.route.idempotent else PROVEN_SECONDS
         health = self._state.health
-        health.begin_trial(target.id, now)
+        is_trial = health.begin_trial(target.id, now)
         try:
             connection = await self._pool.take(
                 target.address, now, False, CONNECT_TIMEOUT, max_idle=limit
@@ -98,9 +98,13 @@
             note = health.note_timeout if timed_out else health.note_unreachable
             held = note(target.id, now)
             self._state.metrics.add(codes.RETRY_CONNECT)
-            held_for = round(max(0.0, held - now), 3)
             self._log(
-                "target_unreachable", request, target, reason=failure.reason, held_for=held_for
+                "target_unreachable",
+                request,
+                target,
+                reason=failure.reason,
+                trial=is_trial,
+                held_for=round(max(0.0, held - now), 3),
             )
             return None
         if not connection.reused:
