Send signals of a run without collecting the status of what has ended

Traced: asyncio's warning 'Unknown child process pid 14873, will report returncode 255' stands in the output; the child had ended, and Popen.send_signal polls before it sends, which takes the status from the thread that waits for it. A fault of the load tool, not of the instance, whose log says 'stopped'.

--- a/loadtool/_processes.py
+++ b/loadtool/_processes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import ctypes
 import os
 import random
@@ -63,9 +64,14 @@
         return self.process.returncode is None
 
     def send(self, number: signal.Signals) -> None:
-        """Send it a signal."""
+        """Send it a signal.
+
+        Not by the library's own call, which first collects the status of a process that has ended:
+        whoever waits for it would be told 255.
+        """
         if self.running:
-            self.process.send_signal(number)
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self.pid, number)
 
     def freeze(self) -> None:
         """Stop it without its noticing."""
