--- a/rhubarbbend/gateway/_follower.py
+++ b/rhubarbbend/gateway/_follower.py
@@ -41,10 +41,10 @@
 # While the store gives no answer, one peer is asked this often. A reader that is turned away for
 # some seconds still has to follow within 2 s.
 PEER_INTERVAL: Final = 0.4
-# The same while the first reading of a table is under way, for the first seconds: a call for a large
-# row can get stuck while others are answered. It serves an instance that starts by itself. In a
-# start of all 77 it gains nothing (0.88 s to the configuration in the middle, with and without):
-# they know three seeds then, which cannot tell everyone at once.
+# The same while the first reading of a table is under way, for the first seconds: a call for a
+# large row can get stuck while others are answered. It serves an instance that starts by itself.
+# In a start of all 77 it gains nothing (0.88 s to the configuration in the middle, with and
+# without): they know three seeds then, which cannot tell everyone at once.
 START_INTERVAL: Final = 0.1
 START_SECONDS: Final = 3.0
 # How long a reader holds a question while nothing changes. With the time that it then has to
