Wait for the slot that a chat's turn before is giving back

Traced with the slot traffic written out: turn three comes in through another instance 0.1 ms after turn two's answer; its request for a slot overtakes the release (9 ms). The owner's estimate of the wait was the usual duration of a request (95 ms) although the one slot out had run 77 ms of it, so it refused a wait of 60 ms and the chat moved to the other engine.

Ruled out: an engine that lost its prefix (it was asked for the first time there), the probation of a new owner (passed its first report), a ticket that was not understood (its target was asked first).

Change: the first in the queue waits for the request that has run longest, not for a whole one.

--- a/rhubarbbend/core/owners/_books.py
+++ b/rhubarbbend/core/owners/_books.py
@@ -188,6 +188,11 @@
         if made_at >= self.taken_at:
             self.probation.take_report(made_at, self.foreign)
 
+    def estimate_first_end(self, now: float) -> float:
+        """Give the seconds until the request that has run longest has run as long as is usual."""
+        longest = max((now - slot.since for slot in self.slots.values()), default=0.0)
+        return max(0.0, self.duration - longest)
+
     def _count_slots(self, at: float) -> int:
         """Give how many slots were out at a time."""
         count = 0
--- a/rhubarbbend/core/owners/_grants.py
+++ b/rhubarbbend/core/owners/_grants.py
@@ -164,7 +164,7 @@
         if message.max_wait <= 0:
             self._refuse(sender, message, REFUSAL_FULL)
             return
-        expected = self._estimate_wait(books, message)
+        expected = self._estimate_wait(books, message, now)
         if expected > message.max_wait:
             self._refuse(sender, message, REFUSAL_WAIT, retry_after=expected - message.max_wait)
             return
@@ -176,15 +176,20 @@
             deadline = now + message.max_wait
             self._context.set_timer(deadline, lambda at: self._expire_waiters(books, at))
 
-    def _estimate_wait(self, books: Books, message: SlotRequest) -> float:
+    def _estimate_wait(self, books: Books, message: SlotRequest, now: float) -> float:
         """Estimate how long a new waiter would wait, from those ahead and the usual duration.
 
         Without it a request that cannot be served in time would sit in the queue until its
         deadline, and its caller would learn only then that it has to go elsewhere. Before any
         request has ended nothing is known, and it waits.
+
+        The first in the queue waits for the request that has run longest. A chat's next turn can
+        be here before the slot of the turn before is back; taken for a request that has all its
+        time to go, that slot would send the chat away from the engine that holds its context.
         """
         ahead = books.queue.count_ahead(message.account, message.weight)
-        return (ahead + 1) * books.duration / max(1, self._ledger.compute_limit(books))
+        turn = books.duration / max(1, self._ledger.compute_limit(books))
+        return min(turn, books.estimate_first_end(now)) + ahead * turn
 
     def _has_room(self, books: Books, suspect: bool) -> bool:
         if suspect and books.has_suspect():
--- a/tests/core/owners/test_owner.py
+++ b/tests/core/owners/test_owner.py
@@ -393,6 +393,27 @@
     assert driver.find_refusal(driver.ask(TARGET, max_wait=0.0)) == REFUSAL_FULL
 
 
+def test_a_chat_waits_for_the_slot_that_its_turn_before_is_giving_back() -> None:
+    """A caller has its answer and asks the next turn before the slot of the first is back.
+
+    It comes in through another instance, whose request for a slot overtakes the word of the end.
+    Refused, the chat would go to an engine that has to read its whole context again.
+    """
+    driver = make_owner(PLANNER, targets=1, warm=False)
+    first = driver.ask(TARGET)
+    driver.now += 0.1
+    driver.release(TARGET, first, completed=True)
+    driver.report(TARGET, 0)
+    before = [driver.ask(TARGET) for _ in range(2)]
+    assert all(driver.is_granted(attempt) for attempt in before)
+    driver.now += 0.09
+    turn = driver.ask(TARGET, max_wait=0.03)
+    assert not driver.find_refusal(turn)
+    driver.now += 0.01
+    driver.release(TARGET, before[0], completed=True)
+    assert driver.is_granted(turn)
+
+
 def test_a_surge_keeps_neither_slots_nor_queue_from_others() -> None:
     service = Service(name=SERVICE, floor=4, cold_slots=1, cold_requests=1, max_queue=16)
     driver = make_owner(service)
