Listen before the program is loaded; let callers wait briefly for the first configuration

Hypothesis: the worst windows of the new customer lie where all instances lose power; callers are refused by every instance (no listener for 0.15 to 0.6 s, then "no configuration yet") and use up their tries.

Change: the callers' address is listened on before anything else is imported, and a request that comes before the first configuration waits for it: until 0.8 s after the start at the most and a third of its own time. After that it is refused at once, as before. Counter waited_for_start, a log line each. The log of a send says how many shared tokens its prompt has.

Ruled out: loading less. Imports take 55 to 80 ms here, reading the configuration 20 ms after `started`; most of the time is the machine's own start.

--- a/rhubarbbend/codes.py
+++ b/rhubarbbend/codes.py
@@ -132,6 +132,9 @@
     "answers_cut", "answers ended so that the caller sees they are not whole"
 )
 CALLER_GONE: Final = _declare_counter("caller_gone", "callers that left before their answer")
+WAITED_FOR_START: Final = _declare_counter(
+    "waited_for_start", "requests that waited for the first configuration of a start"
+)
 REPLAYS: Final = _declare_counter("replays", "kept outcomes given for a repeated key")
 
 RETRY_CONNECT: Final = _declare_counter("retry.connect", "attempts moved: connect failed")
--- a/rhubarbbend/gateway/_attempts.py
+++ b/rhubarbbend/gateway/_attempts.py
@@ -180,6 +180,7 @@
             cold=choice.cold,
             source=None if choice.source is None else choice.source.id,
             prompt=None if caller.prompt is None else caller.prompt.affinity_key,
+            shared=None if caller.prompt is None else caller.prompt.shared_tokens,
             reused=connection.reused,
             config=request.version,
             time_left=round(request.time_left(now), 3),
--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -7,6 +7,7 @@
 import signal
 import time
 from collections.abc import Callable, Coroutine
+from socket import socket
 from typing import Any, Final
 
 import msgspec
@@ -62,8 +63,11 @@
         adapter: Adapter,
         journal: Journal,
         read_settings: SettingsReader,
+        listener: socket | None = None,
     ) -> None:
         self.settings = settings
+        # Listens for callers since before the program was loaded, if it could.
+        self._listener = listener
         self._read_settings = read_settings
         self.state = State(settings, adapter.decoder.tables, journal)
         self._adapter = adapter
@@ -91,6 +95,7 @@
     async def run(self) -> None:
         """Serve until a planned stop has ended."""
         own = self.settings
+        self.state.started_at = read_clock()
         self._log("started", version=VERSION, pid=os.getpid(), zone=own.zone)
         self._set_gauges()
         self._handle_signals()
@@ -107,7 +112,10 @@
 
     async def _listen(self) -> None:
         own = self.settings
-        await self._callers.listen(*own.callers)
+        if self._listener is None:
+            await self._callers.listen(*own.callers)
+        else:
+            await self._callers.listen_on(self._listener)
         await self._serve_on(own.ready, self._serve_ready)
         if own.peers is not None:
             await self._serve_on(own.peers, PeerServer(self.state).serve)
@@ -302,8 +310,16 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
-def serve(settings: GatewaySettings, adapter: Adapter, read_settings: SettingsReader) -> int:
-    """Run an instance to its planned stop; gives the exit status."""
+def serve(
+    settings: GatewaySettings,
+    adapter: Adapter,
+    read_settings: SettingsReader,
+    listener: socket | None = None,
+) -> int:
+    """Run an instance to its planned stop; gives the exit status.
+
+    `listener` listens on the callers' address already, if it is given.
+    """
     journal = Journal(settings.instance)
-    asyncio.run(Instance(settings, adapter, journal, read_settings).run())
+    asyncio.run(Instance(settings, adapter, journal, read_settings, listener).run())
     return 0
--- a/rhubarbbend/gateway/_intake.py
+++ b/rhubarbbend/gateway/_intake.py
@@ -40,6 +40,8 @@
                 self._take(change, source)
         if all(table.known for table in self._state.mirror.tables.values()):
             self._state.directory.finish_first_read()
+        if self._state.knows_all:
+            self._state.opened.set()
         if count:
             self._state.changed.notify()
         return count
--- a/rhubarbbend/gateway/_interfaces.py
+++ b/rhubarbbend/gateway/_interfaces.py
@@ -94,6 +94,10 @@
     def read_id(self, exchange: Exchange) -> str:
         """Read the id of a caller's try, as far as it has a usable one; empty if not."""
 
+    @abc.abstractmethod
+    def read_time_limit(self, exchange: Exchange) -> float | None:
+        """Read for how many seconds a caller waits; None if it does not say, or not clearly."""
+
     @abc.abstractmethod
     def read_request(self, exchange: Exchange) -> CallerRequest:
         """Read a request or raise `BadRequest`."""
--- a/rhubarbbend/gateway/_serving.py
+++ b/rhubarbbend/gateway/_serving.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import traceback
 from typing import Final
 
@@ -26,6 +27,12 @@
 MAX_UNREACHED: Final = 4
 # Turns of the loop in which the end of a connection is read that came right after a request.
 TURNS_TO_EOF: Final = 3
+# For so many seconds after its start an instance lets callers wait for the configuration: twice
+# what the store takes to give it, and what other instances take if the store does not.
+START_WAIT: Final = 0.8
+# A caller waits for this part of the time that it gives its request, so that a try at another
+# instance can still be answered.
+START_PART: Final = 0.33
 # Why targets are shut that are there and will take work again soon.
 BUSY_REASONS: Final = frozenset({"cold", "connections"})
 
@@ -48,7 +55,9 @@
         now = self._clock()
         self._state.metrics.add(codes.REQUESTS)
         try:
-            request = self._admit(exchange, now)
+            if not self._state.opened.is_set():
+                await self._wait_opened(exchange, now)
+            request = None if exchange.closed.is_set() else self._admit(exchange, now)
             if request is not None:
                 await self._deliver(request)
         except Exception as error:
@@ -71,6 +80,35 @@
 
     # Admission.
 
+    async def _wait_opened(self, exchange: Exchange, now: float) -> None:
+        """Wait for what a start is about to read, for as long as it usually takes.
+
+        When all instances start at once, a caller that is refused by each uses up its tries in
+        less time than the configuration takes to come. One that starts without a store is known
+        by the end of that time, and refuses at once from then on.
+        """
+        limit = self._callers.read_time_limit(exchange)
+        left = self._state.started_at + START_WAIT - now
+        if limit is not None:
+            left = min(left, START_PART * limit)
+        if left <= 0.0:
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(left):
+                await self._state.opened.wait()
+        self._state.metrics.add(codes.WAITED_FOR_START)
+        is_gone = exchange.closed.is_set()
+        if is_gone:
+            self._state.metrics.add(codes.CALLER_GONE)
+        self._state.journal.write(
+            "waited_for_start",
+            self._clock(),
+            id=self._callers.read_id(exchange),
+            waited=round(self._clock() - now, 4),
+            opened=self._state.opened.is_set(),
+            caller_gone=is_gone or None,
+        )
+
     def _admit(self, exchange: Exchange, now: float) -> OpenRequest | None:
         """Find out where a request may go; answers it at once if that is nowhere."""
         catalog = self._state.catalog
--- a/rhubarbbend/gateway/_state.py
+++ b/rhubarbbend/gateway/_state.py
@@ -96,6 +96,9 @@
         # Instances have joined that the list, as it was read, may not hold.
         self.joined = Signal()
         self.stopping = False
+        self.started_at = 0.0
+        # Set once callers can be served for the first time.
+        self.opened = asyncio.Event()
         self._instance_ids: tuple[str, ...] | None = None
         self._retries: dict[str, RetryShare] = {}
 
@@ -108,12 +111,17 @@
             share.set_bound(settings.retry_ratio, settings.retry_slack, settings.retry_window)
 
     @property
-    def ready(self) -> bool:
-        """Whether callers can be served: configuration and targets are known."""
+    def knows_all(self) -> bool:
+        """Whether configuration and targets are known."""
         known = all(
             table.known for name, table in self.mirror.tables.items() if name != INSTANCE_TABLE
         )
-        return self.catalog is not None and known and not self.stopping
+        return self.catalog is not None and known
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers can be served, and new ones may come."""
+        return self.knows_all and not self.stopping
 
     def find_retries(self, service: str) -> RetryShare:
         """Find this instance's part of a service's retry budget."""
--- a/rhubarbbend/http/_server.py
+++ b/rhubarbbend/http/_server.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 from collections.abc import Awaitable, Callable
+from socket import socket
 from typing import Final
 
 import h11
@@ -23,6 +24,9 @@
 FLUSH_TIMEOUT: Final = 10.0
 FLUSH_POLL: Final = 0.02
 
+# Connections that the system keeps until they are accepted.
+BACKLOG: Final = 1024
+
 Handler = Callable[["Exchange"], Awaitable[None]]
 
 
@@ -58,9 +62,13 @@
 
     async def listen(self, host: str, port: int) -> int:
         """Start to accept connections; returns the port in use."""
-        self._server = await asyncio.start_server(self._accept, host, port, backlog=1024)
+        self._server = await asyncio.start_server(self._accept, host, port, backlog=BACKLOG)
         return int(self._server.sockets[0].getsockname()[1])
 
+    async def listen_on(self, listener: socket) -> None:
+        """Start to accept connections of a socket that listens already."""
+        self._server = await asyncio.start_server(self._accept, sock=listener, backlog=BACKLOG)
+
     def announce_stop(self) -> None:
         """Tell clients with each answer that their connection will not be used again."""
         self._drain_state.draining = True
--- a/tools/plays.py
+++ b/tools/plays.py
@@ -82,11 +82,15 @@
 class Player:
     """Runs the bench in a checkout, one process a play."""
 
-    def __init__(self, bench: Path, site: Path, tree: Path, why: str) -> None:
+    def __init__(
+        self, bench: Path, site: Path, tree: Path, why: str, keep: Path | None = None
+    ) -> None:
         self._bench = bench
         self._site = site
         self._tree = tree
         self._why = why
+        # Where the bench's whole reports are left, if anywhere.
+        self._keep = keep
 
     def play(self, day: str, seed: int) -> Play:
         """Play one day with one seed; raises if the bench gives no report."""
@@ -99,7 +103,11 @@
             )
             if not report.exists():
                 raise RuntimeError(f"{day} seed {seed}: {done.stdout[-600:]}{done.stderr[-300:]}")
-            return read_play(day, seed, json.loads(report.read_text("utf-8")))
+            text = report.read_text("utf-8")
+            if self._keep is not None:
+                (self._keep / f"{day}-{seed}.json").write_text(text, "utf-8")
+                (self._keep / f"{day}-{seed}.txt").write_text(done.stdout, "utf-8")
+            return read_play(day, seed, json.loads(text))
 
     def play_all(self, days: list[str], seeds: list[int], jobs: int) -> list[Play]:
         """Play every day with every seed, some at a time."""
@@ -195,6 +203,7 @@
     play.add_argument("--quiet", action="store_true", help="the quiet days too")
     play.add_argument("--jobs", type=int, default=DEFAULT_JOBS)
     play.add_argument("--why", required=True)
+    play.add_argument("--keep", type=Path, help="a folder for the bench's whole reports")
     play.add_argument("--out", type=Path, required=True)
     verbs.add_parser("show").add_argument("results", type=Path)
     pair = verbs.add_parser("compare")
@@ -213,7 +222,9 @@
         print(show(load(options.results)))
         return 0
     days = options.days.split(",") if options.days else list_days(options.site, options.quiet)
-    player = Player(options.bench, options.site, options.tree, options.why)
+    if options.keep is not None:
+        options.keep.mkdir(parents=True, exist_ok=True)
+    player = Player(options.bench, options.site, options.tree, options.why, options.keep)
     plays = player.play_all(days, options.seeds, options.jobs)
     save(plays, options.out)
     print(show(plays))
