Fetch prompts from targets that have just left; tell others of places at home too

A target that leaves without saying so was forgotten with its registration, although it serves for drainMs more; and a prompt sent to its home was never told, so the others named a source that had lost it.

Change: a target whose registration goes stays a source for the drain time, if it answered within three seconds before; one that crashed has been silent for three heartbeats by then. Each place that others may not know is told. Who may be fetched from is a module of its own now (_sources), out of _placement.

Three tests that fail without it.

--- a/rhubarbbend/core/directory/_directory.py
+++ b/rhubarbbend/core/directory/_directory.py
@@ -95,14 +95,14 @@
             return
         self._forget(target, now)
 
-    def drop_gone(self, now: float) -> list[str]:
-        """Forget targets whose registrations did not come back; give their ids."""
+    def drop_gone(self, now: float) -> list[Target]:
+        """Forget targets whose registrations did not come back; give them."""
         gone = [t for t in self._targets.values() if t.gone_at is not None and now >= t.gone_at]
         for target in gone:
             self._forget(target, now)
         for target_id in [t for t, (_, _, at) in self._ended.items() if now - at > MEMORY]:
             del self._ended[target_id]
-        return [target.id for target in gone]
+        return gone
 
     def take_zone_out(self, zone: str, now: float) -> None:
         """Give the targets of a zone no work from now on."""
--- a/rhubarbbend/core/placement/__init__.py
+++ b/rhubarbbend/core/placement/__init__.py
@@ -9,6 +9,7 @@
 from rhubarbbend.core.placement._placement import Choice, Placement, PlacementOptions, Reason
 from rhubarbbend.core.placement._places import Place, PlaceBook
 from rhubarbbend.core.placement._prompts import Prompt, PromptPart
+from rhubarbbend.core.placement._sources import SourceOptions
 
 __all__ = [
     "Choice",
@@ -21,5 +22,6 @@
     "Prompt",
     "PromptPart",
     "Reason",
+    "SourceOptions",
     "TargetLoad",
 ]
--- a/rhubarbbend/core/placement/_placement.py
+++ b/rhubarbbend/core/placement/_placement.py
@@ -24,6 +24,7 @@
 from rhubarbbend.core.placement._loads import LoadBook
 from rhubarbbend.core.placement._places import PlaceBook
 from rhubarbbend.core.placement._prompts import Prompt
+from rhubarbbend.core.placement._sources import SourceOptions, Sources
 from rhubarbbend.core.shares import ColdAllowance
 
 # Loads are estimates from answers that are up to some seconds old, so a target is passed over
@@ -33,10 +34,6 @@
 LEAST_SLACK: Final = 3.0
 # Up to this many requests beyond the mean a target's load is no reason to divide a prompt.
 EVEN_SLACK: Final = 1.0
-# Fetching fewer shared tokens than this takes longer than reading them.
-LEAST_FETCH_TOKENS: Final = 256
-# A target that registered within this many seconds is sent what others hold of its prompts.
-YOUNG: Final = 60.0
 # The other zone is chosen only if the own zone's target holds this many requests more.
 ZONE_ADVANTAGE: Final = 0.75
 # A request that leaves this many seconds after its choice counts for the time it left as well.
@@ -45,8 +42,6 @@
 # and those of instances that the others do not know of yet take the rest.
 CONNECTION_PART: Final = 0.8
 LEAST_CONNECTIONS: Final = 2
-# The grace of a zone that is taken out is used up to this part, since the word of it took time.
-GRACE_PART: Final = 0.7
 
 
 class Reason(enum.Enum):
@@ -62,13 +57,12 @@
 class PlacementOptions(msgspec.Struct, frozen=True):
     """`load_factor`: no target is to hold more than this many times the mean of its service.
 
-    `evacuation_grace` is for how many seconds after a zone is taken out its targets may still be
-    asked for what they hold.
+    `sources` says for how long a target that leaves may still be asked for what it holds.
     """
 
     zone: str
     load_factor: float = 2.0
-    evacuation_grace: float = 0.0
+    sources: SourceOptions = SourceOptions()
 
 
 class Choice(msgspec.Struct, frozen=True):
@@ -118,12 +112,14 @@
         self._health = health
         self._cold = cold
         self.places = PlaceBook()
+        self._sources = Sources(options.sources, directory, loads, health, self.places)
         # For the log of a refusal: why targets were shut at the last choice, by number.
         self.last_shut: dict[str, int] = {}
 
     def set_options(self, options: PlacementOptions) -> None:
         """Go by other options from now on."""
         self._options = options
+        self._sources.set_options(options.sources)
 
     def choose(
         self,
@@ -158,16 +154,15 @@
         if now - chosen_at > SLOW_CONNECT:
             self._cold.note_sent(target.id, now)
         if prompt is not None and prompt.parts:
-            known = self._list_holders(prompt, now)
-            moved = choice.reason is not Reason.HOME or choice.source is not None
-            is_news = moved and target not in known[:1]
-            self.places.note(prompt.affinity_key, target.id, is_news, now)
+            known = self._sources.list_holders(prompt, now)
+            self.places.note(prompt.affinity_key, target.id, target not in known[:1], now)
 
-    def forget(self, target: str) -> None:
-        """Forget a target that has gone."""
-        self._loads.forget(target)
-        self._health.forget(target)
-        self._cold.forget(target)
+    def note_departure(self, target: Target, now: float) -> None:
+        """Forget a target whose registration has gone, but for what it may still hold."""
+        self._sources.note_departure(target, now)
+        self._loads.forget(target.id)
+        self._health.forget(target.id)
+        self._cold.forget(target.id)
 
     def _find_candidates(
         self, service: Service, excluded: set[str], instances: Sequence[str], now: float
@@ -230,9 +225,9 @@
     ) -> Choice:
         by_id = {target.id: target for target in candidates.all}
         order = [by_id[name] for name in rank_names(prompt.affinity_key, by_id)]
-        holders = self._list_holders(prompt, now)
+        holders = self._sources.list_holders(prompt, now)
         target, reason = self._pick(candidates, service, order, holders, now)
-        source = self._find_source(prompt, order, holders, target, now)
+        source = self._sources.find(prompt, order, holders, target, now)
         return self._make_choice(candidates, target, reason, source, now)
 
     def _pick(
@@ -273,39 +268,6 @@
             return holders[0]
         return min(holders, key=lambda target: candidates.loads[target.id])
 
-    def _list_holders(self, prompt: Prompt, now: float) -> list[Target]:
-        """List the targets that a prompt was sent to since they started, first the latest."""
-        found = self.places.list_targets(prompt.affinity_key, now)
-        targets = [(self._directory.find(target), at) for target, at in found]
-        return [t for t, at in targets if t is not None and at >= t.known_since]
-
-    def _find_source(
-        self,
-        prompt: Prompt,
-        order: list[Target],
-        holders: list[Target],
-        target: Target,
-        now: float,
-    ) -> Target | None:
-        """Find a target that probably holds the shared parts which `target` lacks."""
-        if prompt.shared_tokens < LEAST_FETCH_TOKENS or target in holders:
-            return None
-        if not holders and target is order[0] and now - target.known_since > YOUNG:
-            return None
-        likely = [*holders, *order]
-        return next((t for t in likely if t is not target and self._may_hold(t, now)), None)
-
-    def _may_hold(self, target: Target, now: float) -> bool:
-        """Whether a target may be named as the place of a prompt.
-
-        Operators want nothing more sent to a zone that is out, within a grace; in it the others
-        take over what its targets hold, in place of reading it all again.
-        """
-        out_at = self._directory.find_exit(target.zone)
-        if out_at is not None and now - out_at > GRACE_PART * self._options.evacuation_grace:
-            return False
-        return not self._health.is_down(target.id, now) and not target.is_cold(now)
-
     # By load.
 
     def _choose_by_load(self, candidates: _Candidates, random: Random, now: float) -> Choice:
--- a/rhubarbbend/gateway/_follower.py
+++ b/rhubarbbend/gateway/_follower.py
@@ -338,8 +338,8 @@
         while True:
             await asyncio.sleep(1.0)
             for target in self._state.directory.drop_gone(read_clock()):
-                self._state.placement.forget(target)
-                self._log("target_gone", target=target)
+                self._state.placement.note_departure(target, read_clock())
+                self._log("target_gone", target=target.id)
 
     def _log(self, event: str, **fields: Any) -> None:
         self._state.journal.write(event, read_clock(), **fields)
--- a/rhubarbbend/gateway/_intake.py
+++ b/rhubarbbend/gateway/_intake.py
@@ -65,9 +65,10 @@
         elif isinstance(change, TargetRead):
             self._take_target(change, source, now)
         elif isinstance(change, TargetMissing):
+            target = self._state.directory.find(change.target)
             self._state.directory.unregister(change.target, now)
-            if self._state.directory.find(change.target) is None:
-                self._state.placement.forget(change.target)
+            if target is not None and self._state.directory.find(change.target) is None:
+                self._state.placement.note_departure(target, now)
             self._log("target_unregistered", target=change.target, source=source)
         elif isinstance(change, ZoneMoved):
             if change.out:
--- a/rhubarbbend/gateway/_state.py
+++ b/rhubarbbend/gateway/_state.py
@@ -20,6 +20,7 @@
     Place,
     Placement,
     PlacementOptions,
+    SourceOptions,
     TargetLoad,
 )
 from rhubarbbend.core.readers import InstanceRow, NewsLog
@@ -192,7 +193,8 @@
 
 
 def _make_options(settings: GatewaySettings) -> PlacementOptions:
-    return PlacementOptions(settings.zone, settings.load_factor, settings.evacuation_grace)
+    sources = SourceOptions(settings.evacuation_grace, settings.drain_time)
+    return PlacementOptions(settings.zone, settings.load_factor, sources)
 
 
 def read_clock() -> float:
--- a/tests/core/directory/test_directory.py
+++ b/tests/core/directory/test_directory.py
@@ -49,7 +49,7 @@
     directory.note_store_returned(30.0)
     directory.unregister("t-1", 30.1)
     assert list_ids(directory, 32.4) == []
-    assert directory.drop_gone(32.4) == ["t-1"]
+    assert [target.id for target in directory.drop_gone(32.4)] == ["t-1"]
 
 
 def test_a_target_that_leaves_right_after_the_store_s_return_is_gone_in_time() -> None:
--- a/tests/core/placement/test_placement.py
+++ b/tests/core/placement/test_placement.py
@@ -19,6 +19,7 @@
     Prompt,
     PromptPart,
     Reason,
+    SourceOptions,
 )
 from rhubarbbend.core.shares import ColdAllowance
 
@@ -260,7 +261,7 @@
 
 def test_a_zone_that_goes_out_gives_up_its_prompts_within_the_grace() -> None:
     world = World()
-    options = PlacementOptions("a", 2.0, evacuation_grace=5.0)
+    options = PlacementOptions("a", 2.0, SourceOptions(evacuation_grace=5.0))
     placement = Placement(options, world.directory, world.loads, world.health, world.cold)
     world.placement = placement
     first = world.choose()
--- /dev/null
+++ b/tests/core/placement/test_sources.py
@@ -0,0 +1,77 @@
+"""From where a prompt is fetched: targets that have left, and what nobody remembers of it."""
+
+from __future__ import annotations
+
+import pytest
+
+from rhubarbbend.core.placement import Placement, PlacementOptions, SourceOptions
+from tests.core.placement.test_placement import CHAT, World
+
+# How long targets that leave go on serving, in seconds.
+DRAIN = 2.0
+
+
+def make_world() -> World:
+    world = World()
+    options = PlacementOptions("a", 2.0, SourceOptions(drain_time=DRAIN))
+    world.placement = Placement(options, world.directory, world.loads, world.health, world.cold)
+    return world
+
+
+def send_home(world: World, now: float) -> str:
+    """Send the chat to its home and give that."""
+    choice = world.choose(now=now)
+    assert choice is not None
+    world.placement.note_sent(choice, CHAT, now, now)
+    return choice.target.id
+
+
+def unregister(world: World, target: str, now: float) -> None:
+    found = world.directory.find(target)
+    assert found is not None
+    world.directory.unregister(target, now)
+    world.placement.note_departure(found, now)
+
+
+@pytest.mark.parametrize(("asked_after", "is_fetched"), [(0.5, True), (1.9, True), (2.1, False)])
+def test_what_a_target_holds_is_fetched_while_it_drains(
+    asked_after: float, is_fetched: bool
+) -> None:
+    """A target leaves without a word: its registration goes, and it serves for 2 s more.
+
+    The chats that it holds come back at other targets. Forgotten with its registration, it would
+    not be asked, and each of them would read 10,000 tokens again.
+    """
+    world = make_world()
+    home = send_home(world, 10.0)
+    world.loads.take_report(home, 1, 10.2)
+    unregister(world, home, 11.0)
+    choice = world.choose(now=11.0 + asked_after)
+    assert choice is not None and choice.target.id != home
+    assert (choice.source is not None and choice.source.id == home) is is_fetched
+
+
+def test_a_target_that_crashed_is_not_asked() -> None:
+    # Its registration lapses after three missed heartbeats, so it has answered nobody for longer.
+    world = make_world()
+    home = send_home(world, 10.0)
+    world.loads.take_report(home, 1, 10.2)
+    unregister(world, home, 13.9)
+    choice = world.choose(now=14.0)
+    assert choice is not None and (choice.source is None or choice.source.id != home)
+
+
+def test_others_are_told_of_a_prompt_at_home_if_they_may_not_know_it_there() -> None:
+    """A target joins and becomes the home of a chat that lies elsewhere.
+
+    The instance that sends it there tells the others. Without it they take the place before for
+    the latest, and fetch from a target that has long left.
+    """
+    world = make_world()
+    places = world.placement.places
+    home = send_home(world, 10.0)
+    assert [(place.key, place.target) for place in places.take_news(10.0)] == [
+        (CHAT.affinity_key, home)
+    ]
+    send_home(world, 11.0)
+    assert places.take_news(11.0) == []
