Guess the holder of a prompt by rendezvous order after a start

Cause: after a loss of power of all instances nobody remembers the prompts that were not at home.

Change: an instance that has not known for 60 s where prompts go names the next in the order as the source. The guess costs a question between engines.

The test fails without it.

--- a/rhubarbbend/core/placement/_sources.py
+++ b/rhubarbbend/core/placement/_sources.py
@@ -19,7 +19,8 @@
 
 # Fetching fewer shared tokens than this takes longer than reading them.
 LEAST_FETCH_TOKENS: Final = 256
-# A target that registered within this many seconds is sent what others hold of its prompts.
+# A target that registered within this many seconds is sent what others hold of its prompts, and so
+# is every home by an instance that has not known for longer where prompts go.
 YOUNG: Final = 60.0
 # The grace of a zone that is taken out is used up to this part, since the word of it took time.
 GRACE_PART: Final = 0.7
@@ -63,6 +64,8 @@
         self._health = health
         self._places = places
         self._departed: dict[str, _Departed] = {}
+        # Since when this instance knows where prompts go: its first request.
+        self._knows_since: float | None = None
 
     def set_options(self, options: SourceOptions) -> None:
         """Go by other options from now on."""
@@ -97,12 +100,18 @@
 
         `order` is the rendezvous order of the prompt. Who holds it by the book goes first, then
         who has just left with it, then who would have been its home.
+
+        After a start of all instances nobody remembers the prompts that were not at home. Most of
+        them lie at the next target in the order, since they went there when the home was away; a
+        wrong guess costs a question between two engines.
         """
+        if self._knows_since is None:
+            self._knows_since = now
         if prompt.shared_tokens < LEAST_FETCH_TOKENS or target in holders:
             return None
         departed = self._list_departed(prompt, now)
-        is_settled = target is order[0] and now - target.known_since > YOUNG
-        if not holders and not departed and is_settled:
+        known_for = now - max(target.known_since, self._knows_since)
+        if not holders and not departed and target is order[0] and known_for > YOUNG:
             return None
         likely = [t for t in (*holders, *order) if t is not target and self._may_hold(t, now)]
         known = [t for t in likely if t in holders]
--- a/tests/core/placement/test_sources.py
+++ b/tests/core/placement/test_sources.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from rhubarbbend.core._rendezvous import rank_names
 from rhubarbbend.core.placement import Placement, PlacementOptions, SourceOptions
 from tests.core.placement.test_placement import CHAT, World
 
@@ -61,6 +62,23 @@
     assert choice is not None and (choice.source is None or choice.source.id != home)
 
 
+def test_an_instance_that_has_just_started_asks_where_a_prompt_would_have_gone() -> None:
+    """All instances lost power while the chat lay at the second target of its order.
+
+    None remembers that. Its home is asked for it again and would read it anew, although the
+    target that served it a moment before still holds all of it.
+    """
+    world = make_world()
+    world.directory.finish_first_read()
+    first = world.choose(now=10.0)
+    assert first is not None and first.target.id == world.home
+    assert first.source is not None
+    assert first.source.id == rank_names(CHAT.affinity_key, world.engines)[1]
+    # Once it has seen where prompts go for a while, one that it has never seen is new.
+    later = world.choose(now=75.0)
+    assert later is not None and later.target.id == world.home and later.source is None
+
+
 def test_others_are_told_of_a_prompt_at_home_if_they_may_not_know_it_there() -> None:
     """A target joins and becomes the home of a chat that lies elsewhere.
 
