Ask a silent target for a connection, and go elsewhere if it takes none

Hypothesis: in a cut and after a crash without a word, streams wait for their own patience (twice their objective, never under 1 s; a label check has 3 s in all). Waiting less would move those that wait for a busy engine.

Change: after what is usual on the route (mean and four deviations, between 0.25 s and half the objective) the instance looks whether anything else came from the target; if not, it opens a connection to it. A target that takes it is waited for as before; one that does not is held down, its idle connections are dropped, and the request goes on elsewhere. A trial of a lost target uses a new connection. Decided in core/delivery/_patience.py; counter silent_asked, log line silent_target_lost.

Tried and dropped: giving up without asking.

The test of the path fails without it (a pause of 1 s).

--- a/rhubarbbend/codes.py
+++ b/rhubarbbend/codes.py
@@ -158,6 +158,9 @@
 IDLE_CONNECTIONS_DEAD: Final = _declare_counter(
     "idle_connections_dead", "requests that met a connection which had died while it was idle"
 )
+SILENT_ASKED: Final = _declare_counter(
+    "silent_asked", "connections asked of targets from which nothing was heard"
+)
 RESUMES: Final = _declare_counter("resumes", "cut streams resumed at their offset")
 WRONG_ID: Final = _declare_counter("wrong_id", "answers dropped: they carried another request's id")
 
--- a/rhubarbbend/gateway/_attempts.py
+++ b/rhubarbbend/gateway/_attempts.py
@@ -7,10 +7,11 @@
 
 from rhubarbbend import codes
 from rhubarbbend.core.catalog import RequestKind
-from rhubarbbend.core.delivery import AttemptEnd
+from rhubarbbend.core.delivery import AttemptEnd, PaceBook
 from rhubarbbend.core.directory import Target
 from rhubarbbend.core.placement import Choice
 from rhubarbbend.gateway._interfaces import TargetAnswer, TargetOrder, TargetProtocol
+from rhubarbbend.gateway._listening import StreamPatience, TargetListener
 from rhubarbbend.gateway._requests import KeptAnswer, OpenRequest
 from rhubarbbend.gateway._state import Clock, State, read_clock
 from rhubarbbend.http import (
@@ -18,6 +19,7 @@
     Connection,
     ConnectionPool,
     HttpFailure,
+    Response,
     SendStage,
 )
 
@@ -30,14 +32,6 @@
 PROVEN_SECONDS: Final = 0.2
 # A connection that breaks after a shorter rest than this did not break because it rested.
 LEAST_REST: Final = 0.1
-# A safe read is asked for elsewhere after this part of its objective, so that the second answer
-# can still come in time; nine tenths of the reads of the known deployments take under a third.
-SAFE_PATIENCE: Final = 0.6
-# A stream that may be resumed is asked for elsewhere after this many times its objective without
-# a first event, or its longest good pause without another one, but never sooner than LEAST_SILENCE:
-# below that, a busy engine is likelier than a dead one.
-STREAM_PATIENCE: Final = 2.0
-LEAST_SILENCE: Final = 1.0
 # Answers up to this size are held until they are whole, so that one cut short can be replaced.
 MAX_HELD_ANSWER: Final = 262_144
 # An answer that belongs to no request is read off a connection within this time.
@@ -65,6 +59,8 @@
         self._pool = pool
         self._protocol = protocol
         self._clock = clock
+        self._paces = PaceBook()
+        self._listener = TargetListener(state, pool, CONNECT_TIMEOUT, clock)
         # Told of a request that a target broke off before it answered; set by the instance.
         self.crash_listener: Callable[[OpenRequest, Target], None] = lambda request, target: None
 
@@ -89,8 +85,9 @@
         health = self._state.health
         is_trial = health.begin_trial(target.id, now)
         try:
+            # Only a new connection shows whether a target that was lost is there again.
             connection = await self._pool.take(
-                target.address, now, False, CONNECT_TIMEOUT, max_idle=limit
+                target.address, now, is_trial, CONNECT_TIMEOUT, max_idle=limit
             )
         except HttpFailure as failure:
             now = self._clock()
@@ -119,16 +116,18 @@
             self._take_retry(request, connection)
         end = AttemptEnd.BROKEN
         answer: TargetAnswer | None = None
+        self._listener.add(choice.target.id, connection)
         try:
             self._send(request, choice, connection)
             answer = await self._receive_head(request, choice.target, connection)
-            end = await self._receive_rest(request, answer, connection)
+            end = await self._receive_rest(request, choice.target, answer, connection)
         except HttpFailure as failure:
             end = self._note_failure(request, choice.target, failure)
             if answer is None and self._was_dead(request, choice.target, connection, failure):
                 # This says nothing of the target's health.
                 return end
         finally:
+            self._listener.discard(choice.target.id, connection)
             self._settle(connection, answer, end)
         if end in (AttemptEnd.REJECTED, AttemptEnd.MISDIRECTED, AttemptEnd.FAILED):
             self._log(
@@ -167,6 +166,8 @@
         )
         headers = self._protocol.make_headers(caller, order)
         connection.send_raw(caller.method, caller.target, headers, caller.body)
+        request.sent_at = now
+        request.relay.has_begun = False
         self._state.placement.note_sent(choice, caller.prompt, request.chosen_at, now)
         self._log(
             "sent",
@@ -191,9 +192,8 @@
         self, request: OpenRequest, target: Target, connection: Connection
     ) -> TargetAnswer:
         """Wait for the answer to this request; others that come before it belong to nobody."""
-        patience = self._choose_patience(request)
         while True:
-            response = await connection.receive_head(patience)
+            response = await self._await_head(request, target, connection)
             answer = self._protocol.read_answer(response)
             if answer.request == request.id or answer.misdirected:
                 break
@@ -206,18 +206,32 @@
             self._state.loads.take_report(target.id, answer.held, self._clock())
         return answer
 
-    def _choose_patience(self, request: OpenRequest) -> float:
-        """Give how long to wait for a head before the request is sent elsewhere."""
-        route = request.route
-        rest = _compute_rest(request, self._clock())
+    async def _await_head(
+        self, request: OpenRequest, target: Target, connection: Connection
+    ) -> Response:
+        """Wait for the next head, for as long as the request may be silent at this target.
+
+        What cannot be sent elsewhere is waited for until its own deadline settles it.
+        """
         if not _may_move(request):
-            return rest
-        if route.kind is RequestKind.SAFE:
-            return min(rest, SAFE_PATIENCE * route.objective)
-        return min(rest, max(LEAST_SILENCE, STREAM_PATIENCE * route.objective))
+            return await connection.receive_head(_compute_rest(request, self._clock()))
+        patience = self._make_patience(request, target)
+        began = self._clock()
+        while True:
+            more = patience.extend(self._clock() - began)
+            try:
+                return await connection.receive_head(more)
+            except HttpFailure as failure:
+                # The system, too, says "time-out" of a connection that it has given up.
+                is_silent = failure.reason == REASON_TIMEOUT and not connection.closed
+                if not is_silent or patience.extend(self._clock() - began) <= 0.0:
+                    raise
+
+    def _make_patience(self, request: OpenRequest, target: Target) -> StreamPatience:
+        return StreamPatience(request, target, self._listener, self._paces, self._clock)
 
     async def _receive_rest(
-        self, request: OpenRequest, answer: TargetAnswer, connection: Connection
+        self, request: OpenRequest, target: Target, answer: TargetAnswer, connection: Connection
     ) -> AttemptEnd:
         if answer.misdirected:
             await _read_all(connection, request)
@@ -229,7 +243,7 @@
             # It ran, or may have: passed on, its status would promise that it did not.
             raise HttpFailure(SendStage.RESPONSE, f"no answer of its own, status {answer.status}")
         if request.route.kind is RequestKind.STREAM and answer.status < 300:
-            return await self._relay_stream(request, answer, connection)
+            return await self._relay_stream(request, target, answer, connection)
         if request.progress.started:
             # The caller has the head of a stream, which no other answer can go on.
             reason = f"status {answer.status} in place of the rest of a stream"
@@ -250,16 +264,26 @@
         return share.compute_left(instances, self._clock()) >= 1.0
 
     async def _relay_stream(
-        self, request: OpenRequest, answer: TargetAnswer, connection: Connection
+        self, request: OpenRequest, target: Target, answer: TargetAnswer, connection: Connection
     ) -> AttemptEnd:
         relay = request.relay
         resumed = request.answer is not None and relay.started
         if not resumed:
             request.answer = answer
-        relay.begin_run(resumed)
-        await connection.relay_body(relay, self._choose_silence(request))
+        sent_at = request.sent_at
+
+        def note_begun() -> None:
+            self._paces.note_first(request.route, self._clock() - sent_at)
+            connection.reset_pause()
+
+        relay.begin_run(resumed, note_begun)
+        # A stream that cannot be resumed is lost if it is given up, so it is waited for.
+        rest = _compute_rest(request, self._clock())
+        patience = self._make_patience(request, target) if _may_move(request) else rest
+        await connection.relay_body(relay, patience)
         if not relay.is_whole():
             raise HttpFailure(SendStage.RESPONSE, "the stream ended within an event")
+        self._paces.note_pause(request.route, connection.longest_pause)
         if not relay.started:
             request.answer = answer
             request.progress.started = True
@@ -267,15 +291,6 @@
         request.exchange.finish()
         return AttemptEnd.ANSWERED
 
-    def _choose_silence(self, request: OpenRequest) -> float:
-        """Give how long a stream may be silent before it is resumed at another target.
-
-        One that cannot be resumed is lost if it is given up, so it is waited for.
-        """
-        if not _may_move(request):
-            return _compute_rest(request, self._clock())
-        return max(LEAST_SILENCE, STREAM_PATIENCE * request.route.pause_objective)
-
     def _note_failure(
         self, request: OpenRequest, target: Target, failure: HttpFailure
     ) -> AttemptEnd:
--- a/rhubarbbend/gateway/_requests.py
+++ b/rhubarbbend/gateway/_requests.py
@@ -44,6 +44,7 @@
         "kept_answer",
         "attempt_target",
         "chosen_at",
+        "sent_at",
         "shut",
         "version",
     )
@@ -75,6 +76,7 @@
         self.kept_answer: KeptAnswer | None = None
         self.attempt_target: Target | None = None
         self.chosen_at = arrived
+        self.sent_at = arrived
         # Why no target could be chosen, by number of targets.
         self.shut: dict[str, int] | None = None
         self.version = version
--- a/rhubarbbend/gateway/_streams.py
+++ b/rhubarbbend/gateway/_streams.py
@@ -32,16 +32,24 @@
     def __init__(self, exchange: Exchange, start: Callable[[], None], last_id: str) -> None:
         self.last_id = last_id
         self.started = False
+        # Whether the run that is being relayed has brought an event.
+        self.has_begun = False
         self._exchange = exchange
         self._start = start
         self._buffer = bytearray()
         self._resumed = False
+        self._on_begun: Callable[[], None] = lambda: None
         self._overlong = False
 
-    def begin_run(self, resumed: bool) -> None:
-        """Take a target's body from its beginning; `resumed` if it goes on where one was cut."""
+    def begin_run(self, resumed: bool, on_begun: Callable[[], None]) -> None:
+        """Take a target's body from its beginning; `resumed` if it goes on where one was cut.
+
+        `on_begun` is called with its first event.
+        """
         self._buffer.clear()
         self._resumed = resumed
+        self.has_begun = False
+        self._on_begun = on_begun
 
     def write(self, data: bytes) -> None:
         """Take a part of the target's body."""
@@ -54,6 +62,9 @@
             return
         block = bytes(self._buffer[:end])
         del self._buffer[:end]
+        if not self.has_begun:
+            self.has_begun = True
+            self._on_begun()
         passed = self._select(block) if self._resumed else self._note_last(block)
         if not passed:
             return
--- a/rhubarbbend/http/__init__.py
+++ b/rhubarbbend/http/__init__.py
@@ -8,10 +8,11 @@
 from rhubarbbend.http._exchange import Exchange
 from rhubarbbend.http._failures import REASON_TIMEOUT, HttpFailure, SendStage
 from rhubarbbend.http._pool import ConnectionPool, fetch
-from rhubarbbend.http._pump import BodyRelay
+from rhubarbbend.http._pump import BodyPatience, BodyRelay
 from rhubarbbend.http._server import HttpServer, ServerLimits
 
 __all__ = [
+    "BodyPatience",
     "BodyRelay",
     "Connection",
     "ConnectionPool",
--- a/rhubarbbend/http/_connection.py
+++ b/rhubarbbend/http/_connection.py
@@ -17,7 +17,7 @@
     SendStage,
 )
 from rhubarbbend.http._protocol import ClientProtocol
-from rhubarbbend.http._pump import BodyPump, BodyRelay
+from rhubarbbend.http._pump import BodyPatience, BodyPump, BodyRelay, FixedPatience
 
 MAX_HEAD_BYTES: Final = 65_536
 DEFAULT_CONNECT_TIMEOUT: Final = 1.0
@@ -88,6 +88,20 @@
             opening.cancel()
         return cls(address, protocol)
 
+    @property
+    def last_received(self) -> float:
+        """When something came last, be it only the acceptance of the connection."""
+        return self._protocol.last_received
+
+    @property
+    def longest_pause(self) -> float:
+        """The longest time between two parts of a body that was relayed, in seconds."""
+        return self._protocol.longest_pause
+
+    def reset_pause(self) -> None:
+        """Measure the longest pause from now on."""
+        self._protocol.longest_pause = 0.0
+
     @property
     def traffic(self) -> int:
         """Bytes sent and received."""
@@ -181,14 +195,17 @@
         except (OSError, h11.RemoteProtocolError) as error:
             raise HttpFailure(SendStage.RESPONSE, str(error)) from error
 
-    async def relay_body(self, relay: BodyRelay, progress_timeout: float) -> None:
+    async def relay_body(self, relay: BodyRelay, patience: BodyPatience | float) -> None:
         """Give the body to a relay part by part, in the loop's turn that received each.
 
-        Ends as `receive_body` does. One timer watches the whole body in place of one a part.
+        Ends as `receive_body` does; a number is a fixed patience, in seconds. One timer watches
+        the whole body in place of one a part.
         """
         loop = asyncio.get_running_loop()
         ended: asyncio.Future[None] = loop.create_future()
-        pump = BodyPump(self._conn, self._protocol, relay, ended, progress_timeout)
+        if not isinstance(patience, BodyPatience):
+            patience = FixedPatience(patience)
+        pump = BodyPump(self._conn, self._protocol, relay, ended, patience)
         try:
             pump.start()
             await ended
--- a/rhubarbbend/http/_protocol.py
+++ b/rhubarbbend/http/_protocol.py
@@ -48,6 +48,8 @@
         self.eof = False
         self.error: Exception | None = None
         self.last_received = 0.0
+        # The longest time between two parts that a sink was given.
+        self.longest_pause = 0.0
         self.traffic = 0
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
@@ -133,13 +135,15 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take the transport."""
         self._transport = cast(asyncio.Transport, transport)
+        self.last_received = self._loop.time()
         set_keepalive(transport.get_extra_info("socket"))
 
     def data_received(self, data: bytes) -> None:
         """Give a part to the sink, or keep it for the reader."""
         self.traffic += len(data)
-        self.last_received = self._loop.time()
+        before, self.last_received = self.last_received, self._loop.time()
         if self._sink is not None:
+            self.longest_pause = max(self.longest_pause, self.last_received - before)
             self._sink(data)
             return
         self._buffer += data
--- a/rhubarbbend/http/_pump.py
+++ b/rhubarbbend/http/_pump.py
@@ -16,8 +16,8 @@
 )
 from rhubarbbend.http._protocol import ClientProtocol
 
-# A body that is held back is looked at again after this many seconds at the earliest.
-MIN_WATCH: Final = 0.25
+# A body is looked at again after this many seconds at the earliest.
+MIN_WATCH: Final = 0.05
 
 
 class BodyRelay(abc.ABC):
@@ -40,6 +40,25 @@
         """Wait until it has."""
 
 
+class BodyPatience(abc.ABC):
+    """Decides how long a body may make no progress."""
+
+    @abc.abstractmethod
+    def extend(self, silence: float) -> float:
+        """Give for how many seconds more to wait after so many of silence; 0: not any longer."""
+
+
+class FixedPatience(BodyPatience):
+    """Waits for a fixed time."""
+
+    def __init__(self, limit: float) -> None:
+        self._limit = limit
+
+    def extend(self, silence: float) -> float:
+        """Give what is left of it."""
+        return self._limit - silence
+
+
 class BodyPump:
     """Moves one body from a protocol to a relay. Invariant: `ended` is settled exactly once."""
 
@@ -49,13 +68,13 @@
         protocol: ClientProtocol,
         relay: BodyRelay,
         ended: asyncio.Future[None],
-        progress_timeout: float,
+        patience: BodyPatience,
     ) -> None:
         self._conn = conn
         self._protocol = protocol
         self._relay = relay
         self._ended = ended
-        self._progress_timeout = progress_timeout
+        self._patience = patience
         self._loop = ended.get_loop()
         self._timer: asyncio.TimerHandle | None = None
         self._holding: asyncio.Task[None] | None = None
@@ -118,12 +137,11 @@
 
     def _check_progress(self) -> None:
         """End a body that makes no progress, unless it is being held back."""
-        silent = self._loop.time() - self._protocol.last_received
-        if self._holding is None and silent >= self._progress_timeout:
+        more = self._patience.extend(self._loop.time() - self._protocol.last_received)
+        if self._holding is None and more <= 0.0:
             self._fail(REASON_NO_PROGRESS)
             return
-        wait = max(self._progress_timeout - silent, MIN_WATCH)
-        self._timer = self._loop.call_later(wait, self._check_progress)
+        self._timer = self._loop.call_later(max(more, MIN_WATCH), self._check_progress)
 
     def _fail(self, reason: str) -> None:
         if not self._ended.done():
--- a/standins/_proxy.py
+++ b/standins/_proxy.py
@@ -2,10 +2,10 @@
 
 `POST /admin/routes` {"to": [host, port], "port": 0} opens a route and gives its port.
 `POST /admin/faults` {"ports": [...], ...} sets on routes any of: `refuse` (new connections are
-closed), `cut` (close the open ones now), `freeze` (the open ones go silent for good, both ways,
-while new ones work), `blackhole` (open and new ones are silent), `mute` (what comes back is held
-up, so that requests arrive and answers do not), `delay` (seconds each way),
-`truncate` (close after that many bytes of answer; -1: never).
+closed), `deaf` (new ones are not taken, for good), `cut` (close the open ones now), `freeze` (the
+open ones go silent for good, both ways, while new ones work), `blackhole` (open and new ones are
+silent), `mute` (what comes back is held up, so that requests arrive and answers do not), `delay`
+(seconds each way), `truncate` (close after that many bytes of answer; -1: never).
 """
 
 from __future__ import annotations
@@ -37,6 +37,7 @@
     to: tuple[str, int]
     refuse: bool = False
     blackhole: bool = False
+    server: asyncio.Server | None = None
     mute: bool = False
     delay: float = 0.0
     truncate: int = -1
@@ -59,6 +60,7 @@
     refuse: bool | None = None
     cut: bool = False
     freeze: bool = False
+    deaf: bool = False
     blackhole: bool | None = None
     mute: bool | None = None
     delay: float | None = None
@@ -103,6 +105,7 @@
         self._servers.append(server)
         port = int(server.sockets[0].getsockname()[1])
         self._routes[port] = route
+        route.server = server
         return port
 
     def _set_faults(self, route: Route, faults: FaultCall) -> None:
@@ -110,6 +113,8 @@
             value = getattr(faults, field)
             if value is not None:
                 setattr(route, field, value)
+        if faults.deaf and route.server is not None:
+            route.server.close()
         if faults.freeze:
             for pipe in route.pipes:
                 pipe.frozen = True
--- a/tests/gateway/test_answers.py
+++ b/tests/gateway/test_answers.py
@@ -149,6 +149,33 @@
     run(work)
 
 
+def test_a_stream_goes_on_at_once_when_the_way_to_its_engine_is_cut(tmp_path: Path) -> None:
+    """The zone of an engine is cut off in the middle of a stream: no byte comes, and no reset.
+
+    The engine takes no new connection either, which tells the cut from a busy engine. Waited for
+    like one, it would cost the caller a pause of a second.
+    """
+
+    async def work() -> None:
+        async with start_fleet(tmp_path, instances=1, engines=1, routed=True) as fleet:
+            await fleet.set_workers("llm", events=40, event_gap=0.05)
+            asked = asyncio.ensure_future(
+                fleet.ask("/chat/stream", b"hi", Prefix_Hash=PROMPT, Deadline_Ms="3000")
+            )
+            await asyncio.sleep(0.5)
+            await fleet.start_worker("engine-1", "llm", "zone-b")
+            await fleet.set_worker("engine-1", events=40, event_gap=0.0)
+            await asyncio.sleep(0.3)
+            cut_at = asyncio.get_running_loop().time()
+            route = fleet.workers["engine-0"].reached_at
+            await fleet.set_route(route, freeze=True, deaf=True)
+            reply = await asked
+            assert reply.whole and reply.body == join_events(b"hi", last=40)
+            assert asyncio.get_running_loop().time() - cut_at < 0.8
+
+    run(work)
+
+
 def test_a_stream_that_falls_silent_goes_on_at_another_engine(tmp_path: Path) -> None:
     # The engine's connection stays open and brings nothing more.
     async def work() -> None:
