Doubt the whole zone of a target that is lost

Hypothesis: in a cut each target of a zone is found out by itself; every request that goes over an open connection to another of them waits for its own patience, and a second send may go to the next one behind the same cut.

Change: a target of another zone that times out (a connection, or the question to a silent one) casts doubt on the other targets of its zone, but for those heard of within 0.25 s. A doubted target is tried by one request at a time over a new connection; if it is there, it is open again after a round trip. Counter zones_doubted, log line zone_doubted.

--- a/rhubarbbend/codes.py
+++ b/rhubarbbend/codes.py
@@ -158,6 +158,9 @@
 IDLE_CONNECTIONS_DEAD: Final = _declare_counter(
     "idle_connections_dead", "requests that met a connection which had died while it was idle"
 )
+ZONES_DOUBTED: Final = _declare_counter(
+    "zones_doubted", "times that all targets of a zone were doubted, since one was lost"
+)
 SILENT_ASKED: Final = _declare_counter(
     "silent_asked", "connections asked of targets from which nothing was heard"
 )
--- a/rhubarbbend/core/directory/_directory.py
+++ b/rhubarbbend/core/directory/_directory.py
@@ -64,6 +64,10 @@
         """List every registered target of a service, whether it may get work or not."""
         return list(self._by_service.get(service, ()))
 
+    def list_neighbours(self, target: Target) -> list[str]:
+        """List the ids of the other targets of a target's zone."""
+        return [t.id for t in self._targets.values() if t.zone == target.zone and t is not target]
+
     def finish_first_read(self) -> None:
         """Note that every target is known that was there before this instance."""
         self._first_read = False
--- a/rhubarbbend/core/placement/_health.py
+++ b/rhubarbbend/core/placement/_health.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Final
 
 # A target that takes no connection is left alone for so long, doubled with each further failure.
@@ -25,6 +26,11 @@
 FAILING_FACTOR: Final = 2.0
 
 
+# The targets of a zone in which one was lost are tried by one request each, but for those heard of
+# within so many seconds.
+ZONE_SILENCE: Final = 0.25
+
+
 class _Record:
     """One target's recent past. Invariant: weights are as of `at`."""
 
@@ -37,6 +43,7 @@
         "trial_until",
         "down_since",
         "timed_out_at",
+        "heard_at",
     )
 
     def __init__(self, now: float) -> None:
@@ -50,6 +57,8 @@
         # Since when it has taken no connection.
         self.down_since: float | None = None
         self.timed_out_at: float | None = None
+        # When it last answered or took a connection.
+        self.heard_at = -math.inf
 
     def fade(self, now: float) -> None:
         """Let what is known lose its weight."""
@@ -81,6 +90,7 @@
         record.total += 1.0
         record.failed += 1.0 if failed else 0.0
         if not failed:
+            record.heard_at = now
             record.hold = 0.0
             record.open()
             self._last_timeout = None
@@ -106,13 +116,29 @@
         self._records[target].trial_until = now + TRIAL
         return True
 
-    def note_connected(self, target: str) -> None:
+    def note_connected(self, target: str, now: float) -> None:
         """Note that a target has taken a connection: it is there for everyone."""
         self._last_timeout = None
         record = self._records.get(target)
         if record is not None:
+            record.heard_at = now
             record.open()
 
+    def suspect_zone(self, targets: list[str], now: float) -> list[str]:
+        """Doubt the other targets of a zone in which one was lost; gives those.
+
+        A cut takes all of a zone's targets at once, and connections that were open before stay
+        open: each request sent over one of them would wait for an answer that cannot come. Tried
+        over a new connection first, a target that is there is open again within a round trip.
+        """
+        doubted: list[str] = []
+        for target in targets:
+            record = self._find(target, now)
+            if record.down_since is None and now - record.heard_at > ZONE_SILENCE:
+                record.down_since = now
+                doubted.append(target)
+        return doubted
+
     def is_lost(self, target: str) -> bool:
         """Whether a target has taken no connection since one failed."""
         record = self._records.get(target)
--- a/rhubarbbend/gateway/_attempts.py
+++ b/rhubarbbend/gateway/_attempts.py
@@ -94,6 +94,8 @@
             timed_out = failure.reason == REASON_TIMEOUT
             note = health.note_timeout if timed_out else health.note_unreachable
             held = note(target.id, now)
+            if timed_out and health.is_lost(target.id):
+                self._state.note_lost(target, now)
             self._state.metrics.add(codes.RETRY_CONNECT)
             self._log(
                 "target_unreachable",
@@ -105,7 +107,7 @@
             )
             return None
         if not connection.reused:
-            health.note_connected(target.id)
+            health.note_connected(target.id, now)
         return connection
 
     async def _exchange(
--- a/rhubarbbend/gateway/_listening.py
+++ b/rhubarbbend/gateway/_listening.py
@@ -79,6 +79,7 @@
             self._lost_at[target.id] = now
             # Silence and a connection that is not taken say together what one of them may not.
             self._state.health.note_unreachable(target.id, now)
+            self._state.note_lost(target, now)
             self._pool.drop_address(target.address)
             self._state.journal.write(
                 "silent_target_lost", now, target=target.id, reason=failure.reason
@@ -87,7 +88,7 @@
         now = self._clock()
         self._vouched_until[target.id] = now + VOUCHED
         self._lost_at.pop(target.id, None)
-        self._state.health.note_connected(target.id)
+        self._state.health.note_connected(target.id, now)
         connection.idle_since = now
         self._pool.lay(connection)
 
--- a/rhubarbbend/gateway/_state.py
+++ b/rhubarbbend/gateway/_state.py
@@ -10,9 +10,10 @@
 
 import msgspec
 
+from rhubarbbend import codes
 from rhubarbbend.core.catalog import Catalog
 from rhubarbbend.core.delivery import CrashBook
-from rhubarbbend.core.directory import Directory
+from rhubarbbend.core.directory import Directory, Target
 from rhubarbbend.core.mirror import Mirror
 from rhubarbbend.core.placement import (
     HealthBook,
@@ -184,6 +185,17 @@
         self.news.add(Note(note.places, note.crashes, at=now))
         self.changed.notify_soon()
 
+    def note_lost(self, target: Target, now: float) -> None:
+        """Take in that a target of another zone does not answer: its whole zone may be cut off."""
+        if target.zone == self.settings.zone:
+            return
+        doubted = self.health.suspect_zone(self.directory.list_neighbours(target), now)
+        if doubted:
+            self.metrics.add(codes.ZONES_DOUBTED)
+            self.journal.write(
+                "zone_doubted", now, zone=target.zone, target=target.id, doubted=len(doubted)
+            )
+
     def list_peers(self) -> list[Address]:
         """List the addresses of the other instances; those of the settings if none is known."""
         own = (self.settings.peers, self.settings.advertised)
--- a/tests/core/placement/test_health.py
+++ b/tests/core/placement/test_health.py
@@ -24,7 +24,7 @@
     # Links lose packets: now and then a connection to one or another target times out.
     health = HealthBook()
     health.note_timeout("t1", 0.0)
-    health.note_connected("t3")
+    health.note_connected("t3", 0.05)
     health.note_timeout("t2", 0.1)
     assert not health.is_down("t2", 0.2)
 
@@ -45,7 +45,7 @@
     health = HealthBook()
     until = health.note_unreachable("t1", 0.0)
     health.begin_trial("t1", until)
-    health.note_connected("t1")
+    health.note_connected("t1", until)
     assert not health.is_down("t1", until + 0.01)
     assert not health.begin_trial("t1", until + 0.01)
 
@@ -55,5 +55,25 @@
     health = HealthBook()
     for target in TARGETS:
         health.note_unreachable(target, 0.0)
-    health.note_connected("t2")
+    health.note_connected("t2", 0.0)
     assert health.list_lost() == {"t1", "t3", "t4"}
+
+
+def test_a_lost_target_casts_doubt_on_its_zone_but_for_who_was_just_heard() -> None:
+    """A zone is cut off; connections to its targets stay open and silent.
+
+    One target is found out. Each request that is sent over an open connection to another one would
+    find that out for itself, after its own patience; doubted, it is tried by one new connection.
+    """
+    health = HealthBook()
+    for target in TARGETS:
+        health.note_answer(target, False, 0.0)
+    health.note_answer("t3", False, 0.9)
+    health.note_unreachable("t1", 1.0)
+    assert health.suspect_zone(["t2", "t3"], 1.0) == ["t2"]
+    assert health.list_lost() == {"t1", "t2"}
+    # Nobody is kept from trying it, one at a time.
+    assert not health.is_down("t2", 1.0)
+    assert health.begin_trial("t2", 1.0) and health.is_down("t2", 1.05)
+    health.note_connected("t2", 1.06)
+    assert health.list_lost() == {"t1"}
