--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: demo test measure compare measure-tables measure-costs soak slopes binary lint
+.PHONY: demo test measure compare measure-tables measure-costs soak slopes binary lint ablate
 
 PYTHON := .venv/bin/python
 
@@ -54,3 +54,8 @@
 	@python3 -m venv .venv
 	@$(PYTHON) -m pip install -q --disable-pip-version-check -r requirements-dev.txt
 	@touch $@
+
+# What each mechanism is worth, e.g. make ablate BENCH=... SITE=... WORK=/a/folder
+SEEDS_OF_DAYS ?= 1-2
+ablate: .venv/.ready
+	@$(PYTHON) -m tools.ablate --bench $(BENCH) --site $(SITE) --work $(WORK) --seeds $(SEEDS_OF_DAYS) --out $(WORK)/ablation.json
