Derive the times of following the store and of missing targets from the settings

Cause: six constants stood on the bounds of the deployments that were known (2 s for configurations and for targets that leave, a heartbeat of 1.2 s). With a bound of 1 s an instance would have used a target for 1.7 s after its registration lapsed, and taken what is 1.3 s old for new; with 3 s it turned to the store earlier than needed.

Change: they are parts of the bounds in the settings (gateway/_timings.py), and the same as before where the bounds are 2 s and 1.2 s. Eleven comments that leaned on "the known deployments" say what the constant does.

--- a/rhubarbbend/core/directory/_directory.py
+++ b/rhubarbbend/core/directory/_directory.py
@@ -9,26 +9,35 @@
 import math
 from typing import Final
 
+import msgspec
+
 from rhubarbbend.core.directory._targets import Target, TargetRecord, TargetState
 
 # A registration that lapsed while the store was away is back within two seconds of its return if
 # the target lives; one that is still missing then is taken for gone.
 LAPSE_WINDOW: Final = 2.2
-# A target that has really left may not get work for longer than this after its registration went;
-# the least time that known deployments allow is 2 s.
-LAPSE_GRACE: Final = 1.7
-# A zone's targets may have turned cold while it was out. Their registrations say so within one
-# heartbeat (1.2 s in the known deployments); until then they are taken for cold.
-RETURN_CAUTION: Final = 2.0
 # How long the end of a target is remembered, so that a late write of its registration does not
 # bring it back as ready after it has said that it leaves.
 MEMORY: Final = 60.0
 
 
+class DirectoryOptions(msgspec.Struct, frozen=True):
+    """For how many seconds what is uncertain about a target holds.
+
+    A target that has really left may not get work for longer than `lapse_grace` after its
+    registration went. The targets of a zone may have turned cold while it was out; their
+    registrations say so within `return_caution`, and until then they are taken for cold.
+    """
+
+    lapse_grace: float = 1.7
+    return_caution: float = 2.0
+
+
 class Directory:
     """Every target known. Invariant: a target that has begun to leave is never ready again."""
 
-    def __init__(self) -> None:
+    def __init__(self, options: DirectoryOptions | None = None) -> None:
+        self._options = options or DirectoryOptions()
         self._targets: dict[str, Target] = {}
         self._by_service: dict[str, list[Target]] = {}
         self._ended: dict[str, tuple[int, TargetState, float]] = {}
@@ -38,6 +47,10 @@
         self.store_returned_at = -math.inf
         self._first_read = True
 
+    def set_options(self, options: DirectoryOptions) -> None:
+        """Go by other options from now on."""
+        self._options = options
+
     def find_exit(self, zone: str) -> float | None:
         """Give the time since which a zone is out; None if it is in service."""
         return self._zones_out.get(zone)
@@ -95,7 +108,9 @@
         if target is None:
             return
         if now - self.store_returned_at < LAPSE_WINDOW and target.state is TargetState.READY:
-            target.gone_at = min(self.store_returned_at + LAPSE_WINDOW, now + LAPSE_GRACE)
+            target.gone_at = min(
+                self.store_returned_at + LAPSE_WINDOW, now + self._options.lapse_grace
+            )
             return
         self._forget(target, now)
 
@@ -118,7 +133,7 @@
             return
         for target in self._targets.values():
             if target.zone == zone:
-                target.cold_until = max(target.cold_until, now + RETURN_CAUTION)
+                target.cold_until = max(target.cold_until, now + self._options.return_caution)
 
     def _replace(self, record: TargetRecord, now: float) -> Target:
         old = self._targets.get(record.id)
--- a/rhubarbbend/core/mirror/_tables.py
+++ b/rhubarbbend/core/mirror/_tables.py
@@ -13,8 +13,7 @@
 import msgspec
 
 # Dropped rows are remembered up to this number a table, for peers that ask for what has changed;
-# a peer that is further behind gets the whole table. The busiest known deployments drop some
-# dozens of rows a day.
+# a peer that is further behind gets the whole table.
 MAX_DROPPED: Final = 1_000
 
 
--- a/rhubarbbend/core/placement/_loads.py
+++ b/rhubarbbend/core/placement/_loads.py
@@ -7,8 +7,8 @@
 
 import msgspec
 
-# What a target said of its load counts less as it ages and nothing after so many seconds: streams
-# of the known deployments last one to two seconds, so the requests it counted have ended by then.
+# What a target said of its load counts less as it ages and nothing after so many seconds: most of
+# the requests that it counted have ended by then.
 REPORT_LIFE: Final = 3.0
 
 
--- a/rhubarbbend/core/placement/_places.py
+++ b/rhubarbbend/core/placement/_places.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-# Prompts whose place is kept: chats of the known deployments by the hundred, about 200 bytes each.
+# Prompts whose place is kept, at about 200 bytes each; the least recently used go first.
 MAX_PLACES: Final = 4_096
 # Engines drop the parts that were used longest ago. A place that was not used for so many seconds
 # is no better than the home.
--- a/rhubarbbend/core/placement/_sources.py
+++ b/rhubarbbend/core/placement/_sources.py
@@ -24,20 +24,19 @@
 YOUNG: Final = 60.0
 # The grace of a zone that is taken out is used up to this part, since the word of it took time.
 GRACE_PART: Final = 0.7
-# A target that answered within so many seconds before its registration went has left as planned
-# and still runs. One that crashed has been silent for three heartbeats by then.
-ALIVE_EVIDENCE: Final = 3.0
 
 
 class SourceOptions(msgspec.Struct, frozen=True):
     """For how long what a target holds may still be fetched, in seconds.
 
     `evacuation_grace` counts from when its zone was taken out of service, `drain_time` from when
-    its registration went.
+    its registration went. A target that answered within `alive` before that has left as planned
+    and still runs; one that crashed has been silent for longer.
     """
 
     evacuation_grace: float = 0.0
     drain_time: float = 0.0
+    alive: float = 3.0
 
 
 class _Departed(msgspec.Struct, frozen=True):
@@ -79,7 +78,7 @@
         """
         self._departed = {i: d for i, d in self._departed.items() if now < d.until}
         age = self._loads.read_age(target.id, now)
-        if age is not None and age <= ALIVE_EVIDENCE:
+        if age is not None and age <= self._options.alive:
             self._departed[target.id] = _Departed(target, now + self._options.drain_time)
 
     def list_holders(self, prompt: Prompt, now: float) -> list[Target]:
--- a/rhubarbbend/gateway/_attempts.py
+++ b/rhubarbbend/gateway/_attempts.py
@@ -23,8 +23,8 @@
     SendStage,
 )
 
-# A target takes a connection in about a millisecond; one that has not in this time is down, cut
-# off or out of room, and the shortest objective of the known deployments is 0.2 s.
+# A target takes a connection within a round trip; one that has not in this time is down, cut off or
+# out of room, and its request can still be answered in time elsewhere.
 CONNECT_TIMEOUT: Final = 0.08
 # A request that may run once at most goes over a connection that was used within this time, or a
 # new one: on one that the target closes as the request arrives, nobody could tell whether it ran.
--- a/rhubarbbend/gateway/_crash_watch.py
+++ b/rhubarbbend/gateway/_crash_watch.py
@@ -14,8 +14,7 @@
 from rhubarbbend.http import Connection, HttpFailure
 
 # A target that broke a connection off is looked at after so many seconds: a process that ends
-# may take one more connection while its others are being closed. Crashed ones are away for some
-# seconds in the known deployments.
+# may take one more connection while its others are being closed.
 CRASH_CHECK_DELAY: Final = 0.1
 CRASH_CHECK_TIMEOUT: Final = 0.2
 # Targets that are lost within so many seconds of one another are cut off rather than crashed.
--- a/rhubarbbend/gateway/_follower.py
+++ b/rhubarbbend/gateway/_follower.py
@@ -1,8 +1,8 @@
 """Keeps the mirror up to date: from the store, from the zone's reader, or from any other instance.
 
 In a large zone an instance waits at a reader and leaves the store alone. It reads the store itself
-as soon as what it knows is older than MAX_AGE, and while the store gives no answer either it asks
-whoever may know more.
+as soon as what it knows is older than the bounds allow, and while the store gives no answer
+either it asks whoever may know more.
 """
 
 from __future__ import annotations
@@ -19,19 +19,11 @@
 from rhubarbbend.gateway._interfaces import StateDecoder
 from rhubarbbend.gateway._peers import ChangesReply, PeerClient, ReaderPosition
 from rhubarbbend.gateway._settings import Address
-from rhubarbbend.gateway._state import MAX_AGE, Note, State, read_clock
+from rhubarbbend.gateway._state import Note, State, read_clock
 from rhubarbbend.storage import HistoryGone, RowStore, StoreError
 
-# A wait for changes is also the check that its connection still carries answers: one can go silent
-# for good while others work, and what comes into force must be so within 2 s.
-TABLE_WAIT: Final = 2.0
-# The same for the configuration at an instance at which others wait: within MAX_AGE it has to prove
-# that the store still answers it, and a slow store takes up to 0.4 s for that. One that does not
-# know yet whether others wait at it waits as briefly: with a longer wait under way its first
-# listeners, five of six instances of a zone in one run, all turned to the store 0.8 s later.
-READER_WAIT: Final = 0.7
-# Changes that come in quick succession are read together: each call has its price, and the
-# shortest bound on a change is 2 s.
+# Changes that come in quick succession are read together: each call costs the store as much as
+# one with more of them.
 COALESCE: Final = 0.15
 # Pauses after a call that failed, doubled each time up to the longest. One that has a reader to
 # wait at learns from that when the store is back, so it calls less often itself.
@@ -42,9 +34,8 @@
 # some seconds still has to follow within 2 s.
 PEER_INTERVAL: Final = 0.4
 # The same while the first reading of a table is under way, for the first seconds: a call for a
-# large row can get stuck while others are answered. It serves an instance that starts by itself.
-# In a start of all 77 it gains nothing (0.88 s to the configuration in the middle, with and
-# without): they know three seeds then, which cannot tell everyone at once.
+# large row can get stuck while others are answered. It serves an instance that starts by itself;
+# where all start at once they know three seeds, which cannot tell everyone.
 START_INTERVAL: Final = 0.1
 START_SECONDS: Final = 3.0
 # How long a reader holds a question while nothing changes. With the time that it then has to
@@ -196,12 +187,15 @@
         return bool(self._intake.take_pages({table: page}, "store"))
 
     def _choose_wait(self, table: str, now: float) -> float:
+        timings = self._state.timings
         if self._contact.lost_at is not None:
             return 0.0
         if table != self._state.config_table:
-            return TABLE_WAIT
+            return timings.table_wait
+        # One that does not know yet whether others wait at it waits as briefly as one that does:
+        # with a longer wait under way its first listeners would all turn to the store.
         may_read = not self.instances.is_settled or self._plan.is_reader(self._state.instances, now)
-        return READER_WAIT if may_read else TABLE_WAIT
+        return timings.reader_wait if may_read else timings.table_wait
 
     def _note_answer(self, now: float) -> None:
         away = self._contact.note_answer(now)
@@ -254,9 +248,10 @@
         else:
             self._plan.note_answer(reader)
             self._take_reply(reply, asked, now)
-        if self._state.measure_age(now) > MAX_AGE:
+        max_age = self._state.timings.max_age
+        if self._state.measure_age(now) > max_age:
             self._begin_reading("what the reader tells is too old")
-        elif reply is not None and reply.age <= MAX_AGE:
+        elif reply is not None and reply.age <= max_age:
             self._stop_reading(reader)
         return reply
 
@@ -264,7 +259,7 @@
         """Take in what an instance answered, and how old that is."""
         on_the_way = max(0.0, now - asked - reply.held)
         known_at = now - reply.age - on_the_way
-        if now - known_at <= MAX_AGE:
+        if now - known_at <= self._state.timings.max_age:
             # Who told it has the store's answers: entries that lapsed with the store are not gone.
             self._note_answer(now)
         self._note_return(reply, asked)
--- a/rhubarbbend/gateway/_journal.py
+++ b/rhubarbbend/gateway/_journal.py
@@ -16,8 +16,7 @@
 
 # Lines that wait for a reader that is slow; at about 300 bytes a line this is 0.6 MB.
 MAX_WAITING: Final = 2_000
-# A burst of lines, and lines a second after it. An instance of the known deployments writes two
-# lines for each of up to 40 requests a second.
+# A burst of lines, and lines a second after it; a request takes two or three.
 BURST: Final = 1_000.0
 RATE: Final = 300.0
 
--- a/rhubarbbend/gateway/_metrics.py
+++ b/rhubarbbend/gateway/_metrics.py
@@ -14,8 +14,8 @@
 
 PREFIX: Final = "rhubarbbend_"
 CONTENT_TYPE: Final = "text/plain; version=0.0.4; charset=utf-8"
-# Upper bounds of the buckets in seconds, about a factor of two apart from a tenth of the shortest
-# objective of the known deployments (0.2 s) up to their longest deadline (12 s).
+# Upper bounds of the buckets in seconds, about a factor of two apart, from a quick read to the
+# longest time that callers of chats wait.
 BUCKETS: Final = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0)
 
 
--- a/rhubarbbend/gateway/_peers.py
+++ b/rhubarbbend/gateway/_peers.py
@@ -19,7 +19,7 @@
 from rhubarbbend.core.placement import TargetLoad
 from rhubarbbend.core.readers import InstanceRow, NewsPage, ReaderPlan
 from rhubarbbend.gateway._settings import Address
-from rhubarbbend.gateway._state import MAX_AGE, Note, State, read_clock
+from rhubarbbend.gateway._state import Note, State, read_clock
 from rhubarbbend.http import ConnectionPool, Exchange, HttpFailure, Response, fetch
 
 CHANGES_PATH: Final = "/peer/changes"
@@ -125,7 +125,7 @@
             news = self._state.news.list_after(query.news)
             age = self._state.measure_age(now)
             # The asker goes by the age: it must hear of one that has grown too old at once.
-            left = min(query.hold - (now - asked), MAX_AGE - age)
+            left = min(query.hold - (now - asked), self._state.timings.max_age - age)
             if pages or news.items or left <= 0.0:
                 break
             await self._state.changed.wait(left)
--- a/rhubarbbend/gateway/_settings.py
+++ b/rhubarbbend/gateway/_settings.py
@@ -41,8 +41,13 @@
     retry_window: float = 10.0
     # Within this time after a zone was taken out nothing more may be sent to its targets.
     evacuation_grace: float = 0.0
-    # For so long a target goes on serving after its registration went.
-    drain_time: float = 0.0
+    # For so long a target goes on serving after its registration went, and no longer may it get
+    # new work.
+    drain_time: float = 2.0
+    # Within this time an accepted configuration is in force.
+    config_time: float = 2.0
+    # How often targets write their registrations.
+    heartbeat: float = 1.2
     # From the signal to stop until the process is killed.
     stop_grace: float = 8.0
     max_descriptors: int = 1_024
--- a/rhubarbbend/gateway/_state.py
+++ b/rhubarbbend/gateway/_state.py
@@ -21,7 +21,6 @@
     Place,
     Placement,
     PlacementOptions,
-    SourceOptions,
     TargetLoad,
 )
 from rhubarbbend.core.readers import InstanceRow, NewsLog
@@ -30,20 +29,19 @@
 from rhubarbbend.gateway._metrics import Metrics
 from rhubarbbend.gateway._settings import Address, GatewaySettings
 from rhubarbbend.gateway._signal import Signal
+from rhubarbbend.gateway._timings import (
+    derive_directory_options,
+    derive_source_options,
+    derive_timings,
+)
 
 # The table in which instances tell one another their addresses.
 INSTANCE_TABLE: Final = "instances"
-# Until the table has been read, this many instances are assumed to share the bounds: one more
-# than the largest of the known small deployments with all its spare machines.
+# Until the table has been read, this many instances are assumed to share the bounds: more than a
+# small fleet has, so that its parts add up to less than the whole.
 ASSUMED_INSTANCES: Final = 12
 
 
-# What an instance knows is too old for others, or for itself, if it has not known for so many
-# seconds that the store holds nothing newer. The shortest bound on a change is 2 s; reading the
-# store once it is passed takes up to 0.4 s, and applying the change a part of that.
-MAX_AGE: Final = 1.3
-
-
 class CrashNote(msgspec.Struct, frozen=True, array_like=True):
     """A request was at the crash of a target."""
 
@@ -82,7 +80,8 @@
         self.mirror = Mirror((*tables, INSTANCE_TABLE))
         self.config_table = tables[0]
         self.catalog: Catalog | None = None
-        self.directory = Directory()
+        self.timings = derive_timings(settings)
+        self.directory = Directory(derive_directory_options(settings))
         self.loads = LoadBook()
         self.health = HealthBook()
         self.cold = ColdAllowance(settings.instance, settings.cold_overshoot, settings.cold_slack)
@@ -107,6 +106,8 @@
     def apply_settings(self, settings: GatewaySettings) -> None:
         """Go by other bounds from now on; what has been counted towards them stays counted."""
         self.settings = settings
+        self.timings = derive_timings(settings)
+        self.directory.set_options(derive_directory_options(settings))
         self.cold.set_bound(settings.cold_overshoot, settings.cold_slack)
         self.placement.set_options(_make_options(settings))
         for share in self._retries.values():
@@ -205,7 +206,7 @@
 
 
 def _make_options(settings: GatewaySettings) -> PlacementOptions:
-    sources = SourceOptions(settings.evacuation_grace, settings.drain_time)
+    sources = derive_source_options(settings)
     return PlacementOptions(settings.zone, settings.load_factor, sources)
 
 
--- a/rhubarbbend/http/_protocol.py
+++ b/rhubarbbend/http/_protocol.py
@@ -15,8 +15,7 @@
 # Bytes that may wait unread before the other side is held back.
 READ_LIMIT: Final = 262_144
 # Keep-alive probes: the first after so many idle seconds, then one each interval, so that three
-# unanswered ones end a dead connection within 3 s, the least time in which a partition of the
-# known deployments has to be noticed.
+# unanswered ones end a dead connection within 3 s.
 KEEPALIVE_IDLE: Final = 1
 KEEPALIVE_INTERVAL: Final = 1
 KEEPALIVE_PROBES: Final = 2
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -11,7 +11,7 @@
 from rhubarbbend.core.mirror import MirroredRow, TablePage
 from rhubarbbend.core.readers import InstanceRow, NewsPage, ReaderPlan
 from rhubarbbend.gateway import _instance_list
-from rhubarbbend.gateway._follower import TABLE_WAIT, StateFollower
+from rhubarbbend.gateway._follower import StateFollower
 from rhubarbbend.gateway._interfaces import StateChange, StateDecoder
 from rhubarbbend.gateway._journal import Journal
 from rhubarbbend.gateway._peers import ChangesReply, PeerClient
@@ -119,7 +119,7 @@
     # work until the feed's wait ends, which was 25 s, and the target is gone in the meantime.
     async def work(state: State, store: ScriptedStore) -> None:
         store.dead.add("targets")
-        await asyncio.sleep(TABLE_WAIT)
+        await asyncio.sleep(state.timings.table_wait)
         row = MirroredRow("target-0", b"leaving", 7)
         store.pages["targets"] = TablePage([row], 7, True)
 
