--- a/rhubarbbend/core/placement/_sources.py
+++ b/rhubarbbend/core/placement/_sources.py
@@ -119,15 +119,23 @@
     def _list_departed(self, prompt: Prompt, now: float) -> list[Target]:
         found = self._places.list_targets(prompt.affinity_key, now)
         departed = [self._departed.get(target) for target, _ in found]
-        return [d.target for d in departed if d is not None and now < d.until]
+        return [
+            d.target
+            for d in departed
+            if d is not None and now < d.until and self._may_give(d.target, now)
+        ]
 
     def _may_hold(self, target: Target, now: float) -> bool:
-        """Whether a target may be named as the place of a prompt.
+        """Whether a target may be named as the place of a prompt."""
+        if self._health.is_down(target.id, now) or target.is_cold(now):
+            return False
+        return self._may_give(target, now)
+
+    def _may_give(self, target: Target, now: float) -> bool:
+        """Whether operators let a target's zone give what it holds.
 
-        Operators want nothing more sent to a zone that is out, within a grace; in it the others
-        take over what its targets hold, in place of reading it all again.
+        They want nothing more sent to a zone that is out, within a grace; in it the others take
+        over what its targets hold, in place of reading it all again.
         """
         out_at = self._directory.find_exit(target.zone)
-        if out_at is not None and now - out_at > GRACE_PART * self._options.evacuation_grace:
-            return False
-        return not self._health.is_down(target.id, now) and not target.is_cold(now)
+        return out_at is None or now - out_at <= GRACE_PART * self._options.evacuation_grace
--- a/rhubarbbend/gateway/_listening.py
+++ b/rhubarbbend/gateway/_listening.py
@@ -76,7 +76,8 @@
             connection = await Connection.open(target.address, self._connect_timeout)
         except HttpFailure as failure:
             now = self._clock()
-            self._lost_at[target.id] = now
+            if target.id in self._open:
+                self._lost_at[target.id] = now
             # Silence and a connection that is not taken say together what one of them may not.
             self._state.health.note_unreachable(target.id, now)
             self._state.note_lost(target, now)
@@ -86,7 +87,8 @@
             )
             return
         now = self._clock()
-        self._vouched_until[target.id] = now + VOUCHED
+        if target.id in self._open:
+            self._vouched_until[target.id] = now + VOUCHED
         self._lost_at.pop(target.id, None)
         self._state.health.note_connected(target.id, now)
         connection.idle_since = now
--- a/tests/core/placement/test_sources.py
+++ b/tests/core/placement/test_sources.py
@@ -52,6 +52,19 @@
     assert (choice.source is not None and choice.source.id == home) is is_fetched
 
 
+def test_a_target_that_left_a_zone_that_is_out_gives_nothing_after_the_grace() -> None:
+    # Operators empty a zone; one of its targets leaves after the time in which it may still give.
+    world = make_world()
+    home = send_home(world, 10.0)
+    found = world.directory.find(home)
+    assert found is not None
+    world.directory.take_zone_out(found.zone, 10.1)
+    world.loads.take_report(home, 1, 10.2)
+    unregister(world, home, 11.0)
+    choice = world.choose(now=11.5)
+    assert choice is not None and (choice.source is None or choice.source.id != home)
+
+
 def test_a_target_that_crashed_is_not_asked() -> None:
     # Its registration lapses after three missed heartbeats, so it has answered nobody for longer.
     world = make_world()
