--- /dev/null
+++ b/tests/tools/test_plays.py
@@ -0,0 +1,58 @@
+"""What the tool reads from a bench's report, and what it makes of two sets of plays."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from tools.plays import Play, compare, list_days, load, read_play, save, show
+
+REPORT = {
+    "G": 0.7,
+    "served": 0.9,
+    "refused": 0.01,
+    "failed": 0.02,
+    "fault": None,
+    "parts": [["whole day", 0.5, 0.9], ["worst windows", 0.5, 0.6]],
+    "prices": [["cloud calls", 1200.0, 0.01]],
+    "breaks": {"DRAIN": ["a line"]},
+    "all": {"late": 40},
+}
+
+
+def test_a_report_is_read() -> None:
+    play = read_play("trouble-1", 3, REPORT)
+    assert (play.worth, play.late, play.rules, play.fault) == (0.7, 40, ["DRAIN"], "")
+    assert play.parts["worst windows"] == 0.6 and play.prices == {"cloud calls": 0.01}
+
+
+def make_play(seed: int, worth: float, served: float) -> Play:
+    return Play("a", seed, worth, served, 0.0, 0.0, {}, {"cloud calls": 0.01}, [], 0, "")
+
+
+def test_plays_are_compared_with_those_of_the_same_seed() -> None:
+    # The seeds differ by much more than the change is worth; their order does not matter.
+    before = [make_play(1, 0.5, 0.9), make_play(2, 0.7, 0.9), make_play(3, 0.6, 0.9)]
+    after = [make_play(3, 0.62, 0.9), make_play(1, 0.52, 0.9), make_play(2, 0.72, 0.9)]
+    lines = compare(before, after).splitlines()
+    assert lines[0] == "3 pairs"
+    assert lines[1].split() == ["worth", "+0.0200", "±0.0000", "*"]
+    assert lines[2].split() == ["served", "+0.0000", "±0.0000"]
+
+
+def test_a_broken_rule_is_shown() -> None:
+    assert "BROKEN trouble-1 seed 3: ['DRAIN']" in show([read_play("trouble-1", 3, REPORT)])
+
+
+def test_plays_are_kept(tmp_path: Path) -> None:
+    plays = [make_play(1, 0.5, 0.9)]
+    save(plays, tmp_path / "plays.json")
+    assert load(tmp_path / "plays.json") == plays
+
+
+def test_days_with_trouble_are_listed(tmp_path: Path) -> None:
+    site = tmp_path / "site.toml"
+    site.write_text(
+        '[[day]]\nname = "quiet-1"\nslot = "quiet"\n[[day]]\nname = "scale-1"\nslot = "scale"\n'
+    )
+    assert list_days(site, False) == ["scale-1"]
+    assert list_days(site, True) == ["quiet-1", "scale-1"]
