--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -66,20 +66,20 @@
     path.write_text(text.replace(mechanism.old, mechanism.new), "utf-8")
 
 
-def make_copy(work: Path, name: str) -> Path:
-    """Copy the tree, as it is now, into a folder of its own with a repository around it."""
+def make_copy(source_tree: Path, work: Path, name: str) -> Path:
+    """Copy a tree into a folder of its own with a repository around it."""
     tree = work / name.replace(" ", "-")
     if tree.exists():
         shutil.rmtree(tree)
     tree.mkdir(parents=True)
     for part in PARTS:
-        source = ROOT / part
+        source = source_tree / part
         if source.is_dir():
             shutil.copytree(source, tree / part, ignore=shutil.ignore_patterns("__pycache__"))
         else:
             shutil.copy2(source, tree / part)
-    if (ROOT / "target").is_dir():
-        shutil.copytree(ROOT / "target", tree / "target", symlinks=True)
+    if (source_tree / "target").is_dir():
+        shutil.copytree(source_tree / "target", tree / "target", symlinks=True)
     subprocess.run(["git", "init", "-q", str(tree)], check=True)
     return tree
 
@@ -128,13 +128,15 @@
         subprocess.run([str(options.bench), "build"], cwd=tree, check=True, capture_output=True)
         return player.play_all(days, options.seeds, options.jobs)
 
-    before = play("all on", make_copy(options.work, "all-on"))
+    # The others are copied from this one: the checkout may change while the plays go on.
+    whole = make_copy(ROOT, options.work, "all-on")
+    before = play("all on", whole)
     rows: list[Worth] = []
     print("| without | worth lost | served lost | rules broken |\n| --- | --- | --- | --- |")
     for mechanism in load_mechanisms():
         if wanted is not None and mechanism.name not in wanted:
             continue
-        tree = make_copy(options.work, mechanism.name)
+        tree = make_copy(whole, options.work, mechanism.name)
         switch_off(mechanism, tree)
         rows.append(weigh(mechanism.name, before, play(f"without {mechanism.name}", tree)))
         print(format_row(rows[-1]), flush=True)
