--- a/rhubarbbend/core/placement/_placement.py
+++ b/rhubarbbend/core/placement/_placement.py
@@ -155,7 +155,9 @@
             self._cold.note_sent(target.id, now)
         if prompt is not None and prompt.parts:
             known = self._sources.list_holders(prompt, now)
-            self.places.note(prompt.affinity_key, target.id, target not in known[:1], now)
+            moved = choice.reason is not Reason.HOME or choice.source is not None
+            is_news = moved and target not in known[:1]
+            self.places.note(prompt.affinity_key, target.id, is_news, now)
 
     def note_departure(self, target: Target, now: float) -> None:
         """Forget a target whose registration has gone, but for what it may still hold."""
