--- a/rhubarbbend/codes.py
+++ b/rhubarbbend/codes.py
@@ -179,6 +179,12 @@
 ROUTED_LAST: Final = _declare_counter(
     "routed.last_resort", "requests sent above the load bound: every target was there"
 )
+LOAD_WORDS: Final = _declare_counter(
+    "loads.words", "answers in which a target told how many requests it holds"
+)
+LOAD_UNSEEN: Final = _declare_counter(
+    "loads.unseen", "requests that targets then held beyond what was estimated, added up"
+)
 TICKETS_BAD: Final = _declare_counter("tickets_bad", "tickets that were forged or unreadable")
 TICKETS_STALE: Final = _declare_counter(
     "tickets_stale", "tickets whose target has gone or rebooted"
--- a/rhubarbbend/core/placement/_placement.py
+++ b/rhubarbbend/core/placement/_placement.py
@@ -68,12 +68,14 @@
 class Choice(msgspec.Struct, frozen=True):
     """A target, why, and the views that decided: loads are numbers of requests, ages seconds.
 
-    `source` is a target that may hold the prompt's shared parts.
+    `own` is this instance's part of the load. `source` is a target that may hold the prompt's
+    shared parts.
     """
 
     target: Target
     reason: Reason
     load: float
+    own: int
     mean: float
     report_age: float | None
     cold: bool
@@ -298,6 +300,7 @@
             target,
             reason,
             round(candidates.loads[target.id], 2),
+            self._loads.count_own(target.id),
             round(candidates.mean, 2),
             self._loads.read_age(target.id, now),
             target.is_cold(now),
--- a/rhubarbbend/gateway/_attempts.py
+++ b/rhubarbbend/gateway/_attempts.py
@@ -178,6 +178,7 @@
             send=request.progress.sends + 1,
             reason=choice.reason.value,
             load=choice.load,
+            own=choice.own,
             mean=choice.mean,
             load_age=None if choice.report_age is None else round(choice.report_age, 3),
             cold=choice.cold,
@@ -205,9 +206,17 @@
                 raise HttpFailure(SendStage.RESPONSE, "the answer carries no id")
             await connection.skip_response(STRAY_TIMEOUT)
         if answer.held is not None:
-            self._state.loads.take_report(target.id, answer.held, self._clock())
+            self._take_word(target, answer.held)
         return answer
 
+    def _take_word(self, target: Target, held: int) -> None:
+        """Take in what a target says of its load, and count what the estimate lacked."""
+        now = self._clock()
+        unseen = held - round(self._state.loads.estimate(target.id, now))
+        self._state.metrics.add(codes.LOAD_WORDS)
+        self._state.metrics.add(codes.LOAD_UNSEEN, max(0, unseen))
+        self._state.loads.take_report(target.id, held, now)
+
     async def _await_head(
         self, request: OpenRequest, target: Target, connection: Connection
     ) -> Response:
