--- a/rhubarbbend/core/placement/__init__.py
+++ b/rhubarbbend/core/placement/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from rhubarbbend.core.placement._health import HealthBook
+from rhubarbbend.core.placement._in_flight import InFlight, Scope, Teller
 from rhubarbbend.core.placement._loads import LoadBook, TargetLoad
 from rhubarbbend.core.placement._placement import Choice, Placement, PlacementOptions, Reason
 from rhubarbbend.core.placement._places import Place, PlaceBook
@@ -14,6 +15,7 @@
 __all__ = [
     "Choice",
     "HealthBook",
+    "InFlight",
     "LoadBook",
     "Place",
     "PlaceBook",
@@ -22,6 +24,8 @@
     "Prompt",
     "PromptPart",
     "Reason",
+    "Scope",
     "SourceOptions",
     "TargetLoad",
+    "Teller",
 ]
--- /dev/null
+++ b/rhubarbbend/core/placement/_in_flight.py
@@ -0,0 +1,175 @@
+"""What instances tell one another of the requests that they have under way at each target.
+
+A target's own word of its load comes with its answers: late from one that fills up, and never from
+one that has just started. Until then an instance sees nothing of what the others send there, and
+all of them together fill it. So each tells the others its counts whenever they change.
+
+In a large zone an instance tells the one that it waits at, which speaks for all that wait at it and
+gives each of them the sum of the rest.
+"""
+
+from __future__ import annotations
+
+import enum
+import math
+from collections import Counter
+from collections.abc import Collection, Iterable, Mapping
+from typing import Final
+
+import msgspec
+
+# Counts that were told so long ago are not used: their sender is gone or cannot be reached.
+COUNTS_LIFE: Final = 1.2
+# Counts are told anew after this time even if nothing has changed, for those that got lost.
+WHOLE_INTERVAL: Final = 0.5
+
+
+class Scope(enum.Enum):
+    """Whose requests are counted."""
+
+    # The sender's, and those of the instances that it speaks for.
+    PART = "part"
+    # Those of all instances but the receiver.
+    REST = "rest"
+
+
+class InFlight(msgspec.Struct, frozen=True, array_like=True):
+    """Requests under way by target, of `instances` instances.
+
+    `whole`: targets that are not named have none; otherwise these counts are those that changed.
+    """
+
+    sender: str
+    scope: Scope
+    instances: int
+    whole: bool
+    counts: dict[str, int]
+
+
+class _Heard:
+    """The latest counts of one sender. Invariant: no count is 0."""
+
+    __slots__ = ("counts", "instances", "at")
+
+    def __init__(self) -> None:
+        self.counts: dict[str, int] = {}
+        self.instances = 0
+        self.at = -math.inf
+
+    def is_fresh(self, now: float) -> bool:
+        """Whether the sender has been heard of late."""
+        return now - self.at < COUNTS_LIFE
+
+    def take(self, told: InFlight, now: float) -> None:
+        """Take in a message."""
+        if told.whole:
+            self.counts = {}
+        for target, count in told.counts.items():
+            if count > 0:
+                self.counts[target] = count
+            else:
+                self.counts.pop(target, None)
+        self.instances = told.instances
+        self.at = now
+
+
+class OthersBook:
+    """What the other instances have under way, as they told it.
+
+    Invariant: `_sum` is the sum of the counts of all `_parts`.
+    """
+
+    def __init__(self) -> None:
+        self._parts: dict[str, _Heard] = {}
+        self._sum: Counter[str] = Counter()
+        self._rest = _Heard()
+        self._rest_sender = ""
+        # Before this time none of the parts can be too old.
+        self._fresh_until = math.inf
+
+    def hear(self, told: InFlight, now: float) -> None:
+        """Take in what an instance tells; changes alone mean nothing from one not heard before."""
+        self._drop_silent(now)
+        if told.scope is Scope.REST:
+            self._hear_rest(told, now)
+            return
+        heard = self._parts.get(told.sender)
+        if heard is None:
+            if not told.whole:
+                return
+            heard = self._parts[told.sender] = _Heard()
+        self._sum.subtract(heard.counts)
+        heard.take(told, now)
+        self._sum.update(heard.counts)
+        self._fresh_until = min(self._fresh_until, now + COUNTS_LIFE)
+
+    def _hear_rest(self, told: InFlight, now: float) -> None:
+        if told.sender != self._rest_sender and not told.whole:
+            return
+        self._rest_sender = told.sender
+        self._rest.take(told, now)
+
+    def count(self, target: str, now: float) -> int:
+        """Count the requests of others at a target."""
+        if self._rest.is_fresh(now):
+            return self._rest.counts.get(target, 0)
+        self._drop_silent(now)
+        return self._sum.get(target, 0)
+
+    def count_instances(self, now: float) -> int:
+        """Count the other instances whose requests are known."""
+        if self._rest.is_fresh(now):
+            return self._rest.instances
+        self._drop_silent(now)
+        return sum(heard.instances for heard in self._parts.values())
+
+    def list_senders(self, now: float) -> list[str]:
+        """List the instances that tell this one their part."""
+        self._drop_silent(now)
+        return list(self._parts)
+
+    def add_up(self, senders: Iterable[str]) -> tuple[Counter[str], int]:
+        """Add up the counts of some senders; gives also of how many instances they are."""
+        total: Counter[str] = Counter()
+        instances = 0
+        for sender in senders:
+            heard = self._parts[sender]
+            total.update(heard.counts)
+            instances += heard.instances
+        return total, instances
+
+    def _drop_silent(self, now: float) -> None:
+        """Forget senders that have not been heard of for too long."""
+        if now < self._fresh_until:
+            return
+        for sender in [s for s, heard in self._parts.items() if not heard.is_fresh(now)]:
+            self._sum.subtract(self._parts.pop(sender).counts)
+        oldest = min((heard.at for heard in self._parts.values()), default=math.inf)
+        self._fresh_until = oldest + COUNTS_LIFE
+
+
+class Teller:
+    """What has been told to each receiver. Invariant: changes are told against what it was told."""
+
+    def __init__(self, sender: str) -> None:
+        self._sender = sender
+        self._told: dict[str, tuple[dict[str, int], float]] = {}
+
+    def prepare(
+        self, receiver: str, scope: Scope, counts: Mapping[str, int], instances: int, now: float
+    ) -> InFlight | None:
+        """Give what is to be told to a receiver now; None if it knows all."""
+        told, whole_at = self._told.get(receiver, ({}, -WHOLE_INTERVAL))
+        if now - whole_at >= WHOLE_INTERVAL:
+            self._told[receiver] = (dict(counts), now)
+            return InFlight(self._sender, scope, instances, True, dict(counts))
+        changed = {t: counts.get(t, 0) for t in counts.keys() | told.keys()}
+        changed = {t: n for t, n in changed.items() if n != told.get(t, 0)}
+        if not changed:
+            return None
+        self._told[receiver] = (dict(counts), whole_at)
+        return InFlight(self._sender, scope, instances, False, changed)
+
+    def keep_only(self, receivers: Collection[str]) -> None:
+        """Forget those that are not told any more."""
+        self._told = {r: told for r, told in self._told.items() if r in receivers}
--- a/rhubarbbend/core/placement/_loads.py
+++ b/rhubarbbend/core/placement/_loads.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 import msgspec
 
+from rhubarbbend.core.placement._in_flight import InFlight, OthersBook
+
 # What a target said of its load counts less as it ages and nothing after so many seconds: most of
 # the requests that it counted have ended by then.
 REPORT_LIFE: Final = 3.0
@@ -21,33 +23,41 @@
 
 
 class LoadReport(msgspec.Struct, frozen=True):
-    """What a target said: requests running and waiting there; `own` were this instance's.
+    """What a target said: requests running and waiting there.
 
-    It was said at `at` and known here from `heard_at` on; `is_relayed` if this instance has it
-    from one that passes on what others heard, and need not tell it again.
+    Of these, `own` were this instance's and `told` those that other instances had told of. It was
+    said at `at` and known here from `heard_at` on; `is_relayed` if this instance has it from one
+    that passes on what others heard, and need not tell it again.
     """
 
     held: int
     own: int
+    told: int
     at: float
     heard_at: float
     is_relayed: bool = False
 
 
 class LoadBook:
-    """Own requests under way, and those of others by the targets' word. No probe is sent for it.
+    """Own requests under way, and those of others by their word. No probe is sent for it.
 
-    A target's word comes with its answers. Among many instances each has few of those, and learns
-    of a target that fills up only after it has helped to fill it; so they tell one another.
+    Of instances that cannot be heard the targets' word has to tell. It comes with their answers.
+    Among many instances each has few of those, so they tell one another.
     """
 
     def __init__(self) -> None:
         self._own: dict[str, int] = {}
         self._reports: dict[str, LoadReport] = {}
+        self.others = OthersBook()
+        # How many other instances there are; None while that is not known.
+        self.expected: int | None = None
+        # Called when a count of its own changes; set by the instance.
+        self.on_change: Callable[[], None] = lambda: None
 
     def begin(self, target: str) -> None:
         """Count a request that is being sent to a target."""
         self._own[target] = self._own.get(target, 0) + 1
+        self.on_change()
 
     def end(self, target: str) -> None:
         """Count it no more."""
@@ -56,6 +66,15 @@
             self._own[target] = left
         else:
             self._own.pop(target, None)
+        self.on_change()
+
+    def list_own(self) -> dict[str, int]:
+        """Give how many requests this instance has at each target."""
+        return dict(self._own)
+
+    def hear_instance(self, told: InFlight, now: float) -> None:
+        """Take in what another instance has under way."""
+        self.others.hear(told, now)
 
     def count_own(self, target: str) -> int:
         """Give how many requests this instance has at a target."""
@@ -63,7 +82,8 @@
 
     def take_report(self, target: str, held: int, now: float) -> None:
         """Take in what a target's answer says of its load."""
-        self._reports[target] = LoadReport(held, self.count_own(target), now, now)
+        told = self.others.count(target, now)
+        self._reports[target] = LoadReport(held, self.count_own(target), told, now, now)
 
     def hear(self, loads: Iterable[TargetLoad], is_relayed: bool, now: float) -> None:
         """Take in what others were told, as far as it is newer than what is known."""
@@ -72,7 +92,9 @@
             known = self._reports.get(load.target)
             if known is None or known.at < at:
                 own = self.count_own(load.target)
-                self._reports[load.target] = LoadReport(load.held, own, at, now, is_relayed)
+                told = self.others.count(load.target, now)
+                report = LoadReport(load.held, own, told, at, now, is_relayed)
+                self._reports[load.target] = report
 
     def list_since(self, heard_after: float, with_relayed: bool, now: float) -> list[TargetLoad]:
         """List what has been heard since a time and still says something."""
@@ -86,13 +108,17 @@
 
     def estimate(self, target: str, now: float) -> float:
         """Estimate how many requests a target holds."""
-        own = self.count_own(target)
+        known = self.count_own(target) + self.others.count(target, now)
         report = self._reports.get(target)
-        if report is None:
-            return float(own)
-        others = max(0, report.held - report.own)
+        if report is None or self.hears_all(now):
+            return float(known)
+        unknown = max(0, report.held - report.own - report.told)
         freshness = max(0.0, 1.0 - (now - report.at) / REPORT_LIFE)
-        return own + others * freshness
+        return known + unknown * freshness
+
+    def hears_all(self, now: float) -> bool:
+        """Whether the requests of all other instances are known."""
+        return self.expected is not None and self.others.count_instances(now) >= self.expected
 
     def read_age(self, target: str, now: float) -> float | None:
         """Give the age of a target's report in seconds; None without one."""
--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -19,6 +19,7 @@
 from rhubarbbend.gateway._follower import StateFollower
 from rhubarbbend.gateway._interfaces import Adapter
 from rhubarbbend.gateway._journal import Journal
+from rhubarbbend.gateway._load_telling import LoadTelling
 from rhubarbbend.gateway._metrics import CONTENT_TYPE
 from rhubarbbend.gateway._peers import PeerClient, PeerServer
 from rhubarbbend.gateway._serving import RequestServer
@@ -83,6 +84,7 @@
         self._follower = StateFollower(
             self.state, adapter.store, adapter.decoder, self._peers, plan
         )
+        self._load_telling = LoadTelling(self.state, plan)
         self._callers = HttpServer(self._requests.serve)
         self._servers: list[HttpServer] = [self._callers]
         self._background: set[asyncio.Task[None]] = set()
@@ -119,6 +121,8 @@
         await self._serve_on(own.ready, self._serve_ready)
         if own.peers is not None:
             await self._serve_on(own.peers, PeerServer(self.state).serve)
+            await self._load_telling.open(own.peers)
+            self._spawn(self._load_telling.run())
         if own.metrics is not None:
             try:
                 await self._serve_on(own.metrics, self._serve_metrics)
@@ -164,6 +168,9 @@
         metrics.set_gauge("open_requests", lambda: self._requests.open)
         metrics.set_gauge("targets", state.directory.count)
         metrics.set_gauge("instances", lambda: len(state.list_instances()))
+        metrics.set_gauge(
+            "instances_heard", lambda: state.loads.others.count_instances(read_clock())
+        )
         metrics.set_gauge("ready", lambda: float(state.ready))
         metrics.set_gauge("store_reached", lambda: float(self._follower.store_reached))
         metrics.set_gauge("reads_store", lambda: float(self._follower.reads_store))
--- /dev/null
+++ b/rhubarbbend/gateway/_load_telling.py
@@ -0,0 +1,112 @@
+"""Tells other instances which requests this one has under way at each target, and hears theirs.
+
+By datagrams to the address at which instances reach one another: a count that is lost is told
+again within half a second, and one that waited in a stream behind a lost one would be out of date.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from typing import Any, Final
+
+import msgspec
+
+from rhubarbbend import codes
+from rhubarbbend.core.placement import InFlight, Scope, Teller
+from rhubarbbend.core.readers import ReaderPlan
+from rhubarbbend.gateway._settings import Address
+from rhubarbbend.gateway._state import State, read_clock
+
+# Changes are told together after this time at the least, in seconds.
+TELL_INTERVAL: Final = 0.05
+# While nothing changes, this often it is looked whether counts are due to be told again.
+IDLE_INTERVAL: Final = 0.25
+# What is sent at the most, in bytes a second: of the 27 KB for control, the store and the other
+# messages between instances take the rest.
+BYTES_PER_SECOND: Final = 16_000.0
+# Addresses in a datagram, which the system adds.
+HEADER_BYTES: Final = 28
+
+
+class LoadTelling(asyncio.DatagramProtocol):
+    """Invariant: what is sent in a second stays within the bound, however many are told."""
+
+    def __init__(self, state: State, plan: ReaderPlan) -> None:
+        self._state = state
+        self._plan = plan
+        self._name = state.settings.instance
+        self._teller = Teller(self._name)
+        self._changed = asyncio.Event()
+        self._transport: asyncio.DatagramTransport | None = None
+        state.loads.on_change = self._changed.set
+
+    async def open(self, address: Address) -> None:
+        """Listen for the others, and be able to tell them."""
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(lambda: self, local_addr=address)
+
+    async def run(self) -> None:
+        """Tell the others whenever something has changed."""
+        while True:
+            try:
+                async with asyncio.timeout(IDLE_INTERVAL):
+                    await self._changed.wait()
+            except TimeoutError:
+                pass
+            self._changed.clear()
+            sent = self._tell_all(read_clock())
+            await asyncio.sleep(max(TELL_INTERVAL, sent / BYTES_PER_SECOND))
+
+    def _tell_all(self, now: float) -> int:
+        """Tell everyone what is new to them; gives the number of bytes."""
+        loads = self._state.loads
+        own = Counter(loads.list_own())
+        reader = self._plan.choose(self._state.instances, now)
+        if reader is not None:
+            self._teller.keep_only({reader})
+            return self._tell(reader, Scope.PART, own, 1, now)
+        speakers = self._plan.list_relays(self._state.instances, now)
+        senders = loads.others.list_senders(now)
+        listeners = [s for s in senders if s not in speakers and s in self._state.instances]
+        self._teller.keep_only({*speakers, *listeners})
+        spoken_for, instances = loads.others.add_up(listeners)
+        part = own + spoken_for
+        sent = sum(self._tell(s, Scope.PART, part, 1 + instances, now) for s in speakers)
+        for listener in listeners:
+            rest, instances = loads.others.add_up(s for s in senders if s != listener)
+            sent += self._tell(listener, Scope.REST, own + rest, 1 + instances, now)
+        return sent
+
+    def _tell(
+        self, receiver: str, scope: Scope, counts: Counter[str], instances: int, now: float
+    ) -> int:
+        row = self._state.instances.get(receiver)
+        if row is None or self._transport is None:
+            return 0
+        message = self._teller.prepare(receiver, scope, counts, instances, now)
+        if message is None:
+            return 0
+        data = msgspec.msgpack.encode(message)
+        self._transport.sendto(data, (row.host, row.port))
+        return len(data) + HEADER_BYTES
+
+    # The datagrams.
+
+    def connection_made(self, transport: Any) -> None:
+        """Take the socket that was opened."""
+        self._transport = transport
+
+    def datagram_received(self, data: bytes, addr: Address) -> None:
+        """Take in what another instance tells; what is unreadable is counted and dropped."""
+        try:
+            told = msgspec.msgpack.decode(data, type=InFlight)
+        except msgspec.MsgspecError:
+            self._state.metrics.add(codes.PEER_FRAMES_BAD)
+            return
+        if told.sender in self._state.instances and told.sender != self._name:
+            self._state.loads.hear_instance(told, read_clock())
+
+    def error_received(self, exc: Exception) -> None:
+        """Leave it: an instance that is not there is told again, and the others go by its rest."""
+        self._state.metrics.add(codes.PEER_DROPPED)
--- a/rhubarbbend/gateway/_state.py
+++ b/rhubarbbend/gateway/_state.py
@@ -153,12 +153,16 @@
     def put_instance(self, name: str, row: InstanceRow) -> None:
         """Take in that an instance is there."""
         self.instances[name] = row
-        self._instance_ids = None
+        self._note_instances()
 
     def drop_instance(self, name: str) -> None:
         """Take in that an instance is not there any more."""
         self.instances.pop(name, None)
+        self._note_instances()
+
+    def _note_instances(self) -> None:
         self._instance_ids = None
+        self.loads.expected = len(self.instances.keys() - {self.settings.instance})
 
     def measure_age(self, now: float) -> float:
         """Give for how long it has not been known that the store holds nothing newer."""
--- a/tests/gateway/test_load_bound.py
+++ b/tests/gateway/test_load_bound.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections import deque
 from pathlib import Path
 from random import Random
 
+import msgspec
+
+from rhubarbbend.core.placement import InFlight, Scope
 from standins._worker import Arrival
-from tests.gateway.harness import Fleet, run, start_fleet
+from tests.gateway.harness import Fleet, run, start_fleet, wait_until
 
 INSTANCES, ENGINES = 8, 9
 REQUESTS, RATE = 150, 60.0
@@ -20,6 +24,9 @@
 # than twice the mean and 3.
 FACTOR, SLACK = 2.0, 3.0
 MOST_SHARE, LEAST_COUNT = 0.03, 20
+METRICS_PORT = 9464
+# From one that is not on the list of instances.
+FORGED = InFlight("stranger", Scope.PART, 1, True, {"engine-0": 500})
 
 
 def count_over_bound(arrivals: list[Arrival]) -> int:
@@ -68,3 +75,25 @@
             assert over < LEAST_COUNT or over <= MOST_SHARE * len(arrivals)
 
     run(work)
+
+
+def test_datagrams_that_are_unreadable_or_from_a_stranger_change_nothing(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with start_fleet(tmp_path, instances=2, engines=1) as fleet:
+            node = fleet.instances["front-0"]
+            host, _, port = node.settings["listen"]["control"].rpartition(":")
+            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as stranger:
+                for data in (b"", b"\xc1nonsense", msgspec.msgpack.encode(FORGED)):
+                    stranger.sendto(data, (host, int(port)))
+
+            async def is_counted() -> bool:
+                text = (await fleet.call((node.ip, METRICS_PORT), "GET", "/metrics")).body
+                return b"rhubarbbend_peers_bad_frames_total 2\n" in text
+
+            await wait_until("the unreadable ones are counted", is_counted)
+            reply = await fleet.ask("/plan/stream", b"hi", Prefix_Hash="aa11:400,bb22:9000,1f:20")
+            assert reply.status == 200
+            sent = [line for line in fleet.read_log("front-0") if line["event"] == "sent"]
+            assert [line["load"] for line in sent] == [0.0]
+
+    run(work)
