--- a/rhubarbbend/core/directory/_directory.py
+++ b/rhubarbbend/core/directory/_directory.py
@@ -73,9 +73,10 @@
             and (target.gone_at is None or now < target.gone_at)
         ]
 
-    def list_all(self, service: str) -> list[Target]:
-        """List every registered target of a service, whether it may get work or not."""
-        return list(self._by_service.get(service, ()))
+    def list_staying(self, service: str) -> list[Target]:
+        """List the targets of a service that do not leave, those of zones that are out included."""
+        found = self._by_service.get(service, ())
+        return [target for target in found if target.state is TargetState.READY]
 
     def list_neighbours(self, target: Target) -> list[str]:
         """List the ids of the other targets of a target's zone."""
--- a/rhubarbbend/core/placement/_loads.py
+++ b/rhubarbbend/core/placement/_loads.py
@@ -118,7 +118,13 @@
 
     def hears_all(self, now: float) -> bool:
         """Whether the requests of all other instances are known."""
-        return self.expected is not None and self.others.count_instances(now) >= self.expected
+        return self.hears_part(1.0, now)
+
+    def hears_part(self, part: float, now: float) -> bool:
+        """Whether the requests of at least a part of the other instances are known."""
+        if self.expected is None:
+            return False
+        return self.others.count_instances(now) >= part * self.expected
 
     def read_age(self, target: str, now: float) -> float | None:
         """Give the age of a target's report in seconds; None without one."""
--- a/rhubarbbend/core/placement/_placement.py
+++ b/rhubarbbend/core/placement/_placement.py
@@ -22,6 +22,7 @@
 from rhubarbbend.core.directory import Directory, Target
 from rhubarbbend.core.placement._health import HealthBook
 from rhubarbbend.core.placement._loads import LoadBook
+from rhubarbbend.core.placement._overload import TELL_TIME, RequestRate, Room
 from rhubarbbend.core.placement._places import PlaceBook
 from rhubarbbend.core.placement._prompts import Prompt
 from rhubarbbend.core.placement._sources import SourceOptions, Sources
@@ -32,6 +33,9 @@
 FACTOR_PART: Final = 0.75
 # and with this many requests beyond the mean, however small that is.
 LEAST_SLACK: Final = 3.0
+# So large a part of the other instances has to be heard for a request to be turned away by load:
+# one that is cut off does not see what the mean consists of.
+HEARD_PART: Final = 0.5
 # Up to this many requests beyond the mean a target's load is no reason to divide a prompt.
 EVEN_SLACK: Final = 1.0
 # The other zone is chosen only if the own zone's target holds this many requests more.
@@ -85,7 +89,7 @@
 class _Candidates:
     """The targets of a service that may get a request now, and how loaded they are."""
 
-    __slots__ = ("all", "open", "loads", "mean", "failing", "shut")
+    __slots__ = ("all", "open", "loads", "mean", "failing", "shut", "is_repeat", "expected")
 
     def __init__(self, targets: list[Target], loads: dict[str, float]) -> None:
         self.all = targets
@@ -95,6 +99,10 @@
         self.failing: set[str] = set()
         # How many targets cannot get the request, by reason.
         self.shut: dict[str, int] = {}
+        # Whether the request has been to a target already: it is not turned away for others.
+        self.is_repeat = False
+        # Requests that come to the other instances before this one is told of them.
+        self.expected = 0.0
 
 
 class Placement:
@@ -115,6 +123,7 @@
         self._cold = cold
         self.places = PlaceBook()
         self._sources = Sources(options.sources, directory, loads, health, self.places)
+        self._rates: dict[str, RequestRate] = {}
         # For the log of a refusal: why targets were shut at the last choice, by number.
         self.last_shut: dict[str, int] = {}
 
@@ -141,7 +150,9 @@
         if not candidates.open:
             return None
         if prompt is not None and prompt.parts and service.engine is not None:
-            return self._choose_by_prompt(candidates, service, prompt, now)
+            candidates.is_repeat = bool(excluded)
+            candidates.expected = self._expect(service, len(instances), now)
+            return self._choose_by_prompt(candidates, service, prompt, random, now)
         return self._choose_by_load(candidates, random, now)
 
     def note_chosen(self, target: Target, now: float) -> None:
@@ -206,12 +217,13 @@
         return None
 
     def _estimate_loads(self, service: Service, now: float) -> dict[str, float]:
-        """Estimate the loads of all targets of a service, those that get no work included.
+        """Estimate the loads of a service's targets, those of zones that are out included.
 
-        While a zone is out its targets stand idle and the bound on the others is lower: measured
-        against the mean of the working ones alone, a hot key would carry its engine beyond it.
+        One that leaves does not belong to its service any more. While a zone is out its targets
+        stand idle and the bound on the others is lower: measured against the mean of the working
+        ones alone, a hot key would carry its engine beyond it.
         """
-        everyone = self._directory.list_all(service.name)
+        everyone = self._directory.list_staying(service.name)
         return {target.id: self._loads.estimate(target.id, now) for target in everyone}
 
     def _may_send_cold(
@@ -224,13 +236,29 @@
 
     # By prompt.
 
+    def _expect(self, service: Service, instances: int, now: float) -> float:
+        """Count a request; gives how many come to the others until this one is told of them."""
+        rate = self._rates.setdefault(service.name, RequestRate())
+        rate.note(now)
+        return rate.compute(now) * (instances - 1) * TELL_TIME
+
     def _choose_by_prompt(
-        self, candidates: _Candidates, service: Service, prompt: Prompt, now: float
-    ) -> Choice:
+        self,
+        candidates: _Candidates,
+        service: Service,
+        prompt: Prompt,
+        random: Random,
+        now: float,
+    ) -> Choice | None:
         by_id = {target.id: target for target in candidates.all}
         order = [by_id[name] for name in rank_names(prompt.affinity_key, by_id)]
         holders = self._sources.list_holders(prompt, now)
-        target, reason = self._pick(candidates, service, order, holders, now)
+        room = self._find_room(candidates, now)
+        if room is not None and not room.admits(candidates.expected, random):
+            candidates.shut["load"] = len(candidates.open)
+            return None
+        picked = self._pick(candidates, service, order, holders, now)
+        target, reason = picked or (self._pick_last(candidates, room, random), Reason.LAST_RESORT)
         source = self._sources.find(prompt, order, holders, target, now)
         return self._make_choice(candidates, target, reason, source, now)
 
@@ -241,7 +269,8 @@
         order: list[Target],
         holders: list[Target],
         now: float,
-    ) -> tuple[Target, Reason]:
+    ) -> tuple[Target, Reason] | None:
+        """Pick a target that is not filled up; None if each is."""
         open_ids = {target.id for target in candidates.open}
         bound = self._options.load_factor * FACTOR_PART * candidates.mean + LEAST_SLACK
         if service.engine is not None:
@@ -257,8 +286,25 @@
             if chosen is order[0]:
                 return chosen, Reason.HOME
             return chosen, Reason.MOVED if held is None else Reason.HELD
-        least = min(candidates.open, key=lambda t: candidates.loads[t.id])
-        return least, Reason.LAST_RESORT
+        return None
+
+    def _find_room(self, candidates: _Candidates, now: float) -> Room | None:
+        """Find what the targets may still take; None if the request may not be turned away.
+
+        Targets that are lost do not count in the mean: what fails elsewhere is no reason to turn
+        away what the rest can serve.
+        """
+        if candidates.is_repeat or not self._loads.hears_part(HEARD_PART, now):
+            return None
+        loads = [candidates.loads[target.id] for target in candidates.open]
+        counted = [load for t, load in candidates.loads.items() if not self._health.is_lost(t)]
+        return Room(self._options.load_factor, loads, counted)
+
+    def _pick_last(self, candidates: _Candidates, room: Room | None, random: Random) -> Target:
+        """Pick a target although each is filled up."""
+        if room is not None:
+            return candidates.open[room.pick(random)]
+        return min(candidates.open, key=lambda target: candidates.loads[target.id])
 
     def _pick_holder(self, holders: list[Target], candidates: _Candidates) -> Target | None:
         """Pick one of the targets that hold a prompt: the latest, unless it fills up.
--- a/rhubarbbend/gateway/_serving.py
+++ b/rhubarbbend/gateway/_serving.py
@@ -34,7 +34,7 @@
 # instance can still be answered.
 START_PART: Final = 0.33
 # Why targets are shut that are there and will take work again soon.
-BUSY_REASONS: Final = frozenset({"cold", "connections"})
+BUSY_REASONS: Final = frozenset({"cold", "connections", "load"})
 
 
 class RequestServer:
--- a/tests/core/placement/test_placement.py
+++ b/tests/core/placement/test_placement.py
@@ -51,10 +51,14 @@
             self.directory.register(make_record(f"plain-{zone}", "bookings", zone), -100.0)
 
     def choose(
-        self, prompt: Prompt | None = CHAT, now: float = 10.0, excluded: set[str] | None = None
+        self,
+        prompt: Prompt | None = CHAT,
+        now: float = 10.0,
+        excluded: set[str] | None = None,
+        random: Random | None = None,
     ) -> Choice | None:
         service = BOOKINGS if prompt is None else ENGINES
-        random = Random(7)
+        random = random or Random(7)
         return self.placement.choose(service, prompt, excluded or set(), INSTANCES, random, now)
 
     def load(self, target: str, requests: int) -> None:
