--- a/rhubarbbend/core/placement/_placement.py
+++ b/rhubarbbend/core/placement/_placement.py
@@ -89,7 +89,7 @@
 class _Candidates:
     """The targets of a service that may get a request now, and how loaded they are."""
 
-    __slots__ = ("all", "open", "loads", "mean", "failing", "shut", "is_repeat", "expected")
+    __slots__ = ("all", "open", "loads", "mean", "failing", "shut")
 
     def __init__(self, targets: list[Target], loads: dict[str, float]) -> None:
         self.all = targets
@@ -99,10 +99,6 @@
         self.failing: set[str] = set()
         # How many targets cannot get the request, by reason.
         self.shut: dict[str, int] = {}
-        # Whether the request has been to a target already: it is not turned away for others.
-        self.is_repeat = False
-        # Requests that come to the other instances before this one is told of them.
-        self.expected = 0.0
 
 
 class Placement:
@@ -149,11 +145,16 @@
         candidates = self._find_candidates(service, excluded, instances, now)
         if not candidates.open:
             return None
-        if prompt is not None and prompt.parts and service.engine is not None:
-            candidates.is_repeat = bool(excluded)
-            candidates.expected = self._expect(service, len(instances), now)
-            return self._choose_by_prompt(candidates, service, prompt, random, now)
-        return self._choose_by_load(candidates, random, now)
+        if service.engine is None:
+            return self._choose_by_load(candidates, random, now)
+        room = self._find_room(candidates, bool(excluded), now)
+        expected = self._expect(service, len(instances), now)
+        if room is not None and not room.admits(expected, random):
+            candidates.shut["load"] = len(candidates.open)
+            return None
+        if prompt is None or not prompt.parts:
+            return self._choose_by_load(candidates, random, now)
+        return self._choose_by_prompt(candidates, service, prompt, room, random, now)
 
     def note_chosen(self, target: Target, now: float) -> None:
         """Count a request that is about to be sent to a target."""
@@ -248,16 +249,13 @@
         candidates: _Candidates,
         service: Service,
         prompt: Prompt,
+        room: Room | None,
         random: Random,
         now: float,
-    ) -> Choice | None:
+    ) -> Choice:
         by_id = {target.id: target for target in candidates.all}
         order = [by_id[name] for name in rank_names(prompt.affinity_key, by_id)]
         holders = self._sources.list_holders(prompt, now)
-        room = self._find_room(candidates, now)
-        if room is not None and not room.admits(candidates.expected, random):
-            candidates.shut["load"] = len(candidates.open)
-            return None
         picked = self._pick(candidates, service, order, holders, now)
         target, reason = picked or (self._pick_last(candidates, room, random), Reason.LAST_RESORT)
         source = self._sources.find(prompt, order, holders, target, now)
@@ -289,13 +287,13 @@
             return chosen, Reason.MOVED if held is None else Reason.HELD
         return None
 
-    def _find_room(self, candidates: _Candidates, now: float) -> Room | None:
+    def _find_room(self, candidates: _Candidates, is_repeat: bool, now: float) -> Room | None:
         """Find what the targets may still take; None if the request may not be turned away.
 
-        Targets that are lost do not count in the mean: what fails elsewhere is no reason to turn
-        away what the rest can serve.
+        That is one that has been to a target already. Targets that are lost do not count in the
+        mean: what fails elsewhere is no reason to turn away what the rest can serve.
         """
-        if candidates.is_repeat or not self._loads.hears_part(HEARD_PART, now):
+        if is_repeat or not self._loads.hears_part(HEARD_PART, now):
             return None
         loads = [candidates.loads[target.id] for target in candidates.open]
         counted = [load for t, load in candidates.loads.items() if not self._health.is_lost(t)]
--- a/tests/core/placement/test_overload.py
+++ b/tests/core/placement/test_overload.py
@@ -13,7 +13,7 @@
 import pytest
 
 from rhubarbbend.core.placement import Prompt, PromptPart, Reason, Scope, Teller, compute_tag
-from tests.core.placement.test_placement import INSTANCES, World
+from tests.core.placement.test_placement import ENGINES, INSTANCES, World
 
 FACTOR, SLACK = 2.0, 3.0
 # The users' rule: more than so large a share over the bound breaks it.
@@ -93,6 +93,13 @@
     assert surge.sent > 0.7 * MOST_HELD * SECONDS / WORK
 
 
+def test_requests_without_a_prompt_are_turned_away_alike() -> None:
+    world = make_world()
+    fill(world, 30)
+    assert world.placement.choose(ENGINES, None, set(), INSTANCES, Random(1), 10.0) is None
+    assert world.placement.last_shut == {"load": 3}
+
+
 def fill(world: World, requests: int) -> None:
     for engine in ("engine-0", "engine-3", "engine-6"):
         world.load(engine, requests)
