--- a/rhubarbbend/core/placement/_in_flight.py
+++ b/rhubarbbend/core/placement/_in_flight.py
@@ -26,9 +26,9 @@
 
 
 def compute_tag(target: str) -> int:
-    """Give the number that stands for a target in messages: a third of its name's size.
+    """Give the number that stands for a target in messages, shorter than its name.
 
-    Two of a thousand targets have the same one in one deployment of 10,000; their counts add up.
+    Among a thousand targets two share one with a probability of 1 in 9,000; their counts add up.
     """
     return zlib.crc32(target.encode())
 
@@ -85,7 +85,7 @@
 class OthersBook:
     """What the other instances have under way, as they told it.
 
-    Invariant: `_sum` is the sum of the counts of all `_parts`.
+    Invariant: `_sum` is the sum of the counts of all `_parts`, without those that are 0.
     """
 
     def __init__(self) -> None:
@@ -107,7 +107,7 @@
             if not told.whole:
                 return
             heard = self._parts[told.sender] = _Heard()
-        self._sum.subtract(heard.counts)
+        self._take_off(heard)
         heard.take(told, now)
         self._sum.update(heard.counts)
         self._fresh_until = min(self._fresh_until, now + COUNTS_LIFE)
@@ -148,12 +148,18 @@
             instances += heard.instances
         return total, instances
 
+    def _take_off(self, heard: _Heard) -> None:
+        for tag, count in heard.counts.items():
+            self._sum[tag] -= count
+            if not self._sum[tag]:
+                del self._sum[tag]
+
     def _drop_silent(self, now: float) -> None:
         """Forget senders that have not been heard of for too long."""
         if now < self._fresh_until:
             return
         for sender in [s for s, heard in self._parts.items() if not heard.is_fresh(now)]:
-            self._sum.subtract(self._parts.pop(sender).counts)
+            self._take_off(self._parts.pop(sender))
         oldest = min((heard.at for heard in self._parts.values()), default=math.inf)
         self._fresh_until = oldest + COUNTS_LIFE
 
--- a/rhubarbbend/core/placement/_loads.py
+++ b/rhubarbbend/core/placement/_loads.py
@@ -39,10 +39,10 @@
 
 
 class LoadBook:
-    """Own requests under way, and those of others by their word. No probe is sent for it.
+    """Own requests under way, and those that other instances tell. No probe is sent for it.
 
-    Of instances that cannot be heard the targets' word has to tell. It comes with their answers.
-    Among many instances each has few of those, so they tell one another.
+    What instances have that are not heard, and what plain targets hold, is known from the targets'
+    answers. Among many instances each has few of those, so they tell one another of them.
     """
 
     def __init__(self) -> None:
--- a/rhubarbbend/core/placement/_overload.py
+++ b/rhubarbbend/core/placement/_overload.py
@@ -12,9 +12,10 @@
 from random import Random
 from typing import Final
 
-# Requests are taken up to this part of the bound's factor, and this many beyond it.
-FACTOR_PART: Final = 0.9
-SLACK: Final = 3.0
+# The load bound allows a multiple of the mean, and so many requests beyond it.
+BOUND_SLACK: Final = 3.0
+# Requests are taken up to this part of the multiple.
+MOST_PART: Final = 0.9
 # What the other instances send is known after about half of this time, in seconds. Requests come in
 # groups, so each leaves room for twice as many.
 TELL_TIME: Final = 0.2
@@ -51,9 +52,9 @@
     def __init__(
         self, load_factor: float, loads: Sequence[float], counted: Sequence[float]
     ) -> None:
-        factor = load_factor * FACTOR_PART
+        factor = load_factor * MOST_PART
         mean = sum(counted) / max(1, len(counted))
-        limit = factor * mean + SLACK
+        limit = factor * mean + BOUND_SLACK
         self.rooms = [max(0.0, limit - load) for load in loads]
         # Each request raises the mean, and so the limit of all targets, by this much.
         growth = factor * len(loads) / max(1, len(counted))
--- a/rhubarbbend/core/placement/_placement.py
+++ b/rhubarbbend/core/placement/_placement.py
@@ -22,17 +22,15 @@
 from rhubarbbend.core.directory import Directory, Target
 from rhubarbbend.core.placement._health import HealthBook
 from rhubarbbend.core.placement._loads import LoadBook
-from rhubarbbend.core.placement._overload import TELL_TIME, RequestRate, Room
+from rhubarbbend.core.placement._overload import BOUND_SLACK, TELL_TIME, RequestRate, Room
 from rhubarbbend.core.placement._places import PlaceBook
 from rhubarbbend.core.placement._prompts import Prompt
 from rhubarbbend.core.placement._sources import SourceOptions, Sources
 from rhubarbbend.core.shares import ColdAllowance
 
-# Loads are estimates from answers that are up to some seconds old, so a target is passed over
-# somewhat below the bound that the deployment sets: at this part of its factor,
-FACTOR_PART: Final = 0.75
-# and with this many requests beyond the mean, however small that is.
-LEAST_SLACK: Final = 3.0
+# Counts of loads are a moment old, so a target is passed over for the next one somewhat below the
+# bound that the deployment sets: at this part of its factor.
+MOVE_PART: Final = 0.75
 # So large a part of the other instances has to be heard for a request to be turned away by load:
 # one that is cut off does not see what the mean consists of.
 HEARD_PART: Final = 0.5
@@ -271,7 +269,7 @@
     ) -> tuple[Target, Reason] | None:
         """Pick a target that is not filled up; None if each is."""
         open_ids = {target.id for target in candidates.open}
-        bound = self._options.load_factor * FACTOR_PART * candidates.mean + LEAST_SLACK
+        bound = self._options.load_factor * MOVE_PART * candidates.mean + BOUND_SLACK
         if service.engine is not None:
             bound = min(bound, float(service.engine.slots))
         fitting = [t for t in order if t.id in open_ids and candidates.loads[t.id] < bound]
--- a/rhubarbbend/gateway/_load_telling.py
+++ b/rhubarbbend/gateway/_load_telling.py
@@ -1,4 +1,4 @@
-"""Tells other instances which requests this one has under way at each target, and hears theirs.
+"""Tells other instances which requests this one has under way at each engine, and hears theirs.
 
 By datagrams to the address at which instances reach one another: a count that is lost is told
 again within half a second, and one that waited in a stream behind a lost one would be out of date.
@@ -25,7 +25,7 @@
 # What is sent at the most, in bytes a second: of the 27 KB for control, the store and the other
 # messages between instances take the rest.
 BYTES_PER_SECOND: Final = 16_000.0
-# Addresses in a datagram, which the system adds.
+# What the system adds to a datagram.
 HEADER_BYTES: Final = 28
 
 
