--- a/rhubarbbend/core/placement/_in_flight.py
+++ b/rhubarbbend/core/placement/_in_flight.py
@@ -85,12 +85,13 @@
 class OthersBook:
     """What the other instances have under way, as they told it.
 
-    Invariant: `_sum` is the sum of the counts of all `_parts`, without those that are 0.
+    Invariant: `_sum` and `_instances` are those of all `_parts` added up, counts of 0 left out.
     """
 
     def __init__(self) -> None:
         self._parts: dict[str, _Heard] = {}
         self._sum: Counter[int] = Counter()
+        self._instances = 0
         self._rest = _Heard()
         self._rest_sender = ""
         # Before this time none of the parts can be too old.
@@ -110,6 +111,7 @@
         self._take_off(heard)
         heard.take(told, now)
         self._sum.update(heard.counts)
+        self._instances += heard.instances
         self._fresh_until = min(self._fresh_until, now + COUNTS_LIFE)
 
     def _hear_rest(self, told: InFlight, now: float) -> None:
@@ -131,7 +133,7 @@
         if self._rest.is_fresh(now):
             return self._rest.instances
         self._drop_silent(now)
-        return sum(heard.instances for heard in self._parts.values())
+        return self._instances
 
     def list_senders(self, now: float) -> list[str]:
         """List the instances that tell this one their part."""
@@ -149,6 +151,7 @@
         return total, instances
 
     def _take_off(self, heard: _Heard) -> None:
+        self._instances -= heard.instances
         for tag, count in heard.counts.items():
             self._sum[tag] -= count
             if not self._sum[tag]:
--- a/rhubarbbend/gateway/_load_telling.py
+++ b/rhubarbbend/gateway/_load_telling.py
@@ -73,9 +73,11 @@
         spoken_for, instances = loads.others.add_up(listeners)
         part = own + spoken_for
         sent = sum(self._tell(s, Scope.PART, part, 1 + instances, now) for s in speakers)
+        total, instances = loads.others.add_up(senders)
         for listener in listeners:
-            rest, instances = loads.others.add_up(s for s in senders if s != listener)
-            sent += self._tell(listener, Scope.REST, own + rest, 1 + instances, now)
+            theirs, count = loads.others.add_up([listener])
+            rest = own + total - theirs
+            sent += self._tell(listener, Scope.REST, rest, 1 + instances - count, now)
         return sent
 
     def _count_own(self) -> Counter[int]:
