--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -304,8 +304,10 @@
     """Leave further orders to stop unheeded: nothing is left to do but to end.
 
     The loop gives the signals back as it closes, and one more would then end a process by the
-    signal that has ended as planned.
+    signal that has ended as planned. They are blocked first: between being given back and being
+    ignored, a signal ends the process as well.
     """
+    signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
     loop = asyncio.get_running_loop()
     for number in STOP_SIGNALS:
         loop.remove_signal_handler(number)
