--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: demo test measure compare measure-tables measure-costs soak slopes binary lint ablate
+.PHONY: rollout-table demo test measure compare measure-tables measure-costs soak slopes binary lint ablate
 
 PYTHON := .venv/bin/python
 
@@ -39,6 +39,12 @@
 measure-tables: .venv/.ready
 	@$(PYTHON) -m loadtool tables --jobs $(JOBS) --seconds $(TABLE_SECONDS)
 
+# Seeded roll-outs of the core alone, in virtual time, e.g. make rollout-table SEED=7 COUNT=1000
+COUNT ?= 1000
+DESIGN ?= capped
+rollout-table: .venv/.ready
+	@$(PYTHON) -m loadtool rollouts --seed $(SEED) --count $(COUNT) --design $(DESIGN)
+
 slopes: .venv/.ready
 	@$(PYTHON) -m loadtool slopes
 
--- a/loadtool/__main__.py
+++ b/loadtool/__main__.py
@@ -6,11 +6,16 @@
 import sys
 from collections.abc import Callable
 
-from loadtool import _chaos, _commands, _demo, _slopes, _soak
+from loadtool import _chaos, _commands, _demo, _rollout_table, _slopes, _soak
+from loadtool._rollout_simulation import DESIGNS
+from loadtool._rollout_table import SITES
 
 COMMANDS: dict[str, Callable[[argparse.Namespace], int]] = {
     "soak": lambda options: _run_soak(options),
     "demo": lambda options: _demo.main(),
+    "rollouts": lambda options: _rollout_table.main(
+        options.seed, options.count, options.design, options.site
+    ),
     "slopes": lambda options: _slopes.main(),
     "measure": _commands.run_measure,
     "compare": _commands.run_compare,
@@ -45,6 +50,13 @@
     soak.add_argument(
         "--size", type=int, default=_soak.DEFAULT_INSTANCE_COUNT, help="number of instances"
     )
+    rollouts = commands.add_parser(
+        "rollouts", help="play seeded roll-outs of the core alone, in virtual time"
+    )
+    rollouts.add_argument("--seed", type=int, default=1)
+    rollouts.add_argument("--count", type=int, default=1_000, help="number of roll-outs")
+    rollouts.add_argument("--design", choices=sorted(DESIGNS), default="capped")
+    rollouts.add_argument("--site", choices=sorted(SITES), default="", help="one service only")
     _commands.add_parsers(commands)
     return parser.parse_args()
 
--- a/rhubarbbend/codes.py
+++ b/rhubarbbend/codes.py
@@ -243,4 +243,13 @@
 CONFIG_PUSHED: Final = _declare_counter(
     "config.pushed", "accepted changes sent to a peer before it asked"
 )
+ROLLOUT_CANDIDATE_REQUESTS: Final = _declare_counter(
+    "rollout.candidate_requests", "requests assigned to the version that is being rolled out"
+)
+ROLLOUT_CANDIDATE_FAILED: Final = _declare_counter(
+    "rollout.candidate_failed", "attempts at that version that failed"
+)
+ROLLOUTS_ENDED: Final = _declare_counter(
+    "rollout.ended", "outcomes of roll-outs that this instance recorded"
+)
 CONFIG_SNAPSHOTS: Final = _declare_counter("config.snapshots", "configuration snapshots stored")
--- a/rhubarbbend/core/directory/_directory.py
+++ b/rhubarbbend/core/directory/_directory.py
@@ -7,6 +7,8 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
+from collections.abc import Mapping
 from typing import Final
 
 import msgspec
@@ -41,6 +43,7 @@
         self._options = options or DirectoryOptions()
         self._targets: dict[str, Target] = {}
         self._by_service: dict[str, list[Target]] = {}
+        self._versions: dict[str, Counter[str]] = {}
         # The boot and state of each removed target, and when it was removed.
         self._removed: dict[str, tuple[int, TargetState, float]] = {}
         # When operators took each zone out of service; zones in service are left out.
@@ -65,6 +68,10 @@
         """Return the number of known targets."""
         return len(self._targets)
 
+    def count_versions(self, service: str) -> Mapping[str, int]:
+        """Return the number of registered targets of a service by version."""
+        return self._versions.get(service, {})
+
     def list_available(self, service: str, now: float) -> list[Target]:
         """Return the targets of a service that may receive requests, in no particular order."""
         return [
@@ -154,6 +161,7 @@
     def _replace(self, record: TargetRecord, now: float) -> Target:
         old = self._targets.get(record.id)
         if old is not None:
+            del self._targets[old.id]
             self._remove_from_indexes(old)
         known_since = -math.inf if self._is_first_read else now
         target = Target(record, known_since, now)
@@ -161,14 +169,15 @@
         if boot == record.boot and state is TargetState.DRAINING:
             target.state = TargetState.DRAINING
         self._targets[target.id] = target
-        self._by_service.setdefault(target.service, []).append(target)
+        self._add_to_indexes(target)
         return target
 
     def _update(self, target: Target, record: TargetRecord, now: float) -> None:
-        if record.service != target.service:
-            self._by_service[target.service].remove(target)
-            self._by_service.setdefault(record.service, []).append(target)
+        if (record.service, record.version) != (target.service, target.version):
+            self._remove_from_indexes(target)
             target.service = record.service
+            target.version = record.version
+            self._add_to_indexes(target)
         target.address = (record.host, record.port)
         target.zone = record.zone
         target.slots = record.slots
@@ -177,9 +186,17 @@
         target.cold_until = max(target.cold_until, now + record.cold_left)
 
     def _remove(self, target: Target, now: float) -> None:
+        del self._targets[target.id]
         self._remove_from_indexes(target)
         self._removed[target.id] = (target.boot, target.state, now)
 
+    def _add_to_indexes(self, target: Target) -> None:
+        self._by_service.setdefault(target.service, []).append(target)
+        self._versions.setdefault(target.service, Counter())[target.version] += 1
+
     def _remove_from_indexes(self, target: Target) -> None:
-        del self._targets[target.id]
         self._by_service[target.service].remove(target)
+        versions = self._versions[target.service]
+        versions[target.version] -= 1
+        if not versions[target.version]:
+            del versions[target.version]
--- a/rhubarbbend/core/directory/_targets.py
+++ b/rhubarbbend/core/directory/_targets.py
@@ -18,7 +18,7 @@
     """The record that a target registers.
 
     `cold_left` is the rest of its cold start in seconds; `boot` grows with each start of the
-    target.
+    target. `version` is that of its software.
     """
 
     id: str
@@ -30,6 +30,7 @@
     state: TargetState
     cold_left: float = 0.0
     boot: int = 0
+    version: str = ""
 
 
 class Target:
@@ -42,6 +43,7 @@
         "zone",
         "slots",
         "boot",
+        "version",
         "state",
         "cold_until",
         "known_since",
@@ -55,6 +57,7 @@
         self.zone = record.zone
         self.slots = record.slots
         self.boot = record.boot
+        self.version = record.version
         self.state = record.state
         self.cold_until = now + record.cold_left
         # When this instance first saw it; which prompts it cached before that is unknown.
--- a/rhubarbbend/core/mirror/_tables.py
+++ b/rhubarbbend/core/mirror/_tables.py
@@ -37,10 +37,14 @@
 
 
 class RowChange(msgspec.Struct, frozen=True):
-    """A change that a page made: the row's key and new value, None if the row was deleted."""
+    """A change that a page made: the row's key and new value, None if the row was deleted.
+
+    `version` is the store's version of the change.
+    """
 
     key: str
     value: bytes | None
+    version: int = 0
 
 
 class Table:
@@ -102,12 +106,12 @@
         else:
             self._deleted.pop(row.key, None)
             self._rows[row.key] = row
-        changes.append(RowChange(row.key, row.value))
+        changes.append(RowChange(row.key, row.value, row.version))
 
     def _delete_missing(self, keys: set[str], position: int, changes: list[RowChange]) -> None:
         for key in [key for key in self._rows if key not in keys]:
             self._delete(MirroredRow(key, None, position))
-            changes.append(RowChange(key, None))
+            changes.append(RowChange(key, None, position))
 
     def _delete(self, row: MirroredRow) -> None:
         self._rows.pop(row.key, None)
--- a/rhubarbbend/core/placement/_placement.py
+++ b/rhubarbbend/core/placement/_placement.py
@@ -11,7 +11,7 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from random import Random
 from typing import Final
 
@@ -106,13 +106,21 @@
     return max(MIN_CONNECTIONS, int(share))
 
 
+def admit_all(target: Target) -> bool:
+    """Admit every target of a service to a request."""
+    return True
+
+
 class _Candidates:
     """The targets of a service that are considered for a request, and their loads."""
 
-    __slots__ = ("targets", "eligible", "loads", "mean", "failing", "rejections")
+    __slots__ = ("targets", "eligible", "loads", "mean", "failing", "rejections", "admits")
 
-    def __init__(self, targets: list[Target], loads: dict[str, float]) -> None:
+    def __init__(
+        self, targets: list[Target], loads: dict[str, float], admits: Callable[[Target], bool]
+    ) -> None:
         self.targets = targets
+        self.admits = admits
         self.eligible: list[Target] = []
         self.loads = loads
         self.mean = sum(loads.values()) / len(loads) if loads else 0.0
@@ -161,13 +169,15 @@
         instances: Sequence[str],
         random: Random,
         now: float,
+        admits: Callable[[Target], bool] = admit_all,
     ) -> Choice | None:
         """Choose a target; return None if no target of the service can take the request now.
 
         `excluded` holds the ids of the targets that were already tried for this request.
         `instances` are all instances that share the bounds on connections and cold targets.
+        `admits` returns whether a target may get this request.
         """
-        candidates = self._find_candidates(service, excluded, instances, now)
+        candidates = self._find_candidates(service, excluded, instances, admits, now)
         if not candidates.eligible:
             return None
         if service.engine is None:
@@ -198,6 +208,10 @@
             is_unexpected = is_moved and target not in known[:1]
             self.prompt_locations.record_sent(prompt.affinity_key, target.id, is_unexpected, now)
 
+    def has_cached(self, prompt: Prompt, target: Target, now: float) -> bool:
+        """Return whether a target probably has the shared parts of a prompt cached."""
+        return target in self._sources.list_holders(prompt, now)
+
     def record_departure(self, target: Target, now: float) -> None:
         """Remove a target whose registration was removed, but keep it as a source while it runs."""
         self._sources.record_departure(target, now)
@@ -206,10 +220,15 @@
         self._cold.forget(target.id)
 
     def _find_candidates(
-        self, service: Service, excluded: set[str], instances: Sequence[str], now: float
+        self,
+        service: Service,
+        excluded: set[str],
+        instances: Sequence[str],
+        admits: Callable[[Target], bool],
+        now: float,
     ) -> _Candidates:
-        targets = self._registry.list_available(service.name, now)
-        found = _Candidates(targets, self._estimate_loads(service, now))
+        targets = [t for t in self._registry.list_available(service.name, now) if admits(t)]
+        found = _Candidates(targets, self._estimate_loads(service, now), admits)
         found.failing = self._health.list_failing([target.id for target in targets], now)
         max_requests = compute_max_connections(service, len(instances))
         for target in targets:
@@ -283,13 +302,14 @@
     ) -> Choice:
         by_id = {target.id: target for target in candidates.targets}
         order = [by_id[name] for name in rank_names(prompt.affinity_key, by_id)]
-        holders = self._sources.list_holders(prompt, now)
+        # Another version may compute another cache from the same prompt.
+        holders = [t for t in self._sources.list_holders(prompt, now) if candidates.admits(t)]
         selected = self._select_below_bound(candidates, service, order, holders, now)
         target, reason = selected or (
             self._select_last_resort(candidates, headroom, random),
             Reason.LAST_RESORT,
         )
-        source = self._sources.find(prompt, order, holders, target, now)
+        source = self._sources.find(prompt, order, holders, target, candidates.admits, now)
         return self._make_choice(candidates, target, reason, source, now)
 
     def _select_below_bound(
--- a/rhubarbbend/core/placement/_sources.py
+++ b/rhubarbbend/core/placement/_sources.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Final
 
 import msgspec
@@ -97,12 +97,14 @@
         order: Sequence[Target],
         holders: Sequence[Target],
         target: Target,
+        admits: Callable[[Target], bool],
         now: float,
     ) -> Target | None:
         """Return a target that probably has the shared parts that `target` lacks.
 
         `order` is the rendezvous order of the prompt. The known holders come first, then targets
-        that left after the prompt was sent to them, then the other targets in `order`.
+        that left after the prompt was sent to them, then the other targets in `order`. `holders`
+        and `order` hold only targets that `admits` admits.
 
         After a restart of all instances, none knows which prompts were not at their home. Most of
         these are at the next target in the order, since they were sent there while the home was
@@ -112,7 +114,7 @@
             self._tracking_since = now
         if prompt.shared_tokens < MIN_FETCH_TOKENS or target in holders:
             return None
-        departed = self._list_departed(prompt, now)
+        departed = [t for t in self._list_departed(prompt, now) if admits(t)]
         known_for = now - max(target.known_since, self._tracking_since)
         if (
             not holders
--- /dev/null
+++ b/rhubarbbend/core/rollouts/_exposure.py
@@ -0,0 +1,75 @@
+"""Bounds the requests that one instance sends to a candidate version.
+
+The bound holds over all instances without any messages between them: each keeps the share of its
+own requests, so instances that die, restart or are partitioned cannot break it together.
+"""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Final
+
+import msgspec
+
+# Fraction of the allowed share that is used. The rest covers requests that reach several targets,
+# and those that are counted here but never reach the service.
+SHARE_MARGIN_FACTOR: Final = 0.95
+# Fraction of the slack that the instances divide among themselves. The rest covers instances that
+# restart with a new credit.
+SLACK_MARGIN_FACTOR: Final = 0.9
+# While requests move to the candidate, an instance may use this much more than its credit: what all
+# need together is planned, but each of many has only one or two requests to move.
+SHIFT_OVERDRAFT: Final = 0.5
+
+
+class ExposureOptions(msgspec.Struct, frozen=True):
+    """At most `share` of all requests to a service plus `slack` may reach a candidate."""
+
+    share: float = 0.1
+    slack: float = 0.0
+
+
+class ExposureLimiter:
+    """How many requests this instance may still send to a candidate.
+
+    Invariant: requests sent <= `share` x requests seen + the initial credit + the overdraft. The
+    initial credit is random between 0 and 1, so that many instances with few requests each send
+    the share in total instead of each rounding it down to none. An instance that was already
+    running when the roll-out was ordered (`was_running`) adds its part of the slack; one that has
+    restarted since may have used it before. `reserve` is the fraction of all requests that may
+    come between the success and the deadline of the roll-out, when all go to the candidate.
+    """
+
+    def __init__(
+        self,
+        options: ExposureOptions,
+        instances: int,
+        was_running: bool,
+        reserve: float,
+        random: Random,
+    ) -> None:
+        self._share = max(0.0, SHARE_MARGIN_FACTOR * options.share - reserve)
+        slack = SLACK_MARGIN_FACTOR * options.slack / max(1, instances) if was_running else 0.0
+        # What the requests so far have earned, and how many were sent to the candidate.
+        self._earned = slack
+        self._spent = 0
+        self._draw = random.random()
+
+    def record_request(self) -> None:
+        """Record a request to the service, whichever version it goes to."""
+        self._earned += self._share
+
+    def has_trial_credit(self, trial_fraction: float) -> bool:
+        """Return whether one more request may go to the candidate while it is on trial.
+
+        Only `trial_fraction` of what was earned may be used then.
+        """
+        return self._draw + trial_fraction * self._earned - self._spent >= 1.0
+
+    def has_credit(self) -> bool:
+        """Return whether one more request may go to the candidate while requests move to it."""
+        return self._draw + self._earned - self._spent >= 1.0 - SHIFT_OVERDRAFT
+
+    def spend(self) -> None:
+        """Record a request that is sent to the candidate."""
+        self._spent += 1
--- /dev/null
+++ b/rhubarbbend/core/rollouts/_participant.py
@@ -0,0 +1,133 @@
+"""One instance's part in a roll-out: which version a request goes to, and what came of it."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Final
+
+from rhubarbbend.core.rollouts._evidence import Evidence, Outcome
+from rhubarbbend.core.rollouts._exposure import ExposureLimiter, ExposureOptions
+from rhubarbbend.core.rollouts._plan import compute_reserve
+from rhubarbbend.core.rollouts._types import RolloutOrder, RolloutPhase, Ruling
+from rhubarbbend.core.rollouts._verdict import judge
+
+# An instance that has heard nothing from a coordinator for this long sends nothing more to the
+# candidate: it would not learn that the candidate was found bad.
+RULING_TTL_S: Final = 2.0
+# Chats are selected for the candidate by their hash. More are selected than the share needs, since
+# how many requests they send varies; the limiter keeps the share.
+CHAT_SELECTION_FRACTION: Final = 0.2
+
+
+class RolloutParticipant:
+    """Assigns requests to the stable version or the candidate.
+
+    Invariant: no request is assigned to the candidate without a recent ruling, or after this
+    instance has found it bad by itself.
+    """
+
+    def __init__(
+        self,
+        order: RolloutOrder,
+        options: ExposureOptions,
+        instances: int,
+        was_running: bool,
+        random: Random,
+        now: float,
+    ) -> None:
+        self.order = order
+        self.first_seen_at = now
+        self.evidence = Evidence()
+        # Grows with each change of the evidence.
+        self.sequence = 0
+        self.ruling: Ruling | None = None
+        self._heard_at = now
+        self._random = random
+        reserve = compute_reserve(order.duration_s)
+        self._limiter = ExposureLimiter(options, instances, was_running, reserve, random)
+        self._is_stopped = False
+
+    @property
+    def is_stopped(self) -> bool:
+        """Whether the candidate gets nothing more from this instance."""
+        return self._is_stopped
+
+    def record_ruling(self, ruling: Ruling, now: float) -> None:
+        """Record what the coordinator says."""
+        if ruling.revision != self.order.revision:
+            return
+        self.ruling = ruling
+        self._heard_at = now
+        self._is_stopped = self._is_stopped or ruling.phase is RolloutPhase.ROLLED_BACK
+
+    def compute_age(self, now: float) -> float:
+        """Return for how many seconds the order is known to be in force."""
+        age_s = now - self.first_seen_at
+        if self.ruling is not None:
+            age_s = max(age_s, self.ruling.age_s + now - self._heard_at)
+        return age_s
+
+    def assign(self, route: str, idempotent: bool, fraction: float | None, now: float) -> bool:
+        """Return whether a caller's request goes to the candidate; count it.
+
+        `fraction`, from 0 to 1, is the hash of its prompt, None if it has none. The requests of a
+        chat stay with one version.
+        """
+        self.evidence.record_request(route, idempotent)
+        self.sequence += 1
+        self._limiter.record_request()
+        if self._is_stopped or self.ruling is None or now - self._heard_at >= RULING_TTL_S:
+            return False
+        if self._has_moved(route, now):
+            is_candidate = self._limiter.has_credit()
+        else:
+            is_candidate = self._limiter.has_trial_credit(
+                self.ruling.trial_fraction
+            ) and self._is_selected(route, fraction)
+        if is_candidate:
+            self._limiter.spend()
+            self.evidence.exposed += 1
+        return is_candidate
+
+    def has_shifted(self, route: str, now: float) -> bool:
+        """Return whether requests of a route go to the candidate rather than the stable version."""
+        return self.ruling is not None and not self._is_stopped and self._has_moved(route, now)
+
+    def expects_success(self, now: float) -> bool:
+        """Return whether the stable targets may have ended, although that is not recorded yet."""
+        ruling = self.ruling
+        if ruling is None or self._is_stopped or ruling.phase is not RolloutPhase.SHIFTING:
+            return False
+        return self.compute_age(now) >= ruling.succeed_at_s
+
+    def record_outcome(
+        self, route: str, idempotent: bool, candidate: str | None, outcome: Outcome
+    ) -> None:
+        """Record how a request ended at a target.
+
+        `candidate` names the target, as `name_target` does, if it has the candidate version.
+        """
+        if candidate is None:
+            self.evidence.record_stable(route, idempotent, outcome)
+        else:
+            self.evidence.record_candidate(route, idempotent, candidate, outcome)
+            self._is_stopped = self._is_stopped or judge(self.evidence) is not None
+        self.sequence += 1
+
+    def _has_moved(self, route: str, now: float) -> bool:
+        ruling = self.ruling
+        if ruling is None or ruling.phase is not RolloutPhase.SHIFTING:
+            return False
+        return self.compute_age(now) >= ruling.succeed_at_s - ruling.leads.get(route, 0.0)
+
+    def _is_selected(self, route: str, fraction: float | None) -> bool:
+        """Return whether a request is one of those that the trial credit is for.
+
+        Each route contributes the same number of requests, so that rare ones are tested too.
+        """
+        routes = self.evidence.routes
+        requests = sum(r.requests for r in routes.values())
+        fair_part = requests / len(routes) / routes[route].requests
+        if fraction is None:
+            return self._random.random() < fair_part
+        return fraction < CHAT_SELECTION_FRACTION * fair_part
--- /dev/null
+++ b/rhubarbbend/core/rollouts/_tracker.py
@@ -0,0 +1,154 @@
+"""All roll-outs as one instance knows them."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Mapping, Sequence
+from random import Random
+from typing import Final
+
+import msgspec
+
+from rhubarbbend.core._rendezvous import rank_names
+from rhubarbbend.core.directory import Target
+from rhubarbbend.core.rollouts._exposure import ExposureOptions
+from rhubarbbend.core.rollouts._participant import RolloutParticipant
+from rhubarbbend.core.rollouts._types import RolloutOrder, RolloutRecord, ServiceVersions
+from rhubarbbend.core.rollouts._versions import VersionTracker
+
+# On trial, a candidate's requests go to as many targets as carry about the load of a stable one
+# each: a version may be bad under load only. At least two, to tell a sick target from a version.
+MIN_TRIAL_TARGETS: Final = 2
+
+
+class VersionChoice(msgspec.Struct, frozen=True):
+    """The version whose targets a request may be sent to; None if any may.
+
+    `targets` are the only ones of them that may get it, None if all may. `participant` is the
+    roll-out that the request is part of.
+    """
+
+    version: str | None
+    targets: frozenset[str] | None = None
+    participant: RolloutParticipant | None = None
+    is_candidate: bool = False
+
+    def admits(self, target: Target) -> bool:
+        """Return whether a target may get the request."""
+        if self.version is not None and target.version != self.version:
+            return False
+        return self.targets is None or target.id in self.targets
+
+
+class RolloutTracker:
+    """The versions of all services, and this instance's part in the roll-outs that run."""
+
+    def __init__(self, options: ExposureOptions, random: Random) -> None:
+        self.versions = VersionTracker()
+        self._options = options
+        self._random = random
+        self._participants: dict[str, RolloutParticipant] = {}
+
+    def set_options(self, options: ExposureOptions) -> None:
+        """Replace the bounds, for roll-outs that begin from now on."""
+        self._options = options
+
+    def record_order(
+        self, order: RolloutOrder, instances: int, was_running: bool, now: float
+    ) -> None:
+        """Record an order; `was_running` is whether it was given while this instance ran."""
+        self.versions.record_order(order)
+        if self.versions.find_active_order(order.service) is not order:
+            return
+        self._participants[order.service] = RolloutParticipant(
+            order, self._options, instances, was_running, self._random, now
+        )
+
+    def withdraw_order(self, service: str) -> None:
+        """Forget the order of a service: the operator has deleted it."""
+        self.versions.withdraw_order(service)
+        self._participants.pop(service, None)
+
+    def record_outcome(self, service: str, record: RolloutRecord) -> None:
+        """Record what the store holds of a service's roll-out."""
+        self.versions.record_outcome(service, record)
+        if self.versions.find_active_order(service) is None:
+            self._participants.pop(service, None)
+
+    def find_participant(self, service: str) -> RolloutParticipant | None:
+        """Return this instance's part in the roll-out of a service, None if there is none."""
+        return self._participants.get(service)
+
+    def find_versions(self, service: str, registered: Mapping[str, int]) -> ServiceVersions:
+        """Return the versions of a service that may get requests; see `VersionTracker`."""
+        return self.versions.find_versions(service, registered)
+
+    def choose_version(
+        self,
+        service: str,
+        route: str,
+        idempotent: bool,
+        fraction: float | None,
+        registered: Mapping[str, int],
+        available: Sequence[Target],
+        now: float,
+    ) -> VersionChoice:
+        """Return the version that a caller's request goes to first.
+
+        `registered` counts the service's registered targets by version, `available` are those that
+        may get requests. See `RolloutParticipant.assign` for `fraction`.
+        """
+        versions = self.find_versions(service, registered)
+        participant = self._participants.get(service)
+        if participant is None or versions.candidate is None or versions.stable is None:
+            return VersionChoice(versions.stable)
+        candidates = [t for t in available if t.version == versions.candidate]
+        is_candidate = participant.assign(route, idempotent, fraction, now) if candidates else False
+        if not is_candidate:
+            return VersionChoice(versions.stable, None, participant)
+        targets = None
+        if not participant.has_shifted(route, now):
+            stable_count = sum(t.version == versions.stable for t in available)
+            targets = _select_trial_targets(
+                candidates, stable_count, self._options.share, participant.order.revision
+            )
+        return VersionChoice(versions.candidate, targets, participant, True)
+
+    def revise_choice(
+        self, service: str, choice: VersionChoice, registered: Mapping[str, int]
+    ) -> VersionChoice:
+        """Return a choice, or the stable version if the chosen one may get nothing any more."""
+        versions = self.find_versions(service, registered)
+        if choice.version is None or not versions.admits(choice.version):
+            return VersionChoice(versions.stable, None, choice.participant)
+        return choice
+
+    def choose_other_version(
+        self, service: str, choice: VersionChoice, registered: Mapping[str, int], now: float
+    ) -> VersionChoice | None:
+        """Return the version for a request that the chosen one cannot serve; None if there is none.
+
+        After a candidate that is the stable version. After the stable version it is a candidate
+        whose success is due: the stable targets may have ended before the record arrived here.
+        """
+        versions = self.find_versions(service, registered)
+        participant = choice.participant
+        if choice.is_candidate:
+            return VersionChoice(versions.stable, None, participant)
+        if participant is not None and participant.expects_success(now) and versions.candidate:
+            return VersionChoice(versions.candidate, None, participant, True)
+        return None
+
+
+def _select_trial_targets(
+    candidates: Collection[Target], stable_count: int, share: float, revision: int
+) -> frozenset[str]:
+    """Select the targets of a candidate on trial, from as many zones as possible."""
+    count = max(MIN_TRIAL_TARGETS, round(share * stable_count))
+    order = rank_names(str(revision), [target.id for target in candidates])
+    zones = {target.id: target.zone for target in candidates}
+    ranks: dict[str, int] = {}
+    by_zone: dict[str, int] = {}
+    for target in order:
+        ranks[target] = by_zone.setdefault(zones[target], 0)
+        by_zone[zones[target]] += 1
+    return frozenset(sorted(order, key=lambda target: ranks[target])[:count])
--- /dev/null
+++ b/rhubarbbend/core/rollouts/_types.py
@@ -0,0 +1,87 @@
+"""Types of roll-outs: what operators order, what is recorded of it, and what instances are told.
+
+A roll-out moves the traffic of a service to targets of another version, the *candidate*, which run
+beside those of the *stable* version. All durations are in seconds.
+"""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+
+class RolloutPhase(enum.Enum):
+    """How far a roll-out is."""
+
+    # The candidate gets a small share of the requests.
+    RUNNING = "running"
+    # The candidate has passed; requests move to it ahead of the end of the stable targets.
+    SHIFTING = "shifting"
+    SUCCEEDED = "succeeded"
+    ROLLED_BACK = "rolled_back"
+
+    @property
+    def is_final(self) -> bool:
+        """Whether the roll-out has ended."""
+        return self in (RolloutPhase.SUCCEEDED, RolloutPhase.ROLLED_BACK)
+
+
+class RolloutOrder(msgspec.Struct, frozen=True):
+    """An operator's order to move a service to `to_version` within `duration_s` of the order.
+
+    `revision` is the store's version of the order; a later order has a higher one.
+    """
+
+    service: str
+    to_version: str
+    duration_s: float
+    revision: int
+
+
+class RolloutRecord(msgspec.Struct, frozen=True, omit_defaults=True):
+    """The lasting record of a service's latest roll-out, a row of the store.
+
+    `revision` is that of its order. `started_at_s` is when the roll-out was first recorded, by the
+    store's clock. `reason` says why it was rolled back.
+    """
+
+    revision: int
+    from_version: str
+    to_version: str
+    phase: RolloutPhase
+    started_at_s: float = 0.0
+    reason: str = ""
+
+
+class ServiceVersions(msgspec.Struct, frozen=True):
+    """The versions of a service whose targets may get requests.
+
+    `stable` is None if any version may: the service has no targets yet. `candidate` is the version
+    that is being rolled out, None if there is no roll-out.
+    """
+
+    stable: str | None
+    candidate: str | None = None
+
+    def admits(self, version: str) -> bool:
+        """Return whether targets of a version may get requests."""
+        return self.stable is None or version in (self.stable, self.candidate)
+
+
+class Ruling(msgspec.Struct, frozen=True, array_like=True):
+    """What the coordinator of a roll-out tells the other instances.
+
+    `age_s` is the time since the order. `leads` holds, by route, how long before `succeed_at_s` the
+    route's requests move to the candidate; both count from the order. `trial_fraction` is the part
+    of each instance's credit that may be used until then. `reason` is set if the roll-out is rolled
+    back.
+    """
+
+    revision: int
+    phase: RolloutPhase
+    age_s: float
+    succeed_at_s: float
+    leads: dict[str, float] = {}
+    trial_fraction: float = 0.5
+    reason: str = ""
--- a/rhubarbbend/gateway/_attempts.py
+++ b/rhubarbbend/gateway/_attempts.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from typing import Any, Final
 
@@ -13,7 +14,8 @@
 from rhubarbbend.core.catalog import RequestKind
 from rhubarbbend.core.delivery import AttemptOutcome, LatencyTracker
 from rhubarbbend.core.directory import Target
-from rhubarbbend.core.placement import Choice
+from rhubarbbend.core.placement import Choice, Prompt
+from rhubarbbend.core.rollouts import Outcome, Speed, name_target
 from rhubarbbend.gateway._interfaces import ForwardingOptions, TargetProtocol, TargetResponseHead
 from rhubarbbend.gateway._liveness import StreamTimeoutPolicy, TargetLivenessMonitor
 from rhubarbbend.gateway._requests import BufferedAnswer, OpenRequest
@@ -49,6 +51,8 @@
 NON_REUSABLE_OUTCOMES: Final = frozenset(
     {AttemptOutcome.BROKEN, AttemptOutcome.MISDIRECTED, AttemptOutcome.REJECTED}
 )
+# An engine takes as long before it starts to read a prompt as for reading about this many tokens.
+READING_BASE_TOKENS: Final = 256
 # Statuses that guarantee to the caller that its request did not and will not run.
 NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
 
@@ -95,6 +99,9 @@
             if connection is None:
                 return AttemptOutcome.UNREACHED
             return await self._send_and_receive(request, choice, connection)
+        except asyncio.CancelledError:
+            self._record_unfinished(request, choice)
+            raise
         finally:
             self._state.loads.record_end(target.id)
 
@@ -168,6 +175,7 @@
                 after=round(self._clock() - request.arrived_at, 4),
             )
         self._record_health(choice.target, request, outcome)
+        self._record_rollout_outcome(request, choice, outcome)
         return outcome
 
     def _log(self, event: str, request: OpenRequest, target: Target, **fields: Any) -> None:
@@ -195,6 +203,9 @@
         headers = self._target_protocol.make_headers(caller, options)
         connection.send_raw(caller.method, caller.path_and_query, headers, caller.body)
         request.sent_at = now
+        request.first_event_at = None
+        if request.version.participant is not None and caller.prompt is not None:
+            request.unread_tokens = self._count_unread_tokens(caller.prompt, choice.target, now)
         request.relay.has_received_event = False
         self._state.placement.record_sent(choice, caller.prompt, request.chosen_at, now)
         self._log(
@@ -215,8 +226,14 @@
             config=request.config_version,
             time_left=round(request.compute_time_left(now), 3),
             resume_after=request.relay.last_id or None,
+            version=None if request.version.participant is None else choice.target.version,
         )
 
+    def _count_unread_tokens(self, prompt: Prompt, target: Target, now: float) -> int:
+        tokens = sum(part.tokens for part in prompt.parts)
+        is_cached = self._state.placement.has_cached(prompt, target, now)
+        return tokens - prompt.shared_tokens if is_cached else tokens
+
     async def _receive_head(
         self, request: OpenRequest, target: Target, connection: Connection
     ) -> TargetResponseHead:
@@ -329,7 +346,8 @@
         sent_at = request.sent_at
 
         def record_first_event() -> None:
-            self._latencies.record_first_event(request.route, self._clock() - sent_at)
+            request.first_event_at = self._clock()
+            self._latencies.record_first_event(request.route, request.first_event_at - sent_at)
             connection.reset_longest_receive_gap()
 
         relay.begin_response(is_resumed, record_first_event)
@@ -412,6 +430,62 @@
         if outcome is AttemptOutcome.ANSWERED:
             self._state.crashes.clear(request.digest)
 
+    # Roll-outs.
+
+    def _record_rollout_outcome(
+        self, request: OpenRequest, choice: Choice, outcome: AttemptOutcome
+    ) -> None:
+        """Count an attempt as evidence for or against the version of its target."""
+        if outcome in (AttemptOutcome.REJECTED, AttemptOutcome.MISDIRECTED):
+            return
+        failed = outcome is not AttemptOutcome.ANSWERED
+        now = self._clock()
+        speeds = {} if failed else _measure_speeds(request, now)
+        self._record_evidence(
+            request, choice, Outcome(failed, max(0.0, now - request.sent_at), speeds), now
+        )
+
+    def _record_unfinished(self, request: OpenRequest, choice: Choice) -> None:
+        """Count an attempt that ended with its request's deadline, or when the caller left.
+
+        It counts as failed only if it had taken longer than its objective by then.
+        """
+        now = self._clock()
+        if now - request.sent_at > request.route.objective and request.sent_at >= request.chosen_at:
+            self._record_evidence(request, choice, Outcome(True, 0.0, {}), now)
+
+    def _record_evidence(
+        self, request: OpenRequest, choice: Choice, outcome: Outcome, now: float
+    ) -> None:
+        participant = request.version.participant
+        target = choice.target
+        if participant is None or choice.cold or target.is_cold(now):
+            # A target in its cold start is slow, whichever version it has.
+            return
+        is_candidate = target.version == participant.order.to_version
+        candidate = name_target(target.zone, target.id) if is_candidate else None
+        was_stopped = participant.is_stopped
+        participant.record_outcome(request.route.name, request.route.idempotent, candidate, outcome)
+        if is_candidate and outcome.failed:
+            self._state.metrics.increment_counter(codes.ROLLOUT_CANDIDATE_FAILED)
+        if participant.is_stopped and not was_stopped:
+            self._state.event_log.write(
+                "rollout_stopped_here", now, service=request.service.name, target=target.id
+            )
+
+
+def _measure_speeds(request: OpenRequest, now: float) -> dict[Speed, float]:
+    """Return by which measures of speed a complete answer can be compared, in seconds."""
+    first_event_at = request.first_event_at
+    if request.route.kind is not RequestKind.STREAM or first_event_at is None:
+        return {Speed.RESPONSE: now - request.sent_at}
+    tokens = request.unread_tokens + READING_BASE_TOKENS
+    speeds = {Speed.READING: (first_event_at - request.sent_at) / tokens}
+    pauses = request.relay.event_count - 1
+    if pauses > 0:
+        speeds[Speed.PAUSE] = (now - first_event_at) / pauses
+    return speeds
+
 
 def _can_retry_elsewhere(request: OpenRequest) -> bool:
     """Return whether a request that may have run here can be sent to one more target."""
--- a/rhubarbbend/gateway/_follower.py
+++ b/rhubarbbend/gateway/_follower.py
@@ -18,7 +18,7 @@
 from rhubarbbend.gateway._interfaces import StateDecoder
 from rhubarbbend.gateway._peers import ChangesReply, PeerClient, ReaderCursor
 from rhubarbbend.gateway._settings import Address
-from rhubarbbend.gateway._state import INSTANCE_TABLE, PeerUpdate, State, read_clock
+from rhubarbbend.gateway._state import INSTANCE_TABLE, ROLLOUT_TABLE, PeerUpdate, State, read_clock
 from rhubarbbend.gateway._state_updater import StateUpdater
 from rhubarbbend.storage import HistoryCompacted, RowStore, StoreError
 
@@ -48,6 +48,9 @@
 # reader that hangs is detected within 0.8 s. A target's load report takes half of this time to
 # reach the reader, and half to reach the other instances.
 LONG_POLL_S: Final = 0.4
+# How long a call waits for changes of the records of roll-outs. The instances also tell one another
+# of these, so the calls need not be frequent enough to show that the connection still works.
+ROLLOUT_WATCH_TIMEOUT_S: Final = 25.0
 # How often an instance that reads the store itself checks whether it should wait at a reader.
 READER_CHECK_INTERVAL_S: Final = 0.5
 
@@ -97,7 +100,7 @@
     ) -> None:
         self._state = state
         self._store = store
-        self._tables = decoder.tables
+        self._tables = (*decoder.tables, ROLLOUT_TABLE)
         self._updater = StateUpdater(state, decoder)
         self.instance_list = InstanceListMaintainer(
             state, store, self._updater, peers, self._record_store_failure
@@ -226,6 +229,8 @@
         timeouts = self._state.replication_timeouts
         if self._store_availability.lost_at is not None:
             return 0.0
+        if table == ROLLOUT_TABLE:
+            return ROLLOUT_WATCH_TIMEOUT_S
         if table != self._state.config_table:
             return timeouts.watch_timeout_s
             # An instance that does not know yet whether others wait at it uses the short time-out
--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -23,6 +23,7 @@
 from rhubarbbend.gateway._metrics import CONTENT_TYPE
 from rhubarbbend.gateway._peers import PeerClient, PeerServer
 from rhubarbbend.gateway._request_server import RequestServer
+from rhubarbbend.gateway._rollouts import RolloutRunner
 from rhubarbbend.gateway._settings import GatewaySettings, SettingsInvalid, SettingsReader
 from rhubarbbend.gateway._state import PeerUpdate, State, read_clock
 from rhubarbbend.http import ConnectionPool, Exchange, HttpServer, ServerLimits
@@ -86,6 +87,7 @@
         self._follower = StateFollower(
             self.state, adapter.store, adapter.decoder, self._peers, selector
         )
+        self._rollouts = RolloutRunner(self.state, adapter.store, adapter.statuses, self._peers)
         self._in_flight_protocol = InFlightProtocol(self.state, selector)
         self._caller_server = HttpServer(self._requests.serve)
         self._servers: list[HttpServer] = [self._caller_server]
@@ -108,6 +110,7 @@
         self._spawn(self._detect_pauses())
         self._spawn(self._run_housekeeping())
         self._spawn(self._broadcast_prompt_locations())
+        self._spawn(self._rollouts.run())
         if settings.peer_address is not None:
             sends_from = settings.peers if settings.advertised is not None else None
             row = InstanceRow(
@@ -125,7 +128,9 @@
             await self._caller_server.listen_on(self._listener)
         await self._serve_on(settings.ready, self._serve_ready)
         if settings.peers is not None:
-            await self._serve_on(settings.peers, PeerServer(self.state).serve)
+            peer_server = PeerServer(self.state)
+            peer_server.on_rollout_report = self._rollouts.handle_report
+            await self._serve_on(settings.peers, peer_server.serve)
             await self._in_flight_protocol.open(settings.peers)
             self._spawn(self._in_flight_protocol.run())
         if settings.metrics is not None:
--- a/rhubarbbend/gateway/_interfaces.py
+++ b/rhubarbbend/gateway/_interfaces.py
@@ -17,8 +17,9 @@
 from rhubarbbend.core.directory import TargetRecord
 from rhubarbbend.core.mirror import RowChange
 from rhubarbbend.core.placement import Prompt
+from rhubarbbend.core.rollouts import RolloutOrder, RolloutRecord
 from rhubarbbend.http import Exchange, Response
-from rhubarbbend.storage import RowStore
+from rhubarbbend.storage import RowPut, RowStore
 
 RawHeaders = list[tuple[bytes, bytes]]
 
@@ -153,6 +154,18 @@
     is_out_of_service: bool
 
 
+class RolloutOrdered(msgspec.Struct, frozen=True):
+    """An order to roll out a version of a service was read."""
+
+    order: RolloutOrder
+
+
+class RolloutWithdrawn(msgspec.Struct, frozen=True):
+    """The order to roll out a version of a service no longer exists."""
+
+    service: str
+
+
 class RowUnreadable(msgspec.Struct, frozen=True):
     """A row could not be decoded; what was known before stays in force."""
 
@@ -161,7 +174,13 @@
 
 
 StateChange = (
-    CatalogPublished | TargetRegistered | TargetUnregistered | ZoneServiceChanged | RowUnreadable
+    CatalogPublished
+    | TargetRegistered
+    | TargetUnregistered
+    | ZoneServiceChanged
+    | RolloutOrdered
+    | RolloutWithdrawn
+    | RowUnreadable
 )
 
 
@@ -178,6 +197,14 @@
         """Decode changed rows. A row with an error is returned as `RowUnreadable`."""
 
 
+class StatusEncoder(abc.ABC):
+    """Encodes what operators read of the fleet's state."""
+
+    @abc.abstractmethod
+    def encode_rollout(self, service: str, record: RolloutRecord) -> RowPut:
+        """Return the row that tells operators the state of a service's roll-out."""
+
+
 class Adapter(msgspec.Struct, frozen=True):
     """A platform's adapter: one object for each interface."""
 
@@ -185,3 +212,4 @@
     targets: TargetProtocol
     decoder: StateDecoder
     store: RowStore
+    statuses: StatusEncoder
--- a/rhubarbbend/gateway/_peers.py
+++ b/rhubarbbend/gateway/_peers.py
@@ -10,7 +10,7 @@
 
 import asyncio
 import zlib
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Final
 
 import msgspec
@@ -18,6 +18,7 @@
 from rhubarbbend.core.mirror import TablePage
 from rhubarbbend.core.placement import TargetLoad
 from rhubarbbend.core.readers import InstanceRow, PeerUpdatePage, ReaderSelector
+from rhubarbbend.core.rollouts import Evidence, RolloutRecord, Ruling
 from rhubarbbend.gateway._settings import Address
 from rhubarbbend.gateway._state import PeerUpdate, State, read_clock
 from rhubarbbend.http import ConnectionPool, Exchange, HttpFailure, Response, fetch
@@ -25,6 +26,7 @@
 CHANGES_PATH: Final = "/peer/changes"
 UPDATE_PATH: Final = "/peer/note"
 JOIN_PATH: Final = "/peer/hello"
+ROLLOUT_PATH: Final = "/peer/rollout"
 CONTENT_TYPE: Final = "application/msgpack"
 # An instance in the same region replies in about 3 ms. If it does not reply within this time, it is
 # queried again later, and another instance is queried at once.
@@ -88,11 +90,37 @@
     row: InstanceRow
 
 
+class RolloutReport(msgspec.Struct, array_like=True):
+    """An instance's evidence of a roll-out, sent to its coordinator.
+
+    `sender` names the instance and its process, `revision` the order. `age_s` is for how long the
+    sender knows the order to be in force. `evidence` is cumulative; `sequence` grows with it.
+    """
+
+    sender: str
+    service: str
+    revision: int
+    age_s: float
+    sequence: int
+    evidence: Evidence
+
+
+class RolloutReply(msgspec.Struct, array_like=True):
+    """The coordinator's ruling, None if it has none yet, and the record if the roll-out ended."""
+
+    ruling: Ruling | None = None
+    record: RolloutRecord | None = None
+
+
 class PeerServer:
     """Serves the requests of other instances."""
 
     def __init__(self, state: State) -> None:
         self._state = state
+        # Handles a report on a roll-out; set by the instance.
+        self.on_rollout_report: Callable[[RolloutReport], RolloutReply] = (
+            lambda report: RolloutReply()
+        )
 
     async def serve(self, exchange: Exchange) -> None:
         """Serve one request; the handler of the HTTP server for other instances."""
@@ -104,6 +132,9 @@
                 update = msgspec.msgpack.decode(exchange.body, type=PeerUpdate)
                 self._state.apply_peer_update(update, read_clock())
                 _respond(exchange, b"")
+            elif exchange.target == ROLLOUT_PATH:
+                report = msgspec.msgpack.decode(exchange.body, type=RolloutReport)
+                _respond(exchange, msgspec.msgpack.encode(self.on_rollout_report(report)))
             elif exchange.target == JOIN_PATH:
                 notice = msgspec.msgpack.decode(exchange.body, type=JoinNotice)
                 self._state.add_instance(notice.instance, notice.row)
@@ -203,6 +234,17 @@
             self._state.event_log.write("peer_unreadable", read_clock(), reason=str(error))
             return None
 
+    async def report_rollout(self, peer: Address, report: RolloutReport) -> RolloutReply | None:
+        """Send evidence of a roll-out to its coordinator; return None if it does not reply."""
+        body = await self._send(peer, ROLLOUT_PATH, msgspec.msgpack.encode(report))
+        if body is None:
+            return None
+        try:
+            return msgspec.msgpack.decode(body, type=RolloutReply)
+        except msgspec.MsgspecError as error:
+            self._state.event_log.write("peer_unreadable", read_clock(), reason=str(error))
+            return None
+
     async def broadcast(self, update: PeerUpdate) -> None:
         """Send an update to all other instances, including those that wait at this one."""
         self._state.queue_for_listeners(update, read_clock())
--- a/rhubarbbend/gateway/_request_server.py
+++ b/rhubarbbend/gateway/_request_server.py
@@ -13,8 +13,10 @@
 
 from rhubarbbend import codes
 from rhubarbbend.codes import ErrorCode, Verdict
+from rhubarbbend.core._rendezvous import hash_to_unit_interval
 from rhubarbbend.core.catalog import Catalog, RequestKind
 from rhubarbbend.core.delivery import AttemptOutcome, compute_verdict, decide_step
+from rhubarbbend.core.rollouts import VersionChoice
 from rhubarbbend.gateway._attempts import AttemptRunner, RetryBudgetExhausted, send_answer
 from rhubarbbend.gateway._interfaces import BadRequest, CallerProtocol, CallerRequest
 from rhubarbbend.gateway._requests import OpenRequest
@@ -173,8 +175,36 @@
             self._refuse(request, codes.CRASHES_TARGETS, now)
             return None
         self._state.get_retry_budget_share(service.name).record_request(now)
+        request.version = self._choose_version(request, now)
         return request
 
+    def _choose_version(self, request: OpenRequest, now: float) -> VersionChoice:
+        """Return the version of the service that the request goes to first."""
+        name = request.service.name
+        registry, rollouts = self._state.registry, self._state.rollouts
+        participant = rollouts.find_participant(name)
+        registered = registry.count_versions(name)
+        if participant is None:
+            return VersionChoice(rollouts.find_versions(name, registered).stable)
+        prompt = request.caller.prompt
+        fraction = None
+        if prompt is not None:
+            # Each roll-out selects other chats.
+            revision = participant.order.revision
+            fraction = hash_to_unit_interval(f"{revision}/{prompt.affinity_key}")
+        choice = rollouts.choose_version(
+            name,
+            request.route.name,
+            request.route.idempotent,
+            fraction,
+            registered,
+            registry.list_available(name, now),
+            now,
+        )
+        if choice.is_candidate:
+            self._state.metrics.increment_counter(codes.ROLLOUT_CANDIDATE_REQUESTS)
+        return choice
+
     # Delivery.
 
     async def _deliver(self, request: OpenRequest) -> None:
@@ -203,8 +233,10 @@
 
     async def _try_targets(self, request: OpenRequest) -> None:
         connect_failures = 0
+        switched = False
         while True:
             now = self._clock()
+            self._revise_version(request)
             choice = self._state.placement.choose(
                 request.service,
                 request.caller.prompt,
@@ -212,7 +244,11 @@
                 self._state.list_instance_ids(),
                 self._state.random,
                 now,
+                request.version.admits,
             )
+            if choice is None and not switched and self._switch_version(request):
+                switched = True
+                continue
             if choice is None or connect_failures > MAX_CONNECT_FAILURES:
                 request.rejection_counts = dict(self._state.placement.last_rejections)
                 self._finish_failed(request, self._select_refusal(request.rejection_counts))
@@ -231,6 +267,26 @@
                 request.excluded |= self._state.health.list_unreachable()
             if not self._handle_outcome(request, outcome):
                 return
+            if request.version.is_candidate:
+                self._switch_version(request)
+
+    def _revise_version(self, request: OpenRequest) -> None:
+        """Replace the version that a request was to go to if it may not be used any more."""
+        name = request.service.name
+        registered = self._state.registry.count_versions(name)
+        request.version = self._state.rollouts.revise_choice(name, request.version, registered)
+
+    def _switch_version(self, request: OpenRequest) -> bool:
+        """Let a request go to the other version of its service; return whether there is one."""
+        name = request.service.name
+        registered = self._state.registry.count_versions(name)
+        other = self._state.rollouts.choose_other_version(
+            name, request.version, registered, self._clock()
+        )
+        if other is None:
+            return False
+        request.version = other
+        return True
 
     def _select_refusal(self, rejection_counts: dict[str, int]) -> ErrorCode:
         """Return the error for a request that no target can accept now."""
--- a/rhubarbbend/gateway/_requests.py
+++ b/rhubarbbend/gateway/_requests.py
@@ -9,6 +9,7 @@
 from rhubarbbend.core.catalog import ClientAccount, Route, Service
 from rhubarbbend.core.delivery import Progress
 from rhubarbbend.core.directory import Target
+from rhubarbbend.core.rollouts import VersionChoice
 from rhubarbbend.gateway._interfaces import CallerRequest, TargetResponseHead
 from rhubarbbend.gateway._streams import EventRelay
 from rhubarbbend.http import Exchange
@@ -48,6 +49,9 @@
         "sent_at",
         "rejection_counts",
         "config_version",
+        "version",
+        "first_event_at",
+        "unread_tokens",
     )
 
     def __init__(
@@ -81,6 +85,12 @@
         # If no target could be chosen: the number of targets rejected, by reason.
         self.rejection_counts: dict[str, int] | None = None
         self.config_version = config_version
+        # The version whose targets may get the request now.
+        self.version = VersionChoice(None)
+        # Of the current attempt: when the first event arrived, and how many tokens of the prompt
+        # the target had to read, as far as is known.
+        self.first_event_at: float | None = None
+        self.unread_tokens = 0
 
     @property
     def id(self) -> str:
--- a/rhubarbbend/gateway/_settings.py
+++ b/rhubarbbend/gateway/_settings.py
@@ -46,6 +46,10 @@
     drain_time: float = 2.0
     # Time within which an accepted configuration must be in force.
     config_time: float = 2.0
+    # Of all requests to a service while a version is rolled out, that version may get this share
+    # plus the slack, if it turns out to be bad.
+    exposure_share: float = 0.1
+    exposure_slack: float = 0.0
     # Interval at which targets write their registrations.
     heartbeat: float = 1.2
     # Time from the stop signal until the process is killed.
--- a/rhubarbbend/gateway/_state.py
+++ b/rhubarbbend/gateway/_state.py
@@ -27,6 +27,7 @@
     TargetLoad,
 )
 from rhubarbbend.core.readers import InstanceRow, PeerUpdateLog
+from rhubarbbend.core.rollouts import ExposureOptions, RolloutRecord, RolloutTracker
 from rhubarbbend.core.shares import ColdTargetShare, RetryBudgetShare
 from rhubarbbend.gateway._change_notifier import ChangeNotifier
 from rhubarbbend.gateway._event_log import EventLog
@@ -40,6 +41,8 @@
 
 # The table in which instances publish their addresses.
 INSTANCE_TABLE: Final = "instances"
+# The table in which instances record roll-outs.
+ROLLOUT_TABLE: Final = "rollouts"
 # Number of instances assumed to share the limits until the table has been read. It is larger than a
 # small fleet, so that the shares add up to less than the limit.
 ASSUMED_INSTANCES: Final = 12
@@ -55,6 +58,13 @@
     target: str
 
 
+class ServiceRollout(msgspec.Struct, frozen=True, array_like=True):
+    """Reports what has been recorded of a service's roll-out."""
+
+    service: str
+    record: RolloutRecord
+
+
 class PeerUpdate(msgspec.Struct, frozen=True, array_like=True):
     """An update that an instance sends to all others.
 
@@ -66,12 +76,13 @@
     crashes: list[CrashReport] = []
     loads: list[TargetLoad] = []
     received_at: float | None = None
+    rollouts: list[ServiceRollout] = []
 
     def add_age(self, now: float) -> PeerUpdate:
         """Return the update to relay now; the time since its receipt is added to its ages."""
         waited = 0.0 if self.received_at is None else now - self.received_at
         locations = [location.add_age(waited) for location in self.locations]
-        return PeerUpdate(locations, self.crashes)
+        return PeerUpdate(locations, self.crashes, rollouts=self.rollouts)
 
 
 class State:
@@ -84,7 +95,7 @@
         self.event_log = event_log
         self.metrics = Metrics()
         self.random = random.Random()
-        self.mirror = Mirror((*tables, INSTANCE_TABLE))
+        self.mirror = Mirror((*tables, ROLLOUT_TABLE, INSTANCE_TABLE))
         self.config_table = tables[0]
         self.catalog: Catalog | None = None
         self.replication_timeouts = derive_replication_timeouts(settings)
@@ -99,6 +110,9 @@
         self.placement = Placement(
             options, self.registry, self.loads, self.health, self.cold_target_share
         )
+        self.rollouts = RolloutTracker(_make_exposure_options(settings), self.random)
+        # Set once an order to roll out a version is known.
+        self.has_rollout_orders = asyncio.Event()
         # Replaced by a new object with each change, so that values computed from it can be cached.
         self.instances: Mapping[str, InstanceRow] = {}
         self.peer_updates: PeerUpdateLog[PeerUpdate] = PeerUpdateLog()
@@ -122,9 +136,15 @@
         self.registry.set_options(derive_directory_options(settings))
         self.cold_target_share.set_limit(settings.cold_overshoot, settings.cold_slack)
         self.placement.set_options(_make_options(settings))
+        self.rollouts.set_options(_make_exposure_options(settings))
         for share in self._retry_budget_shares.values():
             share.set_limit(settings.retry_ratio, settings.retry_slack, settings.retry_window)
 
+    @property
+    def exposure_options(self) -> ExposureOptions:
+        """The bound on requests to a version that is being rolled out."""
+        return _make_exposure_options(self.settings)
+
     @property
     def has_config_and_targets(self) -> bool:
         """Whether the configuration and all targets have been read."""
@@ -195,13 +215,15 @@
             # Marked now: if the target were found unreachable only at the next crash, both would
             # seem to have failed together, and neither would be attributed to a request.
             self.health.record_unreachable(crash.target, now)
+        for rollout in update.rollouts:
+            self.rollouts.record_outcome(rollout.service, rollout.record)
         self.queue_for_listeners(update, now)
 
     def queue_for_listeners(self, update: PeerUpdate, now: float) -> None:
         """Queue an update for the instances that wait at this one."""
-        if not update.locations and not update.crashes:
+        if not update.locations and not update.crashes and not update.rollouts:
             return
-        self.peer_updates.add(PeerUpdate(update.locations, update.crashes, received_at=now))
+        self.peer_updates.add(msgspec.structs.replace(update, loads=[], received_at=now))
         self.changed.notify_all_soon()
 
     def handle_unreachable_target(self, target: Target, now: float) -> None:
@@ -231,6 +253,10 @@
     return PlacementOptions(settings.zone, settings.load_factor, sources)
 
 
+def _make_exposure_options(settings: GatewaySettings) -> ExposureOptions:
+    return ExposureOptions(settings.exposure_share, settings.exposure_slack)
+
+
 def read_clock() -> float:
     """Return the event loop's time in seconds, on which all decisions of an instance are based."""
     return asyncio.get_running_loop().time()
--- a/rhubarbbend/gateway/_state_updater.py
+++ b/rhubarbbend/gateway/_state_updater.py
@@ -12,8 +12,11 @@
 from rhubarbbend import codes
 from rhubarbbend.core.mirror import RowChange, TablePage
 from rhubarbbend.core.readers import InstanceRow
+from rhubarbbend.core.rollouts import RolloutRecord
 from rhubarbbend.gateway._interfaces import (
     CatalogPublished,
+    RolloutOrdered,
+    RolloutWithdrawn,
     RowUnreadable,
     StateChange,
     StateDecoder,
@@ -21,7 +24,7 @@
     TargetUnregistered,
     ZoneServiceChanged,
 )
-from rhubarbbend.gateway._state import INSTANCE_TABLE, State, read_clock
+from rhubarbbend.gateway._state import INSTANCE_TABLE, ROLLOUT_TABLE, State, read_clock
 
 
 class StateUpdater:
@@ -39,6 +42,9 @@
             if table == INSTANCE_TABLE:
                 self._apply_instance_changes(changes)
                 continue
+            if table == ROLLOUT_TABLE:
+                self._apply_rollout_changes(changes, source)
+                continue
             for change in self._decoder.decode(table, changes):
                 self._apply(change, source)
         if all(table.known for table in self._state.mirror.tables.values()):
@@ -61,6 +67,45 @@
                 continue
             self._state.add_instance(change.key, row)
 
+    def _apply_rollout_changes(self, changes: list[RowChange], source: str) -> None:
+        for change in changes:
+            if change.value is None:
+                # Nothing deletes these rows. Without it, a version rolled back might return.
+                self._log("row_unreadable", row=change.key, reason="deleted")
+                continue
+            try:
+                record = msgspec.json.decode(change.value, type=RolloutRecord)
+            except msgspec.MsgspecError as error:
+                self._log("row_unreadable", row=change.key, reason=str(error))
+                continue
+            self._state.rollouts.record_outcome(change.key, record)
+            self._log(
+                "rollout_recorded",
+                service=change.key,
+                to=record.to_version,
+                phase=record.phase.value,
+                reason=record.reason or None,
+                source=source,
+            )
+
+    def _apply_rollout_order(self, change: RolloutOrdered, source: str, now: float) -> None:
+        order = change.order
+        self._state.rollouts.record_order(
+            order,
+            len(self._state.list_instance_ids()),
+            self._state.became_ready.is_set(),
+            now,
+        )
+        self._state.has_rollout_orders.set()
+        self._log(
+            "rollout_ordered",
+            service=order.service,
+            to=order.to_version,
+            duration=order.duration_s,
+            revision=order.revision,
+            source=source,
+        )
+
     def _apply(self, change: StateChange, source: str) -> None:
         now = read_clock()
         if isinstance(change, CatalogPublished):
@@ -83,6 +128,12 @@
                 zone=change.zone,
                 source=source,
             )
+        elif isinstance(change, RolloutOrdered):
+            self._apply_rollout_order(change, source, now)
+        elif isinstance(change, RolloutWithdrawn):
+            self._state.rollouts.withdraw_order(change.service)
+            self._state.has_rollout_orders.set()
+            self._log("rollout_withdrawn", service=change.service, source=source)
         elif isinstance(change, RowUnreadable):
             self._state.metrics.increment_counter(codes.CONFIG_UNREADABLE)
             self._log("row_unreadable", row=change.row, reason=change.reason, source=source)
@@ -111,6 +162,7 @@
             service=record.service,
             address=f"{record.host}:{record.port}",
             zone=record.zone,
+            version=target.version,
             state=target.state.value,
             cold_left=record.cold_left or None,
             boot=record.boot,
--- a/rhubarbbend/gateway/_streams.py
+++ b/rhubarbbend/gateway/_streams.py
@@ -39,6 +39,8 @@
         self.started = False
         # Whether an event has been received from the current target.
         self.has_received_event = False
+        # The number of complete events received from the current target.
+        self.event_count = 0
         self._exchange = exchange
         self._send_head = send_head
         self._buffer = bytearray()
@@ -55,6 +57,7 @@
         self._buffer.clear()
         self._is_resumed = is_resumed
         self.has_received_event = False
+        self.event_count = 0
         self._on_first_event = on_first_event
 
     def write(self, data: bytes) -> None:
@@ -68,6 +71,7 @@
             return
         events = bytes(self._buffer[:end])
         del self._buffer[:end]
+        self.event_count += events.count(b"\n\n")
         if not self.has_received_event:
             self.has_received_event = True
             self._on_first_event()
--- a/rhubarbbend/storage/__init__.py
+++ b/rhubarbbend/storage/__init__.py
@@ -9,7 +9,15 @@
 import importlib
 from typing import TYPE_CHECKING, Any, Final
 
-from rhubarbbend.storage._rows import HistoryCompacted, RowStore, StoreError, VersionConflict
+from rhubarbbend.storage._rows import (
+    HistoryCompacted,
+    RowPut,
+    RowStore,
+    RowVersion,
+    StoredRow,
+    StoreError,
+    VersionConflict,
+)
 
 if TYPE_CHECKING:
     from rhubarbbend.storage._base import PLATFORMS, PlatformClient, PlatformError
@@ -19,9 +27,12 @@
     "PLATFORMS",
     "PlatformClient",
     "PlatformError",
-    "VersionConflict",
+    "RowPut",
     "RowStore",
+    "RowVersion",
     "StoreError",
+    "StoredRow",
+    "VersionConflict",
 ]
 
 _LAZY_NAMES: Final = ("PLATFORMS", "PlatformClient", "PlatformError")
--- a/rhubarbbend/storage/_rows.py
+++ b/rhubarbbend/storage/_rows.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import abc
+from collections.abc import Sequence
+
+import msgspec
 
 from rhubarbbend.core.mirror import TablePage
 
@@ -19,6 +22,33 @@
     """A row does not have the version that a write expected; nothing was written."""
 
 
+class StoredRow(msgspec.Struct, frozen=True):
+    """One row as read at `store_time_s`, by the store's steady clock.
+
+    `value` is None and `version` 0 if there is no such row.
+    """
+
+    value: bytes | None
+    version: int
+    store_time_s: float
+
+
+class RowPut(msgspec.Struct, frozen=True):
+    """A row to write."""
+
+    table: str
+    key: str
+    value: bytes
+
+
+class RowVersion(msgspec.Struct, frozen=True):
+    """The version that a row must have for a write to take effect; 0 if it must not exist."""
+
+    table: str
+    key: str
+    version: int
+
+
 class RowStore(abc.ABC):
     """A store of tables with versioned rows. Every method raises `StoreError` on failure.
 
@@ -37,6 +67,14 @@
         Raise `HistoryCompacted` if the store no longer has the changes after that version.
         """
 
+    @abc.abstractmethod
+    async def read_row(self, table: str, key: str) -> StoredRow:
+        """Return one row."""
+
+    @abc.abstractmethod
+    async def write_rows(self, puts: Sequence[RowPut], expected: Sequence[RowVersion]) -> None:
+        """Write rows in one transaction; raise `VersionConflict` unless all versions match."""
+
     @abc.abstractmethod
     async def put_row(self, table: str, key: str, value: bytes) -> None:
         """Write a row unconditionally."""
--- a/tests/core/mirror/test_tables.py
+++ b/tests/core/mirror/test_tables.py
@@ -27,7 +27,7 @@
 def test_a_whole_page_deletes_rows_that_it_does_not_contain() -> None:
     table = Table()
     table.merge(make_page(10, ("x", b"1", 3), ("y", b"2", 4)))
-    assert table.merge(make_page(20, ("y", b"2", 4), whole=True)) == [RowChange("x", None)]
+    assert table.merge(make_page(20, ("y", b"2", 4), whole=True)) == [RowChange("x", None, 20)]
     assert [row.key for row in table.list_rows()] == ["y"]
 
 
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import json
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 
 import pytest
 
@@ -16,9 +16,16 @@
 from rhubarbbend.gateway._interfaces import StateChange, StateDecoder
 from rhubarbbend.gateway._peers import ChangesReply, PeerClient
 from rhubarbbend.gateway._settings import GatewaySettings
-from rhubarbbend.gateway._state import State
+from rhubarbbend.gateway._state import ROLLOUT_TABLE, State
 from rhubarbbend.http import ConnectionPool
-from rhubarbbend.storage import RowStore, StoreError, VersionConflict
+from rhubarbbend.storage import (
+    RowPut,
+    RowStore,
+    RowVersion,
+    StoredRow,
+    StoreError,
+    VersionConflict,
+)
 from tests.gateway.harness import run, wait_until
 
 TABLES = ("config", "targets")
@@ -42,7 +49,9 @@
     """
 
     def __init__(self) -> None:
-        self.pages = {name: TablePage([], 1, True) for name in (*TABLES, "instances")}
+        self.pages = {
+            name: TablePage([], 1, True) for name in (*TABLES, ROLLOUT_TABLE, "instances")
+        }
         self.silent_watches: set[str] = set()
         self.stuck_reads: set[str] = set()
         self.failing = False
@@ -83,6 +92,14 @@
         page = self.pages[table]
         return TablePage(page.rows, page.position, False)
 
+    async def read_row(self, table: str, key: str) -> StoredRow:
+        self.calls += 1
+        return StoredRow(None, 0, 0.0)
+
+    async def write_rows(self, puts: Sequence[RowPut], expected: Sequence[RowVersion]) -> None:
+        self.calls += 1
+        self.written += [put.key for put in puts]
+
     async def put_row(self, table: str, key: str, value: bytes) -> None:
         self.calls += 1
         self.written.append(key)
@@ -301,6 +318,7 @@
         joining.cancel()
         follower.stop()
         assert all(state.mirror.tables[table].known for table in TABLES)
-        assert sorted(store.watched) == ([] if is_reader_alive else list(TABLES))
+        watched = [] if is_reader_alive else [*TABLES, ROLLOUT_TABLE]
+        assert sorted(store.watched) == sorted(watched)
 
     run(work)
