Roll-outs: requests that cannot be repeated wait out the last quarter second; tests of the adapter

Cause: the old targets end undrained with the success; at 83 instances before three plain targets two to three bookings in 1,000 requests were on them then. Change: such a request waits for the outcome if it is due within 0.25 s; rulings carry the plan from the start, so that a lead shorter than the time between reports is kept.

--- a/loadtool/_rollout_simulation.py
+++ b/loadtool/_rollout_simulation.py
@@ -17,6 +17,7 @@
 import msgspec
 
 from rhubarbbend.core.rollouts import (
+    Assignment,
     ExposureOptions,
     Outcome,
     RolloutCoordinator,
@@ -115,6 +116,7 @@
     reason: str = ""
     lost: int = 0
     repeated: int = 0
+    held: int = 0
 
     def compute_cap(self, options: ExposureOptions) -> float:
         """Return the number of requests that a bad version may get."""
@@ -131,17 +133,19 @@
 
     STAGES: Final = ((0.75, 1.0), (0.5, 0.5), (0.25, 0.25), (0.0, 0.05))
 
-    def assign(self, route: str, idempotent: bool, fraction: float | None, now: float) -> bool:
-        """Return whether a request goes to the new version: a share that depends on the age."""
+    def assign(
+        self, route: str, idempotent: bool, fraction: float | None, now: float
+    ) -> Assignment:
+        """Return to which version a request goes: a share to the new that depends on the age."""
         self.evidence.record_request(route, idempotent)
         self.sequence += 1
         if self.is_stopped or self.ruling is None:
-            return False
+            return Assignment(False)
         passed = self.compute_age(now) / self.order.duration_s
         share = next(share for from_fraction, share in self.STAGES if passed >= from_fraction)
         is_candidate = (self._random.random() if fraction is None else fraction) < share
         self.evidence.exposed += is_candidate
-        return is_candidate
+        return Assignment(is_candidate)
 
 
 Make = Callable[[RolloutOrder, ExposureOptions, int, bool, Random, float], RolloutParticipant]
@@ -316,7 +320,22 @@
         chat = self._random.randrange(max(1, route.chats))
         fraction = Random(chat).random() if route.chats else None
         if participant is not None and not self.play.phase.is_final:
-            is_new = participant.assign(route.name, route.idempotent, fraction, now)
+            assignment = participant.assign(route.name, route.idempotent, fraction, now)
+            is_new = assignment.is_candidate
+            if assignment.hold_s > 0.0:
+                self.play.held += 1
+                self._at(now + assignment.hold_s, self._make_held(instance, route))
+                return
+        self._run(instance, route, is_new, now)
+
+    def _make_held(self, instance: _Instance, route: Route) -> Callable[[float], None]:
+        def go_on(now: float) -> None:
+            self._run(instance, route, self.play.phase is RolloutPhase.SUCCEEDED, now)
+
+        return go_on
+
+    def _run(self, instance: _Instance, route: Route, is_new: bool, now: float) -> None:
+        participant = instance.participant
         target = self._choose_target(is_new, participant, route, now)
         if is_new:
             self.play.exposed += 1
--- a/rhubarbbend/codes.py
+++ b/rhubarbbend/codes.py
@@ -249,6 +249,9 @@
 ROLLOUT_CANDIDATE_FAILED: Final = _declare_counter(
     "rollout.candidate_failed", "attempts at that version that failed"
 )
+ROLLOUT_HELD: Final = _declare_counter(
+    "rollout.held", "requests that waited for the end of a roll-out"
+)
 ROLLOUTS_ENDED: Final = _declare_counter(
     "rollout.ended", "outcomes of roll-outs that this instance recorded"
 )
--- a/rhubarbbend/core/rollouts/__init__.py
+++ b/rhubarbbend/core/rollouts/__init__.py
@@ -13,7 +13,7 @@
 )
 from rhubarbbend.core.rollouts._evidence import Evidence, Outcome, Speed, name_target
 from rhubarbbend.core.rollouts._exposure import ExposureLimiter, ExposureOptions
-from rhubarbbend.core.rollouts._participant import RolloutParticipant
+from rhubarbbend.core.rollouts._participant import Assignment, RolloutParticipant
 from rhubarbbend.core.rollouts._tracker import RolloutTracker, VersionChoice
 from rhubarbbend.core.rollouts._types import (
     RolloutOrder,
@@ -26,6 +26,7 @@
 from rhubarbbend.core.rollouts._versions import VersionTracker
 
 __all__ = [
+    "Assignment",
     "DECISION_INTERVAL_S",
     "REASON_WITHDRAWN",
     "Evidence",
--- a/rhubarbbend/core/rollouts/_participant.py
+++ b/rhubarbbend/core/rollouts/_participant.py
@@ -5,6 +5,8 @@
 from random import Random
 from typing import Final
 
+import msgspec
+
 from rhubarbbend.core.rollouts._evidence import Evidence, Outcome
 from rhubarbbend.core.rollouts._exposure import ExposureLimiter, ExposureOptions
 from rhubarbbend.core.rollouts._plan import compute_reserve
@@ -14,11 +16,30 @@
 # An instance that has heard nothing from a coordinator for this long sends nothing more to the
 # candidate: it would not learn that the candidate was found bad.
 RULING_TTL_S: Final = 2.0
+# A request that cannot be repeated waits for the success if that is no further away than this,
+# instead of being lost with the stable targets, and then this long for it to be recorded.
+MAX_HOLD_S: Final = 0.25
+RECORDING_TIME_S: Final = 0.15
 # Chats are selected for the candidate by their hash. More are selected than the share needs, since
 # how many requests they send varies; the limiter keeps the share.
 CHAT_SELECTION_FRACTION: Final = 0.2
 
 
+class Assignment(msgspec.Struct, frozen=True):
+    """Whether a request goes to the candidate.
+
+    If `hold_s` is positive, it should wait that long, or until the roll-out has ended, and then go
+    to the version in force.
+    """
+
+    is_candidate: bool
+    hold_s: float = 0.0
+
+
+TO_STABLE: Final = Assignment(False)
+TO_CANDIDATE: Final = Assignment(True)
+
+
 class RolloutParticipant:
     """Assigns requests to the stable version or the candidate.
 
@@ -67,8 +88,10 @@
             age_s = max(age_s, self.ruling.age_s + now - self._heard_at)
         return age_s
 
-    def assign(self, route: str, idempotent: bool, fraction: float | None, now: float) -> bool:
-        """Return whether a caller's request goes to the candidate; count it.
+    def assign(
+        self, route: str, idempotent: bool, fraction: float | None, now: float
+    ) -> Assignment:
+        """Return to which version a caller's request goes, and count it.
 
         `fraction`, from 0 to 1, is the hash of its prompt, None if it has none. The requests of a
         chat stay with one version.
@@ -77,17 +100,18 @@
         self.sequence += 1
         self._limiter.record_request()
         if self._is_stopped or self.ruling is None or now - self._heard_at >= RULING_TTL_S:
-            return False
+            return TO_STABLE
         if self._has_moved(route, now):
             is_candidate = self._limiter.has_credit()
         else:
             is_candidate = self._limiter.has_trial_credit(
                 self.ruling.trial_fraction
             ) and self._is_selected(route, fraction)
-        if is_candidate:
-            self._limiter.spend()
-            self.evidence.exposed += 1
-        return is_candidate
+        if not is_candidate:
+            return Assignment(False, self._compute_hold(route, idempotent, now))
+        self._limiter.spend()
+        self.evidence.exposed += 1
+        return TO_CANDIDATE
 
     def has_shifted(self, route: str, now: float) -> bool:
         """Return whether requests of a route go to the candidate rather than the stable version."""
@@ -96,7 +120,7 @@
     def expects_success(self, now: float) -> bool:
         """Return whether the stable targets may have ended, although that is not recorded yet."""
         ruling = self.ruling
-        if ruling is None or self._is_stopped or ruling.phase is not RolloutPhase.SHIFTING:
+        if ruling is None or self._is_stopped:
             return False
         return self.compute_age(now) >= ruling.succeed_at_s
 
@@ -115,10 +139,22 @@
         self.sequence += 1
 
     def _has_moved(self, route: str, now: float) -> bool:
+        # The plan is part of each ruling, also of those before the first route moves: the next one
+        # may come after a short lead has begun.
         ruling = self.ruling
-        if ruling is None or ruling.phase is not RolloutPhase.SHIFTING:
+        if ruling is None or route not in ruling.leads:
             return False
-        return self.compute_age(now) >= ruling.succeed_at_s - ruling.leads.get(route, 0.0)
+        return self.compute_age(now) >= ruling.succeed_at_s - ruling.leads[route]
+
+    def _compute_hold(self, route: str, idempotent: bool, now: float) -> float:
+        """Return how long a request has to wait that would be lost with the stable targets.
+
+        It cannot be repeated, and there is no time left to answer it before they end.
+        """
+        if idempotent or self.ruling is None or not self._has_moved(route, now):
+            return 0.0
+        left_s = self.ruling.succeed_at_s - self.compute_age(now)
+        return max(0.0, left_s) + RECORDING_TIME_S if left_s <= MAX_HOLD_S else 0.0
 
     def _is_selected(self, route: str, fraction: float | None) -> bool:
         """Return whether a request is one of those that the trial credit is for.
--- a/rhubarbbend/core/rollouts/_tracker.py
+++ b/rhubarbbend/core/rollouts/_tracker.py
@@ -11,7 +11,7 @@
 from rhubarbbend.core._rendezvous import rank_names
 from rhubarbbend.core.directory import Target
 from rhubarbbend.core.rollouts._exposure import ExposureOptions
-from rhubarbbend.core.rollouts._participant import RolloutParticipant
+from rhubarbbend.core.rollouts._participant import TO_STABLE, RolloutParticipant
 from rhubarbbend.core.rollouts._types import RolloutOrder, RolloutRecord, ServiceVersions
 from rhubarbbend.core.rollouts._versions import VersionTracker
 
@@ -24,13 +24,14 @@
     """The version whose targets a request may be sent to; None if any may.
 
     `targets` are the only ones of them that may get it, None if all may. `participant` is the
-    roll-out that the request is part of.
+    roll-out that the request is part of. For `hold_s` see `Assignment`.
     """
 
     version: str | None
     targets: frozenset[str] | None = None
     participant: RolloutParticipant | None = None
     is_candidate: bool = False
+    hold_s: float = 0.0
 
     def admits(self, target: Target) -> bool:
         """Return whether a target may get the request."""
@@ -102,9 +103,11 @@
         if participant is None or versions.candidate is None or versions.stable is None:
             return VersionChoice(versions.stable)
         candidates = [t for t in available if t.version == versions.candidate]
-        is_candidate = participant.assign(route, idempotent, fraction, now) if candidates else False
-        if not is_candidate:
-            return VersionChoice(versions.stable, None, participant)
+        assignment = TO_STABLE
+        if candidates:
+            assignment = participant.assign(route, idempotent, fraction, now)
+        if not assignment.is_candidate:
+            return VersionChoice(versions.stable, None, participant, hold_s=assignment.hold_s)
         targets = None
         if not participant.has_shifted(route, now):
             stable_count = sum(t.version == versions.stable for t in available)
--- a/rhubarbbend/gateway/_request_server.py
+++ b/rhubarbbend/gateway/_request_server.py
@@ -232,6 +232,8 @@
             self._log_end(request, "caller_gone", 0)
 
     async def _try_targets(self, request: OpenRequest) -> None:
+        if request.version.hold_s > 0.0:
+            await self._hold(request)
         connect_failures = 0
         switched = False
         while True:
@@ -270,6 +272,15 @@
             if request.version.is_candidate:
                 self._switch_version(request)
 
+    async def _hold(self, request: OpenRequest) -> None:
+        """Wait until the stable version of a request's service changes, for a limited time."""
+        self._state.metrics.increment_counter(codes.ROLLOUT_HELD)
+        held_version = request.version.version
+        ends_at = self._clock() + request.version.hold_s
+        while request.version.version == held_version and (now := self._clock()) < ends_at:
+            await self._state.changed.wait(ends_at - now)
+            self._revise_version(request)
+
     def _revise_version(self, request: OpenRequest) -> None:
         """Replace the version that a request was to go to if it may not be used any more."""
         name = request.service.name
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -11,7 +11,7 @@
 
 from adapter import PlatformRowStore
 from adapter._row_store import RowsResponse, WireRow
-from rhubarbbend.storage import StoreError, VersionConflict
+from rhubarbbend.storage import RowPut, RowVersion, StoreError, VersionConflict
 from standins._table_store import TableStore
 
 # Simulates a slow link: one chunk per pause. A table of 100 KB takes 1.3 s in total, which is
@@ -87,3 +87,25 @@
         store.close_connections()
 
     asyncio.run(asyncio.wait_for(run(), 10.0))
+
+
+def test_two_rows_are_written_together_or_not_at_all() -> None:
+    # Two instances record the outcome of the same roll-out. If the second replaced the record, or
+    # wrote the status for operators beside the first one's record, operators would see both.
+    async def run() -> None:
+        port = await TableStore().listen("127.0.0.1", 0)
+        store = PlatformRowStore(("127.0.0.1", port))
+        absent = await store.read_row("rollouts", "llm")
+        assert (absent.value, absent.version) == (None, 0)
+        for outcome in (b"first", b"second"):
+            puts = [RowPut("rollouts", "llm", outcome), RowPut("status", "rollout/llm", outcome)]
+            try:
+                await store.write_rows(puts, [RowVersion("rollouts", "llm", absent.version)])
+            except VersionConflict:
+                assert outcome == b"second"
+        row = await store.read_row("rollouts", "llm")
+        assert row.value == (await store.read_row("status", "rollout/llm")).value == b"first"
+        assert row.version > 0 and row.store_time_s > 0.0
+        store.close_connections()
+
+    asyncio.run(asyncio.wait_for(run(), 10.0))
--- a/tests/core/rollouts/test_tracker.py
+++ b/tests/core/rollouts/test_tracker.py
@@ -90,14 +90,14 @@
 def test_chat_stays_with_one_version_during_the_trial() -> None:
     """A chat that changed versions would have its context processed again with each change."""
     tracker = make_tracker(RolloutPhase.RUNNING)
-    assert not any(choose(tracker, 10.1, fraction=0.9).is_candidate for _ in range(50))
-    assert any(choose(tracker, 10.1, fraction=0.01).is_candidate for _ in range(10))
+    assert not any(choose(tracker, 10.1, "read", 0.9).is_candidate for _ in range(50))
+    assert any(choose(tracker, 10.1, "read", 0.01).is_candidate for _ in range(10))
 
 
 def test_trial_goes_to_a_few_targets_in_several_zones() -> None:
     """Spread over all targets, a version that is bad under load only would look good."""
     tracker = make_tracker(RolloutPhase.RUNNING)
-    choices = [choose(tracker, 10.1) for _ in range(100)]
+    choices = [choose(tracker, 10.1, "read") for _ in range(100)]
     admitted = [t for t in TARGETS if any(c.is_candidate and c.admits(t) for c in choices)]
     assert len(admitted) == 2
     assert len({target.zone for target in admitted}) == 2
