--- a/rhubarbbend/core/rollouts/_coordinator.py
+++ b/rhubarbbend/core/rollouts/_coordinator.py
@@ -12,9 +12,8 @@
 import msgspec
 
 from rhubarbbend.core.rollouts._evidence import Evidence, add_up, subtract
-from rhubarbbend.core.rollouts._exposure import ExposureOptions
 from rhubarbbend.core.rollouts._plan import ShiftPlan, compute_success_time, plan_shift
-from rhubarbbend.core.rollouts._types import RolloutOrder, RolloutPhase, Ruling
+from rhubarbbend.core.rollouts._types import ExposureOptions, RolloutOrder, RolloutPhase, Ruling
 from rhubarbbend.core.rollouts._verdict import Finding, judge
 
 # A roll-out succeeds only if this fraction of the instances has sent evidence lately: one that is
--- a/rhubarbbend/core/rollouts/_exposure.py
+++ b/rhubarbbend/core/rollouts/_exposure.py
@@ -9,7 +9,7 @@
 from random import Random
 from typing import Final
 
-import msgspec
+from rhubarbbend.core.rollouts._types import ExposureOptions
 
 # Fraction of the allowed share that is used. The rest covers requests that reach several targets,
 # and those that are counted here but never reach the service.
@@ -19,13 +19,6 @@
 SLACK_MARGIN_FACTOR: Final = 0.9
 
 
-class ExposureOptions(msgspec.Struct, frozen=True):
-    """At most `share` of all requests to a service plus `slack` may reach a candidate."""
-
-    share: float = 0.1
-    slack: float = 0.0
-
-
 class ExposureLimiter:
     """How many requests this instance may still send to a candidate.
 
--- a/rhubarbbend/core/rollouts/_participant.py
+++ b/rhubarbbend/core/rollouts/_participant.py
@@ -5,12 +5,21 @@
 from random import Random
 from typing import Final
 
-import msgspec
-
-from rhubarbbend.core.rollouts._evidence import Evidence, Outcome
-from rhubarbbend.core.rollouts._exposure import ExposureLimiter, ExposureOptions
+from rhubarbbend.core.catalog import Route
+from rhubarbbend.core.directory import Target
+from rhubarbbend.core.rollouts._evidence import Evidence, Outcome, Speed, name_target
+from rhubarbbend.core.rollouts._exposure import ExposureLimiter
 from rhubarbbend.core.rollouts._plan import compute_reserve
-from rhubarbbend.core.rollouts._types import RolloutOrder, RolloutPhase, Ruling
+from rhubarbbend.core.rollouts._types import (
+    TO_CANDIDATE,
+    TO_STABLE,
+    Assignment,
+    AttemptTiming,
+    ExposureOptions,
+    RolloutOrder,
+    RolloutPhase,
+    Ruling,
+)
 from rhubarbbend.core.rollouts._verdict import judge
 
 # An instance that has heard nothing from a coordinator for this long sends nothing more to the
@@ -20,26 +29,13 @@
 # instead of being lost with the stable targets, and then this long for it to be recorded.
 MAX_HOLD_S: Final = 0.25
 RECORDING_TIME_S: Final = 0.15
+# An engine takes as long before it starts to read a prompt as for reading about this many tokens.
+READING_BASE_TOKENS: Final = 256
 # Chats are selected for the candidate by their hash. More are selected than the share needs, since
 # how many requests they send varies; the limiter keeps the share.
 CHAT_SELECTION_FRACTION: Final = 0.2
 
 
-class Assignment(msgspec.Struct, frozen=True):
-    """Whether a request goes to the candidate.
-
-    If `hold_s` is positive, it should wait that long, or until the roll-out has ended, and then go
-    to the version in force.
-    """
-
-    is_candidate: bool
-    hold_s: float = 0.0
-
-
-TO_STABLE: Final = Assignment(False)
-TO_CANDIDATE: Final = Assignment(True)
-
-
 class RolloutParticipant:
     """Assigns requests to the stable version or the candidate.
 
@@ -124,6 +120,16 @@
             return False
         return self.compute_age(now) >= ruling.succeed_at_s
 
+    def record_attempt(
+        self, route: Route, target: Target, failed: bool, timing: AttemptTiming
+    ) -> None:
+        """Record how an attempt at a target of either version ended."""
+        is_candidate = target.version == self.order.to_version
+        name = name_target(target.zone, target.id) if is_candidate else None
+        speeds = {} if failed else _measure_speeds(timing)
+        outcome = Outcome(failed, max(0.0, timing.ended_at - timing.sent_at), speeds)
+        self.record_outcome(route.name, route.idempotent, name, outcome)
+
     def record_outcome(
         self, route: str, idempotent: bool, candidate: str | None, outcome: Outcome
     ) -> None:
@@ -167,3 +173,16 @@
         if fraction is None:
             return self._random.random() < fair_part
         return fraction < CHAT_SELECTION_FRACTION * fair_part
+
+
+def _measure_speeds(timing: AttemptTiming) -> dict[Speed, float]:
+    """Return by which measures of speed a complete answer can be compared, in seconds."""
+    first_event_at = timing.first_event_at
+    if first_event_at is None:
+        return {Speed.RESPONSE: timing.ended_at - timing.sent_at}
+    tokens = timing.unread_tokens + READING_BASE_TOKENS
+    speeds = {Speed.READING: (first_event_at - timing.sent_at) / tokens}
+    pauses = timing.event_count - 1
+    if pauses > 0:
+        speeds[Speed.PAUSE] = (timing.ended_at - first_event_at) / pauses
+    return speeds
--- a/rhubarbbend/core/rollouts/_plan.py
+++ b/rhubarbbend/core/rollouts/_plan.py
@@ -16,11 +16,8 @@
     find_quantile_bucket,
     get_bucket_end,
 )
-from rhubarbbend.core.rollouts._exposure import (
-    SHARE_MARGIN_FACTOR,
-    SLACK_MARGIN_FACTOR,
-    ExposureOptions,
-)
+from rhubarbbend.core.rollouts._exposure import SHARE_MARGIN_FACTOR, SLACK_MARGIN_FACTOR
+from rhubarbbend.core.rollouts._types import ExposureOptions
 
 # The success is written this long before the deadline: time for a write that has to be repeated.
 SUCCESS_MARGIN_S: Final = 0.25
--- a/rhubarbbend/core/rollouts/_tracker.py
+++ b/rhubarbbend/core/rollouts/_tracker.py
@@ -4,17 +4,24 @@
 
 from collections.abc import Collection, Mapping, Sequence
 from random import Random
-from typing import Final
+from typing import TYPE_CHECKING, Final
 
 import msgspec
 
 from rhubarbbend.core._rendezvous import rank_names
 from rhubarbbend.core.directory import Target
-from rhubarbbend.core.rollouts._exposure import ExposureOptions
-from rhubarbbend.core.rollouts._participant import TO_STABLE, RolloutParticipant
-from rhubarbbend.core.rollouts._types import RolloutOrder, RolloutRecord, ServiceVersions
+from rhubarbbend.core.rollouts._types import (
+    TO_STABLE,
+    ExposureOptions,
+    RolloutOrder,
+    RolloutRecord,
+    ServiceVersions,
+)
 from rhubarbbend.core.rollouts._versions import VersionTracker
 
+if TYPE_CHECKING:
+    from rhubarbbend.core.rollouts._participant import RolloutParticipant
+
 # On trial, a candidate's requests go to as many targets as carry about the load of a stable one
 # each: a version may be bad under load only. At least two, to tell a sick target from a version.
 MIN_TRIAL_TARGETS: Final = 2
@@ -60,6 +67,9 @@
         self.versions.record_order(order)
         if self.versions.find_active_order(order.service) is not order:
             return
+        # Only now, since most instances never see a roll-out.
+        from rhubarbbend.core.rollouts._participant import RolloutParticipant
+
         self._participants[order.service] = RolloutParticipant(
             order, self._options, instances, was_running, self._random, now
         )
--- a/rhubarbbend/core/rollouts/_types.py
+++ b/rhubarbbend/core/rollouts/_types.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import enum
+from typing import Final
 
 import msgspec
 
@@ -54,6 +55,42 @@
     reason: str = ""
 
 
+class ExposureOptions(msgspec.Struct, frozen=True):
+    """At most `share` of all requests to a service plus `slack` may reach a candidate."""
+
+    share: float = 0.1
+    slack: float = 0.0
+
+
+class AttemptTiming(msgspec.Struct, frozen=True):
+    """When the parts of one attempt at a target happened, by the clock of the decisions.
+
+    `first_event_at` is None if the answer is not a stream, or has no event. `unread_tokens` is how
+    many tokens of the prompt the target had to read, as far as is known.
+    """
+
+    sent_at: float
+    ended_at: float
+    first_event_at: float | None = None
+    event_count: int = 0
+    unread_tokens: int = 0
+
+
+class Assignment(msgspec.Struct, frozen=True):
+    """Whether a request goes to the candidate.
+
+    If `hold_s` is positive, it should wait that long, or until the roll-out has ended, and then go
+    to the version in force.
+    """
+
+    is_candidate: bool
+    hold_s: float = 0.0
+
+
+TO_STABLE: Final = Assignment(False)
+TO_CANDIDATE: Final = Assignment(True)
+
+
 class ServiceVersions(msgspec.Struct, frozen=True):
     """The versions of a service whose targets may get requests.
 
--- a/rhubarbbend/gateway/_attempts.py
+++ b/rhubarbbend/gateway/_attempts.py
@@ -15,7 +15,7 @@
 from rhubarbbend.core.delivery import AttemptOutcome, LatencyTracker
 from rhubarbbend.core.directory import Target
 from rhubarbbend.core.placement import Choice, Prompt
-from rhubarbbend.core.rollouts import Outcome, Speed, name_target
+from rhubarbbend.core.rollouts import AttemptTiming
 from rhubarbbend.gateway._interfaces import ForwardingOptions, TargetProtocol, TargetResponseHead
 from rhubarbbend.gateway._liveness import StreamTimeoutPolicy, TargetLivenessMonitor
 from rhubarbbend.gateway._requests import BufferedAnswer, OpenRequest
@@ -51,8 +51,6 @@
 NON_REUSABLE_OUTCOMES: Final = frozenset(
     {AttemptOutcome.BROKEN, AttemptOutcome.MISDIRECTED, AttemptOutcome.REJECTED}
 )
-# An engine takes as long before it starts to read a prompt as for reading about this many tokens.
-READING_BASE_TOKENS: Final = 256
 # Statuses that guarantee to the caller that its request did not and will not run.
 NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
 
@@ -438,35 +436,34 @@
         """Count an attempt as evidence for or against the version of its target."""
         if outcome in (AttemptOutcome.REJECTED, AttemptOutcome.MISDIRECTED):
             return
-        failed = outcome is not AttemptOutcome.ANSWERED
-        now = self._clock()
-        speeds = {} if failed else _measure_speeds(request, now)
-        self._record_evidence(
-            request, choice, Outcome(failed, max(0.0, now - request.sent_at), speeds), now
-        )
+        self._record_evidence(request, choice, outcome is not AttemptOutcome.ANSWERED)
 
     def _record_unfinished(self, request: OpenRequest, choice: Choice) -> None:
         """Count an attempt that ended with its request's deadline, or when the caller left.
 
         It counts as failed only if it had taken longer than its objective by then.
         """
-        now = self._clock()
-        if now - request.sent_at > request.route.objective and request.sent_at >= request.chosen_at:
-            self._record_evidence(request, choice, Outcome(True, 0.0, {}), now)
+        taken_s = self._clock() - request.sent_at
+        if taken_s > request.route.objective and request.sent_at >= request.chosen_at:
+            self._record_evidence(request, choice, failed=True)
 
-    def _record_evidence(
-        self, request: OpenRequest, choice: Choice, outcome: Outcome, now: float
-    ) -> None:
+    def _record_evidence(self, request: OpenRequest, choice: Choice, failed: bool) -> None:
         participant = request.version.participant
         target = choice.target
+        now = self._clock()
         if participant is None or choice.cold or target.is_cold(now):
             # A target in its cold start is slow, whichever version it has.
             return
-        is_candidate = target.version == participant.order.to_version
-        candidate = name_target(target.zone, target.id) if is_candidate else None
         was_stopped = participant.is_stopped
-        participant.record_outcome(request.route.name, request.route.idempotent, candidate, outcome)
-        if is_candidate and outcome.failed:
+        timing = AttemptTiming(
+            request.sent_at,
+            now,
+            request.first_event_at,
+            request.relay.event_count,
+            request.unread_tokens,
+        )
+        participant.record_attempt(request.route, target, failed, timing)
+        if failed and target.version == participant.order.to_version:
             self._state.metrics.increment_counter(codes.ROLLOUT_CANDIDATE_FAILED)
         if participant.is_stopped and not was_stopped:
             self._state.event_log.write(
@@ -474,19 +471,6 @@
             )
 
 
-def _measure_speeds(request: OpenRequest, now: float) -> dict[Speed, float]:
-    """Return by which measures of speed a complete answer can be compared, in seconds."""
-    first_event_at = request.first_event_at
-    if request.route.kind is not RequestKind.STREAM or first_event_at is None:
-        return {Speed.RESPONSE: now - request.sent_at}
-    tokens = request.unread_tokens + READING_BASE_TOKENS
-    speeds = {Speed.READING: (first_event_at - request.sent_at) / tokens}
-    pauses = request.relay.event_count - 1
-    if pauses > 0:
-        speeds[Speed.PAUSE] = (now - first_event_at) / pauses
-    return speeds
-
-
 def _can_retry_elsewhere(request: OpenRequest) -> bool:
     """Return whether a request that may have run here can be sent to one more target."""
     route = request.route
--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -23,7 +23,6 @@
 from rhubarbbend.gateway._metrics import CONTENT_TYPE
 from rhubarbbend.gateway._peers import PeerClient, PeerServer
 from rhubarbbend.gateway._request_server import RequestServer
-from rhubarbbend.gateway._rollouts import RolloutRunner
 from rhubarbbend.gateway._settings import GatewaySettings, SettingsInvalid, SettingsReader
 from rhubarbbend.gateway._state import PeerUpdate, State, read_clock
 from rhubarbbend.http import ConnectionPool, Exchange, HttpServer, ServerLimits
@@ -87,7 +86,7 @@
         self._follower = StateFollower(
             self.state, adapter.store, adapter.decoder, self._peers, selector
         )
-        self._rollouts = RolloutRunner(self.state, adapter.store, adapter.statuses, self._peers)
+        self._peer_server = PeerServer(self.state)
         self._in_flight_protocol = InFlightProtocol(self.state, selector)
         self._caller_server = HttpServer(self._requests.serve)
         self._servers: list[HttpServer] = [self._caller_server]
@@ -110,7 +109,7 @@
         self._spawn(self._detect_pauses())
         self._spawn(self._run_housekeeping())
         self._spawn(self._broadcast_prompt_locations())
-        self._spawn(self._rollouts.run())
+        self._spawn(self._run_rollouts())
         if settings.peer_address is not None:
             sends_from = settings.peers if settings.advertised is not None else None
             row = InstanceRow(
@@ -128,9 +127,7 @@
             await self._caller_server.listen_on(self._listener)
         await self._serve_on(settings.ready, self._serve_ready)
         if settings.peers is not None:
-            peer_server = PeerServer(self.state)
-            peer_server.on_rollout_report = self._rollouts.handle_report
-            await self._serve_on(settings.peers, peer_server.serve)
+            await self._serve_on(settings.peers, self._peer_server.serve)
             await self._in_flight_protocol.open(settings.peers)
             self._spawn(self._in_flight_protocol.run())
         if settings.metrics is not None:
@@ -220,6 +217,16 @@
             locations = self.state.placement.prompt_locations.pop_updates(read_clock())
             await self._peers.broadcast(PeerUpdate(locations))
 
+    async def _run_rollouts(self) -> None:
+        """Take part in roll-outs from the first one that is ordered."""
+        await self.state.has_rollout_orders.wait()
+        # Only now, since most instances never see a roll-out.
+        from rhubarbbend.gateway._rollouts import RolloutRunner
+
+        runner = RolloutRunner(self.state, self._adapter.store, self._adapter.statuses, self._peers)
+        self._peer_server.on_rollout_report = runner.handle_report
+        await runner.run()
+
     async def _run_housekeeping(self) -> None:
         while True:
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
--- a/rhubarbbend/gateway/_peers.py
+++ b/rhubarbbend/gateway/_peers.py
@@ -18,7 +18,6 @@
 from rhubarbbend.core.mirror import TablePage
 from rhubarbbend.core.placement import TargetLoad
 from rhubarbbend.core.readers import InstanceRow, PeerUpdatePage, ReaderSelector
-from rhubarbbend.core.rollouts import Evidence, RolloutRecord, Ruling
 from rhubarbbend.gateway._settings import Address
 from rhubarbbend.gateway._state import PeerUpdate, State, read_clock
 from rhubarbbend.http import ConnectionPool, Exchange, HttpFailure, Response, fetch
@@ -90,37 +89,14 @@
     row: InstanceRow
 
 
-class RolloutReport(msgspec.Struct, array_like=True):
-    """An instance's evidence of a roll-out, sent to its coordinator.
-
-    `sender` names the instance and its process, `revision` the order. `age_s` is for how long the
-    sender knows the order to be in force. `evidence` is cumulative; `sequence` grows with it.
-    """
-
-    sender: str
-    service: str
-    revision: int
-    age_s: float
-    sequence: int
-    evidence: Evidence
-
-
-class RolloutReply(msgspec.Struct, array_like=True):
-    """The coordinator's ruling, None if it has none yet, and the record if the roll-out ended."""
-
-    ruling: Ruling | None = None
-    record: RolloutRecord | None = None
-
-
 class PeerServer:
     """Serves the requests of other instances."""
 
     def __init__(self, state: State) -> None:
         self._state = state
-        # Handles a report on a roll-out; set by the instance.
-        self.on_rollout_report: Callable[[RolloutReport], RolloutReply] = (
-            lambda report: RolloutReply()
-        )
+        # Handles a report on a roll-out and returns the reply, both encoded; set by the instance
+        # once it knows of one. Until then the reply is empty.
+        self.on_rollout_report: Callable[[bytes], bytes] = lambda report: b""
 
     async def serve(self, exchange: Exchange) -> None:
         """Serve one request; the handler of the HTTP server for other instances."""
@@ -133,8 +109,7 @@
                 self._state.apply_peer_update(update, read_clock())
                 _respond(exchange, b"")
             elif exchange.target == ROLLOUT_PATH:
-                report = msgspec.msgpack.decode(exchange.body, type=RolloutReport)
-                _respond(exchange, msgspec.msgpack.encode(self.on_rollout_report(report)))
+                _respond(exchange, self.on_rollout_report(exchange.body))
             elif exchange.target == JOIN_PATH:
                 notice = msgspec.msgpack.decode(exchange.body, type=JoinNotice)
                 self._state.add_instance(notice.instance, notice.row)
@@ -234,16 +209,9 @@
             self._state.event_log.write("peer_unreadable", read_clock(), reason=str(error))
             return None
 
-    async def report_rollout(self, peer: Address, report: RolloutReport) -> RolloutReply | None:
-        """Send evidence of a roll-out to its coordinator; return None if it does not reply."""
-        body = await self._send(peer, ROLLOUT_PATH, msgspec.msgpack.encode(report))
-        if body is None:
-            return None
-        try:
-            return msgspec.msgpack.decode(body, type=RolloutReply)
-        except msgspec.MsgspecError as error:
-            self._state.event_log.write("peer_unreadable", read_clock(), reason=str(error))
-            return None
+    async def report_rollout(self, peer: Address, report: bytes) -> bytes | None:
+        """Send a report on a roll-out to its coordinator and return the reply, None if it fails."""
+        return await self._send(peer, ROLLOUT_PATH, report)
 
     async def broadcast(self, update: PeerUpdate) -> None:
         """Send an update to all other instances, including those that wait at this one."""
--- a/rhubarbbend/gateway/_rollouts.py
+++ b/rhubarbbend/gateway/_rollouts.py
@@ -18,6 +18,7 @@
 from rhubarbbend.core.rollouts import (
     DECISION_INTERVAL_S,
     REASON_WITHDRAWN,
+    Evidence,
     RolloutCoordinator,
     RolloutOrder,
     RolloutPhase,
@@ -26,7 +27,7 @@
     TargetCounts,
 )
 from rhubarbbend.gateway._interfaces import StatusEncoder
-from rhubarbbend.gateway._peers import PeerClient, RolloutReply, RolloutReport
+from rhubarbbend.gateway._peers import PeerClient
 from rhubarbbend.gateway._state import ROLLOUT_TABLE, PeerUpdate, ServiceRollout, State, read_clock
 from rhubarbbend.storage import RowPut, RowStore, RowVersion, StoreError, VersionConflict
 
@@ -42,6 +43,28 @@
 COORDINATION_TTL_S: Final = 3.0
 
 
+class RolloutReport(msgspec.Struct, array_like=True):
+    """An instance's evidence of a roll-out, sent to its coordinator.
+
+    `sender` names the instance and its process, `revision` the order. `age_s` is for how long the
+    sender knows the order to be in force. `evidence` is cumulative; `sequence` grows with it.
+    """
+
+    sender: str
+    service: str
+    revision: int
+    age_s: float
+    sequence: int
+    evidence: Evidence
+
+
+class RolloutReply(msgspec.Struct, array_like=True):
+    """The coordinator's ruling, None if it has none yet, and the record if the roll-out ended."""
+
+    ruling: Ruling | None = None
+    record: RolloutRecord | None = None
+
+
 class RolloutRunner:
     """Takes part in all roll-outs that are ordered.
 
@@ -88,8 +111,15 @@
         pauses = [coordinator.compute_pause(now) for coordinator in self._coordinators.values()]
         return min(pauses, default=DECISION_INTERVAL_S)
 
-    def handle_report(self, report: RolloutReport) -> RolloutReply:
-        """Handle the report of another instance, which takes this one for the coordinator."""
+    def handle_report(self, data: bytes) -> bytes:
+        """Handle the report of another instance, which takes this one for the coordinator.
+
+        Raise `msgspec.MsgspecError` if it cannot be decoded.
+        """
+        report = msgspec.msgpack.decode(data, type=RolloutReport)
+        return msgspec.msgpack.encode(self._reply_to(report))
+
+    def _reply_to(self, report: RolloutReport) -> RolloutReply:
         now = read_clock()
         record = self._state.rollouts.versions.find_record(report.service)
         if record is not None and record.revision >= report.revision and record.phase.is_final:
@@ -142,13 +172,18 @@
             participant.sequence,
             participant.evidence,
         )
-        reply = await self._peers.report_rollout((row.host, row.port), report)
+        data = msgspec.msgpack.encode(report)
+        body = await self._peers.report_rollout((row.host, row.port), data)
         now = read_clock()
-        if reply is None:
+        if body is None:
             # The next instance in the order coordinates from now on.
             self._silent_until[leader] = now + SILENCE_BACKOFF_S
             del self._reported_at[order.revision]
             return
+        if not body:
+            # It does not know of the order yet.
+            return
+        reply = msgspec.msgpack.decode(body, type=RolloutReply)
         if reply.record is not None:
             self._state.rollouts.record_outcome(order.service, reply.record)
         elif reply.ruling is not None:
