Roll-outs: their records are read only once one is ordered

Change: the table is followed from the first order on; an instance that starts with an order in the store reads it before it serves.

--- a/rhubarbbend/gateway/_follower.py
+++ b/rhubarbbend/gateway/_follower.py
@@ -100,7 +100,7 @@
     ) -> None:
         self._state = state
         self._store = store
-        self._tables = (*decoder.tables, ROLLOUT_TABLE)
+        self._tables = decoder.tables
         self._updater = StateUpdater(state, decoder)
         self.instance_list = InstanceListMaintainer(
             state, store, self._updater, peers, self._record_store_failure
@@ -136,6 +136,7 @@
         self._started_at = read_clock()
         for table in self._tables:
             self._spawn(self._follow_table(table))
+        self._spawn(self._follow_rollouts())
         self._spawn(self.instance_list.follow(self._reads_directly))
         self._spawn(self._follow_reader())
         self._spawn(self._relay_load_reports())
@@ -170,6 +171,11 @@
                 return
             await self._state.changed.wait(until - now)
 
+    async def _follow_rollouts(self) -> None:
+        """Follow the records of roll-outs from the first one that is ordered."""
+        await self._state.rollout_ordered.wait()
+        await self._follow_table(ROLLOUT_TABLE)
+
     async def _follow_table(self, table: str) -> None:
         backoff = MIN_BACKOFF_S
         reads_whole_table = False
--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -219,7 +219,7 @@
 
     async def _run_rollouts(self) -> None:
         """Take part in roll-outs from the first one that is ordered."""
-        await self.state.has_rollout_orders.wait()
+        await self.state.rollout_ordered.wait()
         # Only now, since most instances never see a roll-out.
         from rhubarbbend.gateway._rollouts import RolloutRunner
 
--- a/rhubarbbend/gateway/_peers.py
+++ b/rhubarbbend/gateway/_peers.py
@@ -19,7 +19,7 @@
 from rhubarbbend.core.placement import TargetLoad
 from rhubarbbend.core.readers import InstanceRow, PeerUpdatePage, ReaderSelector
 from rhubarbbend.gateway._settings import Address
-from rhubarbbend.gateway._state import PeerUpdate, State, read_clock
+from rhubarbbend.gateway._state import ROLLOUT_TABLE, PeerUpdate, State, read_clock
 from rhubarbbend.http import ConnectionPool, Exchange, HttpFailure, Response, fetch
 
 CHANGES_PATH: Final = "/peer/changes"
@@ -127,7 +127,9 @@
         self._state.loads.merge_reports(query.loads, False, received_at)
         # A sender that lacks a table has no use for the staleness yet, only for the table as soon
         # as it is available.
-        lacks_table = any(position < 0 for position in query.positions.values())
+        lacks_table = any(
+            position < 0 for name, position in query.positions.items() if name != ROLLOUT_TABLE
+        )
         while not exchange.closed.is_set():
             now = read_clock()
             pages = self._state.mirror.list_changes(query.positions)
--- a/rhubarbbend/gateway/_rollouts.py
+++ b/rhubarbbend/gateway/_rollouts.py
@@ -92,12 +92,12 @@
     async def run(self) -> None:
         """Take part in roll-outs, until cancelled."""
         while True:
-            await self._state.has_rollout_orders.wait()
+            await self._state.has_rollout_work.wait()
             orders = self._state.rollouts.versions.list_active_orders()
             abandoned = self._list_abandoned()
             self._forget_ended({order.revision for order in orders})
             if not orders and not abandoned:
-                self._state.has_rollout_orders.clear()
+                self._state.has_rollout_work.clear()
                 continue
             if self._state.has_config_and_targets:
                 await asyncio.gather(
--- a/rhubarbbend/gateway/_state.py
+++ b/rhubarbbend/gateway/_state.py
@@ -111,8 +111,10 @@
             options, self.registry, self.loads, self.health, self.cold_target_share
         )
         self.rollouts = RolloutTracker(_make_exposure_options(settings), self.random)
-        # Set once an order to roll out a version is known.
-        self.has_rollout_orders = asyncio.Event()
+        # Set once an order to roll out a version was known, and stays set.
+        self.rollout_ordered = asyncio.Event()
+        # Set while there may be something to do about a roll-out.
+        self.has_rollout_work = asyncio.Event()
         # Replaced by a new object with each change, so that values computed from it can be cached.
         self.instances: Mapping[str, InstanceRow] = {}
         self.peer_updates: PeerUpdateLog[PeerUpdate] = PeerUpdateLog()
@@ -147,11 +149,17 @@
 
     @property
     def has_config_and_targets(self) -> bool:
-        """Whether the configuration and all targets have been read."""
-        known = all(
-            table.known for name, table in self.mirror.tables.items() if name != INSTANCE_TABLE
-        )
-        return self.catalog is not None and known
+        """Whether the configuration and all targets have been read.
+
+        An instance that starts also needs the records of roll-outs, if any was ordered: a version
+        that was rolled back may still have targets.
+        """
+        tables = self.mirror.tables
+        optional = {INSTANCE_TABLE, ROLLOUT_TABLE}
+        known = all(table.known for name, table in tables.items() if name not in optional)
+        needs_records = self.rollout_ordered.is_set() and not self.became_ready.is_set()
+        has_records = tables[ROLLOUT_TABLE].known or not needs_records
+        return self.catalog is not None and known and has_records
 
     @property
     def ready(self) -> bool:
--- a/rhubarbbend/gateway/_state_updater.py
+++ b/rhubarbbend/gateway/_state_updater.py
@@ -47,7 +47,8 @@
                 continue
             for change in self._decoder.decode(table, changes):
                 self._apply(change, source)
-        if all(table.known for table in self._state.mirror.tables.values()):
+        tables = self._state.mirror.tables
+        if all(table.known for name, table in tables.items() if name != ROLLOUT_TABLE):
             self._state.registry.mark_initial_read_complete()
         if self._state.has_config_and_targets:
             self._state.became_ready.set()
@@ -96,7 +97,8 @@
             self._state.became_ready.is_set(),
             now,
         )
-        self._state.has_rollout_orders.set()
+        self._state.rollout_ordered.set()
+        self._state.has_rollout_work.set()
         self._log(
             "rollout_ordered",
             service=order.service,
@@ -132,7 +134,7 @@
             self._apply_rollout_order(change, source, now)
         elif isinstance(change, RolloutWithdrawn):
             self._state.rollouts.withdraw_order(change.service)
-            self._state.has_rollout_orders.set()
+            self._state.has_rollout_work.set()
             self._log("rollout_withdrawn", service=change.service, source=source)
         elif isinstance(change, RowUnreadable):
             self._state.metrics.increment_counter(codes.CONFIG_UNREADABLE)
