Order of open calls and connections: that of their start, not of their addresses in memory

Cause: calls to the store in flight, and connections that are served, were kept in sets of tasks. A set of objects without a hash of their own has the order of their addresses. Change: dicts, which keep the order of insertion; the list of instances is sorted (its order was that of the process's hash seed).

--- a/rhubarbbend/gateway/_state.py
+++ b/rhubarbbend/gateway/_state.py
@@ -186,7 +186,7 @@
         if self._instance_ids is None:
             own_id = self.settings.instance
             if self.mirror.tables[INSTANCE_TABLE].known:
-                self._instance_ids = tuple(self.instances.keys() | {own_id})
+                self._instance_ids = tuple(sorted(self.instances.keys() | {own_id}))
             else:
                 others = (f"unknown-{number}" for number in range(1, ASSUMED_INSTANCES))
                 self._instance_ids = (own_id, *others)
--- a/rhubarbbend/http/_server.py
+++ b/rhubarbbend/http/_server.py
@@ -52,7 +52,9 @@
         self._handler = handler
         self._limits = limits or ServerLimits()
         self._server: asyncio.Server | None = None
-        self._tasks: set[asyncio.Task[None]] = set()
+        # In the order of their opening: in a set, it would be that of addresses in memory, and so
+        # would be the order in which idle connections are closed.
+        self._tasks: dict[asyncio.Task[None], None] = {}
         self._busy: set[asyncio.Task[None]] = set()
         self._stopping = False
         self._drain_state = DrainState()
@@ -92,7 +94,7 @@
             asyncio.get_running_loop().call_later(IDLE_CLOSE_DELAY_S, self._close_idle)
 
     def _close_idle(self) -> None:
-        for task in self._tasks - self._busy:
+        for task in [task for task in self._tasks if task not in self._busy]:
             task.cancel()
 
     async def finish(self) -> None:
@@ -115,7 +117,7 @@
         if len(self._tasks) >= self._limits.max_connections:
             writer.transport.abort()
             return
-        self._tasks.add(task)
+        self._tasks[task] = None
         try:
             await self._serve_connection(task, reader, writer)
         except (ConnectionError, asyncio.CancelledError, TimeoutError):
@@ -125,7 +127,7 @@
             try:
                 await _flush(writer)
             finally:
-                self._tasks.discard(task)
+                self._tasks.pop(task, None)
                 self._busy.discard(task)
 
     async def _serve_connection(
--- a/rhubarbbend/operators/_server.py
+++ b/rhubarbbend/operators/_server.py
@@ -256,7 +256,8 @@
         handler = _Handler(core, key, propose_change, submit_event, clock)
         self._processor = TProcessor(SCHEMA.Operators, handler)
         self._server: asyncio.Server | None = None
-        self._tasks: set[asyncio.Task[None]] = set()
+        # In the order of their opening, not that of their addresses in memory.
+        self._tasks: dict[asyncio.Task[None], None] = {}
         self._active_tasks: set[asyncio.Task[None]] = set()
 
     async def listen(self, host: str, port: int) -> None:
@@ -271,7 +272,7 @@
         """
         if self._server is not None:
             self._server.close()
-        for task in self._tasks - self._active_tasks:
+        for task in [task for task in self._tasks if task not in self._active_tasks]:
             task.cancel()
         if self._active_tasks:
             await asyncio.wait(list(self._active_tasks), timeout=CLOSE_TIMEOUT_S)
@@ -285,7 +286,7 @@
         if len(self._tasks) >= MAX_CONNECTIONS:
             writer.transport.abort()
             return
-        self._tasks.add(task)
+        self._tasks[task] = None
         try:
             await self._serve_connection(task, reader, writer)
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError, TimeoutError):
@@ -294,7 +295,7 @@
             # The connection cannot be used any more, so it is closed.
             pass
         finally:
-            self._tasks.discard(task)
+            self._tasks.pop(task, None)
             self._active_tasks.discard(task)
             writer.close()
 
--- a/rhubarbbend/peers/_links.py
+++ b/rhubarbbend/peers/_links.py
@@ -56,7 +56,8 @@
         self._on_message = on_message
         self._on_bad_frame = on_bad_frame
         self._server: asyncio.Server | None = None
-        self._tasks: set[asyncio.Task[None]] = set()
+        # In the order of their opening, not that of their addresses in memory.
+        self._tasks: dict[asyncio.Task[None], None] = {}
         # Bytes sent and received on the connections that others opened.
         self.traffic = 0
 
@@ -80,7 +81,7 @@
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.current_task()
         assert task is not None
-        self._tasks.add(task)
+        self._tasks[task] = None
         try:
             await self._receive(reader, writer)
         except FrameError:
@@ -88,7 +89,7 @@
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError, TimeoutError):
             pass
         finally:
-            self._tasks.discard(task)
+            self._tasks.pop(task, None)
             writer.close()
 
     async def _receive(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
--- a/rhubarbbend/shell/_attempts.py
+++ b/rhubarbbend/shell/_attempts.py
@@ -64,7 +64,8 @@
         self._pool = pool
         self._submit_event = submit_event
         self._max_kept_body = max_kept_body
-        self._tasks: dict[str, set[asyncio.Task[None]]] = {}
+        # By attempt, in the order of their start, not that of their addresses in memory.
+        self._tasks: dict[str, dict[asyncio.Task[None], None]] = {}
         self._background: set[asyncio.Task[None]] = set()
         self._kinds: dict[str, TargetKind] = {}
 
@@ -108,12 +109,12 @@
 
     def _start(self, attempt: str, coroutine: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(coroutine)
-        self._tasks.setdefault(attempt, set()).add(task)
+        self._tasks.setdefault(attempt, {})[task] = None
         task.add_done_callback(lambda done: self._remove_task(attempt, done))
 
     def _remove_task(self, attempt: str, done: asyncio.Task[None]) -> None:
-        tasks = self._tasks.get(attempt, set())
-        tasks.discard(done)
+        tasks = self._tasks.get(attempt, {})
+        tasks.pop(done, None)
         if not tasks:
             self._tasks.pop(attempt, None)
 
