Counts of requests in flight: only an instance that says it waits here has its counts added up

Cause: whether another instance waits at this one was judged by this one's list. Right after a start of all lists differ; three instances that each took the next for a listener added up each other's sums with every round: one request became 4 at each, where only the check of plausible counts ended it. Change: a message says whether it counts only its sender's own requests; sums are never added up for others.

--- a/rhubarbbend/core/placement/_in_flight.py
+++ b/rhubarbbend/core/placement/_in_flight.py
@@ -30,9 +30,9 @@
 # requests that one may have at a target. A count above this many times the limit computed here is
 # implausible.
 MAX_COUNT_FACTOR: Final = 2
-# Right after a start of the whole fleet, the sums that are sent count instances more than once: up
-# to this many times the instances known here is plausible.
-MAX_INSTANCES_FACTOR: Final = 4
+# An instance that changes its reader is counted by both for a while. Up to this many times the
+# instances known here is plausible.
+MAX_INSTANCES_FACTOR: Final = 2
 # Sequence numbers of messages wrap around at this value. Of two messages, the later one is ahead by
 # less than half of it.
 SEQUENCE_MODULUS: Final = 2**32
@@ -61,6 +61,8 @@
 
     `is_snapshot`: targets that are not named have no requests; otherwise the message holds only
     the counts that changed. `sequence` grows with each message of a sender, from any first value.
+    `is_own` is whether only the sender's own requests are counted: it waits at the receiver, which
+    relays them.
     """
 
     sender: str
@@ -69,6 +71,7 @@
     is_snapshot: bool
     counts: dict[int, int]
     sequence: int
+    is_own: bool = False
 
 
 def is_plausible(update: InFlightUpdate, instances: int, max_requests: int | None) -> bool:
@@ -91,11 +94,12 @@
 class _SenderCounts:
     """The latest counts of one sender. Invariant: no count is 0."""
 
-    __slots__ = ("counts", "instances", "sequence", "received_at")
+    __slots__ = ("counts", "instances", "is_own", "sequence", "received_at")
 
     def __init__(self) -> None:
         self.counts: dict[int, int] = {}
         self.instances = 0
+        self.is_own = False
         self.sequence = 0
         self.received_at = -math.inf
 
@@ -113,6 +117,7 @@
             else:
                 self.counts.pop(target_hash, None)
         self.instances = update.instances
+        self.is_own = update.is_own
         self.sequence = update.sequence
         self.received_at = now
 
@@ -179,10 +184,19 @@
         return self._instances
 
     def list_senders(self, now: float) -> list[str]:
-        """Return the instances that send their own counts to this one."""
+        """Return the instances whose counts, or sums, this one gets directly."""
         self._expire_silent_senders(now)
         return list(self._by_sender)
 
+    def list_listeners(self, now: float) -> list[str]:
+        """Return the instances that wait at this one, which relays their counts.
+
+        Whether one does is told by itself. If it were judged by this instance's list, two could
+        each take the other for a listener and add up each other's sums over and over.
+        """
+        self._expire_silent_senders(now)
+        return [sender for sender, known in self._by_sender.items() if known.is_own]
+
     def add_up(self, senders: Iterable[str]) -> tuple[Counter[int], int]:
         """Return the sum of some senders' counts, and the number of instances that it covers."""
         total: Counter[int] = Counter()
@@ -230,24 +244,32 @@
         counts: Mapping[int, int],
         instances: int,
         now: float,
+        is_own: bool = False,
     ) -> InFlightUpdate | None:
         """Return the message to send to a receiver now; None if nothing has changed for it."""
         sent, snapshot_at = self._sent.get(receiver, ({}, -SNAPSHOT_INTERVAL_S))
         if now - snapshot_at >= SNAPSHOT_INTERVAL_S:
             self._sent[receiver] = (dict(counts), now)
-            return self._make_update(scope, instances, True, dict(counts))
+            return self._make_update(scope, instances, True, dict(counts), is_own)
         changed = {t: counts.get(t, 0) for t in counts.keys() | sent.keys()}
         changed = {t: n for t, n in changed.items() if n != sent.get(t, 0)}
         if not changed:
             return None
         self._sent[receiver] = (dict(counts), snapshot_at)
-        return self._make_update(scope, instances, False, changed)
+        return self._make_update(scope, instances, False, changed, is_own)
 
     def _make_update(
-        self, scope: CountScope, instances: int, is_snapshot: bool, counts: dict[int, int]
+        self,
+        scope: CountScope,
+        instances: int,
+        is_snapshot: bool,
+        counts: dict[int, int],
+        is_own: bool,
     ) -> InFlightUpdate:
         self._sequence = (self._sequence + 1) % SEQUENCE_MODULUS
-        return InFlightUpdate(self._sender, scope, instances, is_snapshot, counts, self._sequence)
+        return InFlightUpdate(
+            self._sender, scope, instances, is_snapshot, counts, self._sequence, is_own
+        )
 
     def retain_receivers(self, receivers: Collection[str]) -> None:
         """Drop the state of all receivers except these."""
--- a/rhubarbbend/gateway/_in_flight_protocol.py
+++ b/rhubarbbend/gateway/_in_flight_protocol.py
@@ -85,10 +85,13 @@
         reader = self._select_reader(now)
         if reader is not None:
             self._publisher.retain_receivers({reader})
-            return self._send_update(reader, CountScope.SENDER_GROUP, own_counts, 1, now)
+            return self._send_update(
+                reader, CountScope.SENDER_GROUP, own_counts, 1, now, is_own=True
+            )
         relays = self._selector.list_relays(self._state.instances, now)
         senders = loads.peer_counts.list_senders(now)
-        listeners = [s for s in senders if s not in relays and s in self._state.instances]
+        waiting = loads.peer_counts.list_listeners(now)
+        listeners = [s for s in waiting if s not in relays and s in self._state.instances]
         self._publisher.retain_receivers({*relays, *listeners})
         relayed_counts, instances = loads.peer_counts.add_up(listeners)
         group_counts = own_counts + relayed_counts
@@ -122,12 +125,18 @@
         return counts
 
     def _send_update(
-        self, receiver: str, scope: CountScope, counts: Counter[int], instances: int, now: float
+        self,
+        receiver: str,
+        scope: CountScope,
+        counts: Counter[int],
+        instances: int,
+        now: float,
+        is_own: bool = False,
     ) -> int:
         row = self._state.instances.get(receiver)
         if row is None or self._transport is None:
             return 0
-        message = self._publisher.prepare_update(receiver, scope, counts, instances, now)
+        message = self._publisher.prepare_update(receiver, scope, counts, instances, now, is_own)
         if message is None:
             return 0
         data = msgspec.msgpack.encode(message)
--- a/tests/core/placement/test_in_flight.py
+++ b/tests/core/placement/test_in_flight.py
@@ -164,10 +164,10 @@
     [
         (1, {"e": 5}, True),
         (4, {"e": 20, "f": 0}, True),
-        (16, {"e": 1}, True),
+        (8, {"e": 1}, True),
         (0, {}, False),
         (-3, {}, False),
-        (17, {"e": 1}, False),
+        (9, {"e": 1}, False),
         (1, {"e": 11}, False),
         (2, {"e": 3, "f": -1}, False),
     ],
--- a/tests/gateway/test_in_flight_protocol.py
+++ b/tests/gateway/test_in_flight_protocol.py
@@ -7,13 +7,14 @@
 
 from rhubarbbend import codes
 from rhubarbbend.core.catalog import Catalog, Engine, Service, TrafficLimits
+from rhubarbbend.core.directory import TargetRecord, TargetState
 from rhubarbbend.core.mirror import TablePage
 from rhubarbbend.core.placement import CountScope, InFlightUpdate, compute_target_hash
 from rhubarbbend.core.readers import InstanceRow, ReaderSelector
 from rhubarbbend.gateway._event_log import EventLog
 from rhubarbbend.gateway._in_flight_protocol import InFlightProtocol
 from rhubarbbend.gateway._settings import GatewaySettings
-from rhubarbbend.gateway._state import INSTANCE_TABLE, State
+from rhubarbbend.gateway._state import INSTANCE_TABLE, State, read_clock
 from tests.gateway.harness import run
 
 FLEET_SIZE = 195
@@ -78,3 +79,67 @@
         assert state.loads.estimate("engine", True, 0.0) == 9.0
 
     run(work)
+
+
+class FixedSelector(ReaderSelector):
+    """Selects no reader, and always the same relays, whatever the list of instances says."""
+
+    def __init__(self, relays: list[str]) -> None:
+        super().__init__("front", "zone-0")
+        self._fixed_relays = relays
+
+    def select_reader(self, instances: object, now: float) -> str | None:
+        return None
+
+    def list_relays(self, instances: object, now: float) -> list[str]:
+        return self._fixed_relays
+
+
+class DirectTransport:
+    """Delivers datagrams to the protocols of other instances, by port."""
+
+    def __init__(self, port: int, protocols: list[InFlightProtocol]) -> None:
+        self._address = ("10.0.0.9", port)
+        self._protocols = protocols
+
+    def sendto(self, data: bytes, address: tuple[str, int]) -> None:
+        if address[1] < len(self._protocols):
+            self._protocols[address[1]].datagram_received(data, self._address)
+
+
+def test_sums_are_not_added_up_again_when_lists_of_instances_differ() -> None:
+    """Right after a start of all, lists differ, and so does who is taken for a relay.
+
+    Each of three instances sends its sum to the next one, which takes it for an instance that waits
+    there and adds its sum to its own. A single request came back and grew with every round, and
+    engines looked full.
+    """
+
+    async def work() -> None:
+        protocols: list[InFlightProtocol] = []
+        states: list[State] = []
+        for number in range(3):
+            address = ("127.0.0.1", 1)
+            settings = GatewaySettings(f"front-{number}", "zone-0", address, address, address)
+            state = State(settings, ("config", "targets"), EventLog("front", descriptor=2))
+            state.mirror.merge({INSTANCE_TABLE: TablePage([], 1, True)})
+            for other in range(3):
+                row = InstanceRow("zone-0", "10.0.0.9", other)
+                state.add_instance(f"front-{other}", row)
+            engines = Service("llm", MAX_CONNECTIONS, 0.0, 0.0, Engine(24, 1_000, 1))
+            state.catalog = Catalog(1, [], [engines], None, TrafficLimits(1, 1, 1.0, 1.0))
+            record = TargetRecord("engine", "llm", "10.0.0.1", 80, "a", 24, TargetState.READY)
+            state.registry.register(record, 0.0)
+            selector = FixedSelector([f"front-{(number + 1) % 3}"])
+            protocol = InFlightProtocol(state, selector)
+            protocol.connection_made(DirectTransport(number, protocols))
+            protocols.append(protocol)
+            states.append(state)
+        states[0].loads.record_start("engine")
+        for round_number in range(12):
+            for protocol in protocols:
+                protocol._send_all(100.0 + round_number)
+        counts = [state.loads.peer_counts.count("engine", read_clock()) for state in states]
+        assert max(counts) <= 1, counts
+
+    run(work)
