--- a/rhubarbbend/core/rollouts/_plan.py
+++ b/rhubarbbend/core/rollouts/_plan.py
@@ -21,8 +21,9 @@
 
 # The success is written this long before the deadline: time for a write that has to be repeated.
 SUCCESS_MARGIN_S: Final = 0.25
-# Requests may come this many times as fast as on average in that time.
-BURST_FACTOR: Final = 1.5
+# Between the success and the deadline, this many times as many requests as on average may go to the
+# candidate: they may come faster, and those that waited for the success follow it.
+BURST_FACTOR: Final = 2.0
 # Of a short roll-out, at most this fraction.
 MAX_MARGIN_FRACTION: Final = 0.05
 # A route moves this long before the success, unless its answers are known to take longer.
