--- /dev/null
+++ b/rhubarbbend/gateway/_attempt_recorder.py
@@ -0,0 +1,79 @@
+"""Records what attempts tell of their targets: of their health, and of a version on trial."""
+
+from __future__ import annotations
+
+from rhubarbbend import codes
+from rhubarbbend.core.delivery import AttemptOutcome
+from rhubarbbend.core.directory import Target
+from rhubarbbend.core.placement import Choice, Prompt
+from rhubarbbend.core.rollouts import AttemptTiming
+from rhubarbbend.gateway._requests import OpenRequest
+from rhubarbbend.gateway._state import Clock, State
+
+
+class AttemptRecorder:
+    """Records the ends of attempts."""
+
+    def __init__(self, state: State, clock: Clock) -> None:
+        self._state = state
+        self._clock = clock
+
+    def record_health(self, target: Target, request: OpenRequest, outcome: AttemptOutcome) -> None:
+        """Record what an attempt tells of the health of its target."""
+        now = self._clock()
+        health = self._state.health
+        if outcome is AttemptOutcome.MISDIRECTED:
+            health.record_unreachable(target.id, now)
+            return
+        # Engines get many requests of each instance, and tell more by the events of their streams.
+        is_shared = request.service.engine is None
+        failed = outcome is not AttemptOutcome.ANSWERED
+        health.record_response(target.id, failed, now, is_shared)
+        if outcome is AttemptOutcome.ANSWERED:
+            self._state.crashes.clear(request.digest)
+
+    def record_evidence(
+        self, request: OpenRequest, choice: Choice, outcome: AttemptOutcome
+    ) -> None:
+        """Count an attempt as evidence for or against the version of its target."""
+        if outcome in (AttemptOutcome.REJECTED, AttemptOutcome.MISDIRECTED):
+            return
+        self._count_attempt(request, choice, outcome is not AttemptOutcome.ANSWERED)
+
+    def record_unfinished(self, request: OpenRequest, choice: Choice) -> None:
+        """Count an attempt that ended with its request's deadline, or when the caller left.
+
+        It counts as failed only if it had taken longer than its objective by then.
+        """
+        taken_s = self._clock() - request.sent_at
+        if taken_s > request.route.objective and request.sent_at >= request.chosen_at:
+            self._count_attempt(request, choice, failed=True)
+
+    def _count_attempt(self, request: OpenRequest, choice: Choice, failed: bool) -> None:
+        participant = request.version.participant
+        target = choice.target
+        now = self._clock()
+        if participant is None or choice.cold or target.is_cold(now):
+            # A target in its cold start is slow, whichever version it has.
+            return
+        was_stopped = participant.is_stopped
+        timing = AttemptTiming(
+            request.sent_at,
+            now,
+            request.first_event_at,
+            request.relay.event_count,
+            request.unread_tokens,
+        )
+        participant.record_attempt(request.route, target, failed, timing)
+        if failed and target.version == participant.order.to_version:
+            self._state.metrics.increment_counter(codes.ROLLOUT_CANDIDATE_FAILED)
+        if participant.is_stopped and not was_stopped:
+            self._state.event_log.write(
+                "rollout_stopped_here", now, service=request.service.name, target=target.id
+            )
+
+    def count_unread_tokens(self, prompt: Prompt, target: Target, now: float) -> int:
+        """Return how many tokens of a prompt a target has to read, as far as is known."""
+        tokens = sum(part.tokens for part in prompt.parts)
+        is_cached = self._state.placement.has_cached(prompt, target, now)
+        return tokens - prompt.shared_tokens if is_cached else tokens
--- a/rhubarbbend/gateway/_attempts.py
+++ b/rhubarbbend/gateway/_attempts.py
@@ -14,8 +14,8 @@
 from rhubarbbend.core.catalog import RequestKind
 from rhubarbbend.core.delivery import AttemptOutcome, LatencyTracker
 from rhubarbbend.core.directory import Target
-from rhubarbbend.core.placement import Choice, Prompt
-from rhubarbbend.core.rollouts import AttemptTiming
+from rhubarbbend.core.placement import Choice
+from rhubarbbend.gateway._attempt_recorder import AttemptRecorder
 from rhubarbbend.gateway._interfaces import ForwardingOptions, TargetProtocol, TargetResponseHead
 from rhubarbbend.gateway._liveness import StreamTimeoutPolicy, TargetLivenessMonitor
 from rhubarbbend.gateway._requests import BufferedAnswer, OpenRequest
@@ -73,6 +73,7 @@
         self._target_protocol = target_protocol
         self._clock = clock
         self._latencies = LatencyTracker()
+        self._recorder = AttemptRecorder(state, clock)
         self._liveness = TargetLivenessMonitor(state, pool, CONNECT_TIMEOUT_S, clock)
         # Called when a target closed the connection of a request before answering it; set by the
         # instance.
@@ -98,7 +99,7 @@
                 return AttemptOutcome.UNREACHED
             return await self._send_and_receive(request, choice, connection)
         except asyncio.CancelledError:
-            self._record_unfinished(request, choice)
+            self._recorder.record_unfinished(request, choice)
             raise
         finally:
             self._state.loads.record_end(target.id)
@@ -172,8 +173,8 @@
                 held=None if answer is None else answer.load,
                 after=round(self._clock() - request.arrived_at, 4),
             )
-        self._record_health(choice.target, request, outcome)
-        self._record_rollout_outcome(request, choice, outcome)
+        self._recorder.record_health(choice.target, request, outcome)
+        self._recorder.record_evidence(request, choice, outcome)
         return outcome
 
     def _log(self, event: str, request: OpenRequest, target: Target, **fields: Any) -> None:
@@ -203,7 +204,9 @@
         request.sent_at = now
         request.first_event_at = None
         if request.version.participant is not None and caller.prompt is not None:
-            request.unread_tokens = self._count_unread_tokens(caller.prompt, choice.target, now)
+            request.unread_tokens = self._recorder.count_unread_tokens(
+                caller.prompt, choice.target, now
+            )
         request.relay.has_received_event = False
         self._state.placement.record_sent(choice, caller.prompt, request.chosen_at, now)
         self._log(
@@ -227,11 +230,6 @@
             version=None if request.version.participant is None else choice.target.version,
         )
 
-    def _count_unread_tokens(self, prompt: Prompt, target: Target, now: float) -> int:
-        tokens = sum(part.tokens for part in prompt.parts)
-        is_cached = self._state.placement.has_cached(prompt, target, now)
-        return tokens - prompt.shared_tokens if is_cached else tokens
-
     async def _receive_head(
         self, request: OpenRequest, target: Target, connection: Connection
     ) -> TargetResponseHead:
@@ -418,61 +416,6 @@
             connection.idle_timeout_s = answer.idle_timeout_s - IDLE_MARGIN_S
         self._pool.release(connection, self._clock())
 
-    def _record_health(self, target: Target, request: OpenRequest, outcome: AttemptOutcome) -> None:
-        now = self._clock()
-        health = self._state.health
-        if outcome is AttemptOutcome.MISDIRECTED:
-            health.record_unreachable(target.id, now)
-            return
-        # Engines get many requests of each instance, and tell more by the events of their streams.
-        is_shared = request.service.engine is None
-        failed = outcome is not AttemptOutcome.ANSWERED
-        health.record_response(target.id, failed, now, is_shared)
-        if outcome is AttemptOutcome.ANSWERED:
-            self._state.crashes.clear(request.digest)
-
-    # Roll-outs.
-
-    def _record_rollout_outcome(
-        self, request: OpenRequest, choice: Choice, outcome: AttemptOutcome
-    ) -> None:
-        """Count an attempt as evidence for or against the version of its target."""
-        if outcome in (AttemptOutcome.REJECTED, AttemptOutcome.MISDIRECTED):
-            return
-        self._record_evidence(request, choice, outcome is not AttemptOutcome.ANSWERED)
-
-    def _record_unfinished(self, request: OpenRequest, choice: Choice) -> None:
-        """Count an attempt that ended with its request's deadline, or when the caller left.
-
-        It counts as failed only if it had taken longer than its objective by then.
-        """
-        taken_s = self._clock() - request.sent_at
-        if taken_s > request.route.objective and request.sent_at >= request.chosen_at:
-            self._record_evidence(request, choice, failed=True)
-
-    def _record_evidence(self, request: OpenRequest, choice: Choice, failed: bool) -> None:
-        participant = request.version.participant
-        target = choice.target
-        now = self._clock()
-        if participant is None or choice.cold or target.is_cold(now):
-            # A target in its cold start is slow, whichever version it has.
-            return
-        was_stopped = participant.is_stopped
-        timing = AttemptTiming(
-            request.sent_at,
-            now,
-            request.first_event_at,
-            request.relay.event_count,
-            request.unread_tokens,
-        )
-        participant.record_attempt(request.route, target, failed, timing)
-        if failed and target.version == participant.order.to_version:
-            self._state.metrics.increment_counter(codes.ROLLOUT_CANDIDATE_FAILED)
-        if participant.is_stopped and not was_stopped:
-            self._state.event_log.write(
-                "rollout_stopped_here", now, service=request.service.name, target=target.id
-            )
-
 
 def _can_retry_elsewhere(request: OpenRequest) -> bool:
     """Return whether a request that may have run here can be sent to one more target."""
--- a/rhubarbbend/gateway/_request_server.py
+++ b/rhubarbbend/gateway/_request_server.py
@@ -13,14 +13,13 @@
 
 from rhubarbbend import codes
 from rhubarbbend.codes import ErrorCode, Verdict
-from rhubarbbend.core._rendezvous import hash_to_unit_interval
 from rhubarbbend.core.catalog import Catalog, RequestKind
 from rhubarbbend.core.delivery import AttemptOutcome, compute_verdict, decide_step
-from rhubarbbend.core.rollouts import VersionChoice
 from rhubarbbend.gateway._attempts import AttemptRunner, RetryBudgetExhausted, send_answer
 from rhubarbbend.gateway._interfaces import BadRequest, CallerProtocol, CallerRequest
 from rhubarbbend.gateway._requests import OpenRequest
 from rhubarbbend.gateway._state import Clock, State
+from rhubarbbend.gateway._version_selector import VersionSelector
 from rhubarbbend.http import Exchange
 
 # Retry-After is at most this fraction of the time that the caller has left, so that its next
@@ -59,6 +58,7 @@
         self._caller_protocol = caller_protocol
         self._attempts = attempts
         self._clock = clock
+        self._versions = VersionSelector(state, clock)
         self.open_requests = 0
 
     async def serve(self, exchange: Exchange) -> None:
@@ -175,36 +175,9 @@
             self._refuse(request, codes.CRASHES_TARGETS, now)
             return None
         self._state.get_retry_budget_share(service.name).record_request(now)
-        request.version = self._choose_version(request, now)
+        request.version = self._versions.choose(request, now)
         return request
 
-    def _choose_version(self, request: OpenRequest, now: float) -> VersionChoice:
-        """Return the version of the service that the request goes to first."""
-        name = request.service.name
-        registry, rollouts = self._state.registry, self._state.rollouts
-        participant = rollouts.find_participant(name)
-        registered = registry.count_versions(name)
-        if participant is None:
-            return VersionChoice(rollouts.find_versions(name, registered).stable)
-        prompt = request.caller.prompt
-        fraction = None
-        if prompt is not None:
-            # Each roll-out selects other chats.
-            revision = participant.order.revision
-            fraction = hash_to_unit_interval(f"{revision}/{prompt.affinity_key}")
-        choice = rollouts.choose_version(
-            name,
-            request.route.name,
-            request.route.idempotent,
-            fraction,
-            registered,
-            registry.list_available(name, now),
-            now,
-        )
-        if choice.is_candidate:
-            self._state.metrics.increment_counter(codes.ROLLOUT_CANDIDATE_REQUESTS)
-        return choice
-
     # Delivery.
 
     async def _deliver(self, request: OpenRequest) -> None:
@@ -233,12 +206,12 @@
 
     async def _try_targets(self, request: OpenRequest) -> None:
         if request.version.hold_s > 0.0:
-            await self._hold(request)
+            await self._versions.hold(request)
         connect_failures = 0
         switched = False
         while True:
             now = self._clock()
-            self._revise_version(request)
+            self._versions.revise(request)
             choice = self._state.placement.choose(
                 request.service,
                 request.caller.prompt,
@@ -248,7 +221,7 @@
                 now,
                 request.version.admits,
             )
-            if choice is None and not switched and self._switch_version(request):
+            if choice is None and not switched and self._versions.switch(request):
                 switched = True
                 continue
             if choice is None or connect_failures > MAX_CONNECT_FAILURES:
@@ -270,34 +243,7 @@
             if not self._handle_outcome(request, outcome):
                 return
             if request.version.is_candidate:
-                self._switch_version(request)
-
-    async def _hold(self, request: OpenRequest) -> None:
-        """Wait until the stable version of a request's service changes, for a limited time."""
-        self._state.metrics.increment_counter(codes.ROLLOUT_HELD)
-        held_version = request.version.version
-        ends_at = self._clock() + request.version.hold_s
-        while request.version.version == held_version and (now := self._clock()) < ends_at:
-            await self._state.changed.wait(ends_at - now)
-            self._revise_version(request)
-
-    def _revise_version(self, request: OpenRequest) -> None:
-        """Replace the version that a request was to go to if it may not be used any more."""
-        name = request.service.name
-        registered = self._state.registry.count_versions(name)
-        request.version = self._state.rollouts.revise_choice(name, request.version, registered)
-
-    def _switch_version(self, request: OpenRequest) -> bool:
-        """Let a request go to the other version of its service; return whether there is one."""
-        name = request.service.name
-        registered = self._state.registry.count_versions(name)
-        other = self._state.rollouts.choose_other_version(
-            name, request.version, registered, self._clock()
-        )
-        if other is None:
-            return False
-        request.version = other
-        return True
+                self._versions.switch(request)
 
     def _select_refusal(self, rejection_counts: dict[str, int]) -> ErrorCode:
         """Return the error for a request that no target can accept now."""
--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -17,9 +17,9 @@
 from rhubarbbend.settings import Settings
 
 DOCS = ROOT / "docs"
-PAGES = sorted([*DOCS.glob("*.md"), ROOT / "README.md"])
+PAGES = sorted([*DOCS.glob("*.md"), *DOCS.glob("design/*.md"), ROOT / "README.md"])
 COMMAND = re.compile(r"(?:^|`)\s*rhubarbbend ([a-z][a-z-]*)", re.MULTILINE)
-MAKE = re.compile(r"(?:^|`)\s*make ([a-z]+)", re.MULTILINE)
+MAKE = re.compile(r"(?:^|`)\s*make ([a-z-]+)", re.MULTILINE)
 MODULE = re.compile(r"python -m ((?:tools|loadtool|standins)[a-z_.]*)")
 LINK = re.compile(r"`((?:rhubarbbend|loadtool|standins|tools|tests|docs|examples)/[\w./-]+)`")
 
@@ -100,7 +100,7 @@
 def test_what_a_page_names_exists(page: object) -> None:
     text = (DOCS / str(page)).read_text("utf-8")
     assert set(COMMAND.findall(text)) <= _list_commands()
-    targets = re.findall(r"^([a-z]+):", (ROOT / "Makefile").read_text("utf-8"), re.MULTILINE)
+    targets = re.findall(r"^([a-z-]+):", (ROOT / "Makefile").read_text("utf-8"), re.MULTILINE)
     assert set(MAKE.findall(text)) <= set(targets)
     for module in MODULE.findall(text):
         path = ROOT / module.replace(".", "/")
