Load tool: the balancer says why no instance is ready, and its callers that there is none

Cause: tests/fleet/test_stop.py failed once with a division by zero when all checks had failed at once; nothing said whether the instances or the balancer's own process had stopped. Change: NoInstanceReady; the balancer prints the reason of each check and how long the round took.

--- a/loadtool/_balancer.py
+++ b/loadtool/_balancer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import sys
 from collections.abc import Callable
 from typing import Final
 
@@ -47,10 +48,18 @@
 
     async def _check_all(self) -> None:
         addresses = self._addresses()
-        checks = await asyncio.gather(*(self._check(address) for address in addresses))
-        self._ready = [a for a, ready in zip(addresses, checks, strict=True) if ready]
+        started_at = asyncio.get_running_loop().time()
+        failures = await asyncio.gather(*(self._check(address) for address in addresses))
+        results = list(zip(addresses, failures, strict=True))
+        self._ready = [address for address, failure in results if failure is None]
+        if results and not self._ready:
+            # A check also fails if this process does not run for longer than the time-out.
+            taken_s = asyncio.get_running_loop().time() - started_at
+            reasons = ", ".join(f"{host}:{port}: {why}" for (host, port), why in results)
+            print(f"balancer: no instance ready after {taken_s:.2f} s: {reasons}", file=sys.stderr)
 
-    async def _check(self, address: Address) -> bool:
+    async def _check(self, address: Address) -> str | None:
+        """Check an instance; return why it is not ready, None if it is."""
         now = asyncio.get_running_loop().time()
         try:
             response, _ = await fetch(
@@ -62,6 +71,6 @@
                 new_connection=True,
                 timeout=CHECK_TIMEOUT_S,
             )
-        except HttpFailure:
-            return False
-        return response.status == 200
+        except HttpFailure as failure:
+            return str(failure)
+        return None if response.status == 200 else f"status {response.status}"
--- a/loadtool/_caller.py
+++ b/loadtool/_caller.py
@@ -75,6 +75,10 @@
         self.turns += 1
 
 
+class NoInstanceReady(RuntimeError):
+    """Raised if there is no instance that a request could be sent to."""
+
+
 class Caller:
     """Sends the requests of one client account to instances, round robin unless one is given."""
 
@@ -84,8 +88,13 @@
         self._next = 0
 
     def select_instance(self) -> Address:
-        """Return the next instance, as a round-robin load balancer does."""
+        """Return the next instance, as a round-robin load balancer does.
+
+        Raise `NoInstanceReady` if the balancer lists none.
+        """
         addresses = self._addresses()
+        if not addresses:
+            raise NoInstanceReady("the load balancer lists no instance as ready")
         self._next += 1
         return addresses[self._next % len(addresses)]
 
