--- a/loadtool/__main__.py
+++ b/loadtool/__main__.py
@@ -28,7 +28,7 @@
 def _run_soak(options: argparse.Namespace) -> int:
     if options.on == "product":
         return _chaos.main(options.seed, options.duration)
-    return _soak.main(options.seed, options.seeds, options.duration, options.size)
+    return _soak.main(options.seed, options.seeds, options.duration, options.size, options.rollout)
 
 
 def _parse_arguments() -> argparse.Namespace:
@@ -57,6 +57,7 @@
     rollouts.add_argument("--count", type=int, default=1_000, help="number of roll-outs")
     rollouts.add_argument("--design", choices=sorted(DESIGNS), default="capped")
     rollouts.add_argument("--site", choices=sorted(SITES), default="", help="one service only")
+    soak.add_argument("--rollout", action="store_true", help="roll out a version meanwhile")
     _commands.add_parsers(commands)
     return parser.parse_args()
 
--- a/loadtool/_soak.py
+++ b/loadtool/_soak.py
@@ -19,6 +19,7 @@
 from loadtool._gateway_fleet import ACCOUNT, HOST, KEY, ZONES, GatewayFleet, start_fleet
 from loadtool._soak_checks import RequestOutcome, RunRecord, count_outcomes, find_violations
 from loadtool._soak_faults import SECOND_KEY, SoakFaultInjector
+from loadtool._soak_rollout import SoakRollout
 from loadtool._soak_schedule import ScheduledSoakFault, SoakLayout, make_soak_schedule
 from rhubarbbend.http import Connection, HttpFailure
 
@@ -45,6 +46,7 @@
     seed: int
     record: RunRecord
     violations: list[str]
+    rollout: str = ""
 
 
 class SoakCaller:
@@ -163,11 +165,17 @@
 
 
 async def run_soak(
-    seed: int, duration: float, instance_count: int, folder: Path, peer_path_faults: bool = True
+    seed: int,
+    duration: float,
+    instance_count: int,
+    folder: Path,
+    peer_path_faults: bool = True,
+    has_rollout: bool = False,
 ) -> SoakResult:
     """Run the schedule of a seed and check every guarantee; `duration` is in seconds.
 
-    With `peer_path_faults` the paths between instances fail too.
+    With `peer_path_faults` the paths between instances fail too. With `has_rollout` a version is
+    rolled out meanwhile.
     """
     schedule = make_soak_schedule(
         seed, duration, make_soak_layout(instance_count), peer_path_faults
@@ -176,11 +184,16 @@
     async with start_fleet(
         folder, instances=instance_count, use_proxy_routes=True, **counts
     ) as fleet:
-        return await _run_schedule(fleet, seed, duration, schedule)
+        rollout = SoakRollout(fleet, seed) if has_rollout else None
+        return await _run_schedule(fleet, seed, duration, schedule, rollout)
 
 
 async def _run_schedule(
-    fleet: GatewayFleet, seed: int, duration: float, schedule: list[ScheduledSoakFault]
+    fleet: GatewayFleet,
+    seed: int,
+    duration: float,
+    schedule: list[ScheduledSoakFault],
+    rollout: SoakRollout | None,
 ) -> SoakResult:
     record = RunRecord(started=time.time(), scheduled_faults=schedule)
     record.zone_by_target = {name: node.zone for name, node in fleet.workers.items()}
@@ -195,14 +208,18 @@
     await asyncio.gather(
         *(caller.run(until) for caller in callers),
         *(faults.run(scheduled_fault) for scheduled_fault in schedule),
+        *([] if rollout is None else [rollout.run(duration)]),
     )
     for name in fleet.instances:
         await faults.ensure_running(name)
+    record.zone_by_target |= {name: node.zone for name, node in fleet.workers.items()}
     violations = await _check_recovery(fleet, callers[0])
     readiness_task.cancel()
     violations += find_violations(record, fleet.read_arrivals())
     violations += _find_internal_errors(fleet)
-    return SoakResult(seed, record, violations)
+    if rollout is not None:
+        violations += rollout.find_violations(record)
+    return SoakResult(seed, record, violations, "" if rollout is None else rollout.describe())
 
 
 async def _check_recovery(fleet: GatewayFleet, caller: SoakCaller) -> list[str]:
@@ -236,12 +253,19 @@
     """Return the counts of a run and each violated guarantee as text."""
     counts = sorted(count_outcomes(result.record.outcomes).items())
     lines = ["  " + ", ".join(f"{label}: {count}" for label, count in counts)]
+    lines += [f"  {result.rollout}"] if result.rollout else []
     lines += [f"  BROKEN: {line}" for line in result.violations]
     lines.append(f"soak: seed {result.seed}: {len(result.violations)} promises broken")
     return "\n".join(lines)
 
 
-def main(first_seed: int, seed_count: int, duration: float, instance_count: int) -> int:
+def main(
+    first_seed: int,
+    seed_count: int,
+    duration: float,
+    instance_count: int,
+    has_rollout: bool = False,
+) -> int:
     """Run seeds one after the other; return exit status 1 if a guarantee was violated, else 0."""
     status = 0
     for seed in range(first_seed, first_seed + seed_count):
@@ -252,7 +276,9 @@
             ):
                 print(f"  {scheduled_fault}")
         with tempfile.TemporaryDirectory(prefix="rhubarbbend-soak-") as name:
-            result = asyncio.run(run_soak(seed, duration, instance_count, Path(name)))
+            folder = Path(name)
+            soak = run_soak(seed, duration, instance_count, folder, has_rollout=has_rollout)
+            result = asyncio.run(soak)
             print(format_result(result), flush=True)
         status |= bool(result.violations)
     return status
--- a/tests/loadtool/test_soak.py
+++ b/tests/loadtool/test_soak.py
@@ -123,3 +123,13 @@
     served = sum(outcome.status == 200 and outcome.complete for outcome in result.record.outcomes)
     # Guards against an empty run: callers got answers to most requests while faults were active.
     assert served > 0.7 * len(result.record.outcomes)
+
+
+@pytest.mark.xdist_group("soak")
+def test_all_guarantees_hold_during_a_rollout_among_faults(tmp_path: Path) -> None:
+    """A bad version is rolled out while instances, the store and the paths between them fail."""
+    run = run_soak(4, DURATION, INSTANCE_COUNT, tmp_path, has_rollout=True)
+    result = asyncio.run(run)
+    print(format_result(result))
+    assert result.violations == []
+    assert "rolled_back" in result.rollout
