Roll-outs: a request waits for the success only around the time when it is due

Cause: found in reading again: while the store is away when the success is due, every booking without credit would have waited 0.15 s, for as long as that lasts. Measured: tests/core/rollouts/test_tracker.py, 13.4 s and 13.9 s were held before.

--- a/rhubarbbend/core/rollouts/_participant.py
+++ b/rhubarbbend/core/rollouts/_participant.py
@@ -160,7 +160,10 @@
         if idempotent or self.ruling is None or not self._has_moved(route, now):
             return 0.0
         left_s = self.ruling.succeed_at_s - self.compute_age(now)
-        return max(0.0, left_s) + RECORDING_TIME_S if left_s <= MAX_HOLD_S else 0.0
+        if not -RECORDING_TIME_S <= left_s <= MAX_HOLD_S:
+            # Later than that the store is away, and the stable targets still serve.
+            return 0.0
+        return max(0.0, left_s) + RECORDING_TIME_S
 
     def _is_selected(self, route: str, fraction: float | None) -> bool:
         """Return whether a request is one of those that the trial credit is for.
--- a/tests/core/rollouts/test_tracker.py
+++ b/tests/core/rollouts/test_tracker.py
@@ -142,3 +142,21 @@
         "llm", VersionChoice("v1", None, participant), REGISTERED, now
     )
     assert (None if other is None else other.version) == version
+
+
+@pytest.mark.parametrize(
+    ("now", "is_held"), [(12.8, False), (12.99, True), (13.2, True), (13.4, False), (13.9, False)]
+)
+def test_request_without_credit_waits_only_around_the_success(now: float, is_held: bool) -> None:
+    """A booking sent a moment before the old targets end would be lost with them.
+
+    If the success is not recorded, as while the store is away, bookings must not go on waiting.
+    """
+    tracker = make_tracker(RolloutPhase.SHIFTING, heard_at=now - 0.1)
+    participant = tracker.find_participant("llm")
+    assert participant is not None
+    participant.ruling = Ruling(7, RolloutPhase.SHIFTING, now - 10.1, 3.2, {"plan": 4.0})
+    while (choice := choose(tracker, now)).is_candidate:
+        pass
+    assert (choice.hold_s > 0.0) is is_held
+    assert choice.hold_s <= 0.4
