--- a/rhubarbbend/core/rollouts/_coordinator.py
+++ b/rhubarbbend/core/rollouts/_coordinator.py
@@ -36,6 +36,7 @@
 REASON_TOO_SHORT: Final = "the ordered duration is too short for a verdict"
 REASON_TOO_FEW_TARGETS: Final = "too few targets of the new version are ready"
 REASON_TOO_FEW_INSTANCES: Final = "too few instances were heard to tell that the version is good"
+REASON_FORMER_COORDINATOR: Final = "a former coordinator found the version bad"
 REASON_WITHDRAWN: Final = "the order was withdrawn"
 
 
@@ -93,6 +94,14 @@
         else:
             known.received_at = now
 
+    def record_former_stop(self) -> None:
+        """Record that a former coordinator has ruled that the candidate is rolled back.
+
+        What it rested on may not show in the evidence added up anew: it judged parts of it as they
+        came in.
+        """
+        self._stopped_for = self._stopped_for or REASON_FORMER_COORDINATOR
+
     def add_up_evidence(self) -> Evidence:
         """Return the evidence of all instances."""
         return add_up(report.evidence for report in self._reports.values())
--- a/rhubarbbend/core/rollouts/_participant.py
+++ b/rhubarbbend/core/rollouts/_participant.py
@@ -69,9 +69,14 @@
         """Whether the candidate gets nothing more from this instance."""
         return self._is_stopped
 
+    @property
+    def was_told_to_stop(self) -> bool:
+        """Whether a coordinator has ruled that the candidate is rolled back."""
+        return self.ruling is not None and self.ruling.phase is RolloutPhase.ROLLED_BACK
+
     def record_ruling(self, ruling: Ruling, now: float) -> None:
         """Record what the coordinator says."""
-        if ruling.revision != self.order.revision:
+        if ruling.revision != self.order.revision or self.was_told_to_stop:
             return
         self.ruling = ruling
         self._heard_at = now
--- a/rhubarbbend/gateway/_rollouts.py
+++ b/rhubarbbend/gateway/_rollouts.py
@@ -48,6 +48,7 @@
 
     `sender` names the instance and its process, `revision` the order. `age_s` is for how long the
     sender knows the order to be in force. `evidence` is cumulative; `sequence` grows with it.
+    `was_told_to_stop` is whether a coordinator has ruled that the version is rolled back.
     """
 
     sender: str
@@ -56,6 +57,7 @@
     age_s: float
     sequence: int
     evidence: Evidence
+    was_told_to_stop: bool = False
 
 
 class RolloutReply(msgspec.Struct, array_like=True):
@@ -131,6 +133,8 @@
         coordinator = self._find_coordinator(order, now)
         coordinator.record_age(report.age_s, now)
         coordinator.record_evidence(report.sender, report.sequence, report.evidence, now)
+        if report.was_told_to_stop:
+            coordinator.record_former_stop()
         ruling = self._rulings.get(order.revision)
         if ruling is not None:
             ruling = msgspec.structs.replace(ruling, age_s=now - coordinator.ordered_at)
@@ -171,6 +175,7 @@
             participant.compute_age(now),
             participant.sequence,
             participant.evidence,
+            participant.was_told_to_stop,
         )
         data = msgspec.msgpack.encode(report)
         body = await self._peers.report_rollout((row.host, row.port), data)
@@ -178,12 +183,16 @@
         if body is None:
             # The next instance in the order coordinates from now on.
             self._silent_until[leader] = now + SILENCE_BACKOFF_S
-            del self._reported_at[order.revision]
+            self._reported_at.pop(order.revision, None)
             return
         if not body:
             # It does not know of the order yet.
             return
-        reply = msgspec.msgpack.decode(body, type=RolloutReply)
+        try:
+            reply = msgspec.msgpack.decode(body, type=RolloutReply)
+        except msgspec.MsgspecError as error:
+            self._log("peer_unreadable", reason=str(error))
+            return
         if reply.record is not None:
             self._state.rollouts.record_outcome(order.service, reply.record)
         elif reply.ruling is not None:
@@ -210,6 +219,8 @@
         participant = self._state.rollouts.find_participant(order.service)
         if participant is None:
             return
+        if participant.was_told_to_stop:
+            coordinator.record_former_stop()
         coordinator.record_age(participant.compute_age(now), now)
         coordinator.record_evidence(self._sender, participant.sequence, participant.evidence, now)
         try:
--- a/tests/core/rollouts/test_coordinator.py
+++ b/tests/core/rollouts/test_coordinator.py
@@ -117,3 +117,14 @@
         evidence.record_stable("read", False, Outcome(False, 0.8, {}))
     coordinator.record_evidence("front-0", 2, evidence, 105.0)
     assert coordinator.decide(ENOUGH, INSTANCES, 105.0).phase is RolloutPhase.ROLLED_BACK
+
+
+def test_verdict_of_a_former_coordinator_stays() -> None:
+    """A coordinator finds a version bad, cannot record that as the store is away, and dies.
+
+    Its successor adds up the same counts, but has not seen that the last of them were bad. If it
+    went on to the success, all requests would move to the bad version.
+    """
+    coordinator = make_coordinator()
+    coordinator.record_former_stop()
+    assert coordinator.decide(ENOUGH, INSTANCES, 111.8).phase is RolloutPhase.ROLLED_BACK
