--- a/rhubarbbend/core/rollouts/_coordinator.py
+++ b/rhubarbbend/core/rollouts/_coordinator.py
@@ -109,15 +109,15 @@
     def decide(self, targets: TargetCounts, instances: int, now: float) -> Ruling:
         """Return how the roll-out is to go on. A final phase is still to be recorded."""
         age_s = now - self.ordered_at
+        evidence = self.add_up_evidence()
         if not self._stopped_for:
-            self._stopped_for = self._find_reason_to_stop(targets, instances, age_s, now)
+            self._stopped_for = self._find_reason_to_stop(evidence, targets, instances, now)
         if self._stopped_for:
             return self._make_ruling(RolloutPhase.ROLLED_BACK, age_s)
         succeed_at_s = compute_success_time(self.order.duration_s)
         if age_s >= succeed_at_s and self._is_well_informed(instances, now):
             return self._make_ruling(RolloutPhase.SUCCEEDED, age_s)
         if not self._is_shifting:
-            evidence = self.add_up_evidence()
             self._plan = plan_shift(evidence, self._options, self.order.duration_s, age_s)
             # Once requests move, the plan stays.
             self._is_shifting = age_s >= self._plan.starts_at_s
@@ -132,14 +132,15 @@
         return min(DECISION_INTERVAL_S, max(MIN_DECISION_INTERVAL_S, until_success_s))
 
     def _find_reason_to_stop(
-        self, targets: TargetCounts, instances: int, age_s: float, now: float
+        self, evidence: Evidence, targets: TargetCounts, instances: int, now: float
     ) -> str:
         """Return why the roll-out has to be rolled back now; empty if it need not be."""
         if not self.order.duration_s >= MIN_DURATION_S:
             return REASON_TOO_SHORT
-        self.finding = self._judge(now)
+        self.finding = self._judge(evidence, now)
         if self.finding is not None:
             return self.finding.describe()
+        age_s = now - self.ordered_at
         if age_s < compute_success_time(self.order.duration_s):
             return ""
         if not targets.has_enough:
@@ -149,9 +150,8 @@
             return REASON_TOO_FEW_INSTANCES
         return ""
 
-    def _judge(self, now: float) -> Finding | None:
+    def _judge(self, total: Evidence, now: float) -> Finding | None:
         """Judge all evidence, and that since each snapshot."""
-        total = self.add_up_evidence()
         periods = [total, *(subtract(total, snapshot) for snapshot in self._snapshots)]
         if now >= self._next_snapshot_at:
             self._next_snapshot_at = now + SNAPSHOT_INTERVAL_S
--- a/rhubarbbend/core/rollouts/_verdict.py
+++ b/rhubarbbend/core/rollouts/_verdict.py
@@ -126,9 +126,8 @@
     if not samples:
         return None
     threshold = math.log(repetitions * len(samples) / FALSE_ROLLBACK_PROBABILITY)
-    findings = [finding for sample in samples if (finding := _test(sample)) is not None]
-    worst = max(findings, key=lambda finding: finding.log_ratio, default=None)
-    return worst if worst is not None and worst.log_ratio >= threshold else None
+    findings = [found for sample in samples if (found := _test(sample, threshold)) is not None]
+    return max(findings, key=lambda finding: finding.log_ratio, default=None)
 
 
 def _measure(name: str, route: RouteEvidence) -> list[_Sample]:
@@ -166,13 +165,18 @@
     return _Sample(ALL_ROUTES, samples[0].measure, by_target, base_rate)
 
 
-def _test(sample: _Sample) -> Finding | None:
-    """Test a sample; return None if its evidence rests on a single target or zone of several."""
+def _test(sample: _Sample, threshold: float) -> Finding | None:
+    """Return what a sample shows, if it reaches the threshold; None if it does not.
+
+    It shows nothing either if its evidence rests on a single one of several targets or zones.
+    """
     total = sample.total
+    log_ratio = compute_log_ratio(total.bad, total.trials, sample.base_rate)
+    if log_ratio < threshold:
+        return None
     for groups in (sample.by_target, sample.add_up_zones()):
         if len(groups) > 1 and _test_without_worst(groups, sample) < MIN_CORROBORATION:
             return None
-    log_ratio = compute_log_ratio(total.bad, total.trials, sample.base_rate)
     return Finding(
         sample.route,
         sample.measure,
