--- a/rhubarbbend/core/rollouts/_exposure.py
+++ b/rhubarbbend/core/rollouts/_exposure.py
@@ -17,6 +17,8 @@
 # Fraction of the slack that the instances divide among themselves. The rest covers instances that
 # restart with a new credit.
 SLACK_MARGIN_FACTOR: Final = 0.9
+# Fraction of the slack that may be used at the start of a roll-out.
+FIRST_SLACK_FRACTION: Final = 0.4
 
 
 class ExposureLimiter:
@@ -40,8 +42,9 @@
     ) -> None:
         self._share = max(0.0, SHARE_MARGIN_FACTOR * options.share - reserve)
         slack = SLACK_MARGIN_FACTOR * options.slack / max(1, instances) if was_running else 0.0
+        self._slack = slack
         # What the requests so far have earned, and how many were sent to the candidate.
-        self._earned = slack
+        self._earned = 0.0
         self._spent = 0
         self._draw = random.random()
 
@@ -49,16 +52,18 @@
         """Record a request to the service, whichever version it goes to."""
         self._earned += self._share
 
-    def has_trial_credit(self, trial_fraction: float) -> bool:
+    def has_trial_credit(self, trial_fraction: float, passed_fraction: float) -> bool:
         """Return whether one more request may go to the candidate while it is on trial.
 
-        Only `trial_fraction` of what was earned may be used then.
+        Only `trial_fraction` of the credit may be used then. Part of the slack becomes available
+        with time, `passed_fraction` of the roll-out: a version may turn bad late.
         """
-        return self._draw + trial_fraction * self._earned - self._spent >= 1.0
+        slack = self._slack * (FIRST_SLACK_FRACTION + (1 - FIRST_SLACK_FRACTION) * passed_fraction)
+        return self._draw + trial_fraction * (self._earned + slack) - self._spent >= 1.0
 
     def has_credit(self) -> bool:
         """Return whether one more request may go to the candidate while requests move to it."""
-        return self._draw + self._earned - self._spent >= 1.0
+        return self._draw + self._earned + self._slack - self._spent >= 1.0
 
     def spend(self) -> None:
         """Record a request that is sent to the candidate."""
--- a/rhubarbbend/core/rollouts/_participant.py
+++ b/rhubarbbend/core/rollouts/_participant.py
@@ -105,9 +105,9 @@
         if self._has_moved(route, now):
             is_candidate = self._limiter.has_credit()
         else:
-            is_candidate = self._limiter.has_trial_credit(
-                self.ruling.trial_fraction
-            ) and self._is_selected(route, fraction)
+            passed = min(1.0, self.compute_age(now) / self.order.duration_s)
+            has_credit = self._limiter.has_trial_credit(self.ruling.trial_fraction, passed)
+            is_candidate = has_credit and self._is_selected(route, fraction)
         if not is_candidate:
             return Assignment(False, self._compute_hold(route, idempotent, now))
         self._limiter.spend()
--- a/tests/core/rollouts/test_exposure.py
+++ b/tests/core/rollouts/test_exposure.py
@@ -51,7 +51,7 @@
     limiter = ExposureLimiter(ExposureOptions(0.1, 0.0), 1, True, 0.0, Random(1))
     for _ in range(200):
         limiter.record_request()
-        if limiter.has_trial_credit(0.5):
+        if limiter.has_trial_credit(0.5, 0.5):
             limiter.spend()
-    assert not limiter.has_trial_credit(0.5)
+    assert not limiter.has_trial_credit(0.5, 0.5)
     assert limiter.has_credit()
