Logs and counters: which pause a target asked for, and what is sent within it

The adapter reads Retry-After of a 503 and Server-Leaving of any answer; attempt_ended logs both, sent logs the rest of the pause and the digest of the content, by which a caller's retry is recognised. Two counters. Nothing is decided by it yet. The stand-in worker can send both headers.

--- a/rhubarbbend/codes.py
+++ b/rhubarbbend/codes.py
@@ -188,6 +188,12 @@
 LOAD_UNDERESTIMATED: Final = _declare_counter(
     "loads.unseen", "requests that targets then held beyond what was estimated, added up"
 )
+TARGET_PAUSES: Final = _declare_counter(
+    "targets.pauses", "answers with which a target asked this instance to send nothing for a time"
+)
+SENT_DURING_PAUSE: Final = _declare_counter(
+    "targets.sent_during_pause", "requests sent to a target within the pause that it had asked for"
+)
 TICKETS_BAD: Final = _declare_counter("tickets_bad", "tickets that were forged or unreadable")
 TICKETS_STALE: Final = _declare_counter(
     "tickets_stale", "tickets whose target has gone or rebooted"
--- a/rhubarbbend/core/placement/__init__.py
+++ b/rhubarbbend/core/placement/__init__.py
@@ -14,6 +14,7 @@
     is_plausible,
 )
 from rhubarbbend.core.placement._loads import LoadTracker, TargetLoad
+from rhubarbbend.core.placement._pauses import PauseTracker
 from rhubarbbend.core.placement._placement import (
     Choice,
     Placement,
@@ -31,6 +32,7 @@
     "HealthTracker",
     "InFlightUpdate",
     "LoadTracker",
+    "PauseTracker",
     "PromptLocation",
     "Placement",
     "PlacementOptions",
--- a/rhubarbbend/gateway/_attempts.py
+++ b/rhubarbbend/gateway/_attempts.py
@@ -171,6 +171,8 @@
                 end=outcome.value,
                 status=None if answer is None else answer.status,
                 held=None if answer is None else answer.load,
+                pause=None if answer is None else answer.pause_s,
+                leaving=(answer is not None and answer.is_leaving) or None,
                 after=round(self._clock() - request.arrived_at, 4),
             )
         self._recorder.record_health(choice.target, request, outcome)
@@ -201,6 +203,9 @@
         )
         headers = self._target_protocol.make_headers(caller, options)
         connection.send_raw(caller.method, caller.path_and_query, headers, caller.body)
+        pause_left = self._state.pauses.compute_remaining(choice.target.id, now)
+        if pause_left > 0.0:
+            self._state.metrics.increment_counter(codes.SENT_DURING_PAUSE)
         request.sent_at = now
         request.first_event_at = None
         if request.version.participant is not None and caller.prompt is not None:
@@ -228,6 +233,8 @@
             time_left=round(request.compute_time_left(now), 3),
             resume_after=request.relay.last_id or None,
             version=None if request.version.participant is None else choice.target.version,
+            pause_left=round(pause_left, 3) or None,
+            content=request.digest if pause_left > 0.0 else None,
         )
 
     async def _receive_head(
@@ -240,6 +247,7 @@
         while True:
             response = await self._receive_next_head(request, target, connection)
             answer = self._target_protocol.read_response_head(response)
+            self._record_pause(target, answer)
             if answer.request == request.id or answer.misdirected:
                 break
             self._state.metrics.increment_counter(codes.WRONG_ID)
@@ -251,6 +259,12 @@
             self._record_load_report(request, target, answer.load)
         return answer
 
+    def _record_pause(self, target: Target, answer: TargetResponseHead) -> None:
+        if answer.pause_s is None or answer.misdirected:
+            return
+        self._state.metrics.increment_counter(codes.TARGET_PAUSES)
+        self._state.pauses.record_pause(target.id, answer.pause_s, self._clock())
+
     def _record_load_report(self, request: OpenRequest, target: Target, load: int) -> None:
         """Record the load that a target reports, and count by how much it was underestimated."""
         now = self._clock()
--- a/rhubarbbend/gateway/_interfaces.py
+++ b/rhubarbbend/gateway/_interfaces.py
@@ -78,7 +78,9 @@
     the request, `misdirected` that a target other than the intended one responded,
     `closes_connection` that the target closes the connection. `load` is the number of requests
     running and waiting at the target, None if it is not stated. `idle_timeout_s` is how many
-    seconds the target keeps an idle connection open, None if it is not stated.
+    seconds the target keeps an idle connection open, None if it is not stated. `pause_s` is for how
+    many seconds the target wants no requests of this instance, None if it asks for no pause.
+    `is_leaving` is whether it is about to end and wants no new requests.
     """
 
     status: int
@@ -90,6 +92,8 @@
     load: int | None
     idle_timeout_s: float | None
     headers: RawHeaders
+    pause_s: float | None = None
+    is_leaving: bool = False
 
 
 class CallerProtocol(abc.ABC):
--- a/rhubarbbend/gateway/_state.py
+++ b/rhubarbbend/gateway/_state.py
@@ -21,6 +21,7 @@
 from rhubarbbend.core.placement import (
     HealthTracker,
     LoadTracker,
+    PauseTracker,
     Placement,
     PlacementOptions,
     PromptLocation,
@@ -106,6 +107,7 @@
         self.registry = TargetRegistry(derive_directory_options(settings))
         self.loads = LoadTracker()
         self.health = HealthTracker()
+        self.pauses = PauseTracker()
         self.cold_target_share = ColdTargetShare(
             settings.instance, settings.cold_overshoot, settings.cold_slack
         )
--- a/standins/_worker.py
+++ b/standins/_worker.py
@@ -33,6 +33,10 @@
     status: int = 0
     # Respond that the request was not executed.
     reject: bool = False
+    # With `reject`: ask the sender to send no requests for this time.
+    pause_s: float = 0.0
+    # State in each response that this worker is about to leave.
+    leaving: bool = False
     # Accept requests and never respond.
     hang: bool = False
     # Close the connection after so many events, in the middle of the next; -1: never.
@@ -191,13 +195,13 @@
                 attempt_id, self._name, time.time(), will_run, method, target, account
             )
             self._arrivals.write(msgspec.json.encode(arrival) + b"\n")
-        id_headers = [("Attempt-Id", attempt_id)]
+        id_headers = [("Attempt-Id", attempt_id), *self._make_notices()]
         if expected != self._name:
             return _send_response(
                 conn, writer, 421, [*id_headers, ("Instance-Id", self._name)], b""
             )
         if faults.reject:
-            return _send_response(conn, writer, 503, [*id_headers, ("Not-Executed", "1")], b"")
+            return self._send_rejection(conn, writer, id_headers)
         self._runs[attempt_id] += 1
         if faults.crash_on and faults.crash_on.encode() in body:
             os._exit(EXIT_CRASHED)
@@ -219,6 +223,16 @@
             disconnect_task.cancel()
             await asyncio.gather(response_task, disconnect_task, return_exceptions=True)
 
+    def _make_notices(self) -> list[tuple[str, str]]:
+        return [("Server-Leaving", "1")] if self._faults.leaving else []
+
+    def _send_rejection(
+        self, conn: h11.Connection, writer: asyncio.StreamWriter, headers: list[tuple[str, str]]
+    ) -> bool:
+        pause_s = self._faults.pause_s
+        pause = [("Retry-After", f"{pause_s:g}")] if pause_s else []
+        return _send_response(conn, writer, 503, [*headers, ("Not-Executed", "1"), *pause], b"")
+
     async def _respond(
         self,
         conn: h11.Connection,
@@ -234,7 +248,7 @@
         attempt_id = headers.get("attempt-id", "")
         load = f"{self._stats.running},0,6"
         response_headers = [("Attempt-Id", attempt_id), ("Response-Seal", f"seal-{self._name}")]
-        response_headers.append(("Server-Load", load))
+        response_headers += [("Server-Load", load), *self._make_notices()]
         if faults.unsealed:
             del response_headers[1]
         if faults.garbage:
--- a/tests/adapter/test_targets.py
+++ b/tests/adapter/test_targets.py
@@ -57,3 +57,33 @@
 @pytest.mark.parametrize("load", ["", "3", "a,b,c", "3,-1,6", "1,2,3,4"])
 def test_malformed_load_is_ignored(load: str) -> None:
     assert PlatformTargetProtocol().read_response_head(make_response(server_load=load)).load is None
+
+
+@pytest.mark.parametrize(
+    ("status", "retry_after", "pause_s"),
+    [
+        (503, "3", 3.0),
+        (503, " 0.25 ", 0.25),
+        (503, "", None),
+        (503, "-1", None),
+        (503, "inf", None),
+        (503, "1e9", None),
+        (503, "Wed, 21 Oct 2026 07:28:00 GMT", None),
+        (429, "3", None),
+        (500, "3", None),
+    ],
+)
+def test_only_a_503_asks_the_instance_for_a_pause(
+    status: int, retry_after: str, pause_s: float | None
+) -> None:
+    response = make_response(status, retry_after=retry_after)
+    assert PlatformTargetProtocol().read_response_head(response).pause_s == pause_s
+
+
+@pytest.mark.parametrize(
+    ("header", "is_leaving"), [("1", True), (" 1 ", True), ("", False), ("0", False)]
+)
+def test_notice_of_leaving_is_decoded_and_not_forwarded(header: str, is_leaving: bool) -> None:
+    answer = PlatformTargetProtocol().read_response_head(make_response(server_leaving=header))
+    assert answer.is_leaving is is_leaving
+    assert b"server-leaving" not in [name for name, _ in answer.headers]
