--- a/rhubarbbend/codes.py
+++ b/rhubarbbend/codes.py
@@ -102,6 +102,9 @@
 PLATFORM_DOWN: Final = _declare_error(
     "platform_down", 503, "the table service is down; use a reserved key", 2.0
 )
+TARGETS_PAUSED: Final = _declare_error(
+    "targets_paused", 503, "every fitting target has asked for a pause", 1.0
+)
 RETRY_BUDGET: Final = _declare_error(
     "retry_budget_spent", 503, "the attempt failed and the retry budget is spent", 1.0
 )
@@ -154,6 +157,9 @@
 RETRY_REJECTED: Final = _declare_counter(
     "retry.rejected", "attempts moved: the target said that it did not run the request"
 )
+RETRY_WITHHELD: Final = _declare_counter(
+    "retry.withheld", "attempts moved: the target asked for a pause before the request was sent"
+)
 RETRY_MISDIRECTED: Final = _declare_counter(
     "retry.misdirected", "attempts moved: another target answered at the address"
 )
--- a/rhubarbbend/core/delivery/_steps.py
+++ b/rhubarbbend/core/delivery/_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from typing import Final
 
 import msgspec
 
@@ -16,6 +17,8 @@
 
     # No byte of the request was written.
     UNREACHED = "unreached"
+    # Nothing was written: the target asked for a pause while the connection to it was being opened.
+    WITHHELD = "withheld"
     # The target reported that it did not run the request and will not.
     REJECTED = "rejected"
     # A different target answered at the address; the request was not run.
@@ -28,6 +31,9 @@
     BROKEN = "broken"
 
 
+NOT_SENT_OUTCOMES: Final = frozenset({AttemptOutcome.UNREACHED, AttemptOutcome.WITHHELD})
+
+
 class Progress(msgspec.Struct):
     """The state of one request's delivery.
 
@@ -43,7 +49,7 @@
 
     def record_outcome(self, end: AttemptOutcome) -> None:
         """Record how an attempt ended."""
-        if end is AttemptOutcome.UNREACHED:
+        if end in NOT_SENT_OUTCOMES:
             return
         self.sends += 1
         if end is AttemptOutcome.MISDIRECTED:
@@ -81,9 +87,7 @@
     if end is AttemptOutcome.ANSWERED:
         return PASS_ANSWER
     has_attempt_left = progress.targets < route.max_attempts
-    if end is AttemptOutcome.UNREACHED:
-        return Step(True)
-    if end is AttemptOutcome.MISDIRECTED:
+    if end in NOT_SENT_OUTCOMES or end is AttemptOutcome.MISDIRECTED:
         return Step(True)
     if end is AttemptOutcome.REJECTED and (not progress.may_have_run or route.idempotent):
         return Step(has_attempt_left, codes.OVERLOADED)
--- a/rhubarbbend/core/placement/_placement.py
+++ b/rhubarbbend/core/placement/_placement.py
@@ -28,6 +28,7 @@
     Headroom,
     RequestRate,
 )
+from rhubarbbend.core.placement._pauses import PauseTracker
 from rhubarbbend.core.placement._prompt_locations import PromptLocationTracker
 from rhubarbbend.core.placement._prompts import Prompt
 from rhubarbbend.core.placement._sources import SourceFinder, SourceOptions
@@ -142,12 +143,14 @@
         loads: LoadTracker,
         health: HealthTracker,
         cold: ColdTargetShare,
+        pauses: PauseTracker,
     ) -> None:
         self._options = options
         self._registry = registry
         self._loads = loads
         self._health = health
         self._cold = cold
+        self._pauses = pauses
         self.prompt_locations = PromptLocationTracker()
         self._sources = SourceFinder(
             options.sources, registry, loads, health, self.prompt_locations
@@ -212,6 +215,12 @@
         """Return whether a target probably has the shared parts of a prompt cached."""
         return target in self._sources.list_holders(prompt, now)
 
+    def compute_pause_left(self, service: Service, now: float) -> float:
+        """Return the seconds until the first pause of a service's targets ends; 0 without one."""
+        targets = self._registry.list_available(service.name, now)
+        left = [self._pauses.compute_remaining(target.id, now) for target in targets]
+        return min((pause for pause in left if pause > 0.0), default=0.0)
+
     def record_departure(self, target: Target, now: float) -> None:
         """Remove a target whose registration was removed, but keep it as a source while it runs."""
         self._sources.record_departure(target, now)
@@ -252,8 +261,12 @@
         now: float,
     ) -> str | None:
         """Return why a target cannot receive a request now; None if it can."""
+        if target.id in excluded and self._health.is_unreachable(target.id):
+            return "unreachable"
+        if not self._pauses.may_send(target.id, now):
+            return "paused"
         if target.id in excluded:
-            return "unreachable" if self._health.is_unreachable(target.id) else "tried"
+            return "tried"
         if self._health.is_blocked(target.id, now):
             return "unreachable"
         if self._loads.count_own(target.id) >= max_requests:
--- a/rhubarbbend/gateway/_attempts.py
+++ b/rhubarbbend/gateway/_attempts.py
@@ -93,16 +93,21 @@
         request.chosen_at = self._clock()
         self._state.loads.record_start(target.id)
         self._state.placement.record_chosen(target, request.chosen_at)
+        self._state.pauses.record_chosen(target.id, request.id)
         try:
             connection = await self._connect(request, target)
             if connection is None:
                 return AttemptOutcome.UNREACHED
+            if self._state.pauses.compute_remaining(target.id, self._clock()) > 0.0:
+                self._pool.release(connection, self._clock())
+                return AttemptOutcome.WITHHELD
             return await self._send_and_receive(request, choice, connection)
         except asyncio.CancelledError:
             self._recorder.record_unfinished(request, choice)
             raise
         finally:
             self._state.loads.record_end(target.id)
+            self._state.pauses.record_end(target.id, request.id, was_accepted=False)
 
     async def _connect(self, request: OpenRequest, target: Target) -> Connection | None:
         now = self._clock()
@@ -255,6 +260,8 @@
             if not answer.request:
                 raise HttpFailure(SendStage.RESPONSE, "the answer carries no request id")
             await connection.discard_response(STRAY_ANSWER_TIMEOUT_S)
+        was_accepted = answer.status < 500 and not (answer.was_not_executed or answer.misdirected)
+        self._state.pauses.record_end(target.id, request.id, was_accepted)
         if answer.load is not None:
             self._record_load_report(request, target, answer.load)
         return answer
@@ -263,7 +270,8 @@
         if answer.pause_s is None or answer.misdirected:
             return
         self._state.metrics.increment_counter(codes.TARGET_PAUSES)
-        self._state.pauses.record_pause(target.id, answer.pause_s, self._clock())
+        random = self._state.random
+        self._state.pauses.record_pause(target.id, answer.pause_s, random, self._clock())
 
     def _record_load_report(self, request: OpenRequest, target: Target, load: int) -> None:
         """Record the load that a target reports, and count by how much it was underestimated."""
--- a/rhubarbbend/gateway/_request_server.py
+++ b/rhubarbbend/gateway/_request_server.py
@@ -28,6 +28,9 @@
 # Callers that are refused at the same time would also retry at the same time. Retry-After is
 # therefore drawn at random between this fraction of its full value and the full value.
 MIN_RETRY_AFTER_FRACTION: Final = 0.5
+# While all targets are paused, Retry-After is between the time until the first pause ends and this
+# multiple of it, even if callers have less time left: an earlier retry would be refused too.
+MAX_PAUSE_RETURN_FACTOR: Final = 1.25
 # A request is refused once more than this many targets have failed to accept a connection for it.
 MAX_CONNECT_FAILURES: Final = 4
 # Iterations of the event loop within which a disconnection is read that arrived right after the
@@ -247,7 +250,9 @@
 
     def _select_refusal(self, rejection_counts: dict[str, int]) -> ErrorCode:
         """Return the error for a request that no target can accept now."""
-        return codes.OVERLOADED if OVERLOAD_REASONS & rejection_counts.keys() else codes.NO_TARGET
+        if OVERLOAD_REASONS & rejection_counts.keys():
+            return codes.OVERLOADED
+        return codes.TARGETS_PAUSED if "paused" in rejection_counts else codes.NO_TARGET
 
     def _handle_outcome(self, request: OpenRequest, outcome: AttemptOutcome) -> bool:
         """Return whether to try another target; end the request if not."""
@@ -304,14 +309,23 @@
         if verdict is Verdict.MAY_HAVE_RUN and code.status in (429, 503):
             # These statuses guarantee that the request has not run.
             code = codes.TARGET_FAILED
-        retry_after = min(
-            code.retry_after, RETRY_AFTER_FRACTION * max(0.0, request.compute_time_left(now))
-        )
-        retry_after *= self._state.random.uniform(MIN_RETRY_AFTER_FRACTION, 1.0)
+        retry_after = self._compute_retry_after(request, code, now)
         self._write_error(request.exchange, request.id, code, verdict, retry_after)
         self._state.metrics.increment_counter(f"refused.{code.name}")
         self._log_end(request, f"refused: {code.name}", code.status, verdict, retry_after)
 
+    def _compute_retry_after(self, request: OpenRequest, code: ErrorCode, now: float) -> float:
+        """Return after how many seconds the caller should retry, drawn at random."""
+        random = self._state.random
+        if code is codes.TARGETS_PAUSED:
+            pause_left = self._state.placement.compute_pause_left(request.service, now)
+            if pause_left > 0.0:
+                return pause_left * random.uniform(1.0, MAX_PAUSE_RETURN_FACTOR)
+        retry_after = min(
+            code.retry_after, RETRY_AFTER_FRACTION * max(0.0, request.compute_time_left(now))
+        )
+        return retry_after * random.uniform(MIN_RETRY_AFTER_FRACTION, 1.0)
+
     def _reject(
         self, exchange: Exchange, request_id: str, code: ErrorCode, detail: str, now: float
     ) -> None:
--- a/rhubarbbend/gateway/_state.py
+++ b/rhubarbbend/gateway/_state.py
@@ -114,7 +114,12 @@
         self.crashes = CrashTracker()
         options = _make_options(settings)
         self.placement = Placement(
-            options, self.registry, self.loads, self.health, self.cold_target_share
+            options,
+            self.registry,
+            self.loads,
+            self.health,
+            self.cold_target_share,
+            self.pauses,
         )
         self.rollouts = RolloutTracker(_make_exposure_options(settings), self.random)
         # Set once an order to roll out a version was known, and stays set.
--- a/tests/core/placement/test_loads.py
+++ b/tests/core/placement/test_loads.py
@@ -16,6 +16,7 @@
 from rhubarbbend.core.placement import (
     HealthTracker,
     LoadTracker,
+    PauseTracker,
     Placement,
     PlacementOptions,
     Prompt,
@@ -53,7 +54,9 @@
         self.registry.mark_initial_read_complete()
         cold = ColdTargetShare(name, 1.5, 5.0)
         options = PlacementOptions("a", FACTOR)
-        self.placement = Placement(options, self.registry, self.loads, HealthTracker(), cold)
+        self.placement = Placement(
+            options, self.registry, self.loads, HealthTracker(), cold, PauseTracker()
+        )
         self.last_exchange_at = 0.0
 
 
--- a/tests/core/placement/test_placement.py
+++ b/tests/core/placement/test_placement.py
@@ -14,6 +14,7 @@
     Choice,
     HealthTracker,
     LoadTracker,
+    PauseTracker,
     Placement,
     PlacementOptions,
     Prompt,
@@ -42,8 +43,11 @@
         self.loads = LoadTracker()
         self.health = HealthTracker()
         self.cold = ColdTargetShare("a-1", 1.5, 5.0)
+        self.pauses = PauseTracker()
         options = PlacementOptions("a", 2.0)
-        self.placement = Placement(options, self.registry, self.loads, self.health, self.cold)
+        self.placement = Placement(
+            options, self.registry, self.loads, self.health, self.cold, self.pauses
+        )
         self.engines = [f"engine-{number}" for number in range(9)]
         for number, engine in enumerate(self.engines):
             self.registry.register(make_record(engine, "llm", "abc"[number % 3]), -100.0)
@@ -266,7 +270,7 @@
 def test_prompts_are_fetched_from_a_zone_out_of_service_within_the_grace() -> None:
     view = FleetView()
     options = PlacementOptions("a", 2.0, SourceOptions(evacuation_grace=5.0))
-    placement = Placement(options, view.registry, view.loads, view.health, view.cold)
+    placement = Placement(options, view.registry, view.loads, view.health, view.cold, view.pauses)
     view.placement = placement
     first = view.choose()
     assert first is not None
--- a/tests/core/placement/test_sources.py
+++ b/tests/core/placement/test_sources.py
@@ -16,7 +16,9 @@
 def make_view() -> FleetView:
     view = FleetView()
     options = PlacementOptions("a", 2.0, SourceOptions(drain_time=DRAIN_TIME_S))
-    view.placement = Placement(options, view.registry, view.loads, view.health, view.cold)
+    view.placement = Placement(
+        options, view.registry, view.loads, view.health, view.cold, view.pauses
+    )
     return view
 
 
