Targets that say that they leave get no new requests (DRAIN)

Callers' requests reached targets that had said Server-Leaving: 1 in their answers, as long as the store said that they were ready; with the store away, until its return. Cause: the header was not read. The registry now keeps it like a registration that says draining: for this start of the target, through removal and return of its registration (kept 600 s, was 60). A 421 speaks of another target and is passed over.

--- a/rhubarbbend/codes.py
+++ b/rhubarbbend/codes.py
@@ -197,6 +197,9 @@
 TARGET_PAUSES: Final = _declare_counter(
     "targets.pauses", "answers with which a target asked this instance to send nothing for a time"
 )
+TARGETS_LEAVING: Final = _declare_counter(
+    "targets.leaving", "targets that said in an answer that they leave, before the store told it"
+)
 SENT_DURING_PAUSE: Final = _declare_counter(
     "targets.sent_during_pause", "requests sent to a target within the pause that it had asked for"
 )
--- a/rhubarbbend/core/directory/_directory.py
+++ b/rhubarbbend/core/directory/_directory.py
@@ -20,7 +20,7 @@
 REREGISTRATION_WINDOW_S: Final = 2.2
 # How long the last state of a removed target is kept, so that a late write of its registration
 # does not make it ready again after it has started to drain.
-REMOVED_TARGET_TTL_S: Final = 60.0
+REMOVED_TARGET_TTL_S: Final = 600.0
 
 
 class DirectoryOptions(msgspec.Struct, frozen=True):
@@ -112,6 +112,22 @@
         target.expires_at = None
         return target
 
+    def record_leaving(self, target: Target) -> bool:
+        """Record that a target has said itself that it leaves; return False if that was known.
+
+        It holds for this start of the target, also if its registration still says that it is ready,
+        or expires and comes back.
+        """
+        current = self._targets.get(target.id)
+        was_known = target.state is TargetState.DRAINING
+        target.state = TargetState.DRAINING
+        if current is not None and current.boot == target.boot:
+            current.state = TargetState.DRAINING
+        boot, _, removed_at = self._removed.get(target.id, (-1, TargetState.READY, 0.0))
+        if boot == target.boot:
+            self._removed[target.id] = (boot, TargetState.DRAINING, removed_at)
+        return not was_known
+
     def unregister(self, target_id: str, now: float) -> None:
         """Handle a missing registration.
 
--- a/rhubarbbend/gateway/_attempts.py
+++ b/rhubarbbend/gateway/_attempts.py
@@ -252,7 +252,7 @@
         while True:
             response = await self._receive_next_head(request, target, connection)
             answer = self._target_protocol.read_response_head(response)
-            self._record_pause(target, answer)
+            self._record_notices(target, answer)
             if answer.request == request.id or answer.misdirected:
                 break
             self._state.metrics.increment_counter(codes.WRONG_ID)
@@ -266,12 +266,18 @@
             self._record_load_report(request, target, answer.load)
         return answer
 
-    def _record_pause(self, target: Target, answer: TargetResponseHead) -> None:
-        if answer.pause_s is None or answer.misdirected:
+    def _record_notices(self, target: Target, answer: TargetResponseHead) -> None:
+        """Record what an answer of a target says of the requests that may follow."""
+        now = self._clock()
+        if answer.misdirected:
+            # Another target speaks of itself.
             return
-        self._state.metrics.increment_counter(codes.TARGET_PAUSES)
-        random = self._state.random
-        self._state.pauses.record_pause(target.id, answer.pause_s, random, self._clock())
+        if answer.pause_s is not None:
+            self._state.metrics.increment_counter(codes.TARGET_PAUSES)
+            self._state.pauses.record_pause(target.id, answer.pause_s, self._state.random, now)
+        if answer.is_leaving and self._state.registry.record_leaving(target):
+            self._state.metrics.increment_counter(codes.TARGETS_LEAVING)
+            self._state.event_log.write("target_leaving", now, target=target.id, source="answer")
 
     def _record_load_report(self, request: OpenRequest, target: Target, load: int) -> None:
         """Record the load that a target reports, and count by how much it was underestimated."""
--- a/tests/core/directory/test_directory.py
+++ b/tests/core/directory/test_directory.py
@@ -100,3 +100,29 @@
     assert list_available_ids(directory, 1.0) == []
     target = directory.list_available("other", 1.0)[0]
     assert (target.address, target.zone, target.slots) == (("10.0.0.2", 8001), "b", 6)
+
+
+def test_target_that_says_it_leaves_is_not_ready_until_its_next_start() -> None:
+    # The answer may arrive after the registration has expired, has come back, or belongs to a new
+    # start; an answer of an earlier start says nothing about the new one.
+    directory = TargetRegistry()
+    first = directory.register(make_record(), 0.0)
+    assert directory.record_leaving(first) and not directory.record_leaving(first)
+    directory.register(make_record(), 1.0)
+    assert list_available_ids(directory, 1.0) == []
+    second = directory.register(make_record(boot=2), 2.0)
+    directory.record_leaving(first)
+    assert list_available_ids(directory, 2.0) == ["t-1"]
+    directory.unregister("t-1", 3.0)
+    assert directory.record_leaving(second)
+    directory.register(make_record(boot=2), 4.0)
+    assert list_available_ids(directory, 4.0) == []
+
+
+def test_answer_of_a_request_from_before_the_registration_came_back_counts() -> None:
+    directory = TargetRegistry()
+    chosen = directory.register(make_record(), 0.0)
+    directory.unregister("t-1", 1.0)
+    directory.register(make_record(), 2.0)
+    assert directory.record_leaving(chosen)
+    assert list_available_ids(directory, 2.0) == []
