--- a/rhubarbbend/core/_context.py
+++ b/rhubarbbend/core/_context.py
@@ -18,6 +18,7 @@
 
 from rhubarbbend.core import actions, events
 from rhubarbbend.core._fleet import Fleet, InstanceView, TargetView
+from rhubarbbend.core._pauses import PauseTracker
 from rhubarbbend.core.configuration import Configuration
 from rhubarbbend.core.messages import Message, SlotMessage
 
@@ -97,6 +98,7 @@
         self.random = Random(seed)
         self.configuration = Configuration()
         self.fleet = Fleet(identity.instance, identity.zone, options.peer_silence)
+        self.pauses = PauseTracker()
         self.out: list[actions.Action] = []
         self.local: deque[Message] = deque()
         self.unix_time_offset_s = 0.0
--- a/rhubarbbend/core/placement/_pauses.py
+++ b/rhubarbbend/core/_pauses.py
@@ -13,6 +13,9 @@
 # A pause is prolonged by a random part of up to this fraction of it. Instances that were asked at
 # the same time would otherwise all return at the same time.
 MAX_EXTENSION_FRACTION: Final = 0.2
+# A caller that is refused because of pauses is told to return after the time until the first one
+# ends, times a random factor of up to this, so that refused callers do not all return together.
+MAX_PAUSE_RETURN_FACTOR: Final = 1.25
 # A target that has accepted this many requests since its pause needs no more protection.
 RECOVERED_AFTER_REQUESTS: Final = 16
 # A target to which nothing was sent for this long after its pause has recovered too.
--- a/rhubarbbend/core/events.py
+++ b/rhubarbbend/core/events.py
@@ -110,6 +110,13 @@
     relayed: int = 0
 
 
+class TargetPaused(Event):
+    """A target asked this instance to send it no requests for a time, in seconds."""
+
+    target: str
+    duration_s: float
+
+
 class ProbeAnswered(Event):
     """Result of a probe of a target over a new connection; the boot id is empty without an answer.
 
--- a/rhubarbbend/core/placement/__init__.py
+++ b/rhubarbbend/core/placement/__init__.py
@@ -4,6 +4,7 @@
 report, the load reports of targets, and the targets' recent responses.
 """
 
+from rhubarbbend.core._pauses import MAX_PAUSE_RETURN_FACTOR, PauseTracker
 from rhubarbbend.core.placement._health import HealthTracker, TargetOutcomes
 from rhubarbbend.core.placement._in_flight import (
     SEQUENCE_MODULUS,
@@ -14,7 +15,6 @@
     is_plausible,
 )
 from rhubarbbend.core.placement._loads import LoadTracker, TargetLoad
-from rhubarbbend.core.placement._pauses import PauseTracker
 from rhubarbbend.core.placement._placement import (
     Choice,
     Placement,
@@ -27,6 +27,7 @@
 from rhubarbbend.core.placement._sources import SourceOptions
 
 __all__ = [
+    "MAX_PAUSE_RETURN_FACTOR",
     "SEQUENCE_MODULUS",
     "Choice",
     "HealthTracker",
--- a/rhubarbbend/core/placement/_placement.py
+++ b/rhubarbbend/core/placement/_placement.py
@@ -17,6 +17,7 @@
 
 import msgspec
 
+from rhubarbbend.core._pauses import PauseTracker
 from rhubarbbend.core._rendezvous import rank_names
 from rhubarbbend.core.catalog import Service
 from rhubarbbend.core.directory import Target, TargetRegistry
@@ -28,7 +29,6 @@
     Headroom,
     RequestRate,
 )
-from rhubarbbend.core.placement._pauses import PauseTracker
 from rhubarbbend.core.placement._prompt_locations import PromptLocationTracker
 from rhubarbbend.core.placement._prompts import Prompt
 from rhubarbbend.core.placement._sources import SourceFinder, SourceOptions
--- a/rhubarbbend/core/requests/_attempts.py
+++ b/rhubarbbend/core/requests/_attempts.py
@@ -71,13 +71,14 @@
     def dispatch(self, request: Request, now: float) -> None:
         """Send a request to the target whose slot it holds."""
         view = self._find_target(request)
-        if view is None or not self._context.accepts_new_work(view):
-            # The target has left or was taken out of service after the slot was granted, for
-            # example while a claim was being written. A slow claim table could delay the dispatch
-            # until long after that, and the target must get no new work then.
+        if view is None or not self._may_send(view, now):
+            # The target has left, was taken out of service or asked for a pause after the slot was
+            # granted, for example while a claim was being written. A slow claim table could delay
+            # the dispatch until long after that, and the target must get no new work then.
             self._leases.release(request, completed=False)
             self._search.start(request, now)
             return
+        self._context.pauses.record_chosen(view.id, request.id)
         request.phase = RequestPhase.RUNNING
         request.attempt_count += 1
         request.sent = True
@@ -94,6 +95,7 @@
             # of it yet.
             request.response_started = request.idempotent
             request.time_to_first_byte = now - request.dispatched_at
+            self._context.pauses.record_end(request.target, request.id, event.status < 500)
 
     def handle_done(self, event: events.AttemptDone, now: float) -> None:
         """Finish a request whose response is complete."""
@@ -111,12 +113,19 @@
         self._leases.release(request, completed=True, total=event.total)
         self._responses.reply(request, outcome, False, now)
 
+    def handle_pause(self, event: events.TargetPaused, now: float) -> None:
+        """Record that a target wants no requests for a time."""
+        context = self._context
+        context.count(codes.TARGET_PAUSES)
+        context.pauses.record_pause(event.target, event.duration_s, context.random, now)
+
     def handle_failure(self, event: events.AttemptFailed, now: float) -> None:
         """Retry, resume, probe or end a request whose attempt failed."""
         request = self._table.find_by_attempt(event.attempt)
         if request is None:
             return
         request.relayed_bytes = event.relayed
+        self._context.pauses.record_end(request.target, request.id, was_accepted=False)
         if event.reason == codes.WRONG_ID:
             self._context.count(codes.WRONG_ID)
         if event.stage == STAGE_CONNECT:
@@ -158,6 +167,10 @@
         if view is not None and request.idempotent:
             self._context.emit(actions.CancelAttempt(request.attempt, view.host, view.port))
 
+    def _may_send(self, view: TargetView, now: float) -> bool:
+        is_accepting = self._context.accepts_new_work(view)
+        return is_accepting and self._context.pauses.may_send(view.id, now)
+
     def _find_target(self, request: Request) -> TargetView | None:
         return self._context.fleet.targets.get(request.target)
 
@@ -218,6 +231,8 @@
             return
         if request.phase is not RequestPhase.RUNNING or request.response_started:
             return
+        if self._context.pauses.compute_remaining(request.target, now) > 0.0:
+            return
         limit = self._context.options.max_silent_checks
         if not self._can_resume(request):
             # A plain service runs a request twice that is sent again, so it is sent again at most
@@ -243,7 +258,8 @@
         view = self._find_target(request)
         request.resume_count += 1
         exhausted = request.resume_count > self._context.options.max_resumes
-        if view is None or exhausted or not self._context.accepts_new_work(view):
+        is_paused = self._context.pauses.compute_remaining(request.target, now) > 0.0
+        if view is None or exhausted or is_paused or not self._context.accepts_new_work(view):
             self._retry_elsewhere(request, codes.RETRY_FAILED, now)
             return
         self._emit_dispatch(request, view, fresh=True, now=now)
--- a/rhubarbbend/core/requests/_coordinator.py
+++ b/rhubarbbend/core/requests/_coordinator.py
@@ -76,6 +76,7 @@
             events.AttemptHead: self._attempts.handle_head,
             events.AttemptDone: self._attempts.handle_done,
             events.AttemptFailed: self._attempts.handle_failure,
+            events.TargetPaused: self._attempts.handle_pause,
             events.ProbeAnswered: self._attempts.handle_probe,
             events.PeerLost: self._handle_peer_lost,
         }
--- a/rhubarbbend/core/requests/_planner.py
+++ b/rhubarbbend/core/requests/_planner.py
@@ -37,6 +37,19 @@
         policy = self._get_policy(request.service)
         return policy.plan(routed_request, candidates, self._context.random)
 
+    def compute_pause_left(self, request: Request, now: float) -> float | None:
+        """Return the seconds until a target may be tried again; None if no pause keeps one away.
+
+        It is 0 if a target has just returned from its pause and is tried by another request.
+        """
+        left = [
+            self._context.pauses.compute_remaining(view.id, now)
+            for view in self._context.fleet.list_targets(request.service.name)
+            if self._context.accepts_new_work(view)
+            and not self._context.pauses.may_send(view.id, now)
+        ]
+        return min(left, default=None)
+
     def make_ticket(self, request: Request, now: float) -> str:
         """Return the ticket that routes the chat's next request to this target.
 
@@ -68,7 +81,7 @@
             known = view.zone == own_zone and view.updated >= 0
             if view.id in request.excluded_targets or view.down_until > now:
                 continue
-            if not context.accepts_new_work(view):
+            if not context.accepts_new_work(view) or not context.pauses.may_send(view.id, now):
                 continue
             if known and (not view.ready or not _has_model(view, model)):
                 continue
--- a/rhubarbbend/core/requests/_responses.py
+++ b/rhubarbbend/core/requests/_responses.py
@@ -19,12 +19,13 @@
 from rhubarbbend.core.requests._request_table import RequestTable
 from rhubarbbend.core.requests._slots import SlotLeases
 
-# Slot refusals, for which the owner has said when a slot may become free.
+# Refusals for which it is known when a slot or a target may become free.
 SLOT_REFUSAL_CODES: Final = (
     codes.OVERLOADED,
     codes.QUEUE_FULL,
     codes.WAIT_TOO_LONG,
     codes.NO_TARGET,
+    codes.TARGETS_PAUSED,
 )
 PEER_REQUEST_ID_SEPARATOR: Final = "/"
 
--- a/rhubarbbend/core/requests/_slots.py
+++ b/rhubarbbend/core/requests/_slots.py
@@ -13,6 +13,7 @@
 from rhubarbbend.codes import ErrorCode
 from rhubarbbend.core._context import Context
 from rhubarbbend.core._fleet import TargetView
+from rhubarbbend.core._pauses import MAX_PAUSE_RETURN_FACTOR
 from rhubarbbend.core._suspects import CrashSuspectTracker
 from rhubarbbend.core.messages import (
     HeldSlot,
@@ -196,10 +197,19 @@
         request.is_suspect = self._suspects.get_crash_count(digest) > 0
         request.plan = self.planner.plan(request, now)
         if not request.plan:
-            self._listener.handle_slot_refused(request, codes.NO_TARGET, now)
+            self._refuse_without_plan(request, now)
             return
         self.try_next_target(request, now)
 
+    def _refuse_without_plan(self, request: Request, now: float) -> None:
+        pause_left = self.planner.compute_pause_left(request, now)
+        if pause_left is None:
+            self._listener.handle_slot_refused(request, codes.NO_TARGET, now)
+            return
+        spread = self._context.random.uniform(1.0, MAX_PAUSE_RETURN_FACTOR)
+        request.owner_retry_after = pause_left * spread
+        self._listener.handle_slot_refused(request, codes.TARGETS_PAUSED, now)
+
     def try_next_target(self, request: Request, now: float) -> None:
         """Ask the owner of the next planned target for a slot.
 
--- a/rhubarbbend/gateway/_request_server.py
+++ b/rhubarbbend/gateway/_request_server.py
@@ -15,6 +15,7 @@
 from rhubarbbend.codes import ErrorCode, Verdict
 from rhubarbbend.core.catalog import Catalog, RequestKind
 from rhubarbbend.core.delivery import AttemptOutcome, compute_verdict, decide_step
+from rhubarbbend.core.placement import MAX_PAUSE_RETURN_FACTOR
 from rhubarbbend.gateway._attempts import AttemptRunner, RetryBudgetExhausted, send_answer
 from rhubarbbend.gateway._interfaces import BadRequest, CallerProtocol, CallerRequest
 from rhubarbbend.gateway._requests import OpenRequest
@@ -28,9 +29,6 @@
 # Callers that are refused at the same time would also retry at the same time. Retry-After is
 # therefore drawn at random between this fraction of its full value and the full value.
 MIN_RETRY_AFTER_FRACTION: Final = 0.5
-# While all targets are paused, Retry-After is between the time until the first pause ends and this
-# multiple of it, even if callers have less time left: an earlier retry would be refused too.
-MAX_PAUSE_RETURN_FACTOR: Final = 1.25
 # A request is refused once more than this many targets have failed to accept a connection for it.
 MAX_CONNECT_FAILURES: Final = 4
 # Iterations of the event loop within which a disconnection is read that arrived right after the
@@ -320,6 +318,7 @@
         if code is codes.TARGETS_PAUSED:
             pause_left = self._state.placement.compute_pause_left(request.service, now)
             if pause_left > 0.0:
+                # Not shortened to the time that the caller has left: it would be refused again.
                 return pause_left * random.uniform(1.0, MAX_PAUSE_RETURN_FACTOR)
         retry_after = min(
             code.retry_after, RETRY_AFTER_FRACTION * max(0.0, request.compute_time_left(now))
--- a/rhubarbbend/http/__init__.py
+++ b/rhubarbbend/http/__init__.py
@@ -9,6 +9,7 @@
 from rhubarbbend.http._exchange import Exchange
 from rhubarbbend.http._failures import REASON_TIMEOUT, HttpFailure, SendStage
 from rhubarbbend.http._pool import ConnectionPool, fetch
+from rhubarbbend.http._retry_after import read_pause
 from rhubarbbend.http._server import HttpServer, ServerLimits
 
 __all__ = [
@@ -24,4 +25,5 @@
     "SendStage",
     "ServerLimits",
     "fetch",
+    "read_pause",
 ]
--- a/standins/_engine.py
+++ b/standins/_engine.py
@@ -8,7 +8,8 @@
 `POST /admin/faults` injects faults: `turn_cold` (clear the cache and be cold again), `crash_on`
 (the process exits when a request contains this text), `cut_after` (the next response is cut after
 so many bytes), `wrong_id` (the next response carries another request id), `stall` (seconds added
-before each prefill), `state` (the state that the load report shows).
+before each prefill), `state` (the state that the load report shows), `pause_s` (requests are
+rejected with 503 and a `Retry-After` of so many seconds).
 """
 
 from __future__ import annotations
@@ -25,7 +26,7 @@
 import msgspec
 
 from rhubarbbend.http import Exchange
-from standins._server import StandIn, read_query, respond_json
+from standins._server import StandIn, read_query, respond_json, respond_paused
 
 BLOCK_CHARS = 256
 CHARS_PER_TOKEN = 4
@@ -57,6 +58,7 @@
     wrong_id: bool = False
     stall: float = 0.0
     state: str = ""
+    pause_s: float = 0.0
 
 
 class Stats(msgspec.Struct):
@@ -76,6 +78,7 @@
     fell_over: int = 0
     cancelled: int = 0
     resumed: int = 0
+    rejected: int = 0
     last_request: float = 0.0
 
 
@@ -246,6 +249,10 @@
         except msgspec.MsgspecError as error:
             respond_json(exchange, {"error": str(error)}, 400)
             return
+        if self._faults.pause_s:
+            self._stats.rejected += 1
+            respond_paused(exchange, self._faults.pause_s)
+            return
         request_id = exchange.headers.get("x-request-id", uuid.uuid4().hex)
         if self._faults.crash_on and self._faults.crash_on.encode() in exchange.body:
             # Exit with a delay, so that concurrent requests are running when the process exits.
--- a/standins/_plain_service.py
+++ b/standins/_plain_service.py
@@ -5,8 +5,9 @@
 `hold` (seconds between the execution and its response), `crash_before` and `crash_after` (the
 process exits at the next command, before or after its execution is counted), `silent` (the next
 command is executed but gets no response), `crash_on` (the process exits when a request body
-contains this text), `state` (the state that the load report shows). The file given by `--journal`
-keeps one line for each execution, so that the counts survive a crash.
+contains this text), `state` (the state that the load report shows), `pause_s` (requests are
+rejected with 503 and a `Retry-After` of so many seconds). The file given by `--journal` keeps one
+line for each execution, so that the counts survive a crash.
 """
 
 from __future__ import annotations
@@ -22,7 +23,7 @@
 import msgspec
 
 from rhubarbbend.http import Exchange
-from standins._server import StandIn, respond_json
+from standins._server import StandIn, respond_json, respond_paused
 
 EXIT_CRASHED = 70
 # How long a command that gets no response is held, when `silent` is set.
@@ -39,6 +40,7 @@
     silent: bool = False
     crash_on: str = ""
     state: str = ""
+    pause_s: float = 0.0
 
 
 class Stats(msgspec.Struct):
@@ -49,6 +51,7 @@
     running: int = 0
     max_running: int = 0
     last_request: float = 0.0
+    rejected: int = 0
 
 
 class PlainService(StandIn):
@@ -83,7 +86,10 @@
         try:
             if self._faults.crash_on and self._faults.crash_on.encode() in exchange.body:
                 os._exit(EXIT_CRASHED)
-            if exchange.method == "GET":
+            if self._faults.pause_s:
+                stats.rejected += 1
+                respond_paused(exchange, self._faults.pause_s)
+            elif exchange.method == "GET":
                 await self._handle_lookup(exchange, path)
             else:
                 await self._handle_command(exchange, path)
--- a/standins/_server.py
+++ b/standins/_server.py
@@ -20,6 +20,13 @@
     exchange.respond(status, JSON_HEADERS, msgspec.json.encode(value))
 
 
+def respond_paused(exchange: Exchange, pause_s: float) -> None:
+    """Reject a request and ask its sender to send nothing for so many seconds."""
+    request_id = exchange.headers.get("x-request-id", "")
+    headers = [("X-Request-Id", request_id), ("Retry-After", f"{pause_s:g}")]
+    exchange.respond(503, headers, b"")
+
+
 def read_query(exchange: Exchange) -> dict[str, str]:
     """Return the query parameters of a request; of a repeated name, the last value counts."""
     query = parse_qs(urlsplit(exchange.target).query, keep_blank_values=True)
--- a/tests/core/placement/test_pauses.py
+++ b/tests/core/test_pauses.py
@@ -6,9 +6,9 @@
 
 import pytest
 
+from rhubarbbend.core._pauses import MAX_EXTENSION_FRACTION, RECOVERED_AFTER_REQUESTS
 from rhubarbbend.core.directory import TargetState
 from rhubarbbend.core.placement import PauseTracker, Reason
-from rhubarbbend.core.placement._pauses import MAX_EXTENSION_FRACTION, RECOVERED_AFTER_REQUESTS
 from tests.core.placement.test_placement import ENGINES, FleetView, make_record
 
 TARGET = "engine-0"
