Soak: targets ask for pauses and say that they leave, and instances are judged by it

Checked are the users' rules as worded: at most two requests of an instance between 0.5 s after it was asked for a pause and the end, no request sent 2 s after an instance had passed on that a target leaves; a restart, suspension or cut excuses it.

--- a/loadtool/__main__.py
+++ b/loadtool/__main__.py
@@ -28,7 +28,14 @@
 def _run_soak(options: argparse.Namespace) -> int:
     if options.on == "product":
         return _chaos.main(options.seed, options.duration)
-    return _soak.main(options.seed, options.seeds, options.duration, options.size, options.rollout)
+    return _soak.main(
+        options.seed,
+        options.seeds,
+        options.duration,
+        options.size,
+        options.rollout,
+        options.notices,
+    )
 
 
 def _parse_arguments() -> argparse.Namespace:
@@ -58,6 +65,9 @@
     rollouts.add_argument("--design", choices=sorted(DESIGNS), default="capped")
     rollouts.add_argument("--site", choices=sorted(SITES), default="", help="one service only")
     soak.add_argument("--rollout", action="store_true", help="roll out a version meanwhile")
+    soak.add_argument(
+        "--notices", action="store_true", help="targets also ask for pauses and say that they leave"
+    )
     _commands.add_parsers(commands)
     return parser.parse_args()
 
--- a/loadtool/_soak.py
+++ b/loadtool/_soak.py
@@ -19,8 +19,14 @@
 from loadtool._gateway_fleet import ACCOUNT, HOST, KEY, ZONES, GatewayFleet, start_fleet
 from loadtool._soak_checks import RequestOutcome, RunRecord, count_outcomes, find_violations
 from loadtool._soak_faults import SECOND_KEY, SoakFaultInjector
+from loadtool._soak_notices import find_notice_violations
 from loadtool._soak_rollout import SoakRollout
-from loadtool._soak_schedule import ScheduledSoakFault, SoakLayout, make_soak_schedule
+from loadtool._soak_schedule import (
+    ScheduledSoakFault,
+    SoakLayout,
+    make_notice_schedule,
+    make_soak_schedule,
+)
 from rhubarbbend.http import Connection, HttpFailure
 
 DEFAULT_INSTANCE_COUNT: Final = 6
@@ -164,6 +170,15 @@
     return SoakLayout(ZONES, [f"front-{n}" for n in range(instance_count)], targets)
 
 
+def _make_schedule(
+    seed: int, duration: float, instance_count: int, peer_path_faults: bool, has_notices: bool
+) -> list[ScheduledSoakFault]:
+    layout = make_soak_layout(instance_count)
+    schedule = make_soak_schedule(seed, duration, layout, peer_path_faults)
+    notices = make_notice_schedule(seed, duration, layout) if has_notices else []
+    return sorted([*schedule, *notices], key=lambda scheduled_fault: scheduled_fault.at)
+
+
 async def run_soak(
     seed: int,
     duration: float,
@@ -171,15 +186,14 @@
     folder: Path,
     peer_path_faults: bool = True,
     has_rollout: bool = False,
+    has_notices: bool = False,
 ) -> SoakResult:
     """Run the schedule of a seed and check every guarantee; `duration` is in seconds.
 
     With `peer_path_faults` the paths between instances fail too. With `has_rollout` a version is
-    rolled out meanwhile.
+    rolled out meanwhile, with `has_notices` targets ask for pauses and say that they leave.
     """
-    schedule = make_soak_schedule(
-        seed, duration, make_soak_layout(instance_count), peer_path_faults
-    )
+    schedule = _make_schedule(seed, duration, instance_count, peer_path_faults, has_notices)
     counts = {"plain_worker_count": TARGETS_PER_SERVICE, "engine_worker_count": TARGETS_PER_SERVICE}
     async with start_fleet(
         folder, instances=instance_count, use_proxy_routes=True, **counts
@@ -215,7 +229,9 @@
     record.zone_by_target |= {name: node.zone for name, node in fleet.workers.items()}
     violations = await _check_recovery(fleet, callers[0])
     readiness_task.cancel()
-    violations += find_violations(record, fleet.read_arrivals())
+    arrivals = fleet.read_arrivals()
+    violations += find_violations(record, arrivals)
+    violations += find_notice_violations(record, arrivals)
     violations += _find_internal_errors(fleet)
     if rollout is not None:
         violations += rollout.find_violations(record)
@@ -265,19 +281,27 @@
     duration: float,
     instance_count: int,
     has_rollout: bool = False,
+    has_notices: bool = False,
 ) -> int:
     """Run seeds one after the other; return exit status 1 if a guarantee was violated, else 0."""
     status = 0
     for seed in range(first_seed, first_seed + seed_count):
         print(f"soak: seed {seed}, {duration:.0f} s, {instance_count} instances, account {ACCOUNT}")
         if seed_count == 1:
-            for scheduled_fault in make_soak_schedule(
-                seed, duration, make_soak_layout(instance_count)
+            for scheduled_fault in _make_schedule(
+                seed, duration, instance_count, True, has_notices
             ):
                 print(f"  {scheduled_fault}")
         with tempfile.TemporaryDirectory(prefix="rhubarbbend-soak-") as name:
             folder = Path(name)
-            soak = run_soak(seed, duration, instance_count, folder, has_rollout=has_rollout)
+            soak = run_soak(
+                seed,
+                duration,
+                instance_count,
+                folder,
+                has_rollout=has_rollout,
+                has_notices=has_notices,
+            )
             result = asyncio.run(soak)
             print(format_result(result), flush=True)
         status |= bool(result.violations)
--- a/loadtool/_soak_faults.py
+++ b/loadtool/_soak_faults.py
@@ -15,11 +15,14 @@
 # The platform kills a process this long after it was told to stop.
 STOP_TIMEOUT_S: Final = 8.0
 COLD_DURATION_S: Final = 3.0
+# The pause that a target asks for with each rejection.
+PAUSE_S: Final = 2.0
 STORE_DELAY_S: Final = 0.2
 LINK_DELAY_S: Final = 0.1
 # The faults that a target injects, and the settings that end them.
 TARGET_FAULTS: Final[dict[SoakFault, dict[str, Any]]] = {
     SoakFault.TARGET_REJECTS: {"reject": True},
+    SoakFault.TARGET_ASKS_PAUSE: {"reject": True, "pause_s": PAUSE_S},
     SoakFault.TARGET_FAILS: {"status": 500},
     SoakFault.TARGET_CUTS: {"cut_after": 2},
     SoakFault.TARGET_TRUNCATES: {"truncate": True},
@@ -28,6 +31,7 @@
 }
 NO_TARGET_FAULTS: Final[dict[str, Any]] = {
     "reject": False,
+    "pause_s": 0.0,
     "status": 0,
     "cut_after": -1,
     "truncate": False,
@@ -184,6 +188,10 @@
             self._record.leaving.append(Period(name, time.time()))
             await self._sleep_until(scheduled_fault.until)
             await self._replace_target(scheduled_fault.victim, node)
+        elif scheduled_fault.fault is SoakFault.TARGET_SAYS_LEAVING:
+            await self._set_target_faults(node, {"leaving": True})
+            await self._sleep_until(scheduled_fault.until)
+            await self._replace_target(scheduled_fault.victim, node)
         else:
             await self._set_target_faults(node, TARGET_FAULTS[scheduled_fault.fault])
             await self._sleep_until(scheduled_fault.until)
--- a/loadtool/_soak_schedule.py
+++ b/loadtool/_soak_schedule.py
@@ -7,7 +7,7 @@
 from typing import Final
 
 import attrs
-from numpy.random import default_rng
+from numpy.random import Generator, default_rng
 
 from loadtool._fault_schedule import choose
 
@@ -62,6 +62,9 @@
     TARGET_BABBLES = ("target_babbles", FaultScope.TARGET, 0.5, 2.0)
     TARGET_ANSWERS_TWICE = ("target_answers_twice", FaultScope.TARGET, 0.5, 2.0)
     TARGET_DRAINS = ("target_drains", FaultScope.TARGET, 4.0, 5.0)
+    # Notices that a target gives in its answers while the store says that it is ready.
+    TARGET_ASKS_PAUSE = ("target_asks_pause", FaultScope.TARGET, 0.5, 3.0)
+    TARGET_SAYS_LEAVING = ("target_says_leaving", FaultScope.TARGET, 4.0, 5.0)
     LINK_RESET = ("link_reset", FaultScope.TARGET, 0.0, 0.1)
     LINK_SILENT = ("link_silent", FaultScope.TARGET, 0.0, 0.1)
     LINK_LOST = ("link_lost", FaultScope.TARGET, 0.5, 3.0)
@@ -79,6 +82,11 @@
         self.max_duration = max_duration
 
 
+NOTICES: Final = (SoakFault.TARGET_ASKS_PAUSE, SoakFault.TARGET_SAYS_LEAVING)
+# Mean time between the starts of two notices, in seconds.
+MEAN_NOTICE_INTERVAL_S: Final = 1.5
+
+
 @attrs.define(slots=True, frozen=True)
 class ScheduledSoakFault:
     """A fault that starts `at` and ends `until` so many seconds after the start of the run.
@@ -119,8 +127,28 @@
     """
     rng = default_rng(seed)
     faults = [
-        fault for fault in SoakFault if peer_path_faults or fault.scope is not FaultScope.PEERS
+        fault
+        for fault in SoakFault
+        if fault not in NOTICES and (peer_path_faults or fault.scope is not FaultScope.PEERS)
     ]
+    return _schedule_faults(rng, faults, duration, layout, MEAN_FAULT_INTERVAL_S)
+
+
+def make_notice_schedule(
+    seed: int, duration: float, layout: SoakLayout
+) -> list[ScheduledSoakFault]:
+    """Return random notices of targets, to be added to the faults of the same seed."""
+    rng = default_rng([seed, len(NOTICES)])
+    return _schedule_faults(rng, NOTICES, duration, layout, MEAN_NOTICE_INTERVAL_S)
+
+
+def _schedule_faults(
+    rng: Generator,
+    faults: Sequence[SoakFault],
+    duration: float,
+    layout: SoakLayout,
+    mean_interval_s: float,
+) -> list[ScheduledSoakFault]:
     scheduled_faults: list[ScheduledSoakFault] = []
     at = QUIET_START_S
     last_start = duration * (1.0 - QUIET_END_FRACTION)
@@ -141,7 +169,7 @@
             ):
                 scheduled_faults.append(scheduled_fault)
             starts_at = until + SERIES_INTERVAL_S
-        at += float(rng.exponential(MEAN_FAULT_INTERVAL_S))
+        at += float(rng.exponential(mean_interval_s))
     return sorted(scheduled_faults, key=lambda scheduled_fault: scheduled_fault.at)
 
 
--- a/standins/_worker.py
+++ b/standins/_worker.py
@@ -77,7 +77,11 @@
 
 
 class Arrival(msgspec.Struct):
-    """A line of the arrivals file: a worker received a request at Unix time `at`."""
+    """A line of the arrivals file: a worker received a request at Unix time `at`.
+
+    `pause_s` is the pause that the worker asked for in its response, `leaving` whether it said that
+    it leaves.
+    """
 
     id: str
     worker: str
@@ -86,6 +90,8 @@
     method: str
     target: str
     account: str
+    pause_s: float = 0.0
+    leaving: bool = False
 
 
 class Stats(msgspec.Struct):
@@ -191,8 +197,17 @@
         )
         if self._arrivals is not None:
             account = headers.get("tenant", "")
+            pause_s = faults.pause_s if faults.reject and expected == self._name else 0.0
             arrival = Arrival(
-                attempt_id, self._name, time.time(), will_run, method, target, account
+                attempt_id,
+                self._name,
+                time.time(),
+                will_run,
+                method,
+                target,
+                account,
+                pause_s,
+                faults.leaving,
             )
             self._arrivals.write(msgspec.json.encode(arrival) + b"\n")
         id_headers = [("Attempt-Id", attempt_id), *self._make_notices()]
--- a/tests/loadtool/test_soak.py
+++ b/tests/loadtool/test_soak.py
@@ -13,6 +13,7 @@
 
 from loadtool._soak import format_result, make_soak_layout, run_soak
 from loadtool._soak_checks import Period, RequestOutcome, RunRecord, find_violations
+from loadtool._soak_notices import find_notice_violations
 from loadtool._soak_schedule import ScheduledSoakFault, SoakFault, make_soak_schedule
 from standins._worker import Arrival, make_response_body
 
@@ -110,6 +111,42 @@
     assert schedule != make_soak_schedule(8, DURATION, layout)
 
 
+def make_notices(worker_says: dict[str, object], *later: float) -> tuple[RunRecord, list[Arrival]]:
+    """Return a record of a request to which a worker said something, and of later ones to it."""
+    first = make_arrival(110.0)
+    for name, value in worker_says.items():
+        setattr(first, name, value)
+    outcomes = [make_outcome(sent_at=110.0, ended_at=110.1)]
+    arrivals = [first]
+    for number, at in enumerate(later):
+        outcomes.append(make_outcome(id=f"later-{number}", sent_at=at, ended_at=at + 0.1))
+        arrivals.append(make_arrival(at, request=f"later-{number}"))
+    return RunRecord(100.0, outcomes, zone_by_target={"w1": "zone-a"}), arrivals
+
+
+@pytest.mark.parametrize(
+    ("worker_says", "later", "guarantee"),
+    [
+        ({"ran": False, "pause_s": 3.0}, (110.6, 111.0, 112.9), "pause"),
+        ({"ran": False, "pause_s": 3.0}, (110.1, 110.2, 110.4, 111.0, 112.9, 113.1), ""),
+        ({"ran": False}, (110.6, 111.0, 112.9), ""),
+        ({"leaving": True}, (112.5,), "leaving"),
+        ({"leaving": True}, (110.2, 111.0, 112.0), ""),
+        ({"leaving": True, "ran": False}, (112.5,), ""),
+        ({}, (112.5,), ""),
+    ],
+)
+def test_notices_of_targets_that_are_ignored_are_found(
+    worker_says: dict[str, object], later: tuple[float, ...], guarantee: str
+) -> None:
+    record, arrivals = make_notices(worker_says, *later)
+    found = find_notice_violations(record, arrivals)
+    assert [line.partition(":")[0] for line in found] == ([guarantee] if guarantee else [])
+    # A restart of the instance in between excuses it.
+    record.scheduled_faults = [ScheduledSoakFault(10.3, 10.5, SoakFault.KILL, "front-0")]
+    assert find_notice_violations(record, arrivals) == []
+
+
 # These run one at a time: each uses one or two processor cores, and tests that run in parallel have
 # time limits.
 @pytest.mark.xdist_group("soak")
@@ -137,3 +174,16 @@
     print(format_result(result))
     assert result.violations == []
     assert "rolled_back" in result.rollout
+
+
+# 5: found no fault; five targets ask for pauses, three say that they leave.
+@pytest.mark.xdist_group("soak")
+@pytest.mark.parametrize("seed", [5])
+def test_all_guarantees_hold_while_targets_give_notices(seed: int, tmp_path: Path) -> None:
+    """Targets ask for pauses and say that they leave while instances, store and paths fail."""
+    run = run_soak(seed, DURATION, INSTANCE_COUNT, tmp_path, has_notices=True)
+    result = asyncio.run(run)
+    print(format_result(result))
+    assert result.violations == []
+    served = sum(outcome.status == 200 and outcome.complete for outcome in result.record.outcomes)
+    assert served > 0.7 * len(result.record.outcomes)
