Counters and logs: why a request finds no target on the product's own interface

Five counters by reason, counted at each such refusal, and the log line target_held_down. No decision changes.

--- a/rhubarbbend/codes.py
+++ b/rhubarbbend/codes.py
@@ -194,6 +194,21 @@
 LOAD_UNDERESTIMATED: Final = _declare_counter(
     "loads.unseen", "requests that targets then held beyond what was estimated, added up"
 )
+UNFIT_TRIED: Final = _declare_counter(
+    "unfit.tried", "of refusals without a fitting target: targets that the request had been at"
+)
+UNFIT_HELD_DOWN: Final = _declare_counter(
+    "unfit.held_down", "the same: targets that gave no sign a short time before"
+)
+UNFIT_NO_NEW_WORK: Final = _declare_counter(
+    "unfit.no_new_work", "the same: targets that leave or are out of service"
+)
+UNFIT_PAUSED: Final = _declare_counter(
+    "unfit.paused", "the same: targets that asked for a pause, or return from one"
+)
+UNFIT_NOT_READY: Final = _declare_counter(
+    "unfit.not_ready", "the same: targets whose owner sees them not ready, or without the model"
+)
 TARGET_PAUSES: Final = _declare_counter(
     "targets.pauses", "answers with which a target asked this instance to send nothing for a time"
 )
--- a/rhubarbbend/core/requests/_attempts.py
+++ b/rhubarbbend/core/requests/_attempts.py
@@ -298,6 +298,7 @@
         view = self._find_target(request)
         if view is not None and not event.boot_id:
             view.down_until = now + self._context.options.down_hold
+            self._context.log("target_held_down", target=view.id, attempt=event.attempt)
 
     def _resume(self, request: Request, target_lost: bool, now: float) -> None:
         """Resume an interrupted response at its offset on the same engine.
--- a/rhubarbbend/core/requests/_planner.py
+++ b/rhubarbbend/core/requests/_planner.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import enum
+
 from rhubarbbend import codes
 from rhubarbbend.core._context import Context
 from rhubarbbend.core._fleet import TargetView
@@ -16,6 +18,19 @@
 from rhubarbbend.core.routing._tickets import ContextLocation, Ticket, decode_ticket, encode_ticket
 
 
+class Unfit(enum.Enum):
+    """Why a target is no candidate for a request, counted if none is one.
+
+    The values are the names of counters.
+    """
+
+    TRIED = codes.UNFIT_TRIED
+    HELD_DOWN = codes.UNFIT_HELD_DOWN
+    NO_NEW_WORK = codes.UNFIT_NO_NEW_WORK
+    PAUSED = codes.UNFIT_PAUSED
+    NOT_READY = codes.UNFIT_NOT_READY
+
+
 class Planner:
     """Plans the targets of requests with the routing policies of their services.
 
@@ -73,18 +88,12 @@
 
     def _list_candidates(self, request: Request, now: float) -> list[Candidate]:
         context = self._context
-        own_zone = context.identity.zone
-        model = request.arrival.model
         found: list[Candidate] = []
         unreachable: list[Candidate] = []
         for view in context.fleet.list_targets(request.service.name):
-            known = view.zone == own_zone and view.updated >= 0
-            if view.id in request.excluded_targets or view.down_until > now:
-                continue
-            if not context.accepts_new_work(view) or not context.pauses.may_send(view.id, now):
-                continue
-            if known and (not view.ready or not _has_model(view, model)):
+            if self._find_unfit(request, view, now) is not None:
                 continue
+            known = self._is_known(view)
             reachable = context.fleet.is_reachable(context.fleet.find_owner(view))
             (found if reachable else unreachable).append(
                 Candidate(
@@ -95,13 +104,38 @@
                     view.limit,
                     known,
                     view.cold,
-                    view.zone == own_zone,
+                    view.zone == context.identity.zone,
                 )
             )
         # Asking an owner behind a network partition costs a time-out, so targets of such owners are
         # used only if there are no others.
         return found or unreachable
 
+    def _is_known(self, view: TargetView) -> bool:
+        """Return whether the target's owner tells this instance what it has reported."""
+        return view.zone == self._context.identity.zone and view.updated >= 0
+
+    def _find_unfit(self, request: Request, view: TargetView, now: float) -> Unfit | None:
+        """Return why a target is no candidate for a request; None if it is one."""
+        if view.id in request.excluded_targets:
+            return Unfit.TRIED
+        if view.down_until > now:
+            return Unfit.HELD_DOWN
+        if not self._context.accepts_new_work(view):
+            return Unfit.NO_NEW_WORK
+        if not self._context.pauses.may_send(view.id, now):
+            return Unfit.PAUSED
+        if self._is_known(view) and not (view.ready and _has_model(view, request.arrival.model)):
+            return Unfit.NOT_READY
+        return None
+
+    def count_unfit(self, request: Request, now: float) -> None:
+        """Count why each target of the service is no candidate for a request."""
+        for view in self._context.fleet.list_targets(request.service.name):
+            reason = self._find_unfit(request, view, now)
+            if reason is not None:
+                self._context.count(reason.value)
+
     def _make_routed_request(self, request: Request, now: float) -> RoutedRequest:
         arrived = request.arrival
         ticket = self._read_ticket(request)
--- a/rhubarbbend/core/requests/_slots.py
+++ b/rhubarbbend/core/requests/_slots.py
@@ -202,6 +202,7 @@
         self.try_next_target(request, now)
 
     def _refuse_without_plan(self, request: Request, now: float) -> None:
+        self.planner.count_unfit(request, now)
         pause_left = self.planner.compute_pause_left(request, now)
         if pause_left is None:
             self._listener.handle_slot_refused(request, codes.NO_TARGET, now)
