Test: a late failure of a report refuses requests after a partition (red)

That is the second hypothesis, with another reason than a report that is late: a read that began in the partition times out after it.

The red test drives the owner by events. ReportFailed says whether the read was silent until its time-out; nothing is decided by it yet.

--- a/rhubarbbend/core/events.py
+++ b/rhubarbbend/core/events.py
@@ -143,10 +143,14 @@
 
 
 class ReportFailed(Event):
-    """A target's load report could not be read."""
+    """A target's load report could not be read.
+
+    `silent` distinguishes a read that got no sign of the target until its time-out.
+    """
 
     target: str
     reason: str
+    silent: bool = False
 
 
 class PeerSaid(Event):
--- a/rhubarbbend/shell/_attempts.py
+++ b/rhubarbbend/shell/_attempts.py
@@ -351,7 +351,8 @@
             report = kind.read_report(data)
         except (HttpFailure, msgspec.MsgspecError) as error:
             self._pool.close_idle_to((action.host, action.port))
-            self._submit_event(events.ReportFailed(action.target, str(error)))
+            silent = isinstance(error, HttpFailure) and error.reason == REASON_TIMEOUT
+            self._submit_event(events.ReportFailed(action.target, str(error), silent))
             return
         self._submit_event(
             events.ReportRead(
--- a/tests/core/owners/test_owner.py
+++ b/tests/core/owners/test_owner.py
@@ -9,7 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from rhubarbbend.core import events
+from rhubarbbend.core import actions, events
 from rhubarbbend.core.accepted._follower import CHANGE_SCAN_OP
 from rhubarbbend.core.configuration import Service
 from rhubarbbend.core.messages import Handover, HeldSlot, SlotRenewal, TargetLoad
@@ -462,6 +462,33 @@
     assert driver.find_refusal(driver.request_slot(TARGET)) == REFUSAL_NOT_READY
 
 
+def ask_reports(driver: Driver) -> list[actions.ReadReport]:
+    """Let a read of the target's report time out and return the reads that follow at once."""
+    emitted = driver.handle(events.ReportFailed(TARGET, "timeout", silent=True))
+    return [action for action in emitted if isinstance(action, actions.ReadReport)]
+
+
+# Guards against refusing requests when a read that began during a partition fails after its end.
+def test_a_late_failure_of_a_read_does_not_refuse_requests_after_a_partition() -> None:
+    driver = make_owner(HIGH_FLOOR)
+    driver.now += 3.2
+    reads = ask_reports(driver)
+    assert driver.is_granted(driver.request_slot(TARGET))
+    assert [read.target for read in reads] == [TARGET]
+    driver.now += 0.05
+    driver.receive_report(TARGET, 0)
+    driver.advance(2.0)
+    assert driver.is_granted(driver.request_slot(TARGET))
+
+
+def test_a_target_that_stays_silent_is_not_ready_half_a_second_later() -> None:
+    driver = make_owner(HIGH_FLOOR)
+    driver.now += 3.2
+    ask_reports(driver)
+    driver.advance(0.6, 0.1)
+    assert driver.find_refusal(driver.request_slot(TARGET)) == REFUSAL_NOT_READY
+
+
 # Members.
 
 
