A target counts as not ready only when one more read of its report stays silent (KNOWN)

Callers got 503 no_target right after a partition, for 10 to 50 ms, although the targets answered again and were shown as ready. Cause: reads of reports begin each 0.5 s and time out after 1 s; one that began in the partition fails after it, when the last report is over 3 s old, and made its target not ready until the next read, sent in the same moment, was answered. All targets behind the same partition turn not ready together, so no candidate was left. Class: evidence that is applied as of its arrival, not as of the time that it tells of.

Change: after a silent failure the owner reads once more at once and decides 0.5 s later, by what has come since. A refused connection tells of the present and still counts at once. A target that stays silent is found 0.5 s later than before (3.5 s after its last report).

Ruled out: targets held down (the log has none near), a change of the list. The red test now lets time advance by its timers: setting the clock ahead made the regular read fall due in the same event.

--- a/rhubarbbend/core/owners/_owner.py
+++ b/rhubarbbend/core/owners/_owner.py
@@ -43,6 +43,8 @@
         self._context = context
         self._registry = OwnedTargetRegistry(context)
         self._granter = SlotGranter(context, self._registry)
+        # Targets whose report is being read once more before they count as not ready.
+        self._confirming: set[str] = set()
 
     def get_event_handlers(self) -> dict[type[events.Event], EventHandler]:
         """Return the handlers of start, load reports, process pauses and lost peers."""
@@ -235,11 +237,41 @@
             return
         self._context.count(codes.REPORTS_FAILED)
         silent_for = now - max(owned_target.last_report_at, owned_target.taken_over_at)
-        if owned_target.ready and silent_for > self._context.options.report_max_age:
-            owned_target.ready = False
-            self._context.log("target_ready", target=owned_target.target, ready="False")
-            self._registry.update_view(owned_target, now)
-            self._granter.refuse_waiters(owned_target, REFUSAL_NOT_READY)
+        if not owned_target.ready or silent_for <= self._context.options.report_max_age:
+            return
+        if event.silent:
+            self._confirm_silence(owned_target, now)
+        else:
+            self._mark_not_ready(owned_target, now)
+
+    def _confirm_silence(self, owned_target: OwnedTarget, now: float) -> None:
+        """Read the report once more before a target counts as not ready.
+
+        A read that timed out tells of the time when it began. The target may be reachable again
+        since, and until the next read all requests for it would be refused.
+        """
+        target = owned_target.target
+        view = self._context.fleet.targets.get(target)
+        if view is None or target in self._confirming:
+            return
+        self._confirming.add(target)
+        self._request_report(view)
+        timeout_at = now + self._context.options.report_interval
+        self._context.set_timer(timeout_at, lambda at: self._end_confirmation(target, now, at))
+
+    def _end_confirmation(self, target: str, asked_at: float, now: float) -> None:
+        self._confirming.discard(target)
+        owned_target = self._registry.find(target)
+        if owned_target is None or not owned_target.ready:
+            return
+        if max(owned_target.last_report_at, owned_target.taken_over_at) < asked_at:
+            self._mark_not_ready(owned_target, now)
+
+    def _mark_not_ready(self, owned_target: OwnedTarget, now: float) -> None:
+        owned_target.ready = False
+        self._context.log("target_ready", target=owned_target.target, ready="False")
+        self._registry.update_view(owned_target, now)
+        self._granter.refuse_waiters(owned_target, REFUSAL_NOT_READY)
 
     def _handle_pause(self, event: events.ProcessPaused, now: float) -> None:
         """Treat every owned target as newly taken over after a pause of this process.
--- a/tests/core/owners/test_owner.py
+++ b/tests/core/owners/test_owner.py
@@ -471,7 +471,7 @@
 # Guards against refusing requests when a read that began during a partition fails after its end.
 def test_a_late_failure_of_a_read_does_not_refuse_requests_after_a_partition() -> None:
     driver = make_owner(HIGH_FLOOR)
-    driver.now += 3.2
+    driver.advance(3.2)
     reads = ask_reports(driver)
     assert driver.is_granted(driver.request_slot(TARGET))
     assert [read.target for read in reads] == [TARGET]
@@ -483,7 +483,7 @@
 
 def test_a_target_that_stays_silent_is_not_ready_half_a_second_later() -> None:
     driver = make_owner(HIGH_FLOOR)
-    driver.now += 3.2
+    driver.advance(3.2)
     ask_reports(driver)
     driver.advance(0.6, 0.1)
     assert driver.find_refusal(driver.request_slot(TARGET)) == REFUSAL_NOT_READY
--- a/tests/tools/test_known_red.py
+++ b/tests/tools/test_known_red.py
@@ -72,7 +72,7 @@
         "test | seed | cause\n",
         "test | | cause | issue\n",
         "t | s | c | i\n" * 2,
-        "".join(f"t{n} | s | c | i\n" for n in range(5)),
+        "".join(f"t{n} | s | c | i\n" for n in range(4)),
     ],
 )
 def test_file_that_breaks_the_rules_is_invalid(text: str) -> None:
--- a/tools/known_red.py
+++ b/tools/known_red.py
@@ -1,4 +1,4 @@
-"""Pytest plugin for KNOWN-RED.txt: at most four tests that may fail without failing CI.
+"""Pytest plugin for KNOWN-RED.txt: at most three tests that may fail without failing CI.
 
 Each line of the file is `test id | seed | cause | issue`. Listed tests run like all others, and
 their outcomes are printed at the end. A failure of any other test still fails CI, and so does a
@@ -14,7 +14,7 @@
 import pytest
 
 FILE_NAME: Final = "KNOWN-RED.txt"
-MAX_LINES: Final = 4
+MAX_LINES: Final = 3
 SEPARATOR: Final = "|"
 FIELD_COUNT: Final = 4
 
