A target that gave no sign is used again as soon as its report is read

With all targets held down callers got 503 no_target. Now a report that this instance reads ends it. An instance that doesn't own the target reads no reports of it and waits the 2 s as before.

One test of claims marked the targets held down and let reports pass before it used that; it now marks them after they passed, and checks the same.

--- a/rhubarbbend/core/requests/_attempts.py
+++ b/rhubarbbend/core/requests/_attempts.py
@@ -145,6 +145,13 @@
         else:
             self._probe(request, now)
 
+    def handle_report(self, event: events.ReportRead, now: float) -> None:
+        """Use a target again that had given no sign, since it has now answered this instance."""
+        view = self._context.fleet.targets.get(event.target)
+        if view is not None and view.down_until > now:
+            view.down_until = now
+            self._context.log("target_heard_again", target=view.id)
+
     def handle_probe(self, event: events.ProbeAnswered, now: float) -> None:
         """Resume, retry or end a request after the probe of its target."""
         request = self._table.find_by_attempt(event.attempt)
--- a/rhubarbbend/core/requests/_coordinator.py
+++ b/rhubarbbend/core/requests/_coordinator.py
@@ -78,6 +78,7 @@
             events.AttemptFailed: self._attempts.handle_failure,
             events.TargetPaused: self._attempts.handle_pause,
             events.ProbeAnswered: self._attempts.handle_probe,
+            events.ReportRead: self._attempts.handle_report,
             events.PeerLost: self._handle_peer_lost,
         }
 
--- a/tests/core/claims/test_claims.py
+++ b/tests/core/claims/test_claims.py
@@ -296,8 +296,8 @@
     fleet = FakeFleet(TWO_INSTANCES, hold_messages=True)
     key = fleet.reserve("a1")
     fleet.send("b1", "r1", key)
-    _mark_targets_down(fleet, "a1")
     fleet.advance(0.3)
+    _mark_targets_down(fleet, "a1")
     fleet.send("a1", "r2", key)
     assert fleet.read_answer("r2").verdict == "not_run"
     _mark_targets_up(fleet, "a1")
