--- a/tests/gateway/test_leaving.py
+++ b/tests/gateway/test_leaving.py
@@ -52,6 +52,13 @@
             assert await send_reads(fleet, 1) == [200]
             await fleet.write_row("servers", "plain-0", None)
             await fleet.register_worker("plain-0", seqNo=2)
+
+            async def is_registered_again() -> bool:
+                events = [line["event"] for line in fleet.read_log("front-0")]
+                _, _, later = " ".join(events).partition("target_unregistered")
+                return "target_registered" in later
+
+            await wait_until("the registration has come back", is_registered_again)
             await fleet.set_worker_faults("plain-0", leaving=False)
             assert set(await send_reads(fleet, 5)) == {503}
             await fleet.register_worker("plain-0", born=2)
