Placement: finding the candidates has a module of its own, with typed reasons

The reasons were strings in three modules and are an enum. No behaviour; the words in the log are the same.

--- a/rhubarbbend/core/placement/__init__.py
+++ b/rhubarbbend/core/placement/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from rhubarbbend.core._pauses import MAX_PAUSE_RETURN_FACTOR, PauseTracker
+from rhubarbbend.core.placement._candidates import Rejection, compute_max_connections
 from rhubarbbend.core.placement._health import HealthTracker, TargetOutcomes
 from rhubarbbend.core.placement._in_flight import (
     SEQUENCE_MODULUS,
@@ -20,7 +21,6 @@
     Placement,
     PlacementOptions,
     Reason,
-    compute_max_connections,
 )
 from rhubarbbend.core.placement._prompt_locations import PromptLocation, PromptLocationTracker
 from rhubarbbend.core.placement._prompts import Prompt, PromptPart
@@ -41,6 +41,7 @@
     "PromptLocationTracker",
     "PromptPart",
     "Reason",
+    "Rejection",
     "CountScope",
     "SourceOptions",
     "TargetLoad",
--- a/rhubarbbend/core/placement/_placement.py
+++ b/rhubarbbend/core/placement/_placement.py
@@ -11,7 +11,7 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from random import Random
 from typing import Final
 
@@ -21,6 +21,12 @@
 from rhubarbbend.core._rendezvous import rank_names
 from rhubarbbend.core.catalog import Service
 from rhubarbbend.core.directory import Target, TargetRegistry
+from rhubarbbend.core.placement._candidates import (
+    CandidateFinder,
+    Candidates,
+    Rejection,
+    admit_all,
+)
 from rhubarbbend.core.placement._health import HealthTracker
 from rhubarbbend.core.placement._loads import LoadTracker
 from rhubarbbend.core.placement._overload import (
@@ -49,11 +55,6 @@
 # A request that is sent more than this time after its target was chosen is counted again in the
 # target's cold share, at the time when it is sent.
 SLOW_CONNECT_S: Final = 0.02
-# Of the connections that a target accepts from all instances together, this fraction is divided
-# among the instances. The rest is left for idle connections and for instances that the others do
-# not know of yet.
-CONNECTION_FRACTION: Final = 0.8
-MIN_CONNECTIONS: Final = 2
 
 
 class Reason(enum.Enum):
@@ -101,35 +102,6 @@
     source: Target | None = None
 
 
-def compute_max_connections(service: Service, instances: int) -> int:
-    """Return the number of requests that one of `instances` may have at a target of a service."""
-    share = service.max_connections * CONNECTION_FRACTION / max(1, instances)
-    return max(MIN_CONNECTIONS, int(share))
-
-
-def admit_all(target: Target) -> bool:
-    """Admit every target of a service to a request."""
-    return True
-
-
-class _Candidates:
-    """The targets of a service that are considered for a request, and their loads."""
-
-    __slots__ = ("targets", "eligible", "loads", "mean", "failing", "rejections", "admits")
-
-    def __init__(
-        self, targets: list[Target], loads: dict[str, float], admits: Callable[[Target], bool]
-    ) -> None:
-        self.targets = targets
-        self.admits = admits
-        self.eligible: list[Target] = []
-        self.loads = loads
-        self.mean = sum(loads.values()) / len(loads) if loads else 0.0
-        self.failing: set[str] = set()
-        # The number of targets that cannot receive the request, by reason.
-        self.rejections: dict[str, int] = {}
-
-
 class Placement:
     """Chooses the target of each request.
 
@@ -151,13 +123,14 @@
         self._health = health
         self._cold = cold
         self._pauses = pauses
+        self._finder = CandidateFinder(registry, loads, health, cold, pauses)
         self.prompt_locations = PromptLocationTracker()
         self._sources = SourceFinder(
             options.sources, registry, loads, health, self.prompt_locations
         )
         self._rates: dict[str, RequestRate] = {}
         # For the log of a rejection: the number of targets rejected at the last choice, by reason.
-        self.last_rejections: dict[str, int] = {}
+        self.last_rejections: Mapping[Rejection, int] = {}
 
     def set_options(self, options: PlacementOptions) -> None:
         """Replace the options."""
@@ -180,7 +153,8 @@
         `instances` are all instances that share the bounds on connections and cold targets.
         `admits` returns whether a target may get this request.
         """
-        candidates = self._find_candidates(service, excluded, instances, admits, now)
+        candidates = self._finder.find(service, excluded, instances, admits, now)
+        self.last_rejections = candidates.rejections
         if not candidates.eligible:
             return None
         if service.engine is None:
@@ -188,7 +162,7 @@
         headroom = self._compute_headroom(candidates, bool(excluded), now)
         expected = self._record_arrival(service, len(instances), now)
         if headroom is not None and not headroom.admits(expected, random):
-            candidates.rejections["load"] = len(candidates.eligible)
+            candidates.rejections[Rejection.LOAD] = len(candidates.eligible)
             return None
         if prompt is None or not prompt.parts:
             return self._choose_by_load(candidates, random, now)
@@ -228,74 +202,6 @@
         self._health.forget(target.id)
         self._cold.forget(target.id)
 
-    def _find_candidates(
-        self,
-        service: Service,
-        excluded: set[str],
-        instances: Sequence[str],
-        admits: Callable[[Target], bool],
-        now: float,
-    ) -> _Candidates:
-        targets = [t for t in self._registry.list_available(service.name, now) if admits(t)]
-        found = _Candidates(targets, self._estimate_loads(service, now), admits)
-        found.failing = self._health.list_failing([target.id for target in targets], now)
-        max_requests = compute_max_connections(service, len(instances))
-        for target in targets:
-            reason = self._find_rejection_reason(
-                service, target, excluded, max_requests, instances, now
-            )
-            if reason is None:
-                found.eligible.append(target)
-            else:
-                found.rejections[reason] = found.rejections.get(reason, 0) + 1
-        self.last_rejections = found.rejections
-        return found
-
-    def _find_rejection_reason(
-        self,
-        service: Service,
-        target: Target,
-        excluded: set[str],
-        max_requests: int,
-        instances: Sequence[str],
-        now: float,
-    ) -> str | None:
-        """Return why a target cannot receive a request now; None if it can."""
-        if target.id in excluded and self._health.is_unreachable(target.id):
-            return "unreachable"
-        if not self._pauses.may_send(target.id, now):
-            return "paused"
-        if target.id in excluded:
-            return "tried"
-        if self._health.is_blocked(target.id, now):
-            return "unreachable"
-        if self._loads.count_own(target.id) >= max_requests:
-            return "connections"
-        if target.is_cold(now) and not self._may_send_cold(service, target, instances, now):
-            return "cold"
-        return None
-
-    def _estimate_loads(self, service: Service, now: float) -> dict[str, float]:
-        """Estimate the loads of a service's targets, also in zones that are out of service.
-
-        Draining targets no longer count towards their service. The targets of a zone that is out
-        of service are idle and lower the bound on the others: with the mean of the remaining
-        targets alone, a hot key would load its engine beyond the bound.
-        """
-        targets = self._registry.list_not_draining(service.name)
-        has_peer_counts = service.engine is not None
-        return {
-            target.id: self._loads.estimate(target.id, has_peer_counts, now) for target in targets
-        }
-
-    def _may_send_cold(
-        self, service: Service, target: Target, instances: Sequence[str], now: float
-    ) -> bool:
-        if service.cold_rate <= 0.0:
-            return True
-        share = self._cold.compute_share(target.id, service.cold_rate, instances)
-        return self._cold.has_room(target.id, share, now)
-
     # Choice by prompt.
 
     def _record_arrival(self, service: Service, instances: int, now: float) -> float:
@@ -306,7 +212,7 @@
 
     def _choose_by_prompt(
         self,
-        candidates: _Candidates,
+        candidates: Candidates,
         service: Service,
         prompt: Prompt,
         headroom: Headroom | None,
@@ -327,7 +233,7 @@
 
     def _select_below_bound(
         self,
-        candidates: _Candidates,
+        candidates: Candidates,
         service: Service,
         order: list[Target],
         holders: list[Target],
@@ -352,7 +258,7 @@
         return None
 
     def _compute_headroom(
-        self, candidates: _Candidates, is_retry: bool, now: float
+        self, candidates: Candidates, is_retry: bool, now: float
     ) -> Headroom | None:
         """Return the targets' headroom; None if the request must not be rejected because of load.
 
@@ -369,14 +275,14 @@
         return Headroom(self._options.load_factor, loads, counted)
 
     def _select_last_resort(
-        self, candidates: _Candidates, headroom: Headroom | None, random: Random
+        self, candidates: Candidates, headroom: Headroom | None, random: Random
     ) -> Target:
         """Select a target although all are at the load bound."""
         if headroom is not None:
             return candidates.eligible[headroom.select(random)]
         return min(candidates.eligible, key=lambda target: candidates.loads[target.id])
 
-    def _select_holder(self, holders: list[Target], candidates: _Candidates) -> Target | None:
+    def _select_holder(self, holders: list[Target], candidates: Candidates) -> Target | None:
         """Select a target that has a prompt cached: the latest one, unless its load is too high.
 
         A prompt that all callers use fills one target after another up to the bound. Among the
@@ -390,7 +296,7 @@
 
     # Choice by load.
 
-    def _choose_by_load(self, candidates: _Candidates, random: Random, now: float) -> Choice:
+    def _choose_by_load(self, candidates: Candidates, random: Random, now: float) -> Choice:
         healthy = [
             t for t in candidates.eligible if t.id not in candidates.failing
         ] or candidates.eligible
@@ -408,7 +314,7 @@
 
     def _make_choice(
         self,
-        candidates: _Candidates,
+        candidates: Candidates,
         target: Target,
         reason: Reason,
         source: Target | None,
--- a/rhubarbbend/gateway/_request_server.py
+++ b/rhubarbbend/gateway/_request_server.py
@@ -9,13 +9,14 @@
 import asyncio
 import contextlib
 import traceback
+from collections.abc import Set
 from typing import Final
 
 from rhubarbbend import codes
 from rhubarbbend.codes import ErrorCode, Verdict
 from rhubarbbend.core.catalog import Catalog, RequestKind
 from rhubarbbend.core.delivery import AttemptOutcome, compute_verdict, decide_step
-from rhubarbbend.core.placement import MAX_PAUSE_RETURN_FACTOR
+from rhubarbbend.core.placement import MAX_PAUSE_RETURN_FACTOR, Rejection
 from rhubarbbend.gateway._attempts import AttemptRunner, RetryBudgetExhausted, send_answer
 from rhubarbbend.gateway._interfaces import BadRequest, CallerProtocol, CallerRequest
 from rhubarbbend.gateway._requests import OpenRequest
@@ -42,7 +43,7 @@
 # at another instance can still be answered in time.
 STARTUP_WAIT_FRACTION: Final = 0.33
 # Reasons for rejecting targets that are available and will accept requests again soon.
-OVERLOAD_REASONS: Final = frozenset({"cold", "connections", "load"})
+OVERLOAD_REJECTIONS: Final = frozenset({Rejection.COLD, Rejection.CONNECTIONS, Rejection.LOAD})
 
 
 class RequestServer:
@@ -226,8 +227,9 @@
                 switched = True
                 continue
             if choice is None or connect_failures > MAX_CONNECT_FAILURES:
-                request.rejection_counts = dict(self._state.placement.last_rejections)
-                self._finish_failed(request, self._select_refusal(request.rejection_counts))
+                rejections = self._state.placement.last_rejections
+                request.rejection_counts = {r.value: count for r, count in rejections.items()}
+                self._finish_failed(request, self._select_refusal(rejections.keys()))
                 return
             self._state.metrics.increment_counter(f"routed.{choice.reason.value}")
             request.excluded.add(choice.target.id)
@@ -246,11 +248,11 @@
             if request.version.is_candidate:
                 self._versions.switch(request)
 
-    def _select_refusal(self, rejection_counts: dict[str, int]) -> ErrorCode:
+    def _select_refusal(self, rejections: Set[Rejection]) -> ErrorCode:
         """Return the error for a request that no target can accept now."""
-        if OVERLOAD_REASONS & rejection_counts.keys():
+        if OVERLOAD_REJECTIONS & rejections:
             return codes.OVERLOADED
-        return codes.TARGETS_PAUSED if "paused" in rejection_counts else codes.NO_TARGET
+        return codes.TARGETS_PAUSED if Rejection.PAUSED in rejections else codes.NO_TARGET
 
     def _handle_outcome(self, request: OpenRequest, outcome: AttemptOutcome) -> bool:
         """Return whether to try another target; end the request if not."""
--- a/tests/core/placement/test_overload.py
+++ b/tests/core/placement/test_overload.py
@@ -18,6 +18,7 @@
     Prompt,
     PromptPart,
     Reason,
+    Rejection,
     compute_target_hash,
 )
 from tests.core.placement.test_placement import ENGINES, INSTANCES, FleetView
@@ -86,7 +87,7 @@
         view = self.fleet[name]
         choice = view.choose(make_prompt(f"chat-{random.randrange(200)}"), now, random=random)
         if choice is None:
-            assert view.placement.last_rejections == {"load": 3}
+            assert view.placement.last_rejections == {Rejection.LOAD: 3}
             return
         engine = choice.target.id
         held = {e: sum(v.loads.count_own(e) for v in self.fleet.values()) for e in view.engines}
@@ -109,7 +110,7 @@
     view = make_view()
     load_available_engines(view, 30)
     assert view.placement.choose(ENGINES, None, set(), INSTANCES, Random(1), 10.0) is None
-    assert view.placement.last_rejections == {"load": 3}
+    assert view.placement.last_rejections == {Rejection.LOAD: 3}
 
 
 def load_available_engines(view: FleetView, requests: int) -> None:
--- a/tests/core/test_pauses.py
+++ b/tests/core/test_pauses.py
@@ -8,7 +8,7 @@
 
 from rhubarbbend.core._pauses import MAX_EXTENSION_FRACTION, RECOVERED_AFTER_REQUESTS
 from rhubarbbend.core.directory import TargetState
-from rhubarbbend.core.placement import PauseTracker, Reason
+from rhubarbbend.core.placement import PauseTracker, Reason, Rejection
 from tests.core.placement.test_placement import ENGINES, FleetView, make_record
 
 TARGET = "engine-0"
@@ -99,7 +99,7 @@
         view.pauses.record_pause(engine, 3.0, Random(1), 10.0)
     excluded = {view.engines[0]} if is_retry else set()
     assert view.choose(now=12.9, excluded=excluded) is None
-    assert view.placement.last_rejections == {"paused": 9}
+    assert view.placement.last_rejections == {Rejection.PAUSED: 9}
 
 
 # Guards against forgetting a pause with the registration, which may expire during a store outage.
