--- a/rhubarbbend/gateway/_attempts.py
+++ b/rhubarbbend/gateway/_attempts.py
@@ -15,9 +15,10 @@
 from rhubarbbend.core.delivery import AttemptOutcome, LatencyTracker
 from rhubarbbend.core.directory import Target
 from rhubarbbend.core.placement import Choice
+from rhubarbbend.gateway._answer_receiver import AnswerReceiver
 from rhubarbbend.gateway._attempt_recorder import AttemptRecorder
 from rhubarbbend.gateway._interfaces import ForwardingOptions, TargetProtocol, TargetResponseHead
-from rhubarbbend.gateway._liveness import StreamTimeoutPolicy, TargetLivenessMonitor
+from rhubarbbend.gateway._liveness import TargetLivenessMonitor
 from rhubarbbend.gateway._requests import BufferedAnswer, OpenRequest
 from rhubarbbend.gateway._state import Clock, State, read_clock
 from rhubarbbend.http import (
@@ -25,7 +26,6 @@
     Connection,
     ConnectionPool,
     HttpFailure,
-    Response,
     SendStage,
 )
 
@@ -41,8 +41,6 @@
 # Answers up to this size are buffered until they are complete, so that one that was truncated can
 # be replaced by another target's.
 MAX_BUFFERED_ANSWER_BYTES: Final = 262_144
-# Progress time-out for discarding an answer that does not belong to the current request.
-STRAY_ANSWER_TIMEOUT_S: Final = 0.5
 # Idle connections are closed this long before the target would close them.
 IDLE_MARGIN_S: Final = 1.0
 # After these outcomes the connection is not reused. A target that rejects a request may not have
@@ -75,6 +73,9 @@
         self._latencies = LatencyTracker()
         self._recorder = AttemptRecorder(state, clock)
         self._liveness = TargetLivenessMonitor(state, pool, CONNECT_TIMEOUT_S, clock)
+        self._answers = AnswerReceiver(
+            state, target_protocol, self._liveness, self._latencies, clock
+        )
         # Called when a target closed the connection of a request before answering it; set by the
         # instance.
         self.on_broken_connection: Callable[[OpenRequest, Target], None] = (
@@ -156,7 +157,7 @@
         self._liveness.add_connection(choice.target.id, connection)
         try:
             self._send(request, choice, connection)
-            answer = await self._receive_head(request, choice.target, connection)
+            answer = await self._answers.receive_head(request, choice.target, connection)
             outcome = await self._process_answer(request, choice.target, answer, connection)
         except HttpFailure as failure:
             outcome = self._handle_failure(request, choice.target, failure)
@@ -219,6 +220,13 @@
             )
         request.relay.has_received_event = False
         self._state.placement.record_sent(choice, caller.prompt, request.chosen_at, now)
+        self._log_sent(request, choice, connection, pause_left)
+
+    def _log_sent(
+        self, request: OpenRequest, choice: Choice, connection: Connection, pause_left: float
+    ) -> None:
+        now = request.sent_at
+        prompt = request.caller.prompt
         self._log(
             "sent",
             request,
@@ -231,8 +239,8 @@
             load_age=None if choice.report_age is None else round(choice.report_age, 3),
             cold=choice.cold,
             source=None if choice.source is None else choice.source.id,
-            prompt=None if caller.prompt is None else caller.prompt.affinity_key,
-            shared=None if caller.prompt is None else caller.prompt.shared_tokens,
+            prompt=None if prompt is None else prompt.affinity_key,
+            shared=None if prompt is None else prompt.shared_tokens,
             reused=connection.reused,
             config=request.config_version,
             time_left=round(request.compute_time_left(now), 3),
@@ -242,80 +250,6 @@
             content=request.digest if pause_left > 0.0 else None,
         )
 
-    async def _receive_head(
-        self, request: OpenRequest, target: Target, connection: Connection
-    ) -> TargetResponseHead:
-        """Return the head of the answer to this request.
-
-        Answers that arrive before it and belong to other requests are discarded.
-        """
-        while True:
-            response = await self._receive_next_head(request, target, connection)
-            answer = self._target_protocol.read_response_head(response)
-            self._record_notices(target, answer)
-            if answer.request == request.id or answer.misdirected:
-                break
-            self._state.metrics.increment_counter(codes.WRONG_ID)
-            self._log("stray_answer", request, target, carried=answer.request)
-            if not answer.request:
-                raise HttpFailure(SendStage.RESPONSE, "the answer carries no request id")
-            await connection.discard_response(STRAY_ANSWER_TIMEOUT_S)
-        was_accepted = answer.status < 500 and not (answer.was_not_executed or answer.misdirected)
-        self._state.pauses.record_end(target.id, request.id, was_accepted)
-        if answer.load is not None:
-            self._record_load_report(request, target, answer.load)
-        return answer
-
-    def _record_notices(self, target: Target, answer: TargetResponseHead) -> None:
-        """Record what an answer of a target says of the requests that may follow."""
-        now = self._clock()
-        if answer.misdirected:
-            # Another target speaks of itself.
-            return
-        if answer.pause_s is not None:
-            self._state.metrics.increment_counter(codes.TARGET_PAUSES)
-            self._state.pauses.record_pause(target.id, answer.pause_s, self._state.random, now)
-        if answer.is_leaving and self._state.registry.record_leaving(target):
-            self._state.metrics.increment_counter(codes.TARGETS_LEAVING)
-            self._state.event_log.write("target_leaving", now, target=target.id, source="answer")
-
-    def _record_load_report(self, request: OpenRequest, target: Target, load: int) -> None:
-        """Record the load that a target reports, and count by how much it was underestimated."""
-        now = self._clock()
-        has_peer_counts = request.service.engine is not None
-        underestimate = load - round(self._state.loads.estimate(target.id, has_peer_counts, now))
-        self._state.metrics.increment_counter(codes.LOAD_REPORTS_IN_ANSWERS)
-        self._state.metrics.increment_counter(codes.LOAD_UNDERESTIMATED, max(0, underestimate))
-        self._state.loads.record_report(target.id, load, now)
-
-    async def _receive_next_head(
-        self, request: OpenRequest, target: Target, connection: Connection
-    ) -> Response:
-        """Return the next response head, or raise `HttpFailure` if the target is silent too long.
-
-        A request that cannot be retried at another target waits until its own deadline ends it.
-        """
-        if not _can_retry_elsewhere(request):
-            return await connection.receive_head(_compute_backstop_timeout(request, self._clock()))
-        timeout_policy = self._make_timeout_policy(request, target)
-        started_at = self._clock()
-        while True:
-            timeout = timeout_policy.compute_remaining(self._clock() - started_at)
-            try:
-                return await connection.receive_head(timeout)
-            except HttpFailure as failure:
-                # The operating system also reports a time-out when it gives up a connection; that
-                # connection is closed.
-                is_silent = failure.reason == REASON_TIMEOUT and not connection.closed
-                if (
-                    not is_silent
-                    or timeout_policy.compute_remaining(self._clock() - started_at) <= 0.0
-                ):
-                    raise
-
-    def _make_timeout_policy(self, request: OpenRequest, target: Target) -> StreamTimeoutPolicy:
-        return StreamTimeoutPolicy(request, target, self._liveness, self._latencies, self._clock)
-
     async def _process_answer(
         self,
         request: OpenRequest,
@@ -345,7 +279,7 @@
         if body is None:
             raise HttpFailure(SendStage.RESPONSE, "the answer is too large to buffer")
         failed = answer.status >= 500
-        if failed and _can_retry_elsewhere(request) and self._has_retry_left(request):
+        if failed and request.can_retry_elsewhere and self._has_retry_left(request):
             request.fallback_answer = BufferedAnswer(answer, body)
             return AttemptOutcome.FAILED
         send_answer(request, BufferedAnswer(answer, body))
@@ -377,10 +311,10 @@
         relay.begin_response(is_resumed, record_first_event)
         # A stream that cannot be resumed would be lost if it were given up, so it may take until
         # the request's deadline.
-        backstop = _compute_backstop_timeout(request, self._clock())
+        backstop = request.compute_backstop_timeout(self._clock())
         timeout_policy = (
-            self._make_timeout_policy(request, target)
-            if _can_retry_elsewhere(request)
+            self._answers.make_timeout_policy(request, target)
+            if request.can_retry_elsewhere
             else backstop
         )
         await connection.relay_body(relay, timeout_policy)
@@ -445,20 +379,6 @@
         self._pool.release(connection, self._clock())
 
 
-def _can_retry_elsewhere(request: OpenRequest) -> bool:
-    """Return whether a request that may have run here can be sent to one more target."""
-    route = request.route
-    return route.idempotent and request.progress.targets + 1 < route.max_attempts
-
-
-def _compute_backstop_timeout(request: OpenRequest, now: float) -> float:
-    """Return a time-out, in seconds, that ends after the request's own deadline.
-
-    The deadline is enforced elsewhere and ends the request first.
-    """
-    return max(0.0, request.compute_time_left(now)) + 1.0
-
-
 def send_answer(request: OpenRequest, answer: BufferedAnswer) -> None:
     """Send a target's complete answer to the caller."""
     exchange = request.exchange
@@ -475,7 +395,7 @@
     """Return the body of an answer, None if it is larger than `MAX_BUFFERED_ANSWER_BYTES`."""
     parts: list[bytes] = []
     size = 0
-    async for part in connection.receive_body(_compute_backstop_timeout(request, read_clock())):
+    async for part in connection.receive_body(request.compute_backstop_timeout(read_clock())):
         size += len(part)
         if size > MAX_BUFFERED_ANSWER_BYTES:
             return None
--- a/rhubarbbend/gateway/_requests.py
+++ b/rhubarbbend/gateway/_requests.py
@@ -108,6 +108,19 @@
         """Return how many seconds are left until the deadline."""
         return self.deadline - now
 
+    @property
+    def can_retry_elsewhere(self) -> bool:
+        """Whether the request can be sent to one more target although it may have run here."""
+        is_last = self.progress.targets + 1 >= self.route.max_attempts
+        return self.route.idempotent and not is_last
+
+    def compute_backstop_timeout(self, now: float) -> float:
+        """Return a time-out, in seconds, that ends after the request's own deadline.
+
+        The deadline is enforced elsewhere and ends the request first.
+        """
+        return max(0.0, self.compute_time_left(now)) + 1.0
+
     def _send_head(self) -> None:
         """Send the head of a stream to the caller, just before its first event."""
         assert self.answer is not None
