A connection that is cancelled as its handler ends is closed

A handler's end awaits the task that watches the client, and took this connection's own cancelling for that task's: the connection went on to wait for its next request, and a process whose loop waits for all cancelled tasks could not end until the client or the idle time-out closed it. Peers keep such connections open. The red test times out after 2 s without the change and passes with it.

--- a/rhubarbbend/http/_server.py
+++ b/rhubarbbend/http/_server.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 from collections.abc import Awaitable, Callable
 from socket import socket
 from typing import Final
@@ -223,8 +222,12 @@
             await self._handler(exchange)
         finally:
             watcher.cancel()
-            with contextlib.suppress(asyncio.CancelledError, ConnectionError):
-                await watcher
+            # Not awaited itself: this task's own cancelling would be taken for the watcher's, and
+            # the connection would go on and keep the process from ending.
+            await asyncio.wait([watcher])
+            failure = None if watcher.cancelled() else watcher.exception()
+            if failure is not None and not isinstance(failure, ConnectionError):
+                raise failure
 
     async def _prepare_next(self, conn: h11.Connection, writer: asyncio.StreamWriter) -> bool:
         if writer.transport.is_closing():
--- a/tests/http/test_server_stop.py
+++ b/tests/http/test_server_stop.py
@@ -73,3 +73,23 @@
         client.close()
 
     asyncio.run(scenario())
+
+
+# Guards against a process that doesn't end: its connections are cancelled, one of them between the
+# end of a handler and the end of the task that watches the client.
+def test_a_connection_that_is_cancelled_as_its_handler_ends_is_closed() -> None:
+    async def scenario() -> None:
+        async def respond(exchange: Exchange) -> None:
+            connection = next(iter(server._tasks))
+            exchange.respond(200, [], b"done")
+            asyncio.get_running_loop().call_soon(connection.cancel)
+
+        server = HttpServer(respond)
+        port = await server.listen("127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        async with asyncio.timeout(2.0):
+            await reader.read()
+        writer.close()
+
+    asyncio.run(scenario())
