--- a/rhubarbbend/core/_pauses.py
+++ b/rhubarbbend/core/_pauses.py
@@ -18,7 +18,7 @@
 MAX_PAUSE_RETURN_FACTOR: Final = 1.25
 # A target that has accepted this many requests since its pause needs no more protection.
 RECOVERED_AFTER_REQUESTS: Final = 16
-# A target to which nothing was sent for this long after its pause has recovered too.
+# A target has recovered this long after its pause in any case, also one to which little is sent.
 RECORD_TTL_S: Final = 60.0
 
 
@@ -70,7 +70,7 @@
     def may_send(self, target: str, now: float) -> bool:
         """Return whether one more request may be sent to a target now."""
         pause = self._pauses.get(target)
-        if pause is None:
+        if pause is None or now - pause.ends_at >= RECORD_TTL_S:
             return True
         return now >= pause.ends_at and len(pause.unanswered) <= pause.accepted
 
--- a/rhubarbbend/core/requests/_attempts.py
+++ b/rhubarbbend/core/requests/_attempts.py
@@ -125,7 +125,6 @@
         if request is None:
             return
         request.relayed_bytes = event.relayed
-        self._context.pauses.record_end(request.target, request.id, was_accepted=False)
         if event.reason == codes.WRONG_ID:
             self._context.count(codes.WRONG_ID)
         if event.stage == STAGE_CONNECT:
--- a/rhubarbbend/core/requests/_slots.py
+++ b/rhubarbbend/core/requests/_slots.py
@@ -92,6 +92,7 @@
             self.send_release(request, release)
             self._recently_released[request.target] = -1.0
         request.has_slot = False
+        self._context.pauses.record_end(request.target, request.id, was_accepted=False)
         self._table.clear_attempt(request)
 
     def register(self, now: float) -> None:
--- a/tests/core/test_pauses.py
+++ b/tests/core/test_pauses.py
@@ -6,7 +6,11 @@
 
 import pytest
 
-from rhubarbbend.core._pauses import MAX_EXTENSION_FRACTION, RECOVERED_AFTER_REQUESTS
+from rhubarbbend.core._pauses import (
+    MAX_EXTENSION_FRACTION,
+    RECORD_TTL_S,
+    RECOVERED_AFTER_REQUESTS,
+)
 from rhubarbbend.core.directory import TargetState
 from rhubarbbend.core.placement import PauseTracker, Reason, Rejection
 from tests.core.placement.test_placement import ENGINES, FleetView, make_record
@@ -70,6 +74,14 @@
     assert len(send_until_blocked(pauses, now)) == 1
 
 
+def test_a_target_that_accepts_nothing_is_free_again_in_the_end() -> None:
+    pauses = make_tracker()
+    now = 10.0 + LONGEST_S
+    send_until_blocked(pauses, now)
+    assert not pauses.may_send(TARGET, now + RECORD_TTL_S - LONGEST_S - 1.0)
+    assert pauses.may_send(TARGET, now + RECORD_TTL_S)
+
+
 def test_a_rejection_during_recovery_begins_a_new_pause() -> None:
     pauses = make_tracker()
     now = 10.0 + LONGEST_S
