--- a/tests/loadtool/test_soak.py
+++ b/tests/loadtool/test_soak.py
@@ -176,7 +176,7 @@
     assert "rolled_back" in result.rollout
 
 
-# 5: found no fault; five targets ask for pauses, three say that they leave.
+# 5: found no fault; five times a target asks for pauses, nine times one says that it leaves.
 @pytest.mark.xdist_group("soak")
 @pytest.mark.parametrize("seed", [5])
 def test_all_guarantees_hold_while_targets_give_notices(seed: int, tmp_path: Path) -> None:
