Targets that say that they leave get no new requests on the product's own interface either (DRAIN)

The same header was dropped there: between a target's answer and the moment when its owner reads leaving in a report, or the list says so, requests went on to it. The shell reports it (event TargetLeaving), the core keeps the boot id of that start, so that the target is used again as soon as it has started anew. An owner that was told grants no slots of it to anybody.

Reading both notices stands once, in http/_notices.py.

--- a/rhubarbbend/core/_context.py
+++ b/rhubarbbend/core/_context.py
@@ -99,6 +99,8 @@
         self.configuration = Configuration()
         self.fleet = Fleet(identity.instance, identity.zone, options.peer_silence)
         self.pauses = PauseTracker()
+        # The boot ids of targets that have said in an answer that they leave.
+        self.leaving_boots: set[str] = set()
         self.out: list[actions.Action] = []
         self.local: deque[Message] = deque()
         self.unix_time_offset_s = 0.0
@@ -173,8 +175,10 @@
         return now + self.unix_time_offset_s
 
     def accepts_new_work(self, view: TargetView) -> bool:
-        """Return whether operators and the platform's list allow new work on a target."""
-        return not view.leaving and self.configuration.is_target_in_service(view.id, view.zone)
+        """Return whether operators, the list and the target itself allow new work on it."""
+        if view.leaving or view.boot_id in self.leaving_boots:
+            return False
+        return self.configuration.is_target_in_service(view.id, view.zone)
 
     @property
     def is_table_service_down(self) -> bool:
--- a/rhubarbbend/core/events.py
+++ b/rhubarbbend/core/events.py
@@ -117,6 +117,12 @@
     duration_s: float
 
 
+class TargetLeaving(Event):
+    """The target of an attempt said in its answer that it leaves."""
+
+    attempt: str
+
+
 class ProbeAnswered(Event):
     """Result of a probe of a target over a new connection; the boot id is empty without an answer.
 
--- a/rhubarbbend/core/requests/_attempts.py
+++ b/rhubarbbend/core/requests/_attempts.py
@@ -119,6 +119,16 @@
         context.count(codes.TARGET_PAUSES)
         context.pauses.record_pause(event.target, event.duration_s, context.random, now)
 
+    def handle_leaving(self, event: events.TargetLeaving, now: float) -> None:
+        """Record that a target leaves; this holds until it starts again."""
+        request = self._table.find_by_attempt(event.attempt)
+        if request is None or not request.boot_id:
+            return
+        if request.boot_id not in self._context.leaving_boots:
+            self._context.leaving_boots.add(request.boot_id)
+            self._context.count(codes.TARGETS_LEAVING)
+            self._context.log("target_leaving", target=request.target, boot=request.boot_id)
+
     def handle_failure(self, event: events.AttemptFailed, now: float) -> None:
         """Retry, resume, probe or end a request whose attempt failed."""
         request = self._table.find_by_attempt(event.attempt)
--- a/rhubarbbend/core/requests/_coordinator.py
+++ b/rhubarbbend/core/requests/_coordinator.py
@@ -77,6 +77,7 @@
             events.AttemptDone: self._attempts.handle_done,
             events.AttemptFailed: self._attempts.handle_failure,
             events.TargetPaused: self._attempts.handle_pause,
+            events.TargetLeaving: self._attempts.handle_leaving,
             events.ProbeAnswered: self._attempts.handle_probe,
             events.ReportRead: self._attempts.handle_report,
             events.PeerLost: self._handle_peer_lost,
--- a/rhubarbbend/http/__init__.py
+++ b/rhubarbbend/http/__init__.py
@@ -8,8 +8,8 @@
 from rhubarbbend.http._connection import Connection, Response
 from rhubarbbend.http._exchange import Exchange
 from rhubarbbend.http._failures import REASON_TIMEOUT, HttpFailure, SendStage
+from rhubarbbend.http._notices import read_leaving, read_pause
 from rhubarbbend.http._pool import ConnectionPool, fetch
-from rhubarbbend.http._retry_after import read_pause
 from rhubarbbend.http._server import HttpServer, ServerLimits
 
 __all__ = [
@@ -25,5 +25,6 @@
     "SendStage",
     "ServerLimits",
     "fetch",
+    "read_leaving",
     "read_pause",
 ]
--- a/rhubarbbend/http/_retry_after.py
+++ b/rhubarbbend/http/_notices.py
@@ -1,4 +1,4 @@
-"""Reads the pause that a server asks its client for with a rejection."""
+"""Reads what servers say in their responses of the requests that may follow."""
 
 from __future__ import annotations
 
@@ -7,6 +7,7 @@
 
 from rhubarbbend.http._connection import Response
 
+LEAVING_HEADER: Final = "server-leaving"
 UNAVAILABLE_STATUS: Final = 503
 SECONDS_PATTERN: Final = re.compile(r"\d{1,6}(\.\d*)?", re.ASCII)
 
@@ -21,3 +22,8 @@
     if response.status != UNAVAILABLE_STATUS or not SECONDS_PATTERN.fullmatch(text):
         return None
     return float(text)
+
+
+def read_leaving(response: Response) -> bool:
+    """Return whether a server is about to end and wants no new requests."""
+    return response.headers.get(LEAVING_HEADER, "").strip() == "1"
--- a/rhubarbbend/shell/_attempts.py
+++ b/rhubarbbend/shell/_attempts.py
@@ -24,6 +24,7 @@
     Response,
     SendStage,
     fetch,
+    read_leaving,
     read_pause,
 )
 from rhubarbbend.shell._open_request import OpenRequest
@@ -167,7 +168,7 @@
             )
             response = await connection.receive_head(action.head_timeout)
             self._check_attempt_id(response, action.attempt)
-            self._report_pause(action.target, response)
+            self._report_notices(action, response)
             if response.status in BUSY_STATUSES and not action.keep:
                 raise HttpFailure(SendStage.RESPONSE, STAGE_REFUSED)
             self._handle_head(action.attempt, response, started_at)
@@ -220,11 +221,13 @@
             _close(connection)
             raise
 
-    def _report_pause(self, target: str, response: Response) -> None:
-        """Report that a target wants no requests for a time, if its answer says so."""
+    def _report_notices(self, action: actions.Dispatch, response: Response) -> None:
+        """Report that a target wants no requests for a time, or leaves, if its answer says so."""
         pause_s = read_pause(response)
         if pause_s is not None:
-            self._submit_event(events.TargetPaused(target, pause_s))
+            self._submit_event(events.TargetPaused(action.target, pause_s))
+        if read_leaving(response):
+            self._submit_event(events.TargetLeaving(action.attempt))
 
     def _handle_head(self, attempt: str, response: Response, started_at: float) -> None:
         self._cancel_other_tasks(attempt)
--- a/standins/_engine.py
+++ b/standins/_engine.py
@@ -9,7 +9,7 @@
 (the process exits when a request contains this text), `cut_after` (the next response is cut after
 so many bytes), `wrong_id` (the next response carries another request id), `stall` (seconds added
 before each prefill), `state` (the state that the load report shows), `pause_s` (requests are
-rejected with 503 and a `Retry-After` of so many seconds).
+rejected with 503 and a `Retry-After` of so many seconds), `leaving` (responses say so).
 """
 
 from __future__ import annotations
@@ -59,6 +59,7 @@
     stall: float = 0.0
     state: str = ""
     pause_s: float = 0.0
+    leaving: bool = False
 
 
 class Stats(msgspec.Struct):
@@ -366,6 +367,8 @@
             request_id = "another-" + request_id
         content_type = "text/event-stream" if run.request.stream else "application/json"
         response_headers = [("Content-Type", content_type), ("X-Request-Id", request_id)]
+        if self._faults.leaving:
+            response_headers.append(("Server-Leaving", "1"))
         if length >= 0:
             response_headers.append(("Content-Length", str(length)))
         return response_headers
--- a/standins/_plain_service.py
+++ b/standins/_plain_service.py
@@ -6,8 +6,8 @@
 process exits at the next command, before or after its execution is counted), `silent` (the next
 command is executed but gets no response), `crash_on` (the process exits when a request body
 contains this text), `state` (the state that the load report shows), `pause_s` (requests are
-rejected with 503 and a `Retry-After` of so many seconds). The file given by `--journal` keeps one
-line for each execution, so that the counts survive a crash.
+rejected with 503 and a `Retry-After` of so many seconds), `leaving` (responses say so). The file
+given by `--journal` keeps one line for each execution, so that the counts survive a crash.
 """
 
 from __future__ import annotations
@@ -41,6 +41,7 @@
     crash_on: str = ""
     state: str = ""
     pause_s: float = 0.0
+    leaving: bool = False
 
 
 class Stats(msgspec.Struct):
@@ -138,6 +139,7 @@
         headers = [
             ("Content-Type", "application/json"),
             ("X-Request-Id", exchange.headers.get("x-request-id", "")),
+            *([("Server-Leaving", "1")] if self._faults.leaving else []),
         ]
         exchange.respond(200, headers, msgspec.json.encode(value))
 
--- a/tests/fleet/test_pauses.py
+++ b/tests/fleet/test_pauses.py
@@ -1,4 +1,4 @@
-"""Targets that ask an instance to send them nothing for a time."""
+"""Targets that ask an instance to send them nothing for a time, or for good."""
 
 from __future__ import annotations
 
@@ -68,3 +68,32 @@
             assert await count_rejections(cluster) == rejected
 
     run_with_timeout(work)
+
+
+# Guards against new requests to a target that has said that it leaves, until it has started again.
+@pytest.mark.parametrize("kind", ["engine", "plain"])
+def test_a_target_that_says_it_leaves_gets_no_new_requests(tmp_path: Path, kind: str) -> None:
+    async def work() -> None:
+        counts = {"engines": 2, "plain_services": 0}
+        if kind == "plain":
+            counts = {"engines": 0, "plain_services": 2}
+        async with start_fleet(tmp_path, zones=1, **counts) as cluster:
+            caller = make_caller(cluster)
+            first, _ = cluster.targets.values()
+            await cluster.set_faults(first, leaving=True)
+
+            async def count_requests() -> int:
+                return int((await cluster.call_admin(first, "stats"))["requests"])
+
+            for number in range(20):
+                assert (await send_one(caller, kind, number)).is_correct
+            assert await count_requests() == 1
+            await first.process.kill()
+            await cluster.restart_target(first)
+            await cluster.wait_until_targets_ready()
+            number = 20
+            while await count_requests() == 0:
+                assert (await send_one(caller, kind, number)).is_correct
+                number += 1
+
+    run_with_timeout(work)
