--- a/loadtool/_soak_notices.py
+++ b/loadtool/_soak_notices.py
@@ -10,6 +10,7 @@
 from typing import Final
 
 from loadtool._soak_checks import MAX_TARGET_DRAIN_S, TOLERANCE_S, RequestOutcome, RunRecord
+from loadtool._soak_faults import ROUTE_FAULTS
 from loadtool._soak_schedule import FaultScope, SoakFault
 from standins._worker import Arrival
 
@@ -77,7 +78,7 @@
         is_of_instance = scheduled.victim == instance and scheduled.fault in EXCUSING_FAULTS
         is_of_link = (
             scheduled.fault.scope is FaultScope.TARGET
-            and scheduled.fault.label.startswith("link_")
+            and scheduled.fault in ROUTE_FAULTS
             and worker.startswith(scheduled.victim)
         )
         began_at, ended_at = record.started + scheduled.at, record.started + scheduled.until
