--- a/standins/_worker.py
+++ b/standins/_worker.py
@@ -195,21 +195,7 @@
         self._received.append(
             ReceivedRequest(attempt_id, method, target, headers, body.decode("latin-1"), will_run)
         )
-        if self._arrivals is not None:
-            account = headers.get("tenant", "")
-            pause_s = faults.pause_s if faults.reject and expected == self._name else 0.0
-            arrival = Arrival(
-                attempt_id,
-                self._name,
-                time.time(),
-                will_run,
-                method,
-                target,
-                account,
-                pause_s,
-                faults.leaving,
-            )
-            self._arrivals.write(msgspec.json.encode(arrival) + b"\n")
+        self._write_arrival(attempt_id, head, headers.get("tenant", ""), will_run, expected)
         id_headers = [("Attempt-Id", attempt_id), *self._make_notices()]
         if expected != self._name:
             return _send_response(
@@ -238,6 +224,25 @@
             disconnect_task.cancel()
             await asyncio.gather(response_task, disconnect_task, return_exceptions=True)
 
+    def _write_arrival(
+        self, attempt_id: str, head: h11.Request, account: str, will_run: bool, expected: str
+    ) -> None:
+        if self._arrivals is None:
+            return
+        faults = self._faults
+        arrival = Arrival(
+            attempt_id,
+            self._name,
+            time.time(),
+            will_run,
+            head.method.decode(),
+            head.target.decode(),
+            account,
+            faults.pause_s if faults.reject and expected == self._name else 0.0,
+            faults.leaving,
+        )
+        self._arrivals.write(msgspec.json.encode(arrival) + b"\n")
+
     def _make_notices(self) -> list[tuple[str, str]]:
         return [("Server-Leaving", "1")] if self._faults.leaving else []
 
