Refusals without a target log how many other instances are heard; gauge targets_unreachable

Refusals now log `heard`, and the gauge targets_unreachable says how many targets accept no connection from here. No decision changes.

--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -183,6 +183,7 @@
         metrics.register_gauge(
             "instances_heard", lambda: state.loads.peer_counts.count_instances(read_clock())
         )
+        metrics.register_gauge("targets_unreachable", lambda: len(state.health.list_unreachable()))
         metrics.register_gauge("ready", lambda: float(state.ready))
         metrics.register_gauge("store_reached", lambda: float(self._follower.is_store_reachable))
         metrics.register_gauge("reads_store", lambda: float(self._follower.reads_store))
--- a/rhubarbbend/gateway/_request_server.py
+++ b/rhubarbbend/gateway/_request_server.py
@@ -357,6 +357,10 @@
         )
         exchange.respond(status, headers, body)
 
+    def _count_heard(self, now: float) -> int:
+        """Return how many other instances this one hears."""
+        return self._state.loads.peer_counts.count_instances(now)
+
     def _log_end(
         self,
         request: OpenRequest,
@@ -381,6 +385,7 @@
             target=None if target is None else target.id,
             sends=request.progress.sends,
             shut=request.rejection_counts,
+            heard=None if request.rejection_counts is None else self._count_heard(now),
             took=round(now - request.arrived_at, 4),
             config=request.config_version,
         )
