--- a/loadtool/_gateway_fleet.py
+++ b/loadtool/_gateway_fleet.py
@@ -11,7 +11,7 @@
 import json
 import os
 import signal
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import Any, Final
@@ -57,7 +57,8 @@
     """An instance: its settings, its process, and the proxy ports of the paths from and to it.
 
     `store_port` is the proxy port by which it reaches the store, `peer_port` the one by which other
-    instances reach it; 0 means that there is none.
+    instances reach it; 0 means that there is none. `links` are the proxy ports by which it reaches
+    each worker if it has links of its own, `view_port` then the store's port for it.
     """
 
     name: str
@@ -66,6 +67,8 @@
     store_port: int
     peer_port: int = 0
     process: ManagedProcess | None = None
+    view_port: int = 0
+    links: dict[str, int] = attrs.Factory(dict)
 
     @property
     def front_address(self) -> Address:
@@ -146,6 +149,7 @@
         self.proxy_port = 0
         self._listen_ports = {name: pick_port() for name in ("front", "ready", "control")}
         self._next_id = 0
+        self._own_links = False
 
     async def start(
         self,
@@ -154,12 +158,15 @@
         engine_worker_count: int = 2,
         zones: int = len(ZONES),
         use_proxy_routes: bool = False,
+        own_links: bool = False,
     ) -> None:
         """Start the stand-ins and the instances, and wait until the instances are ready.
 
         If `use_proxy_routes`, every second worker of a service is reached through a proxy route,
-        and so is each instance by the other instances.
+        and so is each instance by the other instances. If `own_links`, each instance has its own
+        proxy route to each worker.
         """
+        self._own_links = own_links
         _, self.store_port = await self.group.start_stand_in("store", ["tables"])
         _, self.proxy_port = await self.group.start_stand_in("proxy", ["proxy"])
         await self.write_row("op", "config", make_config())
@@ -183,7 +190,8 @@
         If `use_proxy_route`, the other instances reach it through a proxy route.
         """
         ip = f"{LOOPBACK_PREFIX}.{len(self.instances) + 1}"
-        store_port = await self.open_route(self.store_port)
+        view_port = await self._set_view(0, {}) if self._own_links else 0
+        store_port = await self.open_route(view_port or self.store_port)
         listen = {key: f"{ip}:{port}" for key, port in self._listen_ports.items()}
         seeds = [f"{LOOPBACK_PREFIX}.{n}:{self._listen_ports['control']}" for n in (1, 2, 3)]
         settings = {
@@ -207,7 +215,8 @@
             "platform": {"address": f"127.0.0.1:{store_port}"},
             "aFieldNobodyKnows": {"of": "the future"},
         }
-        node = InstanceNode(name, ip, settings, store_port)
+        node = InstanceNode(name, ip, settings, store_port, view_port=view_port)
+        await self._open_links(node)
         if use_proxy_route:
             node.peer_port = await self.open_route(self._listen_ports["control"], ip)
             settings["advertise"] = {"control": f"127.0.0.1:{node.peer_port}"}
@@ -252,6 +261,8 @@
         advertised_port = await self.open_route(port) if use_proxy_route else port
         node = WorkerNode(name, service, zone, port, advertised_port, process)
         self.workers[name] = node
+        for instance in self.instances.values():
+            await self._open_links(instance)
         await self.register_worker(name, **fields)
         return node
 
@@ -271,6 +282,33 @@
         }
         await self.write_row("servers", name, {**entry, **fields})
 
+    # Links of single instances to workers.
+
+    async def _open_links(self, node: InstanceNode) -> None:
+        """Open an instance's own routes to the workers to which it has none."""
+        if not node.view_port:
+            return
+        for worker in self.workers.values():
+            if worker.name not in node.links:
+                node.links[worker.name] = await self.open_route(worker.advertised_port)
+        addresses = {
+            f"127.0.0.1:{self.workers[name].advertised_port}": f"127.0.0.1:{port}"
+            for name, port in node.links.items()
+        }
+        await self._set_view(node.view_port, addresses)
+
+    async def _set_view(self, port: int, addresses: dict[str, str]) -> int:
+        view = {"port": port, "addresses": addresses}
+        return int(json.loads(await self.call_admin(self.store_port, "views", view))["port"])
+
+    async def set_link_faults(
+        self, instance: str, workers: Sequence[str] | None = None, **faults: Any
+    ) -> None:
+        """Set the faults of an instance's own links to some workers; None: to all."""
+        links = self.instances[instance].links
+        ports = [port for worker, port in links.items() if workers is None or worker in workers]
+        await self.call_admin(self.proxy_port, "faults", {"ports": ports, **faults})
+
     # Calls to the stand-ins.
 
     async def write_row(self, table: str, key: str, value: Any, raw: str | None = None) -> None:
--- a/standins/_proxy.py
+++ b/standins/_proxy.py
@@ -5,13 +5,14 @@
 ports:
 
 - `refuse`: new connections are closed at once.
-- `deaf`: the listening socket is closed; this cannot be undone.
 - `cut`: all open connections are closed now.
 - `freeze`: open connections transfer nothing more in either direction, permanently; new
   connections work.
 - `blackhole`: open and new connections transfer nothing.
 - `mute`: data from the upstream is held back: requests arrive, responses do not.
 - `delay`: seconds that data is delayed, in each direction.
+- `listening`: what becomes of new connections: `open` (accepted), `closed` (refused by the system),
+  or `silent` (no answer, as behind a cut).
 - `truncate`: a connection is closed after so many bytes of response; -1: never.
 """
 
@@ -19,6 +20,8 @@
 
 import asyncio
 import contextlib
+import enum
+import socket
 
 import attrs
 import msgspec
@@ -27,6 +30,16 @@
 from standins._server import StandIn, respond_json
 
 READ_SIZE_BYTES = 65_536
+# Connections that fill the queue of a socket that accepts none; the system drops what comes then.
+FILLER_CONNECTIONS = 3
+
+
+class Listening(enum.Enum):
+    """What becomes of new connections to a route."""
+
+    OPEN = "open"
+    CLOSED = "closed"
+    SILENT = "silent"
 
 
 @attrs.define(slots=True, eq=False)
@@ -51,6 +64,8 @@
     connections: set[ProxiedConnection] = attrs.Factory(set)
     request_bytes: int = 0
     response_bytes: int = 0
+    listening: Listening = Listening.OPEN
+    silent_sockets: list[socket.socket] = attrs.Factory(list)
 
 
 class RouteRequest(msgspec.Struct):
@@ -67,11 +82,11 @@
     refuse: bool | None = None
     cut: bool = False
     freeze: bool = False
-    deaf: bool = False
     blackhole: bool | None = None
     mute: bool | None = None
     delay: float | None = None
     truncate: int | None = None
+    listening: Listening | None = None
 
 
 class Proxy(StandIn):
@@ -81,7 +96,6 @@
         super().__init__()
         self._host = host
         self._routes: dict[int, Route] = {}
-        self._servers: list[asyncio.Server] = []
 
     async def handle_admin(self, exchange: Exchange, name: str) -> None:
         """Open a route, change faults, or return the bytes forwarded on each route."""
@@ -92,6 +106,8 @@
             faults = msgspec.json.decode(exchange.body, type=FaultRequest)
             for port in faults.ports:
                 self._set_faults(self._routes[port], faults)
+                if faults.listening is not None:
+                    await self._set_listening(port, faults.listening)
             respond_json(exchange, {})
         elif name == "bytes":
             counts = {
@@ -104,24 +120,38 @@
 
     async def _open_route(self, request: RouteRequest) -> int:
         route = Route(request.to)
+        port = await self._listen_for(route, request.port)
+        self._routes[port] = route
+        return port
 
+    async def _listen_for(self, route: Route, port: int) -> int:
         async def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             await self._proxy_connection(route, reader, writer)
 
-        server = await asyncio.start_server(accept, self._host, request.port)
-        self._servers.append(server)
-        port = int(server.sockets[0].getsockname()[1])
-        self._routes[port] = route
-        route.server = server
-        return port
+        route.server = await asyncio.start_server(accept, self._host, port)
+        return int(route.server.sockets[0].getsockname()[1])
+
+    async def _set_listening(self, port: int, listening: Listening) -> None:
+        route = self._routes[port]
+        if route.listening is listening:
+            return
+        route.listening = listening
+        if route.server is not None:
+            route.server.close()
+            route.server = None
+        for silent_socket in route.silent_sockets:
+            silent_socket.close()
+        route.silent_sockets = []
+        if listening is Listening.OPEN:
+            await self._listen_for(route, port)
+        elif listening is Listening.SILENT:
+            route.silent_sockets = _open_silent_sockets(self._host, port)
 
     def _set_faults(self, route: Route, faults: FaultRequest) -> None:
         for field in ("refuse", "blackhole", "mute", "delay", "truncate"):
             value = getattr(faults, field)
             if value is not None:
                 setattr(route, field, value)
-        if faults.deaf and route.server is not None:
-            route.server.close()
         if faults.freeze:
             for connection in route.connections:
                 connection.frozen = True
@@ -188,3 +218,19 @@
             await writer.drain()
         with contextlib.suppress(OSError):
             writer.write_eof()
+
+
+def _open_silent_sockets(host: str, port: int) -> list[socket.socket]:
+    """Listen on a port without accepting, and fill the queue; further connections get no answer."""
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((host, port))
+    listener.listen(0)
+    sockets = [listener]
+    for _ in range(FILLER_CONNECTIONS):
+        filler = socket.socket()
+        filler.setblocking(False)
+        with contextlib.suppress(BlockingIOError):
+            filler.connect((host, port))
+        sockets.append(filler)
+    return sockets
--- a/standins/_table_store.py
+++ b/standins/_table_store.py
@@ -5,6 +5,10 @@
 0: none), `silent` (requests get no response), `delay` (seconds before each response),
 `lose_answers` (the number of writes that take effect but get no response), `forget` (drop the
 change history now, so that feeds from an earlier revision get status 410).
+
+`POST /admin/views` with {"port": 0, "addresses": {...}} opens a port at which the addresses in rows
+of targets are replaced by others, and returns it; with the port of a view, it replaces the addresses
+of that view. So each caller can be given links to the targets of its own.
 """
 
 from __future__ import annotations
@@ -12,17 +16,23 @@
 import asyncio
 import base64
 import time
+from collections.abc import Mapping
+from contextvars import ContextVar
 from typing import Any
 
 import msgspec
 
-from rhubarbbend.http import Exchange
+from rhubarbbend.http import Exchange, HttpServer
 from standins._server import StandIn, read_query, respond_json
 
 # How long a request that gets no response is kept open.
 HANG_TIMEOUT_S = 60.0
 # Only operators and targets write these tables; transactions of the fleet get status 403.
 READ_ONLY_TABLES = ("op", "servers")
+TARGET_TABLE = "servers"
+
+# The addresses that replace others in the response to the present request.
+replaced_addresses: ContextVar[Mapping[str, str]] = ContextVar("replaced_addresses")
 
 
 class Faults(msgspec.Struct):
@@ -57,6 +67,13 @@
     raw: str | None = None
 
 
+class ViewRequest(msgspec.Struct):
+    """Body of a request to open a view, or to change the addresses of the one with this port."""
+
+    addresses: dict[str, str]
+    port: int = 0
+
+
 class TableStore(StandIn):
     """The store, in memory. Invariant: each change increases the version by one."""
 
@@ -68,6 +85,13 @@
         self._oldest_revision = 0
         self._changed = asyncio.Condition()
         self._counts: dict[str, int] = {}
+        self._host = ""
+        self._views: dict[int, dict[str, str]] = {}
+
+    async def listen(self, host: str, port: int) -> int:
+        """Start to accept connections; return the port in use."""
+        self._host = host
+        return await super().listen(host, port)
 
     async def handle(self, exchange: Exchange, path: str) -> None:
         """Handle a read, a feed or a transaction."""
@@ -106,6 +130,11 @@
             respond_json(exchange, self._faults)
         elif name == "counts":
             respond_json(exchange, self._counts)
+        elif name == "views":
+            view = msgspec.json.decode(exchange.body, type=ViewRequest)
+            port = view.port or await self._open_view()
+            self._views[port] = view.addresses
+            respond_json(exchange, {"port": port})
         elif name == "table":
             wanted = read_query(exchange)["table"]
             rows = [row for row in self._rows.values() if row.table == wanted and not row.deleted]
@@ -113,6 +142,14 @@
         else:
             respond_json(exchange, {}, 404)
 
+    async def _open_view(self) -> int:
+        async def serve(exchange: Exchange) -> None:
+            replaced_addresses.set(self._views[port])
+            await self._dispatch(exchange)
+
+        port = await HttpServer(serve).listen(self._host, 0)
+        return port
+
     async def _hang(self, exchange: Exchange) -> None:
         try:
             await asyncio.wait_for(exchange.closed.wait(), HANG_TIMEOUT_S)
@@ -180,6 +217,8 @@
         self, exchange: Exchange, rows: list[StoredRow], truncated: bool = False
     ) -> None:
         now = int(time.monotonic() * 1000)
+        addresses = replaced_addresses.get({})
+        rows = [_replace_address(row, addresses) for row in rows]
         value = {"rows": rows, "ver": self._version, "nowMs": now, "truncated": truncated}
         respond_json(exchange, value)
 
@@ -206,3 +245,17 @@
     def _get_version(self, row: dict[str, Any]) -> int:
         found = self._rows.get((row["table"], row["key"]))
         return 0 if found is None or found.deleted else found.ver
+
+
+def _replace_address(row: StoredRow, addresses: Mapping[str, str]) -> StoredRow:
+    """Return the row of a target with another address if there is one for its own."""
+    if row.table != TARGET_TABLE or row.deleted or not addresses:
+        return row
+    try:
+        entry = msgspec.json.decode(base64.b64decode(row.value))
+        entry["address"] = addresses.get(entry["address"], entry["address"])
+    except (ValueError, KeyError, TypeError):
+        # The row of another writer is passed on as it is.
+        return row
+    text = base64.b64encode(msgspec.json.encode(entry)).decode("ascii")
+    return msgspec.structs.replace(row, value=text)
--- a/tests/gateway/test_answers.py
+++ b/tests/gateway/test_answers.py
@@ -185,7 +185,7 @@
             await asyncio.sleep(0.3)
             partitioned_at = asyncio.get_running_loop().time()
             route = fleet.workers["engine-0"].advertised_port
-            await fleet.set_route_faults(route, freeze=True, deaf=True)
+            await fleet.set_route_faults(route, freeze=True, listening="closed")
             reply = await reply_task
             assert reply.complete and reply.body == join_events(b"hi", last=40)
             assert asyncio.get_running_loop().time() - partitioned_at < 0.8
