--- /dev/null
+++ b/rhubarbbend/gateway/_answer_forwarder.py
@@ -0,0 +1,131 @@
+"""Forwards the answer of a target to the caller of a request, or keeps it if another may be better.
+
+An answer that is not a stream is buffered until it is whole; a stream is passed on as it arrives.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+from rhubarbbend.core.catalog import RequestKind
+from rhubarbbend.core.delivery import AttemptOutcome, LatencyTracker
+from rhubarbbend.gateway._interfaces import TargetResponseHead
+from rhubarbbend.gateway._requests import BufferedAnswer, OpenRequest
+from rhubarbbend.gateway._state import Clock, State, read_clock
+from rhubarbbend.http import BodyTimeoutPolicy, Connection, HttpFailure, SendStage
+
+# Answers up to this size are buffered until they are complete, so that one that was truncated can
+# be replaced by another target's.
+MAX_BUFFERED_ANSWER_BYTES: Final = 262_144
+# Statuses that guarantee to the caller that its request did not and will not run.
+NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
+
+
+class AnswerForwarder:
+    """Forwards answers. Invariant: a caller gets at most one, and never a part that looks whole."""
+
+    def __init__(self, state: State, latencies: LatencyTracker, clock: Clock) -> None:
+        self._state = state
+        self._latencies = latencies
+        self._clock = clock
+
+    async def forward(
+        self,
+        request: OpenRequest,
+        answer: TargetResponseHead,
+        connection: Connection,
+        timeout_policy: BodyTimeoutPolicy | float,
+        can_retry: bool,
+    ) -> AttemptOutcome:
+        """Read the body of an answer, forward it, and return how the attempt ended.
+
+        `timeout_policy` limits the time without progress of a stream; a number is in seconds.
+        `can_retry` is whether another target may still answer in place of one that failed. Raise
+        `HttpFailure` if this is no whole answer of the target.
+        """
+        if answer.misdirected:
+            await _read_body(connection, request)
+            return AttemptOutcome.MISDIRECTED
+        if answer.was_not_executed:
+            await _read_body(connection, request)
+            return AttemptOutcome.REJECTED
+        if not answer.is_authentic or answer.status in NOT_RUN_STATUSES:
+            # The request ran or may have run; the caller would take the status for a guarantee that
+            # it did not.
+            raise HttpFailure(
+                SendStage.RESPONSE, f"not a valid answer of this target, status {answer.status}"
+            )
+        if request.route.kind is RequestKind.STREAM and answer.status < 300:
+            return await self._relay_stream(request, answer, connection, timeout_policy)
+        if request.progress.started:
+            # The caller already has the head of a stream, which no other answer can continue.
+            reason = f"status {answer.status} instead of the rest of a stream"
+            raise HttpFailure(SendStage.RESPONSE, reason)
+        body = await _read_body(connection, request)
+        if body is None:
+            raise HttpFailure(SendStage.RESPONSE, "the answer is too large to buffer")
+        failed = answer.status >= 500
+        if failed and can_retry and self._has_retry_left(request):
+            request.fallback_answer = BufferedAnswer(answer, body)
+            return AttemptOutcome.FAILED
+        send_answer(request, BufferedAnswer(answer, body))
+        return AttemptOutcome.FAILED if failed else AttemptOutcome.ANSWERED
+
+    def _has_retry_left(self, request: OpenRequest) -> bool:
+        instances = len(self._state.list_instance_ids())
+        share = self._state.get_retry_budget_share(request.service.name)
+        return share.compute_remaining(instances, self._clock()) >= 1.0
+
+    async def _relay_stream(
+        self,
+        request: OpenRequest,
+        answer: TargetResponseHead,
+        connection: Connection,
+        timeout_policy: BodyTimeoutPolicy | float,
+    ) -> AttemptOutcome:
+        relay = request.relay
+        is_resumed = request.answer is not None and relay.started
+        if not is_resumed:
+            request.answer = answer
+        sent_at = request.sent_at
+
+        def record_first_event() -> None:
+            request.first_event_at = self._clock()
+            self._latencies.record_first_event(request.route, request.first_event_at - sent_at)
+            connection.reset_longest_receive_gap()
+
+        relay.begin_response(is_resumed, record_first_event)
+        await connection.relay_body(relay, timeout_policy)
+        if not relay.is_complete():
+            raise HttpFailure(SendStage.RESPONSE, "the stream ended in the middle of an event")
+        self._latencies.record_longest_pause(request.route, connection.longest_receive_gap_s)
+        if not relay.started:
+            request.answer = answer
+            request.progress.started = True
+            request.exchange.start_raw(answer.status, answer.headers)
+        request.exchange.finish()
+        return AttemptOutcome.ANSWERED
+
+
+def send_answer(request: OpenRequest, answer: BufferedAnswer) -> None:
+    """Send a target's complete answer to the caller."""
+    exchange = request.exchange
+    request.progress.started = True
+    request.answer = answer.head
+    length = (b"Content-Length", str(len(answer.body)).encode("ascii"))
+    exchange.start_raw(answer.head.status, [*answer.head.headers, length])
+    if exchange.method != "HEAD":
+        exchange.write(answer.body)
+    exchange.finish()
+
+
+async def _read_body(connection: Connection, request: OpenRequest) -> bytes | None:
+    """Return the body of an answer, None if it is larger than `MAX_BUFFERED_ANSWER_BYTES`."""
+    parts: list[bytes] = []
+    size = 0
+    async for part in connection.receive_body(request.compute_backstop_timeout(read_clock())):
+        size += len(part)
+        if size > MAX_BUFFERED_ANSWER_BYTES:
+            return None
+        parts.append(part)
+    return b"".join(parts)
--- a/rhubarbbend/gateway/_attempts.py
+++ b/rhubarbbend/gateway/_attempts.py
@@ -11,18 +11,19 @@
 from typing import Any, Final
 
 from rhubarbbend import codes
-from rhubarbbend.core.catalog import RequestKind
 from rhubarbbend.core.delivery import AttemptOutcome, LatencyTracker
 from rhubarbbend.core.directory import Target
 from rhubarbbend.core.placement import Choice
+from rhubarbbend.gateway._answer_forwarder import AnswerForwarder
 from rhubarbbend.gateway._answer_receiver import AnswerReceiver
 from rhubarbbend.gateway._attempt_recorder import AttemptRecorder
 from rhubarbbend.gateway._interfaces import ForwardingOptions, TargetProtocol, TargetResponseHead
 from rhubarbbend.gateway._liveness import TargetLivenessMonitor
-from rhubarbbend.gateway._requests import BufferedAnswer, OpenRequest
-from rhubarbbend.gateway._state import Clock, State, read_clock
+from rhubarbbend.gateway._requests import OpenRequest
+from rhubarbbend.gateway._state import Clock, State
 from rhubarbbend.http import (
     REASON_TIMEOUT,
+    BodyTimeoutPolicy,
     Connection,
     ConnectionPool,
     HttpFailure,
@@ -38,9 +39,6 @@
 NON_IDEMPOTENT_MAX_IDLE_S: Final = 0.2
 # If a connection breaks after a shorter idle time than this, idleness was not the cause.
 MIN_DEAD_IDLE_TIME_S: Final = 0.1
-# Answers up to this size are buffered until they are complete, so that one that was truncated can
-# be replaced by another target's.
-MAX_BUFFERED_ANSWER_BYTES: Final = 262_144
 # Idle connections are closed this long before the target would close them.
 IDLE_MARGIN_S: Final = 1.0
 # After these outcomes the connection is not reused. A target that rejects a request may not have
@@ -49,8 +47,6 @@
 NON_REUSABLE_OUTCOMES: Final = frozenset(
     {AttemptOutcome.BROKEN, AttemptOutcome.MISDIRECTED, AttemptOutcome.REJECTED}
 )
-# Statuses that guarantee to the caller that its request did not and will not run.
-NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
 
 
 class RetryBudgetExhausted(Exception):
@@ -76,6 +72,7 @@
         self._answers = AnswerReceiver(
             state, target_protocol, self._liveness, self._latencies, clock
         )
+        self.forwarder = AnswerForwarder(state, self._latencies, clock)
         # Called when a target closed the connection of a request before answering it; set by the
         # instance.
         self.on_broken_connection: Callable[[OpenRequest, Target], None] = (
@@ -158,7 +155,10 @@
         try:
             self._send(request, choice, connection)
             answer = await self._answers.receive_head(request, choice.target, connection)
-            outcome = await self._process_answer(request, choice.target, answer, connection)
+            policy = self._select_timeout_policy(request, choice.target)
+            outcome = await self.forwarder.forward(
+                request, answer, connection, policy, request.can_retry_elsewhere
+            )
         except HttpFailure as failure:
             outcome = self._handle_failure(request, choice.target, failure)
             if answer is None and self._record_if_dead_while_idle(
@@ -250,83 +250,17 @@
             content=request.digest if pause_left > 0.0 else None,
         )
 
-    async def _process_answer(
-        self,
-        request: OpenRequest,
-        target: Target,
-        answer: TargetResponseHead,
-        connection: Connection,
-    ) -> AttemptOutcome:
-        if answer.misdirected:
-            await _read_body(connection, request)
-            return AttemptOutcome.MISDIRECTED
-        if answer.was_not_executed:
-            await _read_body(connection, request)
-            return AttemptOutcome.REJECTED
-        if not answer.is_authentic or answer.status in NOT_RUN_STATUSES:
-            # The request ran or may have run; the caller would take the status for a guarantee that
-            # it did not.
-            raise HttpFailure(
-                SendStage.RESPONSE, f"not a valid answer of this target, status {answer.status}"
-            )
-        if request.route.kind is RequestKind.STREAM and answer.status < 300:
-            return await self._relay_stream(request, target, answer, connection)
-        if request.progress.started:
-            # The caller already has the head of a stream, which no other answer can continue.
-            reason = f"status {answer.status} instead of the rest of a stream"
-            raise HttpFailure(SendStage.RESPONSE, reason)
-        body = await _read_body(connection, request)
-        if body is None:
-            raise HttpFailure(SendStage.RESPONSE, "the answer is too large to buffer")
-        failed = answer.status >= 500
-        if failed and request.can_retry_elsewhere and self._has_retry_left(request):
-            request.fallback_answer = BufferedAnswer(answer, body)
-            return AttemptOutcome.FAILED
-        send_answer(request, BufferedAnswer(answer, body))
-        return AttemptOutcome.FAILED if failed else AttemptOutcome.ANSWERED
-
-    def _has_retry_left(self, request: OpenRequest) -> bool:
-        instances = len(self._state.list_instance_ids())
-        share = self._state.get_retry_budget_share(request.service.name)
-        return share.compute_remaining(instances, self._clock()) >= 1.0
-
-    async def _relay_stream(
-        self,
-        request: OpenRequest,
-        target: Target,
-        answer: TargetResponseHead,
-        connection: Connection,
-    ) -> AttemptOutcome:
-        relay = request.relay
-        is_resumed = request.answer is not None and relay.started
-        if not is_resumed:
-            request.answer = answer
-        sent_at = request.sent_at
-
-        def record_first_event() -> None:
-            request.first_event_at = self._clock()
-            self._latencies.record_first_event(request.route, request.first_event_at - sent_at)
-            connection.reset_longest_receive_gap()
+    def _select_timeout_policy(
+        self, request: OpenRequest, target: Target
+    ) -> BodyTimeoutPolicy | float:
+        """Return the time-outs of the answer's body.
 
-        relay.begin_response(is_resumed, record_first_event)
-        # A stream that cannot be resumed would be lost if it were given up, so it may take until
-        # the request's deadline.
-        backstop = request.compute_backstop_timeout(self._clock())
-        timeout_policy = (
-            self._answers.make_timeout_policy(request, target)
-            if request.can_retry_elsewhere
-            else backstop
-        )
-        await connection.relay_body(relay, timeout_policy)
-        if not relay.is_complete():
-            raise HttpFailure(SendStage.RESPONSE, "the stream ended in the middle of an event")
-        self._latencies.record_longest_pause(request.route, connection.longest_receive_gap_s)
-        if not relay.started:
-            request.answer = answer
-            request.progress.started = True
-            request.exchange.start_raw(answer.status, answer.headers)
-        request.exchange.finish()
-        return AttemptOutcome.ANSWERED
+        A stream that cannot be resumed would be lost if it were given up, so it may take until the
+        request's deadline.
+        """
+        if request.can_retry_elsewhere:
+            return self._answers.make_timeout_policy(request, target)
+        return request.compute_backstop_timeout(self._clock())
 
     def _handle_failure(
         self, request: OpenRequest, target: Target, failure: HttpFailure
@@ -377,27 +311,3 @@
         if answer.idle_timeout_s is not None:
             connection.idle_timeout_s = answer.idle_timeout_s - IDLE_MARGIN_S
         self._pool.release(connection, self._clock())
-
-
-def send_answer(request: OpenRequest, answer: BufferedAnswer) -> None:
-    """Send a target's complete answer to the caller."""
-    exchange = request.exchange
-    request.progress.started = True
-    request.answer = answer.head
-    length = (b"Content-Length", str(len(answer.body)).encode("ascii"))
-    exchange.start_raw(answer.head.status, [*answer.head.headers, length])
-    if exchange.method != "HEAD":
-        exchange.write(answer.body)
-    exchange.finish()
-
-
-async def _read_body(connection: Connection, request: OpenRequest) -> bytes | None:
-    """Return the body of an answer, None if it is larger than `MAX_BUFFERED_ANSWER_BYTES`."""
-    parts: list[bytes] = []
-    size = 0
-    async for part in connection.receive_body(request.compute_backstop_timeout(read_clock())):
-        size += len(part)
-        if size > MAX_BUFFERED_ANSWER_BYTES:
-            return None
-        parts.append(part)
-    return b"".join(parts)
--- a/rhubarbbend/gateway/_request_server.py
+++ b/rhubarbbend/gateway/_request_server.py
@@ -17,7 +17,8 @@
 from rhubarbbend.core.catalog import Catalog, RequestKind
 from rhubarbbend.core.delivery import AttemptOutcome, compute_verdict, decide_step
 from rhubarbbend.core.placement import MAX_PAUSE_RETURN_FACTOR, Rejection
-from rhubarbbend.gateway._attempts import AttemptRunner, RetryBudgetExhausted, send_answer
+from rhubarbbend.gateway._answer_forwarder import send_answer
+from rhubarbbend.gateway._attempts import AttemptRunner, RetryBudgetExhausted
 from rhubarbbend.gateway._interfaces import BadRequest, CallerProtocol, CallerRequest
 from rhubarbbend.gateway._requests import OpenRequest
 from rhubarbbend.gateway._state import Clock, State
--- a/standins/_table_store.py
+++ b/standins/_table_store.py
@@ -7,8 +7,8 @@
 change history now, so that feeds from an earlier revision get status 410).
 
 `POST /admin/views` with {"port": 0, "addresses": {...}} opens a port at which the addresses in rows
-of targets are replaced by others, and returns it; with the port of a view, it replaces the addresses
-of that view. So each caller can be given links to the targets of its own.
+of targets are replaced by others, and returns it; with the port of a view, it changes what that one
+replaces. So each caller can be given links to the targets of its own.
 """
 
 from __future__ import annotations
