Requests that an instance cannot send are handed to one that can (RECOVER)

Cause: an instance knew no other way to a target than its own links. Class: a request is refused for a fault between two parts while a third part reaches both.

Change: detours. A request that finds no target, some of which cannot be reached from here, goes to another instance of the own zone first, with the time that is left, the version that admitted it and the number of targets it was at; that instance admits it, chooses the target, counts it in flight, and never hands it on. It declines at once what it cannot send either, so the refusal is true and quick.

Evidence: refusals log how many instances are heard: all of them, with every target unreachable.

Why it works: what the cut-off instance lacks is only the last hop, which an instance in contact has; the answer comes back over connections that the cut does not touch.

--- a/rhubarbbend/codes.py
+++ b/rhubarbbend/codes.py
@@ -241,6 +241,20 @@
 RESERVED_RUNS: Final = _declare_counter("reserved.runs", "commands dispatched under reserved keys")
 SUSPECTS: Final = _declare_counter("suspects", "crashes counted against a request digest")
 
+DETOURS_SENT: Final = _declare_counter(
+    "detours.sent", "requests handed to another instance, since no target could be reached"
+)
+DETOURS_ANSWERED: Final = _declare_counter("detours.answered", "such requests that were answered")
+DETOURS_DECLINED: Final = _declare_counter(
+    "detours.declined", "such requests that the other instance could not send either"
+)
+DETOURS_FAILED: Final = _declare_counter(
+    "detours.failed", "such requests that may have run and got no whole answer"
+)
+DETOURS_LOST: Final = _declare_counter(
+    "detours.lost", "instances that accepted no connection for such a request"
+)
+DETOURS_SERVED: Final = _declare_counter("detours.served", "requests served for other instances")
 PEERS_LOST: Final = _declare_counter("peers.lost", "peers declared silent")
 PEER_FRAMES_BAD: Final = _declare_counter("peers.bad_frames", "peer frames that did not decode")
 PEER_COUNTS_REJECTED: Final = _declare_counter(
--- /dev/null
+++ b/rhubarbbend/core/detours/__init__.py
@@ -0,0 +1,10 @@
+"""Detours: requests that reach a target through another instance, the helper.
+
+An instance may lose its links to targets while callers and the other instances still reach it. What
+it cannot send itself, it hands to an instance that can. A detour has one hop: a helper sends the
+request to a target or declines it.
+"""
+
+from rhubarbbend.core.detours._helpers import HelperSelector
+
+__all__ = ["HelperSelector"]
--- a/rhubarbbend/core/placement/_candidates.py
+++ b/rhubarbbend/core/placement/_candidates.py
@@ -91,8 +91,12 @@
         instances: Sequence[str],
         admits: Callable[[Target], bool],
         now: float,
+        avoids_unreachable: bool = False,
     ) -> Candidates:
-        """Return the candidates for a request that was at the `excluded` targets before."""
+        """Return the candidates for a request that was at the `excluded` targets before.
+
+        If `avoids_unreachable`, the request is not used to try an unreachable target.
+        """
         targets = [t for t in self._registry.list_available(service.name, now) if admits(t)]
         found = Candidates(targets, self._estimate_loads(service, now), admits)
         found.failing = self._health.list_failing([target.id for target in targets], now)
@@ -101,6 +105,8 @@
             rejection = self._find_rejection(
                 service, target, excluded, max_requests, instances, now
             )
+            if rejection is None and avoids_unreachable and self._health.is_unreachable(target.id):
+                rejection = Rejection.UNREACHABLE
             if rejection is None:
                 found.eligible.append(target)
             else:
--- a/rhubarbbend/core/placement/_placement.py
+++ b/rhubarbbend/core/placement/_placement.py
@@ -146,14 +146,18 @@
         random: Random,
         now: float,
         admits: Callable[[Target], bool] = admit_all,
+        avoids_unreachable: bool = False,
     ) -> Choice | None:
         """Choose a target; return None if no target of the service can take the request now.
 
         `excluded` holds the ids of the targets that were already tried for this request.
         `instances` are all instances that share the bounds on connections and cold targets.
-        `admits` returns whether a target may get this request.
+        `admits` returns whether a target may get this request. If `avoids_unreachable`, it is not
+        used to try an unreachable target.
         """
-        candidates = self._finder.find(service, excluded, instances, admits, now)
+        candidates = self._finder.find(
+            service, excluded, instances, admits, now, avoids_unreachable
+        )
         self.last_rejections = candidates.rejections
         if not candidates.eligible:
             return None
--- a/rhubarbbend/gateway/_attempts.py
+++ b/rhubarbbend/gateway/_attempts.py
@@ -190,12 +190,16 @@
         self._state.event_log.write(event, now, id=request.id, target=target.id, **fields)
 
     def _acquire_retry(self, request: OpenRequest, connection: Connection) -> None:
-        instances = len(self._state.list_instance_ids())
-        share = self._state.get_retry_budget_share(request.service.name)
-        if not share.try_acquire(instances, self._clock()):
+        if not self.try_acquire_retry(request):
             self._pool.release(connection, self._clock())
             raise RetryBudgetExhausted
 
+    def try_acquire_retry(self, request: OpenRequest) -> bool:
+        """Take a retry from this instance's share of the budget; return whether there was one."""
+        instances = len(self._state.list_instance_ids())
+        share = self._state.get_retry_budget_share(request.service.name)
+        return share.try_acquire(instances, self._clock())
+
     def _send(self, request: OpenRequest, choice: Choice, connection: Connection) -> None:
         now = self._clock()
         caller = request.caller
--- /dev/null
+++ b/rhubarbbend/gateway/_detour_server.py
@@ -0,0 +1,80 @@
+"""Serves requests for other instances that cannot reach the targets themselves."""
+
+from __future__ import annotations
+
+import msgspec
+
+from rhubarbbend import codes
+from rhubarbbend.codes import ErrorCode, Verdict
+from rhubarbbend.core.rollouts import VersionChoice
+from rhubarbbend.gateway._detour_messages import (
+    REFUSAL_HEADER,
+    DetourRefusal,
+    DetourTerms,
+    read_terms,
+)
+from rhubarbbend.gateway._detours import DECLINED, DetourResult
+from rhubarbbend.gateway._request_server import RequestServer
+from rhubarbbend.gateway._requests import OpenRequest
+from rhubarbbend.http import Exchange
+
+
+class DetourServer(RequestServer):
+    """Serves the requests that other instances hand to this one.
+
+    They are admitted and sent as if their callers had come here, but the instance that took such a
+    request has counted it for the shares of limits over the fleet, and what this one cannot reach
+    at the moment it declines at once. Invariant: no request goes on to a third instance.
+    """
+
+    async def serve(self, exchange: Exchange) -> None:
+        """Serve one request of another instance."""
+        now = self._clock()
+        try:
+            terms = read_terms(exchange.headers)
+        except msgspec.MsgspecError as error:
+            self._state.event_log.write("peer_unreadable", now, reason=str(error))
+            terms = None
+        if terms is None:
+            exchange.respond(400, [], b"")
+        elif self._may_serve(terms):
+            self._state.metrics.increment_counter(codes.DETOURS_SERVED)
+            await super().serve(exchange)
+        else:
+            request_id = self._caller_protocol.read_request_id(exchange)
+            self._write_error(exchange, request_id, codes.NOT_READY, Verdict.NOT_RUN, 0.0)
+
+    def _may_serve(self, terms: DetourTerms) -> bool:
+        """Return whether this instance serves detours, and by no older configuration."""
+        catalog = self._state.catalog
+        is_current = catalog is not None and catalog.version >= terms.config_version
+        return self._state.ready and is_current
+
+    def _begin(self, request: OpenRequest, now: float) -> None:
+        terms = read_terms(request.exchange.headers)
+        assert terms is not None
+        request.progress.targets = terms.targets
+        registered = self._state.registry.count_versions(request.service.name)
+        versions = self._state.rollouts.find_versions(request.service.name, registered)
+        # The instance that took the request counts it for the share of a version on trial.
+        request.version = VersionChoice(versions.stable)
+        request.may_switch_version = False
+
+    def _avoids_unreachable(self, request: OpenRequest, now: float) -> bool:
+        return True
+
+    async def _run_detour(self, request: OpenRequest) -> DetourResult:
+        return DECLINED
+
+    def _write_error(
+        self,
+        exchange: Exchange,
+        request_id: str,
+        code: ErrorCode,
+        verdict: Verdict,
+        retry_after: float,
+        targets: int = 0,
+    ) -> None:
+        refusal = DetourRefusal(code.name, verdict, targets)
+        exchange.extra_headers.append((REFUSAL_HEADER, msgspec.json.encode(refusal)))
+        super()._write_error(exchange, request_id, code, verdict, retry_after)
--- /dev/null
+++ b/rhubarbbend/gateway/_detours.py
@@ -0,0 +1,228 @@
+"""Hands requests that this instance cannot send to a helper, another instance that can."""
+
+from __future__ import annotations
+
+from typing import Any, Final
+
+import msgspec
+
+from rhubarbbend import codes
+from rhubarbbend.codes import ErrorCode, Verdict
+from rhubarbbend.core.delivery import AttemptOutcome
+from rhubarbbend.core.detours import HelperSelector
+from rhubarbbend.gateway._answer_forwarder import AnswerForwarder
+from rhubarbbend.gateway._attempts import CONNECT_TIMEOUT_S, NON_IDEMPOTENT_MAX_IDLE_S
+from rhubarbbend.gateway._detour_messages import (
+    DetourRefusal,
+    DetourTerms,
+    add_terms,
+    read_refusal,
+)
+from rhubarbbend.gateway._interfaces import CallerProtocol, TargetProtocol
+from rhubarbbend.gateway._requests import OpenRequest
+from rhubarbbend.gateway._state import Clock, State
+from rhubarbbend.http import (
+    REASON_TIMEOUT,
+    Connection,
+    ConnectionPool,
+    HttpFailure,
+    Response,
+    SendStage,
+)
+
+# Instances that one request is sent to before it is refused.
+MAX_HELPERS_ASKED: Final = 3
+# How often it is checked whether the helper is still heard while its answer is awaited.
+HELPER_CHECK_INTERVAL_S: Final = 0.3
+
+
+class DetourResult(msgspec.Struct, frozen=True):
+    """What came of a detour.
+
+    `answered` is whether the caller got a target's answer; else `code` is the error for the caller,
+    None if no helper was asked or none gave a reason.
+    """
+
+    answered: bool
+    code: ErrorCode | None = None
+
+
+DECLINED: Final = DetourResult(False)
+
+
+class DetourClient:
+    """Sends requests to helpers, one after another until one of them sent it to a target.
+
+    Invariant: a request that a helper may have sent on goes to no other helper.
+    """
+
+    def __init__(
+        self,
+        state: State,
+        pool: ConnectionPool,
+        callers: CallerProtocol,
+        targets: TargetProtocol,
+        forwarder: AnswerForwarder,
+        clock: Clock,
+    ) -> None:
+        self._state = state
+        self._pool = pool
+        self._callers = callers
+        self._targets = targets
+        self._forwarder = forwarder
+        self._clock = clock
+        self._selector = HelperSelector(state.settings.instance, state.settings.zone)
+
+    def is_in_use(self, service: str, now: float) -> bool:
+        """Return whether requests to a service have been served by helpers lately."""
+        return self._selector.is_in_use(service, now)
+
+    async def run(self, request: OpenRequest) -> DetourResult:
+        """Have a request served by a helper; forward the answer, or return why there is none."""
+        asked: set[str] = set()
+        result = DECLINED
+        while len(asked) < MAX_HELPERS_ASKED:
+            now = self._clock()
+            heard = self._state.loads.peer_counts.list_senders(now)
+            helper = self._selector.select(
+                request.service.name, self._state.instances, heard, asked, now
+            )
+            if helper is None:
+                break
+            asked.add(helper)
+            self._selector.record_sent(helper)
+            try:
+                result = await self._ask(request, helper)
+            finally:
+                self._selector.record_ended(helper)
+            if result.answered or request.progress.may_have_run:
+                break
+        return result
+
+    async def _ask(self, request: OpenRequest, helper: str) -> DetourResult:
+        connection = await self._connect(helper)
+        if connection is None:
+            return DECLINED
+        request.helper = helper
+        is_reusable = False
+        try:
+            self._send(request, connection)
+            response = await self._receive_head(request, helper, connection)
+            refusal = read_refusal(response.headers)
+            if refusal is not None:
+                is_reusable = True
+                await _discard_body(request, connection, self._clock())
+                return self._handle_refusal(request, helper, refusal)
+            answer = self._targets.read_response_head(response)
+            if answer.request != request.id:
+                raise HttpFailure(SendStage.RESPONSE, "the answer belongs to another request")
+            backstop = request.compute_backstop_timeout(self._clock())
+            outcome = await self._forwarder.forward(request, answer, connection, backstop, False)
+            is_reusable = True
+            return self._handle_answer(request, helper, outcome)
+        except (HttpFailure, msgspec.MsgspecError) as failure:
+            return self._handle_failure(request, helper, failure)
+        finally:
+            request.helper = None
+            if is_reusable:
+                self._pool.release(connection, self._clock())
+            else:
+                connection.close()
+
+    async def _connect(self, helper: str) -> Connection | None:
+        row = self._state.instances[helper]
+        # A connection that was idle for longer may have died, and it would not be known whether the
+        # request was sent on.
+        max_idle = NON_IDEMPOTENT_MAX_IDLE_S
+        try:
+            return await self._pool.acquire(
+                (row.host, row.port), self._clock(), False, CONNECT_TIMEOUT_S, max_idle
+            )
+        except HttpFailure as failure:
+            now = self._clock()
+            self._selector.record_lost(helper, now)
+            self._state.metrics.increment_counter(codes.DETOURS_LOST)
+            self._state.event_log.write("helper_lost", now, helper=helper, reason=failure.reason)
+            return None
+
+    def _send(self, request: OpenRequest, connection: Connection) -> None:
+        now = self._clock()
+        caller = request.caller
+        headers = self._callers.make_detour_headers(
+            caller, request.compute_time_left(now), request.relay.last_id
+        )
+        terms = DetourTerms(
+            self._state.settings.instance, request.config_version, request.progress.targets
+        )
+        connection.send_raw(
+            caller.method, caller.path_and_query, add_terms(headers, terms), caller.body
+        )
+        request.sent_at = now
+        request.first_event_at = None
+        request.relay.has_received_event = False
+        self._state.metrics.increment_counter(codes.DETOURS_SENT)
+
+    async def _receive_head(
+        self, request: OpenRequest, helper: str, connection: Connection
+    ) -> Response:
+        """Return the head of the helper's response.
+
+        A helper that was heard before and falls silent is given up where the request may run again;
+        a command waits, since it may still be answered.
+        """
+        was_heard = self._is_heard(helper)
+        while True:
+            backstop = request.compute_backstop_timeout(self._clock())
+            try:
+                return await connection.receive_head(min(HELPER_CHECK_INTERVAL_S, backstop))
+            except HttpFailure as failure:
+                is_silent = failure.reason == REASON_TIMEOUT and not connection.closed
+                is_lost = request.route.idempotent and was_heard and not self._is_heard(helper)
+                if not is_silent or is_lost:
+                    raise
+
+    def _is_heard(self, helper: str) -> bool:
+        return helper in self._state.loads.peer_counts.list_senders(self._clock())
+
+    def _handle_refusal(
+        self, request: OpenRequest, helper: str, refusal: DetourRefusal
+    ) -> DetourResult:
+        request.progress.targets = max(request.progress.targets, refusal.targets)
+        self._log(request, helper, f"refused: {refusal.code}")
+        if refusal.verdict is Verdict.NOT_RUN:
+            self._selector.record_declined(request.service.name, helper, self._clock())
+            self._state.metrics.increment_counter(codes.DETOURS_DECLINED)
+        else:
+            request.progress.may_have_run = True
+            self._state.metrics.increment_counter(codes.DETOURS_FAILED)
+        return DetourResult(False, refusal.error)
+
+    def _handle_answer(
+        self, request: OpenRequest, helper: str, outcome: AttemptOutcome
+    ) -> DetourResult:
+        self._selector.record_answered(request.service.name, helper, self._clock())
+        self._state.metrics.increment_counter(codes.DETOURS_ANSWERED)
+        self._log(request, helper, outcome.value)
+        return DetourResult(True)
+
+    def _handle_failure(
+        self, request: OpenRequest, helper: str, failure: Exception
+    ) -> DetourResult:
+        """Record that a request was sent to a helper and no whole answer came back."""
+        request.progress.may_have_run = True
+        self._selector.record_lost(helper, self._clock())
+        self._state.metrics.increment_counter(codes.DETOURS_FAILED)
+        self._log(request, helper, "lost", reason=str(failure))
+        return DetourResult(False, codes.TARGET_FAILED)
+
+    def _log(self, request: OpenRequest, helper: str, end: str, **fields: Any) -> None:
+        now = self._clock()
+        taken_s = round(now - request.sent_at, 4)
+        self._state.event_log.write(
+            "detour_ended", now, id=request.id, helper=helper, end=end, took=taken_s, **fields
+        )
+
+
+async def _discard_body(request: OpenRequest, connection: Connection, now: float) -> None:
+    async for _ in connection.receive_body(request.compute_backstop_timeout(now)):
+        pass
--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -16,6 +16,8 @@
 from rhubarbbend.core.readers import InstanceRow, ReaderSelector
 from rhubarbbend.gateway._attempts import AttemptRunner
 from rhubarbbend.gateway._crash_detector import CrashDetector
+from rhubarbbend.gateway._detour_server import DetourServer
+from rhubarbbend.gateway._detours import DetourClient
 from rhubarbbend.gateway._event_log import EventLog
 from rhubarbbend.gateway._follower import StateFollower
 from rhubarbbend.gateway._in_flight_protocol import InFlightProtocol
@@ -25,6 +27,7 @@
 from rhubarbbend.gateway._request_server import RequestServer
 from rhubarbbend.gateway._settings import GatewaySettings, SettingsInvalid, SettingsReader
 from rhubarbbend.gateway._state import PeerUpdate, State, read_clock
+from rhubarbbend.gateway._target_prober import TargetProber
 from rhubarbbend.http import ConnectionPool, Exchange, HttpServer, ServerLimits
 from rhubarbbend.stop_signals import STOP_SIGNALS, ignore_late_stop
 
@@ -36,6 +39,8 @@
 # Fraction of the process's memory limit that buffered request bodies may use together. The rest is
 # for the program (17 MB), responses in transit and the kernel's buffers for connections.
 BUFFERED_BODY_FRACTION: Final = 0.25
+# What the headers of a detour take beyond the caller's own.
+DETOUR_HEADER_BYTES: Final = 4_096
 # How often the process checks whether it was paused, and the delay from which it counts as paused.
 PAUSE_CHECK_INTERVAL_S: Final = 0.25
 MIN_PAUSE_S: Final = 0.75
@@ -80,7 +85,18 @@
         self._pool = ConnectionPool(TARGET_IDLE_TIMEOUT_S)
         self._peer_pool = ConnectionPool(TARGET_IDLE_TIMEOUT_S)
         attempts = AttemptRunner(self.state, self._pool, adapter.targets, read_clock)
-        self._requests = RequestServer(self.state, adapter.callers, attempts, read_clock)
+        detours = DetourClient(
+            self.state,
+            self._peer_pool,
+            adapter.callers,
+            adapter.targets,
+            attempts.forwarder,
+            read_clock,
+        )
+        prober = TargetProber(self.state, self._pool, read_clock)
+        parts = (self.state, adapter.callers, attempts, detours, prober, read_clock)
+        self._requests = RequestServer(*parts)
+        self._detours_served = DetourServer(*parts)
         selector = ReaderSelector(settings.instance, settings.zone)
         self._peers = PeerClient(self.state, self._peer_pool, selector)
         crashes = CrashDetector(self.state, self._peers, self._spawn)
@@ -89,9 +105,11 @@
             self.state, adapter.store, adapter.decoder, self._peers, selector
         )
         self._peer_server = PeerServer(self.state)
+        self._peer_server.serve_detour = self._detours_served.serve
         self._in_flight_protocol = InFlightProtocol(self.state, selector)
         self._caller_server = HttpServer(self._requests.serve)
         self._servers: list[HttpServer] = [self._caller_server]
+        self._peer_http: HttpServer | None = None
         self._background: set[asyncio.Task[None]] = set()
         self._stop_requested = asyncio.Event()
         self._limits_version = -1
@@ -132,7 +150,7 @@
             await self._caller_server.listen_on(self._listener)
         await self._serve_on(settings.ready, self._serve_ready)
         if settings.peers is not None:
-            await self._serve_on(settings.peers, self._peer_server.serve)
+            self._peer_http = await self._serve_on(settings.peers, self._peer_server.serve)
             await self._in_flight_protocol.open(settings.peers)
             self._spawn(self._in_flight_protocol.run())
         if settings.metrics is not None:
@@ -144,10 +162,11 @@
 
     async def _serve_on(
         self, address: tuple[str, int], handler: Callable[[Exchange], Coroutine[Any, Any, None]]
-    ) -> None:
+    ) -> HttpServer:
         server = HttpServer(handler)
         await server.listen(*address)
         self._servers.append(server)
+        return server
 
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(coroutine)
@@ -284,16 +303,27 @@
             return
         self._limits_version = catalog.version
         limits = catalog.limits
+        max_buffered_bytes = int(self.settings.memory * BUFFERED_BODY_FRACTION)
         self._caller_server.set_limits(
             ServerLimits(
                 max_header_bytes=limits.max_header_bytes,
                 max_body_bytes=limits.max_body_bytes,
-                max_buffered_body_bytes=int(self.settings.memory * BUFFERED_BODY_FRACTION),
+                max_buffered_body_bytes=max_buffered_bytes,
                 head_timeout=limits.header_timeout,
                 idle_timeout=limits.idle_timeout,
                 max_connections=max(64, self.settings.max_descriptors - RESERVED_DESCRIPTORS),
             )
         )
+        if self._peer_http is not None:
+            # Requests of callers that come through another instance have its headers too.
+            default = ServerLimits()
+            self._peer_http.set_limits(
+                ServerLimits(
+                    max_header_bytes=limits.max_header_bytes + DETOUR_HEADER_BYTES,
+                    max_body_bytes=max(default.max_body_bytes, limits.max_body_bytes),
+                    max_buffered_body_bytes=max_buffered_bytes,
+                )
+            )
 
     # Shutdown.
 
@@ -312,15 +342,15 @@
         stop_began_at = read_clock()
         killed_at = stop_began_at + self.settings.stop_grace - STOP_MARGIN_S
         self.state.stopping = True
-        self._log("stopping", open=self._requests.open_requests)
+        self._log("stopping", open=self._count_open())
         self._caller_server.start_draining()
         if self.settings.peers is not None:
             self._spawn(self._follower.instance_list.leave())
         await asyncio.sleep(min(READINESS_PROPAGATION_S, self.settings.stop_grace / 3))
         self._caller_server.stop_accepting()
-        while self._requests.open_requests and read_clock() < killed_at:
+        while self._count_open() and read_clock() < killed_at:
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
-        unfinished = self._requests.open_requests
+        unfinished = self._count_open()
         if not unfinished:
             # Responses that were written may still be in transit.
             try:
@@ -333,6 +363,9 @@
         self._event_log.close()
         ignore_late_stop(asyncio.get_running_loop())
 
+    def _count_open(self) -> int:
+        return self._requests.open_requests + self._detours_served.open_requests
+
 
 def _read_boot_clock() -> float:
     """Return the seconds since the machine booted, including the time it was suspended."""
--- a/rhubarbbend/gateway/_interfaces.py
+++ b/rhubarbbend/gateway/_interfaces.py
@@ -111,6 +111,16 @@
     def read_request(self, exchange: Exchange) -> CallerRequest:
         """Parse a request. Raise `BadRequest` if it is invalid."""
 
+    @abc.abstractmethod
+    def make_detour_headers(
+        self, request: CallerRequest, remaining_s: float, last_event_id: str
+    ) -> RawHeaders:
+        """Return all headers of a request that is handed to another instance.
+
+        They state what the caller's own headers did, but for the time that is left in seconds and
+        the last event that the caller has received.
+        """
+
     @abc.abstractmethod
     def make_error_response(
         self, code: ErrorCode, verdict: Verdict, retry_after: float, request: str
--- a/rhubarbbend/gateway/_peers.py
+++ b/rhubarbbend/gateway/_peers.py
@@ -10,7 +10,7 @@
 
 import asyncio
 import zlib
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Final
 
 import msgspec
@@ -18,6 +18,7 @@
 from rhubarbbend.core.mirror import TablePage
 from rhubarbbend.core.placement import TargetLoad
 from rhubarbbend.core.readers import InstanceRow, PeerUpdatePage, ReaderSelector
+from rhubarbbend.gateway._detour_messages import is_detour
 from rhubarbbend.gateway._settings import Address
 from rhubarbbend.gateway._state import ROLLOUT_TABLE, PeerUpdate, State, read_clock
 from rhubarbbend.http import ConnectionPool, Exchange, HttpFailure, Response, fetch
@@ -97,11 +98,15 @@
         # Handles a report on a roll-out and returns the reply, both encoded; set by the instance
         # once it knows of one. Until then the reply is empty.
         self.on_rollout_report: Callable[[bytes], bytes] = lambda report: b""
+        # Serves a request that another instance cannot send to a target; set by the instance.
+        self.serve_detour: Callable[[Exchange], Awaitable[None]] = _reject_detour
 
     async def serve(self, exchange: Exchange) -> None:
         """Serve one request; the handler of the HTTP server for other instances."""
         try:
-            if exchange.target == CHANGES_PATH:
+            if is_detour(exchange.headers):
+                await self.serve_detour(exchange)
+            elif exchange.target == CHANGES_PATH:
                 query = msgspec.msgpack.decode(exchange.body, type=ChangesQuery)
                 await self._serve_changes(exchange, query)
             elif exchange.target == UPDATE_PATH:
@@ -287,6 +292,10 @@
             )
 
 
+async def _reject_detour(exchange: Exchange) -> None:
+    exchange.respond(404, [], b"")
+
+
 def _respond(exchange: Exchange, body: bytes) -> None:
     headers = [("Content-Type", CONTENT_TYPE)]
     if len(body) >= MIN_COMPRESSED_BYTES:
--- a/rhubarbbend/gateway/_request_server.py
+++ b/rhubarbbend/gateway/_request_server.py
@@ -19,9 +19,11 @@
 from rhubarbbend.core.placement import MAX_PAUSE_RETURN_FACTOR, Rejection
 from rhubarbbend.gateway._answer_forwarder import send_answer
 from rhubarbbend.gateway._attempts import AttemptRunner, RetryBudgetExhausted
+from rhubarbbend.gateway._detours import DetourClient, DetourResult
 from rhubarbbend.gateway._interfaces import BadRequest, CallerProtocol, CallerRequest
 from rhubarbbend.gateway._requests import OpenRequest
 from rhubarbbend.gateway._state import Clock, State
+from rhubarbbend.gateway._target_prober import TargetProber
 from rhubarbbend.gateway._version_selector import VersionSelector
 from rhubarbbend.http import Exchange
 
@@ -55,11 +57,19 @@
     """
 
     def __init__(
-        self, state: State, caller_protocol: CallerProtocol, attempts: AttemptRunner, clock: Clock
+        self,
+        state: State,
+        caller_protocol: CallerProtocol,
+        attempts: AttemptRunner,
+        detours: DetourClient,
+        prober: TargetProber,
+        clock: Clock,
     ) -> None:
         self._state = state
         self._caller_protocol = caller_protocol
         self._attempts = attempts
+        self._detours = detours
+        self._prober = prober
         self._clock = clock
         self._versions = VersionSelector(state, clock)
         self.open_requests = 0
@@ -177,10 +187,14 @@
         if self._state.crashes.is_refused(request.digest, now):
             self._refuse(request, codes.CRASHES_TARGETS, now)
             return None
-        self._state.get_retry_budget_share(service.name).record_request(now)
-        request.version = self._versions.choose(request, now)
+        self._begin(request, now)
         return request
 
+    def _begin(self, request: OpenRequest, now: float) -> None:
+        """Count a request for the shares of limits, and choose the version that it goes to."""
+        self._state.get_retry_budget_share(request.service.name).record_request(now)
+        request.version = self._versions.choose(request, now)
+
     # Delivery.
 
     async def _deliver(self, request: OpenRequest) -> None:
@@ -211,7 +225,7 @@
         if request.version.hold_s > 0.0:
             await self._versions.hold(request)
         connect_failures = 0
-        switched = False
+        switched = not request.may_switch_version
         while True:
             now = self._clock()
             self._versions.revise(request)
@@ -223,14 +237,13 @@
                 self._state.random,
                 now,
                 request.version.admits,
+                self._avoids_unreachable(request, now),
             )
             if choice is None and not switched and self._versions.switch(request):
                 switched = True
                 continue
             if choice is None or connect_failures > MAX_CONNECT_FAILURES:
-                rejections = self._state.placement.last_rejections
-                request.rejection_counts = {r.value: count for r, count in rejections.items()}
-                self._finish_failed(request, self._select_refusal(rejections.keys()))
+                await self._finish_without_target(request, connect_failures)
                 return
             self._state.metrics.increment_counter(f"routed.{choice.reason.value}")
             request.excluded.add(choice.target.id)
@@ -249,6 +262,39 @@
             if request.version.is_candidate:
                 self._versions.switch(request)
 
+    def _avoids_unreachable(self, request: OpenRequest, now: float) -> bool:
+        """Return whether a request is not used to try targets that cannot be reached.
+
+        While helpers serve the requests of a service, none of them has to wait for a connect
+        time-out; probes find out when the targets can be reached again.
+        """
+        if not self._detours.is_in_use(request.service.name, now):
+            return False
+        self._prober.probe(request.service.name, now)
+        return True
+
+    async def _finish_without_target(self, request: OpenRequest, connect_failures: int) -> None:
+        """End a request that this instance can send to no target.
+
+        If some cannot be reached from here, another instance may reach them.
+        """
+        rejections = self._state.placement.last_rejections
+        request.rejection_counts = {r.value: count for r, count in rejections.items()}
+        code = self._select_refusal(rejections.keys())
+        if connect_failures or Rejection.UNREACHABLE in rejections:
+            if request.progress.sends > 0 and not self._attempts.try_acquire_retry(request):
+                self._finish_failed(request, codes.RETRY_BUDGET)
+                return
+            result = await self._run_detour(request)
+            if result.answered:
+                self._finish_answered(request, AttemptOutcome.ANSWERED)
+                return
+            code = result.code or code
+        self._finish_failed(request, code)
+
+    async def _run_detour(self, request: OpenRequest) -> DetourResult:
+        return await self._detours.run(request)
+
     def _select_refusal(self, rejections: Set[Rejection]) -> ErrorCode:
         """Return the error for a request that no target can accept now."""
         if OVERLOAD_REJECTIONS & rejections:
@@ -282,7 +328,8 @@
 
     def _expire(self, request: OpenRequest) -> None:
         """End a request whose deadline has passed."""
-        if request.attempt_target is not None and not request.progress.may_have_run:
+        in_progress = request.attempt_target is not None or request.helper is not None
+        if in_progress and not request.progress.may_have_run:
             # The attempt in progress may have been sent; its outcome was not recorded.
             request.progress.may_have_run = True
         self._finish_failed(request, codes.DEADLINE)
@@ -311,7 +358,9 @@
             # These statuses guarantee that the request has not run.
             code = codes.TARGET_FAILED
         retry_after = self._compute_retry_after(request, code, now)
-        self._write_error(request.exchange, request.id, code, verdict, retry_after)
+        self._write_error(
+            request.exchange, request.id, code, verdict, retry_after, request.progress.targets
+        )
         self._state.metrics.increment_counter(f"refused.{code.name}")
         self._log_end(request, f"refused: {code.name}", code.status, verdict, retry_after)
 
@@ -352,7 +401,9 @@
         code: ErrorCode,
         verdict: Verdict,
         retry_after: float,
+        targets: int = 0,
     ) -> None:
+        """Answer with an error; `targets` is how many targets the request was sent to."""
         status, headers, body = self._caller_protocol.make_error_response(
             code, verdict, retry_after, request_id
         )
--- a/rhubarbbend/http/_exchange.py
+++ b/rhubarbbend/http/_exchange.py
@@ -33,6 +33,7 @@
         "headers",
         "raw_headers",
         "body",
+        "extra_headers",
         "closed",
         "on_closed",
         "_conn",
@@ -55,6 +56,8 @@
         # The headers as received, repeated names included, for forwarding.
         self.raw_headers: list[tuple[bytes, bytes]] = list(request.headers)
         self.body = body
+        # Added to the headers of the response, whoever makes it.
+        self.extra_headers: RawHeaders = []
         # Set once the client has disconnected, so that the handler can cancel its work.
         self.closed = asyncio.Event()
         # Called in the event loop iteration in which the disconnection of the client is detected.
@@ -80,6 +83,7 @@
             # The client then opens a connection to another instance for its next request instead
             # of reusing this one, which is about to be closed.
             headers = [*headers, (b"Connection", b"close")]
+        headers = [*headers, *self.extra_headers] if self.extra_headers else headers
         self._send(h11.Response(status_code=status, headers=headers))
 
     def write(self, data: bytes) -> None:
--- a/tests/gateway/test_lost_links.py
+++ b/tests/gateway/test_lost_links.py
@@ -3,10 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import json
+import time
 from pathlib import Path
 from typing import Any
 
-from tests.gateway.harness import GatewayFleet, Reply, run, start_fleet
+import pytest
+
+from standins._worker import make_response_body
+from tests.gateway.harness import ACCOUNT, GatewayFleet, Reply, run, start_fleet
 
 # Connections behind a cut hang, are reset, or live on while new ones are refused.
 CUTS: dict[str, dict[str, Any]] = {
@@ -17,6 +22,8 @@
 NO_CUT: dict[str, Any] = {"listening": "open", "blackhole": False}
 # The users let a cut last so long before they judge what callers get.
 CONTACT_S = 3.0
+# Refusals need no more than one connect time-out and a reply of each helper.
+MAX_REFUSAL_S = 0.5
 PATHS = ("/read/x", "/book/x", "/chat/stream", "/plan/stream")
 # Requests to these may run once at most.
 COMMAND_PATHS = ("/book/x", "/plan/stream")
@@ -47,6 +54,22 @@
     return max(ran.count(request) for request in set(ran))
 
 
+def count_detours(fleet: GatewayFleet, instance: str) -> int:
+    """Count the requests that an instance has handed to others."""
+    return sum(line["event"] == "detour_ended" for line in fleet.read_log(instance))
+
+
+def list_engines_by_prompt(fleet: GatewayFleet) -> dict[str, str]:
+    """Return the engine that each prompt was sent to last by an instance itself."""
+    sent = [line for line in fleet.read_log("front-0") if line["event"] == "sent"]
+    return {line["prompt"]: line["target"] for line in sent if line.get("prompt")}
+
+
+async def count_running(fleet: GatewayFleet) -> int:
+    """Count the requests that engines work on."""
+    return sum(stats.running for stats in (await fleet.read_all_stats("llm")).values())
+
+
 # Guards against refusing what other instances could serve (RECOVER).
 def test_callers_of_instances_without_links_to_targets_are_served(tmp_path: Path) -> None:
     async def work() -> None:
@@ -67,3 +90,113 @@
             assert count_most_runs(fleet) == 1
 
     run(work)
+
+
+# Guards against sending a request round the fleet, or holding it, where no instance can send it.
+def test_requests_are_refused_at_once_while_no_instance_reaches_the_targets(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with start_fleet(tmp_path, instances=3, own_links=True) as fleet:
+            for name in fleet.instances:
+                await fleet.set_link_faults(name, **CUTS["silent"])
+            await send_each_kind(fleet, "front-0", 10)
+            started_at = time.monotonic()
+            replies = await asyncio.gather(
+                *(fleet.send_request("/read/x", instance="front-0") for _ in range(20))
+            )
+            assert time.monotonic() - started_at < MAX_REFUSAL_S
+            refusals = [(r.status, json.loads(r.body)["verdict"]) for r in replies]
+            assert set(refusals) == {(503, "not_run")}
+            assert max(count_detours(fleet, name) for name in fleet.instances) < 60
+
+    run(work)
+
+
+# Guards against taking a fault of targets, or of some links, for the loss of all links.
+@pytest.mark.parametrize("lost", [("plain-0", "engine-0"), ("engine-0", "engine-1")])
+def test_an_instance_that_lost_some_links_serves_all_requests(
+    tmp_path: Path, lost: tuple[str, ...]
+) -> None:
+    async def work() -> None:
+        async with start_fleet(tmp_path, instances=2, own_links=True) as fleet:
+            await fleet.set_link_faults("front-0", lost, **CUTS["silent"])
+            await send_each_kind(fleet, "front-0", 10)
+            assert count_served(await send_each_kind(fleet, "front-0", 20)) >= 78
+            assert count_most_runs(fleet) == 1
+
+    run(work)
+
+
+# Guards against requests that go on through helpers, or to other engines, after links are back.
+def test_requests_go_straight_to_the_same_engines_once_links_are_back(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with start_fleet(tmp_path, instances=2, own_links=True) as fleet:
+            await send_each_kind(fleet, "front-0", 5)
+            before = list_engines_by_prompt(fleet)
+            await fleet.set_link_faults("front-0", **CUTS["silent"])
+            await send_each_kind(fleet, "front-0", 15)
+            await fleet.set_link_faults("front-0", **NO_CUT)
+            await send_each_kind(fleet, "front-0", 8)
+            detours = count_detours(fleet, "front-0")
+            assert detours > 0
+            assert count_served(await send_each_kind(fleet, "front-0", 10)) == 40
+            assert count_detours(fleet, "front-0") == detours
+            assert list_engines_by_prompt(fleet) == before
+
+    run(work)
+
+
+# Guards against work that goes on at a target after the caller of another instance has left.
+def test_target_stops_when_a_caller_leaves_an_instance_without_links(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with start_fleet(tmp_path, instances=2, own_links=True) as fleet:
+            await fleet.set_link_faults("front-0", **CUTS["reset"])
+            await send_each_kind(fleet, "front-0", 8)
+            await fleet.set_service_faults("llm", events=100, event_gap=0.1)
+            leaving = asyncio.create_task(
+                fleet.send_request("/chat/stream", b"long", Prefix_Hash="aa:400,bb:90")
+            )
+            await asyncio.sleep(0.5)
+            assert await count_running(fleet) == 1
+            leaving.cancel()
+            await asyncio.sleep(0.5)
+            assert await count_running(fleet) == 0
+
+    run(work)
+
+
+# Guards against bodies, deadlines or terms that change on the way through another instance.
+def test_a_request_reaches_the_target_as_its_caller_sent_it(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with start_fleet(tmp_path, instances=2, own_links=True) as fleet:
+            await fleet.set_link_faults("front-0", **CUTS["reset"])
+            await send_each_kind(fleet, "front-0", 4)
+            body = b"z" * 300_000
+            forged = {"Rhubarbbend_Detour": '{"sender":"x","config_version":99,"targets":9}'}
+            reply = await fleet.send_request("/book/x", body, **forged)
+            assert (reply.status, reply.body) == (200, make_response_body(body, "/book/x"))
+            stats = await fleet.read_all_stats("plain")
+            seen = [r for s in stats.values() for r in s.seen if len(r.body) == len(body)]
+            assert [r.ran for r in seen] == [True]
+            assert 1_000 < int(seen[0].headers["deadline-ms"]) <= 2_000
+            assert seen[0].headers["tenant"] == ACCOUNT
+            assert "x-api-key" not in seen[0].headers
+
+    run(work)
+
+
+# Guards against requests that a stopping helper breaks off or still takes, and against the store.
+def test_a_helper_that_stops_and_a_store_that_is_away_lose_no_request(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with start_fleet(tmp_path, instances=3, own_links=True) as fleet:
+            await fleet.set_link_faults("front-0", **CUTS["silent"])
+            await send_each_kind(fleet, "front-0", 8)
+            await fleet.set_store_faults(silent=True)
+            sending = asyncio.create_task(send_each_kind(fleet, "front-0", 20))
+            await asyncio.sleep(1.0)
+            helper = fleet.instances["front-1"].process
+            assert helper is not None
+            assert await helper.stop(8.0) == 0
+            assert count_served(await sending) == 80
+            assert count_most_runs(fleet) == 1
+
+    run(work)
