--- a/rhubarbbend/core/placement/_health.py
+++ b/rhubarbbend/core/placement/_health.py
@@ -138,9 +138,17 @@
             self.on_unsent()
 
     def pop_unsent(self) -> list[TargetOutcomes]:
-        """Return what came of requests since the last call, for the other instances."""
+        """Return what came of requests since the last call, for the other instances.
+
+        Targets that this instance cannot reach are left out: its own links may be lost, and the
+        others find out by themselves whether they can connect.
+        """
         unsent, self._unsent = self._unsent, {}
-        return [TargetOutcomes(target, *counts) for target, counts in unsent.items()]
+        return [
+            TargetOutcomes(target, *counts)
+            for target, counts in unsent.items()
+            if not self.is_unreachable(target)
+        ]
 
     def merge_outcomes(self, outcomes: Iterable[TargetOutcomes], now: float) -> None:
         """Record what came of another instance's requests.
--- a/tests/core/placement/test_health.py
+++ b/tests/core/placement/test_health.py
@@ -145,3 +145,12 @@
     health.record_response("t-1", False, 2.1, is_shared=True)
     health.record_response("t-0", True, 2.2)
     assert health.pop_unsent() == [TargetOutcomes("t-0", 1, 1), TargetOutcomes("t-1", 1, 0)]
+
+
+# Guards against an instance without links to sound targets that turns the others against them.
+def test_failures_of_targets_that_cannot_be_reached_from_here_are_not_told() -> None:
+    health = HealthTracker()
+    for target in ("t-0", "t-1"):
+        health.record_response(target, True, 1.0, is_shared=True)
+    health.record_unreachable("t-0", 1.1)
+    assert health.pop_unsent() == [TargetOutcomes("t-1", 1, 1)]
