Lost links are not taken for a crash under a request (RECOVER)

What callers could see: a request that was in flight when an instance lost its links was counted as one that crashes targets, told to all instances, and refused everywhere after the second time. Cause: a reset connection and a target that accepts no new one looked like a crash as long as no second target was found unreachable within 0.4 s, which needs traffic. Change: a crash is counted only if this instance reaches another target just then; at most two are tried. The new test (tests/gateway/test_lost_links.py) failed before with crash_counted.

--- a/rhubarbbend/core/directory/_directory.py
+++ b/rhubarbbend/core/directory/_directory.py
@@ -68,6 +68,10 @@
         """Return the number of known targets."""
         return len(self._targets)
 
+    def list_targets(self) -> list[Target]:
+        """Return all known targets."""
+        return list(self._targets.values())
+
     def count_versions(self, service: str) -> Mapping[str, int]:
         """Return the number of registered targets of a service by version."""
         return self._versions.get(service, {})
--- a/rhubarbbend/gateway/_crash_detector.py
+++ b/rhubarbbend/gateway/_crash_detector.py
@@ -24,6 +24,8 @@
 # If several targets become unreachable within this time, the cause is a network failure rather than
 # a crash.
 SIMULTANEOUS_LOSS_WINDOW_S: Final = 0.4
+# Other targets that are tried, since one of them may be down as well.
+MAX_TARGETS_TRIED: Final = 2
 
 Spawn = Callable[[Coroutine[Any, Any, None]], None]
 
@@ -48,7 +50,8 @@
 
         Connections are reset for many reasons. If each reset counted against its request, valid
         requests would be refused after two. No crash is recorded either if several targets became
-        unreachable at once, since a single request cannot have caused that.
+        unreachable at once, since a single request cannot have caused that, or if this instance
+        reaches no other target: it may have lost its own links.
         """
         state = self._state
         await asyncio.sleep(CRASH_CHECK_DELAY_S)
@@ -68,9 +71,25 @@
                 "crash_doubted", now, id=request, target=target.id, lost_together=unreachable
             )
             return
+        if not await self._reaches_another(target):
+            state.event_log.write("crash_doubted", read_clock(), id=request, target=target.id)
+            return
         if state.crashes.record_crash(digest, target.id, now):
             state.metrics.increment_counter(codes.SUSPECTS)
             state.event_log.write(
                 "crash_counted", now, id=request, digest=digest, target=target.id, reason=reason
             )
             await self._peers.broadcast(PeerUpdate(crashes=[CrashReport(digest, target.id)]))
+
+    async def _reaches_another(self, target: Target) -> bool:
+        """Return whether some other target accepts a connection, or there is none to try."""
+        registry = self._state.registry
+        others = [other for other in registry.list_targets() if other.id != target.id]
+        for other in self._state.random.sample(others, min(MAX_TARGETS_TRIED, len(others))):
+            try:
+                connection = await Connection.open(other.address, CRASH_CHECK_TIMEOUT_S)
+            except HttpFailure:
+                continue
+            connection.close()
+            return True
+        return not others
--- a/tests/gateway/test_lost_links.py
+++ b/tests/gateway/test_lost_links.py
@@ -200,3 +200,20 @@
             assert count_most_runs(fleet) == 1
 
     run(work)
+
+
+# Guards against requests that are taken for the cause of lost links, and refused everywhere.
+def test_lost_links_are_not_taken_for_a_crash_under_a_request(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with start_fleet(tmp_path, instances=2, own_links=True) as fleet:
+            await fleet.set_service_faults("plain", delay=1.0)
+            sending = asyncio.create_task(fleet.send_request("/book/x", b"slow", "front-0"))
+            await asyncio.sleep(0.3)
+            await fleet.set_link_faults("front-0", **CUTS["reset"])
+            await sending
+            await asyncio.sleep(1.0)
+            events = {line["event"] for line in fleet.read_log("front-0")}
+            assert "crash_counted" not in events
+            assert "crash_doubted" in events
+
+    run(work)
