Connections to targets take a tunnel through another instance where the direct path is lost (RECOVER)

What callers saw, on the product's own interface: an entry instance without links to targets, also the owner of its zone's, refused with no_target, retry_budget_spent and deadline_exceeded, and callers of the other zone met an owner whose targets sent no reports. Cause: as on the users' platform, the one way to a target was the instance's own. Change: connections to targets are opened directly, and after 0.15 s, or at once if that fails, beside it through another instance; whichever is open first is used. The request, its slot and its claim stay where they are, so limits, at most once and verdicts do not change; reports, probes and cancellations take the same way. Tunnelled connections are not kept, so the direct path is used as soon as it works again (tried again after 0.5 to 4 s).

--- a/rhubarbbend/codes.py
+++ b/rhubarbbend/codes.py
@@ -255,6 +255,15 @@
     "detours.lost", "instances that accepted no connection for such a request"
 )
 DETOURS_SERVED: Final = _declare_counter("detours.served", "requests served for other instances")
+TUNNELS_OPENED: Final = _declare_counter(
+    "tunnels.opened", "connections to targets through another instance"
+)
+TUNNELS_DECLINED: Final = _declare_counter(
+    "tunnels.declined", "such connections that the other instance could not make either"
+)
+TUNNELS_SERVED: Final = _declare_counter(
+    "tunnels.served", "connections to targets made for other instances"
+)
 PEERS_LOST: Final = _declare_counter("peers.lost", "peers declared silent")
 PEER_FRAMES_BAD: Final = _declare_counter("peers.bad_frames", "peer frames that did not decode")
 PEER_COUNTS_REJECTED: Final = _declare_counter(
--- a/rhubarbbend/core/detours/__init__.py
+++ b/rhubarbbend/core/detours/__init__.py
@@ -2,9 +2,11 @@
 
 An instance may lose its links to targets while callers and the other instances still reach it. What
 it cannot send itself, it hands to an instance that can. A detour has one hop: a helper sends the
-request to a target or declines it.
+request to a target or declines it. With the product's own interface, where the entry instance holds
+slots and claims, the helper opens a tunnel to the target instead.
 """
 
 from rhubarbbend.core.detours._helpers import HelperSelector
+from rhubarbbend.core.detours._paths import PathTracker
 
-__all__ = ["HelperSelector"]
+__all__ = ["HelperSelector", "PathTracker"]
--- a/rhubarbbend/core/messages.py
+++ b/rhubarbbend/core/messages.py
@@ -331,3 +331,14 @@
     FIELD: ClassVar[str] = "members_reply"
 
     members: list[Member] = []
+
+
+class TunnelRequest(Message, tag=True):
+    """Asks a peer to connect to a target that the sender cannot reach.
+
+    The connection that carries it becomes a tunnel to the target.
+    """
+
+    FIELD: ClassVar[str] = "tunnel_request"
+
+    target: str = ""
--- a/rhubarbbend/gateway/_detours.py
+++ b/rhubarbbend/gateway/_detours.py
@@ -85,7 +85,7 @@
             now = self._clock()
             heard = self._state.loads.peer_counts.list_senders(now)
             helper = self._selector.select(
-                request.service.name, self._state.instances, heard, asked, now
+                request.service.name, self._state.instance_zones, heard, asked, now
             )
             if helper is None:
                 break
--- a/rhubarbbend/gateway/_state.py
+++ b/rhubarbbend/gateway/_state.py
@@ -128,6 +128,7 @@
         self.has_rollout_work = asyncio.Event()
         # Replaced by a new object with each change, so that values computed from it can be cached.
         self.instances: Mapping[str, InstanceRow] = {}
+        self.instance_zones: dict[str, str] = {}
         self.peer_updates: PeerUpdateLog[PeerUpdate] = PeerUpdateLog()
         # The latest time at which this instance's data is known to have matched the store.
         self.up_to_date_at = -math.inf
@@ -214,6 +215,7 @@
         self._handle_instances_changed()
 
     def _handle_instances_changed(self) -> None:
+        self.instance_zones = {name: row.zone for name, row in self.instances.items()}
         self._instance_ids = None
         self.loads.expected_peers = len(self.instances.keys() - {self.settings.instance})
 
--- a/rhubarbbend/http/__init__.py
+++ b/rhubarbbend/http/__init__.py
@@ -9,13 +9,16 @@
 from rhubarbbend.http._exchange import Exchange
 from rhubarbbend.http._failures import REASON_TIMEOUT, HttpFailure, SendStage
 from rhubarbbend.http._notices import read_leaving, read_pause
-from rhubarbbend.http._pool import ConnectionPool, fetch
+from rhubarbbend.http._pool import ConnectionOpener, ConnectionPool, fetch
+from rhubarbbend.http._protocol import ClientProtocol, set_keepalive
 from rhubarbbend.http._server import HttpServer, ServerLimits
 
 __all__ = [
     "BodyTimeoutPolicy",
     "BodyRelay",
+    "ClientProtocol",
     "Connection",
+    "ConnectionOpener",
     "ConnectionPool",
     "Exchange",
     "HttpFailure",
@@ -27,4 +30,5 @@
     "fetch",
     "read_leaving",
     "read_pause",
+    "set_keepalive",
 ]
--- a/rhubarbbend/http/_connection.py
+++ b/rhubarbbend/http/_connection.py
@@ -53,6 +53,7 @@
         "idle_since",
         "idle_timeout_s",
         "reused",
+        "is_reusable",
         "idle_time_s",
         "_conn",
         "_protocol",
@@ -65,6 +66,8 @@
         # Seconds for which the peer keeps the connection open while it is idle; None if not stated.
         self.idle_timeout_s: float | None = None
         self.reused = False
+        # Whether it may go back to a pool after a response.
+        self.is_reusable = True
         # Seconds for which the connection was idle before it was reused; 0 if it is new.
         self.idle_time_s = 0.0
         self._sent: list[h11.Event] = []
@@ -231,6 +234,8 @@
 
     def make_reusable(self) -> bool:
         """Prepare for the next request; return False if the connection must be closed instead."""
+        if not self.is_reusable:
+            return False
         if self._conn.our_state is not h11.DONE or self._conn.their_state is not h11.DONE:
             return False
         if self._protocol.closed or self.has_stray_bytes or self._protocol.unsent:
--- a/rhubarbbend/http/_pool.py
+++ b/rhubarbbend/http/_pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import abc
 import asyncio
 from collections import deque
 from typing import Final
@@ -31,6 +32,22 @@
     until: float
 
 
+class ConnectionOpener(abc.ABC):
+    """Opens the connections of a pool."""
+
+    @abc.abstractmethod
+    async def open(self, address: Address, timeout: float) -> Connection:
+        """Connect within `timeout` seconds or raise `HttpFailure` at stage CONNECT."""
+
+
+class DirectOpener(ConnectionOpener):
+    """Connects to the address itself."""
+
+    async def open(self, address: Address, timeout: float) -> Connection:
+        """Connect to the address."""
+        return await Connection.open(address, timeout)
+
+
 class ConnectionPool:
     """Idle connections by address. Invariant: none idle for over `max_idle` seconds is reused.
 
@@ -38,7 +55,10 @@
     work, and the shorter it is idle, the less likely a request is the first to find out.
     """
 
-    def __init__(self, max_idle: float, max_per_address: int = 64) -> None:
+    def __init__(
+        self, max_idle: float, max_per_address: int = 64, opener: ConnectionOpener | None = None
+    ) -> None:
+        self._opener = opener or DirectOpener()
         self._max_idle = max_idle
         self._max_per_address = max_per_address
         self._idle: dict[Address, deque[Connection]] = {}
@@ -70,7 +90,7 @@
                 connection.idle_time_s = now - connection.idle_since
                 return connection
             connection.close()
-        return await Connection.open(address, timeout)
+        return await self._opener.open(address, timeout)
 
     def _is_usable(self, connection: Connection, now: float) -> bool:
         idle_time = now - connection.idle_since
--- a/rhubarbbend/peers/_links.py
+++ b/rhubarbbend/peers/_links.py
@@ -11,10 +11,10 @@
 import asyncio
 import hashlib
 import hmac
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Final
 
-from rhubarbbend.core.messages import Message
+from rhubarbbend.core.messages import Message, TunnelRequest
 from rhubarbbend.peers._codec import (
     MAX_FRAME_BYTES,
     FrameAuthenticator,
@@ -40,6 +40,8 @@
 OnMessage = Callable[[str, Message], None]
 OnBadFrame = Callable[[], None]
 OnLost = Callable[[str], None]
+# Serves a tunnel on a connection until it ends.
+ServeTunnel = Callable[[TunnelRequest, asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
 
 def make_hello(secret: bytes) -> bytes:
@@ -50,7 +52,14 @@
 class PeerListener:
     """Receive messages from other instances."""
 
-    def __init__(self, secret: bytes, on_message: OnMessage, on_bad_frame: OnBadFrame) -> None:
+    def __init__(
+        self,
+        secret: bytes,
+        on_message: OnMessage,
+        on_bad_frame: OnBadFrame,
+        serve_tunnel: ServeTunnel | None = None,
+    ) -> None:
+        self._serve_tunnel = serve_tunnel
         self._hello = make_hello(secret)
         self._authenticator = FrameAuthenticator(secret)
         self._on_message = on_message
@@ -111,6 +120,10 @@
             data = await reader.readexactly(length)
             self.traffic += length + 4
             sender, message = decode_frame(self._authenticator.verify(data))
+            if isinstance(message, TunnelRequest):
+                if self._serve_tunnel is not None:
+                    await self._serve_tunnel(message, reader, writer)
+                return
             self._on_message(sender, message)
 
 
--- a/rhubarbbend/schema/peers.thrift
+++ b/rhubarbbend/schema/peers.thrift
@@ -252,6 +252,13 @@
   1: list<Member> members = [],
 }
 
+/** Asks the receiver to connect to a target that the sender cannot reach. It is the first message of a
+ * connection, which carries nothing else before it. Answered by one byte: 1 if the connection is
+ * open, and from then on both ends pass on the bytes as they are; 0 if not. */
+struct TunnelRequest {
+  1: string target = "",
+}
+
 struct Envelope {
   1: string sender = "",
   2: optional Heartbeat heartbeat,
@@ -271,4 +278,5 @@
   16: optional ConfigReply config_reply,
   17: optional MembersQuery members_query,
   18: optional MembersReply members_reply,
+  19: optional TunnelRequest tunnel_request,
 }
--- a/rhubarbbend/shell/_runtime.py
+++ b/rhubarbbend/shell/_runtime.py
@@ -26,7 +26,7 @@
 from rhubarbbend.core.requests._responses import make_peer_request_id
 from rhubarbbend.http import ConnectionPool, HttpServer, ServerLimits
 from rhubarbbend.operators import ChangeAnswer, OperatorServer, derive_operator_key
-from rhubarbbend.peers import PeerLinks, PeerListener
+from rhubarbbend.peers import PeerLinks, PeerListener, TunnelOpener
 from rhubarbbend.settings import Settings, parse_address, read_operator_secret
 from rhubarbbend.shell._attempts import AttemptRunner
 from rhubarbbend.shell._caller_server import CallerServer
@@ -34,6 +34,7 @@
 from rhubarbbend.shell._metrics import Metrics
 from rhubarbbend.shell._open_request import OpenRequest
 from rhubarbbend.shell._platform_calls import PlatformCalls
+from rhubarbbend.shell._tunnels import DetourOpener, TunnelServer
 from rhubarbbend.stop_signals import STOP_SIGNALS, ignore_late_stop
 from rhubarbbend.storage import PLATFORMS
 from rhubarbbend.trace import Recorder
@@ -73,7 +74,9 @@
         self._timer: asyncio.TimerHandle | None = None
         self._background: set[asyncio.Task[None]] = set()
         self._exit_requested = asyncio.Event()
-        self._pool = ConnectionPool(settings.limits.target_idle)
+        fleet = self.core.context.fleet
+        opener = DetourOpener(fleet, TunnelOpener(own.id, secret), self.metrics)
+        self._pool = ConnectionPool(settings.limits.target_idle, opener=opener)
         self._attempts = AttemptRunner(self._pool, self.submit_event, settings.core.max_kept_body)
         self._platform = PLATFORMS.find(settings.platform.kind)(
             parse_address(settings.platform.address), settings.platform.timeout, own.zone
@@ -82,7 +85,12 @@
             self._platform, self.submit_event, self._spawn, self.metrics
         )
         self._peer_links = PeerLinks(own.id, secret, self._handle_peer_lost)
-        self._peer_listener = PeerListener(secret, self._handle_peer_message, self._count_bad_frame)
+        self._peer_listener = PeerListener(
+            secret,
+            self._handle_peer_message,
+            self._count_bad_frame,
+            TunnelServer(fleet, self.metrics).serve,
+        )
         self._http_server = HttpServer(self._caller_server.serve, _make_server_limits(settings))
         operator_secret = read_operator_secret(settings.operators, secret)
         self._operator_server = OperatorServer(
--- a/tests/core/detours/test_helpers.py
+++ b/tests/core/detours/test_helpers.py
@@ -5,15 +5,10 @@
 import pytest
 
 from rhubarbbend.core.detours import HelperSelector
-from rhubarbbend.core.readers import InstanceRow
 
 # Instances by zone; the one that asks is a-1.
-ROWS = {
-    f"{zone}-{number}": InstanceRow(f"zone-{zone}", f"{zone}{number}", 1)
-    for zone in "abc"
-    for number in (1, 2, 3)
-}
-OTHERS = sorted(ROWS.keys() - {"a-1"})
+ZONES = {f"{zone}-{number}": f"zone-{zone}" for zone in "abc" for number in (1, 2, 3)}
+OTHERS = sorted(ZONES.keys() - {"a-1"})
 
 
 def make_selector() -> HelperSelector:
@@ -23,7 +18,7 @@
 def ask_all(selector: HelperSelector, reaching: set[str], now: float) -> list[str]:
     """Ask helpers for one request until one of those that reach the targets is asked."""
     asked: list[str] = []
-    while (helper := selector.select("llm", ROWS, OTHERS, asked, now)) is not None:
+    while (helper := selector.select("llm", ZONES, OTHERS, asked, now)) is not None:
         asked.append(helper)
         if helper in reaching:
             selector.record_answered("llm", helper, now)
@@ -61,7 +56,7 @@
         selector.record_answered("llm", helper, 0.0)
     chosen = []
     for _ in range(10):
-        helper = selector.select("llm", ROWS, OTHERS, (), 0.1)
+        helper = selector.select("llm", ZONES, OTHERS, (), 0.1)
         assert helper is not None
         selector.record_sent(helper)
         chosen.append(helper)
@@ -75,7 +70,7 @@
 def test_instances_that_are_not_heard_are_left_out_if_most_are(
     heard: list[str], allowed: str
 ) -> None:
-    helper = make_selector().select("llm", ROWS, heard, (), 0.0)
+    helper = make_selector().select("llm", ZONES, heard, (), 0.0)
     assert helper is not None
     assert helper[0] in allowed
 
@@ -86,8 +81,8 @@
     for helper in OTHERS:
         if helper != "c-3":
             selector.record_lost(helper, 0.0)
-    assert selector.select("llm", ROWS, OTHERS, (), 0.9) == "c-3"
-    assert selector.select("llm", ROWS, OTHERS, (), 1.1) in ("a-2", "a-3")
+    assert selector.select("llm", ZONES, OTHERS, (), 0.9) == "c-3"
+    assert selector.select("llm", ZONES, OTHERS, (), 1.1) in ("a-2", "a-3")
 
 
 # Guards against requests that are taken for direct ones, or the other way round.
