--- a/rhubarbbend/codes.py
+++ b/rhubarbbend/codes.py
@@ -241,6 +241,9 @@
 RESERVED_RUNS: Final = _declare_counter("reserved.runs", "commands dispatched under reserved keys")
 SUSPECTS: Final = _declare_counter("suspects", "crashes counted against a request digest")
 
+BRITTLE_REJECTIONS: Final = _declare_counter(
+    "targets.brittle_rejections", "requests rejected by targets that fall over if they reject many"
+)
 DETOURS_SENT: Final = _declare_counter(
     "detours.sent", "requests handed to another instance, since no target could be reached"
 )
--- a/rhubarbbend/core/placement/__init__.py
+++ b/rhubarbbend/core/placement/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from rhubarbbend.core._pauses import MAX_PAUSE_RETURN_FACTOR, PauseTracker
+from rhubarbbend.core.placement._brittle import BrittleNotice, BrittleTracker
 from rhubarbbend.core.placement._candidates import Rejection, compute_max_connections
 from rhubarbbend.core.placement._health import HealthTracker, TargetOutcomes
 from rhubarbbend.core.placement._in_flight import (
@@ -27,6 +28,8 @@
 from rhubarbbend.core.placement._sources import SourceOptions
 
 __all__ = [
+    "BrittleNotice",
+    "BrittleTracker",
     "MAX_PAUSE_RETURN_FACTOR",
     "SEQUENCE_MODULUS",
     "Choice",
--- a/rhubarbbend/core/placement/_candidates.py
+++ b/rhubarbbend/core/placement/_candidates.py
@@ -10,6 +10,7 @@
 from rhubarbbend.core._pauses import PauseTracker
 from rhubarbbend.core.catalog import Service
 from rhubarbbend.core.directory import Target, TargetRegistry
+from rhubarbbend.core.placement._brittle import BrittleTracker
 from rhubarbbend.core.placement._health import HealthTracker
 from rhubarbbend.core.placement._loads import LoadTracker
 from rhubarbbend.core.shares import ColdTargetShare
@@ -77,7 +78,9 @@
         health: HealthTracker,
         cold: ColdTargetShare,
         pauses: PauseTracker,
+        brittle: BrittleTracker,
     ) -> None:
+        self._brittle = brittle
         self._registry = registry
         self._loads = loads
         self._health = health
@@ -145,7 +148,8 @@
         targets alone, a hot key would load its engine beyond the bound.
         """
         targets = self._registry.list_not_draining(service.name)
-        has_peer_counts = service.engine is not None
+        is_brittle = self._brittle.is_brittle(service.name, now)
+        has_peer_counts = service.engine is not None or is_brittle
         return {
             target.id: self._loads.estimate(target.id, has_peer_counts, now) for target in targets
         }
--- a/rhubarbbend/core/placement/_placement.py
+++ b/rhubarbbend/core/placement/_placement.py
@@ -21,6 +21,7 @@
 from rhubarbbend.core._rendezvous import rank_names
 from rhubarbbend.core.catalog import Service
 from rhubarbbend.core.directory import Target, TargetRegistry
+from rhubarbbend.core.placement._brittle import BrittleTracker
 from rhubarbbend.core.placement._candidates import (
     CandidateFinder,
     Candidates,
@@ -116,14 +117,16 @@
         health: HealthTracker,
         cold: ColdTargetShare,
         pauses: PauseTracker,
+        brittle: BrittleTracker,
     ) -> None:
+        self._brittle = brittle
         self._options = options
         self._registry = registry
         self._loads = loads
         self._health = health
         self._cold = cold
         self._pauses = pauses
-        self._finder = CandidateFinder(registry, loads, health, cold, pauses)
+        self._finder = CandidateFinder(registry, loads, health, cold, pauses, brittle)
         self.prompt_locations = PromptLocationTracker()
         self._sources = SourceFinder(
             options.sources, registry, loads, health, self.prompt_locations
@@ -159,6 +162,8 @@
             service, excluded, instances, admits, now, avoids_unreachable
         )
         self.last_rejections = candidates.rejections
+        if self._brittle.is_brittle(service.name, now):
+            self._keep_with_room(candidates, service, instances, now)
         if not candidates.eligible:
             return None
         if service.engine is None:
@@ -172,6 +177,26 @@
             return self._choose_by_load(candidates, random, now)
         return self._choose_by_prompt(candidates, service, prompt, headroom, random, now)
 
+    def _keep_with_room(
+        self, candidates: Candidates, service: Service, instances: Sequence[str], now: float
+    ) -> None:
+        """Reject the candidates of a brittle service that may have no room for a request.
+
+        This holds for repeats too: a request that is rejected counts, whoever sends it.
+        """
+        eligible = candidates.eligible
+        candidates.eligible = self._brittle.select_with_room(
+            eligible,
+            candidates.loads,
+            {target.id: self._loads.count_own(target.id) for target in eligible},
+            instances,
+            self._record_arrival(service, len(instances), now),
+            self._loads.has_counts_of_fraction(MIN_KNOWN_PEERS_FRACTION, now),
+            now,
+        )
+        if len(candidates.eligible) < len(eligible):
+            candidates.rejections[Rejection.LOAD] = len(eligible) - len(candidates.eligible)
+
     def record_chosen(self, target: Target, now: float) -> None:
         """Record that a request is about to be sent to a target."""
         self._cold.record_sent(target.id, now)
--- a/rhubarbbend/gateway/_answer_receiver.py
+++ b/rhubarbbend/gateway/_answer_receiver.py
@@ -44,7 +44,7 @@
         while True:
             response = await self._receive_next_head(request, target, connection)
             answer = self._target_protocol.read_response_head(response)
-            self._record_notices(target, answer)
+            self._record_notices(request, target, answer)
             if answer.request == request.id or answer.misdirected:
                 break
             self._state.metrics.increment_counter(codes.WRONG_ID)
@@ -64,7 +64,9 @@
             self._record_load_report(request, target, answer.load)
         return answer
 
-    def _record_notices(self, target: Target, answer: TargetResponseHead) -> None:
+    def _record_notices(
+        self, request: OpenRequest, target: Target, answer: TargetResponseHead
+    ) -> None:
         """Record what an answer of a target says of the requests that may follow."""
         now = self._clock()
         if answer.misdirected:
@@ -73,14 +75,36 @@
         if answer.pause_s is not None:
             self._state.metrics.increment_counter(codes.TARGET_PAUSES)
             self._state.pauses.record_pause(target.id, answer.pause_s, self._state.random, now)
+        if answer.request == request.id:
+            self._record_brittle(request, target, answer, now)
         if answer.is_leaving and self._state.registry.record_leaving(target):
             self._state.metrics.increment_counter(codes.TARGETS_LEAVING)
             self._state.event_log.write("target_leaving", now, target=target.id, source="answer")
 
+    def _record_brittle(
+        self, request: OpenRequest, target: Target, answer: TargetResponseHead, now: float
+    ) -> None:
+        """Record how many rejections a target bears, and whether this is one of them."""
+        brittle = self._state.brittle
+        brittle.record_answer(request.service.name, answer.brittle_per_s, now)
+        if answer.brittle_per_s is not None and answer.was_not_executed:
+            has_peer_counts = self._state.has_peer_counts(request.service, now)
+            # The request that was rejected is not one that the target holds.
+            held = self._state.loads.estimate(target.id, has_peer_counts, now) - 1.0
+            self._state.metrics.increment_counter(codes.BRITTLE_REJECTIONS)
+            brittle.record_rejection(
+                request.service.name,
+                target.id,
+                target.slots,
+                answer.brittle_per_s,
+                held,
+                now,
+            )
+
     def _record_load_report(self, request: OpenRequest, target: Target, load: int) -> None:
         """Record the load that a target reports, and count by how much it was underestimated."""
         now = self._clock()
-        has_peer_counts = request.service.engine is not None
+        has_peer_counts = self._state.has_peer_counts(request.service, now)
         underestimate = load - round(self._state.loads.estimate(target.id, has_peer_counts, now))
         self._state.metrics.increment_counter(codes.LOAD_REPORTS_IN_ANSWERS)
         self._state.metrics.increment_counter(codes.LOAD_UNDERESTIMATED, max(0, underestimate))
--- a/rhubarbbend/gateway/_in_flight_protocol.py
+++ b/rhubarbbend/gateway/_in_flight_protocol.py
@@ -111,16 +111,17 @@
     def _count_own(self) -> Counter[int]:
         """Return this instance's in-flight requests at engines, by target hash.
 
-        Plain targets are left out: they respond within the time of a few of these messages, so
-        their own load reports are as recent.
+        Plain targets are left out, unless they are brittle: they respond within the time of a few
+        of these messages, so their own load reports are as recent.
         """
         state = self._state
         services = {} if state.catalog is None else state.catalog.services
-        engines = {name for name, service in services.items() if service.engine is not None}
+        now = read_clock()
+        counted = {n for n, service in services.items() if state.has_peer_counts(service, now)}
         counts: Counter[int] = Counter()
         for name, count in state.loads.get_own_counts().items():
             target = state.registry.find(name)
-            if target is not None and target.service in engines:
+            if target is not None and target.service in counted:
                 counts[compute_target_hash(name)] += count
         return counts
 
@@ -187,9 +188,8 @@
         # An instance that has not read the list yet assumes that this many instances share a limit.
         sharing = min(instances, ASSUMED_INSTANCES)
         services = self._state.catalog.services.values()
-        engines = [service for service in services if service.engine is not None]
         max_requests = max(
-            (compute_max_connections(service, sharing) for service in engines), default=0
+            (compute_max_connections(service, sharing) for service in services), default=0
         )
         return is_plausible(update, instances, max_requests)
 
--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -118,6 +118,8 @@
         self.state.placement.prompt_locations.on_update = self._has_location_updates.set
         self._has_unsent_outcomes = asyncio.Event()
         self.state.health.on_unsent = self._has_unsent_outcomes.set
+        self._has_unsent_notices = asyncio.Event()
+        self.state.brittle.on_unsent = self._has_unsent_notices.set
 
     async def run(self) -> None:
         """Serve until a requested stop has completed."""
@@ -132,6 +134,7 @@
         self._spawn(self._run_housekeeping())
         self._spawn(self._broadcast_prompt_locations())
         self._spawn(self._broadcast_outcomes())
+        self._spawn(self._broadcast_brittle())
         self._spawn(self._run_rollouts())
         if settings.peer_address is not None:
             sends_from = settings.peers if settings.advertised is not None else None
@@ -252,6 +255,14 @@
             update = PeerUpdate(outcomes=outcomes, sender=self.settings.instance)
             await self._peers.broadcast(update)
 
+    async def _broadcast_brittle(self) -> None:
+        """Tell the other instances at once which targets are brittle and have no room."""
+        while True:
+            await self._has_unsent_notices.wait()
+            self._has_unsent_notices.clear()
+            notices = self.state.brittle.pop_unsent()
+            await self._peers.broadcast(PeerUpdate(brittle=notices, sender=self.settings.instance))
+
     async def _run_rollouts(self) -> None:
         """Take part in roll-outs from the first one that is ordered."""
         await self.state.rollout_ordered.wait()
--- a/rhubarbbend/gateway/_interfaces.py
+++ b/rhubarbbend/gateway/_interfaces.py
@@ -80,7 +80,8 @@
     running and waiting at the target, None if it is not stated. `idle_timeout_s` is how many
     seconds the target keeps an idle connection open, None if it is not stated. `pause_s` is for how
     many seconds the target wants no requests of this instance, None if it asks for no pause.
-    `is_leaving` is whether it is about to end and wants no new requests.
+    `is_leaving` is whether it is about to end and wants no new requests. `brittle_per_s` is how
+    many rejections a second the target bears, None if it does not state it.
     """
 
     status: int
@@ -94,6 +95,7 @@
     headers: RawHeaders
     pause_s: float | None = None
     is_leaving: bool = False
+    brittle_per_s: int | None = None
 
 
 class CallerProtocol(abc.ABC):
--- a/rhubarbbend/gateway/_state.py
+++ b/rhubarbbend/gateway/_state.py
@@ -14,11 +14,13 @@
 import msgspec
 
 from rhubarbbend import codes
-from rhubarbbend.core.catalog import Catalog
+from rhubarbbend.core.catalog import Catalog, Service
 from rhubarbbend.core.delivery import CrashTracker
 from rhubarbbend.core.directory import Target, TargetRegistry
 from rhubarbbend.core.mirror import Mirror
 from rhubarbbend.core.placement import (
+    BrittleNotice,
+    BrittleTracker,
     HealthTracker,
     LoadTracker,
     PauseTracker,
@@ -82,6 +84,7 @@
     rollouts: list[ServiceRollout] = []
     outcomes: list[TargetOutcomes] = []
     sender: str = ""
+    brittle: list[BrittleNotice] = []
 
     def add_age(self, now: float) -> PeerUpdate:
         """Return the update to relay now; the time since its receipt is added to its ages."""
@@ -108,6 +111,7 @@
         self.loads = LoadTracker()
         self.health = HealthTracker()
         self.pauses = PauseTracker()
+        self.brittle = BrittleTracker(settings.instance, self.random)
         self.cold_target_share = ColdTargetShare(
             settings.instance, settings.cold_overshoot, settings.cold_slack
         )
@@ -120,6 +124,7 @@
             self.health,
             self.cold_target_share,
             self.pauses,
+            self.brittle,
         )
         self.rollouts = RolloutTracker(_make_exposure_options(settings), self.random)
         # Set once an order to roll out a version was known, and stays set.
@@ -178,6 +183,10 @@
         """Whether callers can be served and new ones are accepted."""
         return self.has_config_and_targets and not self.stopping
 
+    def has_peer_counts(self, service: Service, now: float) -> bool:
+        """Return whether instances send one another their counts of requests at a service."""
+        return service.engine is not None or self.brittle.is_brittle(service.name, now)
+
     def get_retry_budget_share(self, service: str) -> RetryBudgetShare:
         """Return this instance's share of a service's retry budget."""
         share = self._retry_budget_shares.get(service)
@@ -238,13 +247,20 @@
             self.health.record_unreachable(crash.target, now)
         if update.sender != self.settings.instance:
             self.health.merge_outcomes(update.outcomes, now)
+            self.brittle.merge_notices(update.brittle, now)
         for rollout in update.rollouts:
             self.rollouts.record_outcome(rollout.service, rollout.record)
         self.queue_for_listeners(update, now)
 
     def queue_for_listeners(self, update: PeerUpdate, now: float) -> None:
         """Queue an update for the instances that wait at this one."""
-        relayed = (update.locations, update.crashes, update.rollouts, update.outcomes)
+        relayed = (
+            update.locations,
+            update.crashes,
+            update.rollouts,
+            update.outcomes,
+            update.brittle,
+        )
         if not any(relayed):
             return
         self.peer_updates.add(msgspec.structs.replace(update, loads=[], received_at=now))
--- a/rhubarbbend/http/_notices.py
+++ b/rhubarbbend/http/_notices.py
@@ -8,6 +8,8 @@
 from rhubarbbend.http._connection import Response
 
 LEAVING_HEADER: Final = "server-leaving"
+BRITTLE_HEADER: Final = "server-brittle"
+COUNT_PATTERN: Final = re.compile(r"\d{1,6}", re.ASCII)
 UNAVAILABLE_STATUS: Final = 503
 SECONDS_PATTERN: Final = re.compile(r"\d{1,6}(\.\d*)?", re.ASCII)
 
@@ -24,6 +26,12 @@
     return float(text)
 
 
+def read_brittle(response: Response) -> int | None:
+    """Return how many rejections a second a server bears; None if it says none."""
+    text = response.headers.get(BRITTLE_HEADER, "").strip()
+    return int(text) if COUNT_PATTERN.fullmatch(text) else None
+
+
 def read_leaving(response: Response) -> bool:
     """Return whether a server is about to end and wants no new requests."""
     return response.headers.get(LEAVING_HEADER, "").strip() == "1"
--- a/standins/_worker.py
+++ b/standins/_worker.py
@@ -37,6 +37,10 @@
     pause_s: float = 0.0
     # State in each response that this worker is about to leave.
     leaving: bool = False
+    # Run at most so many requests at once and reject the others; -1: any number.
+    room: int = -1
+    # State in each response that this worker falls over if it rejects more requests in a second.
+    brittle: int = 0
     # Accept requests and never respond.
     hang: bool = False
     # Close the connection after so many events, in the middle of the next; -1: never.
@@ -126,6 +130,7 @@
         self._received: list[ReceivedRequest] = []
         self._runs: Counter[str] = Counter()
         self._stats = Stats()
+        self._rejected_at: list[float] = []
         self._server: asyncio.Server | None = None
 
     async def listen(self, host: str, port: int) -> int:
@@ -189,7 +194,8 @@
         faults = self._faults
         attempt_id = headers.get("attempt-id", "")
         expected = headers.get("expect-instance", self._name)
-        will_run = expected == self._name and not faults.reject
+        is_full = faults.reject or 0 <= faults.room <= self._stats.running
+        will_run = expected == self._name and not is_full
         target = head.target.decode()
         method = head.method.decode()
         self._received.append(
@@ -201,7 +207,10 @@
             return _send_response(
                 conn, writer, 421, [*id_headers, ("Instance-Id", self._name)], b""
             )
-        if faults.reject:
+        if is_full:
+            self._rejected_at.append(time.monotonic())
+            if self._is_overwhelmed():
+                os._exit(EXIT_CRASHED)
             return self._send_rejection(conn, writer, id_headers)
         self._runs[attempt_id] += 1
         if faults.crash_on and faults.crash_on.encode() in body:
@@ -244,7 +253,15 @@
         self._arrivals.write(msgspec.json.encode(arrival) + b"\n")
 
     def _make_notices(self) -> list[tuple[str, str]]:
-        return [("Server-Leaving", "1")] if self._faults.leaving else []
+        brittle = self._faults.brittle
+        leaving = [("Server-Leaving", "1")] if self._faults.leaving else []
+        return [*leaving, ("Server-Brittle", str(brittle))] if brittle else leaving
+
+    def _is_overwhelmed(self) -> bool:
+        """Return whether it has rejected more requests within a second than it bears."""
+        recent = [at for at in self._rejected_at if time.monotonic() - at < 1.0]
+        self._rejected_at = recent
+        return 0 < self._faults.brittle < len(recent)
 
     def _send_rejection(
         self, conn: h11.Connection, writer: asyncio.StreamWriter, headers: list[tuple[str, str]]
--- a/tests/core/placement/test_loads.py
+++ b/tests/core/placement/test_loads.py
@@ -14,6 +14,7 @@
 from rhubarbbend.core.catalog import Engine, Service
 from rhubarbbend.core.directory import TargetRecord, TargetRegistry, TargetState
 from rhubarbbend.core.placement import (
+    BrittleTracker,
     HealthTracker,
     LoadTracker,
     PauseTracker,
@@ -54,8 +55,9 @@
         self.registry.mark_initial_read_complete()
         cold = ColdTargetShare(name, 1.5, 5.0)
         options = PlacementOptions("a", FACTOR)
+        brittle = BrittleTracker("a-1", Random(1))
         self.placement = Placement(
-            options, self.registry, self.loads, HealthTracker(), cold, PauseTracker()
+            options, self.registry, self.loads, HealthTracker(), cold, PauseTracker(), brittle
         )
         self.last_exchange_at = 0.0
 
--- a/tests/core/placement/test_placement.py
+++ b/tests/core/placement/test_placement.py
@@ -11,6 +11,7 @@
 from rhubarbbend.core.catalog import Engine, Service
 from rhubarbbend.core.directory import TargetRecord, TargetRegistry, TargetState
 from rhubarbbend.core.placement import (
+    BrittleTracker,
     Choice,
     HealthTracker,
     LoadTracker,
@@ -44,9 +45,10 @@
         self.health = HealthTracker()
         self.cold = ColdTargetShare("a-1", 1.5, 5.0)
         self.pauses = PauseTracker()
+        self.brittle = BrittleTracker("a-1", Random(1))
         options = PlacementOptions("a", 2.0)
         self.placement = Placement(
-            options, self.registry, self.loads, self.health, self.cold, self.pauses
+            options, self.registry, self.loads, self.health, self.cold, self.pauses, self.brittle
         )
         self.engines = [f"engine-{number}" for number in range(9)]
         for number, engine in enumerate(self.engines):
@@ -270,7 +272,9 @@
 def test_prompts_are_fetched_from_a_zone_out_of_service_within_the_grace() -> None:
     view = FleetView()
     options = PlacementOptions("a", 2.0, SourceOptions(evacuation_grace=5.0))
-    placement = Placement(options, view.registry, view.loads, view.health, view.cold, view.pauses)
+    placement = Placement(
+        options, view.registry, view.loads, view.health, view.cold, view.pauses, view.brittle
+    )
     view.placement = placement
     first = view.choose()
     assert first is not None
--- a/tests/core/placement/test_sources.py
+++ b/tests/core/placement/test_sources.py
@@ -17,7 +17,7 @@
     view = FleetView()
     options = PlacementOptions("a", 2.0, SourceOptions(drain_time=DRAIN_TIME_S))
     view.placement = Placement(
-        options, view.registry, view.loads, view.health, view.cold, view.pauses
+        options, view.registry, view.loads, view.health, view.cold, view.pauses, view.brittle
     )
     return view
 
