--- a/loadtool/__main__.py
+++ b/loadtool/__main__.py
@@ -35,6 +35,7 @@
         options.size,
         options.rollout,
         options.notices,
+        options.links,
     )
 
 
@@ -68,6 +69,9 @@
     soak.add_argument(
         "--notices", action="store_true", help="targets also ask for pauses and say that they leave"
     )
+    soak.add_argument(
+        "--links", action="store_true", help="instances also lose their own links to targets"
+    )
     _commands.add_parsers(commands)
     return parser.parse_args()
 
--- a/loadtool/_soak.py
+++ b/loadtool/_soak.py
@@ -19,12 +19,14 @@
 from loadtool._gateway_fleet import ACCOUNT, HOST, KEY, ZONES, GatewayFleet, start_fleet
 from loadtool._soak_checks import RequestOutcome, RunRecord, count_outcomes, find_violations
 from loadtool._soak_faults import SECOND_KEY, SoakFaultInjector
+from loadtool._soak_links import find_link_violations
 from loadtool._soak_notices import find_notice_violations
 from loadtool._soak_rollout import SoakRollout
 from loadtool._soak_schedule import (
     ScheduledSoakFault,
     SoakLayout,
     make_notice_schedule,
+    make_own_link_schedule,
     make_soak_schedule,
 )
 from rhubarbbend.http import Connection, HttpFailure
@@ -171,12 +173,18 @@
 
 
 def _make_schedule(
-    seed: int, duration: float, instance_count: int, peer_path_faults: bool, has_notices: bool
+    seed: int,
+    duration: float,
+    instance_count: int,
+    peer_path_faults: bool,
+    has_notices: bool,
+    has_link_faults: bool = False,
 ) -> list[ScheduledSoakFault]:
     layout = make_soak_layout(instance_count)
     schedule = make_soak_schedule(seed, duration, layout, peer_path_faults)
     notices = make_notice_schedule(seed, duration, layout) if has_notices else []
-    return sorted([*schedule, *notices], key=lambda scheduled_fault: scheduled_fault.at)
+    links = make_own_link_schedule(seed, duration, layout) if has_link_faults else []
+    return sorted([*schedule, *notices, *links], key=lambda scheduled_fault: scheduled_fault.at)
 
 
 async def run_soak(
@@ -187,16 +195,24 @@
     peer_path_faults: bool = True,
     has_rollout: bool = False,
     has_notices: bool = False,
+    has_link_faults: bool = False,
 ) -> SoakResult:
     """Run the schedule of a seed and check every guarantee; `duration` is in seconds.
 
     With `peer_path_faults` the paths between instances fail too. With `has_rollout` a version is
-    rolled out meanwhile, with `has_notices` targets ask for pauses and say that they leave.
+    rolled out meanwhile, with `has_notices` targets ask for pauses and say that they leave. With
+    `has_link_faults` each instance has its own links to targets, and they are cut.
     """
-    schedule = _make_schedule(seed, duration, instance_count, peer_path_faults, has_notices)
+    schedule = _make_schedule(
+        seed, duration, instance_count, peer_path_faults, has_notices, has_link_faults
+    )
     counts = {"plain_worker_count": TARGETS_PER_SERVICE, "engine_worker_count": TARGETS_PER_SERVICE}
     async with start_fleet(
-        folder, instances=instance_count, use_proxy_routes=True, **counts
+        folder,
+        instances=instance_count,
+        use_proxy_routes=True,
+        own_links=has_link_faults,
+        **counts,
     ) as fleet:
         rollout = SoakRollout(fleet, seed) if has_rollout else None
         return await _run_schedule(fleet, seed, duration, schedule, rollout)
@@ -232,6 +248,7 @@
     arrivals = fleet.read_arrivals()
     violations += find_violations(record, arrivals)
     violations += find_notice_violations(record, arrivals)
+    violations += find_link_violations(record)
     violations += _find_internal_errors(fleet)
     if rollout is not None:
         violations += rollout.find_violations(record)
@@ -282,6 +299,7 @@
     instance_count: int,
     has_rollout: bool = False,
     has_notices: bool = False,
+    has_link_faults: bool = False,
 ) -> int:
     """Run seeds one after the other; return exit status 1 if a guarantee was violated, else 0."""
     status = 0
@@ -289,7 +307,7 @@
         print(f"soak: seed {seed}, {duration:.0f} s, {instance_count} instances, account {ACCOUNT}")
         if seed_count == 1:
             for scheduled_fault in _make_schedule(
-                seed, duration, instance_count, True, has_notices
+                seed, duration, instance_count, True, has_notices, has_link_faults
             ):
                 print(f"  {scheduled_fault}")
         with tempfile.TemporaryDirectory(prefix="rhubarbbend-soak-") as name:
@@ -301,6 +319,7 @@
                 folder,
                 has_rollout=has_rollout,
                 has_notices=has_notices,
+                has_link_faults=has_link_faults,
             )
             result = asyncio.run(soak)
             print(format_result(result), flush=True)
--- a/loadtool/_soak_checks.py
+++ b/loadtool/_soak_checks.py
@@ -79,6 +79,8 @@
     zones_out: list[Period] = attrs.Factory(list)
     revoked: list[Period] = attrs.Factory(list)
     cold: list[Period] = attrs.Factory(list)
+    # Instances without links to any target.
+    cut_off: list[Period] = attrs.Factory(list)
     zone_by_target: dict[str, str] = attrs.Factory(dict)
     # Planned stops: from the order to stop to the end of the process, with its exit status.
     stops: list[tuple[Period, int]] = attrs.Factory(list)
--- a/loadtool/_soak_faults.py
+++ b/loadtool/_soak_faults.py
@@ -55,6 +55,13 @@
     SoakFault.LINK_RESET: {"cut": True},
     SoakFault.LINK_SLOW: {"delay": LINK_DELAY_S},
 }
+OWN_LINK_FAULTS: Final[dict[SoakFault, dict[str, Any]]] = {
+    SoakFault.OWN_LINKS_LOST: {"listening": "silent", "blackhole": True},
+    SoakFault.OWN_LINKS_RESET: {"listening": "closed", "cut": True},
+    SoakFault.OWN_LINKS_CLOSED: {"listening": "closed"},
+    SoakFault.OWN_LINKS_PARTLY_LOST: {"listening": "silent", "blackhole": True},
+}
+NO_OWN_LINK_FAULTS: Final[dict[str, Any]] = {"listening": "open", "blackhole": False}
 NO_ROUTE_FAULTS: Final[dict[str, Any]] = {"blackhole": False, "mute": False, "delay": 0.0}
 STORE_FAULTS: Final[dict[SoakFault, dict[str, Any]]] = {
     SoakFault.STORE_REFUSES: {"status": 503},
@@ -92,6 +99,8 @@
             await self._inject_route_fault(
                 scheduled_fault, self._fleet.instances[scheduled_fault.victim].peer_port
             )
+        elif scheduled_fault.fault.scope is FaultScope.OWN_LINKS:
+            await self._cut_own_links(scheduled_fault)
         elif scheduled_fault.fault.scope is FaultScope.STORE:
             await self._fleet.set_store_faults(**STORE_FAULTS[scheduled_fault.fault])
             await self._sleep_until(scheduled_fault.until)
@@ -111,6 +120,22 @@
         await self._sleep_until(scheduled_fault.until)
         await self._fleet.set_route_faults(port, **NO_ROUTE_FAULTS)
 
+    async def _cut_own_links(self, scheduled_fault: ScheduledSoakFault) -> None:
+        """Cut the links of an instance to all targets, or to every second one, for a time."""
+        victim = scheduled_fault.victim
+        links = list(self._fleet.instances[victim].links)
+        is_partial = scheduled_fault.fault is SoakFault.OWN_LINKS_PARTLY_LOST
+        workers = links[::2] if is_partial else links
+        faults = OWN_LINK_FAULTS[scheduled_fault.fault]
+        async with self._locks[f"links of {victim}"]:
+            await self._fleet.set_link_faults(victim, workers, **faults)
+            period = Period(victim, time.time())
+            if not is_partial:
+                self._record.cut_off.append(period)
+            await self._sleep_until(scheduled_fault.until)
+            period.until = time.time()
+            await self._fleet.set_link_faults(victim, workers, **NO_OWN_LINK_FAULTS)
+
     # Faults of instances.
 
     async def _inject_instance_fault(self, scheduled_fault: ScheduledSoakFault) -> None:
--- a/loadtool/_soak_notices.py
+++ b/loadtool/_soak_notices.py
@@ -74,6 +74,9 @@
 
 def _is_excused(record: RunRecord, instance: str, worker: str, since: float, until: float) -> bool:
     """Return whether a restart, suspension or cut of an instance lies in a time."""
+    if any(p.name == instance and p.since <= until and p.until >= since for p in record.cut_off):
+        # Its requests reached the target through other instances, which were not asked.
+        return True
     for scheduled in record.scheduled_faults:
         is_of_instance = scheduled.victim == instance and scheduled.fault in EXCUSING_FAULTS
         is_of_link = (
--- a/loadtool/_soak_schedule.py
+++ b/loadtool/_soak_schedule.py
@@ -29,6 +29,8 @@
     # The path by which all other instances reach the victim.
     PEERS = "peers"
     STORE = "store"
+    # The victim's own links to targets, which the other instances do not use.
+    OWN_LINKS = "own_links"
     TARGET = "target"
     FLEET = "fleet"
 
@@ -72,6 +74,12 @@
     LINK_SLOW = ("link_slow", FaultScope.TARGET, 0.5, 3.0)
     ZONE_OUT = ("zone_out", FaultScope.FLEET, 3.0, 5.0)
     KEY_REVOKED = ("key_revoked", FaultScope.FLEET, 3.0, 5.0)
+    # Cuts of an instance's own links to all targets: connections hang, are reset, or live on while
+    # new ones are refused.
+    OWN_LINKS_LOST = ("own_links_lost", FaultScope.OWN_LINKS, 2.0, 6.0)
+    OWN_LINKS_RESET = ("own_links_reset", FaultScope.OWN_LINKS, 2.0, 6.0)
+    OWN_LINKS_CLOSED = ("own_links_closed", FaultScope.OWN_LINKS, 2.0, 6.0)
+    OWN_LINKS_PARTLY_LOST = ("own_links_partly_lost", FaultScope.OWN_LINKS, 2.0, 6.0)
 
     def __init__(
         self, label: str, scope: FaultScope, min_duration: float, max_duration: float
@@ -83,6 +91,14 @@
 
 
 NOTICES: Final = (SoakFault.TARGET_ASKS_PAUSE, SoakFault.TARGET_SAYS_LEAVING)
+OWN_LINK_FAULTS: Final = (
+    SoakFault.OWN_LINKS_LOST,
+    SoakFault.OWN_LINKS_RESET,
+    SoakFault.OWN_LINKS_CLOSED,
+    SoakFault.OWN_LINKS_PARTLY_LOST,
+)
+# Mean time between the starts of two cuts of own links, in seconds.
+MEAN_OWN_LINK_INTERVAL_S: Final = 2.0
 # Mean time between the starts of two notices, in seconds.
 MEAN_NOTICE_INTERVAL_S: Final = 1.5
 
@@ -129,7 +145,8 @@
     faults = [
         fault
         for fault in SoakFault
-        if fault not in NOTICES and (peer_path_faults or fault.scope is not FaultScope.PEERS)
+        if fault not in (*NOTICES, *OWN_LINK_FAULTS)
+        and (peer_path_faults or fault.scope is not FaultScope.PEERS)
     ]
     return _schedule_faults(rng, faults, duration, layout, MEAN_FAULT_INTERVAL_S)
 
@@ -142,6 +159,14 @@
     return _schedule_faults(rng, NOTICES, duration, layout, MEAN_NOTICE_INTERVAL_S)
 
 
+def make_own_link_schedule(
+    seed: int, duration: float, layout: SoakLayout
+) -> list[ScheduledSoakFault]:
+    """Return random cuts of instances' own links, to be added to the faults of the same seed."""
+    rng = default_rng([seed, len(NOTICES), len(OWN_LINK_FAULTS)])
+    return _schedule_faults(rng, OWN_LINK_FAULTS, duration, layout, MEAN_OWN_LINK_INTERVAL_S)
+
+
 def _schedule_faults(
     rng: Generator,
     faults: Sequence[SoakFault],
@@ -174,7 +199,7 @@
 
 
 def _list_possible_victims(fault: SoakFault, layout: SoakLayout) -> Sequence[str]:
-    if fault.scope in (FaultScope.INSTANCE, FaultScope.PEERS):
+    if fault.scope in (FaultScope.INSTANCE, FaultScope.PEERS, FaultScope.OWN_LINKS):
         return layout.instances
     if fault.scope is FaultScope.TARGET:
         return layout.targets
--- a/rhubarbbend/http/_protocol.py
+++ b/rhubarbbend/http/_protocol.py
@@ -15,12 +15,13 @@
 # Above this many unread bytes, reading from the socket is paused (backpressure).
 READ_HIGH_WATER_BYTES: Final = 262_144
 # TCP keep-alive: the first probe after KEEPALIVE_IDLE_S idle seconds, then one every
-# KEEPALIVE_INTERVAL_S. After KEEPALIVE_PROBES unanswered probes the connection ends, so a dead
-# connection is detected within 3 s.
+# KEEPALIVE_INTERVAL_S. On Linux, TCP_USER_TIMEOUT decides when unanswered probes give up, whatever
+# their count: at the first one due after it, 3 s after the last sign of life. A peer that is silent
+# for a second or two keeps its connections.
 KEEPALIVE_IDLE_S: Final = 1
 KEEPALIVE_INTERVAL_S: Final = 1
 KEEPALIVE_PROBES: Final = 2
-# A connection ends if written bytes are not acknowledged for this long.
+# A connection also ends if written bytes are not acknowledged for this long.
 TCP_USER_TIMEOUT_MS: Final = 2_500
 
 Sink = Callable[[bytes], None]
