Paused targets do not count in the mean for the admission of requests

Cause: the paused engine, which holds nothing, counted in the mean from which the bound on the other follows. Change: it is left out, as unreachable targets are.

--- a/rhubarbbend/core/placement/_placement.py
+++ b/rhubarbbend/core/placement/_placement.py
@@ -291,15 +291,17 @@
     ) -> Headroom | None:
         """Return the targets' headroom; None if the request must not be rejected because of load.
 
-        A request that was already sent to a target is never rejected because of load. Unreachable
-        targets do not count in the mean: a fault elsewhere is no reason to reject requests that the
-        remaining targets can serve.
+        A request that was already sent to a target is never rejected because of load. Targets that
+        are unreachable from here, or have asked for a pause, do not count in the mean: a fault
+        elsewhere is no reason to reject requests that the remaining targets can serve.
         """
         if is_retry or not self._loads.has_counts_of_fraction(MIN_KNOWN_PEERS_FRACTION, now):
             return None
         loads = [candidates.loads[target.id] for target in candidates.eligible]
         counted = [
-            load for t, load in candidates.loads.items() if not self._health.is_unreachable(t)
+            load
+            for target, load in candidates.loads.items()
+            if not self._health.is_unreachable(target) and self._pauses.may_send(target, now)
         ]
         return Headroom(self._options.load_factor, loads, counted)
 
--- a/tests/gateway/test_pauses.py
+++ b/tests/gateway/test_pauses.py
@@ -15,7 +15,7 @@
 from rhubarbbend.core.placement import HealthTracker, LoadTracker, PauseTracker
 from rhubarbbend.gateway._attempts import AttemptRunner
 from standins._worker import Arrival
-from tests.gateway.harness import GatewayFleet, run, start_fleet
+from tests.gateway.harness import GatewayFleet, Reply, run, start_fleet
 
 PAUSE_S = 2.0
 # Requests that were sent before the answer was read may still arrive within this time.
@@ -128,3 +128,23 @@
     choice: Any = SimpleNamespace(target=SimpleNamespace(id="plain-0", address=("127.0.0.1", 1)))
     assert asyncio.run(runner.run(request, choice)) is AttemptOutcome.WITHHELD
     assert len(released) == 1 and state.loads.count_own("plain-0") == 0
+
+
+# Guards against refusals for load beside an engine with room, while another one is paused.
+def test_callers_are_served_while_one_of_two_engines_pauses(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with start_fleet(tmp_path, instances=1) as fleet:
+            await fleet.set_worker_faults("engine-0", reject=True, pause_s=PAUSE_S)
+            replies: list[asyncio.Task[Reply]] = []
+            for _ in range(15):
+                for _ in range(60):
+                    number = len(replies)
+                    prompt = f"{number:04x}:400,{number:04x}bb:90"
+                    body = f"question {number}".encode()
+                    reply = fleet.send_request("/chat/stream", body, Prefix_Hash=prompt)
+                    replies.append(asyncio.create_task(reply))
+                await asyncio.sleep(0.3)
+            refused = sum([(await reply).status == 503 for reply in replies])
+            assert refused <= len(replies) // 50
+
+    run(work)
