Gateway: ending a request has a module of its own

Requests of other instances end like those of callers, but say why there is no answer: a subclass of the ender instead of a parameter.

--- a/rhubarbbend/gateway/_detour_server.py
+++ b/rhubarbbend/gateway/_detour_server.py
@@ -14,11 +14,30 @@
     read_terms,
 )
 from rhubarbbend.gateway._detours import DECLINED, DetourResult
+from rhubarbbend.gateway._request_ender import RequestEnder
 from rhubarbbend.gateway._request_server import RequestServer
 from rhubarbbend.gateway._requests import OpenRequest
 from rhubarbbend.http import Exchange
 
 
+class DetourEnder(RequestEnder):
+    """Ends requests of other instances, which are told why there is no answer of a target."""
+
+    def write_error(
+        self,
+        exchange: Exchange,
+        request_id: str,
+        code: ErrorCode,
+        verdict: Verdict,
+        retry_after: float,
+        targets: int = 0,
+    ) -> None:
+        """Answer with an error; `targets` is how many targets the request was sent to."""
+        refusal = DetourRefusal(code.name, verdict, targets)
+        exchange.extra_headers.append((REFUSAL_HEADER, msgspec.json.encode(refusal)))
+        super().write_error(exchange, request_id, code, verdict, retry_after)
+
+
 class DetourServer(RequestServer):
     """Serves the requests that other instances hand to this one.
 
@@ -27,6 +46,9 @@
     at the moment it declines at once. Invariant: no request goes on to a third instance.
     """
 
+    def _make_ender(self) -> RequestEnder:
+        return DetourEnder(self._state, self._caller_protocol, self._clock)
+
     async def serve(self, exchange: Exchange) -> None:
         """Serve one request of another instance."""
         now = self._clock()
@@ -42,7 +64,7 @@
             await super().serve(exchange)
         else:
             request_id = self._caller_protocol.read_request_id(exchange)
-            self._write_error(exchange, request_id, codes.NOT_READY, Verdict.NOT_RUN, 0.0)
+            self._ender.write_error(exchange, request_id, codes.NOT_READY, Verdict.NOT_RUN, 0.0)
 
     def _may_serve(self, terms: DetourTerms) -> bool:
         """Return whether this instance serves detours, and by no older configuration."""
@@ -65,16 +87,3 @@
 
     async def _run_detour(self, request: OpenRequest) -> DetourResult:
         return DECLINED
-
-    def _write_error(
-        self,
-        exchange: Exchange,
-        request_id: str,
-        code: ErrorCode,
-        verdict: Verdict,
-        retry_after: float,
-        targets: int = 0,
-    ) -> None:
-        refusal = DetourRefusal(code.name, verdict, targets)
-        exchange.extra_headers.append((REFUSAL_HEADER, msgspec.json.encode(refusal)))
-        super()._write_error(exchange, request_id, code, verdict, retry_after)
--- /dev/null
+++ b/rhubarbbend/gateway/_request_ender.py
@@ -0,0 +1,157 @@
+"""Ends requests of callers: with a target's answer, a refusal, or an aborted connection."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from rhubarbbend import codes
+from rhubarbbend.codes import ErrorCode, Verdict
+from rhubarbbend.core.delivery import AttemptOutcome, compute_verdict
+from rhubarbbend.core.placement import MAX_PAUSE_RETURN_FACTOR
+from rhubarbbend.gateway._answer_forwarder import send_answer
+from rhubarbbend.gateway._interfaces import CallerProtocol
+from rhubarbbend.gateway._requests import OpenRequest
+from rhubarbbend.gateway._state import Clock, State
+from rhubarbbend.http import Exchange
+
+# Retry-After is at most this fraction of the time that the caller has left, so that its next
+# attempt still has most of that time.
+RETRY_AFTER_FRACTION: Final = 0.25
+# Callers that are refused at the same time would also retry at the same time. Retry-After is
+# therefore drawn at random between this fraction of its full value and the full value.
+MIN_RETRY_AFTER_FRACTION: Final = 0.5
+
+
+class RequestEnder:
+    """Ends requests, and logs and counts their ends.
+
+    Invariant: a status that guarantees that a request has not run is never sent for one that may
+    have run.
+    """
+
+    def __init__(self, state: State, caller_protocol: CallerProtocol, clock: Clock) -> None:
+        self._state = state
+        self._caller_protocol = caller_protocol
+        self._clock = clock
+
+    def finish_answered(self, request: OpenRequest, outcome: AttemptOutcome) -> None:
+        """End a request whose answer was sent, or send the stored error answer of a target."""
+        if not request.progress.started and request.fallback_answer is not None:
+            send_answer(request, request.fallback_answer)
+        now = self._clock()
+        self._state.metrics.increment_counter(codes.ANSWERS)
+        self._state.metrics.observe("answer", request.route.kind.value, now - request.arrived_at)
+        status = 0 if request.answer is None else request.answer.status
+        self.log_end(
+            request, "answered" if outcome is AttemptOutcome.ANSWERED else "failed", status
+        )
+
+    def finish_failed(self, request: OpenRequest, code: ErrorCode) -> None:
+        """End a request for which no target sent a complete successful answer.
+
+        The caller gets the stored error answer of a target if there is one, else the error `code`.
+        A stream that was already started is aborted.
+        """
+        if request.progress.started:
+            # Ending the message normally would make the partial answer look complete.
+            request.exchange.abort_after_flush()
+            self._state.metrics.increment_counter(codes.ANSWERS_CUT)
+            self.log_end(request, f"cut: {code.name}", 0)
+            return
+        if request.fallback_answer is not None:
+            send_answer(request, request.fallback_answer)
+            self.log_end(request, "failed", request.fallback_answer.head.status)
+            return
+        self.refuse(request, code, self._clock())
+
+    def refuse(self, request: OpenRequest, code: ErrorCode, now: float) -> None:
+        """Answer a request with an error, of which nothing was sent to the caller yet."""
+        verdict = compute_verdict(request.progress)
+        if verdict is Verdict.MAY_HAVE_RUN and code.status in (429, 503):
+            # These statuses guarantee that the request has not run.
+            code = codes.TARGET_FAILED
+        retry_after = self._compute_retry_after(request, code, now)
+        self.write_error(
+            request.exchange, request.id, code, verdict, retry_after, request.progress.targets
+        )
+        self._state.metrics.increment_counter(f"refused.{code.name}")
+        self.log_end(request, f"refused: {code.name}", code.status, verdict, retry_after)
+
+    def _compute_retry_after(self, request: OpenRequest, code: ErrorCode, now: float) -> float:
+        """Return after how many seconds the caller should retry, drawn at random."""
+        random = self._state.random
+        if code is codes.TARGETS_PAUSED:
+            pause_left = self._state.placement.compute_pause_left(request.service, now)
+            if pause_left > 0.0:
+                # Not shortened to the time that the caller has left: it would be refused again.
+                return pause_left * random.uniform(1.0, MAX_PAUSE_RETURN_FACTOR)
+        retry_after = min(
+            code.retry_after, RETRY_AFTER_FRACTION * max(0.0, request.compute_time_left(now))
+        )
+        return retry_after * random.uniform(MIN_RETRY_AFTER_FRACTION, 1.0)
+
+    def reject(
+        self, exchange: Exchange, request_id: str, code: ErrorCode, detail: str, now: float
+    ) -> None:
+        """Refuse a request that is invalid, or for which there is no route, account or service."""
+        retry_after = code.retry_after * self._state.random.uniform(MIN_RETRY_AFTER_FRACTION, 1.0)
+        self.write_error(exchange, request_id, code, Verdict.NOT_RUN, retry_after)
+        self._state.metrics.increment_counter(f"refused.{code.name}")
+        self._state.event_log.write(
+            "rejected",
+            now,
+            id=request_id,
+            code=code.name,
+            status=code.status,
+            detail=detail,
+            target=exchange.target[:200],
+        )
+
+    def write_error(
+        self,
+        exchange: Exchange,
+        request_id: str,
+        code: ErrorCode,
+        verdict: Verdict,
+        retry_after: float,
+        targets: int = 0,
+    ) -> None:
+        """Answer with an error; `targets` is how many targets the request was sent to."""
+        status, headers, body = self._caller_protocol.make_error_response(
+            code, verdict, retry_after, request_id
+        )
+        exchange.respond(status, headers, body)
+
+    def _count_heard(self, now: float) -> int:
+        """Return how many other instances this one hears."""
+        return self._state.loads.peer_counts.count_instances(now)
+
+    def log_end(
+        self,
+        request: OpenRequest,
+        outcome: str,
+        status: int,
+        verdict: Verdict | None = None,
+        retry_after: float = 0.0,
+    ) -> None:
+        """Log the end of a request; `outcome` is as operators read it."""
+        now = self._clock()
+        target = request.attempt_target
+        self._state.event_log.write(
+            "ended",
+            now,
+            id=request.id,
+            outcome=outcome,
+            status=status,
+            verdict=None if verdict is None else verdict.value,
+            retry_after=round(retry_after, 3),
+            route=request.route.name,
+            account=None if request.account is None else request.account.name,
+            service=request.service.name,
+            target=None if target is None else target.id,
+            sends=request.progress.sends,
+            shut=request.rejection_counts,
+            heard=None if request.rejection_counts is None else self._count_heard(now),
+            took=round(now - request.arrived_at, 4),
+            config=request.config_version,
+        )
--- a/rhubarbbend/gateway/_request_server.py
+++ b/rhubarbbend/gateway/_request_server.py
@@ -15,24 +15,18 @@
 from rhubarbbend import codes
 from rhubarbbend.codes import ErrorCode, Verdict
 from rhubarbbend.core.catalog import Catalog, RequestKind
-from rhubarbbend.core.delivery import AttemptOutcome, compute_verdict, decide_step
-from rhubarbbend.core.placement import MAX_PAUSE_RETURN_FACTOR, Rejection
-from rhubarbbend.gateway._answer_forwarder import send_answer
+from rhubarbbend.core.delivery import AttemptOutcome, decide_step
+from rhubarbbend.core.placement import Rejection
 from rhubarbbend.gateway._attempts import AttemptRunner, RetryBudgetExhausted
 from rhubarbbend.gateway._detours import DetourClient, DetourResult
 from rhubarbbend.gateway._interfaces import BadRequest, CallerProtocol, CallerRequest
+from rhubarbbend.gateway._request_ender import RequestEnder
 from rhubarbbend.gateway._requests import OpenRequest
 from rhubarbbend.gateway._state import Clock, State
 from rhubarbbend.gateway._target_prober import TargetProber
 from rhubarbbend.gateway._version_selector import VersionSelector
 from rhubarbbend.http import Exchange
 
-# Retry-After is at most this fraction of the time that the caller has left, so that its next
-# attempt still has most of that time.
-RETRY_AFTER_FRACTION: Final = 0.25
-# Callers that are refused at the same time would also retry at the same time. Retry-After is
-# therefore drawn at random between this fraction of its full value and the full value.
-MIN_RETRY_AFTER_FRACTION: Final = 0.5
 # A request is refused once more than this many targets have failed to accept a connection for it.
 MAX_CONNECT_FAILURES: Final = 4
 # Iterations of the event loop within which a disconnection is read that arrived right after the
@@ -66,14 +60,18 @@
         clock: Clock,
     ) -> None:
         self._state = state
+        self._clock = clock
         self._caller_protocol = caller_protocol
+        self._ender = self._make_ender()
         self._attempts = attempts
         self._detours = detours
         self._prober = prober
-        self._clock = clock
         self._versions = VersionSelector(state, clock)
         self.open_requests = 0
 
+    def _make_ender(self) -> RequestEnder:
+        return RequestEnder(self._state, self._caller_protocol, self._clock)
+
     async def serve(self, exchange: Exchange) -> None:
         """Serve one request; this is the handler of the HTTP server for callers."""
         self.open_requests += 1
@@ -101,7 +99,7 @@
             exchange.abort()
         else:
             verdict = Verdict.MAY_HAVE_RUN
-            self._write_error(exchange, request_id, codes.INTERNAL, verdict, 0.0)
+            self._ender.write_error(exchange, request_id, codes.INTERNAL, verdict, 0.0)
 
     # Admission.
 
@@ -140,7 +138,7 @@
         catalog = self._state.catalog
         if catalog is None:
             request_id = self._caller_protocol.read_request_id(exchange)
-            self._reject(
+            self._ender.reject(
                 exchange, request_id, codes.NOT_READY, "no configuration received yet", now
             )
             return None
@@ -148,7 +146,7 @@
             caller = self._caller_protocol.read_request(exchange)
         except BadRequest as error:
             request_id = self._caller_protocol.read_request_id(exchange)
-            self._reject(exchange, request_id, error.code, error.detail, now)
+            self._ender.reject(exchange, request_id, error.code, error.detail, now)
             return None
         return self._authorize_and_route(exchange, caller, catalog, now)
 
@@ -158,14 +156,14 @@
         route = catalog.find_route(caller.host, caller.path)
         if route is None:
             detail = f"no route for host and path in configuration version {catalog.version}"
-            self._reject(exchange, caller.id, codes.UNKNOWN_PATH, detail, now)
+            self._ender.reject(exchange, caller.id, codes.UNKNOWN_PATH, detail, now)
             return None
         account = None
         if catalog.needs_key and not route.public:
             account = catalog.find_account(caller.api_key)
             if account is None:
                 detail = f"unknown API key in configuration version {catalog.version}"
-                self._reject(exchange, caller.id, codes.UNAUTHORIZED, detail, now)
+                self._ender.reject(exchange, caller.id, codes.UNAUTHORIZED, detail, now)
                 return None
         # Requests with the same shared prompt go to one service; after a change to another service,
         # its engines would have to process the prompt again.
@@ -174,7 +172,7 @@
         name = route.choose_service(hash_fraction)
         service = catalog.services.get(name)
         if service is None:
-            self._reject(
+            self._ender.reject(
                 exchange,
                 caller.id,
                 codes.NO_TARGET,
@@ -185,7 +183,7 @@
         config_version = catalog.version
         request = OpenRequest(caller, exchange, route, service, account, now, config_version)
         if self._state.crashes.is_refused(request.digest, now):
-            self._refuse(request, codes.CRASHES_TARGETS, now)
+            self._ender.refuse(request, codes.CRASHES_TARGETS, now)
             return None
         self._begin(request, now)
         return request
@@ -207,7 +205,7 @@
             request.exchange.on_closed = task.cancel
         elif await _is_disconnected(request.exchange):
             self._state.metrics.increment_counter(codes.CALLER_GONE)
-            self._log_end(request, "caller_gone", 0)
+            self._ender.log_end(request, "caller_gone", 0)
             return
         try:
             async with asyncio.timeout_at(request.deadline):
@@ -219,7 +217,7 @@
                 raise
             task.uncancel()
             self._state.metrics.increment_counter(codes.CALLER_GONE)
-            self._log_end(request, "caller_gone", 0)
+            self._ender.log_end(request, "caller_gone", 0)
 
     async def _try_targets(self, request: OpenRequest) -> None:
         if request.version.hold_s > 0.0:
@@ -250,7 +248,7 @@
             try:
                 outcome = await self._attempts.run(request, choice)
             except RetryBudgetExhausted:
-                self._finish_failed(request, codes.RETRY_BUDGET)
+                self._ender.finish_failed(request, codes.RETRY_BUDGET)
                 return
             if outcome is AttemptOutcome.UNREACHED:
                 connect_failures += 1
@@ -283,14 +281,14 @@
         code = self._select_refusal(rejections.keys())
         if connect_failures or Rejection.UNREACHABLE in rejections:
             if request.progress.sends > 0 and not self._attempts.try_acquire_retry(request):
-                self._finish_failed(request, codes.RETRY_BUDGET)
+                self._ender.finish_failed(request, codes.RETRY_BUDGET)
                 return
             result = await self._run_detour(request)
             if result.answered:
-                self._finish_answered(request, AttemptOutcome.ANSWERED)
+                self._ender.finish_answered(request, AttemptOutcome.ANSWERED)
                 return
             code = result.code or code
-        self._finish_failed(request, code)
+        self._ender.finish_failed(request, code)
 
     async def _run_detour(self, request: OpenRequest) -> DetourResult:
         return await self._detours.run(request)
@@ -310,137 +308,17 @@
                 self._state.metrics.increment_counter(f"retry.{outcome.value}")
             return True
         if step.code is None:
-            self._finish_answered(request, outcome)
+            self._ender.finish_answered(request, outcome)
         else:
-            self._finish_failed(request, step.code)
+            self._ender.finish_failed(request, step.code)
         return False
 
-    def _finish_answered(self, request: OpenRequest, outcome: AttemptOutcome) -> None:
-        if not request.progress.started and request.fallback_answer is not None:
-            send_answer(request, request.fallback_answer)
-        now = self._clock()
-        self._state.metrics.increment_counter(codes.ANSWERS)
-        self._state.metrics.observe("answer", request.route.kind.value, now - request.arrived_at)
-        status = 0 if request.answer is None else request.answer.status
-        self._log_end(
-            request, "answered" if outcome is AttemptOutcome.ANSWERED else "failed", status
-        )
-
     def _expire(self, request: OpenRequest) -> None:
         """End a request whose deadline has passed."""
-        in_progress = request.attempt_target is not None or request.helper is not None
-        if in_progress and not request.progress.may_have_run:
+        if request.attempt_target is not None and not request.progress.may_have_run:
             # The attempt in progress may have been sent; its outcome was not recorded.
             request.progress.may_have_run = True
-        self._finish_failed(request, codes.DEADLINE)
-
-    def _finish_failed(self, request: OpenRequest, code: ErrorCode) -> None:
-        """End a request for which no target sent a complete successful answer.
-
-        The caller gets the stored error answer of a target if there is one, else the error `code`.
-        A stream that was already started is aborted.
-        """
-        if request.progress.started:
-            # Ending the message normally would make the partial answer look complete.
-            request.exchange.abort_after_flush()
-            self._state.metrics.increment_counter(codes.ANSWERS_CUT)
-            self._log_end(request, f"cut: {code.name}", 0)
-            return
-        if request.fallback_answer is not None:
-            send_answer(request, request.fallback_answer)
-            self._log_end(request, "failed", request.fallback_answer.head.status)
-            return
-        self._refuse(request, code, self._clock())
-
-    def _refuse(self, request: OpenRequest, code: ErrorCode, now: float) -> None:
-        verdict = compute_verdict(request.progress)
-        if verdict is Verdict.MAY_HAVE_RUN and code.status in (429, 503):
-            # These statuses guarantee that the request has not run.
-            code = codes.TARGET_FAILED
-        retry_after = self._compute_retry_after(request, code, now)
-        self._write_error(
-            request.exchange, request.id, code, verdict, retry_after, request.progress.targets
-        )
-        self._state.metrics.increment_counter(f"refused.{code.name}")
-        self._log_end(request, f"refused: {code.name}", code.status, verdict, retry_after)
-
-    def _compute_retry_after(self, request: OpenRequest, code: ErrorCode, now: float) -> float:
-        """Return after how many seconds the caller should retry, drawn at random."""
-        random = self._state.random
-        if code is codes.TARGETS_PAUSED:
-            pause_left = self._state.placement.compute_pause_left(request.service, now)
-            if pause_left > 0.0:
-                # Not shortened to the time that the caller has left: it would be refused again.
-                return pause_left * random.uniform(1.0, MAX_PAUSE_RETURN_FACTOR)
-        retry_after = min(
-            code.retry_after, RETRY_AFTER_FRACTION * max(0.0, request.compute_time_left(now))
-        )
-        return retry_after * random.uniform(MIN_RETRY_AFTER_FRACTION, 1.0)
-
-    def _reject(
-        self, exchange: Exchange, request_id: str, code: ErrorCode, detail: str, now: float
-    ) -> None:
-        """Refuse a request that is invalid, or for which there is no route, account or service."""
-        retry_after = code.retry_after * self._state.random.uniform(MIN_RETRY_AFTER_FRACTION, 1.0)
-        self._write_error(exchange, request_id, code, Verdict.NOT_RUN, retry_after)
-        self._state.metrics.increment_counter(f"refused.{code.name}")
-        self._state.event_log.write(
-            "rejected",
-            now,
-            id=request_id,
-            code=code.name,
-            status=code.status,
-            detail=detail,
-            target=exchange.target[:200],
-        )
-
-    def _write_error(
-        self,
-        exchange: Exchange,
-        request_id: str,
-        code: ErrorCode,
-        verdict: Verdict,
-        retry_after: float,
-        targets: int = 0,
-    ) -> None:
-        """Answer with an error; `targets` is how many targets the request was sent to."""
-        status, headers, body = self._caller_protocol.make_error_response(
-            code, verdict, retry_after, request_id
-        )
-        exchange.respond(status, headers, body)
-
-    def _count_heard(self, now: float) -> int:
-        """Return how many other instances this one hears."""
-        return self._state.loads.peer_counts.count_instances(now)
-
-    def _log_end(
-        self,
-        request: OpenRequest,
-        outcome: str,
-        status: int,
-        verdict: Verdict | None = None,
-        retry_after: float = 0.0,
-    ) -> None:
-        now = self._clock()
-        target = request.attempt_target
-        self._state.event_log.write(
-            "ended",
-            now,
-            id=request.id,
-            outcome=outcome,
-            status=status,
-            verdict=None if verdict is None else verdict.value,
-            retry_after=round(retry_after, 3),
-            route=request.route.name,
-            account=None if request.account is None else request.account.name,
-            service=request.service.name,
-            target=None if target is None else target.id,
-            sends=request.progress.sends,
-            shut=request.rejection_counts,
-            heard=None if request.rejection_counts is None else self._count_heard(now),
-            took=round(now - request.arrived_at, 4),
-            config=request.config_version,
-        )
+        self._ender.finish_failed(request, codes.DEADLINE)
 
 
 async def _is_disconnected(exchange: Exchange) -> bool:
