--- a/rhubarbbend/gateway/_detours.py
+++ b/rhubarbbend/gateway/_detours.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Any, Final
 
 import msgspec
@@ -103,7 +104,6 @@
         connection = await self._connect(helper)
         if connection is None:
             return DECLINED
-        request.helper = helper
         is_reusable = False
         try:
             self._send(request, connection)
@@ -122,8 +122,11 @@
             return self._handle_answer(request, helper, outcome)
         except (HttpFailure, msgspec.MsgspecError) as failure:
             return self._handle_failure(request, helper, failure)
+        except asyncio.CancelledError:
+            # The deadline has passed, or the caller has left; the helper may have sent it on.
+            request.progress.may_have_run = True
+            raise
         finally:
-            request.helper = None
             if is_reusable:
                 self._pool.release(connection, self._clock())
             else:
--- a/rhubarbbend/gateway/_requests.py
+++ b/rhubarbbend/gateway/_requests.py
@@ -51,7 +51,6 @@
         "config_version",
         "version",
         "may_switch_version",
-        "helper",
         "first_event_at",
         "unread_tokens",
     )
@@ -90,8 +89,6 @@
         # The version whose targets may get the request now.
         self.version = VersionChoice(None)
         self.may_switch_version = True
-        # The instance that was handed the request and has not responded yet.
-        self.helper: str | None = None
         # Of the current attempt: when the first event arrived, and how many tokens of the prompt
         # the target had to read, as far as is known.
         self.first_event_at: float | None = None
--- a/tests/gateway/test_lost_links.py
+++ b/tests/gateway/test_lost_links.py
@@ -217,3 +217,16 @@
             assert "crash_doubted" in events
 
     run(work)
+
+
+# Guards against saying that a request has not run while another instance waits for its answer.
+def test_a_request_that_expires_at_a_helper_may_have_run(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with start_fleet(tmp_path, instances=2, own_links=True) as fleet:
+            await fleet.set_link_faults("front-0", **CUTS["reset"])
+            await send_each_kind(fleet, "front-0", 4)
+            await fleet.set_service_faults("plain", hang=True)
+            reply = await fleet.send_request("/book/x", b"late", Deadline_Ms="500")
+            assert (reply.status, json.loads(reply.body)["verdict"]) == (504, "may_have_run")
+
+    run(work)
