--- a/loadtool/_soak.py
+++ b/loadtool/_soak.py
@@ -16,7 +16,8 @@
 
 import attrs
 
-from loadtool._gateway_fleet import ACCOUNT, HOST, KEY, ZONES, GatewayFleet, start_fleet
+from loadtool._gateway_config import ACCOUNT, HOST, KEY
+from loadtool._gateway_fleet import ZONES, GatewayFleet, start_fleet
 from loadtool._soak_checks import RequestOutcome, RunRecord, count_outcomes, find_violations
 from loadtool._soak_faults import SECOND_KEY, SoakFaultInjector
 from loadtool._soak_links import find_link_violations
--- a/loadtool/_soak_checks.py
+++ b/loadtool/_soak_checks.py
@@ -12,7 +12,7 @@
 import attrs
 
 from loadtool._soak_schedule import FaultScope, ScheduledSoakFault, SoakFault
-from standins._worker import Arrival, make_response_body, make_stream_event
+from standins._worker_types import Arrival, make_response_body, make_stream_event
 
 # The shortest limits among the known deployments: after this time a change of configuration is in
 # force, and a draining target or the targets of an evacuated zone get no more requests.
--- a/loadtool/_soak_notices.py
+++ b/loadtool/_soak_notices.py
@@ -12,7 +12,7 @@
 from loadtool._soak_checks import MAX_TARGET_DRAIN_S, TOLERANCE_S, RequestOutcome, RunRecord
 from loadtool._soak_faults import ROUTE_FAULTS
 from loadtool._soak_schedule import FaultScope, SoakFault
-from standins._worker import Arrival
+from standins._worker_types import Arrival
 
 # Requests that may still reach a target from this long after it asked for a pause until its end.
 PAUSE_GRACE_S: Final = 0.5
--- /dev/null
+++ b/standins/_worker_types.py
@@ -0,0 +1,103 @@
+"""What the stand-in for workers is told, what it reports, and what it responds."""
+
+from __future__ import annotations
+
+import hashlib
+
+import msgspec
+
+
+class Faults(msgspec.Struct):
+    """The faults that are active now, and the timing of responses (times in seconds)."""
+
+    delay: float = 0.0
+    events: int = 5
+    event_gap: float = 0.02
+    # Respond with this status instead of 200; the request has been executed.
+    status: int = 0
+    # Respond that the request was not executed.
+    reject: bool = False
+    # With `reject`: ask the sender to send no requests for this time.
+    pause_s: float = 0.0
+    # State in each response that this worker is about to leave.
+    leaving: bool = False
+    # Run at most so many requests at once and reject the others; -1: any number.
+    room: int = -1
+    # State in each response that this worker falls over if it rejects more requests in a second.
+    brittle: int = 0
+    # Accept requests and never respond.
+    hang: bool = False
+    # Close the connection after so many events, in the middle of the next; -1: never.
+    cut_after: int = -1
+    # Stop sending after so many events but keep the connection open; -1: never.
+    stall_after: int = -1
+    # Send a response with another request's id before each response (`stray`) or after it
+    # (`extra`).
+    stray: bool = False
+    extra: bool = False
+    # Send bytes that are not HTTP (`garbage`), or a response without the `Response-Seal` header.
+    garbage: bool = False
+    unsealed: bool = False
+    # Close the connection before the declared length of the body is sent (`truncate`), or send a
+    # body without a length, which ends when the connection closes (`unframed`).
+    truncate: bool = False
+    unframed: bool = False
+    # Respond before the request body has been read, and read it afterwards.
+    early: bool = False
+    # Exit the process when a request body contains this text.
+    crash_on: str = ""
+    # Close a connection when a second request arrives on it, without executing that request.
+    drop_idle: bool = False
+    # Start each stream at its first event, even if the request asks to resume it.
+    repeat_events: bool = False
+
+
+class ReceivedRequest(msgspec.Struct):
+    """A request that this worker received; `ran` says whether it was executed."""
+
+    id: str
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: str
+    ran: bool
+    instance: str = ""
+
+
+class Arrival(msgspec.Struct):
+    """A line of the arrivals file: a worker received a request at Unix time `at`.
+
+    `pause_s` is the pause that the worker asked for in its response, `leaving` whether it said that
+    it leaves.
+    """
+
+    id: str
+    worker: str
+    at: float
+    ran: bool
+    method: str
+    target: str
+    account: str
+    pause_s: float = 0.0
+    leaving: bool = False
+
+
+class Stats(msgspec.Struct):
+    """Statistics since the process started; `runs` counts executions by attempt id."""
+
+    seen: list[ReceivedRequest] = []
+    runs: dict[str, int] = {}
+    running: int = 0
+    most_running: int = 0
+    cancelled: int = 0
+
+
+def make_stream_event(body: bytes, number: int) -> bytes:
+    """Return event `number` of the stream that responds to a request with this body."""
+    data = hashlib.blake2b(body + str(number).encode(), digest_size=6).hexdigest()
+    return f"id: {number}\ndata: {data}\n\n".encode()
+
+
+def make_response_body(body: bytes, target: str) -> bytes:
+    """Return the whole response body to a request with this body and target."""
+    return hashlib.blake2b(body + target.encode(), digest_size=32).hexdigest().encode()
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -5,17 +5,8 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from loadtool._gateway_fleet import (
-    ACCOUNT,
-    HOST,
-    KEY,
-    ZONES,
-    GatewayFleet,
-    Reply,
-    make_config,
-    make_route,
-    start_fleet,
-)
+from loadtool._gateway_config import ACCOUNT, HOST, KEY, make_config, make_route
+from loadtool._gateway_fleet import ZONES, GatewayFleet, Reply, start_fleet
 from loadtool._waiting import wait_until
 
 __all__ = [
--- a/tests/gateway/test_answers.py
+++ b/tests/gateway/test_answers.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from standins._worker import make_response_body, make_stream_event
+from standins._worker_types import make_response_body, make_stream_event
 from tests.gateway.harness import GatewayFleet, Reply, run, start_fleet, wait_until
 
 PROMPT = "aa11:400,bb22:9000,cc33:120"
--- a/tests/gateway/test_load_bound.py
+++ b/tests/gateway/test_load_bound.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from rhubarbbend.core.placement import CountScope, InFlightUpdate, compute_target_hash
-from standins._worker import Arrival
+from standins._worker_types import Arrival
 from tests.gateway.harness import GatewayFleet, run, start_fleet, wait_until
 
 INSTANCES, ENGINES = 8, 9
--- a/tests/gateway/test_lost_links.py
+++ b/tests/gateway/test_lost_links.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from standins._worker import make_response_body
+from standins._worker_types import make_response_body
 from tests.gateway.harness import ACCOUNT, GatewayFleet, Reply, run, start_fleet
 
 # Connections behind a cut hang, are reset, or live on while new ones are refused.
--- a/tests/gateway/test_path.py
+++ b/tests/gateway/test_path.py
@@ -7,7 +7,7 @@
 
 from pathlib import Path
 
-from standins._worker import make_response_body, make_stream_event
+from standins._worker_types import make_response_body, make_stream_event
 from tests.gateway.harness import ACCOUNT, make_config, run, start_fleet, wait_until
 
 PROMPT = "aa11:400,bb22:9000,cc33:120"
--- a/tests/gateway/test_pauses.py
+++ b/tests/gateway/test_pauses.py
@@ -14,7 +14,7 @@
 from rhubarbbend.core.delivery import AttemptOutcome
 from rhubarbbend.core.placement import HealthTracker, LoadTracker, PauseTracker
 from rhubarbbend.gateway._attempts import AttemptRunner
-from standins._worker import Arrival
+from standins._worker_types import Arrival
 from tests.gateway.harness import GatewayFleet, Reply, run, start_fleet
 
 PAUSE_S = 2.0
--- a/tests/loadtool/test_soak.py
+++ b/tests/loadtool/test_soak.py
@@ -15,7 +15,7 @@
 from loadtool._soak_checks import Period, RequestOutcome, RunRecord, find_violations
 from loadtool._soak_notices import find_notice_violations
 from loadtool._soak_schedule import ScheduledSoakFault, SoakFault, make_soak_schedule
-from standins._worker import Arrival, make_response_body
+from standins._worker_types import Arrival, make_response_body
 
 DURATION = 25.0
 INSTANCE_COUNT = 6
