Requests are handed on only if half of a service's targets or more cannot be reached

What callers would see: on a full service with a target that is down, each refused request was offered to up to three more instances, each of which admits by chance near the load bound: four tries instead of one.

--- a/rhubarbbend/core/detours/__init__.py
+++ b/rhubarbbend/core/detours/__init__.py
@@ -6,7 +6,8 @@
 slots and claims, the helper opens a tunnel to the target instead.
 """
 
+from rhubarbbend.core.detours._decision import needs_detour
 from rhubarbbend.core.detours._helpers import HelperSelector
 from rhubarbbend.core.detours._paths import PathTracker
 
-__all__ = ["HelperSelector", "PathTracker"]
+__all__ = ["HelperSelector", "PathTracker", "needs_detour"]
--- /dev/null
+++ b/rhubarbbend/core/detours/_decision.py
@@ -0,0 +1,20 @@
+"""Decides whether a request that finds no target is handed to another instance."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from rhubarbbend.core.placement import Rejection
+
+
+def needs_detour(rejections: Mapping[Rejection, int], connect_failures: int) -> bool:
+    """Return whether half of a service's targets or more cannot be reached from here.
+
+    `rejections` counts the targets by the reason for which each was passed over, `connect_failures`
+    those that accepted no connection for the request. Where only a few targets are down, the others
+    are full for everybody, and asking other instances would only put more load on them.
+    """
+    unreachable = rejections.get(Rejection.UNREACHABLE, 0)
+    if connect_failures:
+        unreachable += rejections.get(Rejection.TRIED, 0)
+    return unreachable > 0 and 2 * unreachable >= sum(rejections.values())
--- a/rhubarbbend/gateway/_request_server.py
+++ b/rhubarbbend/gateway/_request_server.py
@@ -16,6 +16,7 @@
 from rhubarbbend.codes import ErrorCode, Verdict
 from rhubarbbend.core.catalog import Catalog, RequestKind
 from rhubarbbend.core.delivery import AttemptOutcome, decide_step
+from rhubarbbend.core.detours import needs_detour
 from rhubarbbend.core.placement import Rejection
 from rhubarbbend.gateway._attempts import AttemptRunner, RetryBudgetExhausted
 from rhubarbbend.gateway._detours import DetourClient, DetourResult
@@ -274,12 +275,12 @@
     async def _finish_without_target(self, request: OpenRequest, connect_failures: int) -> None:
         """End a request that this instance can send to no target.
 
-        If some cannot be reached from here, another instance may reach them.
+        If most cannot be reached from here, another instance may reach them.
         """
         rejections = self._state.placement.last_rejections
         request.rejection_counts = {r.value: count for r, count in rejections.items()}
         code = self._select_refusal(rejections.keys())
-        if connect_failures or Rejection.UNREACHABLE in rejections:
+        if needs_detour(rejections, connect_failures):
             if request.progress.sends > 0 and not self._attempts.try_acquire_retry(request):
                 self._ender.finish_failed(request, codes.RETRY_BUDGET)
                 return
