--- a/rhubarbbend/core/placement/_brittle.py
+++ b/rhubarbbend/core/placement/_brittle.py
@@ -113,10 +113,6 @@
         self._forget(service)
         return False
 
-    def list_brittle(self, now: float) -> list[str]:
-        """Return the services whose targets are brittle."""
-        return [service for service in list(self._until) if self.is_brittle(service, now)]
-
     def record_answer(self, service: str, per_s: int | None, now: float) -> None:
         """Record what an answer says of its service; None: that it is not brittle."""
         if per_s is None:
--- a/rhubarbbend/gateway/_detours.py
+++ b/rhubarbbend/gateway/_detours.py
@@ -40,15 +40,15 @@
 class DetourResult(msgspec.Struct, frozen=True):
     """What came of a detour.
 
-    `answered` is whether the caller got a target's answer; else `code` is the error for the caller,
-    None if no helper was asked or none gave a reason.
+    `outcome` is that of the target's answer, which the caller got; None if there is none. `code` is
+    then the error for the caller, None if no helper was asked or none gave a reason.
     """
 
-    answered: bool
+    outcome: AttemptOutcome | None = None
     code: ErrorCode | None = None
 
 
-DECLINED: Final = DetourResult(False)
+DECLINED: Final = DetourResult()
 
 
 class DetourClient:
@@ -96,7 +96,7 @@
                 result = await self._ask(request, helper)
             finally:
                 self._selector.record_ended(helper)
-            if result.answered or request.progress.may_have_run:
+            if result.outcome is not None or request.progress.may_have_run:
                 break
         return result
 
@@ -198,7 +198,7 @@
         else:
             request.progress.may_have_run = True
             self._state.metrics.increment_counter(codes.DETOURS_FAILED)
-        return DetourResult(False, refusal.error)
+        return DetourResult(code=refusal.error)
 
     def _handle_answer(
         self, request: OpenRequest, helper: str, outcome: AttemptOutcome
@@ -206,7 +206,7 @@
         self._selector.record_answered(request.service.name, helper, self._clock())
         self._state.metrics.increment_counter(codes.DETOURS_ANSWERED)
         self._log(request, helper, outcome.value)
-        return DetourResult(True)
+        return DetourResult(outcome)
 
     def _handle_failure(
         self, request: OpenRequest, helper: str, failure: Exception
@@ -216,7 +216,7 @@
         self._selector.record_lost(helper, self._clock())
         self._state.metrics.increment_counter(codes.DETOURS_FAILED)
         self._log(request, helper, "lost", reason=str(failure))
-        return DetourResult(False, codes.TARGET_FAILED)
+        return DetourResult(code=codes.TARGET_FAILED)
 
     def _log(self, request: OpenRequest, helper: str, end: str, **fields: Any) -> None:
         now = self._clock()
--- a/rhubarbbend/gateway/_request_server.py
+++ b/rhubarbbend/gateway/_request_server.py
@@ -285,8 +285,8 @@
                 self._ender.finish_failed(request, codes.RETRY_BUDGET)
                 return
             result = await self._run_detour(request)
-            if result.answered:
-                self._ender.finish_answered(request, AttemptOutcome.ANSWERED)
+            if result.outcome is not None:
+                self._ender.finish_answered(request, result.outcome)
                 return
             code = result.code or code
         self._ender.finish_failed(request, code)
--- a/tests/core/placement/test_brittle.py
+++ b/tests/core/placement/test_brittle.py
@@ -137,7 +137,7 @@
     tracker.record_answer(SERVICE, 5, 1.0)
     tracker.record_answer(SERVICE, 5, 1.1)
     assert tracker.pop_unsent() == [BrittleNotice(SERVICE, 5)]
-    assert tracker.list_brittle(4.0) == [SERVICE]
+    assert tracker.is_brittle(SERVICE, 4.0)
     assert not tracker.is_brittle(SERVICE, 5.2)
     tracker.merge_notices([BrittleNotice(SERVICE, 5, "t-0", 6, 4.0)], 6.0)
     assert tracker.is_brittle(SERVICE, 6.1)
