--- a/loadtool/_gateway_fleet.py
+++ b/loadtool/_gateway_fleet.py
@@ -214,7 +214,7 @@
         advertised_port = await self.open_route(port) if use_proxy_route else port
         node = WorkerNode(name, service, zone, port, advertised_port, process)
         self.workers[name] = node
-        for instance in self.instances.values():
+        for instance in list(self.instances.values()):
             await self._open_links(instance)
         await self.register_worker(name, **fields)
         return node
@@ -241,7 +241,7 @@
         """Open an instance's own routes to the workers to which it has none."""
         if not node.view_port:
             return
-        for worker in self.workers.values():
+        for worker in list(self.workers.values()):
             if worker.name not in node.links:
                 node.links[worker.name] = await self.open_route(worker.advertised_port)
         addresses = {
