--- a/rhubarbbend/gateway/_answer_receiver.py
+++ b/rhubarbbend/gateway/_answer_receiver.py
@@ -7,6 +7,7 @@
 from rhubarbbend import codes
 from rhubarbbend.core.delivery import LatencyTracker
 from rhubarbbend.core.directory import Target
+from rhubarbbend.gateway._detour_messages import LEAVING_HEADER
 from rhubarbbend.gateway._interfaces import TargetProtocol, TargetResponseHead
 from rhubarbbend.gateway._liveness import StreamTimeoutPolicy, TargetLivenessMonitor
 from rhubarbbend.gateway._requests import OpenRequest
@@ -77,6 +78,8 @@
             self._state.pauses.record_pause(target.id, answer.pause_s, self._state.random, now)
         if answer.request == request.id:
             self._record_brittle(request, target, answer, now)
+        if answer.is_leaving and request.is_detour:
+            request.exchange.extra_headers.append((LEAVING_HEADER, target.id.encode()))
         if answer.is_leaving and self._state.registry.record_leaving(target):
             self._state.metrics.increment_counter(codes.TARGETS_LEAVING)
             self._state.event_log.write("target_leaving", now, target=target.id, source="answer")
--- a/rhubarbbend/gateway/_detour_messages.py
+++ b/rhubarbbend/gateway/_detour_messages.py
@@ -16,6 +16,9 @@
 # On a response that is the helper's own: `DetourRefusal` as JSON. A target's answer has none.
 REFUSAL_HEADER = b"rhubarbbend-detour-refused"
 
+# On a response that is a target's: the target's id, if it has said that it is about to leave.
+LEAVING_HEADER = b"rhubarbbend-detour-leaving"
+
 RawHeaders = list[tuple[bytes, bytes]]
 
 
@@ -65,6 +68,16 @@
     return None if text is None else msgspec.json.decode(text, type=DetourTerms)
 
 
+def read_leaving_target(headers: dict[str, str]) -> str:
+    """Return the id of the target that has said that it leaves; empty if none has."""
+    return headers.get(LEAVING_HEADER.decode(), "")
+
+
+def remove_own_headers(headers: RawHeaders) -> RawHeaders:
+    """Return the headers of a response without those that are meant for this instance."""
+    return [(name, value) for name, value in headers if name.lower() != LEAVING_HEADER]
+
+
 def read_refusal(headers: dict[str, str]) -> DetourRefusal | None:
     """Return a helper's refusal; None if the response is a target's. Raise `MsgspecError`."""
     text = headers.get(REFUSAL_HEADER.decode())
--- a/rhubarbbend/gateway/_detour_server.py
+++ b/rhubarbbend/gateway/_detour_server.py
@@ -75,12 +75,12 @@
     def _begin(self, request: OpenRequest, now: float) -> None:
         terms = read_terms(request.exchange.headers)
         assert terms is not None
+        request.is_detour = True
         request.progress.targets = terms.targets
         registered = self._state.registry.count_versions(request.service.name)
         versions = self._state.rollouts.find_versions(request.service.name, registered)
         # The instance that took the request counts it for the share of a version on trial.
         request.version = VersionChoice(versions.stable)
-        request.may_switch_version = False
 
     def _avoids_unreachable(self, request: OpenRequest, now: float) -> bool:
         return True
--- a/rhubarbbend/gateway/_detours.py
+++ b/rhubarbbend/gateway/_detours.py
@@ -17,7 +17,9 @@
     DetourRefusal,
     DetourTerms,
     add_terms,
+    read_leaving_target,
     read_refusal,
+    remove_own_headers,
 )
 from rhubarbbend.gateway._interfaces import CallerProtocol, TargetProtocol
 from rhubarbbend.gateway._requests import OpenRequest
@@ -114,6 +116,8 @@
                 await _discard_body(request, connection, self._clock())
                 return self._handle_refusal(request, helper, refusal)
             answer = self._targets.read_response_head(response)
+            self._record_leaving(response)
+            answer = msgspec.structs.replace(answer, headers=remove_own_headers(answer.headers))
             if answer.request != request.id:
                 raise HttpFailure(SendStage.RESPONSE, "the answer belongs to another request")
             backstop = request.compute_backstop_timeout(self._clock())
@@ -187,6 +191,15 @@
     def _is_heard(self, helper: str) -> bool:
         return helper in self._state.loads.peer_counts.list_senders(self._clock())
 
+    def _record_leaving(self, response: Response) -> None:
+        """Record that a target leaves: this instance passes its answer on to the caller."""
+        target = self._state.registry.find(read_leaving_target(response.headers))
+        if target is not None and self._state.registry.record_leaving(target):
+            self._state.metrics.increment_counter(codes.TARGETS_LEAVING)
+            self._state.event_log.write(
+                "target_leaving", self._clock(), target=target.id, source="helper"
+            )
+
     def _handle_refusal(
         self, request: OpenRequest, helper: str, refusal: DetourRefusal
     ) -> DetourResult:
--- a/rhubarbbend/gateway/_request_server.py
+++ b/rhubarbbend/gateway/_request_server.py
@@ -224,7 +224,7 @@
         if request.version.hold_s > 0.0:
             await self._versions.hold(request)
         connect_failures = 0
-        switched = not request.may_switch_version
+        switched = request.is_detour
         while True:
             now = self._clock()
             self._versions.revise(request)
--- a/rhubarbbend/gateway/_requests.py
+++ b/rhubarbbend/gateway/_requests.py
@@ -50,7 +50,7 @@
         "rejection_counts",
         "config_version",
         "version",
-        "may_switch_version",
+        "is_detour",
         "first_event_at",
         "unread_tokens",
     )
@@ -88,7 +88,8 @@
         self.config_version = config_version
         # The version whose targets may get the request now.
         self.version = VersionChoice(None)
-        self.may_switch_version = True
+        # Whether another instance took the request from its caller.
+        self.is_detour = False
         # Of the current attempt: when the first event arrived, and how many tokens of the prompt
         # the target had to read, as far as is known.
         self.first_event_at: float | None = None
--- a/tests/gateway/test_lost_links.py
+++ b/tests/gateway/test_lost_links.py
@@ -230,3 +230,22 @@
             assert (reply.status, json.loads(reply.body)["verdict"]) == (504, "may_have_run")
 
     run(work)
+
+
+# Guards against new requests to a target whose leaving was passed on to a caller through a helper
+# (DRAIN).
+def test_an_instance_learns_through_a_helper_that_a_target_leaves(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with start_fleet(tmp_path, instances=2, zones=1, own_links=True) as fleet:
+            await fleet.set_worker_faults("plain-0", leaving=True)
+            await fleet.set_link_faults("front-0", **CUTS["silent"])
+            replies = await send_each_kind(fleet, "front-0", 10)
+            assert any(arrival.leaving for arrival in fleet.read_arrivals())
+            assert not any("rhubarbbend" in name for r in replies for name in r.headers)
+            await fleet.set_link_faults("front-0", **NO_CUT)
+            await asyncio.sleep(1.0)
+            before = len((await fleet.read_stats("plain-0")).seen)
+            assert count_served(await send_each_kind(fleet, "front-0", 10)) == 40
+            assert len((await fleet.read_stats("plain-0")).seen) == before
+
+    run(work)
