--- a/loadtool/_soak.py
+++ b/loadtool/_soak.py
@@ -247,6 +247,7 @@
     violations = await _check_recovery(fleet, callers[0])
     readiness_task.cancel()
     arrivals = fleet.read_arrivals()
+    record.detoured = _list_detoured(fleet)
     violations += find_violations(record, arrivals)
     violations += find_notice_violations(record, arrivals)
     violations += find_link_violations(record)
@@ -273,6 +274,16 @@
     return [f"recovery: {', '.join(failed[:5])}"]
 
 
+def _list_detoured(fleet: GatewayFleet) -> set[str]:
+    """Return the ids of the requests that instances handed to one another."""
+    return {
+        line["id"]
+        for name in fleet.instances
+        for line in fleet.read_log(name)
+        if line["event"] == "detour_ended"
+    }
+
+
 def _find_internal_errors(fleet: GatewayFleet) -> list[str]:
     """Return a line for each internal error in the logs of the instances."""
     return [
--- a/loadtool/_soak_checks.py
+++ b/loadtool/_soak_checks.py
@@ -79,6 +79,8 @@
     zones_out: list[Period] = attrs.Factory(list)
     revoked: list[Period] = attrs.Factory(list)
     cold: list[Period] = attrs.Factory(list)
+    # Requests that reached a target through another instance than the one that took them.
+    detoured: set[str] = attrs.Factory(set)
     # Instances without links to any target.
     cut_off: list[Period] = attrs.Factory(list)
     zone_by_target: dict[str, str] = attrs.Factory(dict)
--- a/loadtool/_soak_notices.py
+++ b/loadtool/_soak_notices.py
@@ -40,7 +40,10 @@
 ) -> Iterable[str]:
     for asked in received:
         ends_at = asked.at + asked.pause_s
-        within = [a for a in received if asked.at + PAUSE_GRACE_S < a.at < ends_at]
+        if asked.id in record.detoured:
+            continue
+        own = [a for a in received if a.id not in record.detoured]
+        within = [a for a in own if asked.at + PAUSE_GRACE_S < a.at < ends_at]
         if len(within) <= MAX_REQUESTS_IN_PAUSE:
             continue
         if not _is_excused(record, instance, worker, asked.at, ends_at):
@@ -57,13 +60,18 @@
     received: list[Arrival],
     outcomes: dict[str, RequestOutcome],
 ) -> Iterable[str]:
-    passed_on = [outcomes[a.id] for a in received if a.leaving and a.ran]
+    # A request may be held up behind a cut, and arrive when its caller has another answer.
+    passed_on = [
+        outcomes[a.id]
+        for a in received
+        if a.leaving and a.ran and a.at <= outcomes[a.id].ended_at + TOLERANCE_S
+    ]
     told_at = min((o.ended_at for o in passed_on if o.complete), default=None)
     if told_at is None:
         return
     for arrival in received:
         sent_at = outcomes[arrival.id].sent_at
-        if sent_at <= told_at + MAX_TARGET_DRAIN_S + TOLERANCE_S:
+        if arrival.id in record.detoured or sent_at <= told_at + MAX_TARGET_DRAIN_S + TOLERANCE_S:
             continue
         if not _is_excused(record, instance, worker, told_at, sent_at):
             yield (
@@ -74,9 +82,6 @@
 
 def _is_excused(record: RunRecord, instance: str, worker: str, since: float, until: float) -> bool:
     """Return whether a restart, suspension or cut of an instance lies in a time."""
-    if any(p.name == instance and p.since <= until and p.until >= since for p in record.cut_off):
-        # Its requests reached the target through other instances, which were not asked.
-        return True
     for scheduled in record.scheduled_faults:
         is_of_instance = scheduled.victim == instance and scheduled.fault in EXCUSING_FAULTS
         is_of_link = (
--- a/rhubarbbend/gateway/_detours.py
+++ b/rhubarbbend/gateway/_detours.py
@@ -35,6 +35,9 @@
 
 # Instances that one request is sent to before it is refused.
 MAX_HELPERS_ASKED: Final = 3
+# Refusals of a helper that cannot send a request either. With others it has no room now, and may
+# have some for the next request.
+UNABLE_CODES: Final = frozenset({codes.NO_TARGET.name, codes.NOT_READY.name})
 # How often it is checked whether the helper is still heard while its answer is awaited.
 HELPER_CHECK_INTERVAL_S: Final = 0.3
 
@@ -206,7 +209,8 @@
         request.progress.targets = max(request.progress.targets, refusal.targets)
         self._log(request, helper, f"refused: {refusal.code}")
         if refusal.verdict is Verdict.NOT_RUN:
-            self._selector.record_declined(request.service.name, helper, self._clock())
+            if refusal.code in UNABLE_CODES:
+                self._selector.record_declined(request.service.name, helper, self._clock())
             self._state.metrics.increment_counter(codes.DETOURS_DECLINED)
         else:
             request.progress.may_have_run = True
