--- a/tests/loadtool/test_soak.py
+++ b/tests/loadtool/test_soak.py
@@ -187,3 +187,19 @@
     assert result.violations == []
     served = sum(outcome.status == 200 and outcome.complete for outcome in result.record.outcomes)
     assert served > 0.7 * len(result.record.outcomes)
+
+
+# 2 with notices: an instance did not learn through another one that a target leaves.
+@pytest.mark.xdist_group("soak")
+@pytest.mark.parametrize(("seed", "has_notices"), [(3, False), (2, True)])
+def test_all_guarantees_hold_while_instances_lose_their_links(
+    seed: int, has_notices: bool, tmp_path: Path
+) -> None:
+    """Single instances lose their links to targets while instances, store and paths fail."""
+    run = run_soak(
+        seed, DURATION, INSTANCE_COUNT, tmp_path, has_notices=has_notices, has_link_faults=True
+    )
+    result = asyncio.run(run)
+    print(format_result(result))
+    assert result.violations == []
+    assert result.record.cut_off
