--- a/rhubarbbend/core/detours/_helpers.py
+++ b/rhubarbbend/core/detours/_helpers.py
@@ -9,7 +9,7 @@
 
 import math
 from collections import Counter, deque
-from collections.abc import Collection, Mapping
+from collections.abc import Callable, Collection, Iterator, Mapping
 from typing import Final
 
 from rhubarbbend.core._rendezvous import rank_names
@@ -28,15 +28,14 @@
 MIN_HEARD_FRACTION: Final = 0.5
 
 
-class _HelperRecord:
-    """What is known of one helper for one destination."""
+class _Backoff:
+    """How long a helper that declined is not asked again for a destination."""
 
-    __slots__ = ("answered_at", "backoff", "backoff_until")
+    __slots__ = ("seconds", "until")
 
     def __init__(self) -> None:
-        self.answered_at = -math.inf
-        self.backoff = 0.0
-        self.backoff_until = -math.inf
+        self.seconds = 0.0
+        self.until = -math.inf
 
 
 class HelperSelector:
@@ -45,18 +44,20 @@
     def __init__(self, instance: str, zone: str) -> None:
         self._instance = instance
         self._zone = zone
-        self._records: dict[tuple[str, str], _HelperRecord] = {}
+        self._backoffs: dict[tuple[str, str], _Backoff] = {}
         self._lost_until: dict[str, float] = {}
         self._declined_at: dict[str, deque[float]] = {}
         self._in_flight: Counter[str] = Counter()
-        self._answered_at: dict[str, float] = {}
+        # By destination, when each helper reached it last.
+        self._answered_by: dict[str, dict[str, float]] = {}
         # The instances from which the order was computed.
         self._zones: Mapping[str, str] = {}
-        self._order: list[str] = []
+        self._own_zone: list[str] = []
+        self._elsewhere: list[str] = []
 
     def is_in_use(self, destination: str, now: float) -> bool:
         """Return whether a destination has been reached through a helper lately."""
-        return now - self._answered_at.get(destination, -math.inf) < IN_USE_S
+        return bool(self._list_answering(destination, now))
 
     def select(
         self,
@@ -73,27 +74,44 @@
         bytes between zones are paid.
         """
         self._update_order(zones)
-        others = max(1, len(self._order))
-        hears_most = len(heard) >= MIN_HEARD_FRACTION * others
+        is_heard = self._make_hearing_filter(heard)
         may_try_others = self._count_declines(destination, now) < MAX_DECLINES_PER_S
-        candidates = [
-            name
-            for name in self._order
-            if name not in asked
-            and (name in heard or not hears_most)
-            and self._may_ask(destination, name, now)
-            and (may_try_others or self._has_answered(destination, name, now))
-        ]
-
-        def compute_key(name: str) -> tuple[bool, bool, int]:
-            is_elsewhere = zones[name] != self._zone
-            return (
-                is_elsewhere,
-                not self._has_answered(destination, name, now),
-                self._in_flight[name],
-            )
-
-        return min(candidates, key=compute_key, default=None)
+
+        def may_ask(name: str) -> bool:
+            return name not in asked and is_heard(name) and self._may_ask(destination, name, now)
+
+        answering = [n for n in self._list_answering(destination, now) if may_ask(n)]
+        for is_own_zone, others in ((True, self._own_zone), (False, self._elsewhere)):
+            helpers = [n for n in answering if (zones[n] == self._zone) is is_own_zone]
+            if helpers:
+                return min(helpers, key=lambda name: self._in_flight[name])
+            unknown = (n for n in others if may_ask(n)) if may_try_others else iter(())
+            helper = self._select_least_busy(unknown)
+            if helper is not None:
+                return helper
+        return None
+
+    def _select_least_busy(self, names: Iterator[str]) -> str | None:
+        """Return the first instance that has no request from here, else the one with fewest."""
+        least: str | None = None
+        for name in names:
+            if not self._in_flight[name]:
+                return name
+            if least is None or self._in_flight[name] < self._in_flight[least]:
+                least = name
+        return least
+
+    def _make_hearing_filter(self, heard: Collection[str]) -> Callable[[str], bool]:
+        """Return a filter of instances: those that are heard, if most of the others are."""
+        others = max(1, len(self._own_zone) + len(self._elsewhere))
+        if len(heard) < MIN_HEARD_FRACTION * others:
+            return lambda name: True
+        return frozenset(heard).__contains__
+
+    def _list_answering(self, destination: str, now: float) -> list[str]:
+        """Return the instances through which the destination was reached lately."""
+        answered_at = self._answered_by.get(destination, {})
+        return [name for name, at in answered_at.items() if now - at < IN_USE_S]
 
     def record_sent(self, helper: str) -> None:
         """Record that a request was handed to a helper."""
@@ -107,19 +125,17 @@
 
     def record_answered(self, destination: str, helper: str, now: float) -> None:
         """Record that the destination was reached through a helper."""
-        record = self._get_record(destination, helper)
-        record.answered_at = now
-        record.backoff = 0.0
-        self._answered_at[destination] = now
+        self._backoffs.pop((destination, helper), None)
+        self._answered_by.setdefault(destination, {})[helper] = now
 
     def record_declined(self, destination: str, helper: str, now: float) -> None:
         """Record that a helper could not reach a destination either."""
-        record = self._get_record(destination, helper)
-        record.answered_at = -math.inf
-        record.backoff = min(
-            MAX_DECLINE_BACKOFF_S, max(MIN_DECLINE_BACKOFF_S, 2.0 * record.backoff)
+        backoff = self._get_backoff(destination, helper)
+        self._answered_by.get(destination, {}).pop(helper, None)
+        backoff.seconds = min(
+            MAX_DECLINE_BACKOFF_S, max(MIN_DECLINE_BACKOFF_S, 2.0 * backoff.seconds)
         )
-        record.backoff_until = now + record.backoff
+        backoff.until = now + backoff.seconds
         self._declined_at.setdefault(destination, deque(maxlen=MAX_DECLINES_PER_S)).append(now)
 
     def record_lost(self, helper: str, now: float) -> None:
@@ -127,28 +143,29 @@
         self._lost_until[helper] = now + LOST_BACKOFF_S
 
     def _update_order(self, zones: Mapping[str, str]) -> None:
-        if zones == self._zones:
+        if zones is self._zones or zones == self._zones:
             return
-        self._zones = dict(zones)
-        others = [name for name in zones if name != self._instance]
+        self._zones = zones
         # Each instance has an order of its own, so that not all ask the same helper first.
-        self._order = rank_names(self._instance, others)
-        self._records = {k: record for k, record in self._records.items() if k[1] in zones}
+        order = rank_names(self._instance, [name for name in zones if name != self._instance])
+        self._own_zone = [name for name in order if zones[name] == self._zone]
+        self._elsewhere = [name for name in order if zones[name] != self._zone]
+        self._backoffs = {k: backoff for k, backoff in self._backoffs.items() if k[1] in zones}
         self._lost_until = {k: until for k, until in self._lost_until.items() if k in zones}
+        self._answered_by = {
+            destination: {name: at for name, at in answered.items() if name in zones}
+            for destination, answered in self._answered_by.items()
+        }
 
     def _may_ask(self, destination: str, helper: str, now: float) -> bool:
-        record = self._records.get((destination, helper))
-        if record is not None and now < record.backoff_until:
+        backoff = self._backoffs.get((destination, helper))
+        if backoff is not None and now < backoff.until:
             return False
         return now >= self._lost_until.get(helper, -math.inf)
 
-    def _has_answered(self, destination: str, helper: str, now: float) -> bool:
-        record = self._records.get((destination, helper))
-        return record is not None and now - record.answered_at < IN_USE_S
-
     def _count_declines(self, destination: str, now: float) -> int:
         declined_at = self._declined_at.get(destination, ())
         return sum(now - at < 1.0 for at in declined_at)
 
-    def _get_record(self, destination: str, helper: str) -> _HelperRecord:
-        return self._records.setdefault((destination, helper), _HelperRecord())
+    def _get_backoff(self, destination: str, helper: str) -> _Backoff:
+        return self._backoffs.setdefault((destination, helper), _Backoff())
