--- a/tests/core/placement/test_brittle.py
+++ b/tests/core/placement/test_brittle.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import heapq
 from collections import deque
 from random import Random
 
@@ -26,69 +25,91 @@
     return Target(record, 0.0, 0.0)
 
 
-def simulate(instances: int, rate: float, slots: int, room: int, guarded: bool) -> tuple[int, int]:
-    """Send requests to three targets for 8 s; return the falls after `CONTACT_S` and those served.
+class Simulation:
+    """Instances that send requests to three targets; all times are in seconds.
 
-    Requests come in bursts: all of a tenth of a second at once. A target has room for `room`
-    requests at a time and falls over if it rejects more than `PER_S` in a second.
+    Requests come in bursts: those of a tenth of a second within a hundredth. A target has room for
+    `room` requests at a time and falls over if it rejects more than `PER_S` in a second.
     """
-    random = Random(7)
-    targets = [make_target(f"t-{n}", slots) for n in range(3)]
-    names = [f"i-{n}" for n in range(instances)]
-    trackers = [BrittleTracker(name, Random(n)) for n, name in enumerate(names)]
-    held: dict[str, list[tuple[float, int]]] = {t.id: [] for t in targets}
-    rejected: dict[str, deque[float]] = {t.id: deque() for t in targets}
-    notices: list[tuple[float, int, BrittleNotice]] = []
-    falls = served = 0
-    for step in range(80):
-        now = step * 0.1
-        for tracker in trackers:
-            tracker.record_answer(SERVICE, PER_S, now)
-            tracker.pop_unsent()
-        for _ in range(round(rate / 10)):
-            now += 0.1 / rate
-            sender = random.randrange(instances)
-            while notices and notices[0][0] <= now:
-                notice = heapq.heappop(notices)[2]
-                for tracker in trackers:
-                    tracker.merge_notices([notice], now)
-            known = {
-                t.id: float(
-                    sum(
-                        end > now and (end - WORK_S <= now - DELAY_S or who == sender)
-                        for end, who in held[t.id]
-                    )
-                )
-                for t in targets
-            }
-            own = {t.id: sum(e > now and who == sender for e, who in held[t.id]) for t in targets}
-            fit = targets
-            if guarded:
-                expected = rate * DELAY_S
-                fit = trackers[sender].select_with_room(
-                    targets, known, own, names, expected, True, now
-                )
-            if not fit:
-                continue
-            target = min(fit, key=lambda t: (known[t.id], random.random()))
-            held[target.id] = [(e, who) for e, who in held[target.id] if e > now]
-            if len(held[target.id]) < room:
-                held[target.id].append((now + WORK_S, sender))
-                served += 1
-                continue
-            recent = rejected[target.id]
-            recent.append(now)
-            while recent and recent[0] < now - 1.0:
-                recent.popleft()
-            if len(recent) > PER_S:
-                recent.clear()
-                falls += now >= CONTACT_S
-            if guarded:
-                tracker = trackers[sender]
-                tracker.record_rejection(SERVICE, target.id, slots, PER_S, known[target.id], now)
-                for notice in tracker.pop_unsent():
-                    heapq.heappush(notices, (now + DELAY_S, step, notice))
-    return falls, served
+
+    def __init__(self, instances: int, rate: float, slots: int, room: int, guarded: bool) -> None:
+        self.random = Random(7)
+        self.rate, self.room, self.guarded = rate, room, guarded
+        self.targets = [make_target(f"t-{n}", slots) for n in range(3)]
+        self.names = [f"i-{n}" for n in range(instances)]
+        self.trackers = [BrittleTracker(name, Random(n)) for n, name in enumerate(self.names)]
+        # By target: when each request that it holds ends, and who sent it.
+        self.held: dict[str, list[tuple[float, int]]] = {t.id: [] for t in self.targets}
+        self.rejected: dict[str, deque[float]] = {t.id: deque() for t in self.targets}
+        # When the others learn of a rejection.
+        self.in_transit: deque[tuple[float, BrittleNotice]] = deque()
+        self.falls = self.served = 0
+
+    def run(self) -> tuple[int, int]:
+        """Send requests for 8 s; return the falls after `CONTACT_S` and the requests served."""
+        for step in range(80):
+            now = step * 0.1
+            for tracker in self.trackers:
+                tracker.record_answer(SERVICE, PER_S, now)
+                tracker.pop_unsent()
+            for number in range(round(self.rate / 10)):
+                self._send(now + 0.1 * (number + 1) / self.rate)
+        return self.falls, self.served
+
+    def _send(self, now: float) -> None:
+        sender = self.random.randrange(len(self.trackers))
+        while self.in_transit and self.in_transit[0][0] <= now:
+            notice = self.in_transit.popleft()[1]
+            for tracker in self.trackers:
+                tracker.merge_notices([notice], now)
+        known = {t.id: self._count_known(t.id, sender, now) for t in self.targets}
+        fit = self._select(sender, known, now)
+        if fit:
+            target = min(fit, key=lambda t: (known[t.id], self.random.random()))
+            self._receive(target, sender, known[target.id], now)
+
+    def _count_known(self, target: str, sender: int, now: float) -> float:
+        """Count the requests at a target that an instance knows of: its own, and older ones."""
+        return float(
+            sum(
+                end > now and (end - WORK_S <= now - DELAY_S or who == sender)
+                for end, who in self.held[target]
+            )
+        )
+
+    def _select(self, sender: int, known: dict[str, float], now: float) -> list[Target]:
+        if not self.guarded:
+            return self.targets
+        own = {
+            t.id: sum(end > now and who == sender for end, who in self.held[t.id])
+            for t in self.targets
+        }
+        expected = self.rate * DELAY_S
+        tracker = self.trackers[sender]
+        return tracker.select_with_room(self.targets, known, own, self.names, expected, True, now)
+
+    def _receive(self, target: Target, sender: int, known: float, now: float) -> None:
+        held = self.held[target.id] = [h for h in self.held[target.id] if h[0] > now]
+        if len(held) < self.room:
+            held.append((now + WORK_S, sender))
+            self.served += 1
+            return
+        rejected = self.rejected[target.id]
+        rejected.append(now)
+        while rejected[0] < now - 1.0:
+            rejected.popleft()
+        if len(rejected) > PER_S:
+            rejected.clear()
+            self.falls += now >= CONTACT_S
+        if self.guarded:
+            tracker = self.trackers[sender]
+            tracker.record_rejection(SERVICE, target.id, target.slots, PER_S, known, now)
+            self.in_transit.extend((now + DELAY_S, notice) for notice in tracker.pop_unsent())
+
+
+def simulate(instances: int, rate: float, slots: int, room: int, guarded: bool) -> tuple[int, int]:
+    """Run a simulation; return the falls after `CONTACT_S` and the requests served."""
+    return Simulation(instances, rate, slots, room, guarded).run()
 
 
 # Guards against targets that fall over because all instances send them what they have no room for.
