A read that a cut broke off is offered to more than one other instance

What callers saw: 502 for reads that were in flight when their instance lost its links, where the first other instance that was asked had lost its links too: 8 of 20 in the test. The test (tests/gateway/ test_lost_links.py, in_flight) failed before and passes, twice.

--- a/rhubarbbend/gateway/_detours.py
+++ b/rhubarbbend/gateway/_detours.py
@@ -46,11 +46,13 @@
     """What came of a detour.
 
     `outcome` is that of the target's answer, which the caller got; None if there is none. `code` is
-    then the error for the caller, None if no helper was asked or none gave a reason.
+    then the error for the caller, None if no helper was asked or none gave a reason. `may_have_run`
+    is whether the helper may have sent the request to a target.
     """
 
     outcome: AttemptOutcome | None = None
     code: ErrorCode | None = None
+    may_have_run: bool = False
 
 
 DECLINED: Final = DetourResult()
@@ -101,7 +103,7 @@
                 result = await self._ask(request, helper)
             finally:
                 self._selector.record_ended(helper)
-            if result.outcome is not None or request.progress.may_have_run:
+            if result.outcome is not None or result.may_have_run:
                 break
         return result
 
@@ -215,7 +217,7 @@
         else:
             request.progress.may_have_run = True
             self._state.metrics.increment_counter(codes.DETOURS_FAILED)
-        return DetourResult(code=refusal.error)
+        return DetourResult(None, refusal.error, refusal.verdict is not Verdict.NOT_RUN)
 
     def _handle_answer(
         self, request: OpenRequest, helper: str, outcome: AttemptOutcome
@@ -233,7 +235,7 @@
         self._selector.record_lost(helper, self._clock())
         self._state.metrics.increment_counter(codes.DETOURS_FAILED)
         self._log(request, helper, "lost", reason=str(failure))
-        return DetourResult(code=codes.TARGET_FAILED)
+        return DetourResult(None, codes.TARGET_FAILED, may_have_run=True)
 
     def _log(self, request: OpenRequest, helper: str, end: str, **fields: Any) -> None:
         now = self._clock()
--- a/tests/gateway/test_lost_links.py
+++ b/tests/gateway/test_lost_links.py
@@ -249,3 +249,23 @@
             assert len((await fleet.read_stats("plain-0")).seen) == before
 
     run(work)
+
+
+# Guards against giving up a read that a cut broke off after one other instance that is cut off too.
+def test_reads_in_flight_at_a_cut_are_served_by_the_instance_that_has_links(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with start_fleet(tmp_path, instances=3, zones=1, own_links=True) as fleet:
+            await fleet.set_service_faults("plain", delay=0.12)
+            # Until the instances hear one another.
+            await asyncio.sleep(1.0)
+            names = ("front-0", "front-1")
+            reads = [
+                asyncio.create_task(fleet.send_request(f"/read/{n}", instance=names[n % 2]))
+                for n in range(20)
+            ]
+            await asyncio.sleep(0.06)
+            for name in names:
+                await fleet.set_link_faults(name, **CUTS["reset"])
+            assert count_served([await read for read in reads]) == len(reads)
+
+    run(work)
