Test of a paused engine: refusals for want of connections on a busy machine are allowed

Traced beside six busy processes: 22 refused, each with one engine paused and the other at its share of connections (76 of 96), since requests stay longer on a busy machine; none for the load bound, which is the fault that the test guards against (410 without the change). The check now counts refusals by their reason in the log and leaves those for connections out; every refusal must have a reason there.

--- a/tests/gateway/test_pauses.py
+++ b/tests/gateway/test_pauses.py
@@ -144,7 +144,11 @@
                     reply = fleet.send_request("/chat/stream", body, Prefix_Hash=prompt)
                     replies.append(asyncio.create_task(reply))
                 await asyncio.sleep(0.3)
-            refused = sum([(await reply).status == 503 for reply in replies])
+            statuses = [(await reply).status for reply in replies]
+            reasons = [line["shut"] for line in fleet.read_log("front-0") if line.get("shut")]
+            assert statuses.count(503) == len(reasons)
+            # On a busy machine requests stay so long that the engine's connections are used up.
+            refused = sum("connections" not in reason for reason in reasons)
             assert refused <= len(replies) // 50
 
     run(work)
