Each doubt about a crash is logged, with the digest of the request's content

What a check found could not be told: one that met an address accepting connections wrote no line, the others did not say which request it was about.

--- a/rhubarbbend/gateway/_attempts.py
+++ b/rhubarbbend/gateway/_attempts.py
@@ -277,6 +277,7 @@
             reason=failure.reason,
             after=round(self._clock() - request.arrived_at, 4),
             last_event=request.relay.last_id or None,
+            content=request.digest,
         )
         if failure.stage is SendStage.CONNECT:
             return AttemptOutcome.UNREACHED
--- a/rhubarbbend/gateway/_crash_detector.py
+++ b/rhubarbbend/gateway/_crash_detector.py
@@ -58,6 +58,7 @@
         try:
             connection = await Connection.open(target.address, CRASH_CHECK_TIMEOUT_S)
             connection.close()
+            self._log_doubt(request, digest, target, "accepts connections")
             return
         except HttpFailure as failure:
             reason = failure.reason
@@ -67,12 +68,10 @@
         now = read_clock()
         unreachable = state.health.count_unreachable_since(now - SIMULTANEOUS_LOSS_WINDOW_S)
         if unreachable > 1:
-            state.event_log.write(
-                "crash_doubted", now, id=request, target=target.id, lost_together=unreachable
-            )
+            self._log_doubt(request, digest, target, f"{unreachable} targets lost together")
             return
         if not await self._reaches_another(target):
-            state.event_log.write("crash_doubted", read_clock(), id=request, target=target.id)
+            self._log_doubt(request, digest, target, "no other target is reached")
             return
         if state.crashes.record_crash(digest, target.id, now):
             state.metrics.increment_counter(codes.SUSPECTS)
@@ -81,6 +80,11 @@
             )
             await self._peers.broadcast(PeerUpdate(crashes=[CrashReport(digest, target.id)]))
 
+    def _log_doubt(self, request: str, digest: str, target: Target, doubt: str) -> None:
+        self._state.event_log.write(
+            "crash_doubted", read_clock(), id=request, digest=digest, target=target.id, doubt=doubt
+        )
+
     async def _reaches_another(self, target: Target) -> bool:
         """Return whether some other target accepts a connection, or there is none to try."""
         registry = self._state.registry
