--- a/standins/_worker_types.py
+++ b/standins/_worker_types.py
@@ -44,8 +44,12 @@
     unframed: bool = False
     # Respond before the request body has been read, and read it afterwards.
     early: bool = False
-    # Exit the process when a request body contains this text.
+    # Exit the process when a request body contains this text; before the response or, in a stream,
+    # after so many events.
     crash_on: str = ""
+    crash_after_events: int = -1
+    # Instead of exiting, close all connections and be at once a new incarnation with this id.
+    reborn_as: str = ""
     # Close a connection when a second request arrives on it, without executing that request.
     drop_idle: bool = False
     # Start each stream at its first event, even if the request asks to resume it.
@@ -68,7 +72,7 @@
     """A line of the arrivals file: a worker received a request at Unix time `at`.
 
     `pause_s` is the pause that the worker asked for in its response, `leaving` whether it said that
-    it leaves.
+    it leaves, `crashes` whether the request makes it crash.
     """
 
     id: str
@@ -80,6 +84,7 @@
     account: str
     pause_s: float = 0.0
     leaving: bool = False
+    crashes: bool = False
 
 
 class Stats(msgspec.Struct):
