--- a/rhubarbbend/core/messages.py
+++ b/rhubarbbend/core/messages.py
@@ -242,12 +242,18 @@
 
 
 class CrashCount(Message, tag=True):
-    """Number of crashes counted against a request digest; `last_target` is a boot id."""
+    """Number of crashes counted against a request digest; `last_target` is a boot id.
+
+    The last crash was `age` seconds ago, after the request had run for `ran` seconds. The
+    sender knew the boot ids in `follows` to have ended under it before it was sent.
+    """
 
     digest: str = ""
     count: int = 0
     age: float = 0.0
     last_target: str = ""
+    ran: float = 0.0
+    follows: list[str] = []
 
 
 class CrashNotice(Message, tag=True):
--- a/rhubarbbend/core/requests/_attempts.py
+++ b/rhubarbbend/core/requests/_attempts.py
@@ -102,7 +102,7 @@
         request = self._table.find_by_attempt(event.attempt)
         if request is None:
             return
-        self._suspects.forget_digest(request.arrival.body_digest)
+        self._suspects.forget_digest(request.arrival.body_digest, now)
         self._context.count(codes.ANSWERS)
         if request.idempotent:
             self._leases.release(request, completed=True, total=event.total)
@@ -338,7 +338,7 @@
             # The caller no longer waits. A command that was never sent is abandoned, so that a
             # later request with the same key may run.
             self._listener.refuse_after_attempts(request, codes.DEADLINE, now)
-        elif self._suspects.has_reached_limit(request.arrival.body_digest):
+        elif self._suspects.has_reached_limit(request.arrival.body_digest, now):
             self._listener.refuse_after_attempts(request, codes.SUSPECT, now)
         elif request.attempt_count >= self._context.options.max_attempts:
             self._fail_request(request, now)
--- a/rhubarbbend/core/requests/_coordinator.py
+++ b/rhubarbbend/core/requests/_coordinator.py
@@ -178,7 +178,7 @@
         The search is delayed by CRASH_NOTICE_DELAY_S for a request that was running when a target
         crashed, so that notices of further crashes arrive first.
         """
-        if self._suspects.get_crash_count(request.arrival.body_digest):
+        if self._suspects.get_crash_count(request.arrival.body_digest, now):
             self._search.schedule_start(request, now + CRASH_NOTICE_DELAY_S)
         else:
             self._search.start(request, now)
@@ -196,7 +196,7 @@
 
     def _check_admission(self, request: Request, now: float) -> ErrorCode | None:
         context = self._context
-        if self._suspects.has_reached_limit(request.arrival.body_digest):
+        if self._suspects.has_reached_limit(request.arrival.body_digest, now):
             return codes.SUSPECT
         if request.time_left(now) <= MIN_TIME_LEFT_S:
             return codes.DEADLINE
@@ -238,7 +238,7 @@
             return
         found.claimed = True
         found.claim_generation = generation
-        if self._suspects.has_reached_limit(found.arrival.body_digest):
+        if self._suspects.has_reached_limit(found.arrival.body_digest, now):
             # The notice of its last crash arrived while the claim was being written.
             self.handle_slot_refused(found, codes.SUSPECT, now)
         else:
--- a/rhubarbbend/schema/peers.thrift
+++ b/rhubarbbend/schema/peers.thrift
@@ -194,6 +194,8 @@
   2: i32 count = 0,
   3: double age = 0,
   4: string last_target = "",
+  5: double ran = 0,
+  6: list<string> follows = [],
 }
 
 struct CrashNotice {
--- a/tests/core/test_suspects.py
+++ b/tests/core/test_suspects.py
@@ -42,7 +42,7 @@
     fleet = FakeFleet(ZONE_BY_INSTANCE)
     crash_engine(fleet, dispatch_chat(fleet, "a1", "r1", "good"), silent=True)
     crash_engine(fleet, fleet.runs[-1], silent=True)
-    assert not fleet.cores["a1"].suspects.get_crash_count("good")
+    assert not fleet.cores["a1"].suspects.get_crash_count("good", fleet.now)
 
 
 def test_one_crash_counts_once_for_each_request() -> None:
@@ -52,7 +52,7 @@
     notice = CrashNotice(crashes=[CrashCount(digest="x", count=1, last_target="boot-1")])
     for _ in range(2):
         fleet.handle("a1", events.PeerSaid("b1", notice))
-    assert fleet.cores["a1"].suspects.get_crash_count("x") == 1
+    assert fleet.cores["a1"].suspects.get_crash_count("x", fleet.now) == 1
 
 
 def test_completed_request_is_no_longer_a_suspect() -> None:
@@ -60,9 +60,9 @@
     that a later crash on its target counts as its first."""
     fleet = FakeFleet(ZONE_BY_INSTANCE)
     crash_engine(fleet, dispatch_chat(fleet, "a1", "r1", "good"))
-    assert fleet.cores["a1"].suspects.get_crash_count("good") == 1
+    assert fleet.cores["a1"].suspects.get_crash_count("good", fleet.now) == 1
     fleet.finish(fleet.runs[-1])
-    assert fleet.cores["a1"].suspects.get_crash_count("good") == 0
+    assert fleet.cores["a1"].suspects.get_crash_count("good", fleet.now) == 0
 
 
 def test_suspects_never_share_a_target() -> None:
@@ -85,7 +85,7 @@
     assert fleet.read_answer(guilty).code == "request_crashes_targets"
     error_codes = [answer.code for answer in fleet.answers[innocent]]
     assert "request_crashes_targets" not in error_codes
-    assert fleet.cores["a1"].suspects.get_crash_count(f"body-{innocent[1:]}") == 1
+    assert fleet.cores["a1"].suspects.get_crash_count(f"body-{innocent[1:]}", fleet.now) == 1
 
 
 def test_crash_before_a_request_was_sent_is_not_counted() -> None:
@@ -101,7 +101,7 @@
     fleet.advance(0.1)
     fleet.send("a1", "r3", body="good", service=ENGINE)
     crash_engine(fleet, fleet.runs[-1])
-    assert fleet.cores["a1"].suspects.get_crash_count("good") == 0
+    assert fleet.cores["a1"].suspects.get_crash_count("good", fleet.now) == 0
 
 
 def notify_crashes(fleet: FakeFleet, instance: str, digest: str, *boots: str) -> None:
