--- a/loadtool/__main__.py
+++ b/loadtool/__main__.py
@@ -28,15 +28,13 @@
 def _run_soak(options: argparse.Namespace) -> int:
     if options.on == "product":
         return _chaos.main(options.seed, options.duration)
-    return _soak.main(
-        options.seed,
-        options.seeds,
-        options.duration,
-        options.size,
-        options.rollout,
-        options.notices,
-        options.links,
+    kinds = _soak.SoakOptions(
+        has_rollout=options.rollout,
+        has_notices=options.notices,
+        has_link_faults=options.links,
+        has_crashes=options.crashes,
     )
+    return _soak.main(options.seed, options.seeds, options.duration, options.size, kinds)
 
 
 def _parse_arguments() -> argparse.Namespace:
@@ -72,6 +70,9 @@
     soak.add_argument(
         "--links", action="store_true", help="instances also lose their own links to targets"
     )
+    soak.add_argument(
+        "--crashes", action="store_true", help="callers also send requests that crash targets"
+    )
     _commands.add_parsers(commands)
     return parser.parse_args()
 
--- a/loadtool/_gateway_fleet.py
+++ b/loadtool/_gateway_fleet.py
@@ -103,6 +103,8 @@
         self._listen_ports = {name: pick_port() for name in ("front", "ready", "control")}
         self._next_id = 0
         self._own_links = False
+        # Faults that each worker injects from its start.
+        self._default_worker_faults: dict[str, Any] = {}
 
     async def start(
         self,
@@ -216,6 +218,8 @@
         self.workers[name] = node
         for instance in list(self.instances.values()):
             await self._open_links(instance)
+        if self._default_worker_faults:
+            await self.set_worker_faults(name, **self._default_worker_faults)
         await self.register_worker(name, **fields)
         return node
 
@@ -288,6 +292,12 @@
         """Set the faults that a worker injects."""
         await self.call_admin(self.workers[name].port, "faults", faults)
 
+    async def set_default_worker_faults(self, **faults: Any) -> None:
+        """Set the faults of all workers, and of those that are started later."""
+        self._default_worker_faults = faults
+        for name in list(self.workers):
+            await self.set_worker_faults(name, **faults)
+
     async def set_service_faults(self, service: str, **faults: Any) -> None:
         """Set the faults that each worker of a service injects."""
         for name, node in self.workers.items():
--- a/loadtool/_soak.py
+++ b/loadtool/_soak.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import random
 import tempfile
 import time
 from pathlib import Path
@@ -16,10 +15,12 @@
 
 import attrs
 
-from loadtool._gateway_config import ACCOUNT, HOST, KEY
+from loadtool._gateway_config import ACCOUNT
 from loadtool._gateway_fleet import ZONES, GatewayFleet, start_fleet
-from loadtool._soak_checks import RequestOutcome, RunRecord, count_outcomes, find_violations
-from loadtool._soak_faults import SECOND_KEY, SoakFaultInjector
+from loadtool._soak_caller import REQUEST_KINDS, SoakCaller
+from loadtool._soak_checks import RunRecord, count_outcomes, find_violations
+from loadtool._soak_crashes import SoakCrashes
+from loadtool._soak_faults import SoakFaultInjector
 from loadtool._soak_links import find_link_violations
 from loadtool._soak_notices import find_notice_violations
 from loadtool._soak_rollout import SoakRollout
@@ -30,22 +31,35 @@
     make_own_link_schedule,
     make_soak_schedule,
 )
-from rhubarbbend.http import Connection, HttpFailure
 
 DEFAULT_INSTANCE_COUNT: Final = 6
 TARGETS_PER_SERVICE: Final = 3
+# So many that most remain while others are down after a crash.
+TARGETS_BESIDE_CRASHES: Final = 7
 CALLERS_PER_INSTANCE: Final = 3
 # All callers share this process, which can run about this many; beyond 20 instances there are fewer
 # callers per instance.
 MAX_CALLERS: Final = 60
-CALLER_TIMEOUT_S: Final = 4.0
-DEADLINE_MS: Final = "2000"
 # After the last fault each request must be answered within this time. Requests in flight when the
 # callers stop end within their deadline.
 RECOVERY_TIMEOUT_S: Final = 12.0
-REQUEST_KINDS: Final = ("read", "read", "book", "chat", "chat", "plan")
-SECOND_KEY_FRACTION: Final = 0.2
-PREFIX_SESSION_COUNT: Final = 20
+
+
+@attrs.define(slots=True, frozen=True)
+class SoakOptions:
+    """What a run has beside its usual faults.
+
+    With `has_rollout` a version is rolled out meanwhile, with `has_notices` targets ask for pauses
+    and say that they leave. With `has_link_faults` each instance has its own links to targets, and
+    they are cut. With `has_crashes` callers send requests that crash the targets that run them.
+    Without `has_peer_path_faults` the paths between instances do not fail.
+    """
+
+    has_rollout: bool = False
+    has_notices: bool = False
+    has_link_faults: bool = False
+    has_crashes: bool = False
+    has_peer_path_faults: bool = True
 
 
 @attrs.define(slots=True)
@@ -55,97 +69,7 @@
     seed: int
     record: RunRecord
     violations: list[str]
-    rollout: str = ""
-
-
-class SoakCaller:
-    """A caller with one connection at a time, which it keeps as long as it can be used."""
-
-    def __init__(self, fleet: GatewayFleet, record: RunRecord, ready: set[str], seed: str) -> None:
-        self._fleet = fleet
-        self._record = record
-        self._ready = ready
-        self._random = random.Random(seed)
-        self._connection: Connection | None = None
-        self._instance = ""
-
-    async def run(self, until: float) -> None:
-        """Send one request after the other until a Unix time."""
-        while time.time() < until:
-            await self.send_request()
-            await asyncio.sleep(self._random.uniform(0.02, 0.25))
-        if self._connection is not None:
-            self._connection.close()
-
-    async def send_request(self, instance: str = "", kind: str = "") -> RequestOutcome:
-        """Send one request and return its outcome.
-
-        It goes to `instance` over a new connection, or over the present connection if there is no
-        `instance`. Without a `kind` it is of a random kind.
-        """
-        outcome = self._make_random_request(kind or self._random.choice(REQUEST_KINDS))
-        connection = await self._acquire_connection(instance)
-        outcome.instance = self._instance
-        outcome.sent_at = time.time()
-        if connection is None:
-            outcome.ended_at = outcome.sent_at
-            return outcome
-        self._record.outcomes.append(outcome)
-        try:
-            async with asyncio.timeout(CALLER_TIMEOUT_S):
-                await self._send_and_receive(connection, outcome)
-        except (HttpFailure, TimeoutError):
-            connection.close()
-        outcome.ended_at = time.time()
-        if outcome.complete and connection.make_reusable():
-            self._connection = connection
-        else:
-            connection.close()
-        return outcome
-
-    async def _acquire_connection(self, instance: str) -> Connection | None:
-        kept_connection, self._connection = self._connection, None
-        if kept_connection is not None and not kept_connection.closed and not instance:
-            return kept_connection
-        if kept_connection is not None:
-            kept_connection.close()
-        names = sorted(self._ready) or list(self._fleet.instances)
-        self._instance = instance or self._random.choice(names)
-        try:
-            return await Connection.open(self._fleet.instances[self._instance].front_address, 1.0)
-        except HttpFailure:
-            return None
-
-    def _make_random_request(self, kind: str) -> RequestOutcome:
-        number = self._random.randrange(1_000_000)
-        key = SECOND_KEY if self._random.random() < SECOND_KEY_FRACTION else KEY
-        path = f"/{kind}/{number}"
-        if kind in ("chat", "plan"):
-            path += "/stream"
-        body = b"" if kind == "read" else f"{kind} {number}".encode()
-        return RequestOutcome(self._fleet.make_attempt_id(), kind, "", key, path, body, 0.0)
-
-    async def _send_and_receive(self, connection: Connection, outcome: RequestOutcome) -> None:
-        headers = {
-            "Host": HOST,
-            "Attempt-Id": outcome.id,
-            "X-Api-Key": outcome.key,
-            "Deadline-Ms": DEADLINE_MS,
-            "Content-Length": str(len(outcome.body)),
-        }
-        if outcome.kind in ("chat", "plan"):
-            headers["Prefix-Hash"] = (
-                f"common:300,{self._random.randrange(PREFIX_SESSION_COUNT):x}:900,own:50"
-            )
-        raw_headers = [(name.encode(), value.encode()) for name, value in headers.items()]
-        method = b"POST" if outcome.body else b"GET"
-        connection.send_raw(method, outcome.path.encode(), raw_headers, outcome.body)
-        response = await connection.receive_head(CALLER_TIMEOUT_S)
-        outcome.status = response.status
-        outcome.sealed = "response-seal" in response.headers
-        async for part in connection.receive_body(CALLER_TIMEOUT_S):
-            outcome.answer += part
-        outcome.complete = True
+    summaries: list[str]
 
 
 async def _probe_readiness(fleet: GatewayFleet, ready: set[str]) -> None:
@@ -174,49 +98,30 @@
 
 
 def _make_schedule(
-    seed: int,
-    duration: float,
-    instance_count: int,
-    peer_path_faults: bool,
-    has_notices: bool,
-    has_link_faults: bool = False,
+    seed: int, duration: float, instance_count: int, options: SoakOptions
 ) -> list[ScheduledSoakFault]:
     layout = make_soak_layout(instance_count)
-    schedule = make_soak_schedule(seed, duration, layout, peer_path_faults)
-    notices = make_notice_schedule(seed, duration, layout) if has_notices else []
-    links = make_own_link_schedule(seed, duration, layout) if has_link_faults else []
+    schedule = make_soak_schedule(seed, duration, layout, options.has_peer_path_faults)
+    notices = make_notice_schedule(seed, duration, layout) if options.has_notices else []
+    links = make_own_link_schedule(seed, duration, layout) if options.has_link_faults else []
     return sorted([*schedule, *notices, *links], key=lambda scheduled_fault: scheduled_fault.at)
 
 
 async def run_soak(
-    seed: int,
-    duration: float,
-    instance_count: int,
-    folder: Path,
-    peer_path_faults: bool = True,
-    has_rollout: bool = False,
-    has_notices: bool = False,
-    has_link_faults: bool = False,
+    seed: int, duration: float, instance_count: int, folder: Path, options: SoakOptions
 ) -> SoakResult:
-    """Run the schedule of a seed and check every guarantee; `duration` is in seconds.
-
-    With `peer_path_faults` the paths between instances fail too. With `has_rollout` a version is
-    rolled out meanwhile, with `has_notices` targets ask for pauses and say that they leave. With
-    `has_link_faults` each instance has its own links to targets, and they are cut.
-    """
-    schedule = _make_schedule(
-        seed, duration, instance_count, peer_path_faults, has_notices, has_link_faults
-    )
-    counts = {"plain_worker_count": TARGETS_PER_SERVICE, "engine_worker_count": TARGETS_PER_SERVICE}
+    """Run the schedule of a seed and check every guarantee; `duration` is in seconds."""
+    schedule = _make_schedule(seed, duration, instance_count, options)
+    target_count = TARGETS_BESIDE_CRASHES if options.has_crashes else TARGETS_PER_SERVICE
     async with start_fleet(
         folder,
         instances=instance_count,
         use_proxy_routes=True,
-        own_links=has_link_faults,
-        **counts,
+        own_links=options.has_link_faults,
+        plain_worker_count=target_count,
+        engine_worker_count=target_count,
     ) as fleet:
-        rollout = SoakRollout(fleet, seed) if has_rollout else None
-        return await _run_schedule(fleet, seed, duration, schedule, rollout)
+        return await _run_schedule(fleet, seed, duration, schedule, options)
 
 
 async def _run_schedule(
@@ -224,12 +129,14 @@
     seed: int,
     duration: float,
     schedule: list[ScheduledSoakFault],
-    rollout: SoakRollout | None,
+    options: SoakOptions,
 ) -> SoakResult:
     record = RunRecord(started=time.time(), scheduled_faults=schedule)
     record.zone_by_target = {name: node.zone for name, node in fleet.workers.items()}
     faults = SoakFaultInjector(fleet, record)
+    rollout = SoakRollout(fleet, seed) if options.has_rollout else None
     ready = set(fleet.instances)
+    crashes = SoakCrashes(fleet, faults, record, ready, seed) if options.has_crashes else None
     readiness_task = asyncio.create_task(_probe_readiness(fleet, ready))
     callers = [
         SoakCaller(fleet, record, ready, f"{seed}-{number}")
@@ -240,21 +147,31 @@
         *(caller.run(until) for caller in callers),
         *(faults.run(scheduled_fault) for scheduled_fault in schedule),
         *([] if rollout is None else [rollout.run(duration)]),
+        *([] if crashes is None else [crashes.run(until)]),
     )
     for name in fleet.instances:
         await faults.ensure_running(name)
     record.zone_by_target |= {name: node.zone for name, node in fleet.workers.items()}
     violations = await _check_recovery(fleet, callers[0])
     readiness_task.cancel()
+    violations += _find_all_violations(fleet, record)
+    violations += [] if rollout is None else rollout.find_violations(record)
+    summaries = [] if rollout is None else [rollout.describe()]
+    if crashes is not None:
+        violations += crashes.find_violations()
+        summaries.append(crashes.describe())
+    return SoakResult(seed, record, violations, summaries)
+
+
+def _find_all_violations(fleet: GatewayFleet, record: RunRecord) -> list[str]:
     arrivals = fleet.read_arrivals()
     record.detoured = _list_detoured(fleet)
-    violations += find_violations(record, arrivals)
-    violations += find_notice_violations(record, arrivals)
-    violations += find_link_violations(record)
-    violations += _find_internal_errors(fleet)
-    if rollout is not None:
-        violations += rollout.find_violations(record)
-    return SoakResult(seed, record, violations, "" if rollout is None else rollout.describe())
+    return [
+        *find_violations(record, arrivals),
+        *find_notice_violations(record, arrivals),
+        *find_link_violations(record),
+        *_find_internal_errors(fleet),
+    ]
 
 
 async def _check_recovery(fleet: GatewayFleet, caller: SoakCaller) -> list[str]:
@@ -298,42 +215,25 @@
     """Return the counts of a run and each violated guarantee as text."""
     counts = sorted(count_outcomes(result.record.outcomes).items())
     lines = ["  " + ", ".join(f"{label}: {count}" for label, count in counts)]
-    lines += [f"  {result.rollout}"] if result.rollout else []
+    lines += [f"  {summary}" for summary in result.summaries]
     lines += [f"  BROKEN: {line}" for line in result.violations]
     lines.append(f"soak: seed {result.seed}: {len(result.violations)} promises broken")
     return "\n".join(lines)
 
 
 def main(
-    first_seed: int,
-    seed_count: int,
-    duration: float,
-    instance_count: int,
-    has_rollout: bool = False,
-    has_notices: bool = False,
-    has_link_faults: bool = False,
+    first_seed: int, seed_count: int, duration: float, instance_count: int, options: SoakOptions
 ) -> int:
     """Run seeds one after the other; return exit status 1 if a guarantee was violated, else 0."""
     status = 0
     for seed in range(first_seed, first_seed + seed_count):
         print(f"soak: seed {seed}, {duration:.0f} s, {instance_count} instances, account {ACCOUNT}")
         if seed_count == 1:
-            for scheduled_fault in _make_schedule(
-                seed, duration, instance_count, True, has_notices, has_link_faults
-            ):
+            for scheduled_fault in _make_schedule(seed, duration, instance_count, options):
                 print(f"  {scheduled_fault}")
         with tempfile.TemporaryDirectory(prefix="rhubarbbend-soak-") as name:
-            folder = Path(name)
-            soak = run_soak(
-                seed,
-                duration,
-                instance_count,
-                folder,
-                has_rollout=has_rollout,
-                has_notices=has_notices,
-                has_link_faults=has_link_faults,
-            )
+            soak = run_soak(seed, duration, instance_count, Path(name), options)
             result = asyncio.run(soak)
-            print(format_result(result), flush=True)
+        print(format_result(result), flush=True)
         status |= bool(result.violations)
     return status
--- /dev/null
+++ b/loadtool/_soak_crashes.py
@@ -0,0 +1,177 @@
+"""Requests of a soak run that crash the targets that run them, and the checks on both sides.
+
+Each such request comes again and again, in one of several ways, while other callers send sound
+requests. A target that has crashed is replaced some seconds later.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import time
+from collections import defaultdict
+from typing import Any, Final
+
+import attrs
+
+from loadtool._gateway_config import KEY
+from loadtool._gateway_fleet import GatewayFleet
+from loadtool._soak_caller import REQUEST_KINDS, SoakCaller
+from loadtool._soak_checks import RequestOutcome, RunRecord
+from loadtool._soak_faults import SoakFaultInjector
+from standins._worker_types import Arrival
+
+CRASH_TRIGGER: Final = "poison"
+# Mean time between the first sendings of two such requests, and for how long each is repeated.
+MEAN_INTERVAL_S: Final = 3.0
+REPEATED_FOR_S: Final = 8.0
+# Callers that send the same request, and the time that each waits after an answer.
+WAYS: Final = ((1, 0.0), (1, 0.1), (3, 0.0), (2, 0.5), (1, 1.0))
+MAX_REPEATS: Final = 60
+# Down time of a crashed target.
+DOWN_S: Final = 2.0
+# From the users' rule: requests that may still run later than `CONTACT_S` after the third crash.
+CONTACT_S: Final = 3.0
+MAX_LATE_ARRIVALS: Final = 3
+REFUSAL_CODE: Final = "crashes_targets"
+
+
+@attrs.define(slots=True)
+class CrashingRequest:
+    """A request that crashes targets: its kind and path, and what its callers got."""
+
+    kind: str
+    path: str
+    callers: int
+    pause_s: float
+    outcomes: list[RequestOutcome] = attrs.Factory(list)
+
+
+class SoakCrashes:
+    """Sends such requests, replaces the targets that they crash, and checks what comes of it."""
+
+    def __init__(
+        self,
+        fleet: GatewayFleet,
+        faults: SoakFaultInjector,
+        record: RunRecord,
+        ready: set[str],
+        seed: int,
+    ) -> None:
+        self._fleet = fleet
+        self._faults = faults
+        self._record = record
+        self._ready = ready
+        self._random = random.Random(f"crashes {seed}")
+        self._requests: list[CrashingRequest] = []
+
+    async def run(self, until: float) -> None:
+        """Send such requests until a Unix time."""
+        after_events = self._random.choice((-1, 0, 2))
+        faults: dict[str, Any] = {"crash_on": CRASH_TRIGGER, "crash_after_events": after_events}
+        await self._fleet.set_default_worker_faults(**faults)
+        replacing = asyncio.create_task(self._replace_crashed())
+        sendings: list[asyncio.Task[None]] = []
+        while time.time() < until - REPEATED_FOR_S:
+            sendings.append(asyncio.create_task(self._send_repeatedly(len(sendings))))
+            await asyncio.sleep(self._random.expovariate(1.0 / MEAN_INTERVAL_S))
+        await asyncio.gather(*sendings)
+        await asyncio.sleep(2 * DOWN_S)
+        replacing.cancel()
+
+    async def _send_repeatedly(self, number: int) -> None:
+        kind = self._random.choice(REQUEST_KINDS)
+        path = f"/{kind}/{CRASH_TRIGGER}-{number}" + ("/stream" if kind in ("chat", "plan") else "")
+        callers, pause_s = self._random.choice(WAYS)
+        request = CrashingRequest(kind, path, callers, pause_s)
+        self._requests.append(request)
+        until = time.time() + REPEATED_FOR_S
+        await asyncio.gather(
+            *(self._repeat(request, f"{number}-{n}", until) for n in range(callers))
+        )
+
+    async def _repeat(self, request: CrashingRequest, seed: str, until: float) -> None:
+        caller = SoakCaller(self._fleet, self._record, self._ready, seed)
+        body = CRASH_TRIGGER.encode()
+        for _ in range(MAX_REPEATS):
+            if time.time() >= until:
+                break
+            attempt = self._fleet.make_attempt_id()
+            outcome = RequestOutcome(attempt, request.kind, "", KEY, request.path, body, 0.0)
+            names = sorted(self._ready) or list(self._fleet.instances)
+            await caller.send(outcome, self._random.choice(names))
+            request.outcomes.append(outcome)
+            # A refusal comes so fast that the repeats would be over before the rule binds.
+            is_refused = outcome.status in (0, 503)
+            await asyncio.sleep(max(request.pause_s, 0.1 if is_refused else 0.0))
+
+    async def _replace_crashed(self) -> None:
+        waiting: set[asyncio.Task[None]] = set()
+        seen: set[str] = set()
+        while True:
+            for name, node in list(self._fleet.workers.items()):
+                if node.process.running or name in seen:
+                    continue
+                seen.add(name)
+                task = asyncio.create_task(self._faults.replace_ended(name, DOWN_S))
+                waiting.add(task)
+                task.add_done_callback(waiting.discard)
+            await asyncio.sleep(0.1)
+
+    def find_violations(self) -> list[str]:
+        """Return a line for each request with too many crashes, and each sound one refused."""
+        crashes = self._list_crashes()
+        violations = [
+            f"crashing: {path} ran {late} times later than {CONTACT_S:g} s after its third crash"
+            for path, arrivals in crashes.items()
+            if (late := self._count_late(arrivals)) > MAX_LATE_ARRIVALS
+        ]
+        return [*violations, *(f"suspect: {path} was refused" for path in self._list_refused())]
+
+    def describe(self) -> str:
+        """Return the crashes and refusals of the run as a line."""
+        crashes = self._list_crashes()
+        counts = [len(crashes[request.path]) for request in self._requests]
+        sound = [o for o in self._record.outcomes if o.path not in self._paths]
+        late = sum(o.status == 200 and o.ended_at - o.sent_at > 1.0 for o in sound)
+        return (
+            f"crashing requests: {len(self._requests)}, crashes of each: {counts}, sound requests: "
+            f"{len(sound)}, of them refused for crashes: {len(self._list_refused())}, "
+            f"later than 1 s: {late}"
+        )
+
+    @property
+    def _paths(self) -> tuple[str, ...]:
+        return tuple(request.path for request in self._requests)
+
+    def _list_crashes(self) -> dict[str, list[Arrival]]:
+        crashes: dict[str, list[Arrival]] = defaultdict(list)
+        for arrival in sorted(self._fleet.read_arrivals(), key=lambda arrival: arrival.at):
+            if arrival.crashes:
+                crashes[arrival.target].append(arrival)
+        return crashes
+
+    def _count_late(self, crashes: list[Arrival]) -> int:
+        """Count the crashes later than `CONTACT_S` after the third, at undisturbed instances."""
+        instances = {outcome.id: outcome.instance for outcome in self._record.outcomes}
+        return sum(
+            crash.at > crashes[2].at + CONTACT_S
+            and self._record.is_undisturbed(instances[crash.id], crash.at)
+            for crash in crashes[3:]
+        )
+
+    def _list_refused(self) -> list[str]:
+        """Return the paths of sound requests that were refused for crashes."""
+        return [
+            outcome.path
+            for outcome in self._record.outcomes
+            if outcome.path not in self._paths and _read_code(outcome.answer) == REFUSAL_CODE
+        ]
+
+
+def _read_code(answer: bytes) -> str:
+    try:
+        return str(json.loads(answer).get("code", ""))
+    except (ValueError, AttributeError):
+        return ""
--- a/loadtool/_soak_faults.py
+++ b/loadtool/_soak_faults.py
@@ -228,6 +228,14 @@
         if node.process.running and not node.process.frozen:
             await self._fleet.set_worker_faults(node.name, **faults)
 
+    async def replace_ended(self, name: str, down_s: float) -> None:
+        """Start another target in place of one that has ended, after a time."""
+        await asyncio.sleep(down_s)
+        for victim, current in self._current_targets.items():
+            if current == name:
+                await self._replace_target(victim, self._fleet.workers[name])
+                return
+
     async def _replace_target(self, victim: str, old_node: WorkerNode) -> None:
         """Start another target in place of one that was killed or is draining."""
         async with self._locks[victim]:
--- a/rhubarbbend/cli/_explain.py
+++ b/rhubarbbend/cli/_explain.py
@@ -23,6 +23,12 @@
     instance: str
     fields: dict[str, Any]
 
+    @property
+    def content(self) -> str:
+        """The digest of the content of the request that the line is about, empty if not stated."""
+        value = self.fields.get("content") or self.fields.get("digest") or ""
+        return value if isinstance(value, str) else ""
+
     @property
     def request(self) -> str:
         """The id of the request that the line is about, or an empty string if there is none."""
@@ -63,18 +69,21 @@
 
     The timeline also holds lines about no request from the instances that handled this one, logged
     during the request and shortly before it: they show what an instance had learned, for instance
-    about failures, when it chose a target.
+    about failures, when it chose a target. If the request was refused for crashes of targets, or
+    lost one, lines of all instances about the same content are shown, however old.
     """
     all_lines = sorted(lines, key=lambda line: line.time)
     request_lines = [line for line in all_lines if line.request == request]
     if not request_lines:
         return []
     instances = {line.instance for line in request_lines}
+    contents = {line.content for line in request_lines} - {""}
     start, end = request_lines[0].time - CONTEXT_S, request_lines[-1].time
     timeline = [
         line
         for line in all_lines
         if line.request == request
+        or line.content in contents
         or (not line.request and line.instance in instances and start <= line.time <= end)
     ]
     origin = request_lines[0].time
@@ -87,6 +96,8 @@
         for name, value in line.fields.items()
         if name not in PREFIX_FIELDS and value is not None
     ]
+    if line.request and not is_about_request:
+        fields.insert(0, f"id={line.request}")
     mark = "*" if is_about_request else " "
     offset = (line.time - origin) * 1000.0
     return f"{mark} {offset:+9.1f} ms  {line.instance:<20} {line.event:<18} {' '.join(fields)}"
--- a/rhubarbbend/codes.py
+++ b/rhubarbbend/codes.py
@@ -83,10 +83,10 @@
     "idempotency_key_reused", 422, "the Idempotency-Key was used with another body or operation"
 )
 SUSPECT: Final = _declare_error(
-    "request_crashes_targets", 422, "this request crashed the targets that ran it", 600.0
+    "request_crashes_targets", 422, "this request crashed the targets that ran it", 30.0
 )
 CRASHES_TARGETS: Final = _declare_error(
-    "crashes_targets", 503, "targets crashed when they ran this request; it was not sent", 60.0
+    "crashes_targets", 503, "targets crashed when they ran this request; it was not sent", 30.0
 )
 ACCOUNT_LIMIT: Final = _declare_error(
     "account_limit", 429, "the client account is at its limit", 1.0
@@ -240,6 +240,9 @@
 RESERVED_ISSUED: Final = _declare_counter("reserved.issued", "reserved keys issued")
 RESERVED_RUNS: Final = _declare_counter("reserved.runs", "commands dispatched under reserved keys")
 SUSPECTS: Final = _declare_counter("suspects", "crashes counted against a request digest")
+SUSPECTS_HELD: Final = _declare_counter(
+    "suspects.held", "requests held since a target was lost under an earlier attempt"
+)
 
 BRITTLE_REJECTIONS: Final = _declare_counter(
     "targets.brittle_rejections", "requests rejected by targets that fall over if they reject many"
--- a/rhubarbbend/core/catalog/_types.py
+++ b/rhubarbbend/core/catalog/_types.py
@@ -85,7 +85,7 @@
     """A service, provided by its targets.
 
     A cold start of a target takes `cold_seconds`. A cold target can bear `cold_rate` requests a
-    second; 0 means no limit.
+    second; 0 means no limit. `health_path` is the path of a target's health check.
     """
 
     name: str
@@ -93,6 +93,7 @@
     cold_seconds: float
     cold_rate: float
     engine: Engine | None = None
+    health_path: str = "/health"
 
 
 class ClientAccount(msgspec.Struct, frozen=True):
--- a/rhubarbbend/core/delivery/__init__.py
+++ b/rhubarbbend/core/delivery/__init__.py
@@ -1,6 +1,5 @@
 """Delivery: decides what follows an attempt and what the caller is told of its request."""
 
-from rhubarbbend.core.delivery._crashes import CrashTracker
 from rhubarbbend.core.delivery._silence import LatencyTracker, SilenceTimeouts
 from rhubarbbend.core.delivery._steps import (
     AttemptOutcome,
@@ -12,7 +11,6 @@
 
 __all__ = [
     "AttemptOutcome",
-    "CrashTracker",
     "LatencyTracker",
     "Progress",
     "SilenceTimeouts",
--- a/rhubarbbend/core/directory/__init__.py
+++ b/rhubarbbend/core/directory/__init__.py
@@ -1,6 +1,18 @@
 """The registry of targets: their records, and which of them may receive requests."""
 
 from rhubarbbend.core.directory._directory import DirectoryOptions, TargetRegistry
-from rhubarbbend.core.directory._targets import Target, TargetRecord, TargetState
+from rhubarbbend.core.directory._targets import (
+    Target,
+    TargetRecord,
+    TargetState,
+    get_target_id,
+)
 
-__all__ = ["TargetRegistry", "DirectoryOptions", "Target", "TargetRecord", "TargetState"]
+__all__ = [
+    "DirectoryOptions",
+    "Target",
+    "TargetRecord",
+    "TargetRegistry",
+    "TargetState",
+    "get_target_id",
+]
--- a/rhubarbbend/core/directory/_targets.py
+++ b/rhubarbbend/core/directory/_targets.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 import enum
+from typing import Final
 
 import msgspec
 
+# Between the id of a target and its boot number, in the name of one start of it.
+BOOT_SEPARATOR: Final = "/"
+
 
 class TargetState(enum.Enum):
     """Whether a target accepts new requests."""
@@ -70,6 +74,16 @@
         """Whether the registration is missing and may still come back."""
         return self.expires_at is not None
 
+    @property
+    def incarnation(self) -> str:
+        """A name of this start of the target."""
+        return f"{self.id}{BOOT_SEPARATOR}{self.boot}"
+
     def is_cold(self, now: float) -> bool:
         """Whether the target is still in its cold start and can take only a little work."""
         return now < self.cold_until
+
+
+def get_target_id(incarnation: str) -> str:
+    """Return the id of the target that one of its starts belongs to."""
+    return incarnation.rpartition(BOOT_SEPARATOR)[0]
--- a/rhubarbbend/gateway/_attempt_recorder.py
+++ b/rhubarbbend/gateway/_attempt_recorder.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from rhubarbbend import codes
 from rhubarbbend.core.delivery import AttemptOutcome
 from rhubarbbend.core.directory import Target
@@ -17,6 +19,8 @@
     def __init__(self, state: State, clock: Clock) -> None:
         self._state = state
         self._clock = clock
+        # Called when a request ran to completion; set by the instance.
+        self.on_answer: Callable[[OpenRequest, Target, float], None] = lambda *_: None
 
     def record_health(self, target: Target, request: OpenRequest, outcome: AttemptOutcome) -> None:
         """Record what an attempt tells of the health of its target."""
@@ -30,7 +34,7 @@
         failed = outcome is not AttemptOutcome.ANSWERED
         health.record_response(target.id, failed, now, is_shared)
         if outcome is AttemptOutcome.ANSWERED:
-            self._state.crashes.clear(request.digest)
+            self.on_answer(request, target, now)
 
     def record_evidence(
         self, request: OpenRequest, choice: Choice, outcome: AttemptOutcome
--- a/rhubarbbend/gateway/_attempts.py
+++ b/rhubarbbend/gateway/_attempts.py
@@ -67,17 +67,14 @@
         self._target_protocol = target_protocol
         self._clock = clock
         self._latencies = LatencyTracker()
-        self._recorder = AttemptRecorder(state, clock)
+        self.recorder = AttemptRecorder(state, clock)
         self._liveness = TargetLivenessMonitor(state, pool, CONNECT_TIMEOUT_S, clock)
         self._answers = AnswerReceiver(
             state, target_protocol, self._liveness, self._latencies, clock
         )
         self.forwarder = AnswerForwarder(state, self._latencies, clock)
-        # Called when a target closed the connection of a request before answering it; set by the
-        # instance.
-        self.on_broken_connection: Callable[[OpenRequest, Target], None] = (
-            lambda request, target: None
-        )
+        # Called when a target was lost while it ran a request; set by the instance.
+        self.on_loss: Callable[[OpenRequest, Target, float], None] = lambda *_: None
 
     async def run(self, request: OpenRequest, choice: Choice) -> AttemptOutcome:
         """Send a request to the chosen target and return how the attempt ended.
@@ -101,7 +98,7 @@
                 return AttemptOutcome.WITHHELD
             return await self._send_and_receive(request, choice, connection)
         except asyncio.CancelledError:
-            self._recorder.record_unfinished(request, choice)
+            self.recorder.record_unfinished(request, choice)
             raise
         finally:
             self._state.loads.record_end(target.id)
@@ -160,7 +157,7 @@
                 request, answer, connection, policy, request.can_retry_elsewhere
             )
         except HttpFailure as failure:
-            outcome = self._handle_failure(request, choice.target, failure)
+            outcome = self._handle_failure(request, choice.target, connection, failure)
             if answer is None and self._record_if_dead_while_idle(
                 request, choice.target, connection, failure
             ):
@@ -181,8 +178,8 @@
                 leaving=(answer is not None and answer.is_leaving) or None,
                 after=round(self._clock() - request.arrived_at, 4),
             )
-        self._recorder.record_health(choice.target, request, outcome)
-        self._recorder.record_evidence(request, choice, outcome)
+        self.recorder.record_health(choice.target, request, outcome)
+        self.recorder.record_evidence(request, choice, outcome)
         return outcome
 
     def _log(self, event: str, request: OpenRequest, target: Target, **fields: Any) -> None:
@@ -219,7 +216,7 @@
         request.sent_at = now
         request.first_event_at = None
         if request.version.participant is not None and caller.prompt is not None:
-            request.unread_tokens = self._recorder.count_unread_tokens(
+            request.unread_tokens = self.recorder.count_unread_tokens(
                 caller.prompt, choice.target, now
             )
         request.relay.has_received_event = False
@@ -267,7 +264,11 @@
         return request.compute_backstop_timeout(self._clock())
 
     def _handle_failure(
-        self, request: OpenRequest, target: Target, failure: HttpFailure
+        self,
+        request: OpenRequest,
+        target: Target,
+        connection: Connection,
+        failure: HttpFailure,
     ) -> AttemptOutcome:
         self._log(
             "attempt_failed",
@@ -281,8 +282,8 @@
         )
         if failure.stage is SendStage.CONNECT:
             return AttemptOutcome.UNREACHED
-        if failure.stage is SendStage.SENT and failure.reason != REASON_TIMEOUT:
-            self.on_broken_connection(request, target)
+        if failure.stage is SendStage.SENT and connection.closed:
+            self.on_loss(request, target, self._clock())
         return AttemptOutcome.BROKEN
 
     def _record_if_dead_while_idle(
--- a/rhubarbbend/gateway/_crash_detector.py
+++ b/rhubarbbend/gateway/_crash_detector.py
@@ -1,99 +1,159 @@
-"""Detects whether a target that closed a connection has crashed, and attributes it to the request.
+"""Records targets that are lost under requests, and finds out whether they have ended.
 
-Confirmed crashes are recorded by request digest and sent to the other instances, so that a request
-that crashes targets is refused everywhere.
+A first loss is told to the other instances at once, since the caller may send the request again
+anywhere. What became of the target is found out only when a request has lost several.
 """
 
 from __future__ import annotations
 
 import asyncio
+from collections import OrderedDict
 from collections.abc import Callable, Coroutine
+from functools import partial
 from typing import Any, Final
 
 from rhubarbbend import codes
-from rhubarbbend.core.directory import Target
-from rhubarbbend.gateway._peers import PeerClient
+from rhubarbbend.core.crashes import Fate, Loss
+from rhubarbbend.core.directory import Target, TargetState, get_target_id
+from rhubarbbend.gateway._crash_news import CrashNews
+from rhubarbbend.gateway._peer_updates import make_loss_report
 from rhubarbbend.gateway._requests import OpenRequest
-from rhubarbbend.gateway._state import CrashReport, PeerUpdate, State, read_clock
+from rhubarbbend.gateway._state import State, read_clock
+from rhubarbbend.gateway._target_checker import TargetChecker
 from rhubarbbend.http import Connection, HttpFailure
 
-# A target that closed a connection before answering is checked after this delay, since a process
-# that ends may still accept a connection while its others are being closed.
-CRASH_CHECK_DELAY_S: Final = 0.1
-CRASH_CHECK_TIMEOUT_S: Final = 0.2
-# If several targets become unreachable within this time, the cause is a network failure rather than
-# a crash.
+# A process that ends may still accept a connection while its others are being closed, so a target
+# that does is tried once more after this delay.
+CHECK_DELAY_S: Final = 0.1
+CHECK_TIMEOUT_S: Final = 0.2
+# If several targets become unreachable within this time, the cause may be this instance's links.
 SIMULTANEOUS_LOSS_WINDOW_S: Final = 0.4
-# Other targets that are tried, since one of them may be down as well.
-MAX_TARGETS_TRIED: Final = 2
+# Lost targets that are remembered after their registrations have gone.
+MAX_LOST_TARGETS: Final = 500
 
 Spawn = Callable[[Coroutine[Any, Any, None]], None]
 
 
 class CrashDetector:
-    """Checks targets that closed the connection of a request before answering it.
+    """Records losses of targets. Invariant: at most one check of a target is in progress."""
 
-    Invariant: no request waits for a check; each runs as a task of its own.
-    """
-
-    def __init__(self, state: State, peers: PeerClient, spawn: Spawn) -> None:
+    def __init__(self, state: State, news: CrashNews, checker: TargetChecker, spawn: Spawn) -> None:
         self._state = state
-        self._peers = peers
+        self._news = news
+        self._checker = checker
         self._spawn = spawn
+        self._lost_targets: OrderedDict[str, Target] = OrderedDict()
+        self._checks: dict[str, asyncio.Task[None]] = {}
+
+    def handle_loss(self, request: OpenRequest, target: Target, now: float) -> None:
+        """Record that a target was lost while it ran a request."""
+        if target.state is TargetState.DRAINING or target.is_registration_missing:
+            self._log_doubt(request.id, request.digest, target, "the target is leaving")
+            return
+        ledger = self._state.crashes
+        loss = ledger.make_loss(request.digest, target.incarnation, request.sent_at, now)
+        if not ledger.record_loss(request.digest, loss):
+            return
+        self._lost_targets[target.incarnation] = target
+        if len(self._lost_targets) > MAX_LOST_TARGETS:
+            self._lost_targets.popitem(last=False)
+        self._spawn(self._report_loss(request.id, request.digest, target, loss))
 
-    def handle_broken_connection(self, request: OpenRequest, target: Target) -> None:
-        """Start a check of a target that closed the connection of a request before answering it."""
-        self._spawn(self._check_for_crash(request.id, request.digest, target))
+    def handle_answer(self, request: OpenRequest, target: Target, now: float) -> None:
+        """Record that a request ran to completion at a target."""
+        ledger = self._state.crashes
+        if ledger.record_completion(request.digest, now):
+            self._news.tell_completion(request.digest, now)
+        if ledger.is_lost(target.incarnation, request.sent_at):
+            ledger.record_met(target.incarnation, request.sent_at)
+            self._news.tell_met(target.incarnation, request.sent_at, now)
 
-    async def _check_for_crash(self, request: str, digest: str, target: Target) -> None:
-        """Record a crash if the target does not accept a new connection.
+    async def settle(self, request: OpenRequest) -> None:
+        """Find out what became of the targets that were lost under a request."""
+        lost = self._state.crashes.list_undecided(request.digest, read_clock())
+        checks: list[asyncio.Task[None]] = []
+        for incarnation in lost:
+            check = self._checks.get(incarnation)
+            if check is None:
+                check = asyncio.create_task(self._find_fate(incarnation, request))
+                self._checks[incarnation] = check
+                check.add_done_callback(partial(self._forget_check, incarnation))
+            checks.append(check)
+        if checks:
+            await asyncio.wait(checks)
 
-        Connections are reset for many reasons. If each reset counted against its request, valid
-        requests would be refused after two. No crash is recorded either if several targets became
-        unreachable at once, since a single request cannot have caused that, or if this instance
-        reaches no other target: it may have lost its own links.
-        """
+    def _forget_check(self, incarnation: str, check: asyncio.Task[None]) -> None:
+        del self._checks[incarnation]
+
+    async def _find_fate(self, incarnation: str, request: OpenRequest) -> None:
         state = self._state
-        await asyncio.sleep(CRASH_CHECK_DELAY_S)
-        try:
-            connection = await Connection.open(target.address, CRASH_CHECK_TIMEOUT_S)
-            connection.close()
-            self._log_doubt(request, digest, target, "accepts connections")
+        target = self._find_target(incarnation)
+        if target is None:
             return
-        except HttpFailure as failure:
-            reason = failure.reason
+        started_at = read_clock()
+        fate = await self._checker.find_fate(target)
+        if fate is Fate.UNKNOWN:
+            self._log_doubt(request.id, request.digest, target, "nobody can tell")
+        elif fate is Fate.ALIVE:
+            state.crashes.record_met(incarnation, started_at)
+            self._news.tell_met(incarnation, started_at, read_clock())
+            self._log_doubt(request.id, request.digest, target, "the target is running")
+        elif state.crashes.record_end(incarnation):
+            state.metrics.increment_counter(codes.SUSPECTS)
+            state.health.record_unreachable(target.id, read_clock())
+            self._news.tell_end(incarnation)
+            self._log(
+                "crash_counted",
+                id=request.id,
+                digest=request.digest,
+                target=target.id,
+                crashes=state.crashes.count_crashes(request.digest, read_clock()),
+                judgement=state.crashes.judge(request.digest, read_clock()).value,
+            )
+
+    def _find_target(self, incarnation: str) -> Target | None:
+        registered = self._state.registry.find(get_target_id(incarnation))
+        if registered is not None and registered.incarnation == incarnation:
+            return registered
+        return self._lost_targets.get(incarnation)
+
+    async def _report_loss(self, request: str, digest: str, target: Target, loss: Loss) -> None:
+        """Tell all instances of a loss, and not to use the target if the loss is its fault.
+
+        A target that accepts connections has most likely only closed one. If several targets became
+        unreachable at once, or no other is reached, this instance may have lost its own links.
+        """
+        state = self._state
+        is_reachable = await self._try_connection(target)
+        now = read_clock()
+        self._news.tell_loss(make_loss_report(digest, loss, now), not is_reachable, now)
+        if is_reachable:
+            await asyncio.sleep(CHECK_DELAY_S)
+            if await self._try_connection(target):
+                self._log_doubt(request, digest, target, "accepts connections")
+                return
         state.health.record_unreachable(target.id, read_clock())
         # After this delay, other targets that failed at the same time are known to be unreachable.
-        await asyncio.sleep(CRASH_CHECK_DELAY_S)
+        await asyncio.sleep(CHECK_DELAY_S)
         now = read_clock()
         unreachable = state.health.count_unreachable_since(now - SIMULTANEOUS_LOSS_WINDOW_S)
         if unreachable > 1:
             self._log_doubt(request, digest, target, f"{unreachable} targets lost together")
-            return
-        if not await self._reaches_another(target):
+        elif not await self._checker.reaches_another(target):
             self._log_doubt(request, digest, target, "no other target is reached")
-            return
-        if state.crashes.record_crash(digest, target.id, now):
-            state.metrics.increment_counter(codes.SUSPECTS)
-            state.event_log.write(
-                "crash_counted", now, id=request, digest=digest, target=target.id, reason=reason
-            )
-            await self._peers.broadcast(PeerUpdate(crashes=[CrashReport(digest, target.id)]))
+        else:
+            self._news.tell_unreachable(target.id)
+
+    async def _try_connection(self, target: Target) -> bool:
+        try:
+            connection = await Connection.open(target.address, CHECK_TIMEOUT_S)
+        except HttpFailure:
+            return False
+        connection.close()
+        return True
 
     def _log_doubt(self, request: str, digest: str, target: Target, doubt: str) -> None:
-        self._state.event_log.write(
-            "crash_doubted", read_clock(), id=request, digest=digest, target=target.id, doubt=doubt
-        )
-
-    async def _reaches_another(self, target: Target) -> bool:
-        """Return whether some other target accepts a connection, or there is none to try."""
-        registry = self._state.registry
-        others = [other for other in registry.list_targets() if other.id != target.id]
-        for other in self._state.random.sample(others, min(MAX_TARGETS_TRIED, len(others))):
-            try:
-                connection = await Connection.open(other.address, CRASH_CHECK_TIMEOUT_S)
-            except HttpFailure:
-                continue
-            connection.close()
-            return True
-        return not others
+        self._log("crash_doubted", id=request, digest=digest, target=target.id, doubt=doubt)
+
+    def _log(self, event: str, **fields: Any) -> None:
+        self._state.event_log.write(event, read_clock(), **fields)
--- a/rhubarbbend/gateway/_follower.py
+++ b/rhubarbbend/gateway/_follower.py
@@ -16,9 +16,10 @@
 from rhubarbbend.core.readers import ReaderSelector
 from rhubarbbend.gateway._instance_list import InstanceListMaintainer
 from rhubarbbend.gateway._interfaces import StateDecoder
+from rhubarbbend.gateway._peer_updates import PeerUpdate
 from rhubarbbend.gateway._peers import ChangesReply, PeerClient, ReaderCursor
 from rhubarbbend.gateway._settings import Address
-from rhubarbbend.gateway._state import INSTANCE_TABLE, ROLLOUT_TABLE, PeerUpdate, State, read_clock
+from rhubarbbend.gateway._state import INSTANCE_TABLE, ROLLOUT_TABLE, State, read_clock
 from rhubarbbend.gateway._state_updater import StateUpdater
 from rhubarbbend.storage import HistoryCompacted, RowStore, StoreError
 
@@ -279,6 +280,8 @@
             reply = await self._query_reader(cursor)
             if reply is None or self._is_starting(read_clock()):
                 continue
+            if any(update.is_urgent for update in reply.updates.items):
+                continue
             if reply.pages or reply.updates.items:
                 await asyncio.sleep(COALESCE_DELAY_S)
             elif self._reads_directly.is_set():
--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -16,6 +16,8 @@
 from rhubarbbend.core.readers import InstanceRow, ReaderSelector
 from rhubarbbend.gateway._attempts import AttemptRunner
 from rhubarbbend.gateway._crash_detector import CrashDetector
+from rhubarbbend.gateway._crash_gate import CrashGate
+from rhubarbbend.gateway._crash_news import CrashNews
 from rhubarbbend.gateway._detour_server import DetourServer
 from rhubarbbend.gateway._detours import DetourClient
 from rhubarbbend.gateway._event_log import EventLog
@@ -23,10 +25,12 @@
 from rhubarbbend.gateway._in_flight_protocol import InFlightProtocol
 from rhubarbbend.gateway._interfaces import Adapter
 from rhubarbbend.gateway._metrics import CONTENT_TYPE
+from rhubarbbend.gateway._peer_updates import PeerUpdate
 from rhubarbbend.gateway._peers import PeerClient, PeerServer
 from rhubarbbend.gateway._request_server import RequestServer
 from rhubarbbend.gateway._settings import GatewaySettings, SettingsInvalid, SettingsReader
-from rhubarbbend.gateway._state import PeerUpdate, State, read_clock
+from rhubarbbend.gateway._state import State, read_clock
+from rhubarbbend.gateway._target_checker import TargetChecker
 from rhubarbbend.gateway._target_prober import TargetProber
 from rhubarbbend.http import ConnectionPool, Exchange, HttpServer, ServerLimits
 from rhubarbbend.stop_signals import STOP_SIGNALS, ignore_late_stop
@@ -94,18 +98,23 @@
             read_clock,
         )
         prober = TargetProber(self.state, self._pool, read_clock)
-        parts = (self.state, adapter.callers, attempts, detours, prober, read_clock)
-        self._requests = RequestServer(*parts)
-        self._detours_served = DetourServer(*parts)
         selector = ReaderSelector(settings.instance, settings.zone)
         self._peers = PeerClient(self.state, self._peer_pool, selector)
-        crashes = CrashDetector(self.state, self._peers, self._spawn)
-        attempts.on_broken_connection = crashes.handle_broken_connection
+        checker = TargetChecker(self.state, self._peers, adapter.targets, read_clock)
+        news = CrashNews(self._peers, self._spawn)
+        crashes = CrashDetector(self.state, news, checker, self._spawn)
+        attempts.on_loss = crashes.handle_loss
+        attempts.recorder.on_answer = crashes.handle_answer
+        gate = CrashGate(self.state, crashes, read_clock)
+        parts = (self.state, adapter.callers, attempts, detours, prober, gate, read_clock)
+        self._requests = RequestServer(*parts)
+        self._detours_served = DetourServer(*parts)
         self._follower = StateFollower(
             self.state, adapter.store, adapter.decoder, self._peers, selector
         )
         self._peer_server = PeerServer(self.state)
         self._peer_server.serve_detour = self._detours_served.serve
+        self._peer_server.on_target_check = checker.serve
         self._in_flight_protocol = InFlightProtocol(self.state, selector)
         self._caller_server = HttpServer(self._requests.serve)
         self._servers: list[HttpServer] = [self._caller_server]
@@ -277,6 +286,7 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
             now = read_clock()
+            self.state.crashes.expire(now)
             self._pool.close_expired(now)
             self._peer_pool.close_expired(now)
             self._apply_limits()
--- a/rhubarbbend/gateway/_interfaces.py
+++ b/rhubarbbend/gateway/_interfaces.py
@@ -18,6 +18,7 @@
 from rhubarbbend.core.mirror import RowChange
 from rhubarbbend.core.placement import Prompt
 from rhubarbbend.core.rollouts import RolloutOrder, RolloutRecord
+from rhubarbbend.gateway._settings import Address
 from rhubarbbend.http import Exchange, Response
 from rhubarbbend.storage import RowPut, RowStore
 
@@ -140,6 +141,17 @@
     def make_headers(self, request: CallerRequest, options: ForwardingOptions) -> RawHeaders:
         """Return all headers of the request that is sent to a target."""
 
+    @abc.abstractmethod
+    def make_health_headers(self, target: str, address: Address) -> RawHeaders:
+        """Return all headers of a health check that only this target may answer."""
+
+    @abc.abstractmethod
+    def read_identity(self, response: Response) -> str | None:
+        """Return the id of the target that answered a health check; None if it does not say.
+
+        Empty if it only says that it is not the one that was asked.
+        """
+
     @abc.abstractmethod
     def read_response_head(self, response: Response) -> TargetResponseHead:
         """Parse the head of a response."""
--- /dev/null
+++ b/rhubarbbend/gateway/_peer_updates.py
@@ -0,0 +1,137 @@
+"""The updates that an instance broadcasts to all others.
+
+Times are sent as ages, since clocks differ; a relay adds the time that an update waited there.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from rhubarbbend.core.crashes import CrashLedger, Loss
+from rhubarbbend.core.directory import get_target_id
+from rhubarbbend.core.placement import (
+    BrittleNotice,
+    PromptLocation,
+    TargetLoad,
+    TargetOutcomes,
+)
+from rhubarbbend.core.rollouts import RolloutRecord
+
+
+class LossReport(msgspec.Struct, frozen=True, array_like=True):
+    """Reports that a target was lost while it ran a request.
+
+    `digest` identifies the request's content, `target` one start of the target. The request was
+    sent `sent_age` seconds ago and the connection broke `lost_age` seconds ago. `follows` is as in
+    `Loss`.
+    """
+
+    digest: str
+    target: str
+    sent_age: float = 0.0
+    lost_age: float = 0.0
+    follows: tuple[str, ...] = ()
+
+    def add_age(self, seconds: float) -> LossReport:
+        """Return the report with a time added to its ages."""
+        return LossReport(
+            self.digest,
+            self.target,
+            self.sent_age + seconds,
+            self.lost_age + seconds,
+            self.follows,
+        )
+
+
+class TargetMet(msgspec.Struct, frozen=True, array_like=True):
+    """Reports that a lost target was running `age` seconds ago."""
+
+    target: str
+    age: float
+
+
+class Completion(msgspec.Struct, frozen=True, array_like=True):
+    """Reports that a request under which a target was lost ran to completion `age` seconds ago."""
+
+    digest: str
+    age: float
+
+
+class CrashFindings(msgspec.Struct, frozen=True, array_like=True):
+    """What was found out about losses: targets that ended or were met, requests that completed.
+
+    `unreachable` holds the ids of targets that the sender cannot reach, though it reaches others.
+    """
+
+    ended: list[str] = []
+    met: list[TargetMet] = []
+    completed: list[Completion] = []
+    unreachable: list[str] = []
+
+    def add_age(self, seconds: float) -> CrashFindings:
+        """Return the findings with a time added to their ages."""
+        met = [TargetMet(item.target, item.age + seconds) for item in self.met]
+        completed = [Completion(item.digest, item.age + seconds) for item in self.completed]
+        return CrashFindings(self.ended, met, completed, self.unreachable)
+
+
+class ServiceRollout(msgspec.Struct, frozen=True, array_like=True):
+    """Reports what has been recorded of a service's roll-out."""
+
+    service: str
+    record: RolloutRecord
+
+
+class PeerUpdate(msgspec.Struct, frozen=True, array_like=True):
+    """An update that an instance sends to all others.
+
+    `outcomes` are those of requests of `sender`, which may get its own update back from a relay.
+    `received_at` is the local time at which it was received. Load reports are not kept with the
+    update: an instance that waits at this one gets the latest report of each target. One that
+    `is_urgent` is relayed at once: a caller may repeat its request elsewhere meanwhile.
+    """
+
+    locations: list[PromptLocation] = []
+    crashes: list[LossReport] = []
+    loads: list[TargetLoad] = []
+    received_at: float | None = None
+    rollouts: list[ServiceRollout] = []
+    outcomes: list[TargetOutcomes] = []
+    sender: str = ""
+    brittle: list[BrittleNotice] = []
+    findings: CrashFindings | None = None
+    is_urgent: bool = False
+
+    def add_age(self, now: float) -> PeerUpdate:
+        """Return the update to relay now; the time since its receipt is added to its ages."""
+        waited = 0.0 if self.received_at is None else now - self.received_at
+        return msgspec.structs.replace(
+            self,
+            locations=[location.add_age(waited) for location in self.locations],
+            crashes=[loss.add_age(waited) for loss in self.crashes],
+            findings=None if self.findings is None else self.findings.add_age(waited),
+            loads=[],
+            received_at=None,
+        )
+
+
+def make_loss_report(digest: str, loss: Loss, now: float) -> LossReport:
+    """Return a loss as it is told to other instances."""
+    return LossReport(digest, loss.target, now - loss.sent_at, now - loss.lost_at, loss.follows)
+
+
+def apply_crash_findings(ledger: CrashLedger, update: PeerUpdate, now: float) -> set[str]:
+    """Record another instance's losses and findings; return the targets that are unreachable."""
+    for report in update.crashes:
+        loss = Loss(report.target, now - report.sent_age, now - report.lost_age, report.follows)
+        ledger.record_loss(report.digest, loss)
+    findings = update.findings
+    if findings is None:
+        return set()
+    for target in findings.ended:
+        ledger.record_end(target)
+    for met in findings.met:
+        ledger.record_met(met.target, now - met.age)
+    for completion in findings.completed:
+        ledger.record_completion(completion.digest, now - completion.age)
+    return {*findings.unreachable, *map(get_target_id, findings.ended)}
--- a/rhubarbbend/gateway/_peers.py
+++ b/rhubarbbend/gateway/_peers.py
@@ -19,14 +19,16 @@
 from rhubarbbend.core.placement import TargetLoad
 from rhubarbbend.core.readers import InstanceRow, PeerUpdatePage, ReaderSelector
 from rhubarbbend.gateway._detour_messages import is_detour
+from rhubarbbend.gateway._peer_updates import PeerUpdate
 from rhubarbbend.gateway._settings import Address
-from rhubarbbend.gateway._state import ROLLOUT_TABLE, PeerUpdate, State, read_clock
+from rhubarbbend.gateway._state import ROLLOUT_TABLE, State, read_clock
 from rhubarbbend.http import ConnectionPool, Exchange, HttpFailure, Response, fetch
 
 CHANGES_PATH: Final = "/peer/changes"
 UPDATE_PATH: Final = "/peer/note"
 JOIN_PATH: Final = "/peer/hello"
 ROLLOUT_PATH: Final = "/peer/rollout"
+CHECK_PATH: Final = "/peer/check"
 CONTENT_TYPE: Final = "application/msgpack"
 # An instance in the same region replies in about 3 ms. If it does not reply within this time, it is
 # queried again later, and another instance is queried at once.
@@ -98,6 +100,9 @@
         # Handles a report on a roll-out and returns the reply, both encoded; set by the instance
         # once it knows of one. Until then the reply is empty.
         self.on_rollout_report: Callable[[bytes], bytes] = lambda report: b""
+        # Contacts a target for another instance and returns the reply, both encoded; set by the
+        # instance.
+        self.on_target_check: Callable[[bytes], Awaitable[bytes]] = _check_nothing
         # Serves a request that another instance cannot send to a target; set by the instance.
         self.serve_detour: Callable[[Exchange], Awaitable[None]] = _reject_detour
 
@@ -115,18 +120,23 @@
                 _respond(exchange, b"")
             elif exchange.target == ROLLOUT_PATH:
                 _respond(exchange, self.on_rollout_report(exchange.body))
+            elif exchange.target == CHECK_PATH:
+                _respond(exchange, await self.on_target_check(exchange.body))
             elif exchange.target == JOIN_PATH:
                 notice = msgspec.msgpack.decode(exchange.body, type=JoinNotice)
                 self._state.add_instance(notice.instance, notice.row)
                 self._state.instance_joined.notify_all_soon()
-                locations = self._state.placement.prompt_locations.list_recent(read_clock())
-                _respond(exchange, msgspec.msgpack.encode(PeerUpdate(locations)))
+                _respond(exchange, msgspec.msgpack.encode(self._make_join_reply(read_clock())))
             else:
                 exchange.respond(404, [], b"")
         except msgspec.MsgspecError as error:
             self._state.event_log.write("peer_unreadable", read_clock(), reason=str(error))
             exchange.respond(400, [], b"")
 
+    def _make_join_reply(self, now: float) -> PeerUpdate:
+        locations = self._state.placement.prompt_locations.list_recent(now)
+        return PeerUpdate(locations)
+
     async def _serve_changes(self, exchange: Exchange, query: ChangesQuery) -> None:
         received_at = read_clock()
         self._state.loads.merge_reports(query.loads, False, received_at)
@@ -216,6 +226,10 @@
             self._state.event_log.write("peer_unreadable", read_clock(), reason=str(error))
             return None
 
+    async def ask(self, peer: Address, path: str, body: bytes) -> bytes | None:
+        """Send an instance a query and return its reply, None if it fails."""
+        return await self._send(peer, path, body)
+
     async def report_rollout(self, peer: Address, report: bytes) -> bytes | None:
         """Send a report on a roll-out to its coordinator and return the reply, None if it fails."""
         return await self._send(peer, ROLLOUT_PATH, report)
@@ -241,9 +255,7 @@
         for reply in replies:
             if reply:
                 update = msgspec.msgpack.decode(reply, type=PeerUpdate)
-                self._state.placement.prompt_locations.merge_locations(
-                    update.locations, read_clock()
-                )
+                self._state.apply_peer_update(update, read_clock())
 
     async def _send_to_relays(
         self, path: str, body: bytes, instances: Mapping[str, InstanceRow]
@@ -292,6 +304,10 @@
             )
 
 
+async def _check_nothing(query: bytes) -> bytes:
+    return b""
+
+
 async def _reject_detour(exchange: Exchange) -> None:
     exchange.respond(404, [], b"")
 
--- a/rhubarbbend/gateway/_request_ender.py
+++ b/rhubarbbend/gateway/_request_ender.py
@@ -85,6 +85,9 @@
             if pause_left > 0.0:
                 # Not shortened to the time that the caller has left: it would be refused again.
                 return pause_left * random.uniform(1.0, MAX_PAUSE_RETURN_FACTOR)
+        if code is codes.CRASHES_TARGETS:
+            # Not shortened either.
+            return self._state.crashes.compute_refusal_left(request.digest, now)
         retry_after = min(
             code.retry_after, RETRY_AFTER_FRACTION * max(0.0, request.compute_time_left(now))
         )
@@ -154,4 +157,5 @@
             heard=None if request.rejection_counts is None else self._count_heard(now),
             took=round(now - request.arrived_at, 4),
             config=request.config_version,
+            content=request.digest if outcome.endswith(codes.CRASHES_TARGETS.name) else None,
         )
--- a/rhubarbbend/gateway/_request_server.py
+++ b/rhubarbbend/gateway/_request_server.py
@@ -15,10 +15,12 @@
 from rhubarbbend import codes
 from rhubarbbend.codes import ErrorCode, Verdict
 from rhubarbbend.core.catalog import Catalog, RequestKind
+from rhubarbbend.core.crashes import Judgement
 from rhubarbbend.core.delivery import AttemptOutcome, decide_step
 from rhubarbbend.core.detours import needs_detour
 from rhubarbbend.core.placement import Rejection
 from rhubarbbend.gateway._attempts import AttemptRunner, RetryBudgetExhausted
+from rhubarbbend.gateway._crash_gate import CrashGate
 from rhubarbbend.gateway._detours import DetourClient, DetourResult
 from rhubarbbend.gateway._interfaces import BadRequest, CallerProtocol, CallerRequest
 from rhubarbbend.gateway._request_ender import RequestEnder
@@ -58,6 +60,7 @@
         attempts: AttemptRunner,
         detours: DetourClient,
         prober: TargetProber,
+        gate: CrashGate,
         clock: Clock,
     ) -> None:
         self._state = state
@@ -67,6 +70,7 @@
         self._attempts = attempts
         self._detours = detours
         self._prober = prober
+        self._gate = gate
         self._versions = VersionSelector(state, clock)
         self.open_requests = 0
 
@@ -183,7 +187,7 @@
             return None
         config_version = catalog.version
         request = OpenRequest(caller, exchange, route, service, account, now, config_version)
-        if self._state.crashes.is_refused(request.digest, now):
+        if self._state.crashes.judge(request.digest, now) is Judgement.REFUSED:
             self._ender.refuse(request, codes.CRASHES_TARGETS, now)
             return None
         self._begin(request, now)
@@ -226,6 +230,9 @@
         connect_failures = 0
         switched = request.is_detour
         while True:
+            if not await self._gate.admit(request):
+                self._ender.finish_failed(request, codes.CRASHES_TARGETS)
+                return
             now = self._clock()
             self._versions.revise(request)
             choice = self._state.placement.choose(
@@ -251,6 +258,8 @@
             except RetryBudgetExhausted:
                 self._ender.finish_failed(request, codes.RETRY_BUDGET)
                 return
+            finally:
+                self._gate.end_attempt(request)
             if outcome is AttemptOutcome.UNREACHED:
                 connect_failures += 1
                 # All targets that are known to be unreachable are excluded, so that the request
--- a/rhubarbbend/gateway/_requests.py
+++ b/rhubarbbend/gateway/_requests.py
@@ -53,6 +53,7 @@
         "is_detour",
         "first_event_at",
         "unread_tokens",
+        "is_on_trial",
     )
 
     def __init__(
@@ -94,6 +95,8 @@
         # the target had to read, as far as is known.
         self.first_event_at: float | None = None
         self.unread_tokens = 0
+        # Whether no other attempt of the same content may begin until the current one has ended.
+        self.is_on_trial = False
 
     @property
     def id(self) -> str:
--- a/rhubarbbend/gateway/_rollouts.py
+++ b/rhubarbbend/gateway/_rollouts.py
@@ -27,8 +27,9 @@
     TargetCounts,
 )
 from rhubarbbend.gateway._interfaces import StatusEncoder
+from rhubarbbend.gateway._peer_updates import PeerUpdate, ServiceRollout
 from rhubarbbend.gateway._peers import PeerClient
-from rhubarbbend.gateway._state import ROLLOUT_TABLE, PeerUpdate, ServiceRollout, State, read_clock
+from rhubarbbend.gateway._state import ROLLOUT_TABLE, State, read_clock
 from rhubarbbend.storage import RowPut, RowStore, RowVersion, StoreError, VersionConflict
 
 # How often the others report to the coordinator; more often while requests move.
--- a/rhubarbbend/gateway/_state.py
+++ b/rhubarbbend/gateway/_state.py
@@ -1,7 +1,4 @@
-"""The state that the parts of an instance share: configuration, targets, other instances, trackers.
-
-It also holds the updates that instances broadcast to one another.
-"""
+"""The state that the parts of an instance share: configuration, targets, instances, trackers."""
 
 from __future__ import annotations
 
@@ -15,27 +12,24 @@
 
 from rhubarbbend import codes
 from rhubarbbend.core.catalog import Catalog, Service
-from rhubarbbend.core.delivery import CrashTracker
+from rhubarbbend.core.crashes import CrashLedger
 from rhubarbbend.core.directory import Target, TargetRegistry
 from rhubarbbend.core.mirror import Mirror
 from rhubarbbend.core.placement import (
-    BrittleNotice,
     BrittleTracker,
     HealthTracker,
     LoadTracker,
     PauseTracker,
     Placement,
     PlacementOptions,
-    PromptLocation,
-    TargetLoad,
-    TargetOutcomes,
 )
 from rhubarbbend.core.readers import InstanceRow, PeerUpdateLog
-from rhubarbbend.core.rollouts import ExposureOptions, RolloutRecord, RolloutTracker
+from rhubarbbend.core.rollouts import ExposureOptions, RolloutTracker
 from rhubarbbend.core.shares import ColdTargetShare, RetryBudgetShare
 from rhubarbbend.gateway._change_notifier import ChangeNotifier
 from rhubarbbend.gateway._event_log import EventLog
 from rhubarbbend.gateway._metrics import Metrics
+from rhubarbbend.gateway._peer_updates import PeerUpdate, apply_crash_findings
 from rhubarbbend.gateway._replication_timeouts import (
     derive_directory_options,
     derive_replication_timeouts,
@@ -52,47 +46,6 @@
 ASSUMED_INSTANCES: Final = 12
 
 
-class CrashReport(msgspec.Struct, frozen=True, array_like=True):
-    """Reports that a request was running at a target when the target crashed.
-
-    `digest` identifies the request's content.
-    """
-
-    digest: str
-    target: str
-
-
-class ServiceRollout(msgspec.Struct, frozen=True, array_like=True):
-    """Reports what has been recorded of a service's roll-out."""
-
-    service: str
-    record: RolloutRecord
-
-
-class PeerUpdate(msgspec.Struct, frozen=True, array_like=True):
-    """An update that an instance sends to all others.
-
-    `outcomes` are those of requests of `sender`, which may get its own update back from a relay.
-    `received_at` is the local time at which it was received. Load reports are not kept with the
-    update: an instance that waits at this one gets the latest report of each target.
-    """
-
-    locations: list[PromptLocation] = []
-    crashes: list[CrashReport] = []
-    loads: list[TargetLoad] = []
-    received_at: float | None = None
-    rollouts: list[ServiceRollout] = []
-    outcomes: list[TargetOutcomes] = []
-    sender: str = ""
-    brittle: list[BrittleNotice] = []
-
-    def add_age(self, now: float) -> PeerUpdate:
-        """Return the update to relay now; the time since its receipt is added to its ages."""
-        waited = 0.0 if self.received_at is None else now - self.received_at
-        locations = [location.add_age(waited) for location in self.locations]
-        return msgspec.structs.replace(self, locations=locations, loads=[], received_at=None)
-
-
 class State:
     """What one instance knows, and the trackers of its own work."""
 
@@ -115,7 +68,7 @@
         self.cold_target_share = ColdTargetShare(
             settings.instance, settings.cold_overshoot, settings.cold_slack
         )
-        self.crashes = CrashTracker()
+        self.crashes = CrashLedger()
         options = _make_options(settings)
         self.placement = Placement(
             options,
@@ -240,11 +193,8 @@
         """Apply an update of another instance, and queue it for those that wait at this one."""
         self.loads.merge_reports(update.loads, True, now)
         self.placement.prompt_locations.merge_locations(update.locations, now)
-        for crash in update.crashes:
-            self.crashes.record_crash(crash.digest, crash.target, now)
-            # Marked now: if the target were found unreachable only at the next crash, both would
-            # seem to have failed together, and neither would be attributed to a request.
-            self.health.record_unreachable(crash.target, now)
+        for target in apply_crash_findings(self.crashes, update, now):
+            self.health.record_unreachable(target, now)
         if update.sender != self.settings.instance:
             self.health.merge_outcomes(update.outcomes, now)
             self.brittle.merge_notices(update.brittle, now)
@@ -260,11 +210,15 @@
             update.rollouts,
             update.outcomes,
             update.brittle,
+            update.findings,
         )
         if not any(relayed):
             return
         self.peer_updates.add(msgspec.structs.replace(update, loads=[], received_at=now))
-        self.changed.notify_all_soon()
+        if update.is_urgent:
+            self.changed.notify_all_urgently()
+        else:
+            self.changed.notify_all_soon()
 
     def handle_unreachable_target(self, target: Target, now: float) -> None:
         """Mark the whole zone of an unreachable target suspect, if it is not this instance's zone.
--- a/rhubarbbend/gateway/_state_updater.py
+++ b/rhubarbbend/gateway/_state_updater.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from rhubarbbend import codes
+from rhubarbbend.core.directory import Target
 from rhubarbbend.core.mirror import RowChange, TablePage
 from rhubarbbend.core.readers import InstanceRow
 from rhubarbbend.core.rollouts import RolloutRecord
@@ -119,6 +120,7 @@
             self._state.registry.unregister(change.target, now)
             if target is not None and self._state.registry.find(change.target) is None:
                 self._state.placement.record_departure(target, now)
+                self._record_end(target, "not registered any more")
             self._log("target_unregistered", target=change.target, source=source)
         elif isinstance(change, ZoneServiceChanged):
             if change.is_out_of_service:
@@ -157,7 +159,10 @@
 
     def _apply_target(self, change: TargetRegistered, source: str, now: float) -> None:
         record = change.record
+        before = self._state.registry.find(record.id)
         target = self._state.registry.register(record, now)
+        if before is not None and before.boot < target.boot:
+            self._record_end(before, "started again", is_certain=True)
         self._log(
             "target_registered",
             target=record.id,
@@ -171,5 +176,11 @@
             source=source,
         )
 
+    def _record_end(self, target: Target, reason: str, is_certain: bool = False) -> None:
+        """Record the end of a target that was lost under a request, if it was."""
+        if self._state.crashes.record_end(target.incarnation, is_certain):
+            self._state.metrics.increment_counter(codes.SUSPECTS)
+            self._log("crash_counted", target=target.id, reason=reason)
+
     def _log(self, event: str, **fields: Any) -> None:
         self._state.event_log.write(event, read_clock(), **fields)
--- /dev/null
+++ b/rhubarbbend/gateway/_target_checker.py
@@ -0,0 +1,156 @@
+"""Finds out whether a target that was lost under a request has ended or only its link was lost.
+
+A target that cannot be reached from here may be reached by others. So another instance is asked,
+and one of the target's own availability zone first: what only instances of one other zone cannot
+reach may be partitioned from them.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+from typing import Final
+
+import msgspec
+
+from rhubarbbend.core.crashes import Fate
+from rhubarbbend.core.directory import Target, get_target_id
+from rhubarbbend.gateway._interfaces import TargetProtocol
+from rhubarbbend.gateway._peers import CHECK_PATH, PeerClient
+from rhubarbbend.gateway._settings import Address
+from rhubarbbend.gateway._state import Clock, State
+from rhubarbbend.http import REASON_TIMEOUT, Connection, HttpFailure
+
+CONNECT_TIMEOUT_S: Final = 0.1
+ANSWER_TIMEOUT_S: Final = 0.2
+# A process that ends may still accept connections while its others are being closed, so one that
+# closes a connection without an answer is tried again.
+MAX_TRIES: Final = 3
+RETRY_DELAY_S: Final = 0.05
+# Other targets that are tried to find out whether this instance has any links at all.
+MAX_OTHERS_TRIED: Final = 2
+
+
+class Contact(enum.Enum):
+    """What a connection to a target's address shows."""
+
+    SAME = "same"  # The target itself answers.
+    OTHER = "other"  # Another target answers, or another start of it.
+    REFUSED = "refused"  # No connection is accepted, or each is closed without an answer.
+    SILENT = "silent"  # Nothing comes back.
+
+
+class CheckQuery(msgspec.Struct, frozen=True, array_like=True):
+    """Asks an instance to contact a target. `target` is one start of it; `address` the sender's."""
+
+    target: str
+    service: str
+    address: Address
+
+
+class CheckReply(msgspec.Struct, frozen=True, array_like=True):
+    """What the contact showed."""
+
+    contact: Contact
+
+
+class TargetChecker:
+    """Contacts lost targets, also for other instances."""
+
+    def __init__(
+        self, state: State, peers: PeerClient, targets: TargetProtocol, clock: Clock
+    ) -> None:
+        self._state = state
+        self._peers = peers
+        self._targets = targets
+        self._clock = clock
+
+    async def find_fate(self, target: Target) -> Fate:
+        """Return what became of a target, as far as this and other instances can tell."""
+        query = CheckQuery(target.incarnation, target.service, target.address)
+        contact = await self._contact(query)
+        if contact is Contact.SAME:
+            return Fate.ALIVE
+        if contact is Contact.OTHER:
+            return Fate.ENDED
+        return await self._ask_witnesses(target, query, contact)
+
+    async def serve(self, body: bytes) -> bytes:
+        """Contact a target for another instance; raise `MsgspecError` if the query is invalid."""
+        query = msgspec.msgpack.decode(body, type=CheckQuery)
+        return msgspec.msgpack.encode(CheckReply(await self._contact(query)))
+
+    async def reaches_another(self, target: Target) -> bool:
+        """Return whether some other target accepts a connection."""
+        others = [t for t in self._state.registry.list_targets() if t.id != target.id]
+        for other in self._state.random.sample(others, min(MAX_OTHERS_TRIED, len(others))):
+            try:
+                connection = await Connection.open(other.address, CONNECT_TIMEOUT_S)
+            except HttpFailure:
+                continue
+            connection.close()
+            return True
+        return False
+
+    async def _ask_witnesses(self, target: Target, query: CheckQuery, own: Contact) -> Fate:
+        zones = self._select_witnesses(target)
+        if not zones:
+            # There is no other instance.
+            has_ended = own is Contact.REFUSED and await self.reaches_another(target)
+            return Fate.ENDED if has_ended else Fate.UNKNOWN
+        data = msgspec.msgpack.encode(query)
+        replies = await asyncio.gather(*(self._ask(name, data) for name in zones.values()))
+        contacts = dict(zip(zones, replies, strict=True))
+        if Contact.SAME in contacts.values():
+            return Fate.ALIVE
+        if Contact.OTHER in contacts.values():
+            return Fate.ENDED
+        # An instance of this zone may be cut off together with this one.
+        if len(contacts) > 1 and target.zone != self._state.settings.zone:
+            contacts.pop(self._state.settings.zone, None)
+        return Fate.ENDED if Contact.REFUSED in contacts.values() else Fate.UNKNOWN
+
+    def _select_witnesses(self, target: Target) -> dict[str, str]:
+        """Return an instance for each of up to three availability zones, by zone."""
+        by_zone: dict[str, list[str]] = {}
+        for name, zone in self._state.instance_zones.items():
+            if name != self._state.settings.instance:
+                by_zone.setdefault(zone, []).append(name)
+        own_zone = self._state.settings.zone
+        order = sorted(by_zone, key=lambda zone: (zone != target.zone, zone == own_zone, zone))
+        return {zone: self._state.random.choice(by_zone[zone]) for zone in order[:3]}
+
+    async def _ask(self, instance: str, query: bytes) -> Contact | None:
+        row = self._state.instances.get(instance)
+        if row is None:
+            return None
+        reply = await self._peers.ask((row.host, row.port), CHECK_PATH, query)
+        if not reply:
+            return None
+        try:
+            return msgspec.msgpack.decode(reply, type=CheckReply).contact
+        except msgspec.MsgspecError as error:
+            self._state.event_log.write("peer_unreadable", self._clock(), reason=str(error))
+            return None
+
+    async def _contact(self, query: CheckQuery) -> Contact:
+        """Ask whoever is at a target's address who it is."""
+        registered = self._state.registry.find(get_target_id(query.target))
+        if registered is not None and registered.incarnation != query.target:
+            return Contact.OTHER
+        address = query.address if registered is None else registered.address
+        for number in range(MAX_TRIES):
+            if number:
+                await asyncio.sleep(RETRY_DELAY_S)
+            try:
+                connection = await Connection.open(address, CONNECT_TIMEOUT_S)
+            except HttpFailure as failure:
+                return Contact.SILENT if failure.reason == REASON_TIMEOUT else Contact.REFUSED
+            try:
+                return Contact.SAME
+            except HttpFailure as failure:
+                if failure.reason == REASON_TIMEOUT:
+                    return Contact.SILENT
+            finally:
+                connection.close()
+        return Contact.REFUSED
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -37,6 +37,21 @@
     assert "target=t-1" in timeline[1] and "source" not in timeline[1]
 
 
+def test_timeline_of_a_refused_request_holds_the_crashes_of_the_same_content() -> None:
+    lines = [
+        make_line("attempt_failed", 10.0, "front-2", id="r-3", target="t-1", content="c-1"),
+        make_line("crash_counted", 10.3, "front-3", id="r-4", target="t-1", digest="c-1"),
+        make_line("crash_doubted", 10.4, "front-3", id="r-5", target="t-2", digest="c-2"),
+        make_line("ended", 90.0, "front-1", id="r-9", outcome="refused", content="c-1"),
+    ]
+    timeline = explain_request("r-9", read_lines(lines))
+    assert [line.split()[-4:] for line in timeline[:2]] == [
+        ["attempt_failed", "id=r-3", "target=t-1", "content=c-1"],
+        ["crash_counted", "id=r-4", "target=t-1", "digest=c-1"],
+    ]
+    assert len(timeline) == 3
+
+
 def test_command_reads_several_logs_and_fails_if_no_line_matches(
     tmp_path: Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
--- a/tests/core/delivery/test_delivery.py
+++ b/tests/core/delivery/test_delivery.py
@@ -9,7 +9,6 @@
 from rhubarbbend.core.catalog import RequestKind, Route, ServiceShare
 from rhubarbbend.core.delivery import (
     AttemptOutcome,
-    CrashTracker,
     Progress,
     compute_verdict,
     decide_step,
@@ -76,25 +75,3 @@
     progress.record_outcome(AttemptOutcome.BROKEN)
     progress.record_outcome(AttemptOutcome.REJECTED)
     assert compute_verdict(progress) is Verdict.MAY_HAVE_RUN
-
-
-def test_a_request_is_refused_after_crashes_of_two_targets() -> None:
-    # A request crashes each target that runs it, and its caller sends it again. Requests that run
-    # on the same target are present at one crash; only the cause is present at the second as well.
-    tracker = CrashTracker()
-    assert tracker.record_crash("cause", "t-1", 0.0)
-    assert tracker.record_crash("bystander", "t-1", 0.0)
-    assert not tracker.record_crash("cause", "t-1", 0.1)
-    assert not tracker.is_refused("cause", 0.2)
-    tracker.record_crash("cause", "t-2", 5.0)
-    assert tracker.is_refused("cause", 5.1)
-    assert not tracker.is_refused("bystander", 5.1)
-    assert not tracker.is_refused("cause", 1_000.0)
-
-
-def test_a_completed_request_is_not_taken_for_the_cause_of_a_crash() -> None:
-    tracker = CrashTracker()
-    tracker.record_crash("x", "t-1", 0.0)
-    tracker.clear("x")
-    tracker.record_crash("x", "t-2", 1.0)
-    assert not tracker.is_refused("x", 1.1)
--- a/tests/loadtool/test_soak.py
+++ b/tests/loadtool/test_soak.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from loadtool._soak import format_result, make_soak_layout, run_soak
+from loadtool._soak import SoakOptions, format_result, make_soak_layout, run_soak
 from loadtool._soak_checks import Period, RequestOutcome, RunRecord, find_violations
 from loadtool._soak_notices import find_notice_violations
 from loadtool._soak_schedule import ScheduledSoakFault, SoakFault, make_soak_schedule
@@ -154,7 +154,8 @@
 def test_all_guarantees_hold_during_a_soak(
     seed: int, peer_path_faults: bool, tmp_path: Path
 ) -> None:
-    result = asyncio.run(run_soak(seed, DURATION, INSTANCE_COUNT, tmp_path, peer_path_faults))
+    options = SoakOptions(has_peer_path_faults=peer_path_faults)
+    result = asyncio.run(run_soak(seed, DURATION, INSTANCE_COUNT, tmp_path, options))
     print(format_result(result))
     assert result.violations == []
     served = sum(outcome.status == 200 and outcome.complete for outcome in result.record.outcomes)
@@ -169,11 +170,11 @@
     seed: int, instances: int, tmp_path: Path
 ) -> None:
     """A bad version is rolled out while instances, the store and the paths between them fail."""
-    run = run_soak(seed, DURATION, instances, tmp_path, has_rollout=True)
+    run = run_soak(seed, DURATION, instances, tmp_path, SoakOptions(has_rollout=True))
     result = asyncio.run(run)
     print(format_result(result))
     assert result.violations == []
-    assert "rolled_back" in result.rollout
+    assert "rolled_back" in result.summaries[0]
 
 
 # 5: found no fault; five times a target asks for pauses, nine times one says that it leaves.
@@ -181,7 +182,7 @@
 @pytest.mark.parametrize("seed", [5])
 def test_all_guarantees_hold_while_targets_give_notices(seed: int, tmp_path: Path) -> None:
     """Targets ask for pauses and say that they leave while instances, store and paths fail."""
-    run = run_soak(seed, DURATION, INSTANCE_COUNT, tmp_path, has_notices=True)
+    run = run_soak(seed, DURATION, INSTANCE_COUNT, tmp_path, SoakOptions(has_notices=True))
     result = asyncio.run(run)
     print(format_result(result))
     assert result.violations == []
@@ -196,9 +197,8 @@
     seed: int, has_notices: bool, tmp_path: Path
 ) -> None:
     """Single instances lose their links to targets while instances, store and paths fail."""
-    run = run_soak(
-        seed, DURATION, INSTANCE_COUNT, tmp_path, has_notices=has_notices, has_link_faults=True
-    )
+    options = SoakOptions(has_notices=has_notices, has_link_faults=True)
+    run = run_soak(seed, DURATION, INSTANCE_COUNT, tmp_path, options)
     result = asyncio.run(run)
     print(format_result(result))
     assert result.violations == []
