--- a/rhubarbbend/gateway/_attempts.py
+++ b/rhubarbbend/gateway/_attempts.py
@@ -282,7 +282,7 @@
         )
         if failure.stage is SendStage.CONNECT:
             return AttemptOutcome.UNREACHED
-        if failure.stage is SendStage.SENT and connection.closed:
+        if connection.closed or self._liveness.has_failed_probe(target.id):
             self.on_loss(request, target, self._clock())
         return AttemptOutcome.BROKEN
 
