--- a/rhubarbbend/gateway/_target_checker.py
+++ b/rhubarbbend/gateway/_target_checker.py
@@ -147,10 +147,23 @@
             except HttpFailure as failure:
                 return Contact.SILENT if failure.reason == REASON_TIMEOUT else Contact.REFUSED
             try:
-                return Contact.SAME
+                return await self._identify(connection, query, address)
             except HttpFailure as failure:
                 if failure.reason == REASON_TIMEOUT:
                     return Contact.SILENT
             finally:
                 connection.close()
         return Contact.REFUSED
+
+    async def _identify(
+        self, connection: Connection, query: CheckQuery, address: Address
+    ) -> Contact:
+        catalog = self._state.catalog
+        service = None if catalog is None else catalog.services.get(query.service)
+        path = b"/" if service is None else service.health_path.encode()
+        target = get_target_id(query.target)
+        headers = self._targets.make_health_headers(target, address)
+        connection.send_raw(b"GET", path, headers, b"")
+        response = await connection.receive_head(ANSWER_TIMEOUT_S)
+        identity = self._targets.read_identity(response)
+        return Contact.SAME if identity in (None, target) else Contact.OTHER
