Soak: callers send requests that crash targets, and both sides are checked

Checked: the users' rule (at most three runs from 3 s after the third crash on) and that no sound request is refused for it.

--- a/loadtool/_soak_crashes.py
+++ b/loadtool/_soak_crashes.py
@@ -34,6 +34,8 @@
 # From the users' rule: requests that may still run later than `CONTACT_S` after the third crash.
 CONTACT_S: Final = 3.0
 MAX_LATE_ARRIVALS: Final = 3
+# Sound requests that take longer are told as late.
+LATE_S: Final = 1.0
 REFUSAL_CODE: Final = "crashes_targets"
 
 
@@ -120,54 +122,65 @@
             await asyncio.sleep(0.1)
 
     def find_violations(self) -> list[str]:
-        """Return a line for each request with too many crashes, and each sound one refused."""
-        crashes = self._list_crashes()
-        violations = [
-            f"crashing: {path} ran {late} times later than {CONTACT_S:g} s after its third crash"
-            for path, arrivals in crashes.items()
-            if (late := self._count_late(arrivals)) > MAX_LATE_ARRIVALS
-        ]
-        return [*violations, *(f"suspect: {path} was refused" for path in self._list_refused())]
+        """Return a line for each violated guarantee."""
+        paths = {request.path for request in self._requests}
+        return find_crash_violations(self._record, paths, self._fleet.read_arrivals())
 
     def describe(self) -> str:
         """Return the crashes and refusals of the run as a line."""
-        crashes = self._list_crashes()
+        paths = {request.path for request in self._requests}
+        crashes = _group_crashes(self._fleet.read_arrivals())
         counts = [len(crashes[request.path]) for request in self._requests]
-        sound = [o for o in self._record.outcomes if o.path not in self._paths]
-        late = sum(o.status == 200 and o.ended_at - o.sent_at > 1.0 for o in sound)
+        sound = [outcome for outcome in self._record.outcomes if outcome.path not in paths]
+        late = sum(o.status == 200 and o.ended_at - o.sent_at > LATE_S for o in sound)
+        refused = len(_list_refused(self._record, paths))
         return (
-            f"crashing requests: {len(self._requests)}, crashes of each: {counts}, sound requests: "
-            f"{len(sound)}, of them refused for crashes: {len(self._list_refused())}, "
-            f"later than 1 s: {late}"
+            f"crashing requests: {len(paths)}, crashes of each: {counts}, sound requests: "
+            f"{len(sound)}, of them refused for crashes: {refused}, later than {LATE_S:g} s: {late}"
         )
 
-    @property
-    def _paths(self) -> tuple[str, ...]:
-        return tuple(request.path for request in self._requests)
-
-    def _list_crashes(self) -> dict[str, list[Arrival]]:
-        crashes: dict[str, list[Arrival]] = defaultdict(list)
-        for arrival in sorted(self._fleet.read_arrivals(), key=lambda arrival: arrival.at):
-            if arrival.crashes:
-                crashes[arrival.target].append(arrival)
-        return crashes
-
-    def _count_late(self, crashes: list[Arrival]) -> int:
-        """Count the crashes later than `CONTACT_S` after the third, at undisturbed instances."""
-        instances = {outcome.id: outcome.instance for outcome in self._record.outcomes}
-        return sum(
-            crash.at > crashes[2].at + CONTACT_S
-            and self._record.is_undisturbed(instances[crash.id], crash.at)
-            for crash in crashes[3:]
-        )
 
-    def _list_refused(self) -> list[str]:
-        """Return the paths of sound requests that were refused for crashes."""
-        return [
-            outcome.path
-            for outcome in self._record.outcomes
-            if outcome.path not in self._paths and _read_code(outcome.answer) == REFUSAL_CODE
-        ]
+def find_crash_violations(
+    record: RunRecord, crashing_paths: set[str], arrivals: list[Arrival]
+) -> list[str]:
+    """Return a line for each request that crashed too many, and for each sound one refused."""
+    violations: list[str] = []
+    for path, crashes in _group_crashes(arrivals).items():
+        late = _count_late(record, crashes)
+        if late > MAX_LATE_ARRIVALS:
+            violations.append(
+                f"crashing: {path} ran {late} times from {CONTACT_S:g} s after its third crash on"
+            )
+    refused = _list_refused(record, crashing_paths)
+    return [*violations, *(f"suspect: {path} was refused" for path in refused)]
+
+
+def _group_crashes(arrivals: list[Arrival]) -> dict[str, list[Arrival]]:
+    """Return the arrivals that crashed a target, by path and in order."""
+    crashes: dict[str, list[Arrival]] = defaultdict(list)
+    for arrival in sorted(arrivals, key=lambda arrival: arrival.at):
+        if arrival.crashes:
+            crashes[arrival.target].append(arrival)
+    return crashes
+
+
+def _count_late(record: RunRecord, crashes: list[Arrival]) -> int:
+    """Count the crashes later than `CONTACT_S` after the third, at undisturbed instances."""
+    instances = {outcome.id: outcome.instance for outcome in record.outcomes}
+    return sum(
+        crash.at > crashes[2].at + CONTACT_S
+        and record.is_undisturbed(instances[crash.id], crash.at)
+        for crash in crashes[3:]
+    )
+
+
+def _list_refused(record: RunRecord, crashing_paths: set[str]) -> list[str]:
+    """Return the paths of sound requests that were refused for crashes."""
+    return [
+        outcome.path
+        for outcome in record.outcomes
+        if outcome.path not in crashing_paths and _read_code(outcome.answer) == REFUSAL_CODE
+    ]
 
 
 def _read_code(answer: bytes) -> str:
--- a/tests/loadtool/test_soak.py
+++ b/tests/loadtool/test_soak.py
@@ -7,12 +7,14 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from pathlib import Path
 
 import pytest
 
 from loadtool._soak import SoakOptions, format_result, make_soak_layout, run_soak
 from loadtool._soak_checks import Period, RequestOutcome, RunRecord, find_violations
+from loadtool._soak_crashes import find_crash_violations
 from loadtool._soak_notices import find_notice_violations
 from loadtool._soak_schedule import ScheduledSoakFault, SoakFault, make_soak_schedule
 from standins._worker_types import Arrival, make_response_body
@@ -147,6 +149,27 @@
     assert find_notice_violations(record, arrivals) == []
 
 
+@pytest.mark.parametrize(
+    ("late", "code", "found"),
+    [(3, "", []), (4, "", ["crashing"]), (0, "crashes_targets", ["suspect"])],
+)
+def test_crashes_of_too_many_targets_and_refusals_of_sound_requests_are_found(
+    late: int, code: str, found: list[str]
+) -> None:
+    answer = json.dumps({"code": code}).encode()
+    outcomes = [make_outcome(id="sound", path="/book/sound", status=503, answer=answer)]
+    arrivals: list[Arrival] = []
+    for number in range(3 + late):
+        # The first three within a second, the others from 3 s after them.
+        at = 110.0 + 0.3 * number + (3.5 if number >= 3 else 0.0)
+        outcomes.append(make_outcome(id=f"r{number}", sent_at=at))
+        arrivals.append(make_arrival(at, worker=f"w{number}", request=f"r{number}"))
+        arrivals[-1].crashes = True
+    record = RunRecord(100.0, outcomes)
+    violations = find_crash_violations(record, {PATH}, arrivals)
+    assert [line.partition(":")[0] for line in violations] == found
+
+
 # These run one at a time: each uses one or two processor cores, and tests that run in parallel have
 # time limits.
 @pytest.mark.xdist_group("soak")
@@ -203,3 +226,14 @@
     print(format_result(result))
     assert result.violations == []
     assert result.record.cut_off
+
+
+# 2 on 212c98f: a stream ran five times later than 3 s after its third crash.
+@pytest.mark.xdist_group("soak")
+@pytest.mark.parametrize("seed", [2])
+def test_all_guarantees_hold_while_requests_crash_targets(seed: int, tmp_path: Path) -> None:
+    """Callers repeat requests that crash targets while instances, store and paths fail."""
+    run = run_soak(seed, DURATION, INSTANCE_COUNT, tmp_path, SoakOptions(has_crashes=True))
+    result = asyncio.run(run)
+    print(format_result(result))
+    assert result.violations == []
