--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -25,7 +25,6 @@
 from rhubarbbend.gateway._in_flight_protocol import InFlightProtocol
 from rhubarbbend.gateway._interfaces import Adapter
 from rhubarbbend.gateway._metrics import CONTENT_TYPE
-from rhubarbbend.gateway._peer_updates import PeerUpdate
 from rhubarbbend.gateway._peers import PeerClient, PeerServer
 from rhubarbbend.gateway._request_server import RequestServer
 from rhubarbbend.gateway._settings import (
@@ -37,6 +36,7 @@
 from rhubarbbend.gateway._state import State, read_clock
 from rhubarbbend.gateway._target_checker import TargetChecker
 from rhubarbbend.gateway._target_prober import TargetProber
+from rhubarbbend.gateway._update_broadcaster import UpdateBroadcaster
 from rhubarbbend.http import ConnectionPool, Exchange, HttpServer, ServerLimits
 from rhubarbbend.stop_signals import STOP_SIGNALS, ignore_late_stop
 
@@ -66,11 +66,6 @@
 # Time left before the process is killed, in which the last bytes are sent.
 STOP_MARGIN_S: Final = 0.6
 STOP_POLL_INTERVAL_S: Final = 0.05
-# Updates of prompt locations are sent in batches after this delay, which is short enough: the next
-# request of a chat comes seconds later.
-LOCATION_BATCH_DELAY_S: Final = 0.05
-# Outcomes of requests to targets are sent in batches after this delay.
-OUTCOME_BATCH_DELAY_S: Final = 0.1
 # Instances that are asked, one after the other, for the crashes that this one missed.
 MAX_PEERS_ASKED: Final = 3
 
@@ -131,12 +126,7 @@
         self._stop_requested = asyncio.Event()
         self._limits_version = -1
         self._settings_read_at = 0.0
-        self._has_location_updates = asyncio.Event()
-        self.state.placement.prompt_locations.on_update = self._has_location_updates.set
-        self._has_unsent_outcomes = asyncio.Event()
-        self.state.health.on_unsent = self._has_unsent_outcomes.set
-        self._has_unsent_notices = asyncio.Event()
-        self.state.brittle.on_unsent = self._has_unsent_notices.set
+        self._broadcaster = UpdateBroadcaster(self.state, self._peers)
 
     async def run(self) -> None:
         """Serve until a requested stop has completed."""
@@ -149,9 +139,8 @@
         self._follower.start()
         self._spawn(self._detect_pauses())
         self._spawn(self._run_housekeeping())
-        self._spawn(self._broadcast_prompt_locations())
-        self._spawn(self._broadcast_outcomes())
-        self._spawn(self._broadcast_brittle())
+        for broadcasting in self._broadcaster.list_tasks():
+            self._spawn(broadcasting)
         self._spawn(self._run_rollouts())
         if settings.peer_address is not None:
             sends_from = settings.peers if settings.advertised is not None else None
@@ -262,33 +251,6 @@
             if await self._peers.fetch_crashes(address):
                 return
 
-    async def _broadcast_prompt_locations(self) -> None:
-        """Notify the other instances of prompts sent to targets where they would not look."""
-        while True:
-            await self._has_location_updates.wait()
-            await asyncio.sleep(LOCATION_BATCH_DELAY_S)
-            self._has_location_updates.clear()
-            locations = self.state.placement.prompt_locations.pop_updates(read_clock())
-            await self._peers.broadcast(PeerUpdate(locations))
-
-    async def _broadcast_outcomes(self) -> None:
-        """Tell the other instances what came of requests to plain targets, after a failure."""
-        while True:
-            await self._has_unsent_outcomes.wait()
-            await asyncio.sleep(OUTCOME_BATCH_DELAY_S)
-            self._has_unsent_outcomes.clear()
-            outcomes = self.state.health.pop_unsent()
-            update = PeerUpdate(outcomes=outcomes, sender=self.settings.instance)
-            await self._peers.broadcast(update)
-
-    async def _broadcast_brittle(self) -> None:
-        """Tell the other instances at once which targets are brittle and have no room."""
-        while True:
-            await self._has_unsent_notices.wait()
-            self._has_unsent_notices.clear()
-            notices = self.state.brittle.pop_unsent()
-            await self._peers.broadcast(PeerUpdate(brittle=notices, sender=self.settings.instance))
-
     async def _run_rollouts(self) -> None:
         """Take part in roll-outs from the first one that is ordered."""
         await self.state.rollout_ordered.wait()
--- /dev/null
+++ b/rhubarbbend/gateway/_update_broadcaster.py
@@ -0,0 +1,66 @@
+"""Tells the other instances, in batches, of what this one has learned by its own requests."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any, Final
+
+from rhubarbbend.gateway._peer_updates import PeerUpdate
+from rhubarbbend.gateway._peers import PeerClient
+from rhubarbbend.gateway._state import State, read_clock
+
+# Updates of prompt locations are sent in batches after this delay, which is short enough: the next
+# request of a chat comes seconds later.
+LOCATION_BATCH_DELAY_S: Final = 0.05
+# Outcomes of requests to targets are sent in batches after this delay.
+OUTCOME_BATCH_DELAY_S: Final = 0.1
+
+
+class UpdateBroadcaster:
+    """Broadcasts updates. Invariant: what is reported while a batch is sent goes with the next."""
+
+    def __init__(self, state: State, peers: PeerClient) -> None:
+        self._state = state
+        self._peers = peers
+        self._name = state.settings.instance
+        self._has_location_updates = asyncio.Event()
+        state.placement.prompt_locations.on_update = self._has_location_updates.set
+        self._has_unsent_outcomes = asyncio.Event()
+        state.health.on_unsent = self._has_unsent_outcomes.set
+        self._has_unsent_notices = asyncio.Event()
+        state.brittle.on_unsent = self._has_unsent_notices.set
+
+    def list_tasks(self) -> list[Coroutine[Any, Any, None]]:
+        """Return the tasks that send updates for as long as the instance runs."""
+        return [
+            self._broadcast_prompt_locations(),
+            self._broadcast_outcomes(),
+            self._broadcast_brittle(),
+        ]
+
+    async def _broadcast_prompt_locations(self) -> None:
+        """Notify the other instances of prompts sent to targets where they would not look."""
+        while True:
+            await self._has_location_updates.wait()
+            await asyncio.sleep(LOCATION_BATCH_DELAY_S)
+            self._has_location_updates.clear()
+            locations = self._state.placement.prompt_locations.pop_updates(read_clock())
+            await self._peers.broadcast(PeerUpdate(locations))
+
+    async def _broadcast_outcomes(self) -> None:
+        """Tell the other instances what came of requests to plain targets, after a failure."""
+        while True:
+            await self._has_unsent_outcomes.wait()
+            await asyncio.sleep(OUTCOME_BATCH_DELAY_S)
+            self._has_unsent_outcomes.clear()
+            outcomes = self._state.health.pop_unsent()
+            await self._peers.broadcast(PeerUpdate(outcomes=outcomes, sender=self._name))
+
+    async def _broadcast_brittle(self) -> None:
+        """Tell the other instances at once which targets are brittle and have no room."""
+        while True:
+            await self._has_unsent_notices.wait()
+            self._has_unsent_notices.clear()
+            notices = self._state.brittle.pop_unsent()
+            await self._peers.broadcast(PeerUpdate(brittle=notices, sender=self._name))
