Requests that are lost with one target share a check and a message

A crash under thirty requests of an instance opened thirty connections, twice, and sent thirty messages. Now one connection at once, one after 0.1 s if the first was accepted, and one message with all losses of that moment. tests/gateway/test_crashing_requests.py, test_commands.py and test_lost_links.py pass.

--- a/rhubarbbend/gateway/_crash_detector.py
+++ b/rhubarbbend/gateway/_crash_detector.py
@@ -44,6 +44,8 @@
         self._spawn = spawn
         self._lost_targets: OrderedDict[str, Target] = OrderedDict()
         self._checks: dict[str, asyncio.Task[None]] = {}
+        # Connections that are being tried to targets that were just lost.
+        self._contacts: dict[str, asyncio.Task[bool]] = {}
 
     def handle_loss(self, request: OpenRequest, target: Target, now: float) -> None:
         """Record that a target was lost while it ran a request."""
@@ -118,15 +120,34 @@
         return self._lost_targets.get(incarnation)
 
     async def _report_loss(self, request: str, digest: str, target: Target, loss: Loss) -> None:
-        """Tell all instances of a loss, and not to use the target if the loss is its fault.
+        """Tell all instances of a loss, at once if the target accepts no connection.
 
-        A target that accepts connections has most likely only closed one. If several targets became
-        unreachable at once, or no other is reached, this instance may have lost its own links.
+        One that does has most likely only closed one. Requests lost with a target share a check.
         """
-        state = self._state
-        is_reachable = await self._try_connection(target)
+        contact = self._contacts.get(target.incarnation)
+        is_first = contact is None
+        if contact is None:
+            contact = asyncio.create_task(self._try_connection(target))
+            self._contacts[target.incarnation] = contact
+        is_reachable = await contact
         now = read_clock()
         self._news.tell_loss(make_loss_report(digest, loss, now), not is_reachable, now)
+        if not is_first:
+            return
+        try:
+            await self._check_health(request, digest, target, is_reachable)
+        finally:
+            del self._contacts[target.incarnation]
+
+    async def _check_health(
+        self, request: str, digest: str, target: Target, is_reachable: bool
+    ) -> None:
+        """Tell all instances not to use a target, if it is its fault that it is not reached.
+
+        If several targets became unreachable at once, or no other is reached, this instance may
+        have lost its own links.
+        """
+        state = self._state
         if is_reachable:
             await asyncio.sleep(CHECK_DELAY_S)
             if await self._try_connection(target):
--- a/rhubarbbend/gateway/_crash_news.py
+++ b/rhubarbbend/gateway/_crash_news.py
@@ -32,6 +32,8 @@
         self._completed: list[tuple[Completion, float]] = []
         self._sent_at = 0.0
         self._timer: asyncio.TimerHandle | None = None
+        # Whether they are sent as soon as all that was lost at this moment is known.
+        self._is_urgent = False
 
     def tell_loss(self, report: LossReport, is_urgent: bool, now: float) -> None:
         """Tell of a loss that was found just now; at once if it is urgent."""
@@ -57,17 +59,24 @@
         self._broadcast(PeerUpdate(findings=CrashFindings(unreachable=[target])))
 
     def _send_soon(self, is_urgent: bool, now: float) -> None:
+        loop = asyncio.get_running_loop()
         due_at = self._sent_at + MIN_INTERVAL_S
+        if self._is_urgent:
+            return
         if is_urgent or now >= due_at:
-            self._send(is_urgent, now)
+            self._is_urgent = is_urgent
+            loop.call_soon(self._send)
         elif self._timer is None:
-            loop = asyncio.get_running_loop()
-            self._timer = loop.call_at(due_at, lambda: self._send(False, loop.time()))
+            self._timer = loop.call_at(due_at, self._send)
 
-    def _send(self, is_urgent: bool, now: float) -> None:
+    def _send(self) -> None:
+        now = asyncio.get_running_loop().time()
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
+        is_urgent, self._is_urgent = self._is_urgent, False
+        if not (self._losses or self._met or self._completed):
+            return
         self._sent_at = now
         losses = [loss.add_age(now - at) for loss, at in self._losses]
         met = [TargetMet(item.target, item.age + now - at) for item, at in self._met]
