Tests: a worker that starts again under its id has crashed; one that is full and resets has not

The stand-in resets connections beyond a number. With 3 connections a worker and 50 requests a second of two contents none was refused for crashes; the losses are logged as doubtful.

--- a/standins/_worker.py
+++ b/standins/_worker.py
@@ -57,6 +57,9 @@
     ) -> None:
         conn = h11.Connection(h11.SERVER)
         is_first = True
+        if 0 <= self._faults.max_connections <= len(self._writers):
+            writer.transport.abort()
+            return
         self._writers.add(writer)
         try:
             while await self._handle_next_request(conn, reader, writer, is_first):
--- a/standins/_worker_types.py
+++ b/standins/_worker_types.py
@@ -48,6 +48,8 @@
     # after so many events.
     crash_on: str = ""
     crash_after_events: int = -1
+    # Reset new connections beyond this number; -1: accept any number.
+    max_connections: int = -1
     # Instead of exiting, close all connections and be at once a new incarnation with this id.
     reborn_as: str = ""
     # Close a connection when a second request arrives on it, without executing that request.
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -112,6 +112,45 @@
     run(work)
 
 
+# Guards against a worker that starts again under its id, and answers for the one that crashed.
+def test_a_worker_that_is_back_under_its_id_has_crashed(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with start_fleet(
+            tmp_path, instances=2, plain_worker_count=8, engine_worker_count=1
+        ) as fleet:
+            for name in list(fleet.workers):
+                await fleet.set_worker_faults(name, crash_on="poison", reborn_as=name)
+            for number in range(8):
+                await repeat(fleet, "/book/x", 1)
+                crashed = max(fleet.read_arrivals(), key=lambda arrival: arrival.at).worker
+                await fleet.register_worker(crashed, born=2 + number)
+                await asyncio.sleep(0.4)
+            assert len(list_crash_times(fleet)) <= MAX_CRASHES
+
+    run(work)
+
+
+# Guards against refusing requests for connections that a full worker resets.
+def test_connections_that_a_full_worker_resets_are_not_crashes(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with start_fleet(
+            tmp_path, instances=2, plain_worker_count=2, engine_worker_count=1
+        ) as fleet:
+            await fleet.set_service_faults("plain", delay=0.1, max_connections=3)
+            replies: list[asyncio.Task[Reply]] = []
+            for number in range(80):
+                path, body = ("/book/x", b"b") if number % 2 else ("/read/x", b"r")
+                sending = fleet.send_request(path, body, f"front-{number // 2 % 2}")
+                replies.append(asyncio.create_task(sending))
+                await asyncio.sleep(0.02)
+            answers = [await reply for reply in replies]
+            assert not any(b"crashes_targets" in answer.body for answer in answers)
+            assert any(answer.status == 200 for answer in answers[-10:])
+            assert read_events(fleet, "crash_doubted")
+
+    run(work)
+
+
 # Guards against paths that accept connections for workers that are gone.
 def test_crashes_count_behind_a_path_that_accepts_connections(tmp_path: Path) -> None:
     async def work() -> None:
