Losses of a target that was met again are kept for ten seconds; what is too old goes every ten

A target that starts again under its id answers before the store's rows show its new start. Its loss was removed within a second of that answer, and the row found nothing to count. Found by reading; test_a_loss_is_kept_until_a_new_start_would_be_known failed before.

--- a/rhubarbbend/core/crashes/_ledger.py
+++ b/rhubarbbend/core/crashes/_ledger.py
@@ -27,6 +27,11 @@
 MAX_TARGETS: Final = 1_000
 # Targets that ended within this time of one another may have done so for one reason.
 TOGETHER_S: Final = 0.4
+# A target that was met again may turn out to have started again: the store's rows show it so much
+# later at most. Until then its losses are kept.
+RESTART_NOTICE_S: Final = 10.0
+# How often what is too old is removed.
+EXPIRY_INTERVAL_S: Final = 10.0
 # For this long after its last loss, a request waits for what became of the targets.
 MAX_UNDECIDED_S: Final = 1.5
 
@@ -35,9 +40,8 @@
     """When a request is refused, and for how long after its last crash.
 
     `limit` is the number of crashes, one after the other; it takes one more if they may have had
-    another cause. `first_s` is how long a request is
-    refused that has just reached it: if that was wrong, it is served again. One that crashes a
-    target then is refused for `repeated_s`.
+    another cause. `first_s` is how long a request is refused that has just reached it: if that was
+    wrong, it is served again. One that crashes a target then is refused for `repeated_s`.
     """
 
     limit: int = 2
@@ -46,7 +50,7 @@
 
 
 class _LostTarget:
-    """One start of a target that was lost. Invariant: `first_lost_at` is later than `met_at`."""
+    """One start of a target that was lost, and may have been met again since."""
 
     __slots__ = ("first_lost_at", "met_at", "has_ended", "is_certain")
 
@@ -79,6 +83,7 @@
         self.rules = rules or RefusalRules()
         self._losses: OrderedDict[str, dict[str, Loss]] = OrderedDict()
         self._targets: dict[str, _LostTarget] = {}
+        self._expired_at = -math.inf
 
     def make_loss(self, digest: str, target: str, sent_at: float, lost_at: float) -> Loss:
         """Return a loss that this instance has seen itself."""
@@ -197,9 +202,14 @@
         return record is not None and record.met_at < record.first_lost_at < sent_at
 
     def expire(self, now: float) -> None:
-        """Remove what is too old to count."""
-        for digest in [d for d in self._losses if not self._list_valid(d, now)]:
-            del self._losses[digest]
+        """Remove what is too old to count, every `EXPIRY_INTERVAL_S`."""
+        if now - self._expired_at < EXPIRY_INTERVAL_S:
+            return
+        self._expired_at = now
+        for digest, losses in list(self._losses.items()):
+            is_recent = any(now - loss.lost_at < RESTART_NOTICE_S for loss in losses.values())
+            if not is_recent and not self._list_valid(digest, now):
+                del self._losses[digest]
         self._forget_targets()
 
     def _list_valid(self, digest: str, now: float) -> list[Loss]:
--- a/tests/core/crashes/test_ledger.py
+++ b/tests/core/crashes/test_ledger.py
@@ -162,6 +162,28 @@
     assert ledger.judge("x", again + 500.0) is Judgement.REFUSED
 
 
+# Guards against forgetting a target that answers before the store shows that it has started again.
+def test_a_loss_is_kept_until_a_new_start_would_be_known() -> None:
+    ledger = CrashLedger()
+    lose(ledger, "x", "t-1/1", 0.0, 0.1, ends=False)
+    ledger.record_met("t-1/1", 0.5)
+    ledger.expire(0.6)
+    assert ledger.record_end("t-1/1", is_certain=True)
+    assert ledger.count_crashes("x", 0.7) == 1
+
+
+def test_what_is_too_old_is_removed() -> None:
+    ledger = CrashLedger()
+    lose(ledger, "x", "t-1", 0.0, 0.1)
+    lose(ledger, "met", "t-2", 0.0, 0.1, ends=False)
+    ledger.record_met("t-2", 0.2)
+    ledger.expire(20.0)
+    assert [digest for digest, _ in ledger.list_losses(20.0)] == ["x"]
+    assert not ledger.record_end("t-2", is_certain=True)
+    ledger.expire(LONG_S)
+    assert ledger.list_ended() == []
+
+
 def test_one_crash_that_several_instances_report_counts_once() -> None:
     ledger = CrashLedger()
     for delay in (0.0, 0.01, 0.3):
