A further loss under the same request is no other cause of its crashes; a verdict is awaited to its end

Cause, from the logs: while the instance waited for the verdict on two targets, the report of a third one came, lost at another instance under the same request. It was not explained yet, so it was taken for another target that was lost together with them, and one more crash was asked for; and the gate did not wait a second time.

Change: no loss under the request itself is another cause; the gate waits for as long as a new round of checks can tell more. The test of the ledger failed before.

--- a/rhubarbbend/core/crashes/_ledger.py
+++ b/rhubarbbend/core/crashes/_ledger.py
@@ -151,7 +151,7 @@
         ended = [loss for loss in losses if self._get_fate(loss) is Fate.ENDED]
         crashes = count_in_sequence(ended)
         needed = self.rules.limit
-        if crashes == needed and self._is_ambiguous(digest, ended, now):
+        if crashes == needed and self._is_ambiguous(digest, losses, ended, now):
             needed += 1
         if crashes >= needed:
             is_refused = now - ended[-1].lost_at < self._get_refusal_s(crashes)
@@ -174,9 +174,13 @@
         rules = self.rules
         return rules.repeated_s if crashes > rules.limit else rules.first_s
 
-    def _is_ambiguous(self, digest: str, ended: list[Loss], now: float) -> bool:
-        """Return whether these ends may have had another cause than the request."""
-        return self._has_companion(digest, ended, now) or self._has_other_cause(ended)
+    def _is_ambiguous(self, digest: str, losses: list[Loss], ended: list[Loss], now: float) -> bool:
+        """Return whether the ends of targets may have had another cause than the request.
+
+        `losses` are all of the request, `ended` those of targets that have ended.
+        """
+        own = {loss.target for loss in losses}
+        return self._has_companion(digest, ended, now) or self._has_other_cause(own, ended)
 
     def count_crashes(self, digest: str, now: float) -> int:
         """Return the number of targets that have ended under a request."""
@@ -240,9 +244,8 @@
             if other != digest and targets <= losses.keys()
         )
 
-    def _has_other_cause(self, ended: list[Loss]) -> bool:
+    def _has_other_cause(self, own: set[str], ended: list[Loss]) -> bool:
         """Return whether targets were lost together with these that did not run the request."""
-        own = {loss.target for loss in ended}
         others = [
             record.first_lost_at
             for target, record in self._targets.items()
--- a/rhubarbbend/gateway/_crash_gate.py
+++ b/rhubarbbend/gateway/_crash_gate.py
@@ -39,8 +39,7 @@
         self._state.metrics.increment_counter(codes.SUSPECTS_HELD)
         if request.progress.sends == 0:
             await asyncio.sleep(NOTICE_DELAY_S)
-        if self._judge(request) is Judgement.UNDECIDED:
-            await self._detector.settle(request)
+        await self._await_verdict(request)
         while self._judge(request) is Judgement.ON_TRIAL:
             trial = self._trials.get(request.digest)
             if trial is None:
@@ -50,6 +49,19 @@
             await trial.wait()
         return self._judge(request) is not Judgement.REFUSED
 
+    async def _await_verdict(self, request: OpenRequest) -> None:
+        """Wait until it is known what became of the lost targets, as far as it can be found out.
+
+        Meanwhile the request may lose further ones at other instances.
+        """
+        settled: list[str] = []
+        while self._judge(request) is Judgement.UNDECIDED:
+            lost = self._state.crashes.list_undecided(request.digest, self._clock())
+            if lost == settled:
+                return
+            settled = lost
+            await self._detector.settle(request)
+
     async def _wait_for_start(self) -> None:
         """Wait, shortly after the start, until the other instances have told what they know."""
         learned = self._state.crashes_learned
--- a/tests/core/crashes/test_ledger.py
+++ b/tests/core/crashes/test_ledger.py
@@ -141,6 +141,15 @@
     assert ledger.judge("ghat", 6.2) is Judgement.ON_TRIAL
 
 
+# Guards against taking a loss of the request itself, not yet explained, for another cause.
+def test_a_further_loss_under_the_same_request_is_no_other_cause() -> None:
+    ledger = CrashLedger()
+    lose(ledger, "x", "t-1", 0.0, 0.01)
+    lose(ledger, "x", "t-2", 0.02, 0.03, ends=False)
+    lose(ledger, "x", "t-3", 0.04, 0.05)
+    assert ledger.judge("x", 0.06) is Judgement.REFUSED
+
+
 # Guards against counting a target that was gone before the request was sent there.
 def test_a_target_that_was_lost_before_does_not_count() -> None:
     ledger = CrashLedger()
