--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -102,22 +102,15 @@
         prober = TargetProber(self.state, self._pool, read_clock)
         selector = ReaderSelector(settings.instance, settings.zone)
         self._peers = PeerClient(self.state, self._peer_pool, selector)
-        self._peers.on_regained = lambda peer: self._spawn(self._fetch_crashes(peer))
-        checker = TargetChecker(self.state, self._peers, adapter.targets, read_clock)
-        news = CrashNews(self._peers, self._spawn)
-        crashes = CrashDetector(self.state, news, checker, self._spawn)
-        attempts.on_loss = crashes.handle_loss
-        attempts.recorder.on_answer = crashes.handle_answer
-        gate = CrashGate(self.state, crashes, read_clock)
+        self._peer_server = PeerServer(self.state)
+        gate = self._set_up_crash_detection(attempts)
         parts = (self.state, adapter.callers, attempts, detours, prober, gate, read_clock)
         self._requests = RequestServer(*parts)
         self._detours_served = DetourServer(*parts)
         self._follower = StateFollower(
             self.state, adapter.store, adapter.decoder, self._peers, selector
         )
-        self._peer_server = PeerServer(self.state)
         self._peer_server.serve_detour = self._detours_served.serve
-        self._peer_server.on_target_check = checker.serve
         self._in_flight_protocol = InFlightProtocol(self.state, selector)
         self._caller_server = HttpServer(self._requests.serve)
         self._servers: list[HttpServer] = [self._caller_server]
@@ -128,6 +121,17 @@
         self._settings_read_at = 0.0
         self._broadcaster = UpdateBroadcaster(self.state, self._peers)
 
+    def _set_up_crash_detection(self, attempts: AttemptRunner) -> CrashGate:
+        """Have attempts report losses of targets, and return the gate that they have to pass."""
+        self._peers.on_regained = lambda peer: self._spawn(self._fetch_crashes(peer))
+        checker = TargetChecker(self.state, self._peers, self._adapter.targets, read_clock)
+        self._peer_server.on_target_check = checker.serve
+        news = CrashNews(self._peers, self._spawn)
+        detector = CrashDetector(self.state, news, checker, self._spawn)
+        attempts.on_loss = detector.handle_loss
+        attempts.recorder.on_answer = detector.handle_answer
+        return CrashGate(self.state, detector, read_clock)
+
     async def run(self) -> None:
         """Serve until a requested stop has completed."""
         settings = self.settings
--- a/standins/_worker.py
+++ b/standins/_worker.py
@@ -18,6 +18,14 @@
 import h11
 import msgspec
 
+from standins._worker_responses import (
+    encode_headers,
+    make_response_head,
+    make_stray_response,
+    read_body,
+    read_event,
+    send_response,
+)
 from standins._worker_types import (
     Arrival,
     Faults,
@@ -28,7 +36,6 @@
 )
 
 EXIT_CRASHED = 70
-READ_SIZE_BYTES = 65_536
 HEALTH_PATH = "/health"
 
 
@@ -79,7 +86,7 @@
         is_first: bool,
     ) -> bool:
         """Handle one request; return False if the connection must be closed afterwards."""
-        head = await _read_event(conn, reader)
+        head = await read_event(conn, reader)
         if not isinstance(head, h11.Request) or (self._faults.drop_idle and not is_first):
             return False
         headers = {k.decode(): v.decode("latin-1") for k, v in head.headers}
@@ -87,11 +94,11 @@
         if self._faults.early and not target.startswith("/admin/"):
             await self._respond_early(conn, headers, reader, writer)
             return False
-        body = await _read_body(conn, reader)
+        body = await read_body(conn, reader)
         if target.startswith("/admin/"):
-            return _send_response(conn, writer, 200, [], self._handle_admin(target, body))
+            return send_response(conn, writer, 200, [], self._handle_admin(target, body))
         if target == HEALTH_PATH:
-            return _send_response(conn, writer, 200, [("Instance-Id", self._name)], b"")
+            return send_response(conn, writer, 200, [("Instance-Id", self._name)], b"")
         return await self._handle_request(conn, head, headers, body, reader, writer)
 
     def _handle_admin(self, target: str, body: bytes) -> bytes:
@@ -128,9 +135,7 @@
         )
         id_headers = [("Attempt-Id", attempt_id), *self._make_notices()]
         if expected != self._name:
-            return _send_response(
-                conn, writer, 421, [*id_headers, ("Instance-Id", self._name)], b""
-            )
+            return send_response(conn, writer, 421, [*id_headers, ("Instance-Id", self._name)], b"")
         if is_full:
             self._rejected_at.append(time.monotonic())
             if self._is_overwhelmed():
@@ -154,7 +159,7 @@
         if faults.crash_after_events >= 0 and target.endswith("stream"):
             id_headers = [("Attempt-Id", headers.get("attempt-id", ""))]
             response_headers = [*id_headers, ("Response-Seal", f"seal-{self._name}")]
-            writer.write(conn.send(_make_response_head(200, response_headers)) or b"")
+            writer.write(conn.send(make_response_head(200, response_headers)) or b"")
             for number in range(1, faults.crash_after_events + 1):
                 event = make_stream_event(body, number)
                 writer.write(conn.send(h11.Data(data=event)) or b"")
@@ -236,7 +241,7 @@
     ) -> bool:
         pause_s = self._faults.pause_s
         pause = [("Retry-After", f"{pause_s:g}")] if pause_s else []
-        return _send_response(conn, writer, 503, [*headers, ("Not-Executed", "1"), *pause], b"")
+        return send_response(conn, writer, 503, [*headers, ("Not-Executed", "1"), *pause], b"")
 
     async def _respond(
         self,
@@ -260,9 +265,9 @@
             writer.write(b"\x00\x01 these bytes are no answer\r\n\r\n")
             return False
         if faults.stray:
-            writer.write(_make_stray_response())
+            writer.write(make_stray_response())
         if faults.status:
-            return _send_response(conn, writer, faults.status, response_headers, b"failed")
+            return send_response(conn, writer, faults.status, response_headers, b"failed")
         if target.partition("?")[0].endswith("stream"):
             return await self._send_stream(conn, response_headers, headers, body, writer)
         return self._send_complete_response(
@@ -280,7 +285,7 @@
         if faults.unframed:
             writer.write(
                 b"HTTP/1.1 200 OK\r\n"
-                + _encode_headers(response_headers)
+                + encode_headers(response_headers)
                 + b"Connection: close\r\n\r\n"
                 + text
             )
@@ -289,14 +294,14 @@
             content_length = ("Content-Length", str(len(text)))
             writer.write(
                 b"HTTP/1.1 200 OK\r\n"
-                + _encode_headers([*response_headers, content_length])
+                + encode_headers([*response_headers, content_length])
                 + b"\r\n"
                 + text[:10]
             )
             return False
-        can_reuse = _send_response(conn, writer, 200, response_headers, text)
+        can_reuse = send_response(conn, writer, 200, response_headers, text)
         if faults.extra:
-            writer.write(_make_stray_response())
+            writer.write(make_stray_response())
         return can_reuse
 
     async def _send_stream(
@@ -311,7 +316,7 @@
         last_event_id = 0 if faults.repeat_events else int(headers.get("last-event-id", "0"))
         first_number = last_event_id + 1
         content_type = ("Content-Type", "text/event-stream")
-        writer.write(conn.send(_make_response_head(200, [*response_headers, content_type])) or b"")
+        writer.write(conn.send(make_response_head(200, [*response_headers, content_type])) or b"")
         for number in range(first_number, faults.events + 1):
             event = make_stream_event(body, number)
             events_sent = number - first_number
@@ -337,69 +342,17 @@
         """Respond after the request head, then read the rest of the body."""
         response_headers = [("Attempt-Id", headers.get("attempt-id", "")), ("Not-Executed", "1")]
         writer.write(
-            conn.send(_make_response_head(503, [*response_headers, ("Content-Length", "0")])) or b""
+            conn.send(make_response_head(503, [*response_headers, ("Content-Length", "0")])) or b""
         )
         writer.write(conn.send(h11.EndOfMessage()) or b"")
         await writer.drain()
-        body = await _read_body(conn, reader)
+        body = await read_body(conn, reader)
         received = ReceivedRequest(
             headers.get("attempt-id", ""), "", "", headers, body.decode("latin-1"), False
         )
         self._received.append(received)
 
 
-def _make_response_head(status: int, headers: list[tuple[str, str]]) -> h11.Response:
-    raw = [(k.encode(), v.encode("latin-1")) for k, v in headers]
-    return h11.Response(status_code=status, headers=raw)
-
-
-def _encode_headers(headers: list[tuple[str, str]]) -> bytes:
-    return b"".join(f"{name}: {value}\r\n".encode("latin-1") for name, value in headers)
-
-
-def _make_stray_response() -> bytes:
-    text = b"an answer to somebody else"
-    headers = [
-        ("Attempt-Id", "another-request"),
-        ("Response-Seal", "seal"),
-        ("Content-Length", str(len(text))),
-    ]
-    return b"HTTP/1.1 200 OK\r\n" + _encode_headers(headers) + b"\r\n" + text
-
-
-def _send_response(
-    conn: h11.Connection,
-    writer: asyncio.StreamWriter,
-    status: int,
-    headers: list[tuple[str, str]],
-    body: bytes,
-) -> bool:
-    head = _make_response_head(status, [*headers, ("Content-Length", str(len(body)))])
-    for event in (head, h11.Data(data=body), h11.EndOfMessage()):
-        writer.write(conn.send(event) or b"")
-    return True
-
-
-async def _read_event(conn: h11.Connection, reader: asyncio.StreamReader) -> object:
-    while True:
-        event = conn.next_event()
-        if event is not h11.NEED_DATA:
-            return event
-        conn.receive_data(await reader.read(READ_SIZE_BYTES))
-
-
-async def _read_body(conn: h11.Connection, reader: asyncio.StreamReader) -> bytes:
-    parts: list[bytes] = []
-    while True:
-        event = await _read_event(conn, reader)
-        if isinstance(event, h11.Data):
-            parts.append(bytes(event.data))
-        elif isinstance(event, h11.EndOfMessage):
-            return b"".join(parts)
-        else:
-            raise ConnectionResetError
-
-
 def add_options(parser: argparse.ArgumentParser) -> None:
     """Add the command-line options of a worker."""
     parser.add_argument("--name", required=True, help="instance id that requests must expect")
