--- a/tests/core/test_suspects.py
+++ b/tests/core/test_suspects.py
@@ -55,6 +55,19 @@
     assert fleet.cores["a1"].suspects.get_crash_count("x", fleet.now) == 1
 
 
+def test_equal_requests_at_engines_that_crash_together_are_not_refused() -> None:
+    """Guard against refusing a popular request for a loss of power. It had run on two engines for a
+    second when both crashed: neither got it because the other one had crashed."""
+    fleet = FakeFleet(ZONE_BY_INSTANCE)
+    boots = ("boot-1", "boot-2")
+    crashes = [CrashCount(digest="popular", count=1, last_target=b, ran=1.0) for b in boots]
+    fleet.handle("a1", events.PeerSaid("b1", CrashNotice(crashes=crashes)))
+    assert fleet.cores["a1"].suspects.get_crash_count("popular", fleet.now) == 2
+    fleet.send("a1", "r1", body="popular", service=ENGINE)
+    fleet.advance(0.1)
+    assert [run.action.request for run in fleet.runs] == ["r1"]
+
+
 def test_completed_request_is_no_longer_a_suspect() -> None:
     """A request that did not cause the crash completes on another engine. Its count is reset, so
     that a later crash on its target counts as its first."""
