Soak: a pause that was asked for when nobody waited any longer is not judged

Trace: the instance had sent the rejected request 4.9 s before; it was held up behind the cut of the instance's own links and reached the target when its caller had another answer. Nobody read the rejection, so the instance could not know of the pause. The same case was left out for leavings before; checks of all other pauses are as they were.

--- a/loadtool/_soak_notices.py
+++ b/loadtool/_soak_notices.py
@@ -30,17 +30,23 @@
             by_pair[outcomes[arrival.id].instance, arrival.worker].append(arrival)
     violations: list[str] = []
     for (instance, worker), received in by_pair.items():
-        violations += _check_pauses(record, instance, worker, received)
+        violations += _check_pauses(record, instance, worker, received, outcomes)
         violations += _check_leaving(record, instance, worker, received, outcomes)
     return violations
 
 
 def _check_pauses(
-    record: RunRecord, instance: str, worker: str, received: list[Arrival]
+    record: RunRecord,
+    instance: str,
+    worker: str,
+    received: list[Arrival],
+    outcomes: dict[str, RequestOutcome],
 ) -> Iterable[str]:
     for asked in received:
         ends_at = asked.at + asked.pause_s
-        if asked.id in record.detoured:
+        # A request that was held up behind a cut got its rejection when nobody waited for it.
+        is_unheard = asked.at > outcomes[asked.id].ended_at + TOLERANCE_S
+        if asked.id in record.detoured or is_unheard:
             continue
         own = [a for a in received if a.id not in record.detoured]
         within = [a for a in own if asked.at + PAUSE_GRACE_S < a.at < ends_at]
--- a/tests/loadtool/test_soak.py
+++ b/tests/loadtool/test_soak.py
@@ -149,6 +149,14 @@
     assert find_notice_violations(record, arrivals) == []
 
 
+def test_a_pause_that_was_asked_for_when_nobody_waited_is_not_judged() -> None:
+    record, arrivals = make_notices({"ran": False, "pause_s": 3.0}, 110.6, 111.0, 112.9)
+    assert len(find_notice_violations(record, arrivals)) == 1
+    # The request was held up behind a cut; its caller had another answer long before.
+    record.outcomes[0].sent_at, record.outcomes[0].ended_at = 105.0, 106.5
+    assert find_notice_violations(record, arrivals) == []
+
+
 @pytest.mark.parametrize(
     ("late", "code", "found"),
     [(3, "", []), (4, "", ["crashing"]), (0, "crashes_targets", ["suspect"])],
