A request on trial does not wait for itself, and frees its turn however it ends

Found by reading: a request that was let through as the one on trial and then found no target asked the gate again and waited for its own attempt, to its deadline; and one that ended without an attempt kept the turn for good, so that equal requests waited to theirs. tests/gateway/test_crash_gate.py: the second test failed before.

--- a/rhubarbbend/gateway/_crash_gate.py
+++ b/rhubarbbend/gateway/_crash_gate.py
@@ -32,7 +32,12 @@
         self._trials: dict[str, asyncio.Event] = {}
 
     async def admit(self, request: OpenRequest) -> bool:
-        """Wait until it is known whether a request may be sent, and return whether it may."""
+        """Wait until it is known whether a request may be sent, and return whether it may.
+
+        If it is on trial, `end_attempt` has to follow, whether it was sent or not.
+        """
+        if request.is_on_trial:
+            return True
         await self._wait_for_start()
         if self._judge(request) is Judgement.CLEAR:
             return True
--- a/rhubarbbend/gateway/_request_server.py
+++ b/rhubarbbend/gateway/_request_server.py
@@ -223,6 +223,8 @@
             task.uncancel()
             self._state.metrics.increment_counter(codes.CALLER_GONE)
             self._ender.log_end(request, "caller_gone", 0)
+        finally:
+            self._gate.end_attempt(request)
 
     async def _try_targets(self, request: OpenRequest) -> None:
         if request.version.hold_s > 0.0:
--- /dev/null
+++ b/tests/gateway/test_crash_gate.py
@@ -0,0 +1,64 @@
+"""Tests of the gate before attempts of requests under which targets were lost."""
+
+from __future__ import annotations
+
+import asyncio
+from types import SimpleNamespace
+from typing import Any, cast
+
+import pytest
+
+from rhubarbbend.core.crashes import CrashLedger, Judgement, Loss
+from rhubarbbend.gateway._crash_gate import CrashGate
+
+NOW = 1.0
+
+
+def make_gate() -> CrashGate:
+    """Return the gate of an instance where two targets ended together under the content `x`."""
+    ledger = CrashLedger()
+    for target in ("t-1", "t-2"):
+        ledger.record_loss("x", Loss(target, 0.0, 0.5))
+        ledger.record_end(target)
+    assert ledger.judge("x", NOW) is Judgement.ON_TRIAL
+    learned = asyncio.Event()
+    learned.set()
+    metrics = SimpleNamespace(increment_counter=lambda name: None)
+    state = SimpleNamespace(
+        crashes=ledger, crashes_learned=learned, started_at=0.0, metrics=metrics
+    )
+    return CrashGate(cast(Any, state), cast(Any, None), lambda: NOW)
+
+
+def make_request() -> Any:
+    return SimpleNamespace(digest="x", is_on_trial=False, progress=SimpleNamespace(sends=1))
+
+
+async def admit_soon(gate: CrashGate, request: Any) -> bool:
+    async with asyncio.timeout(0.2):
+        return await gate.admit(request)
+
+
+def test_one_request_at_a_time_is_on_trial() -> None:
+    async def work() -> None:
+        gate, first, second = make_gate(), make_request(), make_request()
+        assert await admit_soon(gate, first)
+        with pytest.raises(TimeoutError):
+            await admit_soon(gate, second)
+        gate.end_attempt(first)
+        assert await admit_soon(gate, second)
+
+    asyncio.run(work())
+
+
+# Guards against a request on trial that waits for itself when it looks for a target again.
+def test_a_request_on_trial_does_not_wait_for_itself() -> None:
+    async def work() -> None:
+        gate, request = make_gate(), make_request()
+        assert await admit_soon(gate, request)
+        assert await admit_soon(gate, request)
+        gate.end_attempt(request)
+        gate.end_attempt(request)
+        assert await admit_soon(gate, make_request())
+
+    asyncio.run(work())
