--- a/rhubarbbend/gateway/_attempts.py
+++ b/rhubarbbend/gateway/_attempts.py
@@ -48,6 +48,9 @@
     {AttemptOutcome.BROKEN, AttemptOutcome.MISDIRECTED, AttemptOutcome.REJECTED}
 )
 
+# Parts of a prompt that a log line names.
+MAX_LOGGED_PARTS: Final = 12
+
 
 class RetryBudgetExhausted(Exception):
     """A retry is needed, but this instance's share of the retry budget is exhausted."""
@@ -280,6 +283,7 @@
             after=round(self._clock() - request.arrived_at, 4),
             last_event=request.relay.last_id or None,
             content=request.digest,
+            parts=_list_logged_parts(request),
         )
         if failure.stage is SendStage.CONNECT:
             return AttemptOutcome.UNREACHED
@@ -318,3 +322,12 @@
         if answer.idle_timeout_s is not None:
             connection.idle_timeout_s = answer.idle_timeout_s - IDLE_MARGIN_S
         self._pool.release(connection, self._clock())
+
+
+def _list_logged_parts(request: OpenRequest) -> list[str] | None:
+    """Return the ids of the first and the last of the shared parts of a prompt, for log lines."""
+    prompt = request.caller.prompt
+    if prompt is None:
+        return None
+    ids = [part.id for part in prompt.parts[:-1]]
+    return ids if len(ids) <= MAX_LOGGED_PARTS else [*ids[:4], "...", *ids[4 - MAX_LOGGED_PARTS :]]
