--- a/standins/_worker.py
+++ b/standins/_worker.py
@@ -129,7 +129,7 @@
         self._received.append(
             ReceivedRequest(attempt_id, method, target, headers, body.decode("latin-1"), will_run)
         )
-        crashes = will_run and bool(faults.crash_on) and faults.crash_on.encode() in body
+        crashes = will_run and self._is_crashed_by(headers, body)
         self._write_arrival(
             attempt_id, head, headers.get("tenant", ""), will_run, expected, crashes
         )
@@ -146,6 +146,13 @@
             return await self._crash(conn, headers, target, body, writer)
         return await self._run(conn, headers, target, body, reader, writer)
 
+    def _is_crashed_by(self, headers: dict[str, str], body: bytes) -> bool:
+        faults = self._faults
+        if faults.crash_on and faults.crash_on.encode() in body:
+            return True
+        parts = [entry.partition(":")[0] for entry in headers.get("prefix-hash", "").split(",")]
+        return not set(faults.crash_on_parts).isdisjoint(parts[:-1])
+
     async def _crash(
         self,
         conn: h11.Connection,
@@ -156,6 +163,7 @@
     ) -> bool:
         """Crash, or become a new incarnation; in a stream, after the events that are to be sent."""
         faults = self._faults
+        await asyncio.sleep(faults.crash_delay)
         if faults.crash_after_events >= 0 and target.endswith("stream"):
             id_headers = [("Attempt-Id", headers.get("attempt-id", ""))]
             response = BodyWriter(conn, writer, faults.unframed)
--- a/standins/_worker_types.py
+++ b/standins/_worker_types.py
@@ -52,6 +52,10 @@
     # after so many events.
     crash_on: str = ""
     crash_after_events: int = -1
+    # Exit the process as well when a part of a prompt other than its last one has one of these ids;
+    # wait this long before, in which other requests run.
+    crash_on_parts: list[str] = []
+    crash_delay: float = 0.0
     # Reset new connections beyond this number; -1: accept any number.
     max_connections: int = -1
     # Instead of exiting, close all connections and be at once a new incarnation with this id.
