--- a/rhubarbbend/core/_suspects.py
+++ b/rhubarbbend/core/_suspects.py
@@ -16,7 +16,7 @@
 from rhubarbbend import codes
 from rhubarbbend.core import events
 from rhubarbbend.core._context import Context, EventHandler
-from rhubarbbend.core.crashes import CrashLedger, Judgement, Loss, RefusalRules
+from rhubarbbend.core.crashes import Content, CrashLedger, Judgement, Loss, RefusalRules
 from rhubarbbend.core.messages import CrashCount, CrashNotice, Message
 
 # A request with one crash counted against it is delayed by this many seconds before it is sent. Its
@@ -53,7 +53,9 @@
         hold = context.options.suspect_hold
         rules = RefusalRules()
         self._ledger = CrashLedger(
-            RefusalRules(context.options.suspect_limit, min(rules.first_s, hold), hold)
+            RefusalRules(
+                context.options.suspect_limit, first_s=min(rules.first_s, hold), repeated_s=hold
+            )
         )
         self._limit_listener: LimitListener = lambda digest, now: None
 
@@ -86,7 +88,9 @@
         A probe has shown that the target has ended. No crash is counted if the attempt was sent
         after that: a dead target can be selected until its owner detects the failure.
         """
-        loss = self._ledger.make_loss(digest, crash.boot_id, crash.dispatched_at, crash.failed_at)
+        loss = self._ledger.make_loss(
+            Content(digest), crash.boot_id, crash.dispatched_at, crash.failed_at
+        )
         if not self._add_crash(digest, loss, now):
             return
         self._context.count(codes.SUSPECTS)
--- a/rhubarbbend/core/crashes/__init__.py
+++ b/rhubarbbend/core/crashes/__init__.py
@@ -1,6 +1,16 @@
-"""Judges which requests crash the targets that run them; for both interfaces."""
+"""Judges which requests, and which parts of prompts, crash targets; for both interfaces."""
 
+from rhubarbbend.core.crashes._content import Content, is_part_key, make_part_key
 from rhubarbbend.core.crashes._ledger import CrashLedger, RefusalRules
 from rhubarbbend.core.crashes._losses import Fate, Judgement, Loss
 
-__all__ = ["CrashLedger", "Fate", "Judgement", "Loss", "RefusalRules"]
+__all__ = [
+    "Content",
+    "CrashLedger",
+    "Fate",
+    "Judgement",
+    "Loss",
+    "RefusalRules",
+    "is_part_key",
+    "make_part_key",
+]
--- a/rhubarbbend/core/crashes/_ledger.py
+++ b/rhubarbbend/core/crashes/_ledger.py
@@ -1,32 +1,36 @@
-"""Keeps the losses of targets by the requests that they were running, and judges the requests.
+"""Keeps the losses of targets by what their requests held, and judges requests.
 
-A request can crash each target that runs it, and its caller may send it again to any instance.
-Every other request on those targets is lost with them, so such a request is refused. What breaks a
-connection may also be the network, a target that was stopped, or the crash of another request:
+A request can crash each target that runs it, and its caller may send it again to any instance; so
+can a part that many prompts hold, whatever else they hold. Every other request on those targets is
+lost with them. So what crashes targets is refused. What breaks a connection may also be the
+network, a target that was stopped, or the crash of another request:
 
 - A target that is met again was not crashed (`Fate.ALIVE`).
 - Losses count only one after the other: the request was sent to a target after the loss before.
-- A request that completes somewhere does not crash targets.
-- If other requests were at the same crashes, or other targets ended at the same time, one crash
-  more has to tell.
+- What completes somewhere does not crash targets.
+- A request that holds everything that was at all the crashes is refused. Of one that holds some of
+  it, the next attempt has to tell, one at a time.
+- If other targets ended at the same time, one crash more has to tell.
 """
 
 from __future__ import annotations
 
 import math
 from collections import OrderedDict
+from collections.abc import Collection, Iterable, Iterator
+from itertools import islice
 from typing import Final
 
 import msgspec
 
+from rhubarbbend.core.crashes._content import Content, is_part_key
 from rhubarbbend.core.crashes._losses import Fate, Judgement, Loss, count_in_sequence
+from rhubarbbend.core.crashes._targets import MAX_TARGETS, LostTargets
 
-# Digests kept, about 300 bytes each; a crash adds one for each request that the target was running.
-MAX_DIGESTS: Final = 2_000
-# Targets that are kept although no loss refers to them any longer, at most.
-MAX_TARGETS: Final = 1_000
-# Targets that ended within this time of one another may have done so for one reason.
-TOGETHER_S: Final = 0.4
+# Causes kept, about 350 bytes each; a crash adds those in each request that the target was running.
+MAX_CAUSES: Final = 20_000
+# Oldest causes that are looked at for one that has lost a single target.
+MAX_EVICTION_STEPS: Final = 50
 # A target that was met again may turn out to have started again: the store's rows show it so much
 # later at most. Until then its losses are kept.
 RESTART_NOTICE_S: Final = 10.0
@@ -40,219 +44,258 @@
     """When a request is refused, and for how long after its last crash.
 
     `limit` is the number of crashes, one after the other; it takes one more if they may have had
-    another cause. `first_s` is how long a request is refused that has just reached it: if that was
-    wrong, it is served again. One that crashes a target then is refused for `repeated_s`.
+    another cause, and `part_limit_beside` for a part if something else was at all of them.
+    `first_s` is how long a request is refused that has just reached it: if that was wrong, it is
+    served again. One that crashes a target then is refused for `repeated_s`. A part is refused for
+    `stagger_s` longer at first, by which instances differ: not all of them try it again together.
     """
 
     limit: int = 2
+    part_limit_beside: int = 5
     first_s: float = 30.0
     repeated_s: float = 600.0
-
-
-class _LostTarget:
-    """One start of a target that was lost, and may have been met again since."""
-
-    __slots__ = ("first_lost_at", "met_at", "has_ended", "is_certain")
-
-    def __init__(self, lost_at: float) -> None:
-        # When it was first lost since it was last met.
-        self.first_lost_at = lost_at
-        # The latest time at which it is known to have been running.
-        self.met_at = -math.inf
-        self.has_ended = False
-        # Whether its end stands against everything else.
-        self.is_certain = False
-
-    def record_loss(self, lost_at: float) -> None:
-        if lost_at <= self.met_at:
-            return
-        is_first = self.first_lost_at <= self.met_at
-        self.first_lost_at = lost_at if is_first else min(self.first_lost_at, lost_at)
-
-    def get_fate(self, lost_at: float) -> Fate:
-        """Return what became of the target after a loss."""
-        if self.has_ended and (self.is_certain or lost_at > self.met_at):
-            return Fate.ENDED
-        return Fate.ALIVE if lost_at <= self.met_at else Fate.UNKNOWN
+    stagger_s: float = 0.0
 
 
 class CrashLedger:
-    """Losses by request digest. Invariant: a target counts at most once for a digest."""
+    """Losses by possible cause: a request's digest, or a part of its prompt.
+
+    Invariant: a target counts at most once for a cause.
+    """
 
     def __init__(self, rules: RefusalRules | None = None) -> None:
         self.rules = rules or RefusalRules()
         self._losses: OrderedDict[str, dict[str, Loss]] = OrderedDict()
-        self._targets: dict[str, _LostTarget] = {}
+        self._targets = LostTargets()
         self._expired_at = -math.inf
 
-    def make_loss(self, digest: str, target: str, sent_at: float, lost_at: float) -> Loss:
-        """Return a loss that this instance has seen itself."""
-        before = self._losses.get(digest, {}).values()
-        follows = tuple(loss.target for loss in before if loss.lost_at <= sent_at)
-        return Loss(target, sent_at, lost_at, follows)
+    # Records.
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether nothing was lost lately, so that every request is clear."""
+        return not self._losses
 
-    def record_loss(self, digest: str, loss: Loss) -> bool:
+    def make_loss(self, content: Content, target: str, sent_at: float, lost_at: float) -> Loss:
+        """Return a loss that this instance has seen itself."""
+        known = (self._losses.get(cause, {}) for cause in (content.digest, *content.parts))
+        before = {
+            loss.target for losses in known for loss in losses.values() if loss.lost_at <= sent_at
+        }
+        accounts = (content.account,) if content.account else ()
+        return Loss(target, sent_at, lost_at, tuple(sorted(before)), accounts)
+
+    def record_request_loss(self, digest: str, parts: Iterable[str], loss: Loss) -> bool:
         """Record that a target was lost under a request; return whether this is new."""
-        losses = self._losses.setdefault(digest, {})
-        self._losses.move_to_end(digest)
-        known = losses.get(loss.target)
-        target = self._targets.setdefault(loss.target, _LostTarget(loss.lost_at))
-        if known is not None and target.met_at < known.lost_at:
-            # Reported by another instance, or a path accepts connections for a target that is gone.
+        if not self.record_loss(digest, loss):
+            return False
+        for part in parts:
+            known = self._losses.get(part, {}).get(loss.target)
+            if not self.record_loss(part, loss) and known is not None:
+                self._losses[part][loss.target] = known.merge(loss)
+        return True
+
+    def record_loss(self, cause: str, loss: Loss) -> bool:
+        """Record that a target was lost under a cause; return whether this is new."""
+        losses = self._losses.setdefault(cause, {})
+        self._losses.move_to_end(cause)
+        if not self._targets.record_loss(loss, losses.get(loss.target)):
             return False
         losses[loss.target] = loss
-        target.record_loss(loss.lost_at)
-        if len(self._losses) > MAX_DIGESTS:
-            self._losses.popitem(last=False)
+        if len(self._losses) > MAX_CAUSES:
+            self._evict()
         if len(self._targets) > MAX_TARGETS:
             self._forget_targets()
         return True
 
+    def _evict(self) -> None:
+        """Remove the oldest cause that has lost one target, else the oldest one."""
+        oldest = islice(self._losses.items(), MAX_EVICTION_STEPS)
+        single = next((cause for cause, losses in oldest if len(losses) == 1), None)
+        if single is None:
+            self._losses.popitem(last=False)
+        else:
+            del self._losses[single]
+
     def record_end(self, target: str, is_certain: bool = False) -> bool:
         """Record that a lost target has ended; return whether that was not known.
 
         What `is_certain` stands against everything else: the target has started again.
         """
-        record = self._targets.get(target)
-        if record is None or (record.has_ended and record.is_certain >= is_certain):
-            return False
-        record.has_ended = True
-        record.is_certain = is_certain
-        return True
+        return self._targets.record_end(target, is_certain)
 
     def record_met(self, target: str, at: float) -> bool:
         """Record that a target was running at a time; return whether a loss is explained by it."""
-        record = self._targets.get(target)
-        if record is None or at <= record.met_at:
-            return False
-        is_explained = record.met_at < record.first_lost_at <= at
-        record.met_at = at
-        if not record.is_certain:
-            record.has_ended = False
-        return is_explained
-
-    def record_completion(self, digest: str, completed_at: float) -> bool:
-        """Remove the losses before a request ran to completion; return whether there were any."""
-        losses = self._losses.get(digest)
+        return self._targets.record_met(target, at)
+
+    def record_completion(self, cause: str, at: float) -> bool:
+        """Remove the losses before a time; return whether there were any.
+
+        At that time, a request ran to completion, or a target began to answer on a part with which
+        it then went on.
+        """
+        losses = self._losses.get(cause)
         if losses is None:
             return False
-        later = {t: loss for t, loss in losses.items() if loss.lost_at > completed_at}
+        later = {t: loss for t, loss in losses.items() if loss.lost_at > at}
         if later:
-            self._losses[digest] = later
+            self._losses[cause] = later
         else:
-            del self._losses[digest]
+            del self._losses[cause]
         return len(later) < len(losses)
 
+    def list_suspect_parts(self, content: Content) -> list[str]:
+        """Return the parts of a request under which targets were lost."""
+        return [part for part in content.parts if part in self._losses] if self._losses else []
+
+    def list_losses(self, now: float) -> list[tuple[str, Loss]]:
+        """Return all losses that count, with their causes."""
+        return [(cause, loss) for cause in self._losses for loss in self._list_valid(cause, now)]
+
+    def list_ended(self) -> list[str]:
+        """Return the lost targets that are known to have ended."""
+        return self._targets.list_ended()
+
+    def is_lost(self, target: str, sent_at: float) -> bool:
+        """Return whether a target was lost before a time, and not met again since."""
+        return self._targets.is_lost(target, sent_at)
+
+    # Judgement.
+
     def judge(self, digest: str, now: float) -> Judgement:
+        """Return whether a request may be sent, by its digest alone."""
+        return self._judge_digest(digest, (digest,), now)
+
+    def judge_content(self, content: Content, now: float) -> Judgement:
         """Return whether a request may be sent, and what is to be found out before."""
+        return self.find_cause(content, now)[1]
+
+    def find_cause(self, content: Content, now: float) -> tuple[str, Judgement]:
+        """Return the gravest judgement on a request, and the cause that it is about."""
+        if not self._losses:
+            return content.digest, Judgement.CLEAR
+        own = {content.digest, *content.parts}
+        gravest = content.digest, self._judge_digest(content.digest, own, now)
+        for part in self.list_suspect_parts(content):
+            judgement = self._judge_part(part, content.account, own, now)
+            if judgement.gravity > gravest[1].gravity:
+                gravest = part, judgement
+        return gravest
+
+    def _judge_digest(self, digest: str, own: Collection[str], now: float) -> Judgement:
         losses = self._list_valid(digest, now)
         if not losses:
             return Judgement.CLEAR
-        ended = [loss for loss in losses if self._get_fate(loss) is Fate.ENDED]
+        ended = self._select_ended(losses)
         crashes = count_in_sequence(ended)
         needed = self.rules.limit
-        if crashes == needed and self._is_ambiguous(digest, losses, ended, now):
+        if crashes == needed and (
+            self._has_companion(own, ended, now) or self._has_other_cause(losses, ended)
+        ):
             needed += 1
         if crashes >= needed:
-            is_refused = now - ended[-1].lost_at < self._get_refusal_s(crashes)
+            is_refused = self._compute_left(digest, losses, now) > 0.0
             return Judgement.REFUSED if is_refused else Judgement.SUSPECT
+        return self._judge_below_limit(losses, ended, needed, now)
+
+    def _judge_part(self, part: str, account: str, own: Collection[str], now: float) -> Judgement:
+        """Return what the losses under a part say of a request that holds all causes in `own`.
+
+        Callers name the parts themselves. So what one account has crashed says nothing of the
+        requests of others until it has crashed targets under a second one.
+        """
+        losses = self._list_valid(part, now)
+        if not losses:
+            return Judgement.CLEAR
+        accounts = {name for loss in losses for name in loss.accounts}
+        if account and len(accounts) == 1 and account not in accounts:
+            return Judgement.SUSPECT
+        ended = self._select_ended(losses)
+        crashes = count_in_sequence(ended)
+        needed = self.rules.limit
+        if crashes >= needed and self._has_companion(own, ended, now):
+            needed = self.rules.part_limit_beside
+        elif crashes >= needed and self._has_other_cause(losses, ended):
+            needed += 1
+        if crashes >= needed:
+            is_refused = self._compute_left(part, losses, now) > 0.0
+            return Judgement.REFUSED if is_refused else Judgement.ON_TRIAL
+        return self._judge_below_limit(losses, ended, needed, now)
+
+    def _judge_below_limit(
+        self, losses: list[Loss], ended: list[Loss], needed: int, now: float
+    ) -> Judgement:
         is_recent = now - losses[-1].lost_at < MAX_UNDECIDED_S
         if count_in_sequence(losses) >= needed and is_recent:
             return Judgement.UNDECIDED
         return Judgement.ON_TRIAL if len(ended) >= self.rules.limit else Judgement.SUSPECT
 
-    def compute_refusal_left(self, digest: str, now: float) -> float:
-        """Return for how many more seconds a refused request is refused."""
-        losses = self._list_valid(digest, now)
-        ended = [loss for loss in losses if self._get_fate(loss) is Fate.ENDED]
+    def compute_refusal_left(self, cause: str, now: float) -> float:
+        """Return for how many more seconds a refused cause is refused."""
+        return self._compute_left(cause, self._list_valid(cause, now), now)
+
+    def _compute_left(self, cause: str, losses: list[Loss], now: float) -> float:
+        ended = self._select_ended(losses)
         if not ended:
             return 0.0
-        refusal_s = self._get_refusal_s(count_in_sequence(ended))
-        return max(0.0, ended[-1].lost_at + refusal_s - now)
-
-    def _get_refusal_s(self, crashes: int) -> float:
         rules = self.rules
-        return rules.repeated_s if crashes > rules.limit else rules.first_s
-
-    def _is_ambiguous(self, digest: str, losses: list[Loss], ended: list[Loss], now: float) -> bool:
-        """Return whether the ends of targets may have had another cause than the request.
-
-        `losses` are all of the request, `ended` those of targets that have ended.
-        """
-        own = {loss.target for loss in losses}
-        return self._has_companion(digest, ended, now) or self._has_other_cause(own, ended)
-
-    def count_crashes(self, digest: str, now: float) -> int:
-        """Return the number of targets that have ended under a request."""
-        losses = self._list_valid(digest, now)
-        return sum(self._get_fate(loss) is Fate.ENDED for loss in losses)
-
-    def list_undecided(self, digest: str, now: float) -> list[str]:
-        """Return the targets lost under a request of which it is not known what became of them."""
-        losses = self._list_valid(digest, now)
-        return [loss.target for loss in losses if self._get_fate(loss) is Fate.UNKNOWN]
-
-    def list_losses(self, now: float) -> list[tuple[str, Loss]]:
-        """Return all losses that count, with their digests."""
-        return [(digest, loss) for digest in self._losses for loss in self._list_valid(digest, now)]
-
-    def list_ended(self) -> list[str]:
-        """Return the lost targets that are known to have ended."""
-        return [target for target, record in self._targets.items() if record.has_ended]
-
-    def is_lost(self, target: str, sent_at: float) -> bool:
-        """Return whether a target was lost before a time, and not met again since."""
-        record = self._targets.get(target)
-        return record is not None and record.met_at < record.first_lost_at < sent_at
+        is_repeated = count_in_sequence(ended) > rules.limit
+        refusal_s = rules.repeated_s if is_repeated else rules.first_s
+        if is_part_key(cause) and not is_repeated:
+            refusal_s += rules.stagger_s
+        return max(0.0, ended[-1].lost_at + refusal_s - now)
 
-    def expire(self, now: float) -> None:
-        """Remove what is too old to count, every `EXPIRY_INTERVAL_S`."""
-        if now - self._expired_at < EXPIRY_INTERVAL_S:
-            return
-        self._expired_at = now
-        for digest, losses in list(self._losses.items()):
-            is_recent = any(now - loss.lost_at < RESTART_NOTICE_S for loss in losses.values())
-            if not is_recent and not self._list_valid(digest, now):
-                del self._losses[digest]
-        self._forget_targets()
+    def count_crashes(self, cause: str, now: float) -> int:
+        """Return the number of targets that have ended under a cause."""
+        return len(self._select_ended(self._list_valid(cause, now)))
 
-    def _list_valid(self, digest: str, now: float) -> list[Loss]:
-        """Return the losses of a digest that may be its doing, in the order of their times.
+    def list_undecided(self, cause: str, now: float) -> list[str]:
+        """Return the targets lost under a cause of which it is not known what became of them."""
+        losses = self._list_valid(cause, now)
+        return [loss.target for loss in losses if self._targets.get_fate(loss) is Fate.UNKNOWN]
 
-        A request that was sent after a target is known to have been lost was not running there: a
-        path may still accept connections for a target that is gone.
-        """
+    def _list_valid(self, cause: str, now: float) -> list[Loss]:
+        """Return the losses that a cause may have led to, in the order of their times."""
         valid = [
             loss
-            for loss in self._losses.get(digest, {}).values()
-            if self._get_fate(loss) is not Fate.ALIVE
-            and loss.sent_at <= self._targets[loss.target].first_lost_at
+            for loss in self._losses.get(cause, {}).values()
+            if self._targets.get_fate(loss) is not Fate.ALIVE
+            and self._targets.was_running(loss)
             and now - loss.lost_at < self.rules.repeated_s
         ]
         return sorted(valid, key=lambda loss: loss.lost_at)
 
-    def _get_fate(self, loss: Loss) -> Fate:
-        record = self._targets.get(loss.target)
-        return Fate.ALIVE if record is None else record.get_fate(loss.lost_at)
+    def _select_ended(self, losses: list[Loss]) -> list[Loss]:
+        return [loss for loss in losses if self._targets.get_fate(loss) is Fate.ENDED]
 
-    def _has_companion(self, digest: str, ended: list[Loss], now: float) -> bool:
-        """Return whether another request was running at each of the targets that ended."""
+    def _has_companion(self, own: Collection[str], ended: list[Loss], now: float) -> bool:
+        """Return whether something that is not `own` was at each of the targets that ended."""
         targets = {loss.target for loss in ended}
         return any(
             targets <= {loss.target for loss in self._list_valid(other, now)}
-            for other, losses in self._losses.items()
-            if other != digest and targets <= losses.keys()
+            for other in self._list_lost_with(targets)
+            if other not in own
         )
 
-    def _has_other_cause(self, own: set[str], ended: list[Loss]) -> bool:
+    def _list_lost_with(self, targets: set[str]) -> Iterator[str]:
+        return (cause for cause, losses in self._losses.items() if targets <= losses.keys())
+
+    def _has_other_cause(self, losses: list[Loss], ended: list[Loss]) -> bool:
         """Return whether targets were lost together with these that did not run the request."""
-        others = [
-            record.first_lost_at
-            for target, record in self._targets.items()
-            if target not in own and record.met_at < record.first_lost_at
-        ]
-        return any(abs(at - loss.lost_at) < TOGETHER_S for at in others for loss in ended)
+        return self._targets.has_lost_others({loss.target for loss in losses}, ended)
+
+    # Expiry.
+
+    def expire(self, now: float) -> None:
+        """Remove what is too old to count, every `EXPIRY_INTERVAL_S`."""
+        if now - self._expired_at < EXPIRY_INTERVAL_S:
+            return
+        self._expired_at = now
+        for cause, losses in list(self._losses.items()):
+            is_recent = any(now - loss.lost_at < RESTART_NOTICE_S for loss in losses.values())
+            if not is_recent and not self._list_valid(cause, now):
+                del self._losses[cause]
+        self._forget_targets()
 
     def _forget_targets(self) -> None:
-        lost = {target for losses in self._losses.values() for target in losses}
-        self._targets = {t: record for t, record in self._targets.items() if t in lost}
+        self._targets.forget_all_but({t for losses in self._losses.values() for t in losses})
--- a/rhubarbbend/core/crashes/_losses.py
+++ b/rhubarbbend/core/crashes/_losses.py
@@ -34,18 +34,49 @@
     # Targets ended under it one after the other.
     REFUSED = "refused"
 
+    @property
+    def gravity(self) -> int:
+        """The rank of the judgement, 0 for `CLEAR`."""
+        return _ORDER.index(self)
+
+
+_ORDER: Final = (
+    Judgement.CLEAR,
+    Judgement.SUSPECT,
+    Judgement.ON_TRIAL,
+    Judgement.UNDECIDED,
+    Judgement.REFUSED,
+)
+
 
 class Loss(msgspec.Struct, frozen=True):
     """A connection on which a target was running a request broke; local times in seconds.
 
     `target` identifies one start of a target. `follows` holds the targets that were known to be
-    lost, where this loss was seen, when the request was sent.
+    lost, where this loss was seen, when the request was sent. `accounts` are those of up to two
+    client accounts that sent it.
     """
 
     target: str
     sent_at: float
     lost_at: float
     follows: tuple[str, ...] = ()
+    accounts: tuple[str, ...] = ()
+
+    def merge(self, other: Loss) -> Loss:
+        """Return one loss for two requests that hold the same cause, at the same target.
+
+        The later one tells what had been lost before; both were lost at the earlier time.
+        """
+        if other == self:
+            return self
+        return Loss(
+            self.target,
+            max(self.sent_at, other.sent_at),
+            min(self.lost_at, other.lost_at),
+            tuple(dict.fromkeys((*self.follows, *other.follows))),
+            tuple(dict.fromkeys((*self.accounts, *other.accounts)))[:2],
+        )
 
     def comes_after(self, other: Loss) -> bool:
         """Return whether the request was sent here after another loss.
--- a/rhubarbbend/gateway/_answer_forwarder.py
+++ b/rhubarbbend/gateway/_answer_forwarder.py
@@ -31,7 +31,7 @@
         self._latencies = latencies
         self._clock = clock
         # Called with the first event of each stream that comes from a target; set by the instance.
-        self.on_stream_begun: Callable[[OpenRequest, Target], None] = lambda *_: None
+        self.on_stream_begun: list[Callable[[OpenRequest, Target], None]] = []
         # Whether a target that has closed a connection has ended; set by the instance.
         self.has_ended: Callable[[Target], Awaitable[bool]] = _assume_running
 
@@ -118,7 +118,8 @@
             self._latencies.record_first_event(request.route, request.first_event_at - sent_at)
             connection.reset_longest_receive_gap()
             if target is not None:
-                self.on_stream_begun(request, target)
+                for handle in self.on_stream_begun:
+                    handle(request, target)
 
         relay.begin_response(is_resumed, record_first_event)
         await connection.relay_body(relay, timeout_policy)
--- a/rhubarbbend/gateway/_attempts.py
+++ b/rhubarbbend/gateway/_attempts.py
@@ -152,6 +152,7 @@
         outcome = AttemptOutcome.BROKEN
         answer: TargetResponseHead | None = None
         self._liveness.add_connection(choice.target.id, connection)
+        request.is_in_flight = True
         try:
             self._send(request, choice, connection)
             answer = await self._answers.receive_head(request, choice.target, connection)
@@ -167,6 +168,7 @@
                 # This says nothing about the target's health.
                 return outcome
         finally:
+            request.is_in_flight = False
             self._liveness.discard_connection(choice.target.id, connection)
             self._release_or_close(connection, answer, outcome)
         if outcome in (AttemptOutcome.REJECTED, AttemptOutcome.MISDIRECTED, AttemptOutcome.FAILED):
--- a/rhubarbbend/gateway/_crash_detector.py
+++ b/rhubarbbend/gateway/_crash_detector.py
@@ -13,10 +13,10 @@
 from typing import Any, Final
 
 from rhubarbbend import codes
-from rhubarbbend.core.crashes import Fate, Loss
+from rhubarbbend.core.crashes import Fate, is_part_key
 from rhubarbbend.core.directory import Target, TargetState, get_target_id
 from rhubarbbend.gateway._crash_news import CrashNews
-from rhubarbbend.gateway._peer_updates import make_loss_report
+from rhubarbbend.gateway._peer_updates import LossReport, make_loss_report
 from rhubarbbend.gateway._requests import OpenRequest
 from rhubarbbend.gateway._state import State, read_clock
 from rhubarbbend.gateway._target_checker import TargetChecker
@@ -28,6 +28,8 @@
 CHECK_TIMEOUT_S: Final = 0.2
 # If several targets become unreachable within this time, the cause may be this instance's links.
 SIMULTANEOUS_LOSS_WINDOW_S: Final = 0.4
+# A target that a part crashes ends within this time of beginning to answer; events may have come.
+BEGIN_S: Final = 0.5
 # Lost targets that are remembered after their registrations have gone.
 MAX_LOST_TARGETS: Final = 500
 
@@ -48,31 +50,61 @@
         self._contacts: dict[str, asyncio.Task[bool]] = {}
 
     def handle_loss(self, request: OpenRequest, target: Target, now: float) -> None:
-        """Record that a target was lost while it ran a request."""
+        """Record that a target was lost while it ran a request.
+
+        It ends as it begins to answer on a part that crashes it, so what it had been writing for
+        a while holds no such part.
+        """
         if target.state is TargetState.DRAINING or target.is_registration_missing:
             self._log_doubt(request.id, request.digest, target, "the target is leaving")
             return
         ledger = self._state.crashes
-        loss = ledger.make_loss(request.digest, target.incarnation, request.sent_at, now)
-        if not ledger.record_loss(request.digest, loss):
+        content = request.content
+        loss = ledger.make_loss(content, target.incarnation, request.sent_at, now)
+        has_gone_on = request.first_event_at is not None and now - request.first_event_at > BEGIN_S
+        parts = () if has_gone_on else content.parts
+        if not ledger.record_request_loss(request.digest, parts, loss):
             return
         self._lost_targets[target.incarnation] = target
         if len(self._lost_targets) > MAX_LOST_TARGETS:
             self._lost_targets.popitem(last=False)
-        self._spawn(self._report_loss(request.id, request.digest, target, loss))
+        report = make_loss_report(request.digest, loss, now, parts)
+        self._spawn(self._report_loss(request.id, target, report, now))
 
     def handle_answer(self, request: OpenRequest, target: Target, now: float) -> None:
         """Record that a request ran to completion at a target."""
         ledger = self._state.crashes
         if ledger.record_completion(request.digest, now):
-            self._news.tell_completion(request.digest, now)
+            self._news.tell_completion(request.digest, now, now)
+        began_at = request.sent_at if request.first_event_at is None else request.first_event_at
+        self._clear_parts(request, began_at, now)
         if ledger.is_lost(target.incarnation, request.sent_at):
             ledger.record_met(target.incarnation, request.sent_at)
             self._news.tell_met(target.incarnation, request.sent_at, now)
 
-    async def settle(self, request: OpenRequest) -> None:
-        """Find out what became of the targets that were lost under a request."""
-        lost = self._state.crashes.list_undecided(request.digest, read_clock())
+    def handle_begun(self, request: OpenRequest, target: Target) -> None:
+        """Clear the parts of a stream that has begun, if it goes on for a while."""
+        began_at = request.first_event_at
+        if began_at is None or not self._state.crashes.list_suspect_parts(request.content):
+            return
+
+        def clear() -> None:
+            if request.is_in_flight and request.first_event_at == began_at:
+                self._clear_parts(request, began_at, read_clock())
+
+        asyncio.get_running_loop().call_later(BEGIN_S, clear)
+
+    def _clear_parts(self, request: OpenRequest, began_at: float, now: float) -> None:
+        """Take back the losses before a target began to answer on the parts of a request."""
+        ledger = self._state.crashes
+        if ledger.is_empty:
+            return
+        for part in ledger.list_suspect_parts(request.content):
+            if ledger.record_completion(part, began_at):
+                self._news.tell_completion(part, began_at, now)
+
+    async def settle(self, request: OpenRequest, lost: list[str]) -> None:
+        """Find out what became of targets that were lost under a request."""
         checks: list[asyncio.Task[None]] = []
         for incarnation in lost:
             check = self._checks.get(incarnation)
@@ -104,13 +136,15 @@
             state.metrics.increment_counter(codes.SUSPECTS)
             state.health.record_unreachable(target.id, read_clock())
             self._news.tell_end(incarnation)
+            cause, judgement = state.crashes.find_cause(request.content, read_clock())
             self._log(
                 "crash_counted",
                 id=request.id,
                 digest=request.digest,
+                part=cause if is_part_key(cause) else None,
                 target=target.id,
-                crashes=state.crashes.count_crashes(request.digest, read_clock()),
-                judgement=state.crashes.judge(request.digest, read_clock()).value,
+                crashes=state.crashes.count_crashes(cause, read_clock()),
+                judgement=judgement.value,
             )
 
     def _find_target(self, incarnation: str) -> Target | None:
@@ -119,7 +153,9 @@
             return registered
         return self._lost_targets.get(incarnation)
 
-    async def _report_loss(self, request: str, digest: str, target: Target, loss: Loss) -> None:
+    async def _report_loss(
+        self, request: str, target: Target, report: LossReport, lost_at: float
+    ) -> None:
         """Tell all instances of a loss, at once if the target accepts no connection.
 
         One that does has most likely only closed one. Requests lost with a target share a check.
@@ -131,11 +167,11 @@
             self._contacts[target.incarnation] = contact
         is_reachable = await contact
         now = read_clock()
-        self._news.tell_loss(make_loss_report(digest, loss, now), not is_reachable, now)
+        self._news.tell_loss(report.add_age(now - lost_at), not is_reachable, now)
         if not is_first:
             return
         try:
-            await self._check_health(request, digest, target, is_reachable)
+            await self._check_health(request, report.digest, target, is_reachable)
         finally:
             del self._contacts[target.incarnation]
 
--- a/rhubarbbend/gateway/_crash_gate.py
+++ b/rhubarbbend/gateway/_crash_gate.py
@@ -1,4 +1,7 @@
-"""Holds or refuses requests under which targets were lost, before each attempt."""
+"""Holds or refuses requests under which targets were lost, before each attempt.
+
+That is so for equal requests, and for those whose prompts hold a part under which they were lost.
+"""
 
 from __future__ import annotations
 
@@ -19,53 +22,80 @@
 # For this long after the start, requests wait for what the other instances know. They reply within
 # some ms once this instance has read their addresses.
 START_WAIT_S: Final = 0.8
+# How often a request that waits for the trial of another one looks whether it may go on: a part may
+# be cleared by another instance, or before the trial has ended.
+TRIAL_CHECK_INTERVAL_S: Final = 0.1
+# A request waits so long for the trial of another one that holds the same part.
+MAX_PART_TRIAL_WAIT_S: Final = 1.5
 
 
 class CrashGate:
-    """Lets requests pass. Invariant: a content that is on trial has one attempt in progress."""
+    """Lets requests pass. Invariant: a cause that is on trial has one attempt in progress."""
 
     def __init__(self, state: State, detector: CrashDetector, clock: Clock) -> None:
         self._state = state
         self._detector = detector
         self._clock = clock
-        # Set when the attempt of a digest that is on trial has ended.
+        # Set when the attempt of a cause that is on trial has ended.
         self._trials: dict[str, asyncio.Event] = {}
 
+    def refuses(self, request: OpenRequest, now: float) -> bool:
+        """Return whether it is known that a request crashes targets."""
+        return self._find_cause(request, now)[1] is Judgement.REFUSED
+
     async def admit(self, request: OpenRequest) -> bool:
         """Wait until it is known whether a request may be sent, and return whether it may.
 
         If it is on trial, `end_attempt` has to follow, whether it was sent or not.
         """
-        if request.is_on_trial:
+        if request.trial is not None:
             return True
         await self._wait_for_start()
         if self._judge(request) is Judgement.CLEAR:
             return True
         self._state.metrics.increment_counter(codes.SUSPECTS_HELD)
-        if request.progress.sends == 0:
+        is_repeated = (
+            self._state.crashes.judge(request.digest, self._clock()) is not Judgement.CLEAR
+        )
+        if is_repeated and request.progress.sends == 0:
             await asyncio.sleep(NOTICE_DELAY_S)
         await self._await_verdict(request)
-        while self._judge(request) is Judgement.ON_TRIAL:
-            trial = self._trials.get(request.digest)
-            if trial is None:
-                self._trials[request.digest] = asyncio.Event()
-                request.is_on_trial = True
-                return True
-            await trial.wait()
+        await self._begin_trial(request)
         return self._judge(request) is not Judgement.REFUSED
 
+    async def _begin_trial(self, request: OpenRequest) -> None:
+        """Wait until no other request is on trial for the same cause."""
+        give_up_at = self._clock() + MAX_PART_TRIAL_WAIT_S
+        while True:
+            cause, judgement = self._find_cause(request, self._clock())
+            if judgement is not Judgement.ON_TRIAL:
+                return
+            trial = self._trials.get(cause)
+            if trial is None:
+                self._trials[cause] = asyncio.Event()
+                request.trial = cause
+                return
+            if cause != request.digest and self._clock() >= give_up_at:
+                return
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(TRIAL_CHECK_INTERVAL_S):
+                    await trial.wait()
+
     async def _await_verdict(self, request: OpenRequest) -> None:
         """Wait until it is known what became of the lost targets, as far as it can be found out.
 
         Meanwhile the request may lose further ones at other instances.
         """
         settled: list[str] = []
-        while self._judge(request) is Judgement.UNDECIDED:
-            lost = self._state.crashes.list_undecided(request.digest, self._clock())
+        while True:
+            cause, judgement = self._find_cause(request, self._clock())
+            if judgement is not Judgement.UNDECIDED:
+                return
+            lost = self._state.crashes.list_undecided(cause, self._clock())
             if lost == settled:
                 return
             settled = lost
-            await self._detector.settle(request)
+            await self._detector.settle(request, lost)
 
     async def _wait_for_start(self) -> None:
         """Wait, shortly after the start, until the other instances have told what they know."""
@@ -78,9 +108,15 @@
 
     def end_attempt(self, request: OpenRequest) -> None:
         """Let the next attempt of a request that is on trial begin."""
-        if request.is_on_trial:
-            request.is_on_trial = False
-            self._trials.pop(request.digest).set()
+        if request.trial is not None:
+            self._trials.pop(request.trial).set()
+            request.trial = None
 
     def _judge(self, request: OpenRequest) -> Judgement:
-        return self._state.crashes.judge(request.digest, self._clock())
+        return self._find_cause(request, self._clock())[1]
+
+    def _find_cause(self, request: OpenRequest, now: float) -> tuple[str, Judgement]:
+        crashes = self._state.crashes
+        if crashes.is_empty:
+            return request.digest, Judgement.CLEAR
+        return crashes.find_cause(request.content, now)
--- a/rhubarbbend/gateway/_crash_news.py
+++ b/rhubarbbend/gateway/_crash_news.py
@@ -45,9 +45,9 @@
         self._met.append((TargetMet(target, now - at), now))
         self._send_soon(False, now)
 
-    def tell_completion(self, digest: str, now: float) -> None:
-        """Tell that a request under which a target was lost has just run to completion."""
-        self._completed.append((Completion(digest, 0.0), now))
+    def tell_completion(self, cause: str, at: float, now: float) -> None:
+        """Tell that a request with a cause of losses ran at a time, as in `Completion`."""
+        self._completed.append((Completion(cause, now - at), now))
         self._send_soon(False, now)
 
     def tell_end(self, target: str) -> None:
@@ -80,7 +80,7 @@
         self._sent_at = now
         losses = [loss.add_age(now - at) for loss, at in self._losses]
         met = [TargetMet(item.target, item.age + now - at) for item, at in self._met]
-        completed = [Completion(item.digest, now - at) for item, at in self._completed]
+        completed = [Completion(item.cause, item.age + now - at) for item, at in self._completed]
         findings = CrashFindings(met=met, completed=completed) if met or completed else None
         self._losses, self._met, self._completed = [], [], []
         self._broadcast(PeerUpdate(crashes=losses, findings=findings, is_urgent=is_urgent))
--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -124,6 +124,7 @@
         news = CrashNews(self._peers, self._spawn)
         detector = CrashDetector(self.state, news, checker, self._spawn)
         attempts.on_loss = detector.handle_loss
+        attempts.forwarder.on_stream_begun.append(detector.handle_begun)
         attempts.recorder.on_answer = detector.handle_answer
         return CrashGate(self.state, detector, read_clock)
 
@@ -140,7 +141,7 @@
     def _set_up_streams(self, attempts: AttemptRunner) -> StreamOrigins:
         """Have attempts tell which version began each stream, and answer others that ask."""
         origins = StreamOrigins(self.state, self._peers, read_clock)
-        attempts.forwarder.on_stream_begun = origins.record_begun
+        attempts.forwarder.on_stream_begun.append(origins.record_begun)
         self._peer_server.on_stream_query = origins.serve
         return origins
 
--- a/rhubarbbend/gateway/_peer_updates.py
+++ b/rhubarbbend/gateway/_peer_updates.py
@@ -22,8 +22,9 @@
     """Reports that a target was lost while it ran a request.
 
     `digest` identifies the request's content, `target` one start of the target. The request was
-    sent `sent_age` seconds ago and the connection broke `lost_age` seconds ago. `follows` is as in
-    `Loss`.
+    sent `sent_age` seconds ago and the connection broke `lost_age` seconds ago. `follows` and
+    `accounts` are as in `Loss`. `parts` are the keys of the parts on which the target had not begun
+    to answer, or only just.
     """
 
     digest: str
@@ -31,15 +32,13 @@
     sent_age: float = 0.0
     lost_age: float = 0.0
     follows: tuple[str, ...] = ()
+    accounts: tuple[str, ...] = ()
+    parts: tuple[str, ...] = ()
 
     def add_age(self, seconds: float) -> LossReport:
         """Return the report with a time added to its ages."""
-        return LossReport(
-            self.digest,
-            self.target,
-            self.sent_age + seconds,
-            self.lost_age + seconds,
-            self.follows,
+        return msgspec.structs.replace(
+            self, sent_age=self.sent_age + seconds, lost_age=self.lost_age + seconds
         )
 
 
@@ -51,9 +50,12 @@
 
 
 class Completion(msgspec.Struct, frozen=True, array_like=True):
-    """Reports that a request under which a target was lost ran to completion `age` seconds ago."""
+    """Reports that a request under which a target was lost ran to completion `age` seconds ago.
 
-    digest: str
+    `cause` is its digest, or a part on which a target then began to answer and went on.
+    """
+
+    cause: str
     age: float
 
 
@@ -71,7 +73,7 @@
     def add_age(self, seconds: float) -> CrashFindings:
         """Return the findings with a time added to their ages."""
         met = [TargetMet(item.target, item.age + seconds) for item in self.met]
-        completed = [Completion(item.digest, item.age + seconds) for item in self.completed]
+        completed = [Completion(item.cause, item.age + seconds) for item in self.completed]
         return CrashFindings(self.ended, met, completed, self.unreachable)
 
 
@@ -115,22 +117,26 @@
         )
 
 
-def make_loss_report(digest: str, loss: Loss, now: float) -> LossReport:
+def make_loss_report(
+    digest: str, loss: Loss, now: float, parts: tuple[str, ...] = ()
+) -> LossReport:
     """Return a loss as it is told to other instances."""
-    return LossReport(digest, loss.target, now - loss.sent_at, now - loss.lost_at, loss.follows)
+    ages = now - loss.sent_at, now - loss.lost_at
+    return LossReport(digest, loss.target, *ages, loss.follows, loss.accounts, parts)
 
 
 def make_crash_update(ledger: CrashLedger, now: float) -> PeerUpdate:
     """Return all that is known of losses, for an instance that missed the updates until now."""
-    crashes = [make_loss_report(digest, loss, now) for digest, loss in ledger.list_losses(now)]
+    crashes = [make_loss_report(cause, loss, now) for cause, loss in ledger.list_losses(now)]
     return PeerUpdate(crashes=crashes, findings=CrashFindings(ledger.list_ended()))
 
 
 def apply_crash_findings(ledger: CrashLedger, update: PeerUpdate, now: float) -> set[str]:
     """Record another instance's losses and findings; return the targets that are unreachable."""
     for report in update.crashes:
-        loss = Loss(report.target, now - report.sent_age, now - report.lost_age, report.follows)
-        ledger.record_loss(report.digest, loss)
+        times = now - report.sent_age, now - report.lost_age
+        loss = Loss(report.target, *times, report.follows, report.accounts)
+        ledger.record_request_loss(report.digest, report.parts, loss)
     findings = update.findings
     if findings is None:
         return set()
@@ -139,5 +145,5 @@
     for met in findings.met:
         ledger.record_met(met.target, now - met.age)
     for completion in findings.completed:
-        ledger.record_completion(completion.digest, now - completion.age)
+        ledger.record_completion(completion.cause, now - completion.age)
     return {*findings.unreachable, *map(get_target_id, findings.ended)}
--- a/rhubarbbend/gateway/_request_ender.py
+++ b/rhubarbbend/gateway/_request_ender.py
@@ -6,6 +6,7 @@
 
 from rhubarbbend import codes
 from rhubarbbend.codes import ErrorCode, Verdict
+from rhubarbbend.core.crashes import is_part_key
 from rhubarbbend.core.delivery import AttemptOutcome, compute_verdict
 from rhubarbbend.core.placement import MAX_PAUSE_RETURN_FACTOR
 from rhubarbbend.gateway._answer_forwarder import send_answer
@@ -89,7 +90,8 @@
                 return pause_left * random.uniform(1.0, MAX_PAUSE_RETURN_FACTOR)
         if code is codes.CRASHES_TARGETS:
             # Not shortened either.
-            return self._state.crashes.compute_refusal_left(request.digest, now)
+            cause, _ = self._state.crashes.find_cause(request.content, now)
+            return self._state.crashes.compute_refusal_left(cause, now)
         retry_after = min(
             code.retry_after, RETRY_AFTER_FRACTION * max(0.0, request.compute_time_left(now))
         )
@@ -127,6 +129,11 @@
         )
         exchange.respond(status, headers, body)
 
+    def _find_crashing_part(self, request: OpenRequest, now: float) -> str | None:
+        """Return the part for which a request is refused, None if it is refused as a whole."""
+        cause, _ = self._state.crashes.find_cause(request.content, now)
+        return cause if is_part_key(cause) else None
+
     def _count_heard(self, now: float) -> int:
         """Return how many other instances this one hears."""
         return self._state.loads.peer_counts.count_instances(now)
@@ -142,6 +149,7 @@
         """Log the end of a request; `outcome` is as operators read it."""
         now = self._clock()
         target = request.attempt_target
+        is_refused_for_crashes = outcome.endswith(codes.CRASHES_TARGETS.name)
         self._state.event_log.write(
             "ended",
             now,
@@ -161,5 +169,6 @@
             heard=None if request.rejection_counts is None else self._count_heard(now),
             took=round(now - request.arrived_at, 4),
             config=request.config_version,
-            content=request.digest if outcome.endswith(codes.CRASHES_TARGETS.name) else None,
+            content=request.digest if is_refused_for_crashes else None,
+            part=self._find_crashing_part(request, now) if is_refused_for_crashes else None,
         )
--- a/rhubarbbend/gateway/_request_server.py
+++ b/rhubarbbend/gateway/_request_server.py
@@ -15,7 +15,6 @@
 from rhubarbbend import codes
 from rhubarbbend.codes import ErrorCode, Verdict
 from rhubarbbend.core.catalog import Catalog, RequestKind
-from rhubarbbend.core.crashes import Judgement
 from rhubarbbend.core.delivery import AttemptOutcome, decide_step
 from rhubarbbend.core.detours import needs_detour
 from rhubarbbend.core.placement import Choice, Rejection
@@ -190,7 +189,7 @@
             return None
         config_version = catalog.version
         request = OpenRequest(caller, exchange, route, service, account, now, config_version)
-        if self._state.crashes.judge(request.digest, now) is Judgement.REFUSED:
+        if self._gate.refuses(request, now):
             self._ender.refuse(request, codes.CRASHES_TARGETS, now)
             return None
         self._begin(request, now)
--- a/rhubarbbend/gateway/_requests.py
+++ b/rhubarbbend/gateway/_requests.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from rhubarbbend.core.catalog import ClientAccount, Route, Service
+from rhubarbbend.core.crashes import Content, make_part_key
 from rhubarbbend.core.delivery import Progress
 from rhubarbbend.core.directory import Target
 from rhubarbbend.core.rollouts import VersionChoice
@@ -42,6 +43,7 @@
         "progress",
         "excluded",
         "digest",
+        "_content",
         "relay",
         "answer",
         "fallback_answer",
@@ -54,9 +56,10 @@
         "is_detour",
         "first_event_at",
         "unread_tokens",
-        "is_on_trial",
+        "trial",
         "body_end",
         "origin",
+        "is_in_flight",
     )
 
     def __init__(
@@ -80,6 +83,7 @@
         self.progress = Progress()
         self.excluded: set[str] = set()
         self.digest = _compute_digest(caller)
+        self._content: Content | None = None
         self.relay = EventRelay(exchange, self._send_head, caller.last_event_id)
         self.answer: TargetResponseHead | None = None
         # An error answer that a target itself sent; the caller gets it if no other target succeeds.
@@ -98,12 +102,14 @@
         # the target had to read, as far as is known.
         self.first_event_at: float | None = None
         self.unread_tokens = 0
-        # Whether no other attempt of the same content may begin until the current one has ended.
-        self.is_on_trial = False
+        # The cause of losses for which no other attempt may begin until the current one has ended.
+        self.trial: str | None = None
         # How the last answer ended with its connection; None if it ended by its framing.
         self.body_end: BodyEnd | None = None
         # The origin of the stream that the caller gets or takes up again; None before it is known.
         self.origin: int | None = None
+        # Whether a target may be running the current attempt.
+        self.is_in_flight = False
 
     @property
     def id(self) -> str:
@@ -117,6 +123,17 @@
             return self.account.priority
         return self.route.priority
 
+    @property
+    def content(self) -> Content:
+        """What of the request may crash targets; made when it is first needed."""
+        if self._content is None:
+            prompt = self.caller.prompt
+            shared = () if prompt is None else prompt.parts[:-1]
+            parts = dict.fromkeys(make_part_key(self.service.name, part.id) for part in shared)
+            account = "" if self.account is None else self.account.name
+            self._content = Content(self.digest, tuple(parts), account)
+        return self._content
+
     def admits(self, target: Target) -> bool:
         """Return whether a target may get the request, by its version."""
         if not self.version.admits(target):
--- a/rhubarbbend/gateway/_state.py
+++ b/rhubarbbend/gateway/_state.py
@@ -11,8 +11,9 @@
 import msgspec
 
 from rhubarbbend import codes
+from rhubarbbend.core._rendezvous import hash_to_unit_interval
 from rhubarbbend.core.catalog import Catalog, Service
-from rhubarbbend.core.crashes import CrashLedger
+from rhubarbbend.core.crashes import CrashLedger, RefusalRules
 from rhubarbbend.core.directory import Target, TargetRegistry
 from rhubarbbend.core.mirror import Mirror
 from rhubarbbend.core.placement import (
@@ -41,6 +42,9 @@
 INSTANCE_TABLE: Final = "instances"
 # The table in which instances record roll-outs.
 ROLLOUT_TABLE: Final = "rollouts"
+# Instances try a refused part again at times that differ by up to so much; a crash is known to all
+# within some ms.
+MAX_STAGGER_S: Final = 15.0
 # Number of instances assumed to share the limits until the table has been read. It is larger than a
 # small fleet, so that the shares add up to less than the limit.
 ASSUMED_INSTANCES: Final = 12
@@ -68,7 +72,7 @@
         self.cold_target_share = ColdTargetShare(
             settings.instance, settings.cold_overshoot, settings.cold_slack
         )
-        self.crashes = CrashLedger()
+        self.crashes = CrashLedger(_make_refusal_rules(settings))
         # Set once other instances were asked, after the start, which requests crash targets.
         self.crashes_learned = asyncio.Event()
         self.placement = self._make_placement()
@@ -257,6 +261,11 @@
     return ExposureOptions(settings.exposure_share, settings.exposure_slack)
 
 
+def _make_refusal_rules(settings: GatewaySettings) -> RefusalRules:
+    """Return rules by which each instance tries a refused part again at a time of its own."""
+    return RefusalRules(stagger_s=MAX_STAGGER_S * hash_to_unit_interval(settings.instance))
+
+
 def read_clock() -> float:
     """Return the event loop's time in seconds, on which all decisions of an instance are based."""
     return asyncio.get_running_loop().time()
--- a/tests/core/crashes/test_ledger.py
+++ b/tests/core/crashes/test_ledger.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from rhubarbbend.core.crashes import CrashLedger, Judgement, Loss
+from rhubarbbend.core.crashes import Content, CrashLedger, Judgement, Loss
 
 FIRST_REFUSAL_S = 30.0
 LONG_S = 1_000.0
@@ -44,9 +44,9 @@
 @pytest.mark.parametrize("is_reversed", [False, True])
 def test_the_order_of_losses_survives_reports_that_took_long(is_reversed: bool) -> None:
     first = CrashLedger()
-    losses = [first.make_loss("x", "t-1", 0.0, 0.1)]
+    losses = [first.make_loss(Content("x"), "t-1", 0.0, 0.1)]
     first.record_loss("x", losses[0])
-    losses.append(first.make_loss("x", "t-2", 0.11, 0.2))
+    losses.append(first.make_loss(Content("x"), "t-2", 0.11, 0.2))
     # The report of the first loss came 0.3 s later than that of the second.
     late = Loss("t-1", 0.3, 0.4, losses[0].follows)
     other = CrashLedger()
--- a/tests/gateway/test_crash_gate.py
+++ b/tests/gateway/test_crash_gate.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from rhubarbbend.core.crashes import CrashLedger, Judgement, Loss
+from rhubarbbend.core.crashes import Content, CrashLedger, Judgement, Loss
 from rhubarbbend.gateway._crash_gate import CrashGate
 
 NOW = 1.0
@@ -31,7 +31,9 @@
 
 
 def make_request() -> Any:
-    return SimpleNamespace(digest="x", is_on_trial=False, progress=SimpleNamespace(sends=1))
+    return SimpleNamespace(
+        digest="x", content=Content("x"), trial=None, progress=SimpleNamespace(sends=1)
+    )
 
 
 async def admit_soon(gate: CrashGate, request: Any) -> bool:
