--- a/rhubarbbend/core/events.py
+++ b/rhubarbbend/core/events.py
@@ -41,7 +41,8 @@
 class RequestArrived(Event):
     """A caller's request was read completely.
 
-    `key_digest` is the digest of the bearer key. `body_digest` covers operation and body.
+    `key_digest` is the digest of the bearer key. `body_digest` covers operation and body. `parts`
+    are digests of the messages of a chat but the last: what other requests may hold as well.
     `time_left` is the time until the caller's deadline. `tokens` is the estimated prompt length.
     """
 
@@ -61,6 +62,7 @@
     wall: float = 0.0
     # Set if a peer forwarded the request, because this instance issued its reserved key.
     on_behalf_of: str = ""
+    parts: tuple[str, ...] = ()
 
 
 class CallerLeft(Event):
--- a/rhubarbbend/shell/_requests.py
+++ b/rhubarbbend/shell/_requests.py
@@ -31,6 +31,7 @@
 CHARS_PER_TOKEN: Final = 4
 MAX_ID_CHARS: Final = 200
 MAX_COUNT_CHARS: Final = 9
+PART_DIGEST_BYTES: Final = 8
 BEARER: Final = "bearer "
 
 
@@ -160,11 +161,23 @@
     event.model = body.model
     event.stream = body.stream
     event.tokens = len(exchange.body) // CHARS_PER_TOKEN
+    event.parts = tuple(_digest_message(message) for message in body.messages[:-1])
     if not event.chat:
         event.chat = _derive_chat_id(body)
     return Success(event)
 
 
+def _digest_message(message: ChatMessage) -> str:
+    """Return a digest of a message, the same in each prompt that holds it."""
+    digest = hashlib.blake2b(message.role.encode(), digest_size=PART_DIGEST_BYTES)
+    content = message.content
+    if isinstance(content, str):
+        digest.update(content.encode())
+    for item in content if isinstance(content, list) else ():
+        digest.update(bytes(item))
+    return digest.hexdigest()
+
+
 def _derive_chat_id(body: ChatBody) -> str:
     """Derive the id of a chat that has none from its first user message.
 
--- a/tests/core/fakes.py
+++ b/tests/core/fakes.py
@@ -184,6 +184,7 @@
         path: str = "/bookings",
         account: str = ACCOUNT,
         service: str = SERVICE,
+        parts: tuple[str, ...] = (),
     ) -> None:
         """Pass a caller's request to an instance; with an idempotency key it is a command."""
         self.answers.setdefault(request, [])
@@ -197,6 +198,7 @@
             body,
             deadline,
             key=key,
+            parts=parts,
         )
         self.handle(instance, event)
 
--- a/tests/core/test_suspects.py
+++ b/tests/core/test_suspects.py
@@ -9,9 +9,11 @@
 ZONE_BY_INSTANCE = {"a1": "a", "b1": "b"}
 
 
-def dispatch_chat(fleet: FakeFleet, instance: str, request: str, body: str) -> PendingRun:
+def dispatch_chat(
+    fleet: FakeFleet, instance: str, request: str, body: str, *parts: str
+) -> PendingRun:
     """Send a chat request to an instance and return its dispatched run."""
-    fleet.send(instance, request, body=body, service=ENGINE)
+    fleet.send(instance, request, body=body, service=ENGINE, parts=parts)
     return fleet.runs[-1]
 
 
@@ -178,3 +180,38 @@
     assert not fleet.runs
     assert fleet.read_answer("r1").code == "request_crashes_targets"
     assert fleet.read_answer("r1").verdict == "not_run"
+
+
+def crash_on_part(fleet: FakeFleet, instance: str, request: str, *parts: str) -> None:
+    """Send a chat whose engine crashes, and end it there: the retry is not answered."""
+    crash_engine(fleet, dispatch_chat(fleet, instance, request, f"body of {request}", *parts))
+    fleet.advance(0.1)
+    if fleet.runs:
+        fleet.handle(instance, events.CallerLeft(request))
+        fleet.runs.clear()
+
+
+# Guards against chats that are all different, and of which one message crashes each engine.
+def test_a_message_that_crashes_engines_is_refused_in_other_chats() -> None:
+    fleet = FakeFleet(ZONE_BY_INSTANCE)
+    fleet.finish(dispatch_chat(fleet, "a1", "r0", "before", "system"))
+    crash_on_part(fleet, "a1", "r1", "system", "bad")
+    for name in ZONE_BY_INSTANCE:
+        fleet.finish(dispatch_chat(fleet, name, f"sound-{name}", f"sound {name}", "system"))
+    crash_on_part(fleet, "b1", "r2", "system", "bad")
+    for name in ZONE_BY_INSTANCE:
+        fleet.send(name, f"r3-{name}", body=f"new {name}", service=ENGINE, parts=("bad", "more"))
+        assert fleet.read_answer(f"r3-{name}").code == "request_crashes_targets"
+        fleet.finish(dispatch_chat(fleet, name, f"r4-{name}", f"good {name}", "system", "good"))
+
+
+# Guards against refusing the system text of all chats for crashes of engines beside them.
+def test_a_message_that_completes_anywhere_is_not_refused() -> None:
+    fleet = FakeFleet(ZONE_BY_INSTANCE)
+    crash_on_part(fleet, "a1", "r1", "system")
+    fleet.finish(dispatch_chat(fleet, "a1", "r2", "sound", "system"))
+    crash_on_part(fleet, "a1", "r3", "system")
+    for name in ZONE_BY_INSTANCE:
+        fleet.send(name, f"r4-{name}", body=f"new {name}", service=ENGINE, parts=("system",))
+        fleet.advance(0.1)
+        assert fleet.runs[-1].action.request == f"r4-{name}"
