--- a/rhubarbbend/core/_suspects.py
+++ b/rhubarbbend/core/_suspects.py
@@ -1,9 +1,10 @@
 """Tracking of requests that were running on a target when it crashed: the product's own interface.
 
-`CrashLedger` judges them, as on the users' platform. A crash makes every request that ran on the
-target a suspect. The next attempt of a suspect gets a slot only on a target where no other suspect
-is running. A second crash therefore involves one suspect at most: the request that causes the
-crashes reaches the limit, and requests that merely ran beside it do not.
+`CrashLedger` judges them, as on the users' platform; the parts of a chat are its messages. A crash
+makes every request that ran on the target a suspect. The next attempt of a suspect gets a slot only
+on a target where no other suspect is running. A second crash therefore involves one suspect at
+most: the request that causes the crashes reaches the limit, and requests that merely ran beside it
+do not.
 """
 
 from __future__ import annotations
@@ -17,7 +18,7 @@
 from rhubarbbend.core import events
 from rhubarbbend.core._context import Context, EventHandler
 from rhubarbbend.core.crashes import Content, CrashLedger, Judgement, Loss, RefusalRules
-from rhubarbbend.core.messages import CrashCount, CrashNotice, Message
+from rhubarbbend.core.messages import CrashCleared, CrashCount, CrashNotice, Message
 
 # A request with one crash counted against it is delayed by this many seconds before it is sent. Its
 # caller may have just been refused by the instance that saw the second crash, and the repeated
@@ -27,7 +28,7 @@
 # takes to begin an answer.
 CRASH_NOTICE_DELAY_S: Final = 0.05
 
-LimitListener = Callable[[str, float], None]
+LimitListener = Callable[[float], None]
 
 
 @attrs.define(slots=True, frozen=True)
@@ -43,7 +44,7 @@
 
 
 class CrashSuspectTracker:
-    """Records crashes, tells the other instances, and judges requests by their digests.
+    """Records crashes, tells the other instances, and judges requests by what they hold.
 
     Invariant: a digest is removed once its latest crash is older than `suspect_hold`.
     """
@@ -57,12 +58,12 @@
                 context.options.suspect_limit, first_s=min(rules.first_s, hold), repeated_s=hold
             )
         )
-        self._limit_listener: LimitListener = lambda digest, now: None
+        self._limit_listener: LimitListener = lambda now: None
 
     def set_limit_listener(self, listener: LimitListener) -> None:
-        """Set the callback for a digest that has just reached the limit.
+        """Set the callback for a crash by which requests have just reached the limit.
 
-        It is called with the digest and the current local time.
+        It is called with the current local time.
         """
         self._limit_listener = listener
 
@@ -78,31 +79,55 @@
         """Return the number of crashes counted against a digest."""
         return self._ledger.count_crashes(digest, now)
 
-    def has_reached_limit(self, digest: str, now: float) -> bool:
-        """Return whether a digest has reached the crash limit, so that its requests are refused."""
-        return self._ledger.judge(digest, now) is Judgement.REFUSED
+    def has_reached_limit(self, content: Content, now: float) -> bool:
+        """Return whether a request has reached the crash limit, so that it is refused."""
+        return self._ledger.judge_content(content, now) is Judgement.REFUSED
 
-    def record_crash(self, digest: str, crash: ObservedCrash, now: float) -> None:
-        """Count a crash against a digest and notify every known instance.
+    def is_suspect(self, content: Content, now: float) -> bool:
+        """Return whether a request gets a slot only where no other suspect runs.
+
+        Something that many requests hold is suspect only once several targets have ended under it.
+        """
+        if self._ledger.is_empty:
+            return False
+        is_on_trial = self._ledger.judge_content(content, now) is Judgement.ON_TRIAL
+        return is_on_trial or self.get_crash_count(content.digest, now) > 0
+
+    def record_crash(self, content: Content, crash: ObservedCrash, now: float) -> None:
+        """Count a crash against a request and notify every known instance.
 
         A probe has shown that the target has ended. No crash is counted if the attempt was sent
         after that: a dead target can be selected until its owner detects the failure.
         """
-        loss = self._ledger.make_loss(
-            Content(digest), crash.boot_id, crash.dispatched_at, crash.failed_at
-        )
-        if not self._add_crash(digest, loss, now):
+        times = crash.dispatched_at, crash.failed_at
+        loss = self._ledger.make_loss(content, crash.boot_id, *times)
+        if not self._add_crash(content, loss, now):
             return
         self._context.count(codes.SUSPECTS)
-        notice = CrashNotice(crashes=[self._make_crash_count(digest, loss, now)])
+        count = self._make_crash_count(content.digest, loss, now, content.parts)
+        self._notify(CrashNotice(crashes=[count]))
+
+    def record_completion(self, content: Content, began_at: float, now: float) -> None:
+        """Remove the crashes of what cannot be their cause: its request ran to completion.
+
+        Parts are cleared of the crashes before its target began to answer.
+        """
+        if self._ledger.is_empty:
+            return
+        self._ledger.record_completion(content.digest, now)
+        cleared = [
+            CrashCleared(cause=part, age=now - began_at)
+            for part in self._ledger.list_suspect_parts(content)
+            if self._ledger.record_completion(part, began_at)
+        ]
+        if cleared:
+            self._notify(CrashNotice(cleared=cleared))
+
+    def _notify(self, notice: CrashNotice) -> None:
         for peer in self._context.fleet.instances:
             if peer != self._context.identity.instance:
                 self._context.send(peer, notice)
 
-    def forget_digest(self, digest: str, now: float) -> None:
-        """Remove all crashes counted against a digest, because its request has completed."""
-        self._ledger.record_completion(digest, now)
-
     def list_crash_counts(self, now: float) -> list[CrashCount]:
         """Return all crash counts, to be sent to a zone that queries them."""
         return [
@@ -110,7 +135,9 @@
             for digest, loss in self._ledger.list_losses(now)
         ]
 
-    def _make_crash_count(self, digest: str, loss: Loss, now: float) -> CrashCount:
+    def _make_crash_count(
+        self, digest: str, loss: Loss, now: float, parts: tuple[str, ...] = ()
+    ) -> CrashCount:
         return CrashCount(
             digest=digest,
             count=self.get_crash_count(digest, now),
@@ -118,6 +145,8 @@
             last_target=loss.target,
             ran=loss.lost_at - loss.sent_at,
             follows=list(loss.follows),
+            parts=list(parts),
+            accounts=list(loss.accounts),
         )
 
     def merge_crash_counts(self, crashes: list[CrashCount], now: float) -> None:
@@ -125,22 +154,25 @@
         for crash in crashes:
             lost_at = now - crash.age
             follows = tuple(crash.follows)
-            loss = Loss(crash.last_target, lost_at - crash.ran, lost_at, follows)
-            self._add_crash(crash.digest, loss, now)
+            times = lost_at - crash.ran, lost_at
+            loss = Loss(crash.last_target, *times, follows, tuple(crash.accounts))
+            self._add_crash(Content(crash.digest, tuple(crash.parts)), loss, now)
 
-    def _add_crash(self, digest: str, loss: Loss, now: float) -> bool:
+    def _add_crash(self, content: Content, loss: Loss, now: float) -> bool:
         if now - loss.lost_at >= self._context.options.suspect_hold:
             return False
-        before = self.get_crash_count(digest, now)
-        self._ledger.record_loss(digest, loss)
+        before = self.get_crash_count(content.digest, now)
+        self._ledger.record_request_loss(content.digest, content.parts, loss)
         self._ledger.record_end(loss.target, is_certain=True)
-        is_counted = self.get_crash_count(digest, now) > before
-        if is_counted and self.has_reached_limit(digest, now):
-            self._limit_listener(digest, now)
+        is_counted = self.get_crash_count(content.digest, now) > before
+        if is_counted and self.has_reached_limit(content, now):
+            self._limit_listener(now)
         return is_counted
 
     def _handle_notice(self, sender: str, notice: CrashNotice, now: float) -> None:
         self.merge_crash_counts(notice.crashes, now)
+        for cleared in notice.cleared:
+            self._ledger.record_completion(cleared.cause, now - cleared.age)
 
     def _handle_start(self, event: events.Started, now: float) -> None:
         self._context.repeat(self._context.options.suspect_hold / 10, self._expire, now)
--- a/rhubarbbend/core/crashes/_content.py
+++ b/rhubarbbend/core/crashes/_content.py
@@ -19,6 +19,9 @@
     account: str = ""
 
 
+# A target that a part crashes ends within this time of beginning to answer; some of the answer may
+# have come.
+BEGIN_S: Final = 0.5
 # Separates the service from the part; digests are hexadecimal.
 PART_SEPARATOR: Final = "/"
 
--- a/rhubarbbend/core/messages.py
+++ b/rhubarbbend/core/messages.py
@@ -245,7 +245,8 @@
     """Number of crashes counted against a request digest; `last_target` is a boot id.
 
     The last crash was `age` seconds ago, after the request had run for `ran` seconds. The
-    sender knew the boot ids in `follows` to have ended under it before it was sent.
+    sender knew the boot ids in `follows` to have ended under it before it was sent. `parts` are the
+    keys of what other requests may hold as well, `accounts` the client accounts that sent it.
     """
 
     digest: str = ""
@@ -254,14 +255,30 @@
     last_target: str = ""
     ran: float = 0.0
     follows: list[str] = []
+    parts: list[str] = []
+    accounts: list[str] = []
+
+
+class CrashCleared(Message, tag=True):
+    """A request that holds a possible cause of crashes began to run `age` seconds ago and went on.
+
+    `cause` is a digest or the key of a part.
+    """
+
+    cause: str = ""
+    age: float = 0.0
 
 
 class CrashNotice(Message, tag=True):
-    """Notifies other instances of crashes counted against request digests; has no reply."""
+    """Notifies other instances of crashes under requests, and what cannot be their cause.
+
+    It has no reply.
+    """
 
     FIELD: ClassVar[str] = "crash_notice"
 
     crashes: list[CrashCount] = []
+    cleared: list[CrashCleared] = []
 
 
 class ConfigItem(Message, tag=True):
--- a/rhubarbbend/core/requests/_attempts.py
+++ b/rhubarbbend/core/requests/_attempts.py
@@ -17,6 +17,7 @@
 from rhubarbbend.core.claims._claim_coordinator import ClaimCoordinator
 from rhubarbbend.core.claims._claim_rows import Outcome
 from rhubarbbend.core.configuration import KIND_ENGINE
+from rhubarbbend.core.crashes import Content
 from rhubarbbend.core.requests._request import Request, RequestPhase
 from rhubarbbend.core.requests._request_table import RequestTable
 from rhubarbbend.core.requests._responses import ResponseSender
@@ -102,7 +103,8 @@
         request = self._table.find_by_attempt(event.attempt)
         if request is None:
             return
-        self._suspects.forget_digest(request.arrival.body_digest, now)
+        began_at = request.dispatched_at + request.time_to_first_byte
+        self._suspects.record_completion(request.content, began_at, now)
         self._context.count(codes.ANSWERS)
         if request.idempotent:
             self._leases.release(request, completed=True, total=event.total)
@@ -310,7 +312,10 @@
         """
         if not event.silent and request.boot_id:
             crash = ObservedCrash(request.boot_id, request.dispatched_at, request.failed_at)
-            self._suspects.record_crash(request.arrival.body_digest, crash, now)
+            content = request.content
+            if request.has_gone_on:
+                content = Content(content.digest, account=content.account)
+            self._suspects.record_crash(content, crash, now)
         view = self._find_target(request)
         if view is not None and not event.boot_id:
             view.down_until = now + self._context.options.down_hold
@@ -338,7 +343,7 @@
             # The caller no longer waits. A command that was never sent is abandoned, so that a
             # later request with the same key may run.
             self._listener.refuse_after_attempts(request, codes.DEADLINE, now)
-        elif self._suspects.has_reached_limit(request.arrival.body_digest, now):
+        elif self._suspects.has_reached_limit(request.content, now):
             self._listener.refuse_after_attempts(request, codes.SUSPECT, now)
         elif request.attempt_count >= self._context.options.max_attempts:
             self._fail_request(request, now)
--- a/rhubarbbend/core/requests/_coordinator.py
+++ b/rhubarbbend/core/requests/_coordinator.py
@@ -183,20 +183,20 @@
         else:
             self._search.start(request, now)
 
-    def _refuse_suspect_requests(self, digest: str, now: float) -> None:
-        """Refuse the requests that await a slot and whose body digest crashes targets.
+    def _refuse_suspect_requests(self, now: float) -> None:
+        """Refuse the requests that await a slot and crash targets.
 
         They arrived before the notice of the digest's last crash. With a slot they would crash one
         more target.
         """
         for request in self._table.list_all():
             awaiting_slot = request.phase is RequestPhase.SLOT and not request.has_slot
-            if awaiting_slot and request.arrival.body_digest == digest:
+            if awaiting_slot and self._suspects.has_reached_limit(request.content, now):
                 self.handle_slot_refused(request, codes.SUSPECT, now)
 
     def _check_admission(self, request: Request, now: float) -> ErrorCode | None:
         context = self._context
-        if self._suspects.has_reached_limit(request.arrival.body_digest, now):
+        if self._suspects.has_reached_limit(request.content, now):
             return codes.SUSPECT
         if request.time_left(now) <= MIN_TIME_LEFT_S:
             return codes.DEADLINE
@@ -238,7 +238,7 @@
             return
         found.claimed = True
         found.claim_generation = generation
-        if self._suspects.has_reached_limit(found.arrival.body_digest, now):
+        if self._suspects.has_reached_limit(found.content, now):
             # The notice of its last crash arrived while the claim was being written.
             self.handle_slot_refused(found, codes.SUSPECT, now)
         else:
--- a/rhubarbbend/core/requests/_request.py
+++ b/rhubarbbend/core/requests/_request.py
@@ -8,6 +8,7 @@
 
 from rhubarbbend.codes import Verdict
 from rhubarbbend.core.configuration import Account, Service
+from rhubarbbend.core.crashes import BEGIN_S, Content, make_part_key
 from rhubarbbend.core.events import RequestArrived
 from rhubarbbend.core.routing import Choice
 
@@ -84,12 +85,28 @@
     claim_id: str = ""
     claim_generation: int = 0
     expected_row_version: int = 0
+    _content: Content | None = None
 
     @property
     def id(self) -> str:
         """Return the id by which the shell (the I/O layer) refers to the request."""
         return self.arrival.request
 
+    @property
+    def content(self) -> Content:
+        """What of the request may crash targets; made when it is first needed."""
+        if self._content is None:
+            arrival = self.arrival
+            parts = dict.fromkeys(make_part_key(self.service.name, part) for part in arrival.parts)
+            self._content = Content(arrival.body_digest, tuple(parts), self.account.name)
+        return self._content
+
+    @property
+    def has_gone_on(self) -> bool:
+        """Whether its target had been answering for a while when it was lost."""
+        began_at = self.dispatched_at + self.time_to_first_byte
+        return self.response_started and self.failed_at - began_at > BEGIN_S
+
     @property
     def choice(self) -> Choice:
         """Return the planned target whose owner is being asked for a slot."""
--- a/rhubarbbend/core/requests/_slots.py
+++ b/rhubarbbend/core/requests/_slots.py
@@ -194,8 +194,7 @@
         request.plan_index = -1
         request.plan_outdated = False
         request.redirect_count = 0
-        digest = request.arrival.body_digest
-        request.is_suspect = self._suspects.get_crash_count(digest, now) > 0
+        request.is_suspect = self._suspects.is_suspect(request.content, now)
         request.plan = self.planner.plan(request, now)
         if not request.plan:
             self._refuse_without_plan(request, now)
--- a/rhubarbbend/gateway/_crash_detector.py
+++ b/rhubarbbend/gateway/_crash_detector.py
@@ -13,7 +13,7 @@
 from typing import Any, Final
 
 from rhubarbbend import codes
-from rhubarbbend.core.crashes import Fate, is_part_key
+from rhubarbbend.core.crashes import BEGIN_S, Fate, is_part_key
 from rhubarbbend.core.directory import Target, TargetState, get_target_id
 from rhubarbbend.gateway._crash_news import CrashNews
 from rhubarbbend.gateway._peer_updates import LossReport, make_loss_report
@@ -28,8 +28,6 @@
 CHECK_TIMEOUT_S: Final = 0.2
 # If several targets become unreachable within this time, the cause may be this instance's links.
 SIMULTANEOUS_LOSS_WINDOW_S: Final = 0.4
-# A target that a part crashes ends within this time of beginning to answer; events may have come.
-BEGIN_S: Final = 0.5
 # Lost targets that are remembered after their registrations have gone.
 MAX_LOST_TARGETS: Final = 500
 
--- a/rhubarbbend/schema/peers.thrift
+++ b/rhubarbbend/schema/peers.thrift
@@ -196,10 +196,19 @@
   4: string last_target = "",
   5: double ran = 0,
   6: list<string> follows = [],
+  7: list<string> parts = [],
+  8: list<string> accounts = [],
+}
+
+/** A request that holds this cause of crashes, a digest or a part, began this long ago and went on. */
+struct CrashCleared {
+  1: string cause = "",
+  2: double age = 0,
 }
 
 struct CrashNotice {
   1: list<CrashCount> crashes = [],
+  2: list<CrashCleared> cleared = [],
 }
 
 /** One declaration of the configuration, as of a version. An empty value means it was removed. */
