--- a/rhubarbbend/core/crashes/_ledger.py
+++ b/rhubarbbend/core/crashes/_ledger.py
@@ -17,7 +17,7 @@
 
 import math
 from collections import OrderedDict
-from collections.abc import Collection, Iterable, Iterator
+from collections.abc import Collection, Iterable
 from itertools import islice
 from typing import Final
 
@@ -31,6 +31,8 @@
 MAX_CAUSES: Final = 20_000
 # Oldest causes that are looked at for one that has lost a single target.
 MAX_EVICTION_STEPS: Final = 50
+# Instances see the same loss within this time of one another.
+SAME_LOSS_S: Final = 0.1
 # A target that was met again may turn out to have started again: the store's rows show it so much
 # later at most. Until then its losses are kept.
 RESTART_NOTICE_S: Final = 10.0
@@ -44,14 +46,15 @@
     """When a request is refused, and for how long after its last crash.
 
     `limit` is the number of crashes, one after the other; it takes one more if they may have had
-    another cause, and `part_limit_beside` for a part if something else was at all of them.
+    another cause.
     `first_s` is how long a request is refused that has just reached it: if that was wrong, it is
     served again. One that crashes a target then is refused for `repeated_s`. A part is refused for
     `stagger_s` longer at first, by which instances differ: not all of them try it again together.
+    With `sure_limit` crashes it is refused for `repeated_s` at once.
     """
 
     limit: int = 2
-    part_limit_beside: int = 5
+    sure_limit: int = 4
     first_s: float = 30.0
     repeated_s: float = 600.0
     stagger_s: float = 0.0
@@ -112,10 +115,7 @@
         """Remove the oldest cause that has lost one target, else the oldest one."""
         oldest = islice(self._losses.items(), MAX_EVICTION_STEPS)
         single = next((cause for cause, losses in oldest if len(losses) == 1), None)
-        if single is None:
-            self._losses.popitem(last=False)
-        else:
-            del self._losses[single]
+        del self._losses[next(iter(self._losses)) if single is None else single]
 
     def record_end(self, target: str, is_certain: bool = False) -> bool:
         """Record that a lost target has ended; return whether that was not known.
@@ -132,7 +132,7 @@
         """Remove the losses before a time; return whether there were any.
 
         At that time, a request ran to completion, or a target began to answer on a part with which
-        it then went on.
+        it then went on, or was going on with an answer that it had begun before.
         """
         losses = self._losses.get(cause)
         if losses is None:
@@ -148,6 +148,11 @@
         """Return the parts of a request under which targets were lost."""
         return [part for part in content.parts if part in self._losses] if self._losses else []
 
+    def get_last_loss(self, cause: str) -> float:
+        """Return when a target was last lost under a cause, whatever became of it."""
+        losses = self._losses.get(cause, {}).values()
+        return max((loss.lost_at for loss in losses), default=-math.inf)
+
     def list_losses(self, now: float) -> list[tuple[str, Loss]]:
         """Return all losses that count, with their causes."""
         return [(cause, loss) for cause in self._losses for loss in self._list_valid(cause, now)]
@@ -189,14 +194,16 @@
         ended = self._select_ended(losses)
         crashes = count_in_sequence(ended)
         needed = self.rules.limit
-        if crashes == needed and (
-            self._has_companion(own, ended, now) or self._has_other_cause(losses, ended)
-        ):
-            needed += 1
+        if crashes == needed:
+            unexplained = self._select_unexplained(own, ended, now)
+            if len(unexplained) < len(ended) or self._has_other_cause(losses, ended):
+                needed += 1
         if crashes >= needed:
             is_refused = self._compute_left(digest, losses, now) > 0.0
             return Judgement.REFUSED if is_refused else Judgement.SUSPECT
-        return self._judge_below_limit(losses, ended, needed, now)
+        if count_in_sequence(losses) >= needed and _is_recent(losses, now):
+            return Judgement.UNDECIDED
+        return Judgement.ON_TRIAL if len(ended) >= self.rules.limit else Judgement.SUSPECT
 
     def _judge_part(self, part: str, account: str, own: Collection[str], now: float) -> Judgement:
         """Return what the losses under a part say of a request that holds all causes in `own`.
@@ -211,25 +218,28 @@
         if account and len(accounts) == 1 and account not in accounts:
             return Judgement.SUSPECT
         ended = self._select_ended(losses)
-        crashes = count_in_sequence(ended)
-        needed = self.rules.limit
-        if crashes >= needed and self._has_companion(own, ended, now):
-            needed = self.rules.part_limit_beside
-        elif crashes >= needed and self._has_other_cause(losses, ended):
-            needed += 1
-        if crashes >= needed:
+        if self._is_cause(losses, ended, own, now):
             is_refused = self._compute_left(part, losses, now) > 0.0
             return Judgement.REFUSED if is_refused else Judgement.ON_TRIAL
-        return self._judge_below_limit(losses, ended, needed, now)
-
-    def _judge_below_limit(
-        self, losses: list[Loss], ended: list[Loss], needed: int, now: float
-    ) -> Judgement:
-        is_recent = now - losses[-1].lost_at < MAX_UNDECIDED_S
-        if count_in_sequence(losses) >= needed and is_recent:
+        if _is_recent(losses, now) and self._is_cause(losses, losses, own, now):
             return Judgement.UNDECIDED
         return Judgement.ON_TRIAL if len(ended) >= self.rules.limit else Judgement.SUSPECT
 
+    def _is_cause(
+        self, losses: list[Loss], ended: list[Loss], own: Collection[str], now: float
+    ) -> bool:
+        """Return whether a part has crashed targets if the targets of `ended` have ended.
+
+        `losses` are all that count under it. A request that holds all causes in `own` is judged.
+        """
+        needed = self.rules.limit
+        crashes = count_in_sequence(ended)
+        if crashes < needed:
+            return False
+        if crashes == needed and self._has_other_cause(losses, ended):
+            return False
+        return count_in_sequence(self._select_unexplained(own, ended, now)) >= needed
+
     def compute_refusal_left(self, cause: str, now: float) -> float:
         """Return for how many more seconds a refused cause is refused."""
         return self._compute_left(cause, self._list_valid(cause, now), now)
@@ -239,10 +249,15 @@
         if not ended:
             return 0.0
         rules = self.rules
-        is_repeated = count_in_sequence(ended) > rules.limit
-        refusal_s = rules.repeated_s if is_repeated else rules.first_s
-        if is_part_key(cause) and not is_repeated:
-            refusal_s += rules.stagger_s
+        crashes = count_in_sequence(ended)
+        if is_part_key(cause):
+            # Several may have ended before the first refusal.
+            before = ended[-2].lost_at if len(ended) > 1 else math.inf
+            was_refused = ended[-1].lost_at - before >= rules.first_s
+            is_repeated = was_refused or crashes >= rules.sure_limit
+            refusal_s = rules.repeated_s if is_repeated else rules.first_s + rules.stagger_s
+        else:
+            refusal_s = rules.repeated_s if crashes > rules.limit else rules.first_s
         return max(0.0, ended[-1].lost_at + refusal_s - now)
 
     def count_crashes(self, cause: str, now: float) -> int:
@@ -268,17 +283,24 @@
     def _select_ended(self, losses: list[Loss]) -> list[Loss]:
         return [loss for loss in losses if self._targets.get_fate(loss) is Fate.ENDED]
 
-    def _has_companion(self, own: Collection[str], ended: list[Loss], now: float) -> bool:
-        """Return whether something that is not `own` was at each of the targets that ended."""
-        targets = {loss.target for loss in ended}
-        return any(
-            targets <= {loss.target for loss in self._list_valid(other, now)}
-            for other in self._list_lost_with(targets)
-            if other not in own
-        )
+    def _select_unexplained(
+        self, own: Collection[str], ended: list[Loss], now: float
+    ) -> list[Loss]:
+        """Return the losses of targets at which nothing that is not `own` had lost as many.
 
-    def _list_lost_with(self, targets: set[str]) -> Iterator[str]:
-        return (cause for cause, losses in self._losses.items() if targets <= losses.keys())
+        What it lost later changes nothing.
+        """
+        targets = {loss.target for loss in ended}
+        until = max(loss.lost_at for loss in ended) + SAME_LOSS_S
+        explained: set[str] = set()
+        for other, losses in self._losses.items():
+            if len(losses) < len(targets) or other in own or targets.isdisjoint(losses):
+                continue
+            valid = self._list_valid(other, now)
+            others = {loss.target for loss in valid if loss.lost_at <= until}
+            if len(others) >= len(targets):
+                explained |= others
+        return [loss for loss in ended if loss.target not in explained]
 
     def _has_other_cause(self, losses: list[Loss], ended: list[Loss]) -> bool:
         """Return whether targets were lost together with these that did not run the request."""
@@ -299,3 +321,7 @@
 
     def _forget_targets(self) -> None:
         self._targets.forget_all_but({t for losses in self._losses.values() for t in losses})
+
+
+def _is_recent(losses: list[Loss], now: float) -> bool:
+    return now - losses[-1].lost_at < MAX_UNDECIDED_S
--- a/rhubarbbend/gateway/_attempts.py
+++ b/rhubarbbend/gateway/_attempts.py
@@ -76,6 +76,9 @@
             state, target_protocol, self._liveness, self._latencies, clock
         )
         self.forwarder = AnswerForwarder(state, self._latencies, clock)
+        # Requests to which targets are writing streams.
+        self.answering: set[OpenRequest] = set()
+        self.forwarder.on_stream_begun.append(lambda request, _: self.answering.add(request))
         # Called when a target was lost while it ran a request; set by the instance.
         self.on_loss: Callable[[OpenRequest, Target, float], None] = lambda *_: None
 
@@ -152,7 +155,6 @@
         outcome = AttemptOutcome.BROKEN
         answer: TargetResponseHead | None = None
         self._liveness.add_connection(choice.target.id, connection)
-        request.is_in_flight = True
         try:
             self._send(request, choice, connection)
             answer = await self._answers.receive_head(request, choice.target, connection)
@@ -168,7 +170,7 @@
                 # This says nothing about the target's health.
                 return outcome
         finally:
-            request.is_in_flight = False
+            self.answering.discard(request)
             self._liveness.discard_connection(choice.target.id, connection)
             self._release_or_close(connection, answer, outcome)
         if outcome in (AttemptOutcome.REJECTED, AttemptOutcome.MISDIRECTED, AttemptOutcome.FAILED):
--- a/rhubarbbend/gateway/_crash_detector.py
+++ b/rhubarbbend/gateway/_crash_detector.py
@@ -8,7 +8,7 @@
 
 import asyncio
 from collections import OrderedDict
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Set
 from functools import partial
 from typing import Any, Final
 
@@ -37,8 +37,16 @@
 class CrashDetector:
     """Records losses of targets. Invariant: at most one check of a target is in progress."""
 
-    def __init__(self, state: State, news: CrashNews, checker: TargetChecker, spawn: Spawn) -> None:
+    def __init__(
+        self,
+        state: State,
+        news: CrashNews,
+        checker: TargetChecker,
+        answering: Set[OpenRequest],
+        spawn: Spawn,
+    ) -> None:
         self._state = state
+        self._answering = answering
         self._news = news
         self._checker = checker
         self._spawn = spawn
@@ -59,10 +67,13 @@
         ledger = self._state.crashes
         content = request.content
         loss = ledger.make_loss(content, target.incarnation, request.sent_at, now)
-        has_gone_on = request.first_event_at is not None and now - request.first_event_at > BEGIN_S
+        has_gone_on = request.has_gone_on(now)
         parts = () if has_gone_on else content.parts
         if not ledger.record_request_loss(request.digest, parts, loss):
             return
+        if has_gone_on:
+            self._clear_parts(request, now, now)
+        self.doubt_losses(now)
         self._lost_targets[target.incarnation] = target
         if len(self._lost_targets) > MAX_LOST_TARGETS:
             self._lost_targets.popitem(last=False)
@@ -87,19 +98,25 @@
             return
 
         def clear() -> None:
-            if request.is_in_flight and request.first_event_at == began_at:
+            if request in self._answering and request.first_event_at == began_at:
                 self._clear_parts(request, began_at, read_clock())
 
         asyncio.get_running_loop().call_later(BEGIN_S, clear)
 
-    def _clear_parts(self, request: OpenRequest, began_at: float, now: float) -> None:
-        """Take back the losses before a target began to answer on the parts of a request."""
+    def doubt_losses(self, now: float) -> None:
+        """Take back the losses under parts with whose answers targets go on here."""
+        for request in self._answering:
+            if request.has_gone_on(now):
+                self._clear_parts(request, now, now)
+
+    def _clear_parts(self, request: OpenRequest, at: float, now: float) -> None:
+        """Take back the losses before a time at which the parts of a request were answered on."""
         ledger = self._state.crashes
         if ledger.is_empty:
             return
         for part in ledger.list_suspect_parts(request.content):
-            if ledger.record_completion(part, began_at):
-                self._news.tell_completion(part, began_at, now)
+            if ledger.record_completion(part, at):
+                self._news.tell_completion(part, at, now)
 
     async def settle(self, request: OpenRequest, lost: list[str]) -> None:
         """Find out what became of targets that were lost under a request."""
--- a/rhubarbbend/gateway/_crash_gate.py
+++ b/rhubarbbend/gateway/_crash_gate.py
@@ -41,7 +41,13 @@
 
     def refuses(self, request: OpenRequest, now: float) -> bool:
         """Return whether it is known that a request crashes targets."""
-        return self._find_cause(request, now)[1] is Judgement.REFUSED
+        cause, judgement = self._find_cause(request, now)
+        return judgement is Judgement.REFUSED and not self._awaits_notices(request, cause, now)
+
+    def _awaits_notices(self, request: OpenRequest, cause: str, now: float) -> bool:
+        """Return whether notices may come of what else was at the last crash under a part."""
+        lost_at = self._state.crashes.get_last_loss(cause)
+        return cause != request.digest and now - lost_at < 2 * NOTICE_DELAY_S
 
     async def admit(self, request: OpenRequest) -> bool:
         """Wait until it is known whether a request may be sent, and return whether it may.
@@ -54,12 +60,16 @@
         if self._judge(request) is Judgement.CLEAR:
             return True
         self._state.metrics.increment_counter(codes.SUSPECTS_HELD)
+        request.goes_apart = request.progress.sends > 0
         is_repeated = (
             self._state.crashes.judge(request.digest, self._clock()) is not Judgement.CLEAR
         )
         if is_repeated and request.progress.sends == 0:
             await asyncio.sleep(NOTICE_DELAY_S)
         await self._await_verdict(request)
+        cause, judgement = self._find_cause(request, self._clock())
+        if judgement is Judgement.REFUSED and self._awaits_notices(request, cause, self._clock()):
+            await asyncio.sleep(NOTICE_DELAY_S)
         await self._begin_trial(request)
         return self._judge(request) is not Judgement.REFUSED
 
@@ -70,6 +80,7 @@
             cause, judgement = self._find_cause(request, self._clock())
             if judgement is not Judgement.ON_TRIAL:
                 return
+            request.goes_apart = True
             trial = self._trials.get(cause)
             if trial is None:
                 self._trials[cause] = asyncio.Event()
--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -122,7 +122,8 @@
         attempts.forwarder.has_ended = checker.has_ended
         self._peer_server.on_target_check = checker.serve
         news = CrashNews(self._peers, self._spawn)
-        detector = CrashDetector(self.state, news, checker, self._spawn)
+        detector = CrashDetector(self.state, news, checker, attempts.answering, self._spawn)
+        self.state.on_losses_learned = detector.doubt_losses
         attempts.on_loss = detector.handle_loss
         attempts.forwarder.on_stream_begun.append(detector.handle_begun)
         attempts.recorder.on_answer = detector.handle_answer
--- a/rhubarbbend/gateway/_peer_updates.py
+++ b/rhubarbbend/gateway/_peer_updates.py
@@ -52,7 +52,8 @@
 class Completion(msgspec.Struct, frozen=True, array_like=True):
     """Reports that a request under which a target was lost ran to completion `age` seconds ago.
 
-    `cause` is its digest, or a part on which a target then began to answer and went on.
+    `cause` is its digest, or a part on which a target then began to answer and went on, or was
+    going on with an answer.
     """
 
     cause: str
--- a/rhubarbbend/gateway/_request_server.py
+++ b/rhubarbbend/gateway/_request_server.py
@@ -280,7 +280,7 @@
         self._versions.revise(request)
         return self._state.placement.choose(
             request.service,
-            request.caller.prompt,
+            None if request.goes_apart else request.caller.prompt,
             request.excluded,
             self._state.list_instance_ids(),
             self._state.random,
--- a/rhubarbbend/gateway/_requests.py
+++ b/rhubarbbend/gateway/_requests.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from rhubarbbend.core.catalog import ClientAccount, Route, Service
-from rhubarbbend.core.crashes import Content, make_part_key
+from rhubarbbend.core.crashes import BEGIN_S, Content, make_part_key
 from rhubarbbend.core.delivery import Progress
 from rhubarbbend.core.directory import Target
 from rhubarbbend.core.rollouts import VersionChoice
@@ -59,7 +59,7 @@
         "trial",
         "body_end",
         "origin",
-        "is_in_flight",
+        "goes_apart",
     )
 
     def __init__(
@@ -108,8 +108,9 @@
         self.body_end: BodyEnd | None = None
         # The origin of the stream that the caller gets or takes up again; None before it is known.
         self.origin: int | None = None
-        # Whether a target may be running the current attempt.
-        self.is_in_flight = False
+        # Whether it goes to any target, not to that of others with the same prompt: if that one
+        # ends, it can be told which of them did it.
+        self.goes_apart = False
 
     @property
     def id(self) -> str:
@@ -134,6 +135,10 @@
             self._content = Content(self.digest, tuple(parts), account)
         return self._content
 
+    def has_gone_on(self, now: float) -> bool:
+        """Return whether the target of the current attempt began its answer a while ago."""
+        return self.first_event_at is not None and now - self.first_event_at > BEGIN_S
+
     def admits(self, target: Target) -> bool:
         """Return whether a target may get the request, by its version."""
         if not self.version.admits(target):
--- a/rhubarbbend/gateway/_state.py
+++ b/rhubarbbend/gateway/_state.py
@@ -73,6 +73,8 @@
             settings.instance, settings.cold_overshoot, settings.cold_slack
         )
         self.crashes = CrashLedger(_make_refusal_rules(settings))
+        # Called with the present time when others have told of losses; set by the instance.
+        self.on_losses_learned: Callable[[float], None] = lambda now: None
         # Set once other instances were asked, after the start, which requests crash targets.
         self.crashes_learned = asyncio.Event()
         self.placement = self._make_placement()
@@ -205,6 +207,8 @@
         self.placement.prompt_locations.merge_locations(update.locations, now)
         for target in apply_crash_findings(self.crashes, update, now):
             self.health.record_unreachable(target, now)
+        if update.crashes:
+            self.on_losses_learned(now)
         if update.sender != self.settings.instance:
             self.health.merge_outcomes(update.outcomes, now)
             self.brittle.merge_notices(update.brittle, now)
