--- a/rhubarbbend/gateway/_attempts.py
+++ b/rhubarbbend/gateway/_attempts.py
@@ -11,9 +11,10 @@
 from typing import Any, Final
 
 from rhubarbbend import codes
+from rhubarbbend.core.catalog import Service
 from rhubarbbend.core.delivery import AttemptOutcome, LatencyTracker
 from rhubarbbend.core.directory import Target
-from rhubarbbend.core.placement import Choice
+from rhubarbbend.core.placement import Choice, compute_max_connections
 from rhubarbbend.gateway._answer_forwarder import AnswerForwarder
 from rhubarbbend.gateway._answer_receiver import AnswerReceiver
 from rhubarbbend.gateway._attempt_recorder import AttemptRecorder
@@ -118,7 +119,12 @@
         try:
             # Only a new connection shows whether an unreachable target is reachable again.
             connection = await self._pool.acquire(
-                target.address, now, is_trial, CONNECT_TIMEOUT_S, max_idle=max_idle
+                target.address,
+                now,
+                is_trial,
+                CONNECT_TIMEOUT_S,
+                max_idle,
+                self._count_idle_allowed(request.service, target),
             )
         except HttpFailure as failure:
             now = self._clock()
@@ -143,6 +149,14 @@
             health.record_connected(target.id, now)
         return connection
 
+    def _count_idle_allowed(self, service: Service, target: Target) -> int:
+        """Return how many idle connections to a target are within this instance's share.
+
+        Targets count them too, and reset what is beyond their limit.
+        """
+        share = compute_max_connections(service, len(self._state.list_instance_ids()))
+        return max(0, share - self._state.loads.count_own(target.id))
+
     async def _send_and_receive(
         self, request: OpenRequest, choice: Choice, connection: Connection
     ) -> AttemptOutcome:
--- a/rhubarbbend/http/_pool.py
+++ b/rhubarbbend/http/_pool.py
@@ -73,12 +73,14 @@
         new_connection: bool,
         timeout: float = DEFAULT_CONNECT_TIMEOUT_S,
         max_idle: float | None = None,
+        max_idle_count: int | None = None,
     ) -> Connection:
         """Return an idle connection, or a new one if `new_connection` is set or none is usable.
 
         With `max_idle`, use only a connection that was idle for at most that many seconds; the
-        others stay in the pool for other requests. `now` is in the event loop's time. Raise
-        `HttpFailure` if a new connection is not established within `timeout` seconds.
+        others stay in the pool for other requests, `max_idle_count` of them if a new one is opened.
+        `now` is in the event loop's time. Raise `HttpFailure` if a new connection is not
+        established within `timeout` seconds.
         """
         idle = self._idle.get(address)
         while idle and not new_connection:
@@ -90,6 +92,8 @@
                 connection.idle_time_s = now - connection.idle_since
                 return connection
             connection.close()
+        while idle and max_idle_count is not None and len(idle) > max_idle_count:
+            idle.popleft().close()
         return await self._opener.open(address, timeout)
 
     def _is_usable(self, connection: Connection, now: float) -> bool:
--- a/tests/http/test_pool.py
+++ b/tests/http/test_pool.py
@@ -51,3 +51,19 @@
         assert await pool.acquire(address, 2.0, False) is not connection
 
     run_with_server(scenario)
+
+
+# Guards against idle connections that commands may not use, and that targets count to their limit.
+def test_idle_connections_beyond_a_count_are_closed_for_a_new_one() -> None:
+    async def scenario(address: tuple[str, int]) -> None:
+        pool = ConnectionPool(10.0)
+        idle = [await pool.acquire(address, 0.0, True) for _ in range(3)]
+        for connection in idle:
+            connection.idle_since = 0.0
+            pool.add_idle(connection)
+        taken = await pool.acquire(address, 1.0, False, max_idle=0.2, max_idle_count=1)
+        assert taken not in idle
+        assert [connection.closed for connection in idle] == [True, True, False]
+        assert await pool.acquire(address, 1.0, False) is idle[2]
+
+    run_with_server(scenario)
