--- a/rhubarbbend/core/detours/_decision.py
+++ b/rhubarbbend/core/detours/_decision.py
@@ -1,4 +1,8 @@
-"""Decides whether a request that finds no target is handed to another instance."""
+"""Decides whether a request that finds no target is handed to another instance.
+
+What a target accepts is divided evenly among the instances. One that gets most of the callers uses
+up its share while those of the others are free.
+"""
 
 from __future__ import annotations
 
@@ -8,7 +12,7 @@
 
 
 def needs_detour(rejections: Mapping[Rejection, int], connect_failures: int) -> bool:
-    """Return whether half of a service's targets or more cannot be reached from here.
+    """Return whether half of a service's targets or more cannot be used from here.
 
     `rejections` counts the targets by the reason for which each was passed over, `connect_failures`
     those that accepted no connection for the request. Where only a few targets are down, the others
@@ -17,4 +21,5 @@
     unreachable = rejections.get(Rejection.UNREACHABLE, 0)
     if connect_failures:
         unreachable += rejections.get(Rejection.TRIED, 0)
-    return unreachable > 0 and 2 * unreachable >= sum(rejections.values())
+    unusable = unreachable + rejections.get(Rejection.CONNECTIONS, 0)
+    return unusable > 0 and 2 * unusable >= sum(rejections.values())
--- a/tests/core/detours/test_decision.py
+++ b/tests/core/detours/test_decision.py
@@ -7,11 +7,13 @@
 from rhubarbbend.core.detours import needs_detour
 from rhubarbbend.core.placement import Rejection
 
-UNREACHABLE, LOAD, TRIED, PAUSED = (
+UNREACHABLE, LOAD, TRIED, PAUSED, CONNECTIONS, COLD = (
     Rejection.UNREACHABLE,
     Rejection.LOAD,
     Rejection.TRIED,
     Rejection.PAUSED,
+    Rejection.CONNECTIONS,
+    Rejection.COLD,
 )
 
 
@@ -29,6 +31,11 @@
         ({PAUSED: 3}, 0, False),
         ({TRIED: 1}, 1, True),
         ({}, 0, False),
+        ({CONNECTIONS: 3}, 0, True),
+        ({CONNECTIONS: 2, LOAD: 1}, 0, True),
+        ({CONNECTIONS: 1, UNREACHABLE: 1, LOAD: 2}, 0, True),
+        ({CONNECTIONS: 1, LOAD: 8}, 0, False),
+        ({COLD: 3}, 0, False),
     ],
 )
 def test_requests_are_handed_on_if_most_targets_are_out_of_reach(
