--- a/loadtool/__main__.py
+++ b/loadtool/__main__.py
@@ -6,11 +6,13 @@
 import sys
 from collections.abc import Callable
 
-from loadtool import _chaos, _commands, _demo, _rollout_table, _slopes, _soak
+from loadtool import _chaos, _commands, _crash_table, _demo, _rollout_table, _slopes, _soak
+from loadtool._crash_simulation import Setup
 from loadtool._rollout_simulation import DESIGNS
 from loadtool._rollout_table import SITES
 
 COMMANDS: dict[str, Callable[[argparse.Namespace], int]] = {
+    "crashes": lambda options: _run_crashes(options),
     "soak": lambda options: _run_soak(options),
     "demo": lambda options: _demo.main(),
     "rollouts": lambda options: _rollout_table.main(
@@ -35,10 +37,17 @@
         has_crashes=options.crashes,
         has_unframed_answers=options.unframed,
         has_versions=options.versions,
+        has_crashing_parts=options.parts,
+        is_crowded=options.crowd,
     )
     return _soak.main(options.seed, options.seeds, options.duration, options.size, kinds)
 
 
+def _run_crashes(options: argparse.Namespace) -> int:
+    setup = Setup(options.instances, options.engines, options.rate)
+    return _crash_table.main(setup, options.seeds)
+
+
 def _parse_arguments() -> argparse.Namespace:
     parser = argparse.ArgumentParser(prog="loadtool")
     commands = parser.add_subparsers(dest="command", required=True)
@@ -65,6 +74,13 @@
     rollouts.add_argument("--count", type=int, default=1_000, help="number of roll-outs")
     rollouts.add_argument("--design", choices=sorted(DESIGNS), default="capped")
     rollouts.add_argument("--site", choices=sorted(SITES), default="", help="one service only")
+    crashes = commands.add_parser(
+        "crashes", help="compare ways to judge parts of prompts that crash engines"
+    )
+    crashes.add_argument("--instances", type=int, default=8)
+    crashes.add_argument("--engines", type=int, default=9)
+    crashes.add_argument("--rate", type=float, default=70.0, help="requests a second")
+    crashes.add_argument("--seeds", type=int, default=5)
     soak.add_argument("--rollout", action="store_true", help="roll out a version meanwhile")
     soak.add_argument(
         "--notices", action="store_true", help="targets also ask for pauses and say that they leave"
@@ -81,6 +97,12 @@
     soak.add_argument(
         "--versions", action="store_true", help="engines get other versions; streams are taken up"
     )
+    soak.add_argument(
+        "--parts", action="store_true", help="callers also send parts of prompts that crash engines"
+    )
+    soak.add_argument(
+        "--crowd", action="store_true", help="most new connections go to one instance, moving on"
+    )
     _commands.add_parsers(commands)
     return parser.parse_args()
 
--- a/loadtool/_soak.py
+++ b/loadtool/_soak.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import tempfile
 import time
 from pathlib import Path
@@ -20,9 +21,11 @@
 from loadtool._soak_caller import REQUEST_KINDS, SoakCaller
 from loadtool._soak_checks import RunRecord, count_outcomes, find_violations
 from loadtool._soak_crashes import SoakCrashes
+from loadtool._soak_crowd import SoakCrowd
 from loadtool._soak_faults import SoakFaultInjector
 from loadtool._soak_links import find_link_violations
 from loadtool._soak_notices import find_notice_violations
+from loadtool._soak_parts import SoakParts
 from loadtool._soak_rollout import SoakRollout
 from loadtool._soak_schedule import (
     ScheduledSoakFault,
@@ -57,7 +60,9 @@
     With `has_unframed_answers` answers have neither length nor chunks, and targets break them off.
     With `has_versions` engines are replaced by other versions, and callers take streams up again;
     instances then reach one another directly, since the proxy passes no datagrams. Without
-    `has_peer_path_faults` the paths between instances do not fail.
+    `has_peer_path_faults` the paths between instances do not fail. With `has_crashing_parts`
+    callers send requests with parts of prompts that crash engines. If it `is_crowded`, most new
+    connections go to one instance, then to another.
     """
 
     has_rollout: bool = False
@@ -67,6 +72,8 @@
     has_unframed_answers: bool = False
     has_versions: bool = False
     has_peer_path_faults: bool = True
+    has_crashing_parts: bool = False
+    is_crowded: bool = False
 
 
 @attrs.define(slots=True)
@@ -123,7 +130,8 @@
 ) -> SoakResult:
     """Run the schedule of a seed and check every guarantee; `duration` is in seconds."""
     schedule = _make_schedule(seed, duration, instance_count, options)
-    target_count = TARGETS_BESIDE_CRASHES if options.has_crashes else TARGETS_PER_SERVICE
+    has_crashes = options.has_crashes or options.has_crashing_parts
+    target_count = TARGETS_BESIDE_CRASHES if has_crashes else TARGETS_PER_SERVICE
     async with start_fleet(
         folder,
         instances=instance_count,
@@ -153,9 +161,14 @@
     ready = set(fleet.instances)
     crashes = SoakCrashes(fleet, faults, record, ready, seed) if options.has_crashes else None
     versions = SoakVersions(fleet, record, ready, seed) if options.has_versions else None
+    chooser = random.Random(f"parts and crowd {seed}")
+    has_parts = options.has_crashing_parts
+    parts = SoakParts(fleet, faults, record, ready, chooser) if has_parts else None
+    names = sorted(fleet.instances)
+    crowd = SoakCrowd(record.started, names, chooser) if options.is_crowded else None
     readiness_task = asyncio.create_task(_probe_readiness(fleet, ready))
     callers = [
-        SoakCaller(fleet, record, ready, f"{seed}-{number}")
+        SoakCaller(fleet, record, ready, f"{seed}-{number}", crowd)
         for number in range(min(MAX_CALLERS, CALLERS_PER_INSTANCE * len(fleet.instances)))
     ]
     until = record.started + duration
@@ -165,6 +178,7 @@
         *([] if rollout is None else [rollout.run(duration)]),
         *([] if crashes is None else [crashes.run(until)]),
         *([] if versions is None else [versions.run(until)]),
+        *([] if parts is None else [parts.run(until)]),
     )
     for name in fleet.instances:
         await faults.ensure_running(name)
@@ -177,6 +191,10 @@
     if crashes is not None:
         violations += crashes.find_violations()
         summaries.append(crashes.describe())
+    if parts is not None:
+        violations += parts.find_violations()
+        summaries.append(parts.describe())
+    violations += [] if crowd is None else crowd.find_violations(record)
     if versions is not None:
         violations += versions.find_violations()
         summaries.append(versions.describe())
--- a/loadtool/_soak_caller.py
+++ b/loadtool/_soak_caller.py
@@ -10,6 +10,7 @@
 from loadtool._gateway_config import HOST, KEY
 from loadtool._gateway_fleet import GatewayFleet
 from loadtool._soak_checks import RequestOutcome, RunRecord
+from loadtool._soak_crowd import SoakCrowd
 from loadtool._soak_faults import SECOND_KEY
 from rhubarbbend.http import Connection, HttpFailure
 
@@ -23,7 +24,15 @@
 class SoakCaller:
     """A caller with one connection at a time, which it keeps as long as it can be used."""
 
-    def __init__(self, fleet: GatewayFleet, record: RunRecord, ready: set[str], seed: str) -> None:
+    def __init__(
+        self,
+        fleet: GatewayFleet,
+        record: RunRecord,
+        ready: set[str],
+        seed: str,
+        crowd: SoakCrowd | None = None,
+    ) -> None:
+        self._crowd = crowd
         self._fleet = fleet
         self._record = record
         self._ready = ready
@@ -71,12 +80,14 @@
 
     async def _acquire_connection(self, instance: str) -> Connection | None:
         kept_connection, self._connection = self._connection, None
-        if kept_connection is not None and not kept_connection.closed and not instance:
+        leaves = self._crowd is not None and self._crowd.wants_new_connection()
+        if kept_connection is not None and not (kept_connection.closed or instance or leaves):
             return kept_connection
         if kept_connection is not None:
             kept_connection.close()
         names = sorted(self._ready) or list(self._fleet.instances)
-        self._instance = instance or self._random.choice(names)
+        choose = self._random.choice if self._crowd is None else self._crowd.choose
+        self._instance = instance or choose(names)
         try:
             return await Connection.open(self._fleet.instances[self._instance].front_address, 1.0)
         except HttpFailure:
@@ -100,9 +111,8 @@
             "Content-Length": str(len(outcome.body)),
         }
         if outcome.kind in ("chat", "plan"):
-            headers["Prefix-Hash"] = (
-                f"common:300,{self._random.randrange(PREFIX_SESSION_COUNT):x}:900,own:50"
-            )
+            session = self._random.randrange(PREFIX_SESSION_COUNT)
+            headers["Prefix-Hash"] = outcome.prompt or f"common:300,{session:x}:900,own:50"
         raw_headers = [(name.encode(), value.encode()) for name, value in headers.items()]
         method = b"POST" if outcome.body else b"GET"
         connection.send_raw(method, outcome.path.encode(), raw_headers, outcome.body)
--- a/loadtool/_soak_checks.py
+++ b/loadtool/_soak_checks.py
@@ -54,6 +54,8 @@
     complete: bool = False
     was_left: bool = False
     answer: bytes = b""
+    # The parts of the prompt as in `Prefix-Hash`; "" for those of any other request of its kind.
+    prompt: str = ""
 
 
 @attrs.define(slots=True)
--- a/loadtool/_soak_crashes.py
+++ b/loadtool/_soak_crashes.py
@@ -73,7 +73,7 @@
         after_events = self._random.choice((-1, 0, 2))
         faults: dict[str, Any] = {"crash_on": CRASH_TRIGGER, "crash_after_events": after_events}
         await self._fleet.add_default_worker_faults(**faults)
-        replacing = asyncio.create_task(self._replace_crashed())
+        replacing = asyncio.create_task(self._faults.replace_all_ended(DOWN_S))
         sendings: list[asyncio.Task[None]] = []
         while time.time() < until - REPEATED_FOR_S:
             sendings.append(asyncio.create_task(self._send_repeatedly(len(sendings))))
@@ -108,19 +108,6 @@
             is_refused = outcome.status in (0, 503)
             await asyncio.sleep(max(request.pause_s, 0.1 if is_refused else 0.0))
 
-    async def _replace_crashed(self) -> None:
-        waiting: set[asyncio.Task[None]] = set()
-        seen: set[str] = set()
-        while True:
-            for name, node in list(self._fleet.workers.items()):
-                if node.process.running or name in seen:
-                    continue
-                seen.add(name)
-                task = asyncio.create_task(self._faults.replace_ended(name, DOWN_S))
-                waiting.add(task)
-                task.add_done_callback(waiting.discard)
-            await asyncio.sleep(0.1)
-
     def find_violations(self) -> list[str]:
         """Return a line for each violated guarantee."""
         paths = {request.path for request in self._requests}
@@ -179,11 +166,12 @@
     return [
         outcome.path
         for outcome in record.outcomes
-        if outcome.path not in crashing_paths and _read_code(outcome.answer) == REFUSAL_CODE
+        if outcome.path not in crashing_paths and read_code(outcome.answer) == REFUSAL_CODE
     ]
 
 
-def _read_code(answer: bytes) -> str:
+def read_code(answer: bytes) -> str:
+    """Return the code of an error that the fleet answered with; empty for any other answer."""
     try:
         return str(json.loads(answer).get("code", ""))
     except (ValueError, AttributeError):
--- a/loadtool/_soak_faults.py
+++ b/loadtool/_soak_faults.py
@@ -244,6 +244,20 @@
                 await self._replace_target(victim, self._fleet.workers[name])
                 return
 
+    async def replace_all_ended(self, down_s: float) -> None:
+        """Start another target in place of each that ends, until this is cancelled."""
+        waiting: set[asyncio.Task[None]] = set()
+        seen: set[str] = set()
+        while True:
+            for name, node in list(self._fleet.workers.items()):
+                if node.process.running or name in seen:
+                    continue
+                seen.add(name)
+                task = asyncio.create_task(self.replace_ended(name, down_s))
+                waiting.add(task)
+                task.add_done_callback(waiting.discard)
+            await asyncio.sleep(0.1)
+
     async def _replace_target(self, victim: str, old_node: WorkerNode) -> None:
         """Start another target in place of one that was killed or is draining."""
         async with self._locks[victim]:
--- a/tests/loadtool/test_soak.py
+++ b/tests/loadtool/test_soak.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import json
+import random
 from pathlib import Path
 
 import pytest
@@ -15,7 +16,9 @@
 from loadtool._soak import SoakOptions, format_result, make_soak_layout, run_soak
 from loadtool._soak_checks import Period, RequestOutcome, RunRecord, find_violations
 from loadtool._soak_crashes import find_crash_violations
+from loadtool._soak_crowd import SoakCrowd
 from loadtool._soak_notices import find_notice_violations
+from loadtool._soak_parts import find_part_violations
 from loadtool._soak_schedule import ScheduledSoakFault, SoakFault, make_soak_schedule
 from standins._worker_types import Arrival, make_response_body
 
@@ -269,3 +272,45 @@
     result = asyncio.run(run_soak(seed, DURATION, INSTANCE_COUNT, tmp_path, options))
     print(format_result(result))
     assert result.violations == []
+
+
+@pytest.mark.parametrize(("late", "found"), [(3, []), (4, ["part"])])
+def test_runs_of_a_part_after_its_fifth_crash_are_found(late: int, found: list[str]) -> None:
+    outcomes: list[RequestOutcome] = []
+    arrivals: list[Arrival] = []
+    for number in range(5 + late):
+        at = 110.0 + 0.3 * number + (3.5 if number >= 5 else 0.0)
+        outcomes.append(make_outcome(id=f"r{number}", sent_at=at))
+        arrivals.append(make_arrival(at, worker=f"w{min(number, 4)}", request=f"r{number}"))
+        arrivals[-1].crashes = True
+    parts = {outcome.id: "bad" for outcome in outcomes}
+    violations = find_part_violations(RunRecord(100.0, outcomes), parts, arrivals)
+    assert [line.partition(":")[0] for line in violations] == found
+
+
+@pytest.mark.parametrize(("served", "found"), [(80, []), (70, ["crowd"])])
+def test_requests_that_a_crowded_instance_does_not_serve_are_found(
+    served: int, found: list[str]
+) -> None:
+    crowd = SoakCrowd(100.0, ["front-0", "front-1"], random.Random(1))
+    assert [crowd.find_crowded(at) for at in (101.0, 107.0, 119.0)] == ["", "front-0", "front-1"]
+    outcomes: list[RequestOutcome] = []
+    for number in range(200):
+        outcome = make_outcome(id=f"r{number}", sent_at=104.0 if number < 100 else 110.0)
+        outcome.status, outcome.complete = 200 if number < 100 + served else 503, True
+        outcomes.append(outcome)
+    violations = crowd.find_violations(RunRecord(100.0, outcomes))
+    assert [line.partition(":")[0] for line in violations] == found
+
+
+# 1: found no fault; with a digest of the whole request, parts crash engines without end.
+@pytest.mark.xdist_group("soak")
+@pytest.mark.parametrize("seed", [1])
+def test_all_guarantees_hold_while_parts_crash_engines_and_callers_crowd(
+    seed: int, tmp_path: Path
+) -> None:
+    """Parts of prompts crash engines while most new connections go to one instance, moving on."""
+    options = SoakOptions(has_crashing_parts=True, is_crowded=True)
+    result = asyncio.run(run_soak(seed, DURATION, INSTANCE_COUNT, tmp_path, options))
+    print(format_result(result))
+    assert result.violations == []
