--- a/loadtool/_soak_crashes.py
+++ b/loadtool/_soak_crashes.py
@@ -36,7 +36,7 @@
 MAX_LATE_ARRIVALS: Final = 3
 # Sound requests that take longer are told as late.
 LATE_S: Final = 1.0
-REFUSAL_CODE: Final = "crashes_targets"
+REFUSAL_CODES: Final = frozenset({"crashes_targets", "part_crashes_targets"})
 
 
 @attrs.define(slots=True)
@@ -166,7 +166,7 @@
     return [
         outcome.path
         for outcome in record.outcomes
-        if outcome.path not in crashing_paths and read_code(outcome.answer) == REFUSAL_CODE
+        if outcome.path not in crashing_paths and read_code(outcome.answer) in REFUSAL_CODES
     ]
 
 
--- a/loadtool/_soak_parts.py
+++ b/loadtool/_soak_parts.py
@@ -18,7 +18,7 @@
 from loadtool._gateway_fleet import GatewayFleet
 from loadtool._soak_caller import SoakCaller
 from loadtool._soak_checks import RequestOutcome, RunRecord
-from loadtool._soak_crashes import REFUSAL_CODE, read_code
+from loadtool._soak_crashes import REFUSAL_CODES, read_code
 from loadtool._soak_faults import SoakFaultInjector
 from standins._worker_types import Arrival
 
@@ -87,7 +87,7 @@
         crashes = group_runs(self._parts, self._fleet.read_arrivals())
         counts = {part: len({run.worker for run in runs}) for part, runs in crashes.items()}
         sound = [outcome for outcome in self._record.outcomes if outcome.id not in self._parts]
-        refused = sum(read_code(outcome.answer) == REFUSAL_CODE for outcome in sound)
+        refused = sum(read_code(outcome.answer) in REFUSAL_CODES for outcome in sound)
         return (
             f"requests with parts that crash engines: {len(self._parts)}, engines ended: "
             f"{counts}, sound requests: {len(sound)}, of them refused for crashes: {refused}"
@@ -127,7 +127,7 @@
             line = f"part: {part} ran {late} times {CONTACT_S:g} s after its fifth crash"
             violations.append(line)
     sound = [outcome for outcome in record.outcomes if outcome.id not in parts]
-    refused = sum(read_code(outcome.answer) == REFUSAL_CODE for outcome in sound)
+    refused = sum(read_code(outcome.answer) in REFUSAL_CODES for outcome in sound)
     if 2 * refused > len(sound):
         violations.append(f"part: {refused} of {len(sound)} sound requests were refused")
     return violations
--- a/rhubarbbend/cli/_explain.py
+++ b/rhubarbbend/cli/_explain.py
@@ -29,6 +29,18 @@
         value = self.fields.get("content") or self.fields.get("digest") or ""
         return value if isinstance(value, str) else ""
 
+    @property
+    def part(self) -> str:
+        """The part of prompts that crashes targets, as the line says; empty if not stated."""
+        value = self.fields.get("part") or ""
+        return value.rpartition("/")[2] if isinstance(value, str) else ""
+
+    @property
+    def parts(self) -> set[str]:
+        """All parts of prompts that the line names."""
+        named = self.fields.get("parts")
+        return {self.part, *(named if isinstance(named, list) else ())} - {""}
+
     @property
     def request(self) -> str:
         """The id of the request that the line is about, or an empty string if there is none."""
@@ -70,8 +82,9 @@
     The timeline also holds lines about no request from the instances that handled this one, logged
     during the request and shortly before it: they show what an instance had learned, for instance
     about failures, when it chose a target. If the request was refused for crashes of targets, or
-    lost one, lines of all instances about the same content are shown, however old. If it continues
-    a stream, the lines about the request that began that stream are shown too.
+    lost one, lines of all instances about the same content, or the part of its prompt for which it
+    was refused, are shown, however old. If it continues a stream, the lines about the request that
+    began that stream are shown too.
     """
     all_lines = sorted(lines, key=lambda line: line.time)
     request_lines = [line for line in all_lines if line.request == request]
@@ -79,6 +92,7 @@
         return []
     instances = {line.instance for line in request_lines}
     contents = {line.content for line in request_lines} - {""}
+    refused_parts = {line.part for line in request_lines} - {""}
     related = {request, *(str(line.fields.get("resumes") or "") for line in request_lines)} - {""}
     start, end = request_lines[0].time - CONTEXT_S, request_lines[-1].time
     timeline = [
@@ -86,6 +100,7 @@
         for line in all_lines
         if line.request in related
         or line.content in contents
+        or not refused_parts.isdisjoint(line.parts)
         or (not line.request and line.instance in instances and start <= line.time <= end)
     ]
     origin = request_lines[0].time
--- a/rhubarbbend/codes.py
+++ b/rhubarbbend/codes.py
@@ -88,6 +88,12 @@
 CRASHES_TARGETS: Final = _declare_error(
     "crashes_targets", 503, "targets crashed when they ran this request; it was not sent", 30.0
 )
+PART_CRASHES_TARGETS: Final = _declare_error(
+    "part_crashes_targets",
+    503,
+    "targets crashed when they answered on a part of this prompt; it was not sent",
+    30.0,
+)
 ACCOUNT_LIMIT: Final = _declare_error(
     "account_limit", 429, "the client account is at its limit", 1.0
 )
--- a/rhubarbbend/gateway/_request_ender.py
+++ b/rhubarbbend/gateway/_request_ender.py
@@ -69,6 +69,8 @@
 
     def refuse(self, request: OpenRequest, code: ErrorCode, now: float) -> None:
         """Answer a request with an error, of which nothing was sent to the caller yet."""
+        if code is codes.CRASHES_TARGETS and self._find_crashing_part(request, now) is not None:
+            code = codes.PART_CRASHES_TARGETS
         verdict = compute_verdict(request.progress)
         if verdict is Verdict.MAY_HAVE_RUN and code.status in (429, 503):
             # These statuses guarantee that the request has not run.
@@ -88,7 +90,7 @@
             if pause_left > 0.0:
                 # Not shortened to the time that the caller has left: it would be refused again.
                 return pause_left * random.uniform(1.0, MAX_PAUSE_RETURN_FACTOR)
-        if code is codes.CRASHES_TARGETS:
+        if code in (codes.CRASHES_TARGETS, codes.PART_CRASHES_TARGETS):
             # Not shortened either.
             cause, _ = self._state.crashes.find_cause(request.content, now)
             return self._state.crashes.compute_refusal_left(cause, now)
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -52,6 +52,19 @@
     assert len(timeline) == 3
 
 
+def test_timeline_of_a_request_with_a_refused_part_holds_the_crashes_under_it() -> None:
+    lines = [
+        make_line("attempt_failed", 10.0, "front-2", id="r-3", target="t-1", parts=["aa", "bad"]),
+        make_line("attempt_failed", 11.0, "front-2", id="r-4", target="t-1", parts=["aa"]),
+        make_line("crash_counted", 12.0, "front-3", id="r-5", target="t-2", part="llm/bad"),
+        make_line("ended", 90.0, "front-1", id="r-9", outcome="refused", part="llm/bad"),
+    ]
+    timeline = explain_request("r-9", read_lines(lines))
+    assert len(timeline) == 3
+    assert "attempt_failed" in timeline[0] and "crash_counted" in timeline[1]
+    assert not any("r-4" in line for line in timeline)
+
+
 def test_timeline_of_a_stream_that_goes_on_holds_its_beginning() -> None:
     lines = [
         make_line("sent", 10.0, "front-2", id="r-1", target="t-1", version="v1"),
