--- a/loadtool/__main__.py
+++ b/loadtool/__main__.py
@@ -48,6 +48,39 @@
     return _crash_table.main(setup, options.seeds)
 
 
+def _add_crash_options(crashes: argparse.ArgumentParser) -> None:
+    crashes.add_argument("--instances", type=int, default=8)
+    crashes.add_argument("--engines", type=int, default=9)
+    crashes.add_argument("--rate", type=float, default=70.0, help="requests a second")
+    crashes.add_argument("--seeds", type=int, default=5)
+
+
+def _add_soak_kinds(soak: argparse.ArgumentParser) -> None:
+    """Add the options for what a soak has beside its usual faults."""
+    soak.add_argument("--rollout", action="store_true", help="roll out a version meanwhile")
+    soak.add_argument(
+        "--notices", action="store_true", help="targets also ask for pauses and say that they leave"
+    )
+    soak.add_argument(
+        "--links", action="store_true", help="instances also lose their own links to targets"
+    )
+    soak.add_argument(
+        "--crashes", action="store_true", help="callers also send requests that crash targets"
+    )
+    soak.add_argument(
+        "--unframed", action="store_true", help="answers end with connections, and are broken off"
+    )
+    soak.add_argument(
+        "--versions", action="store_true", help="engines get other versions; streams are taken up"
+    )
+    soak.add_argument(
+        "--parts", action="store_true", help="callers also send parts of prompts that crash engines"
+    )
+    soak.add_argument(
+        "--crowd", action="store_true", help="most new connections go to one instance, moving on"
+    )
+
+
 def _parse_arguments() -> argparse.Namespace:
     parser = argparse.ArgumentParser(prog="loadtool")
     commands = parser.add_subparsers(dest="command", required=True)
@@ -74,35 +107,12 @@
     rollouts.add_argument("--count", type=int, default=1_000, help="number of roll-outs")
     rollouts.add_argument("--design", choices=sorted(DESIGNS), default="capped")
     rollouts.add_argument("--site", choices=sorted(SITES), default="", help="one service only")
-    crashes = commands.add_parser(
-        "crashes", help="compare ways to judge parts of prompts that crash engines"
-    )
-    crashes.add_argument("--instances", type=int, default=8)
-    crashes.add_argument("--engines", type=int, default=9)
-    crashes.add_argument("--rate", type=float, default=70.0, help="requests a second")
-    crashes.add_argument("--seeds", type=int, default=5)
-    soak.add_argument("--rollout", action="store_true", help="roll out a version meanwhile")
-    soak.add_argument(
-        "--notices", action="store_true", help="targets also ask for pauses and say that they leave"
-    )
-    soak.add_argument(
-        "--links", action="store_true", help="instances also lose their own links to targets"
-    )
-    soak.add_argument(
-        "--crashes", action="store_true", help="callers also send requests that crash targets"
-    )
-    soak.add_argument(
-        "--unframed", action="store_true", help="answers end with connections, and are broken off"
-    )
-    soak.add_argument(
-        "--versions", action="store_true", help="engines get other versions; streams are taken up"
-    )
-    soak.add_argument(
-        "--parts", action="store_true", help="callers also send parts of prompts that crash engines"
-    )
-    soak.add_argument(
-        "--crowd", action="store_true", help="most new connections go to one instance, moving on"
+    _add_crash_options(
+        commands.add_parser(
+            "crashes", help="compare ways to judge parts of prompts that crash engines"
+        )
     )
+    _add_soak_kinds(soak)
     _commands.add_parsers(commands)
     return parser.parse_args()
 
--- a/loadtool/_soak.py
+++ b/loadtool/_soak.py
@@ -164,6 +164,7 @@
     chooser = random.Random(f"parts and crowd {seed}")
     has_parts = options.has_crashing_parts
     parts = SoakParts(fleet, faults, record, ready, chooser) if has_parts else None
+    extras = [extra for extra in (crashes, parts, versions) if extra is not None]
     names = sorted(fleet.instances)
     crowd = SoakCrowd(record.started, names, chooser) if options.is_crowded else None
     readiness_task = asyncio.create_task(_probe_readiness(fleet, ready))
@@ -176,9 +177,7 @@
         *(caller.run(until) for caller in callers),
         *(faults.run(scheduled_fault) for scheduled_fault in schedule),
         *([] if rollout is None else [rollout.run(duration)]),
-        *([] if crashes is None else [crashes.run(until)]),
-        *([] if versions is None else [versions.run(until)]),
-        *([] if parts is None else [parts.run(until)]),
+        *(extra.run(until) for extra in extras),
     )
     for name in fleet.instances:
         await faults.ensure_running(name)
@@ -188,16 +187,10 @@
     violations += _find_all_violations(fleet, record)
     violations += [] if rollout is None else rollout.find_violations(record)
     summaries = [] if rollout is None else [rollout.describe()]
-    if crashes is not None:
-        violations += crashes.find_violations()
-        summaries.append(crashes.describe())
-    if parts is not None:
-        violations += parts.find_violations()
-        summaries.append(parts.describe())
     violations += [] if crowd is None else crowd.find_violations(record)
-    if versions is not None:
-        violations += versions.find_violations()
-        summaries.append(versions.describe())
+    for extra in extras:
+        violations += extra.find_violations()
+        summaries.append(extra.describe())
     return SoakResult(seed, record, violations, summaries)
 
 
--- a/rhubarbbend/gateway/_requests.py
+++ b/rhubarbbend/gateway/_requests.py
@@ -78,8 +78,7 @@
         self.service = service
         self.account = account
         self.arrived_at = arrived_at
-        timeout_s = route.timeout if caller.timeout_s is None else caller.timeout_s
-        self.deadline = arrived_at + min(timeout_s, route.timeout)
+        self.deadline = _compute_deadline(caller, route, arrived_at)
         self.progress = Progress()
         self.excluded: set[str] = set()
         self.digest = _compute_digest(caller)
@@ -89,8 +88,7 @@
         # An error answer that a target itself sent; the caller gets it if no other target succeeds.
         self.fallback_answer: BufferedAnswer | None = None
         self.attempt_target: Target | None = None
-        self.chosen_at = arrived_at
-        self.sent_at = arrived_at
+        self.chosen_at = self.sent_at = arrived_at
         # If no target could be chosen: the number of targets rejected, by reason.
         self.rejection_counts: dict[str, int] | None = None
         self.config_version = config_version
@@ -108,8 +106,7 @@
         self.body_end: BodyEnd | None = None
         # The origin of the stream that the caller gets or takes up again; None before it is known.
         self.origin: int | None = None
-        # Whether it goes to any target, not to that of others with the same prompt: if that one
-        # ends, it can be told which of them did it.
+        # Whether it is kept from the home of its prompt, to tell who there crashes targets.
         self.goes_apart = False
 
     @property
@@ -169,6 +166,11 @@
         self.exchange.start_raw(self.answer.status, self.answer.headers)
 
 
+def _compute_deadline(caller: CallerRequest, route: Route, arrived_at: float) -> float:
+    timeout_s = route.timeout if caller.timeout_s is None else caller.timeout_s
+    return arrived_at + min(timeout_s, route.timeout)
+
+
 def _compute_digest(caller: CallerRequest) -> str:
     """Return a digest of what stays the same when the caller sends the request again."""
     digest = hashlib.blake2b(caller.body, digest_size=12)
--- a/rhubarbbend/gateway/_state.py
+++ b/rhubarbbend/gateway/_state.py
@@ -69,9 +69,7 @@
         self.health = HealthTracker()
         self.pauses = PauseTracker()
         self.brittle = BrittleTracker(settings.instance, self.random)
-        self.cold_target_share = ColdTargetShare(
-            settings.instance, settings.cold_overshoot, settings.cold_slack
-        )
+        self.cold_target_share = _make_cold_share(settings)
         self.crashes = CrashLedger(_make_refusal_rules(settings))
         # Called with the present time when others have told of losses; set by the instance.
         self.on_losses_learned: Callable[[float], None] = lambda now: None
@@ -265,6 +263,10 @@
     return ExposureOptions(settings.exposure_share, settings.exposure_slack)
 
 
+def _make_cold_share(settings: GatewaySettings) -> ColdTargetShare:
+    return ColdTargetShare(settings.instance, settings.cold_overshoot, settings.cold_slack)
+
+
 def _make_refusal_rules(settings: GatewaySettings) -> RefusalRules:
     """Return rules by which each instance tries a refused part again at a time of its own."""
     return RefusalRules(stagger_s=MAX_STAGGER_S * hash_to_unit_interval(settings.instance))
