--- a/rhubarbbend/gateway/_requests.py
+++ b/rhubarbbend/gateway/_requests.py
@@ -96,7 +96,7 @@
         self.version = VersionChoice(None)
         # Whether another instance took the request from its caller.
         self.is_detour = False
-        # Of the current attempt: when its first event came, and the tokens that its target had to read.
+        # Of the current attempt: when its first event came, and the tokens the target had to read.
         self.first_event_at: float | None = None
         self.unread_tokens = 0
         # The cause of losses for which no other attempt may begin until the current one has ended.
