--- a/tests/gateway/test_pauses.py
+++ b/tests/gateway/test_pauses.py
@@ -121,10 +121,15 @@
         health=HealthTracker(),
         pauses=pauses,
         placement=SimpleNamespace(record_chosen=lambda target, now: None),
+        list_instance_ids=lambda: ("front-0",),
     )
     pool: Any = SlowPool()
     runner = AttemptRunner(state, pool, PlatformTargetProtocol(), lambda: 10.0)
-    request: Any = SimpleNamespace(id="try-1", route=SimpleNamespace(idempotent=True))
+    request: Any = SimpleNamespace(
+        id="try-1",
+        route=SimpleNamespace(idempotent=True),
+        service=SimpleNamespace(max_connections=96),
+    )
     choice: Any = SimpleNamespace(target=SimpleNamespace(id="plain-0", address=("127.0.0.1", 1)))
     assert asyncio.run(runner.run(request, choice)) is AttemptOutcome.WITHHELD
     assert len(released) == 1 and state.loads.count_own("plain-0") == 0
--- a/tests/gateway/test_rollouts.py
+++ b/tests/gateway/test_rollouts.py
@@ -194,11 +194,20 @@
         await start_new_workers(fleet)
         await order(fleet, 9.0)
         await wait_for_state(fleet, "running", 2.0)
-        writers = [
-            name
-            for name in fleet.instances
-            if any(line["event"] == "rollout_written" for line in fleet.read_log(name))
-        ]
+
+        def list_writers() -> list[str]:
+            return [
+                name
+                for name in fleet.instances
+                if any(line["event"] == "rollout_written" for line in fleet.read_log(name))
+            ]
+
+        async def has_writer() -> bool:
+            return bool(list_writers())
+
+        # The store shows the state before the instance that wrote it has logged so.
+        await wait_until("the coordinator logs its writing", has_writer, 2.0)
+        writers = list_writers()
         assert len(writers) == 1
         process = fleet.instances[writers[0]].process
         assert process is not None
