--- a/rhubarbbend/core/crashes/_ledger.py
+++ b/rhubarbbend/core/crashes/_ledger.py
@@ -46,11 +46,10 @@
     """When a request is refused, and for how long after its last crash.
 
     `limit` is the number of crashes, one after the other; it takes one more if they may have had
-    another cause.
-    `first_s` is how long a request is refused that has just reached it: if that was wrong, it is
-    served again. One that crashes a target then is refused for `repeated_s`. A part is refused for
-    `stagger_s` longer at first, by which instances differ: not all of them try it again together.
-    With `sure_limit` crashes it is refused for `repeated_s` at once.
+    another cause. `first_s` is how long a request is refused that has just reached it: if that was
+    wrong, it is served again. One that crashes a target then is refused for `repeated_s`. A part is
+    refused for `stagger_s` longer at first, by which instances differ: not all of them try it again
+    together. With `sure_limit` crashes it is refused for `repeated_s` at once.
     """
 
     limit: int = 2
--- a/rhubarbbend/gateway/_crash_detector.py
+++ b/rhubarbbend/gateway/_crash_detector.py
@@ -73,7 +73,7 @@
             return
         if has_gone_on:
             self._clear_parts(request, now, now)
-        self.doubt_losses(now)
+        self.clear_answered_parts(now)
         self._lost_targets[target.incarnation] = target
         if len(self._lost_targets) > MAX_LOST_TARGETS:
             self._lost_targets.popitem(last=False)
@@ -93,8 +93,8 @@
 
     def handle_begun(self, request: OpenRequest, target: Target) -> None:
         """Clear the parts of a stream that has begun, if it goes on for a while."""
-        began_at = request.first_event_at
-        if began_at is None or not self._state.crashes.list_suspect_parts(request.content):
+        ledger, began_at = self._state.crashes, request.first_event_at
+        if began_at is None or ledger.is_empty or not ledger.list_suspect_parts(request.content):
             return
 
         def clear() -> None:
@@ -103,8 +103,8 @@
 
         asyncio.get_running_loop().call_later(BEGIN_S, clear)
 
-    def doubt_losses(self, now: float) -> None:
-        """Take back the losses under parts with whose answers targets go on here."""
+    def clear_answered_parts(self, now: float) -> None:
+        """Take back the losses under the parts of answers that go on here."""
         for request in self._answering:
             if request.has_gone_on(now):
                 self._clear_parts(request, now, now)
--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -123,7 +123,7 @@
         self._peer_server.on_target_check = checker.serve
         news = CrashNews(self._peers, self._spawn)
         detector = CrashDetector(self.state, news, checker, attempts.answering, self._spawn)
-        self.state.on_losses_learned = detector.doubt_losses
+        self.state.on_losses_learned = detector.clear_answered_parts
         attempts.on_loss = detector.handle_loss
         attempts.forwarder.on_stream_begun.append(detector.handle_begun)
         attempts.recorder.on_answer = detector.handle_answer
