--- a/rhubarbbend/gateway/_attempts.py
+++ b/rhubarbbend/gateway/_attempts.py
@@ -21,6 +21,7 @@
 from rhubarbbend.gateway._interfaces import ForwardingOptions, TargetProtocol, TargetResponseHead
 from rhubarbbend.gateway._liveness import TargetLivenessMonitor
 from rhubarbbend.gateway._requests import OpenRequest
+from rhubarbbend.gateway._settings import Address
 from rhubarbbend.gateway._state import Clock, State
 from rhubarbbend.http import (
     REASON_TIMEOUT,
@@ -83,6 +84,10 @@
         # Called when a target was lost while it ran a request; set by the instance.
         self.on_loss: Callable[[OpenRequest, Target, float], None] = lambda *_: None
 
+    def has_open_connection(self, target: str, address: Address) -> bool:
+        """Return whether a connection to a target is open, idle or with a request in flight."""
+        return self._liveness.has_open_connection(target) or self._pool.has_open_idle(address)
+
     async def run(self, request: OpenRequest, choice: Choice) -> AttemptOutcome:
         """Send a request to the chosen target and return how the attempt ended.
 
--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -118,7 +118,13 @@
     def _set_up_crash_detection(self, attempts: AttemptRunner) -> CrashGate:
         """Have attempts report losses of targets, and return the gate that they have to pass."""
         self._peers.on_regained = lambda peer: self._spawn(self._fetch_crashes(peer))
-        checker = TargetChecker(self.state, self._peers, self._adapter.targets, read_clock)
+        checker = TargetChecker(
+            self.state,
+            self._peers,
+            self._adapter.targets,
+            attempts.has_open_connection,
+            read_clock,
+        )
         attempts.forwarder.has_ended = checker.has_ended
         self._peer_server.on_target_check = checker.serve
         news = CrashNews(self._peers, self._spawn)
--- a/rhubarbbend/gateway/_liveness.py
+++ b/rhubarbbend/gateway/_liveness.py
@@ -56,6 +56,11 @@
             self._alive_until.pop(target, None)
             self._probe_failed_at.pop(target, None)
 
+    def has_open_connection(self, target: str) -> bool:
+        """Return whether an answer is awaited on a connection that the target has not closed."""
+        connections = self._awaiting_answer.get(target, ())
+        return any(not connection.closed for connection in connections)
+
     def find_last_contact(self, target: str, now: float) -> float:
         """Return when data last arrived from a target on a connection that awaits an answer.
 
--- a/rhubarbbend/gateway/_target_checker.py
+++ b/rhubarbbend/gateway/_target_checker.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import enum
+from collections.abc import Callable
 from typing import Final
 
 import msgspec
@@ -24,7 +25,8 @@
 CONNECT_TIMEOUT_S: Final = 0.1
 ANSWER_TIMEOUT_S: Final = 0.2
 # A process that ends may still accept connections while its others are being closed, so one that
-# closes a connection without an answer is tried again.
+# closes a connection without an answer is tried again. One that goes on doing so while it keeps
+# older connections open is at its limit on connections.
 MAX_TRIES: Final = 3
 RETRY_DELAY_S: Final = 0.05
 # Other targets that are tried to find out whether this instance has any links at all.
@@ -37,6 +39,7 @@
     SAME = "same"  # The target itself answers.
     OTHER = "other"  # Another target answers, or another start of it.
     REFUSED = "refused"  # No connection is accepted, or each is closed without an answer.
+    FULL = "full"  # Each new connection is closed without an answer, while an older one is open.
     SILENT = "silent"  # Nothing comes back.
 
 
@@ -58,11 +61,18 @@
     """Contacts lost targets, also for other instances."""
 
     def __init__(
-        self, state: State, peers: PeerClient, targets: TargetProtocol, clock: Clock
+        self,
+        state: State,
+        peers: PeerClient,
+        targets: TargetProtocol,
+        has_open_connection: Callable[[str, Address], bool],
+        clock: Clock,
     ) -> None:
         self._state = state
         self._peers = peers
         self._targets = targets
+        # Whether this instance has an open connection to a target, given its id and address.
+        self._has_open_connection = has_open_connection
         self._clock = clock
 
     async def find_fate(self, target: Target) -> Fate:
@@ -78,7 +88,7 @@
     async def has_ended(self, target: Target) -> bool:
         """Return whether a target that has just closed a connection has ended, as seen from here.
 
-        Silence shows nothing of it.
+        Silence shows nothing of it, nor do connections that are closed while older ones stay open.
         """
         query = CheckQuery(target.incarnation, target.service, target.address)
         return await self._contact(query) in (Contact.OTHER, Contact.REFUSED)
@@ -113,6 +123,8 @@
             return Fate.ALIVE
         if Contact.OTHER in contacts.values():
             return Fate.ENDED
+        if Contact.FULL in (own, *contacts.values()):
+            return Fate.UNKNOWN
         # An instance of this zone may be cut off together with this one.
         if len(contacts) > 1 and target.zone != self._state.settings.zone:
             contacts.pop(self._state.settings.zone, None)
@@ -143,7 +155,8 @@
 
     async def _contact(self, query: CheckQuery) -> Contact:
         """Ask whoever is at a target's address who it is."""
-        registered = self._state.registry.find(get_target_id(query.target))
+        target = get_target_id(query.target)
+        registered = self._state.registry.find(target)
         if registered is not None and registered.incarnation != query.target:
             return Contact.OTHER
         address = query.address if registered is None else registered.address
@@ -161,7 +174,7 @@
                     return Contact.SILENT
             finally:
                 connection.close()
-        return Contact.REFUSED
+        return Contact.FULL if self._has_open_connection(target, address) else Contact.REFUSED
 
     async def _identify(
         self, connection: Connection, query: CheckQuery, address: Address
--- a/rhubarbbend/http/_pool.py
+++ b/rhubarbbend/http/_pool.py
@@ -122,6 +122,10 @@
                 IDLE_LIMIT_FRACTION * idle_time, now + IDLE_LIMIT_LIFETIME_S
             )
 
+    def has_open_idle(self, address: Address) -> bool:
+        """Return whether an idle connection to `address` has not been closed by the peer."""
+        return any(not connection.closed for connection in self._idle.get(address, ()))
+
     def close_all_idle(self) -> None:
         """Close every idle connection.
 
