--- a/rhubarbbend/gateway/_answer_receiver.py
+++ b/rhubarbbend/gateway/_answer_receiver.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from rhubarbbend import codes
+from rhubarbbend.core.capacity import ReportedLoad
 from rhubarbbend.core.delivery import LatencyTracker
 from rhubarbbend.core.directory import Target
 from rhubarbbend.gateway._detour_messages import LEAVING_HEADER
@@ -104,14 +105,16 @@
                 now,
             )
 
-    def _record_load_report(self, request: OpenRequest, target: Target, load: int) -> None:
+    def _record_load_report(self, request: OpenRequest, target: Target, load: ReportedLoad) -> None:
         """Record the load that a target reports, and count by how much it was underestimated."""
         now = self._clock()
         has_peer_counts = self._state.has_peer_counts(request.service, now)
-        underestimate = load - round(self._state.loads.estimate(target.id, has_peer_counts, now))
+        underestimate = load.held - round(
+            self._state.loads.estimate(target.id, has_peer_counts, now)
+        )
         self._state.metrics.increment_counter(codes.LOAD_REPORTS_IN_ANSWERS)
         self._state.metrics.increment_counter(codes.LOAD_UNDERESTIMATED, max(0, underestimate))
-        self._state.loads.record_report(target.id, load, now)
+        self._state.loads.record_report(target.id, load.held, now)
 
     async def _receive_next_head(
         self, request: OpenRequest, target: Target, connection: Connection
--- a/rhubarbbend/gateway/_attempts.py
+++ b/rhubarbbend/gateway/_attempts.py
@@ -199,7 +199,7 @@
                 choice.target,
                 end=outcome.value,
                 status=None if answer is None else answer.status,
-                held=None if answer is None else answer.load,
+                held=None if answer is None or answer.load is None else answer.load.held,
                 pause=None if answer is None else answer.pause_s,
                 leaving=(answer is not None and answer.is_leaving) or None,
                 after=round(self._clock() - request.arrived_at, 4),
--- a/rhubarbbend/gateway/_interfaces.py
+++ b/rhubarbbend/gateway/_interfaces.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from rhubarbbend.codes import ErrorCode, Verdict
+from rhubarbbend.core.capacity import ReportedLoad
 from rhubarbbend.core.catalog import Catalog
 from rhubarbbend.core.directory import TargetRecord
 from rhubarbbend.core.mirror import RowChange
@@ -78,8 +79,8 @@
     `request` is the request id that it carries. `is_authentic` is whether it carries the target's
     seal and its body has not been changed. `was_not_executed` states that the target did not run
     the request, `misdirected` that a target other than the intended one responded,
-    `closes_connection` that the target closes the connection. `load` is the number of requests
-    running and waiting at the target, None if it is not stated. `idle_timeout_s` is how many
+    `closes_connection` that the target closes the connection. `load` is what the target
+    reports of its load, None if it reports nothing. `idle_timeout_s` is how many
     seconds the target keeps an idle connection open, None if it is not stated. `pause_s` is for how
     many seconds the target wants no requests of this instance, None if it asks for no pause.
     `is_leaving` is whether it is about to end and wants no new requests. `brittle_per_s` is how
@@ -92,7 +93,7 @@
     was_not_executed: bool
     misdirected: bool
     closes_connection: bool
-    load: int | None
+    load: ReportedLoad | None
     idle_timeout_s: float | None
     headers: RawHeaders
     pause_s: float | None = None
