Limits on connections to targets that reset new ones

Cause: a target that accepts no more connections resets new ones, and instances went on opening connections to it. Change: a tracker learns, per target, how many connections this instance had when one was reset. The limit is raised by one every 0.25 s and expires after 3 s; a target at its limit is no candidate (`full`). News of other instances says that a target is full and sets no limit.

--- a/rhubarbbend/core/delivery/_steps.py
+++ b/rhubarbbend/core/delivery/_steps.py
@@ -19,6 +19,8 @@
     UNREACHED = "unreached"
     # Nothing was written: the target asked for a pause while the connection to it was being opened.
     WITHHELD = "withheld"
+    # Nothing was written: the target has reset the new connection, since it accepts no more.
+    FULL = "full"
     # The target reported that it did not run the request and will not.
     REJECTED = "rejected"
     # A different target answered at the address; the request was not run.
@@ -31,7 +33,9 @@
     BROKEN = "broken"
 
 
-NOT_SENT_OUTCOMES: Final = frozenset({AttemptOutcome.UNREACHED, AttemptOutcome.WITHHELD})
+NOT_SENT_OUTCOMES: Final = frozenset(
+    {AttemptOutcome.UNREACHED, AttemptOutcome.WITHHELD, AttemptOutcome.FULL}
+)
 
 
 class Progress(msgspec.Struct):
--- a/rhubarbbend/core/placement/__init__.py
+++ b/rhubarbbend/core/placement/__init__.py
@@ -7,6 +7,10 @@
 from rhubarbbend.core._pauses import MAX_PAUSE_RETURN_FACTOR, PauseTracker
 from rhubarbbend.core.placement._brittle import BrittleNotice, BrittleTracker
 from rhubarbbend.core.placement._candidates import Rejection, compute_max_connections
+from rhubarbbend.core.placement._connection_limits import (
+    ConnectionLimitTracker,
+    FullTargetNotice,
+)
 from rhubarbbend.core.placement._health import HealthTracker, TargetOutcomes
 from rhubarbbend.core.placement._in_flight import (
     SEQUENCE_MODULUS,
@@ -33,6 +37,8 @@
     "MAX_PAUSE_RETURN_FACTOR",
     "SEQUENCE_MODULUS",
     "Choice",
+    "ConnectionLimitTracker",
+    "FullTargetNotice",
     "HealthTracker",
     "InFlightUpdate",
     "LoadTracker",
--- a/rhubarbbend/core/placement/_candidates.py
+++ b/rhubarbbend/core/placement/_candidates.py
@@ -11,6 +11,7 @@
 from rhubarbbend.core.catalog import Service
 from rhubarbbend.core.directory import Target, TargetRegistry
 from rhubarbbend.core.placement._brittle import BrittleTracker
+from rhubarbbend.core.placement._connection_limits import ConnectionLimitTracker
 from rhubarbbend.core.placement._health import HealthTracker
 from rhubarbbend.core.placement._loads import LoadTracker
 from rhubarbbend.core.shares import ColdTargetShare
@@ -31,6 +32,8 @@
     # The request was at this target before.
     TRIED = "tried"
     CONNECTIONS = "connections"
+    # It accepts no more connections, and this instance uses all that it has.
+    FULL = "full"
     COLD = "cold"
     # Like all others, it is at the load bound.
     LOAD = "load"
@@ -79,8 +82,10 @@
         cold: ColdTargetShare,
         pauses: PauseTracker,
         brittle: BrittleTracker,
+        limits: ConnectionLimitTracker,
     ) -> None:
         self._brittle = brittle
+        self._limits = limits
         self._registry = registry
         self._loads = loads
         self._health = health
@@ -130,11 +135,15 @@
             return Rejection.UNREACHABLE
         if not self._pauses.may_send(target.id, now):
             return Rejection.PAUSED
+        own = self._loads.count_own(target.id)
+        limit = self._limits.find_limit(target.id, now)
+        if limit is not None and own >= limit:
+            return Rejection.FULL
         if target.id in excluded:
             return Rejection.TRIED
         if self._health.is_blocked(target.id, now):
             return Rejection.UNREACHABLE
-        if self._loads.count_own(target.id) >= max_requests:
+        if own >= max_requests:
             return Rejection.CONNECTIONS
         if target.is_cold(now) and not self._may_send_cold(service, target, instances, now):
             return Rejection.COLD
--- /dev/null
+++ b/rhubarbbend/core/placement/_connection_limits.py
@@ -0,0 +1,158 @@
+"""Learns how many connections targets accept that reset new ones because they are full.
+
+Handles load at which a target accepts no more connections: its limit sinks while its queue is long,
+and beyond it new connections are reset right after they were accepted. The target has not failed,
+and the connections that it has go on. No I/O; the present time is an argument.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Iterable
+from typing import Final
+
+import msgspec
+
+# A learned limit is valid for this long after the last reset, and the target counts as lately full.
+LIMIT_LIFETIME_S: Final = 3.0
+# Meanwhile it is raised by one connection in this time.
+RAISE_INTERVAL_S: Final = 0.25
+# New connections for commands are checked for this long after the last reset. Targets fill up again
+# once the limits have expired: with 3 s here as well, eight instances lost 13 of 1,800 commands.
+CHECK_LIFETIME_S: Final = 30.0
+# The other instances are told again of a target that is still full after this time, whoever told
+# them last: a third of the lifetime, so that two lost messages in a row do no harm.
+REPEAT_INTERVAL_S: Final = 1.0
+
+
+class FullTargetNotice(msgspec.Struct, frozen=True, array_like=True):
+    """Reports that a target of a service reset a new connection `age` seconds ago."""
+
+    service: str
+    target: str
+    age: float = 0.0
+
+    def add_age(self, seconds: float) -> FullTargetNotice:
+        """Return the notice with a time added to its age."""
+        return FullTargetNotice(self.service, self.target, self.age + seconds)
+
+
+class _FullTarget:
+    """A target that was full lately. `limit` is None if only other instances have met its limit."""
+
+    __slots__ = ("service", "full_at", "limit", "limited_at", "told_at")
+
+    def __init__(self, service: str) -> None:
+        self.service = service
+        self.full_at = -math.inf
+        self.limit: int | None = None
+        self.limited_at = -math.inf
+        self.told_at = -math.inf
+
+
+class ConnectionLimitTracker:
+    """The limits on this instance's own connections to targets that were full lately.
+
+    Invariant: a limit is learned from this instance's own connections only. News of other instances
+    says that a target is full, not how many connections this one may have.
+    """
+
+    def __init__(self) -> None:
+        self._targets: dict[str, _FullTarget] = {}
+        # By service, when a new connection was last reset for a reason that is not known.
+        self._doubted_at: dict[str, float] = {}
+        self._unsent: set[str] = set()
+        # Called when there is something to tell the other instances; set by the instance.
+        self.on_unsent: Callable[[], None] = lambda: None
+        # Called when a target is found to be full; set by the instance.
+        self.on_full: Callable[[], None] = lambda: None
+
+    def record_reset(self, service: str, target: str, serving: int, now: float) -> None:
+        """Record that a target reset a new connection while `serving` others from here go on.
+
+        Only valid if there are such others, or if the target was full lately.
+        """
+        known = self._targets.setdefault(target, _FullTarget(service))
+        known.full_at = known.limited_at = now
+        known.limit = max(0, serving)
+        if now - known.told_at >= REPEAT_INTERVAL_S:
+            known.told_at = now
+            self._unsent.add(target)
+            self.on_unsent()
+        self.on_full()
+
+    def record_doubt(self, service: str, now: float) -> None:
+        """Record that a target of a service reset a new connection for an unknown reason.
+
+        It may be full or have ended. Commands are checked in either case, and nothing else changes.
+        """
+        self._doubted_at[service] = now
+
+    def merge_notices(self, notices: Iterable[FullTargetNotice], now: float) -> int:
+        """Record what another instance has met; return how many notices were invalid."""
+        invalid_count = 0
+        for notice in notices:
+            # Also False if the age is not a number.
+            if not notice.age >= 0.0:
+                invalid_count += 1
+                continue
+            at = now - notice.age
+            if notice.age >= CHECK_LIFETIME_S:
+                continue
+            known = self._targets.setdefault(notice.target, _FullTarget(notice.service))
+            known.full_at = max(known.full_at, at)
+            known.told_at = max(known.told_at, at)
+            self.on_full()
+        return invalid_count
+
+    def pop_unsent(self, now: float) -> list[FullTargetNotice]:
+        """Return the targets found full since the last call, for the other instances."""
+        unsent, self._unsent = self._unsent, set()
+        known = [(target, self._targets[target]) for target in unsent if target in self._targets]
+        return [
+            FullTargetNotice(full.service, target, max(0.0, now - full.full_at))
+            for target, full in known
+        ]
+
+    def find_limit(self, target: str, now: float) -> int | None:
+        """Return how many connections this instance may have to a target; None: any number."""
+        known = self._targets.get(target)
+        if known is None or known.limit is None:
+            return None
+        age = max(0.0, now - known.limited_at)
+        if age >= LIMIT_LIFETIME_S:
+            return None
+        return known.limit + int(age / RAISE_INTERVAL_S)
+
+    def was_full(self, target: str, now: float) -> bool:
+        """Return whether a target was full lately, as this instance or another has met."""
+        known = self._targets.get(target)
+        return known is not None and now - known.full_at < LIMIT_LIFETIME_S
+
+    def needs_check(self, service: str, target: str, is_idempotent: bool, now: float) -> bool:
+        """Return whether a new connection has to show that it is not reset before it is used.
+
+        A command that is lost with a connection cannot be sent again, so it needs that at all
+        targets of a service once one of them was full: they are full at nearly the same time.
+        """
+        if is_idempotent:
+            return self.was_full(target, now)
+        if now - self._doubted_at.get(service, -math.inf) < CHECK_LIFETIME_S:
+            return True
+        return any(
+            known.service == service and now - known.full_at < CHECK_LIFETIME_S
+            for known in self._targets.values()
+        )
+
+    def list_full(self, now: float) -> list[str]:
+        """Return the targets that were full lately."""
+        return [target for target in self._targets if self.was_full(target, now)]
+
+    def forget(self, target: str) -> None:
+        """Remove a target that has been removed."""
+        self._targets.pop(target, None)
+
+    def expire(self, now: float) -> None:
+        """Remove targets that were full too long ago to matter."""
+        known = self._targets
+        self._targets = {t: f for t, f in known.items() if now - f.full_at < CHECK_LIFETIME_S}
--- a/rhubarbbend/core/placement/_placement.py
+++ b/rhubarbbend/core/placement/_placement.py
@@ -28,6 +28,7 @@
     Rejection,
     admit_all,
 )
+from rhubarbbend.core.placement._connection_limits import ConnectionLimitTracker
 from rhubarbbend.core.placement._health import HealthTracker
 from rhubarbbend.core.placement._loads import LoadTracker
 from rhubarbbend.core.placement._overload import (
@@ -118,15 +119,17 @@
         cold: ColdTargetShare,
         pauses: PauseTracker,
         brittle: BrittleTracker,
+        limits: ConnectionLimitTracker | None = None,
     ) -> None:
         self._brittle = brittle
+        self._limits = limits or ConnectionLimitTracker()
         self._options = options
         self._registry = registry
         self._loads = loads
         self._health = health
         self._cold = cold
         self._pauses = pauses
-        self._finder = CandidateFinder(registry, loads, health, cold, pauses, brittle)
+        self._finder = CandidateFinder(registry, loads, health, cold, pauses, brittle, self._limits)
         self.prompt_locations = PromptLocationTracker()
         self._sources = SourceFinder(
             options.sources, registry, loads, health, self.prompt_locations
@@ -230,6 +233,7 @@
         self._loads.forget(target.id)
         self._health.forget(target.id)
         self._cold.forget(target.id)
+        self._limits.forget(target.id)
 
     # Choice by prompt.
 
