Connections that are reset at once are noticed before they are used

Change: `closes_within` of a connection, the time at which it was opened, and counting and closing of idle connections of the pool by their age. Result: tests/http passes.

--- a/rhubarbbend/http/_connection.py
+++ b/rhubarbbend/http/_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import AsyncIterator
 from typing import Final
 
@@ -56,6 +57,7 @@
 
     __slots__ = (
         "address",
+        "opened_at",
         "idle_since",
         "idle_timeout_s",
         "reused",
@@ -69,6 +71,8 @@
 
     def __init__(self, address: Address, protocol: ClientProtocol) -> None:
         self.address = address
+        # In the event loop's time.
+        self.opened_at = protocol.last_received_at
         self.idle_since = 0.0
         # Seconds for which the peer keeps the connection open while it is idle; None if not stated.
         self.idle_timeout_s: float | None = None
@@ -271,6 +275,18 @@
         """Return whether the connection is closed or the peer has closed its side."""
         return self._protocol.closed
 
+    @property
+    def has_received(self) -> bool:
+        """Return whether the peer has sent any data."""
+        return self._protocol.has_received
+
+    async def closes_within(self, timeout: float) -> bool:
+        """Return whether the peer closes or resets the connection within `timeout` seconds."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout):
+                await self._protocol.wait_readable()
+        return self.closed
+
     def close(self) -> None:
         """Close immediately and discard unsent data."""
         self._protocol.transport.abort()
--- a/rhubarbbend/http/_pool.py
+++ b/rhubarbbend/http/_pool.py
@@ -154,6 +154,20 @@
         for address in [a for a, limit in self._idle_limits.items() if now >= limit.until]:
             del self._idle_limits[address]
 
+    def count_idle(self, address: Address, opened_before: float) -> int:
+        """Return how many idle connections to an address are open that were opened earlier."""
+        idle = self._idle.get(address, ())
+        return sum(c.opened_at < opened_before and not c.closed for c in idle)
+
+    def close_idle_longer(self, address: Address, max_idle: float, now: float) -> None:
+        """Close the connections to an address that were idle for over `max_idle` seconds.
+
+        Of those that a peer accepts from all its clients together, they are wanted least.
+        """
+        idle = self._idle.get(address)
+        while idle and now - idle[0].idle_since > max_idle:
+            idle.popleft().close()
+
     def close_idle_to(self, address: Address) -> None:
         """Close every idle connection to an address at which a fault was detected."""
         for connection in self._idle.pop(address, ()):
--- a/rhubarbbend/http/_protocol.py
+++ b/rhubarbbend/http/_protocol.py
@@ -98,6 +98,7 @@
         self._sink: Sink | None = None
         self._write_waiter: asyncio.Future[None] | None = None
         self._reading_paused = False
+        self._has_received = False
 
     @property
     def transport(self) -> asyncio.Transport:
@@ -120,17 +121,26 @@
         """Return the number of written bytes that are still in the write buffer."""
         return self.transport.get_write_buffer_size()
 
-    async def read(self) -> bytes:
-        """Return the received data, waiting for some if there is none.
+    @property
+    def has_received(self) -> bool:
+        """Return whether any data was ever received."""
+        return self._has_received
 
-        Empty if the peer has closed its side in order; raise the connection's error otherwise.
-        """
+    async def wait_readable(self) -> None:
+        """Wait until there is data to read, or the connection has ended."""
         while not self._buffer and not self.eof:
             self._read_waiter = self._loop.create_future()
             try:
                 await self._read_waiter
             finally:
                 self._read_waiter = None
+
+    async def read(self) -> bytes:
+        """Return the received data, waiting for some if there is none.
+
+        Empty if the peer has closed its side in order; raise the connection's error otherwise.
+        """
+        await self.wait_readable()
         if not self._buffer and self.error is not None:
             raise self.error
         data = bytes(self._buffer)
@@ -181,6 +191,7 @@
     def data_received(self, data: bytes) -> None:
         """Pass data to the sink, or buffer it for the reader."""
         self.traffic += len(data)
+        self._has_received = True
         previous, self.last_received_at = self.last_received_at, self._loop.time()
         if self._sink is not None:
             self.longest_receive_gap_s = max(
--- a/tests/http/test_connection.py
+++ b/tests/http/test_connection.py
@@ -53,3 +53,23 @@
                 filler.close()
 
     asyncio.run(scenario())
+
+
+# Guards against a request that is written to a connection which its target is about to reset.
+@pytest.mark.parametrize(("delay", "is_closed"), [(0.0, True), (0.01, True), (5.0, False)])
+def test_a_connection_that_the_peer_closes_at_once_is_noticed(
+    delay: float, is_closed: bool
+) -> None:
+    async def close_soon(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(delay)
+        writer.transport.abort()
+
+    async def scenario() -> None:
+        server = await asyncio.start_server(close_soon, "127.0.0.1", 0)
+        connection = await Connection.open(server.sockets[0].getsockname())
+        assert await connection.closes_within(0.2) is is_closed
+        assert not connection.has_received
+        connection.close()
+        server.close()
+
+    asyncio.run(scenario())
--- a/tests/http/test_pool.py
+++ b/tests/http/test_pool.py
@@ -67,3 +67,22 @@
         assert await pool.acquire(address, 1.0, False) is idle[2]
 
     run_with_server(scenario)
+
+
+# Guards against idle connections that hold places at a full target which other instances want.
+def test_connections_idle_for_long_are_closed_and_open_ones_are_counted() -> None:
+    async def scenario(address: tuple[str, int]) -> None:
+        pool = ConnectionPool(10.0)
+        idle = [await pool.acquire(address, 0.0, True) for _ in range(3)]
+        for number, connection in enumerate(idle):
+            connection.idle_since = 0.1 * number
+            pool.add_idle(connection)
+        later = idle[2].opened_at + 1.0
+        assert pool.count_idle(address, later) == 3
+        assert pool.count_idle(address, idle[0].opened_at) == 0
+        pool.close_idle_longer(address, 0.2, 0.35)
+        assert [connection.closed for connection in idle] == [True, True, False]
+        assert pool.count_idle(address, later) == 1
+        pool.close_idle_longer(("127.0.0.1", 1), 0.2, 0.35)
+
+    run_with_server(scenario)
