Full targets are told from failing ones, and commands are not lost to them

Cause: a reset of a new connection counted as a failure of the target and as its loss under the request; a command that was written to it was answered 502. Change: if older connections to the target go on, it is full: nothing is recorded against it or the request.

--- a/rhubarbbend/codes.py
+++ b/rhubarbbend/codes.py
@@ -164,7 +164,7 @@
 )
 RETRY_CRASH: Final = _declare_counter("retry.crash", "attempts moved: the target crashed")
 RETRY_FAILED: Final = _declare_counter("retry.failed", "attempts moved: the target failed")
-RETRY_FULL: Final = _declare_counter("retry.full", "slot asked elsewhere: target at its limit")
+RETRY_FULL: Final = _declare_counter("retry.full", "moved: the target was at its limit")
 RETRY_OWNER: Final = _declare_counter("retry.owner", "slot asked again: its owner was silent")
 RETRY_REDIRECT: Final = _declare_counter("retry.redirect", "slot asked again: owner redirected")
 RETRY_NOT_READY: Final = _declare_counter("retry.not_ready", "slot asked elsewhere: not ready")
@@ -267,6 +267,13 @@
     "suspects.held", "requests held since a target was lost under an earlier attempt"
 )
 
+CONNECTIONS_RESET: Final = _declare_counter(
+    "targets.connections_reset",
+    "new connections that full targets reset right after accepting them",
+)
+FULL_NOTICES_INVALID: Final = _declare_counter(
+    "targets.full_notices_invalid", "news of full targets with an impossible age, ignored"
+)
 BRITTLE_REJECTIONS: Final = _declare_counter(
     "targets.brittle_rejections", "requests rejected by targets that fall over if they reject many"
 )
--- a/rhubarbbend/gateway/_attempts.py
+++ b/rhubarbbend/gateway/_attempts.py
@@ -18,6 +18,7 @@
 from rhubarbbend.gateway._answer_forwarder import AnswerForwarder
 from rhubarbbend.gateway._answer_receiver import AnswerReceiver
 from rhubarbbend.gateway._attempt_recorder import AttemptRecorder
+from rhubarbbend.gateway._full_targets import FullTargetDetector
 from rhubarbbend.gateway._interfaces import ForwardingOptions, TargetProtocol, TargetResponseHead
 from rhubarbbend.gateway._liveness import TargetLivenessMonitor
 from rhubarbbend.gateway._requests import OpenRequest
@@ -73,6 +74,7 @@
         self._latencies = LatencyTracker()
         self.recorder = AttemptRecorder(state, clock)
         self._liveness = TargetLivenessMonitor(state, pool, CONNECT_TIMEOUT_S, clock)
+        self._full_targets = FullTargetDetector(state, pool, self._liveness, clock)
         self._answers = AnswerReceiver(
             state, target_protocol, self._liveness, self._latencies, clock
         )
@@ -100,6 +102,8 @@
             connection = await self._connect(request, target)
             if connection is None:
                 return AttemptOutcome.UNREACHED
+            if not await self._full_targets.has_room(request, target, connection):
+                return AttemptOutcome.FULL
             if self._state.pauses.compute_remaining(target.id, self._clock()) > 0.0:
                 self._pool.release(connection, self._clock())
                 return AttemptOutcome.WITHHELD
@@ -155,6 +159,8 @@
         Targets count them too, and reset what is beyond their limit.
         """
         share = compute_max_connections(service, len(self._state.list_instance_ids()))
+        limit = self._state.connection_limits.find_limit(target.id, self._clock())
+        share = share if limit is None else min(share, limit)
         return max(0, share - self._state.loads.count_own(target.id))
 
     async def _send_and_receive(
@@ -177,7 +183,12 @@
                 request, answer, connection, policy, request.can_retry_elsewhere, choice.target
             )
         except HttpFailure as failure:
-            outcome = self._handle_failure(request, choice.target, connection, failure)
+            is_full = answer is None and await self._full_targets.is_full(
+                request, choice.target, connection, failure
+            )
+            outcome = self._handle_failure(request, choice.target, connection, failure, is_full)
+            if is_full:
+                return outcome
             if answer is None and self._record_if_dead_while_idle(
                 request, choice.target, connection, failure
             ):
@@ -291,6 +302,7 @@
         target: Target,
         connection: Connection,
         failure: HttpFailure,
+        is_full: bool,
     ) -> AttemptOutcome:
         self._log(
             "attempt_failed",
@@ -300,12 +312,14 @@
             reason=failure.reason,
             after=round(self._clock() - request.arrived_at, 4),
             last_event=request.relay.last_id or None,
+            full=is_full or None,
             content=request.digest,
             parts=_list_logged_parts(request),
         )
         if failure.stage is SendStage.CONNECT:
             return AttemptOutcome.UNREACHED
-        if connection.closed or self._liveness.has_failed_probe(target.id):
+        is_lost = connection.closed or self._liveness.has_failed_probe(target.id)
+        if is_lost and not is_full:
             self.on_loss(request, target, self._clock())
         return AttemptOutcome.BROKEN
 
--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -230,6 +230,9 @@
             "instances_heard", lambda: state.loads.peer_counts.count_instances(read_clock())
         )
         metrics.register_gauge("targets_unreachable", lambda: len(state.health.list_unreachable()))
+        metrics.register_gauge(
+            "targets_full", lambda: len(state.connection_limits.list_full(read_clock()))
+        )
         metrics.register_gauge("ready", lambda: float(state.ready))
         metrics.register_gauge("store_reached", lambda: float(self._follower.is_store_reachable))
         metrics.register_gauge("reads_store", lambda: float(self._follower.reads_store))
@@ -273,6 +276,7 @@
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
             now = read_clock()
             self.state.crashes.expire(now)
+            self.state.connection_limits.expire(now)
             self._pool.close_expired(now)
             self._peer_pool.close_expired(now)
             self._apply_limits()
--- a/rhubarbbend/gateway/_liveness.py
+++ b/rhubarbbend/gateway/_liveness.py
@@ -56,6 +56,11 @@
             self._alive_until.pop(target, None)
             self._probe_failed_at.pop(target, None)
 
+    def count_open(self, target: str, opened_before: float) -> int:
+        """Return how many connections that await answers are open and were opened earlier."""
+        awaiting = self._awaiting_answer.get(target, ())
+        return sum(c.opened_at < opened_before and not c.closed for c in awaiting)
+
     def find_last_contact(self, target: str, now: float) -> float:
         """Return when data last arrived from a target on a connection that awaits an answer.
 
--- a/rhubarbbend/gateway/_peer_updates.py
+++ b/rhubarbbend/gateway/_peer_updates.py
@@ -11,6 +11,7 @@
 from rhubarbbend.core.directory import get_target_id
 from rhubarbbend.core.placement import (
     BrittleNotice,
+    FullTargetNotice,
     PromptLocation,
     TargetLoad,
     TargetOutcomes,
@@ -104,6 +105,7 @@
     brittle: list[BrittleNotice] = []
     findings: CrashFindings | None = None
     is_urgent: bool = False
+    full: list[FullTargetNotice] = []
 
     def add_age(self, now: float) -> PeerUpdate:
         """Return the update to relay now; the time since its receipt is added to its ages."""
@@ -113,6 +115,7 @@
             locations=[location.add_age(waited) for location in self.locations],
             crashes=[loss.add_age(waited) for loss in self.crashes],
             findings=None if self.findings is None else self.findings.add_age(waited),
+            full=[notice.add_age(waited) for notice in self.full],
             loads=[],
             received_at=None,
         )
--- a/rhubarbbend/gateway/_request_server.py
+++ b/rhubarbbend/gateway/_request_server.py
@@ -43,7 +43,9 @@
 # at another instance can still be answered in time.
 STARTUP_WAIT_FRACTION: Final = 0.33
 # Reasons for rejecting targets that are available and will accept requests again soon.
-OVERLOAD_REJECTIONS: Final = frozenset({Rejection.COLD, Rejection.CONNECTIONS, Rejection.LOAD})
+OVERLOAD_REJECTIONS: Final = frozenset(
+    {Rejection.COLD, Rejection.CONNECTIONS, Rejection.FULL, Rejection.LOAD}
+)
 
 
 class RequestServer:
--- a/rhubarbbend/gateway/_state.py
+++ b/rhubarbbend/gateway/_state.py
@@ -18,6 +18,7 @@
 from rhubarbbend.core.mirror import Mirror
 from rhubarbbend.core.placement import (
     BrittleTracker,
+    ConnectionLimitTracker,
     HealthTracker,
     LoadTracker,
     PauseTracker,
@@ -69,6 +70,7 @@
         self.health = HealthTracker()
         self.pauses = PauseTracker()
         self.brittle = BrittleTracker(settings.instance, self.random)
+        self.connection_limits = ConnectionLimitTracker()
         self.cold_target_share = _make_cold_share(settings)
         self.crashes = CrashLedger(_make_refusal_rules(settings))
         # Called with the present time when others have told of losses; set by the instance.
@@ -108,6 +110,7 @@
             self.cold_target_share,
             self.pauses,
             self.brittle,
+            self.connection_limits,
         )
 
     def apply_settings(self, settings: GatewaySettings) -> None:
@@ -210,10 +213,21 @@
         if update.sender != self.settings.instance:
             self.health.merge_outcomes(update.outcomes, now)
             self.brittle.merge_notices(update.brittle, now)
+            self._merge_full_targets(update, now)
         for rollout in update.rollouts:
             self.rollouts.record_outcome(rollout.service, rollout.record)
         self.queue_for_listeners(update, now)
 
+    def _merge_full_targets(self, update: PeerUpdate, now: float) -> None:
+        known = [notice for notice in update.full if self.registry.find(notice.target) is not None]
+        invalid_count = self.connection_limits.merge_notices(known, now)
+        if invalid_count:
+            self.metrics.increment_counter(codes.FULL_NOTICES_INVALID, invalid_count)
+        for notice in known:
+            self.event_log.write(
+                "target_full", now, target=notice.target, told_by=update.sender, age=notice.age
+            )
+
     def queue_for_listeners(self, update: PeerUpdate, now: float) -> None:
         """Queue an update for the instances that wait at this one."""
         relayed = (
@@ -223,6 +237,7 @@
             update.outcomes,
             update.brittle,
             update.findings,
+            update.full,
         )
         if not any(relayed):
             return
--- a/rhubarbbend/gateway/_update_broadcaster.py
+++ b/rhubarbbend/gateway/_update_broadcaster.py
@@ -30,6 +30,8 @@
         state.health.on_unsent = self._has_unsent_outcomes.set
         self._has_unsent_notices = asyncio.Event()
         state.brittle.on_unsent = self._has_unsent_notices.set
+        self._has_unsent_full = asyncio.Event()
+        state.connection_limits.on_unsent = self._has_unsent_full.set
 
     def list_tasks(self) -> list[Coroutine[Any, Any, None]]:
         """Return the tasks that send updates for as long as the instance runs."""
@@ -37,6 +39,7 @@
             self._broadcast_prompt_locations(),
             self._broadcast_outcomes(),
             self._broadcast_brittle(),
+            self._broadcast_full(),
         ]
 
     async def _broadcast_prompt_locations(self) -> None:
@@ -64,3 +67,11 @@
             self._has_unsent_notices.clear()
             notices = self._state.brittle.pop_unsent()
             await self._peers.broadcast(PeerUpdate(brittle=notices, sender=self._name))
+
+    async def _broadcast_full(self) -> None:
+        """Tell the other instances at once which targets reset new connections."""
+        while True:
+            await self._has_unsent_full.wait()
+            self._has_unsent_full.clear()
+            notices = self._state.connection_limits.pop_unsent(read_clock())
+            await self._peers.broadcast(PeerUpdate(full=notices, sender=self._name))
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -88,3 +88,17 @@
     assert main(["explain", "r-9", str(first)]) == 1
     assert "no line about r-9" in capsys.readouterr().err
     assert main(["explain", "r-1", str(tmp_path / "missing.log")]) == 1
+
+
+# Guards against a timeline that does not say why a request went past a target that is full.
+def test_timeline_holds_the_targets_that_were_full_shortly_before() -> None:
+    lines = [
+        make_line("target_full", 10.0, "front-1", target="t-1", cause="r-1", limit=2),
+        make_line("target_full", 11.0, "front-1", target="t-2", told_by="front-2", age=0.1),
+        make_line("target_full", 11.0, "front-2", target="t-3", cause="r-3", limit=0),
+        make_line("ended", 12.0, "front-1", id="r-9", outcome="refused", shut={"full": 2}),
+    ]
+    timeline = explain_request("r-9", read_lines(lines))
+    assert len(timeline) == 3
+    assert "target=t-1" in timeline[0] and "limit=2" in timeline[0]
+    assert "told_by=front-2" in timeline[1]
--- /dev/null
+++ b/tests/gateway/test_full_targets.py
@@ -0,0 +1,114 @@
+"""Plain targets that reset new connections beyond a number that sinks."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+import attrs
+import pytest
+
+from tests.gateway.harness import GatewayFleet, run, start_fleet
+
+INSTANCES = 8
+TARGETS = 4
+RATE = 90.0
+# The work of the requests in flight takes 14 connections.
+DELAY_S = 0.15
+DURATION_S = 4.0
+# Until the first reset nobody knows of the limit. What is written to the connections that are reset
+# before the news of it has arrived everywhere may have run, for all that is known.
+ONSET_S = 1.5
+MAX_FAILED_AT_ONSET = 6
+MAX_FAILED_WITHOUT_ROOM = 16
+
+
+@attrs.define(slots=True)
+class Command:
+    """A command as its caller saw it; `sent_s` is the time since the first one."""
+
+    id: str
+    sent_s: float
+    status: int = 0
+
+
+async def send_commands(fleet: GatewayFleet, duration_s: float) -> list[Command]:
+    """Send commands to all instances in turn, at an even rate."""
+    commands: list[Command] = []
+    started_at = time.monotonic()
+
+    async def send(command: Command, instance: str) -> None:
+        body = command.id.encode()
+        reply = await fleet.send_request("/book/x", body, instance, Attempt_Id=command.id)
+        command.status = reply.status
+
+    async with asyncio.TaskGroup() as sendings:
+        for number in range(int(duration_s * RATE)):
+            command = Command(f"command-{number}", time.monotonic() - started_at)
+            commands.append(command)
+            sendings.create_task(send(command, f"front-{number % INSTANCES}"))
+            await asyncio.sleep(1.0 / RATE)
+    return commands
+
+
+def check_runs(fleet: GatewayFleet, commands: list[Command]) -> None:
+    """Check that no command ran twice, and none that was refused as not run."""
+    runs = Counter(arrival.id for arrival in fleet.read_arrivals() if arrival.ran)
+    assert [command for command in commands if runs[command.id] > 1] == []
+    refused = [command for command in commands if command.status in (429, 503)]
+    assert [command for command in refused if runs[command.id]] == []
+
+
+def list_late_failures(commands: list[Command]) -> list[Command]:
+    """Return the commands that failed later than the first ones did."""
+    failed = [command for command in commands if command.status == 502]
+    return [command for command in failed if command.sent_s > failed[0].sent_s + ONSET_S]
+
+
+def read_events(fleet: GatewayFleet, event: str) -> list[dict[str, Any]]:
+    lines = [line for name in fleet.instances for line in fleet.read_log(name)]
+    return [line for line in lines if line["event"] == event]
+
+
+# Guards against commands that are written to connections which a full target resets.
+@pytest.mark.parametrize("max_connections", [24, 16, 8])
+def test_commands_are_not_lost_to_full_targets(tmp_path: Path, max_connections: int) -> None:
+    async def work() -> None:
+        async with start_fleet(
+            tmp_path, instances=INSTANCES, plain_worker_count=TARGETS, engine_worker_count=1
+        ) as fleet:
+            await fleet.set_service_faults("plain", delay=DELAY_S, max_connections=max_connections)
+            commands = await send_commands(fleet, DURATION_S)
+            statuses = Counter(command.status for command in commands)
+            print(f"limit {max_connections}: {dict(statuses)}")
+            check_runs(fleet, commands)
+            assert statuses[502] <= MAX_FAILED_AT_ONSET, statuses
+            assert list_late_failures(commands) == []
+            assert statuses[200] >= 0.9 * len(commands), statuses
+            # Nothing is held against the requests under which connections were reset.
+            reset = {line["id"] for line in read_events(fleet, "attempt_failed") if line["full"]}
+            assert reset.isdisjoint(line["id"] for line in read_events(fleet, "crash_doubted"))
+            assert not read_events(fleet, "crash_counted")
+
+    run(work)
+
+
+# Guards against commands that are sent where there is no room, rather than refused unsent.
+def test_commands_without_room_anywhere_are_refused_as_not_run(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with start_fleet(
+            tmp_path, instances=INSTANCES, plain_worker_count=TARGETS, engine_worker_count=1
+        ) as fleet:
+            await fleet.set_service_faults("plain", delay=DELAY_S, max_connections=2)
+            commands = await send_commands(fleet, DURATION_S)
+            statuses = Counter(command.status for command in commands)
+            print(f"limit 2: {dict(statuses)}")
+            check_runs(fleet, commands)
+            assert statuses[503] > 0
+            assert statuses[502] <= MAX_FAILED_WITHOUT_ROOM, statuses
+            assert list_late_failures(commands) == []
+
+    run(work)
--- a/tests/gateway/test_pauses.py
+++ b/tests/gateway/test_pauses.py
@@ -12,7 +12,12 @@
 
 from adapter import PlatformTargetProtocol
 from rhubarbbend.core.delivery import AttemptOutcome
-from rhubarbbend.core.placement import HealthTracker, LoadTracker, PauseTracker
+from rhubarbbend.core.placement import (
+    ConnectionLimitTracker,
+    HealthTracker,
+    LoadTracker,
+    PauseTracker,
+)
 from rhubarbbend.gateway._attempts import AttemptRunner
 from standins._worker_types import Arrival
 from tests.gateway.harness import GatewayFleet, Reply, run, start_fleet
@@ -120,6 +125,7 @@
         loads=LoadTracker(),
         health=HealthTracker(),
         pauses=pauses,
+        connection_limits=ConnectionLimitTracker(),
         placement=SimpleNamespace(record_chosen=lambda target, now: None),
         list_instance_ids=lambda: ("front-0",),
     )
