News of full targets: in a fixed order, only of registered targets, logged when new

Change: notices are sent in the order in which targets were found full; one that names another service than the target's is ignored; a target that was known to be full is not logged again for each notice. Result: tests/gateway/test_full_targets.py and tests/core/placement pass.

--- a/rhubarbbend/core/placement/_connection_limits.py
+++ b/rhubarbbend/core/placement/_connection_limits.py
@@ -70,7 +70,8 @@
         self._doubted_at: dict[str, float] = {}
         # By service, how long checks take since a reset came late, and until when.
         self._long_checks: dict[str, tuple[float, float]] = {}
-        self._unsent: set[str] = set()
+        # In the order in which they were found, so that the same events give the same messages.
+        self._unsent: dict[str, None] = {}
         # Called when there is something to tell the other instances; set by the instance.
         self.on_unsent: Callable[[], None] = lambda: None
         # Called when a target is found to be full; set by the instance.
@@ -86,7 +87,7 @@
         known.limit = max(0, serving)
         if now - known.told_at >= REPEAT_INTERVAL_S:
             known.told_at = now
-            self._unsent.add(target)
+            self._unsent[target] = None
             self.on_unsent()
         self.on_full()
 
@@ -127,7 +128,7 @@
 
     def pop_unsent(self, now: float) -> list[FullTargetNotice]:
         """Return the targets found full since the last call, for the other instances."""
-        unsent, self._unsent = self._unsent, set()
+        unsent, self._unsent = self._unsent, {}
         known = [(target, self._targets[target]) for target in unsent if target in self._targets]
         return [
             FullTargetNotice(full.service, target, max(0.0, now - full.full_at))
--- a/rhubarbbend/gateway/_state.py
+++ b/rhubarbbend/gateway/_state.py
@@ -19,6 +19,7 @@
 from rhubarbbend.core.placement import (
     BrittleTracker,
     ConnectionLimitTracker,
+    FullTargetNotice,
     HealthTracker,
     LoadTracker,
     PauseTracker,
@@ -219,15 +220,20 @@
         self.queue_for_listeners(update, now)
 
     def _merge_full_targets(self, update: PeerUpdate, now: float) -> None:
-        known = [notice for notice in update.full if self.registry.find(notice.target) is not None]
+        known = [notice for notice in update.full if self._is_registered(notice)]
+        new = [n for n in known if not self.connection_limits.was_full(n.target, now)]
         invalid_count = self.connection_limits.merge_notices(known, now)
         if invalid_count:
             self.metrics.increment_counter(codes.FULL_NOTICES_INVALID, invalid_count)
-        for notice in known:
+        for notice in new:
             self.event_log.write(
                 "target_full", now, target=notice.target, told_by=update.sender, age=notice.age
             )
 
+    def _is_registered(self, notice: FullTargetNotice) -> bool:
+        target = self.registry.find(notice.target)
+        return target is not None and target.service == notice.service
+
     def queue_for_listeners(self, update: PeerUpdate, now: float) -> None:
         """Queue an update for the instances that wait at this one."""
         relayed = (
--- a/tests/gateway/test_full_targets.py
+++ b/tests/gateway/test_full_targets.py
@@ -9,8 +9,11 @@
 from typing import Any
 
 import attrs
+import msgspec
 import pytest
 
+from rhubarbbend.core.placement import FullTargetNotice
+from rhubarbbend.gateway._peer_updates import PeerUpdate
 from tests.gateway.harness import GatewayFleet, run, start_fleet
 
 INSTANCES = 8
@@ -92,6 +95,7 @@
             reset = {line["id"] for line in read_events(fleet, "attempt_failed") if line["full"]}
             assert reset.isdisjoint(line["id"] for line in read_events(fleet, "crash_doubted"))
             assert not read_events(fleet, "crash_counted")
+            assert any(line.get("told_by") for line in read_events(fleet, "target_full"))
 
     run(work)
 
@@ -112,3 +116,14 @@
             assert list_late_failures(commands) == []
 
     run(work)
+
+
+# Guards against news that counts from the time at which a relay passed it on.
+def test_news_of_a_full_target_gets_older_at_a_relay() -> None:
+    update = PeerUpdate(full=[FullTargetNotice("plain", "plain-0", 0.25)], received_at=5.0)
+    sent = msgspec.msgpack.encode(update.add_age(5.5))
+    received = msgspec.msgpack.decode(sent, type=PeerUpdate)
+    assert received.full == [FullTargetNotice("plain", "plain-0", 0.75)]
+    # An instance of the version before sends no such field.
+    before = msgspec.msgpack.encode(msgspec.msgpack.decode(sent)[:-1])
+    assert msgspec.msgpack.decode(before, type=PeerUpdate).full == []
