--- a/tests/gateway/test_full_targets.py
+++ b/tests/gateway/test_full_targets.py
@@ -23,8 +23,8 @@
 DELAY_S = 0.15
 DURATION_S = 4.0
 # Until the first reset nobody knows of the limit. What is written to the connections that are reset
-# before the news of it has arrived everywhere may have run, for all that is known. Seen: up to 6, and
-# 11 without room.
+# before the news of it has arrived everywhere may have run, for all that is known. Seen: up to 6,
+# and 11 without room.
 ONSET_S = 1.5
 MAX_FAILED_AT_ONSET = 12
 MAX_FAILED_WITHOUT_ROOM = 24
