--- a/rhubarbbend/gateway/_state.py
+++ b/rhubarbbend/gateway/_state.py
@@ -18,6 +18,8 @@
 from rhubarbbend.core.mirror import Mirror
 from rhubarbbend.core.placement import (
     BrittleTracker,
+    ConnectionLimitTracker,
+    FullTargetNotice,
     HealthTracker,
     LoadTracker,
     PauseTracker,
@@ -69,6 +71,7 @@
         self.health = HealthTracker()
         self.pauses = PauseTracker()
         self.brittle = BrittleTracker(settings.instance, self.random)
+        self.connection_limits = ConnectionLimitTracker()
         self.cold_target_share = _make_cold_share(settings)
         self.crashes = CrashLedger(_make_refusal_rules(settings))
         # Called with the present time when others have told of losses; set by the instance.
@@ -108,6 +111,7 @@
             self.cold_target_share,
             self.pauses,
             self.brittle,
+            self.connection_limits,
         )
 
     def apply_settings(self, settings: GatewaySettings) -> None:
@@ -210,10 +214,26 @@
         if update.sender != self.settings.instance:
             self.health.merge_outcomes(update.outcomes, now)
             self.brittle.merge_notices(update.brittle, now)
+            self._merge_full_targets(update, now)
         for rollout in update.rollouts:
             self.rollouts.record_outcome(rollout.service, rollout.record)
         self.queue_for_listeners(update, now)
 
+    def _merge_full_targets(self, update: PeerUpdate, now: float) -> None:
+        known = [notice for notice in update.full if self._is_registered(notice)]
+        new = [n for n in known if not self.connection_limits.was_full(n.target, now)]
+        invalid_count = self.connection_limits.merge_notices(known, now)
+        if invalid_count:
+            self.metrics.increment_counter(codes.FULL_NOTICES_INVALID, invalid_count)
+        for notice in new:
+            self.event_log.write(
+                "target_full", now, target=notice.target, told_by=update.sender, age=notice.age
+            )
+
+    def _is_registered(self, notice: FullTargetNotice) -> bool:
+        target = self.registry.find(notice.target)
+        return target is not None and target.service == notice.service
+
     def queue_for_listeners(self, update: PeerUpdate, now: float) -> None:
         """Queue an update for the instances that wait at this one."""
         relayed = (
@@ -223,6 +243,7 @@
             update.outcomes,
             update.brittle,
             update.findings,
+            update.full,
         )
         if not any(relayed):
             return
