--- /dev/null
+++ b/tests/core/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of `rhubarbbend.core.capacity`."""
