Where targets report their pace, the target with the least expected time is chosen

Cause: requests went by their number at each target, or to the home of their prompt, also while that target was 2.5 times slower.

Change: of the targets below the load bound a few are drawn at random and the one with the least expected time is chosen. A prompt leaves its home or holder only for a target that is a fifth sooner, the prefill included; another zone has to be sooner by the crossing and a tenth. Load reports between instances carry slots and pace in two trailing fields, which older builds ignore. `Placement.estimate_first_event` gives the least estimate over the targets that could be chosen.

--- a/loadtool/_commands.py
+++ b/loadtool/_commands.py
@@ -12,6 +12,7 @@
 
 from loadtool._deployments import DEPLOYMENTS
 from loadtool._measure import RunOptions, measure
+from loadtool._placement_cost import format_choice_times
 from loadtool._plots import draw_plots
 from loadtool._processes import ROOT
 from loadtool._relay_cost import format_relay, measure_relay
@@ -106,6 +107,7 @@
 def run_costs(options: argparse.Namespace) -> int:
     """Measure and print the processor time of a routing decision and of relaying a chunk."""
     print(format_plan_times())
+    print(format_choice_times())
     result = _run_interruptible(measure_relay())
     if result is None:
         return INTERRUPTED_EXIT_STATUS
--- a/rhubarbbend/codes.py
+++ b/rhubarbbend/codes.py
@@ -211,6 +211,9 @@
 ROUTED_LAST: Final = _declare_counter(
     "routed.last_resort", "requests sent above the load bound: every target was there"
 )
+ROUTED_SOONER: Final = _declare_counter(
+    "routed.sooner", "requests sent to the target with the least expected time, by its pace"
+)
 LOAD_REPORTS_IN_ANSWERS: Final = _declare_counter(
     "loads.words", "answers in which a target told how many requests it holds"
 )
--- a/rhubarbbend/core/placement/__init__.py
+++ b/rhubarbbend/core/placement/__init__.py
@@ -7,6 +7,7 @@
 from rhubarbbend.core._pauses import MAX_PAUSE_RETURN_FACTOR, PauseTracker
 from rhubarbbend.core.placement._brittle import BrittleNotice, BrittleTracker
 from rhubarbbend.core.placement._candidates import Rejection, compute_max_connections
+from rhubarbbend.core.placement._choices import Choice, PlacementOptions, Reason
 from rhubarbbend.core.placement._connection_limits import (
     ConnectionLimitTracker,
     FullTargetNotice,
@@ -21,12 +22,7 @@
     is_plausible,
 )
 from rhubarbbend.core.placement._loads import LoadTracker, TargetLoad
-from rhubarbbend.core.placement._placement import (
-    Choice,
-    Placement,
-    PlacementOptions,
-    Reason,
-)
+from rhubarbbend.core.placement._placement import Placement
 from rhubarbbend.core.placement._prompt_locations import PromptLocation, PromptLocationTracker
 from rhubarbbend.core.placement._prompts import Prompt, PromptPart
 from rhubarbbend.core.placement._sources import SourceOptions
--- a/rhubarbbend/core/placement/_candidates.py
+++ b/rhubarbbend/core/placement/_candidates.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import math
 from collections import Counter
 from collections.abc import Callable, Sequence
 from typing import Final
@@ -54,10 +55,11 @@
     """The targets of a service that are considered for a request, and their loads.
 
     `eligible` are those of `targets` that can get the request; `rejections` counts the others.
-    `failing` are the ids of targets to be avoided if there are others.
+    `failing` are the ids of targets to be avoided if there are others. `bound` is the load from
+    which on requests spill over to other targets.
     """
 
-    __slots__ = ("targets", "eligible", "loads", "mean", "failing", "rejections", "admits")
+    __slots__ = ("targets", "eligible", "loads", "mean", "bound", "failing", "rejections", "admits")
 
     def __init__(
         self, targets: list[Target], loads: dict[str, float], admits: Callable[[Target], bool]
@@ -67,9 +69,14 @@
         self.eligible: list[Target] = []
         self.loads = loads
         self.mean = sum(loads.values()) / len(loads) if loads else 0.0
+        self.bound = math.inf
         self.failing: set[str] = set()
         self.rejections: Counter[Rejection] = Counter()
 
+    def is_below_bound(self, target: Target) -> bool:
+        """Return whether a target may get one more request within the load bound."""
+        return self.loads[target.id] < self.bound
+
 
 class CandidateFinder:
     """Finds candidates. Invariant: a target that must not receive requests is never eligible."""
--- a/rhubarbbend/core/placement/_loads.py
+++ b/rhubarbbend/core/placement/_loads.py
@@ -7,6 +7,12 @@
 
 import msgspec
 
+from rhubarbbend.core.capacity import (
+    CapacityTracker,
+    ReportedLoad,
+    is_valid_pace,
+    is_valid_slots,
+)
 from rhubarbbend.core.placement._in_flight import InFlightUpdate, PeerCountTracker
 
 # The weight of a target's load report falls linearly to 0 over this time: most of the requests that
@@ -15,11 +21,17 @@
 
 
 class TargetLoad(msgspec.Struct, frozen=True, array_like=True):
-    """A load report as sent to other instances: requests held, and the report's age in seconds."""
+    """A load report as sent to other instances: requests held, and the report's age in seconds.
+
+    `slots` is 0 if they are not reported. `pace_percent` is the pace in hundredths, None if it is
+    not reported. Older builds do not send the last two fields, and ignore them.
+    """
 
     target: str
     held: int
     age: float
+    slots: int = 0
+    pace_percent: int | None = None
 
 
 class LoadReport(msgspec.Struct, frozen=True):
@@ -37,6 +49,8 @@
     at: float
     received_at: float
     is_relayed: bool = False
+    slots: int = 0
+    pace_percent: int | None = None
 
 
 class LoadTracker:
@@ -48,7 +62,9 @@
     responses of a target, so instances send the reports to one another.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, capacity: CapacityTracker | None = None) -> None:
+        # Gets the slots and the pace in the reports.
+        self.capacity = capacity or CapacityTracker()
         self._own: dict[str, int] = {}
         self._reports: dict[str, LoadReport] = {}
         self.peer_counts = PeerCountTracker()
@@ -83,21 +99,38 @@
         """Return the number of requests that this instance has at a target."""
         return self._own.get(target, 0)
 
-    def record_report(self, target: str, held: int, now: float) -> None:
-        """Record the load report in a target's response."""
+    def record_report(
+        self, target: str, held: int, now: float, reported: ReportedLoad | None = None
+    ) -> None:
+        """Record the load report in a target's response, with its slots and pace if it has them."""
         counted = self.peer_counts.count(target, now)
-        self._reports[target] = LoadReport(held, self.count_own(target), counted, now, now)
+        slots, pace_percent = 0, None
+        if reported is not None:
+            self.capacity.record_report(target, reported, now)
+            slots = reported.slots if is_valid_slots(reported.slots) else 0
+            if reported.pace is not None and is_valid_pace(reported.pace):
+                pace_percent = round(100.0 * reported.pace)
+        self._reports[target] = LoadReport(
+            held, self.count_own(target), counted, now, now, False, slots, pace_percent
+        )
 
     def merge_reports(self, loads: Iterable[TargetLoad], is_relayed: bool, now: float) -> None:
         """Record load reports that other instances received, if newer than the known ones."""
         for load in loads:
             at = now - load.age
+            self._merge_capacity(load, now)
             known = self._reports.get(load.target)
             if known is None or known.at < at:
                 own = self.count_own(load.target)
                 counted = self.peer_counts.count(load.target, now)
-                report = LoadReport(load.held, own, counted, at, now, is_relayed)
-                self._reports[load.target] = report
+                self._reports[load.target] = LoadReport(
+                    load.held, own, counted, at, now, is_relayed, load.slots, load.pace_percent
+                )
+
+    def _merge_capacity(self, load: TargetLoad, now: float) -> None:
+        if load.slots or load.pace_percent is not None:
+            pace = None if load.pace_percent is None else load.pace_percent / 100.0
+            self.capacity.merge(load.target, load.slots or None, pace, load.age, now)
 
     def list_reports_since(
         self, heard_after: float, with_relayed: bool, now: float
@@ -107,7 +140,13 @@
         Relayed reports are included only if `with_relayed`.
         """
         return [
-            TargetLoad(target, report.held, round(now - report.at, 3))
+            TargetLoad(
+                target,
+                report.held,
+                round(now - report.at, 3),
+                report.slots,
+                report.pace_percent,
+            )
             for target, report in self._reports.items()
             if report.received_at > heard_after
             and now - report.at < REPORT_TTL_S
@@ -145,3 +184,4 @@
     def forget(self, target: str) -> None:
         """Remove the load report of a target that has been removed."""
         self._reports.pop(target, None)
+        self.capacity.forget(target)
--- a/rhubarbbend/core/placement/_overload.py
+++ b/rhubarbbend/core/placement/_overload.py
@@ -13,8 +13,13 @@
 from random import Random
 from typing import Final
 
+from rhubarbbend.core.catalog import Service
+
 # The load bound is a multiple of the mean load plus this many requests.
 BOUND_SLACK: Final = 3.0
+# Load estimates lag behind the real load, so requests spill over to the next target somewhat below
+# the bound that the deployment sets: at this fraction of its factor.
+SPILLOVER_FRACTION: Final = 0.75
 # Requests are admitted up to this fraction of the multiple.
 ADMISSION_FRACTION: Final = 0.9
 # The requests that the other instances send are known here after about half of this time. Requests
@@ -24,6 +29,12 @@
 RATE_TIME_CONSTANT_S: Final = 1.0
 
 
+def compute_spillover_bound(load_factor: float, mean: float, service: Service) -> float:
+    """Return the load from which on requests spill over to other targets of a service."""
+    bound = load_factor * SPILLOVER_FRACTION * mean + BOUND_SLACK
+    return bound if service.engine is None else min(bound, float(service.engine.slots))
+
+
 class RequestRate:
     """A moving average of requests per second. Invariant: `_weight` is as of `_updated_at`."""
 
--- a/rhubarbbend/core/placement/_placement.py
+++ b/rhubarbbend/core/placement/_placement.py
@@ -10,15 +10,13 @@
 
 from __future__ import annotations
 
-import enum
 from collections.abc import Callable, Mapping, Sequence
 from random import Random
 from typing import Final
 
-import msgspec
-
 from rhubarbbend.core._pauses import PauseTracker
 from rhubarbbend.core._rendezvous import rank_names
+from rhubarbbend.core.capacity import NO_PROMPT, FirstEventEstimator, UnreadTokens
 from rhubarbbend.core.catalog import Service
 from rhubarbbend.core.directory import Target, TargetRegistry
 from rhubarbbend.core.placement._brittle import BrittleTracker
@@ -28,23 +26,27 @@
     Rejection,
     admit_all,
 )
+from rhubarbbend.core.placement._choices import Choice, PlacementOptions, Reason
 from rhubarbbend.core.placement._connection_limits import ConnectionLimitTracker
+from rhubarbbend.core.placement._expected_time import (
+    CachedPrompt,
+    ExpectedTimeSelector,
+    RouteKey,
+    count_unread,
+)
 from rhubarbbend.core.placement._health import HealthTracker
 from rhubarbbend.core.placement._loads import LoadTracker
 from rhubarbbend.core.placement._overload import (
-    BOUND_SLACK,
     PROPAGATION_TIME_S,
     Headroom,
     RequestRate,
+    compute_spillover_bound,
 )
 from rhubarbbend.core.placement._prompt_locations import PromptLocationTracker
 from rhubarbbend.core.placement._prompts import Prompt
-from rhubarbbend.core.placement._sources import SourceFinder, SourceOptions
+from rhubarbbend.core.placement._sources import SourceFinder
 from rhubarbbend.core.shares import ColdTargetShare
 
-# Load estimates lag behind the real load, so requests spill over to the next target somewhat below
-# the bound that the deployment sets: at this fraction of its factor.
-SPILLOVER_FRACTION: Final = 0.75
 # A request is rejected because of load only if the counts of at least this fraction of the other
 # instances are known: an instance that is cut off from them cannot compute the mean load.
 MIN_KNOWN_PEERS_FRACTION: Final = 0.5
@@ -59,51 +61,6 @@
 SLOW_CONNECT_S: Final = 0.02
 
 
-class Reason(enum.Enum):
-    """Why a target was chosen; counted and logged."""
-
-    # The prompt was sent to this target before, and it is not the home.
-    HELD = "held"
-    HOME = "home"
-    # The first suitable target after the home in the prompt's order.
-    MOVED = "moved"
-    # The request has no prompt.
-    LEAST_LOADED = "least_loaded"
-    # All eligible targets are at the load bound.
-    LAST_RESORT = "last_resort"
-
-
-class PlacementOptions(msgspec.Struct, frozen=True):
-    """Options of the placement.
-
-    `load_factor`: no target should hold more than this many times the mean load of its service.
-
-    `sources`: how long prompts may still be fetched from a target that leaves.
-    """
-
-    zone: str
-    load_factor: float = 2.0
-    sources: SourceOptions = SourceOptions()
-
-
-class Choice(msgspec.Struct, frozen=True):
-    """The chosen target, the reason, and the values that the choice rests on.
-
-    Loads are numbers of requests, ages are in seconds. `load` is the target's estimated load, of
-    which `own` requests are this instance's; `mean` is the mean load of the service. `source` is a
-    target that may have the prompt's shared parts cached.
-    """
-
-    target: Target
-    reason: Reason
-    load: float
-    own: int
-    mean: float
-    report_age: float | None
-    cold: bool
-    source: Target | None = None
-
-
 class Placement:
     """Chooses the target of each request.
 
@@ -134,6 +91,9 @@
         self._sources = SourceFinder(
             options.sources, registry, loads, health, self.prompt_locations
         )
+        self.estimator = FirstEventEstimator(loads.capacity)
+        self._expected_time = ExpectedTimeSelector(self.estimator)
+        self._instances: Sequence[str] = ()  # As of the latest choice.
         self._rates: dict[str, RequestRate] = {}
         # For the log of a rejection: the number of targets rejected at the last choice, by reason.
         self.last_rejections: Mapping[Rejection, int] = {}
@@ -153,14 +113,16 @@
         now: float,
         admits: Callable[[Target], bool] = admit_all,
         avoids_unreachable: bool = False,
+        route: str = "",
     ) -> Choice | None:
         """Choose a target; return None if no target of the service can take the request now.
 
         `excluded` holds the ids of the targets that were already tried for this request.
         `instances` are all instances that share the bounds on connections and cold targets.
         `admits` returns whether a target may get this request. If `avoids_unreachable`, it is not
-        used to try an unreachable target.
+        used to try an unreachable target. `route` is the name of the request's route.
         """
+        self._instances = instances
         candidates = self._finder.find(
             service, excluded, instances, admits, now, avoids_unreachable
         )
@@ -169,16 +131,20 @@
             self._keep_with_room(candidates, service, instances, now)
         if not candidates.eligible:
             return None
+        candidates.bound = compute_spillover_bound(
+            self._options.load_factor, candidates.mean, service
+        )
+        key = RouteKey(service.name, route, self._options.zone)
         if service.engine is None:
-            return self._choose_by_load(candidates, random, now)
+            return self._choose_by_load(candidates, key, random, now)
         headroom = self._compute_headroom(candidates, bool(excluded), now)
         expected = self._record_arrival(service, len(instances), now)
         if headroom is not None and not headroom.admits(expected, random):
             candidates.rejections[Rejection.LOAD] = len(candidates.eligible)
             return None
         if prompt is None or not prompt.parts:
-            return self._choose_by_load(candidates, random, now)
-        return self._choose_by_prompt(candidates, service, prompt, headroom, random, now)
+            return self._choose_by_load(candidates, key, random, now)
+        return self._choose_by_prompt(candidates, key, prompt, headroom, random, now)
 
     def _keep_with_room(
         self, candidates: Candidates, service: Service, instances: Sequence[str], now: float
@@ -214,7 +180,9 @@
         if prompt is not None and prompt.parts:
             known = self._sources.list_holders(prompt, now)
             is_moved = choice.reason is not Reason.HOME or choice.source is not None
-            is_unexpected = is_moved and target not in known[:1]
+            # A move away from a slow target lasts for a moment; others still find the prompt there.
+            is_lasting = is_moved and choice.reason is not Reason.SOONER
+            is_unexpected = is_lasting and target not in known[:1]
             self.prompt_locations.record_sent(prompt.affinity_key, target.id, is_unexpected, now)
 
     def has_cached(self, prompt: Prompt, target: Target, now: float) -> bool:
@@ -232,9 +200,30 @@
         self._sources.record_departure(target, now)
         self._loads.forget(target.id)
         self._health.forget(target.id)
+        self.estimator.forget(target.id)
         self._cold.forget(target.id)
         self._limits.forget(target.id)
 
+    def estimate_first_event(
+        self, service: Service, route: str, prompt: Prompt | None, now: float
+    ) -> float | None:
+        """Return the least expected seconds over the targets that could be chosen, if known."""
+        if self.estimator.find_times(service.name) is None:
+            return None
+
+        def find() -> tuple[Sequence[Target], Mapping[str, float]]:
+            found = self._finder.find(service, set(), self._instances, admit_all, now)
+            return found.eligible, found.loads
+
+        key = RouteKey(service.name, route, self._options.zone)
+        waits = self._expected_time.find_waits(service.name, find, now)
+        cached = None
+        if prompt is not None and prompt.parts and waits:
+            by_id = {wait.target.id: wait.target for wait in waits}
+            home = by_id[rank_names(prompt.affinity_key, by_id)[0]]
+            cached = CachedPrompt(prompt, [*self._sources.list_holders(prompt, now), home])
+        return self._expected_time.estimate_least(key, cached, waits)
+
     # Choice by prompt.
 
     def _record_arrival(self, service: Service, instances: int, now: float) -> float:
@@ -246,7 +235,7 @@
     def _choose_by_prompt(
         self,
         candidates: Candidates,
-        service: Service,
+        key: RouteKey,
         prompt: Prompt,
         headroom: Headroom | None,
         random: Random,
@@ -255,11 +244,19 @@
         by_id = {target.id: target for target in candidates.targets}
         order = [by_id[name] for name in rank_names(prompt.affinity_key, by_id)]
         holders = [t for t in self._sources.list_holders(prompt, now) if candidates.admits(t)]
-        selected = self._select_below_bound(candidates, service, order, holders, now)
-        target, reason = selected or (
+        selected = self._select_below_bound(candidates, order, holders, now)
+        target, reason, below_bound = selected or (
             self._select_last_resort(candidates, headroom, random),
             Reason.LAST_RESORT,
+            [],
         )
+        if self._expected_time.is_active(key, below_bound, now):
+            cached = CachedPrompt(prompt, [*holders, order[0]])
+            sooner = self._expected_time.select_by_prompt(
+                key, cached, target, below_bound, candidates.loads, random, now
+            )
+            if sooner is not target:
+                target, reason = sooner, Reason.SOONER
         # Another version may compute another cache from the same prompt.
         source = self._sources.find(
             prompt,
@@ -269,22 +266,23 @@
             lambda other: candidates.admits(other) and other.version == target.version,
             now,
         )
-        return self._make_choice(candidates, target, reason, source, now)
+        is_home = reason is Reason.HOME
+        unread = count_unread(prompt, target in holders, is_home, source is not None)
+        return self._make_choice(candidates, key, target, reason, now, source, unread)
 
     def _select_below_bound(
         self,
         candidates: Candidates,
-        service: Service,
         order: list[Target],
         holders: list[Target],
         now: float,
-    ) -> tuple[Target, Reason] | None:
-        """Select a target below the load bound; None if all are at the bound."""
+    ) -> tuple[Target, Reason, list[Target]] | None:
+        """Select a target below the load bound; None if all are at the bound.
+
+        The list holds all targets below the bound that are as good as the selected one.
+        """
         eligible_ids = {target.id for target in candidates.eligible}
-        bound = self._options.load_factor * SPILLOVER_FRACTION * candidates.mean + BOUND_SLACK
-        if service.engine is not None:
-            bound = min(bound, float(service.engine.slots))
-        below_bound = [t for t in order if t.id in eligible_ids and candidates.loads[t.id] < bound]
+        below_bound = [t for t in order if t.id in eligible_ids and candidates.is_below_bound(t)]
         healthy = [t for t in below_bound if t.id not in candidates.failing]
         warm = [t for t in healthy if not t.is_cold(now) and not t.is_registration_missing]
         for preferred in (warm, healthy, below_bound):
@@ -293,8 +291,8 @@
             holder = self._select_holder([t for t in holders if t in preferred], candidates)
             chosen = holder or preferred[0]
             if chosen is order[0]:
-                return chosen, Reason.HOME
-            return chosen, Reason.MOVED if holder is None else Reason.HELD
+                return chosen, Reason.HOME, preferred
+            return chosen, Reason.MOVED if holder is None else Reason.HELD, preferred
         return None
 
     def _compute_headroom(
@@ -338,7 +336,9 @@
 
     # Choice by load.
 
-    def _choose_by_load(self, candidates: Candidates, random: Random, now: float) -> Choice:
+    def _choose_by_load(
+        self, candidates: Candidates, key: RouteKey, random: Random, now: float
+    ) -> Choice:
         healthy = [
             t for t in candidates.eligible if t.id not in candidates.failing
         ] or candidates.eligible
@@ -351,24 +351,47 @@
                 random.random(),
             )
 
-        target = min(healthy, key=compute_key)
-        return self._make_choice(candidates, target, Reason.LEAST_LOADED, None, now)
+        target = self._select_soonest(candidates, healthy, key, random, now)
+        reason = Reason.LEAST_LOADED if target is None else Reason.SOONER
+        target = target or min(healthy, key=compute_key)
+        return self._make_choice(candidates, key, target, reason, now)
+
+    def _select_soonest(
+        self,
+        candidates: Candidates,
+        healthy: list[Target],
+        key: RouteKey,
+        random: Random,
+        now: float,
+    ) -> Target | None:
+        """Select the target with the least expected time; None if targets report no pace."""
+        if not self._expected_time.is_active(key, healthy, now):
+            return None
+        warm = [t for t in healthy if not t.is_cold(now) and not t.is_registration_missing]
+        usable = [target for target in warm if candidates.is_below_bound(target)]
+        return self._expected_time.select_by_load(key, usable, candidates.loads, random, now)
 
     def _make_choice(
         self,
         candidates: Candidates,
+        key: RouteKey,
         target: Target,
         reason: Reason,
-        source: Target | None,
         now: float,
+        source: Target | None = None,
+        unread: UnreadTokens = NO_PROMPT,
     ) -> Choice:
+        load = candidates.loads[target.id]
         return Choice(
             target,
             reason,
-            round(candidates.loads[target.id], 2),
+            round(load, 2),
             self._loads.count_own(target.id),
             round(candidates.mean, 2),
             self._loads.compute_report_age(target.id, now),
             target.is_cold(now),
             source,
+            unread,
+            self._expected_time.estimate(key, target, load, unread.tokens, now),
+            self._loads.capacity.find_pace(target.id, now),
         )
