--- a/rhubarbbend/gateway/_answer_receiver.py
+++ b/rhubarbbend/gateway/_answer_receiver.py
@@ -114,7 +114,7 @@
         )
         self._state.metrics.increment_counter(codes.LOAD_REPORTS_IN_ANSWERS)
         self._state.metrics.increment_counter(codes.LOAD_UNDERESTIMATED, max(0, underestimate))
-        self._state.loads.record_report(target.id, load.held, now)
+        self._state.loads.record_report(target.id, load.held, now, load)
 
     async def _receive_next_head(
         self, request: OpenRequest, target: Target, connection: Connection
--- a/rhubarbbend/gateway/_attempt_recorder.py
+++ b/rhubarbbend/gateway/_attempt_recorder.py
@@ -22,6 +22,26 @@
         # Called when a request ran to completion; set by the instance.
         self.on_answer: Callable[[OpenRequest, Target, float], None] = lambda *_: None
 
+    def record_sent(self, request: OpenRequest, choice: Choice, now: float) -> None:
+        """Record that a request was sent, for the estimates of times until a first event."""
+        estimator = self._state.placement.estimator
+        names = request.service.name, request.route.name
+        request.sent_work = estimator.record_sent(
+            *names, choice.target, choice.load, choice.unread, now
+        )
+
+    def record_begun(self, request: OpenRequest, target: Target) -> None:
+        """Record that the first event of a stream has come."""
+        if request.sent_work is not None:
+            estimator = self._state.placement.estimator
+            estimator.record_first_event(request.sent_work, self._clock())
+
+    def record_left(self, request: OpenRequest) -> None:
+        """Record that an attempt has ended, however it did."""
+        if request.sent_work is not None:
+            self._state.placement.estimator.record_left(request.sent_work)
+            request.sent_work = None
+
     def record_health(self, target: Target, request: OpenRequest, outcome: AttemptOutcome) -> None:
         """Record what an attempt tells of the health of its target."""
         now = self._clock()
@@ -34,6 +54,9 @@
         failed = outcome is not AttemptOutcome.ANSWERED
         health.record_response(target.id, failed, now, is_shared)
         if outcome is AttemptOutcome.ANSWERED:
+            if request.sent_work is not None:
+                estimator = self._state.placement.estimator
+                estimator.record_answered(request.sent_work, request.relay.event_count, now)
             self.on_answer(request, target, now)
 
     def record_evidence(
--- a/rhubarbbend/gateway/_attempts.py
+++ b/rhubarbbend/gateway/_attempts.py
@@ -80,6 +80,7 @@
             state, target_protocol, self._liveness, self._latencies, clock
         )
         self.forwarder = AnswerForwarder(state, self._latencies, clock)
+        self.forwarder.on_stream_begun.append(self.recorder.record_begun)
         # Requests to which targets are writing streams.
         self.answering: set[OpenRequest] = set()
         self.forwarder.on_stream_begun.append(lambda request, _: self.answering.add(request))
@@ -118,6 +119,7 @@
             raise
         finally:
             self._state.loads.record_end(target.id)
+            self.recorder.record_left(request)
             self._state.pauses.record_end(target.id, request.id, was_accepted=False)
 
     async def _connect(self, request: OpenRequest, target: Target) -> Connection | None:
@@ -258,6 +260,7 @@
             )
         request.relay.has_received_event = False
         self._state.placement.record_sent(choice, caller.prompt, request.chosen_at, now)
+        self.recorder.record_sent(request, choice, now)
         self._log_sent(request, choice, connection, pause_left)
 
     def _log_sent(
@@ -275,6 +278,8 @@
             own=choice.own,
             mean=choice.mean,
             load_age=None if choice.report_age is None else round(choice.report_age, 3),
+            estimate=None if choice.estimate is None else round(choice.estimate, 3),
+            pace=None if choice.pace is None else round(choice.pace, 2),
             cold=choice.cold,
             source=None if choice.source is None else choice.source.id,
             prompt=None if prompt is None else prompt.affinity_key,
--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -14,6 +14,7 @@
 from rhubarbbend import VERSION, codes
 from rhubarbbend.core.readers import InstanceRow, ReaderSelector
 from rhubarbbend.gateway._attempts import AttemptRunner
+from rhubarbbend.gateway._capacity_gauges import CapacityGauges
 from rhubarbbend.gateway._crash_detector import CrashDetector
 from rhubarbbend.gateway._crash_gate import CrashGate
 from rhubarbbend.gateway._crash_news import CrashNews
@@ -227,8 +228,7 @@
         exchange.respond(200, [("Content-Type", CONTENT_TYPE)], self.state.metrics.render())
 
     def _register_gauges(self) -> None:
-        state = self.state
-        metrics = state.metrics
+        state, metrics = self.state, self.state.metrics
         metrics.register_gauge("open_requests", lambda: self._requests.open_requests)
         metrics.register_gauge("targets", state.registry.count)
         metrics.register_gauge("instances", lambda: len(state.list_instance_ids()))
@@ -246,6 +246,7 @@
             "config_version", lambda: -1 if state.catalog is None else state.catalog.version
         )
         metrics.register_gauge("log_lines_dropped", lambda: self._event_log.dropped_count)
+        CapacityGauges(state, read_clock).register()
 
     # Housekeeping.
 
--- a/rhubarbbend/gateway/_metrics.py
+++ b/rhubarbbend/gateway/_metrics.py
@@ -39,6 +39,10 @@
         self.total += seconds
 
 
+# The values of a gauge, each with its labels by name.
+LabeledValues = list[tuple[dict[str, str], float]]
+
+
 class Metrics:
     """All metrics of an instance. The names of counters are declared in `rhubarbbend.codes`."""
 
@@ -46,6 +50,7 @@
         self._counters: dict[str, int] = {}
         self._histograms: dict[tuple[str, str], Histogram] = {}
         self._gauges: dict[str, Callable[[], float]] = {}
+        self._labeled_gauges: dict[str, Callable[[], LabeledValues]] = {}
 
     def increment_counter(self, name: str, by: int = 1) -> None:
         """Add `by` to a counter."""
@@ -67,6 +72,10 @@
         """Register the function that returns the current value of a gauge."""
         self._gauges[name] = read
 
+    def register_labeled_gauge(self, name: str, read: Callable[[], LabeledValues]) -> None:
+        """Register the function that returns the current values of a gauge with labels."""
+        self._labeled_gauges[name] = read
+
     def render(self) -> bytes:
         """Return all metrics as text; declared counters that were never incremented appear as 0."""
         lines: list[str] = []
@@ -79,6 +88,12 @@
             exported_name = _make_exported_name(name)
             lines.append(f"# TYPE {exported_name} gauge")
             lines.append(f"{exported_name} {read():g}")
+        for name, read_values in self._labeled_gauges.items():
+            exported_name = _make_exported_name(name)
+            lines.append(f"# TYPE {exported_name} gauge")
+            for labels, value in read_values():
+                label_text = ",".join(f'{key}="{label}"' for key, label in labels.items())
+                lines.append(f"{exported_name}{{{label_text}}} {value:g}")
         for name in sorted({name for name, _ in self._histograms}):
             lines.append(f"# TYPE {_make_exported_name(name)}_seconds histogram")
             for (histogram_name, label), histogram in self._histograms.items():
--- a/rhubarbbend/gateway/_request_server.py
+++ b/rhubarbbend/gateway/_request_server.py
@@ -289,6 +289,7 @@
             now,
             request.admits,
             self._avoids_unreachable(request, now),
+            request.route.name,
         )
 
     def _avoids_unreachable(self, request: OpenRequest, now: float) -> bool:
--- a/rhubarbbend/gateway/_requests.py
+++ b/rhubarbbend/gateway/_requests.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from rhubarbbend.core.capacity import SentWork
 from rhubarbbend.core.catalog import ClientAccount, Route, Service
 from rhubarbbend.core.crashes import BEGIN_S, Content, make_part_key
 from rhubarbbend.core.delivery import Progress
@@ -56,6 +57,7 @@
         "is_detour",
         "first_event_at",
         "unread_tokens",
+        "sent_work",
         "trial",
         "body_end",
         "origin",
@@ -99,6 +101,8 @@
         # Of the current attempt: when its first event came, and the tokens the target had to read.
         self.first_event_at: float | None = None
         self.unread_tokens = 0
+        # What was known of the current attempt's target when the request was sent.
+        self.sent_work: SentWork | None = None
         # The cause of losses for which no other attempt may begin until the current one has ended.
         self.trial: str | None = None
         # How the last answer ended with its connection; None if it ended by its framing.
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -37,6 +37,13 @@
     assert "target=t-1" in timeline[1] and "source" not in timeline[1]
 
 
+def test_sends_show_the_expected_time_and_the_pace_on_which_the_choice_rested() -> None:
+    # Without them it cannot be told whether a late request was sent to a target known to be slow.
+    sent = make_line("sent", 1.0, "front-1", id="r-1", target="t-1", estimate=0.212, pace=2.31)
+    (line,) = explain_request("r-1", read_lines([sent]))
+    assert "estimate=0.212" in line and "pace=2.31" in line
+
+
 def test_timeline_of_a_refused_request_holds_the_crashes_of_the_same_content() -> None:
     lines = [
         make_line("attempt_failed", 10.0, "front-2", id="r-3", target="t-1", content="c-1"),
--- a/tests/gateway/test_path.py
+++ b/tests/gateway/test_path.py
@@ -148,6 +148,13 @@
             text = metrics.body.decode()
             assert "rhubarbbend_answers_total 1" in text
             assert 'rhubarbbend_answer_seconds_count{kind="stream"} 1' in text
+            assert "rhubarbbend_service_slots{service=" in text
+            # No target here reports its pace; an estimate needs three attempts.
+            assert sent["pace"] is None and "rhubarbbend_capacity_reports_invalid 0" in text
+            for _ in range(3):
+                await fleet.send_request("/chat/stream", b"hi", Prefix_Hash=PROMPT)
+            estimates = [line.get("estimate") for line in fleet.read_log("front-0")]
+            assert any(estimate and estimate < 5.0 for estimate in estimates)
 
     run(work)
 
