Admission control: requests wait for a short time or are refused if a service has no room (partial)

Cause: instances sent requests to targets that had no room; targets rejected them or let them wait until they were useless, and the most urgent route was served worst.

Refusals are 503, not run, with a Retry-After in order of refusal. Counts of plain targets are exchanged as well then.

--- a/rhubarbbend/codes.py
+++ b/rhubarbbend/codes.py
@@ -102,6 +102,12 @@
 WAIT_TOO_LONG: Final = _declare_error(
     "wait_too_long", 503, "no slot can be had before the deadline", 1.0
 )
+NO_ROOM: Final = _declare_error(
+    "no_room", 503, "the service has no room for this request at the moment", 1.0
+)
+OVER_SHARE: Final = _declare_error(
+    "over_share", 503, "the service is full and the client account is beyond its share", 1.0
+)
 NO_TARGET: Final = _declare_error("no_target", 503, "no target of the service is ready", 0.6)
 NOT_READY: Final = _declare_error("not_ready", 503, "this instance has no configuration yet", 1.0)
 STOPPING: Final = _declare_error("stopping", 503, "this instance is stopping", 0.2)
@@ -270,6 +276,18 @@
 BRITTLE_REJECTIONS: Final = _declare_counter(
     "targets.brittle_rejections", "requests rejected by targets that fall over if they reject many"
 )
+ADMISSION_WAITED: Final = _declare_counter(
+    "admission.waited", "requests that waited here for room at their service"
+)
+ADMISSION_GRANTED: Final = _declare_counter(
+    "admission.granted", "such requests that got room and were sent"
+)
+ADMISSION_OPEN: Final = _declare_counter(
+    "admission.open", "requests admitted because too few instances were heard or slots known"
+)
+ADMISSION_INVALID: Final = _declare_counter(
+    "admission.invalid", "numbers of slots that were not used because they are invalid"
+)
 DETOURS_SENT: Final = _declare_counter(
     "detours.sent", "requests handed to another instance, since no target could be reached"
 )
--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -13,6 +13,7 @@
 
 from rhubarbbend import VERSION, codes
 from rhubarbbend.core.readers import InstanceRow, ReaderSelector
+from rhubarbbend.gateway._admission import AdmissionGate
 from rhubarbbend.gateway._attempts import AttemptRunner
 from rhubarbbend.gateway._crash_detector import CrashDetector
 from rhubarbbend.gateway._crash_gate import CrashGate
@@ -96,7 +97,11 @@
         self._peer_server = PeerServer(self.state)
         gate = self._set_up_crash_detection(attempts)
         origins = self._set_up_streams(attempts)
-        parts = (self.state, adapter.callers, attempts, detours, prober, gate, origins, read_clock)
+        admission = AdmissionGate(self.state, read_clock)
+        parts = (
+            *(self.state, adapter.callers, attempts, detours, prober),
+            *(gate, origins, admission, read_clock),
+        )
         self._requests = RequestServer(*parts)
         self._detours_served = DetourServer(*parts)
         self._follower = StateFollower(
--- a/rhubarbbend/gateway/_request_ender.py
+++ b/rhubarbbend/gateway/_request_ender.py
@@ -21,6 +21,10 @@
 # Callers that are refused at the same time would also retry at the same time. Retry-After is
 # therefore drawn at random between this fraction of its full value and the full value.
 MIN_RETRY_AFTER_FRACTION: Final = 0.5
+# Refusals of admission control, which computes their Retry-After.
+ADMISSION_CODES: Final = frozenset(
+    {codes.NO_ROOM, codes.OVER_SHARE, codes.QUEUE_FULL, codes.WAIT_TOO_LONG}
+)
 
 
 class RequestEnder:
@@ -85,6 +89,9 @@
     def _compute_retry_after(self, request: OpenRequest, code: ErrorCode, now: float) -> float:
         """Return after how many seconds the caller should retry, drawn at random."""
         random = self._state.random
+        if code in ADMISSION_CODES and request.admission is not None:
+            # Refused callers have a time each, in order of refusal.
+            return request.admission.retry_after
         if code is codes.TARGETS_PAUSED:
             pause_left = self._state.placement.compute_pause_left(request.service, now)
             if pause_left > 0.0:
--- a/rhubarbbend/gateway/_request_server.py
+++ b/rhubarbbend/gateway/_request_server.py
@@ -18,6 +18,7 @@
 from rhubarbbend.core.delivery import AttemptOutcome, decide_step
 from rhubarbbend.core.detours import needs_detour
 from rhubarbbend.core.placement import Choice, Rejection
+from rhubarbbend.gateway._admission import AdmissionGate
 from rhubarbbend.gateway._attempts import AttemptRunner, RetryBudgetExhausted
 from rhubarbbend.gateway._crash_gate import CrashGate
 from rhubarbbend.gateway._detours import DetourClient, DetourResult
@@ -62,6 +63,7 @@
         prober: TargetProber,
         gate: CrashGate,
         origins: StreamOrigins,
+        admission: AdmissionGate,
         clock: Clock,
     ) -> None:
         self._state = state
@@ -73,6 +75,7 @@
         self._prober = prober
         self._gate = gate
         self._origins = origins
+        self._admission = admission
         self._versions = VersionSelector(state, clock)
         self.open_requests = 0
 
@@ -237,6 +240,10 @@
             if not await self._gate.admit(request):
                 self._ender.finish_failed(request, codes.CRASHES_TARGETS)
                 return
+            refusal = await self._admission.admit(request)
+            if refusal is not None:
+                self._ender.finish_failed(request, refusal)
+                return
             choice = self._choose_target(request)
             if choice is None and not switched and self._versions.switch(request):
                 switched = True
@@ -253,6 +260,8 @@
                 return
             finally:
                 self._gate.end_attempt(request)
+                self._admission.record_freed(request.service.name)
+            self._admission.record_outcome(request, choice, outcome)
             if outcome is AttemptOutcome.UNREACHED:
                 connect_failures += 1
                 # All targets that are known to be unreachable are excluded, so that the request
--- a/rhubarbbend/gateway/_requests.py
+++ b/rhubarbbend/gateway/_requests.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from rhubarbbend.core.admission import Decision
 from rhubarbbend.core.catalog import ClientAccount, Route, Service
 from rhubarbbend.core.crashes import BEGIN_S, Content, make_part_key
 from rhubarbbend.core.delivery import Progress
@@ -60,6 +61,7 @@
         "body_end",
         "origin",
         "goes_apart",
+        "admission",
     )
 
     def __init__(
@@ -107,6 +109,8 @@
         self.origin: int | None = None
         # Whether it is kept from the home of its prompt, to tell who there crashes targets.
         self.goes_apart = False
+        # What admission control decided on it last; None if it was not asked.
+        self.admission: Decision | None = None
 
     @property
     def id(self) -> str:
--- a/rhubarbbend/gateway/_settings.py
+++ b/rhubarbbend/gateway/_settings.py
@@ -59,6 +59,8 @@
     # The machine's bandwidth in Mbit/s, and its processor seconds per second; 0 if unknown.
     link: float = 0.0
     cores: float = 0.0
+    # Whether requests for which a service has no room wait here or are refused.
+    admission_control: bool = False
     # The process is killed if it uses more than this many bytes.
     memory: int = 256 * 1024 * 1024
 
--- a/rhubarbbend/gateway/_state.py
+++ b/rhubarbbend/gateway/_state.py
@@ -148,7 +148,9 @@
 
     def has_peer_counts(self, service: Service, now: float) -> bool:
         """Return whether instances send one another their counts of requests at a service."""
-        return service.engine is not None or self.brittle.is_brittle(service.name, now)
+        if service.engine is not None or self.settings.admission_control:
+            return True
+        return self.brittle.is_brittle(service.name, now)
 
     def get_retry_budget_share(self, service: str) -> RetryBudgetShare:
         """Return this instance's share of a service's retry budget."""
--- /dev/null
+++ b/tests/core/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of admission control: the decisions, and simulations of instances that decide."""
