Admission control: tests of decisions, loads, failures and the gate

Change: what may wait at a target is limited to a quarter of the objective, since a request may wait here for the other quarter; shares of accounts are enforced while room is scarce; requests wait while the time for which a slot is held is not known; requests that wait survive a clock that is set back.

Measured: tests/core/admission (simulated instances; 2.5 times the demand, a third of the engines away), tests/gateway/test_admission_gate.py, tests/gateway/test_admission.py.

--- a/rhubarbbend/core/admission/_controller.py
+++ b/rhubarbbend/core/admission/_controller.py
@@ -184,7 +184,8 @@
         room = self.levels.compute_room(decision.level, view, now)
         missing = decision.preferred + 1.0 - self.levels.read_credit(decision.level, room, now)
         patience = HOPELESS_FACTOR * WAIT_FRACTION * waiter.request.objective
-        if missing > room.rate * patience or now >= waiter.request.deadline:
+        is_hopeless = self.levels.knows_holding and missing > room.rate * patience
+        if is_hopeless or now >= waiter.request.deadline:
             self.queue.remove(waiter)
             is_over = decision.is_over_share
             reason = RefusalReason.OVER_SHARE if is_over else RefusalReason.NO_ROOM
--- a/rhubarbbend/core/admission/_fairness.py
+++ b/rhubarbbend/core/admission/_fairness.py
@@ -21,9 +21,9 @@
 EQUAL_WEIGHT: Final = 0.5
 # An account asks for clearly more than its part if its requests exceed it by this many standard
 # deviations of a random number of requests, and by this many requests more.
-OVER_DEVIATIONS: Final = 2.0
-OVER_SLACK: Final = 1.0
-SHARES_INTERVAL_S: Final = 0.05
+OVER_DEVIATIONS: Final = 1.5
+OVER_SLACK: Final = 0.5
+SHARES_INTERVAL_S: Final = 0.25
 MAX_ACCOUNTS: Final = 256
 
 # Of each kind, at least this fraction of the share that is admitted of all others.
--- a/rhubarbbend/core/admission/_levels.py
+++ b/rhubarbbend/core/admission/_levels.py
@@ -20,8 +20,9 @@
 
 # Within this time, the requests that other instances send become known here.
 PROPAGATION_TIME_S: Final = 0.2
-# What waits at a target must be started within this fraction of the objective.
-WAIT_AT_TARGET_FRACTION: Final = 0.5
+# What waits at a target must be started within this fraction of the objective. A request may wait
+# here for up to a quarter of it, and for half of it in all.
+WAIT_AT_TARGET_FRACTION: Final = 0.25
 # However short requests are, no more than this many times the slots may wait.
 MAX_WAITING_FACTOR: Final = 2.0
 # The room that is left for more urgent requests is at most this fraction of the slots.
@@ -92,6 +93,11 @@
         self._levels: dict[int, _Level] = {}
         self._credits: dict[int, _Credit] = {}
 
+    @property
+    def knows_holding(self) -> bool:
+        """Whether it is known for how long requests hold a slot, and so when room is expected."""
+        return self._holding.seconds is not None
+
     def record_arrival(self, level: int, objective: float, now: float) -> None:
         """Record a request."""
         known = self._find(level, objective)
@@ -145,7 +151,7 @@
         return min(ending, max(0.0, view.slots - urgent_work) / hold)
 
     def _compute_waiting(self, level: int, view: RoomView, ending: float) -> float:
-        """Return how many requests may wait at targets: those started within half the objective."""
+        """Return how many requests may wait at targets: those that are started in time."""
         objectives = (known.objective for number, known in self._levels.items() if number <= level)
         objective = min(objectives, default=0.0)
         return min(MAX_WAITING_FACTOR * view.slots, WAIT_AT_TARGET_FRACTION * objective * ending)
--- a/rhubarbbend/core/admission/_queue.py
+++ b/rhubarbbend/core/admission/_queue.py
@@ -151,6 +151,9 @@
     def pop_expired(self, now: float) -> list[Waiter]:
         """Remove and return the requests that have waited for as long as they may."""
         most_urgent = self.find_level()
+        for waiter in self._waiters.values():
+            # The clock may have been set back.
+            waiter.arrived_at = min(waiter.arrived_at, now)
         expired = [
             waiter
             for waiter in self._waiters.values()
--- a/rhubarbbend/gateway/_admission.py
+++ b/rhubarbbend/gateway/_admission.py
@@ -33,8 +33,9 @@
 from rhubarbbend.gateway._requests import OpenRequest
 from rhubarbbend.gateway._state import Clock, State
 
-# The counts of other instances are read this often at most; they arrive every 0.05 s.
-VIEW_INTERVAL_S: Final = 0.02
+# The counts of other instances arrive every 0.05 s. Adding them up takes 0.2 ms at 70 targets, the
+# own ones 0.01 ms.
+VIEW_INTERVAL_S: Final = 0.05
 REFUSAL_CODES: Final = {
     RefusalReason.TOO_LATE: codes.WAIT_TOO_LONG,
     RefusalReason.NO_ROOM: codes.NO_ROOM,
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -36,6 +36,13 @@
     assert settings.memory == 300 * 1024 * 1024
 
 
+def test_admission_control_is_on_where_the_contract_pressure_is_listed() -> None:
+    assert not decode_settings(json.dumps(FILE).encode()).admission_control
+    for contracts, is_on in (([], False), (["calm", "pressure"], True), (["pressures"], False)):
+        file = {**FILE, "contracts": contracts}
+        assert decode_settings(json.dumps(file).encode()).admission_control is is_on
+
+
 def test_advertised_address_differs_from_listen_address() -> None:
     file = {**FILE, "advertise": {"control": "10.9.0.1:99"}}
     settings = decode_settings(json.dumps(file).encode())
@@ -57,6 +64,7 @@
         ({"seeds": ["10.2.0.29:99999"]}, "seeds"),
         ({"advertise": {"control": "10.9.0.1"}}, "advertise.control"),
         ({"platform": {}}, "address"),
+        ({"contracts": "pressure"}, "contracts"),
         ({"bounds": {"capFactor": "two"}}, "capFactor"),
     ],
 )
--- a/tests/core/admission/simulation.py
+++ b/tests/core/admission/simulation.py
@@ -83,6 +83,8 @@
     immediate_retries: float = 0.5
     max_tries: int = 2
     accounts: int = 12
+    # Accounts whose callers retry at once, up to six times.
+    storming: set[str] = attrs.Factory(set)
     # Returns the instance of a request.
     choose_instance: Callable[[Random, int], int] = lambda random, count: random.randrange(count)
     # Of each account the factor of its arrivals during the burst.
@@ -108,6 +110,7 @@
         ]
         self.events: list[tuple[float, int, Callable[[float], None]]] = []
         self.number = 0
+        self.now = 0.0
         self.requests: list[SimulatedRequest] = []
         self.held: dict[int, SimulatedRequest] = {}
         self.refusals: Counter[str] = Counter()
@@ -129,6 +132,7 @@
             at, _, action = heapq.heappop(self.events)
             if at > options.duration + 14.0:
                 break
+            self.now = at
             action(at)
         return self
 
@@ -183,10 +187,11 @@
             self._retry(request, decision.retry_after, now)
 
     def _retry(self, request: SimulatedRequest, retry_after: float, now: float) -> None:
-        if request.tries >= self.options.max_tries:
+        storms = request.account in self.options.storming
+        if request.tries >= (6 if storms else self.options.max_tries):
             request.result = "refused"
             return
-        at_once = self.random.random() < self.options.immediate_retries
+        at_once = storms or self.random.random() < self.options.immediate_retries
         at = now + (0.02 if at_once else retry_after)
         self.push(at, lambda then: self._try(request, then))
 
@@ -265,7 +270,11 @@
     def _start(self, request: SimulatedRequest, now: float) -> None:
         request.started_at = now
         self.running[request.target] += 1
-        self.push(now + request.route.hold, lambda then: self._end(request, then))
+        hold = self._compute_hold(request, now)
+        self.push(now + hold, lambda then: self._end(request, then))
+
+    def _compute_hold(self, request: SimulatedRequest, now: float) -> float:
+        return request.route.hold
 
     def _end(self, request: SimulatedRequest, now: float) -> None:
         route, target = request.route, request.target
