--- a/rhubarbbend/core/admission/_levels.py
+++ b/rhubarbbend/core/admission/_levels.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from random import Random
 from typing import Final
 
@@ -27,6 +28,9 @@
 MAX_WAITING_FACTOR: Final = 2.0
 # The room that is left for more urgent requests is at most this fraction of the slots.
 MAX_RESERVE_FRACTION: Final = 0.25
+# As many requests end in the propagation time as arrive in it, give or take. What is left is this
+# many standard deviations of the number of more urgent ones.
+RESERVE_DEVIATIONS: Final = 2.0
 # The mean time that a request holds a slot follows single ones by this fraction.
 HOLDING_WEIGHT: Final = 0.02
 # The level of requests of accounts beyond their share; lower than any priority.
@@ -119,7 +123,7 @@
         """Return the room of a level.
 
         More urgent requests come first: their work, the slots that they hold on average, is taken
-        off the slots, and what may arrive until it is known everywhere is taken off the room.
+        off the slots, and room is left for those that arrive until this is known everywhere.
         """
         own_rate = urgent_rate = urgent_work = level_rate = 0.0
         mean_hold = self._holding.seconds or 0.0
@@ -134,7 +138,8 @@
         others = estimate_others_rate(own_rate, view.others, mean_hold or None, view.instances)
         scale = 1.0 + (others / own_rate if own_rate > 0.0 else 0.0)
         ending = self._compute_ending(level, view, scale * urgent_work)
-        reserve = min(MAX_RESERVE_FRACTION * view.slots, scale * urgent_rate * PROPAGATION_TIME_S)
+        arriving = scale * urgent_rate * PROPAGATION_TIME_S
+        reserve = min(MAX_RESERVE_FRACTION * view.slots, RESERVE_DEVIATIONS * math.sqrt(arriving))
         left = view.slots + self._compute_waiting(level, view, ending) - reserve - view.held
         expected = (scale - 1.0) * (urgent_rate + level_rate) * PROPAGATION_TIME_S
         rate = max(0.0, ending + left / PROPAGATION_TIME_S) / scale
