--- a/rhubarbbend/core/placement/_expected_time.py
+++ b/rhubarbbend/core/placement/_expected_time.py
@@ -32,6 +32,9 @@
 # A prompt is moved from its home or holder only if the other target is sooner by this fraction of
 # the expected time.
 MOVE_MARGIN: Final = 0.2
+# A prompt stays where a first event is expected within this fraction of the objective: its caller
+# gains nothing from a move then, and another target would have to read the prompt.
+IN_TIME_FRACTION: Final = 0.7
 # Prefilling tokens again delays other requests of the target. That delay counts at this fraction of
 # the time that the prefill takes.
 PREFILL_COST_FRACTION: Final = 0.5
@@ -58,11 +61,15 @@
 
 
 class RouteKey(msgspec.Struct, frozen=True):
-    """The names of a request's service and route, and the zone of this instance."""
+    """The names of a request's service and route, and the zone of this instance.
+
+    `objective` is the route's latency objective in seconds, 0 if it is unknown.
+    """
 
     service: str
     route: str
     zone: str
+    objective: float = 0.0
 
 
 class CachedPrompt(msgspec.Struct, frozen=True):
@@ -193,7 +200,7 @@
     ) -> Target:
         """Return the target for a prompt: the `preferred` one unless another is much sooner.
 
-        `targets` are those below the load bound.
+        It also stays if it is expected in time there. `targets` are those below the load bound.
         """
         times = self._estimator.find_times(key.service)
         per_token = None if times is None else times.seconds_per_token
@@ -207,6 +214,10 @@
             expected += PREFILL_COST_FRACTION * per_token * tokens
             return expected if target.zone == key.zone else expected + CROSSING_COST_S
 
+        tokens = cached.count_unread(preferred)
+        expected = self.estimate(key, preferred, loads[preferred.id], tokens, now) or 0.0
+        if expected < IN_TIME_FRACTION * key.objective:
+            return preferred
         drawn = {target.id: target for target in _draw(targets, random)}
         drawn.update((target.id, target) for target in cached.targets if target in targets)
         drawn.pop(preferred.id, None)
--- a/rhubarbbend/core/placement/_placement.py
+++ b/rhubarbbend/core/placement/_placement.py
@@ -114,13 +114,15 @@
         admits: Callable[[Target], bool] = admit_all,
         avoids_unreachable: bool = False,
         route: str = "",
+        objective: float = 0.0,
     ) -> Choice | None:
         """Choose a target; return None if no target of the service can take the request now.
 
         `excluded` holds the ids of the targets that were already tried for this request.
         `instances` are all instances that share the bounds on connections and cold targets.
         `admits` returns whether a target may get this request. If `avoids_unreachable`, it is not
-        used to try an unreachable target. `route` is the name of the request's route.
+        used to try an unreachable target. `route` is the name of the request's route, and
+        `objective` its latency objective.
         """
         self._instances = instances
         candidates = self._finder.find(
@@ -134,7 +136,7 @@
         candidates.bound = compute_spillover_bound(
             self._options.load_factor, candidates.mean, service
         )
-        key = RouteKey(service.name, route, self._options.zone)
+        key = RouteKey(service.name, route, self._options.zone, objective)
         if service.engine is None:
             return self._choose_by_load(candidates, key, random, now)
         headroom = self._compute_headroom(candidates, bool(excluded), now)
--- a/rhubarbbend/gateway/_request_server.py
+++ b/rhubarbbend/gateway/_request_server.py
@@ -299,6 +299,7 @@
             request.admits,
             self._avoids_unreachable(request, now),
             request.route.name,
+            request.route.objective,
         )
 
     def _avoids_unreachable(self, request: OpenRequest, now: float) -> bool:
--- a/tests/core/placement/test_expected_time.py
+++ b/tests/core/placement/test_expected_time.py
@@ -54,11 +54,15 @@
         for target in (*self.engines, "plain-a", "plain-b", "plain-c"):
             self.report(target, paces.get(target.replace("-", "_"), pace))
 
-    def pick(self, service: Service, random: Random | None = None) -> Choice:
+    def pick(
+        self, service: Service, random: Random | None = None, objective: float = 0.0
+    ) -> Choice:
         prompt = None if service.engine is None else CHAT
         random = random or Random(7)
         placement = self.placement
-        choice = placement.choose(service, prompt, set(), INSTANCES, random, NOW, route="r")
+        choice = placement.choose(
+            service, prompt, set(), INSTANCES, random, NOW, route="r", objective=objective
+        )
         assert choice is not None
         return choice
 
@@ -89,6 +93,9 @@
     view.placement.prompt_locations.record_sent(CHAT.affinity_key, view.home, False, NOW - 0.5)
     choice = view.pick(ENGINES)
     assert (choice.target.id, choice.reason) == (holder, Reason.SOONER)
+    # Guards against prompts that are read again although their callers gain nothing.
+    assert view.pick(ENGINES, objective=1.0).target.id == view.home
+    assert view.pick(ENGINES, objective=0.1).target.id == holder
 
 
 def test_load_bound_holds_for_targets_that_are_soonest() -> None:
--- a/tests/gateway/test_admission_gate.py
+++ b/tests/gateway/test_admission_gate.py
@@ -66,8 +66,12 @@
             gate.record_freed("llm")
         assert (state.random.getstate(), state.metrics.render()) == before
         assert not state.has_peer_counts(PLAIN, read_clock())
-        state = make_state(True)
-        assert state.has_peer_counts(PLAIN, read_clock())
+        # Without the counts of the others, the room of a service is not known.
+        gate = AdmissionGate(state := make_state(True), read_clock)
+        assert not state.has_peer_counts(PLAIN, read_clock())
+        request = make_request(0)
+        request.service = PLAIN
+        assert await gate.admit(request) is None and request.admission is None
 
     asyncio.run(work())
 
