The stand-in for workers has slots, a queue by priority and a pace that varies

The stand-in ran any number of requests at once and reported a load that was never true beyond its first field, so no test of ours could meet targets that are full or slow.

New faults: slots and queue (beyond them 503 with Not-Executed), slow_factor, slow_s, slow_interval_s, reports_pace. Server-Load states RUNNING,WAITING,SLOTS[,PACE]. An arrival that waits is written when it starts, or as not run when its sender leaves. The defaults respond as before.

--- a/standins/_worker.py
+++ b/standins/_worker.py
@@ -26,6 +26,13 @@
     read_event,
     send_response,
 )
+from standins._worker_slots import (
+    SlotRequest,
+    SlotTable,
+    compute_pace,
+    format_load,
+    parse_priority,
+)
 from standins._worker_types import (
     Arrival,
     Faults,
@@ -50,6 +57,7 @@
         self._received: list[ReceivedRequest] = []
         self._runs: Counter[str] = Counter()
         self._stats = Stats()
+        self._slots = SlotTable()
         self._rejected_at: list[float] = []
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -108,6 +116,8 @@
             return b"{}"
         self._stats.seen = self._received
         self._stats.runs = dict(self._runs)
+        self._stats.running = self._slots.running
+        self._stats.most_running = self._slots.most_running
         return msgspec.json.encode(self._stats)
 
     async def _handle_request(
@@ -122,18 +132,20 @@
         faults = self._faults
         attempt_id = headers.get("attempt-id", "")
         expected = headers.get("expect-instance", self._name)
-        is_full = faults.reject or 0 <= faults.room <= self._stats.running
+        has_no_room = 0 <= faults.room <= self._slots.running or self._slots.is_full(faults)
+        is_full = faults.reject or has_no_room
         will_run = expected == self._name and not is_full
         target = head.target.decode()
         method = head.method.decode()
-        self._received.append(
-            ReceivedRequest(attempt_id, method, target, headers, body.decode("latin-1"), will_run)
+        received = ReceivedRequest(
+            attempt_id, method, target, headers, body.decode("latin-1"), will_run
         )
+        self._received.append(received)
         crashes = will_run and self._is_crashed_by(headers, body)
-        self._write_arrival(
-            attempt_id, head, headers.get("tenant", ""), will_run, expected, crashes
-        )
+        arrival = self._make_arrival(received, expected, crashes)
         id_headers = [("Attempt-Id", attempt_id), *self._make_notices()]
+        if crashes or not will_run:
+            self._write_arrival(arrival)
         if expected != self._name:
             return send_response(conn, writer, 421, [*id_headers, ("Instance-Id", self._name)], b"")
         if is_full:
@@ -141,10 +153,18 @@
             if self._is_overwhelmed():
                 os._exit(EXIT_CRASHED)
             return self._send_rejection(conn, writer, id_headers)
-        self._runs[attempt_id] += 1
         if crashes:
+            self._runs[attempt_id] += 1
             return await self._crash(conn, headers, target, body, writer)
-        return await self._run(conn, headers, target, body, reader, writer)
+        received.ran = arrival.ran = False
+        slot = self._slots.add(parse_priority(headers.get("request-priority", "")), faults)
+        arrival.waited = not slot.granted.is_set()
+        try:
+            return await self._run(conn, received, arrival, slot, reader, writer)
+        finally:
+            self._slots.remove(slot, self._faults)
+            if not arrival.ran:
+                self._write_arrival(arrival)
 
     def _is_crashed_by(self, headers: dict[str, str], body: bytes) -> bool:
         faults = self._faults
@@ -181,15 +201,16 @@
     async def _run(
         self,
         conn: h11.Connection,
-        headers: dict[str, str],
-        target: str,
-        body: bytes,
+        received: ReceivedRequest,
+        arrival: Arrival,
+        slot: SlotRequest,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> bool:
-        self._stats.running += 1
-        self._stats.most_running = max(self._stats.most_running, self._stats.running)
-        response_task = asyncio.ensure_future(self._respond(conn, headers, target, body, writer))
+        """Run a request once it has a slot, unless its sender closes the connection before."""
+        response_task = asyncio.ensure_future(
+            self._respond_in_turn(conn, received, arrival, slot, writer)
+        )
         disconnect_task = asyncio.ensure_future(reader.read(1))
         try:
             await asyncio.wait(
@@ -200,36 +221,43 @@
                 return False
             return response_task.result() and not disconnect_task.done()
         finally:
-            self._stats.running -= 1
             response_task.cancel()
             disconnect_task.cancel()
             await asyncio.gather(response_task, disconnect_task, return_exceptions=True)
 
-    def _write_arrival(
+    async def _respond_in_turn(
         self,
-        attempt_id: str,
-        head: h11.Request,
-        account: str,
-        will_run: bool,
-        expected: str,
-        crashes: bool,
-    ) -> None:
-        if self._arrivals is None:
-            return
+        conn: h11.Connection,
+        received: ReceivedRequest,
+        arrival: Arrival,
+        slot: SlotRequest,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        await slot.granted.wait()
+        received.ran = arrival.ran = True
+        self._write_arrival(arrival)
+        self._runs[received.id] += 1
+        body = received.body.encode("latin-1")
+        return await self._respond(conn, received.headers, received.target, body, writer)
+
+    def _make_arrival(self, received: ReceivedRequest, expected: str, crashes: bool) -> Arrival:
         faults = self._faults
-        arrival = Arrival(
-            attempt_id,
+        return Arrival(
+            received.id,
             self._name,
             time.time(),
-            will_run,
-            head.method.decode(),
-            head.target.decode(),
-            account,
+            received.ran,
+            received.method,
+            received.target,
+            received.headers.get("tenant", ""),
             faults.pause_s if faults.reject and expected == self._name else 0.0,
             faults.leaving,
             crashes,
         )
-        self._arrivals.write(msgspec.json.encode(arrival) + b"\n")
+
+    def _write_arrival(self, arrival: Arrival) -> None:
+        if self._arrivals is not None:
+            self._arrivals.write(msgspec.json.encode(arrival) + b"\n")
 
     def _make_notices(self) -> list[tuple[str, str]]:
         brittle = self._faults.brittle
@@ -247,7 +275,17 @@
     ) -> bool:
         pause_s = self._faults.pause_s
         pause = [("Retry-After", f"{pause_s:g}")] if pause_s else []
-        return send_response(conn, writer, 503, [*headers, ("Not-Executed", "1"), *pause], b"")
+        load = format_load(self._slots, self._faults, self._find_pace())
+        loads = [("Server-Load", load)] if self._faults.slots else []
+        rejection = [*headers, ("Not-Executed", "1"), *pause, *loads]
+        return send_response(conn, writer, 503, rejection, b"")
+
+    def _find_pace(self) -> float:
+        return compute_pace(self._faults, self._name, time.time())
+
+    async def _work(self, seconds: float) -> None:
+        """Take the time that some work takes at the present pace."""
+        await asyncio.sleep(seconds * self._find_pace())
 
     async def _respond(
         self,
@@ -260,9 +298,9 @@
         faults = self._faults
         if faults.hang:
             await asyncio.Event().wait()
-        await asyncio.sleep(faults.delay)
+        await self._work(faults.delay)
         attempt_id = headers.get("attempt-id", "")
-        load = f"{self._stats.running},0,6"
+        load = format_load(self._slots, faults, self._find_pace())
         response_headers = [("Attempt-Id", attempt_id), ("Response-Seal", f"seal-{self._name}")]
         response_headers += [("Server-Load", load), *self._make_notices()]
         if faults.unsealed:
@@ -326,7 +364,7 @@
             if events_sent == faults.stall_after:
                 await asyncio.Event().wait()
             await response.write(event)
-            await asyncio.sleep(faults.event_gap)
+            await self._work(faults.event_gap)
         return response.finish()
 
     async def _respond_early(
--- a/standins/_worker_types.py
+++ b/standins/_worker_types.py
@@ -23,6 +23,16 @@
     leaving: bool = False
     # Run at most so many requests at once and reject the others; -1: any number.
     room: int = -1
+    # Run at most so many requests at once; so many more wait, the ones with the lowest
+    # `Request-Priority` first, and the others are rejected. 0: any number runs.
+    slots: int = 0
+    queue: int = 0
+    # Work, the delay included, takes so many times as long for `slow_s` in each `slow_interval_s`;
+    # all the time if that is 0. State the pace in `Server-Load`.
+    slow_factor: float = 1.0
+    slow_s: float = 0.0
+    slow_interval_s: float = 0.0
+    reports_pace: bool = False
     # State in each response that this worker falls over if it rejects more requests in a second.
     brittle: int = 0
     # Accept requests and never respond.
@@ -82,7 +92,7 @@
     """A line of the arrivals file: a worker received a request at Unix time `at`.
 
     `pause_s` is the pause that the worker asked for in its response, `leaving` whether it said that
-    it leaves, `crashes` whether the request makes it crash.
+    it leaves, `crashes` whether the request makes it crash, `waited` whether it waited for a slot.
     """
 
     id: str
@@ -95,6 +105,7 @@
     pause_s: float = 0.0
     leaving: bool = False
     crashes: bool = False
+    waited: bool = False
 
 
 class Stats(msgspec.Struct):
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the stand-ins."""
