The proxy keeps the port of a route that does not listen

A route whose listening is closed for some seconds gave its port back. The port is of the range from which the system serves any process, so that another one could get it, and the call that opened the route again ended without an answer.

Each route holds a bound socket beside its listening one. tests/standins/test_proxy.py: both cases pass, 'closed' failed before.

--- a/standins/_proxy.py
+++ b/standins/_proxy.py
@@ -66,6 +66,9 @@
     response_bytes: int = 0
     listening: Listening = Listening.OPEN
     silent_sockets: list[socket.socket] = attrs.Factory(list)
+    # Keeps the port while nothing listens on it: the system gives ports in this range to any
+    # process that asks for one, and the route could not be opened again.
+    reservation: socket.socket | None = None
 
 
 class RouteRequest(msgspec.Struct):
@@ -120,16 +123,17 @@
 
     async def _open_route(self, request: RouteRequest) -> int:
         route = Route(request.to)
-        port = await self._listen_for(route, request.port)
+        route.reservation = _bind(self._host, request.port)
+        port = int(route.reservation.getsockname()[1])
+        await self._listen_for(route, port)
         self._routes[port] = route
         return port
 
-    async def _listen_for(self, route: Route, port: int) -> int:
+    async def _listen_for(self, route: Route, port: int) -> None:
         async def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             await self._proxy_connection(route, reader, writer)
 
         route.server = await asyncio.start_server(accept, self._host, port)
-        return int(route.server.sockets[0].getsockname()[1])
 
     async def _set_listening(self, port: int, listening: Listening) -> None:
         route = self._routes[port]
@@ -223,11 +227,17 @@
             writer.write_eof()
 
 
+def _bind(host: str, port: int) -> socket.socket:
+    """Bind a socket to a port without listening, which lets others of this process listen on it."""
+    bound = socket.socket()
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    bound.bind((host, port))
+    return bound
+
+
 def _open_silent_sockets(host: str, port: int) -> list[socket.socket]:
     """Listen on a port without accepting, and fill the queue; further connections get no answer."""
-    listener = socket.socket()
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.bind((host, port))
+    listener = _bind(host, port)
     listener.listen(0)
     sockets = [listener]
     for _ in range(FILLER_CONNECTIONS):
