Targets of the load tool's cluster are started on ports that the system gives to nobody

A target that is killed is started again on its port. Its port is now picked as those of instances are.

--- a/loadtool/_cluster.py
+++ b/loadtool/_cluster.py
@@ -240,7 +240,9 @@
     async def _start_target(
         self, name: str, kind: str, zone: str, service: str, arguments: list[str]
     ) -> Node:
-        process, port = await self.group.start_stand_in(name, [kind, *arguments])
+        # It may be started again on this port, which the system must not give away meanwhile.
+        port_arguments = ["--port", str(pick_port())]
+        process, port = await self.group.start_stand_in(name, [*port_arguments, kind, *arguments])
         node = Node(name, kind, zone, process, port, service_name=service, arguments=arguments)
         self.targets[name] = node
         await self._add_routes(node)
