The soak has demand beyond capacity, and checks whom it costs

No run of ours had more demand than its targets could do, so that nothing showed who is refused then.

Without admission control the contract in the settings changes nothing.

--- a/loadtool/_gateway_fleet.py
+++ b/loadtool/_gateway_fleet.py
@@ -51,6 +51,10 @@
         self._has_rollouts = True
         # Faults that each worker injects from its start.
         self._default_worker_faults: dict[str, Any] = {}
+        # Fields of the configuration and of instances' settings that differ from the usual ones.
+        self.config_changes: dict[str, Any] = {}
+        self._settings_changes: dict[str, Any] = {}
+        self._worker_slots = 6
 
     async def start(
         self,
@@ -62,6 +66,9 @@
         own_links: bool = False,
         has_rollouts: bool = True,
         has_peer_datagrams: bool = False,
+        config_changes: dict[str, Any] | None = None,
+        settings_changes: dict[str, Any] | None = None,
+        worker_slots: int = 6,
     ) -> None:
         """Start the stand-ins and the instances, and wait until the instances are ready.
 
@@ -72,9 +79,12 @@
         """
         self._own_links = own_links
         self._has_rollouts = has_rollouts
+        self.config_changes = config_changes or {}
+        self._settings_changes = settings_changes or {}
+        self._worker_slots = worker_slots
         _, self.store_port = await self.group.start_stand_in("store", ["tables"])
         _, self.proxy_port = await self.group.start_stand_in("proxy", ["proxy"])
-        await self.write_row("op", "config", make_config())
+        await self.write_row("op", "config", make_config(**self.config_changes))
         for number in range(plain_worker_count):
             behind_proxy = use_proxy_routes and number % 2 == 0
             await self.start_worker(f"plain-{number}", "plain", ZONES[number % 3], behind_proxy)
@@ -106,6 +116,7 @@
             f"127.0.0.1:{store_port}",
             self._has_rollouts,
         )
+        settings.update(self._settings_changes)
         node = InstanceNode(name, ip, settings, store_port, view_port=view_port)
         await self._open_links(node)
         if use_proxy_route:
@@ -167,7 +178,7 @@
             "address": f"127.0.0.1:{node.advertised_port}",
             "zone": node.zone,
             "version": "v1",
-            "slots": 6,
+            "slots": self._worker_slots,
             "state": "ready",
             "coldLeftMs": 0,
             "seqNo": 1,
--- a/loadtool/_soak.py
+++ b/loadtool/_soak.py
@@ -24,6 +24,7 @@
 from loadtool._soak_crowd import SoakCrowd
 from loadtool._soak_faults import SoakFaultInjector
 from loadtool._soak_links import find_link_violations
+from loadtool._soak_load import TARGETS_UNDER_LOAD, SoakLoad, make_load_options
 from loadtool._soak_notices import find_notice_violations
 from loadtool._soak_parts import SoakParts
 from loadtool._soak_rollout import SoakRollout
@@ -62,7 +63,8 @@
     instances then reach one another directly, since the proxy passes no datagrams. Without
     `has_peer_path_faults` the paths between instances do not fail. With `has_crashing_parts`
     callers send requests with parts of prompts that crash engines. If it `is_crowded`, most new
-    connections go to one instance, then to another.
+    connections go to one instance, then to another. With `has_load` demand exceeds for a time what
+    the targets can do, and their pace varies.
     """
 
     has_rollout: bool = False
@@ -74,6 +76,7 @@
     has_peer_path_faults: bool = True
     has_crashing_parts: bool = False
     is_crowded: bool = False
+    has_load: bool = False
 
 
 @attrs.define(slots=True)
@@ -131,7 +134,8 @@
     """Run the schedule of a seed and check every guarantee; `duration` is in seconds."""
     schedule = _make_schedule(seed, duration, instance_count, options)
     has_crashes = options.has_crashes or options.has_crashing_parts
-    target_count = TARGETS_BESIDE_CRASHES if has_crashes else TARGETS_PER_SERVICE
+    target_count = TARGETS_UNDER_LOAD if options.has_load else TARGETS_PER_SERVICE
+    target_count = TARGETS_BESIDE_CRASHES if has_crashes else target_count
     async with start_fleet(
         folder,
         instances=instance_count,
@@ -141,6 +145,7 @@
         has_peer_datagrams=options.has_versions,
         plain_worker_count=target_count,
         engine_worker_count=target_count,
+        **(make_load_options() if options.has_load else {}),
     ) as fleet:
         if options.has_unframed_answers:
             await fleet.set_default_worker_faults(unframed=True)
@@ -164,7 +169,10 @@
     chooser = random.Random(f"parts and crowd {seed}")
     has_parts = options.has_crashing_parts
     parts = SoakParts(fleet, faults, record, ready, chooser) if has_parts else None
-    extras = [extra for extra in (crashes, parts, versions) if extra is not None]
+    load = None
+    if options.has_load:
+        load = SoakLoad(fleet, faults, record, ready, random.Random(f"load {seed}"), duration)
+    extras = [extra for extra in (crashes, parts, versions, load) if extra is not None]
     names = sorted(fleet.instances)
     crowd = SoakCrowd(record.started, names, chooser) if options.is_crowded else None
     readiness_task = asyncio.create_task(_probe_readiness(fleet, ready))
--- a/loadtool/_soak_caller.py
+++ b/loadtool/_soak_caller.py
@@ -45,6 +45,10 @@
         while time.time() < until:
             await self.send_request()
             await asyncio.sleep(self._random.uniform(0.02, 0.25))
+        self.close()
+
+    def close(self) -> None:
+        """Close the connection that is kept."""
         if self._connection is not None:
             self._connection.close()
 
@@ -112,7 +116,8 @@
         }
         if outcome.kind in ("chat", "plan"):
             session = self._random.randrange(PREFIX_SESSION_COUNT)
-            headers["Prefix-Hash"] = outcome.prompt or f"common:300,{session:x}:900,own:50"
+            outcome.prompt = outcome.prompt or f"common:300,{session:x}:900,own:50"
+            headers["Prefix-Hash"] = outcome.prompt
         raw_headers = [(name.encode(), value.encode()) for name, value in headers.items()]
         method = b"POST" if outcome.body else b"GET"
         connection.send_raw(method, outcome.path.encode(), raw_headers, outcome.body)
--- a/loadtool/_soak_checks.py
+++ b/loadtool/_soak_checks.py
@@ -54,7 +54,7 @@
     complete: bool = False
     was_left: bool = False
     answer: bytes = b""
-    # The parts of the prompt as in `Prefix-Hash`; "" for those of any other request of its kind.
+    # The parts of the prompt as in `Prefix-Hash`; chosen when it is sent if empty.
     prompt: str = ""
 
 
--- a/loadtool/_soak_faults.py
+++ b/loadtool/_soak_faults.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import copy
 import time
 from collections import defaultdict
 from typing import Any, Final
@@ -303,6 +304,6 @@
 
     async def _write_api_keys(self, keys: list[str]) -> None:
         self._config_version += 1
-        config = make_config(self._config_version)
+        config = make_config(self._config_version, **copy.deepcopy(self._fleet.config_changes))
         config["tenants"][0]["apiKeys"] = keys
         await self._fleet.write_row("op", "config", config)
