--- a/rhubarbbend/cli/_main.py
+++ b/rhubarbbend/cli/_main.py
@@ -19,7 +19,6 @@
 from rhubarbbend.cli._options import Options, parse_options
 from rhubarbbend.operators import SCHEMA
 from rhubarbbend.settings import SettingsInvalid, load_settings
-from rhubarbbend.shell import serve
 from rhubarbbend.trace import TraceInvalid, replay_trace
 
 
@@ -65,6 +64,9 @@
 
 def _serve(options: Options) -> int:
     assert options.settings is not None
+    # The other commands start without what only an instance needs.
+    from rhubarbbend.shell import serve
+
     settings, secret = load_settings(options.settings)
     return serve(settings, secret)
 
