The bound's tests judge answers after the slow start, which they wait out

tests/fleet/test_bound.py failed on a busy machine with wait_too_long (93 of 150 and 248 of 410 answers whole).

Cause: the tests mean to wait out the slow start, but counted refusals as answers. An engine runs one request until it has completed eight. If each takes long, those far back in its queue cannot be served before their 10 s are over and are refused at once, rightly; the callers come again after 0.05 s, so that refusals fill the count within a second. The test then measured engines that ran one request each.

The tests wait for 40 and 60 whole answers and judge the answers that come then, 150 as before, at the same shares and bounds.

--- a/tests/fleet/test_bound.py
+++ b/tests/fleet/test_bound.py
@@ -16,6 +16,8 @@
     run_load,
 )
 
+LOAD_TIMEOUT_S = 40.0
+
 
 @pytest.mark.parametrize("lag", ["0.1", "2.0"])
 def test_a_hot_chat_does_not_take_its_home_over_the_bound(tmp_path: Path, lag: str) -> None:
@@ -33,10 +35,9 @@
         ) as cluster:
             nodes = list(cluster.instances.values())
             async with run_load(nodes, 12, max_tokens=100) as load:
-                # Wait out the engines' slow start and the probation of the first owners.
-                await wait_until("40 answers", lambda: _has_answers(load, 40))
+                await wait_out_slow_start(load, 40)
                 await reset_max_running(cluster)
-                await wait_until("150 answers", lambda: _has_answers(load, 150))
+                await wait_until("150 answers", lambda: _has_answers(load, 150), LOAD_TIMEOUT_S)
             max_running = await read_max_running(cluster)
             # One slot may be granted while the release of another is in transit.
             bound = compute_load_bound(12, 3) + 1
@@ -50,6 +51,21 @@
     run_with_timeout(work)
 
 
+async def wait_out_slow_start(load: LoadResults, good_answers: int) -> None:
+    """Wait until the engines are warm and the first owners on no probation; judge what comes then.
+
+    An engine runs one request until it has completed eight. On a busy machine that takes longer
+    than the callers' deadline, and refusing those far back in its queue is right.
+    """
+
+    async def has_good_answers() -> bool:
+        return load.good_count >= good_answers
+
+    await wait_until(f"{good_answers} good answers", has_good_answers, LOAD_TIMEOUT_S)
+    print(f"MEASURED {len(load.answers)} answers before, failed: {load.count_failures()}")
+    load.answers.clear()
+
+
 async def _has_answers(load: LoadResults, count: int) -> bool:
     return len(load.answers) >= count
 
@@ -69,7 +85,7 @@
         ) as cluster:
             nodes = list(cluster.instances.values())
             async with run_load(nodes, 30, max_tokens=50, one_chat=False) as load:
-                await wait_until("60 answers", lambda: _has_answers(load, 60))
+                await wait_out_slow_start(load, 60)
                 await reset_max_running(cluster)
                 await cluster.set_route_faults("almaty-a", nodes, blackhole=True)
 
