--- a/loadtool/_soak.py
+++ b/loadtool/_soak.py
@@ -169,9 +169,7 @@
     chooser = random.Random(f"parts and crowd {seed}")
     has_parts = options.has_crashing_parts
     parts = SoakParts(fleet, faults, record, ready, chooser) if has_parts else None
-    load = None
-    if options.has_load:
-        load = SoakLoad(fleet, faults, record, ready, random.Random(f"load {seed}"), duration)
+    load = SoakLoad(fleet, faults, record, ready, seed, duration) if options.has_load else None
     extras = [extra for extra in (crashes, parts, versions, load) if extra is not None]
     names = sorted(fleet.instances)
     crowd = SoakCrowd(record.started, names, chooser) if options.is_crowded else None
--- a/loadtool/_soak_load.py
+++ b/loadtool/_soak_load.py
@@ -139,15 +139,15 @@
         faults: SoakFaultInjector,
         record: RunRecord,
         ready: set[str],
-        chooser: random.Random,
+        seed: int,
         duration: float,
     ) -> None:
         self._fleet = fleet
         self._faults = faults
         self._record = record
         self._ready = ready
-        self._random = chooser
-        self._plan = LoadPlan.make(chooser, record.started, duration)
+        self._random = random.Random(f"load {seed}")
+        self._plan = LoadPlan.make(self._random, record.started, duration)
         self._idle_callers: list[SoakCaller] = []
         self._sendings: set[asyncio.Task[None]] = set()
         zones = {name: node.settings["zone"] for name, node in fleet.instances.items()}
--- a/standins/_worker.py
+++ b/standins/_worker.py
@@ -135,8 +135,7 @@
         has_no_room = 0 <= faults.room <= self._slots.running or self._slots.is_full(faults)
         is_full = faults.reject or has_no_room
         will_run = expected == self._name and not is_full
-        target = head.target.decode()
-        method = head.method.decode()
+        method, target = head.method.decode(), head.target.decode()
         received = ReceivedRequest(
             attempt_id, method, target, headers, body.decode("latin-1"), will_run
         )
