Callers that do not read their answers cost neither a target, nor memory, nor another caller

Bodies were counted only once they were whole. A target that cut an unread answer counted as lost under its request. A cut while the caller was waited for is recorded neither against the target nor the request nor a version.

--- a/rhubarbbend/codes.py
+++ b/rhubarbbend/codes.py
@@ -98,6 +98,9 @@
     "account_limit", 429, "the client account is at its limit", 1.0
 )
 OVERLOADED: Final = _declare_error("overloaded", 503, "every fitting target is at its limit", 1.0)
+MEMORY_SHORT: Final = _declare_error(
+    "memory_short", 503, "this instance has no memory for the request; it was not sent", 1.0
+)
 QUEUE_FULL: Final = _declare_error("queue_full", 503, "the queue for a slot is full", 1.0)
 WAIT_TOO_LONG: Final = _declare_error(
     "wait_too_long", 503, "no slot can be had before the deadline", 1.0
@@ -152,6 +155,15 @@
 ANSWERS_CUT: Final = _declare_counter(
     "answers_cut", "answers ended so that the caller sees they are not whole"
 )
+CALLERS_NOT_READING: Final = _declare_counter(
+    "callers.not_reading", "callers that were ended since they read nothing of their answers"
+)
+CALLERS_SHED: Final = _declare_counter(
+    "callers.shed", "callers that read slowly and were ended since memory was short"
+)
+ANSWERS_CUT_UNREAD: Final = _declare_counter(
+    "answers_cut_unread", "answers that targets broke off while callers did not read them"
+)
 CALLER_GONE: Final = _declare_counter("caller_gone", "callers that left before their answer")
 WAITED_FOR_START: Final = _declare_counter(
     "waited_for_start", "requests that waited for the first configuration of a start"
--- a/rhubarbbend/gateway/_answer_forwarder.py
+++ b/rhubarbbend/gateway/_answer_forwarder.py
@@ -14,7 +14,7 @@
 from rhubarbbend.gateway._interfaces import TargetResponseHead
 from rhubarbbend.gateway._requests import BufferedAnswer, OpenRequest
 from rhubarbbend.gateway._state import Clock, State, read_clock
-from rhubarbbend.http import BodyTimeoutPolicy, Connection, HttpFailure, SendStage
+from rhubarbbend.http import BodyTimeoutPolicy, Connection, HttpFailure, SendStage, wait_for_room
 
 # Answers up to this size are buffered until they are complete, so that one that was truncated can
 # be replaced by another target's.
@@ -146,6 +146,7 @@
 def send_answer(request: OpenRequest, answer: BufferedAnswer) -> None:
     """Send a target's complete answer to the caller."""
     exchange = request.exchange
+    exchange.buffer.record_pending(0)
     request.progress.started = True
     request.answer = answer.head
     length = (b"Content-Length", str(len(answer.body)).encode("ascii"))
@@ -159,10 +160,15 @@
     """Return the body of an answer, None if it is larger than `MAX_BUFFERED_ANSWER_BYTES`."""
     parts: list[bytes] = []
     size = 0
+    buffer = request.exchange.buffer
+    kept = 0 if request.fallback_answer is None else len(request.fallback_answer.body)
     async for part in connection.receive_body(request.compute_backstop_timeout(read_clock())):
         size += len(part)
         if size > MAX_BUFFERED_ANSWER_BYTES:
             return None
         parts.append(part)
+        buffer.record_pending(kept + size)
+        await wait_for_room(buffer.ledger)
     request.body_end = connection.body_end
+    buffer.ledger.record_answer(size)
     return b"".join(parts)
--- a/rhubarbbend/gateway/_attempt_recorder.py
+++ b/rhubarbbend/gateway/_attempt_recorder.py
@@ -42,13 +42,19 @@
         """Count an attempt as evidence for or against the version of its target."""
         if outcome in (AttemptOutcome.REJECTED, AttemptOutcome.MISDIRECTED):
             return
+        if request.exchange.buffer.was_slow:
+            # How long the answer took shows how the caller reads, not how the version works.
+            return
         self._count_attempt(request, choice, outcome is not AttemptOutcome.ANSWERED)
 
     def record_unfinished(self, request: OpenRequest, choice: Choice) -> None:
         """Count an attempt that ended with its request's deadline, or when the caller left.
 
-        It counts as failed only if it had taken longer than its objective by then.
+        It counts as failed only if it had taken longer than its objective by then, unless the
+        caller was waited for.
         """
+        if request.exchange.ended_because is not None or request.exchange.buffer.was_slow:
+            return
         taken_s = self._clock() - request.sent_at
         if taken_s > request.route.objective and request.sent_at >= request.chosen_at:
             self._count_attempt(request, choice, failed=True)
--- a/rhubarbbend/gateway/_attempts.py
+++ b/rhubarbbend/gateway/_attempts.py
@@ -167,6 +167,7 @@
         if request.progress.sends > 0:
             self._acquire_retry(request, connection)
         outcome = AttemptOutcome.BROKEN
+        cut_unread = False
         answer: TargetResponseHead | None = None
         self._liveness.add_connection(choice.target.id, connection)
         try:
@@ -177,7 +178,8 @@
                 request, answer, connection, policy, request.can_retry_elsewhere, choice.target
             )
         except HttpFailure as failure:
-            outcome = self._handle_failure(request, choice.target, connection, failure)
+            cut_unread = self._was_cut_unread(request, failure)
+            outcome = self._handle_failure(request, choice.target, connection, failure, cut_unread)
             if answer is None and self._record_if_dead_while_idle(
                 request, choice.target, connection, failure
             ):
@@ -199,10 +201,23 @@
                 leaving=(answer is not None and answer.is_leaving) or None,
                 after=round(self._clock() - request.arrived_at, 4),
             )
-        self.recorder.record_health(choice.target, request, outcome)
-        self.recorder.record_evidence(request, choice, outcome)
+        if not cut_unread:
+            self.recorder.record_health(choice.target, request, outcome)
+            self.recorder.record_evidence(request, choice, outcome)
         return outcome
 
+    def _was_cut_unread(self, request: OpenRequest, failure: HttpFailure) -> bool:
+        """Return whether a target may have broken off an answer that the caller did not read.
+
+        That tells nothing of the target or the request.
+        """
+        if failure.stage is not SendStage.RESPONSE:
+            return False
+        if not request.exchange.buffer.is_behind(self._clock()):
+            return False
+        self._state.metrics.increment_counter(codes.ANSWERS_CUT_UNREAD)
+        return True
+
     def _log(self, event: str, request: OpenRequest, target: Target, **fields: Any) -> None:
         now = self._clock()
         self._state.event_log.write(event, now, id=request.id, target=target.id, **fields)
@@ -291,6 +306,7 @@
         target: Target,
         connection: Connection,
         failure: HttpFailure,
+        cut_unread: bool,
     ) -> AttemptOutcome:
         self._log(
             "attempt_failed",
@@ -302,9 +318,12 @@
             last_event=request.relay.last_id or None,
             content=request.digest,
             parts=_list_logged_parts(request),
+            cut_unread=cut_unread or None,
         )
         if failure.stage is SendStage.CONNECT:
             return AttemptOutcome.UNREACHED
+        if cut_unread:
+            return AttemptOutcome.BROKEN
         if connection.closed or self._liveness.has_failed_probe(target.id):
             self.on_loss(request, target, self._clock())
         return AttemptOutcome.BROKEN
--- a/rhubarbbend/gateway/_detours.py
+++ b/rhubarbbend/gateway/_detours.py
@@ -237,7 +237,8 @@
     ) -> DetourResult:
         """Record that a request was sent to a helper and no whole answer came back."""
         request.progress.may_have_run = True
-        self._selector.record_lost(helper, self._clock())
+        if not request.exchange.buffer.is_behind(self._clock()):
+            self._selector.record_lost(helper, self._clock())
         self._state.metrics.increment_counter(codes.DETOURS_FAILED)
         self._log(request, helper, "lost", reason=str(failure))
         return DetourResult(None, codes.TARGET_FAILED, may_have_run=True)
--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from rhubarbbend import VERSION, codes
+from rhubarbbend.core.limits import HeldKind
 from rhubarbbend.core.readers import InstanceRow, ReaderSelector
 from rhubarbbend.gateway._attempts import AttemptRunner
 from rhubarbbend.gateway._crash_detector import CrashDetector
@@ -21,6 +22,7 @@
 from rhubarbbend.gateway._detours import DetourClient
 from rhubarbbend.gateway._event_log import EventLog
 from rhubarbbend.gateway._follower import StateFollower
+from rhubarbbend.gateway._held_memory import register_memory_gauges
 from rhubarbbend.gateway._in_flight_protocol import InFlightProtocol
 from rhubarbbend.gateway._interfaces import Adapter
 from rhubarbbend.gateway._metrics import CONTENT_TYPE
@@ -106,7 +108,9 @@
         self._in_flight_protocol = InFlightProtocol(self.state, selector)
         self._in_flight_protocol.on_notice = origins.handle_notice
         origins.send_notice = self._in_flight_protocol.send_notice
-        self._caller_server = HttpServer(self._requests.serve)
+        self._caller_server = HttpServer(
+            self._requests.serve, ledger=self.state.memory, answers_refusals=True
+        )
         self._servers: list[HttpServer] = [self._caller_server]
         self._peer_http: HttpServer | None = None
         self._background: set[asyncio.Task[None]] = set()
@@ -177,7 +181,10 @@
             await self._caller_server.listen_on(self._listener)
         await self._serve_on(settings.ready, self._serve_ready)
         if settings.peers is not None:
-            self._peer_http = await self._serve_on(settings.peers, self._peer_server.serve)
+            self._peer_http = HttpServer(
+                self._peer_server.serve, None, self.state.memory, HeldKind.DETOUR, True
+            )
+            await self._listen_with(self._peer_http, settings.peers)
             await self._in_flight_protocol.open(settings.peers)
             self._spawn(self._in_flight_protocol.run())
         if settings.metrics is not None:
@@ -189,11 +196,12 @@
 
     async def _serve_on(
         self, address: tuple[str, int], handler: Callable[[Exchange], Coroutine[Any, Any, None]]
-    ) -> HttpServer:
-        server = HttpServer(handler)
+    ) -> None:
+        await self._listen_with(HttpServer(handler), address)
+
+    async def _listen_with(self, server: HttpServer, address: Address) -> None:
         await server.listen(*address)
         self._servers.append(server)
-        return server
 
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(coroutine)
@@ -223,6 +231,7 @@
     def _register_gauges(self) -> None:
         state = self.state
         metrics = state.metrics
+        register_memory_gauges(metrics, state.memory)
         metrics.register_gauge("open_requests", lambda: self._requests.open_requests)
         metrics.register_gauge("targets", state.registry.count)
         metrics.register_gauge("instances", lambda: len(state.list_instance_ids()))
--- a/rhubarbbend/gateway/_peers.py
+++ b/rhubarbbend/gateway/_peers.py
@@ -115,6 +115,8 @@
         try:
             if is_detour(exchange.headers):
                 await self.serve_detour(exchange)
+            elif exchange.memory_refusal:
+                exchange.respond(503, [], b"")
             elif exchange.target == CHANGES_PATH:
                 query = msgspec.msgpack.decode(exchange.body, type=ChangesQuery)
                 await self._serve_changes(exchange, query)
--- a/rhubarbbend/gateway/_request_ender.py
+++ b/rhubarbbend/gateway/_request_ender.py
@@ -104,6 +104,10 @@
     ) -> None:
         """Refuse a request that is invalid, or for which there is no route, account or service."""
         retry_after = code.retry_after * self._state.random.uniform(MIN_RETRY_AFTER_FRACTION, 1.0)
+        if code is codes.MEMORY_SHORT:
+            timeout_s = self._caller_protocol.read_timeout(exchange)
+            if timeout_s is not None:
+                retry_after = min(retry_after, RETRY_AFTER_FRACTION * timeout_s)
         self.write_error(exchange, request_id, code, Verdict.NOT_RUN, retry_after)
         self._state.metrics.increment_counter(f"refused.{code.name}")
         self._state.event_log.write(
@@ -116,6 +120,23 @@
             target=exchange.target[:200],
         )
 
+    def reject_for_memory(self, exchange: Exchange, now: float) -> None:
+        """Refuse a request for which there is no memory, before anything is done for it."""
+        request_id = self._caller_protocol.read_request_id(exchange)
+        memory = self._state.memory
+        held = f"{memory.held} bytes are held, {memory.budget:.0f} may be"
+        detail = f"{exchange.memory_refusal}: {held}" if exchange.memory_refusal else held
+        self.reject(exchange, request_id, codes.MEMORY_SHORT, detail, now)
+
+    def finish_caller_gone(self, request: OpenRequest) -> None:
+        """End a request whose caller has left, or was ended since it did not read its answer."""
+        reason = request.exchange.ended_because
+        if reason is None:
+            self._state.metrics.increment_counter(codes.CALLER_GONE)
+            self.log_end(request, "caller_gone", 0)
+        else:
+            self.log_end(request, f"caller_ended: {reason.value}", 0)
+
     def write_error(
         self,
         exchange: Exchange,
--- a/rhubarbbend/gateway/_request_server.py
+++ b/rhubarbbend/gateway/_request_server.py
@@ -10,6 +10,7 @@
 import contextlib
 import traceback
 from collections.abc import Set
+from functools import partial
 from typing import Final
 
 from rhubarbbend import codes
@@ -28,7 +29,7 @@
 from rhubarbbend.gateway._stream_origins import StreamOrigins
 from rhubarbbend.gateway._target_prober import TargetProber
 from rhubarbbend.gateway._version_selector import VersionSelector
-from rhubarbbend.http import Exchange
+from rhubarbbend.http import ClientEnd, Exchange, shed_excess
 
 # A request is refused once more than this many targets have failed to accept a connection for it.
 MAX_CONNECT_FAILURES: Final = 4
@@ -84,7 +85,12 @@
         self.open_requests += 1
         now = self._clock()
         self._state.metrics.increment_counter(codes.REQUESTS)
+        exchange.on_ended = partial(self._handle_caller_ended, exchange)
         try:
+            shed_excess(self._state.memory, now)
+            if exchange.memory_refusal or not self._state.memory.can_admit(0, now):
+                self._ender.reject_for_memory(exchange, now)
+                return
             if not self._state.became_ready.is_set():
                 await self._wait_until_opened(exchange, now)
             request = None if exchange.closed.is_set() else self._admit(exchange, now)
@@ -96,6 +102,21 @@
             self.open_requests -= 1
             exchange.on_closed = None
 
+    def _handle_caller_ended(self, exchange: Exchange, reason: ClientEnd) -> None:
+        """Count and log that a caller was ended since it did not read its answer."""
+        is_stalled = reason is ClientEnd.NOT_READING
+        self._state.metrics.increment_counter(
+            codes.CALLERS_NOT_READING if is_stalled else codes.CALLERS_SHED
+        )
+        self._state.event_log.write(
+            "caller_ended",
+            self._clock(),
+            id=self._caller_protocol.read_request_id(exchange),
+            reason=reason.value,
+            waited=round(exchange.buffer.waited_s, 3),
+            held=self._state.memory.held,
+        )
+
     def _handle_internal_error(self, exchange: Exchange, error: Exception) -> None:
         """End a request after an exception in this program; the request may have run."""
         self._state.metrics.increment_counter(codes.INTERNAL_ERRORS)
@@ -215,6 +236,7 @@
             self._ender.log_end(request, "caller_gone", 0)
             return
         try:
+            self._state.memory.record_awaited(1)
             async with asyncio.timeout_at(request.deadline):
                 await self._try_targets(request)
         except TimeoutError:
@@ -223,9 +245,9 @@
             if not request.exchange.closed.is_set():
                 raise
             task.uncancel()
-            self._state.metrics.increment_counter(codes.CALLER_GONE)
-            self._ender.log_end(request, "caller_gone", 0)
+            self._ender.finish_caller_gone(request)
         finally:
+            self._state.memory.record_awaited(-1)
             self._gate.end_attempt(request)
 
     async def _try_targets(self, request: OpenRequest) -> None:
--- a/rhubarbbend/gateway/_state.py
+++ b/rhubarbbend/gateway/_state.py
@@ -15,6 +15,7 @@
 from rhubarbbend.core.catalog import Catalog, Service
 from rhubarbbend.core.crashes import CrashLedger, RefusalRules
 from rhubarbbend.core.directory import Target, TargetRegistry
+from rhubarbbend.core.limits import MemoryLedger
 from rhubarbbend.core.mirror import Mirror
 from rhubarbbend.core.placement import (
     BrittleTracker,
@@ -29,6 +30,7 @@
 from rhubarbbend.core.shares import ColdTargetShare, RetryBudgetShare
 from rhubarbbend.gateway._change_notifier import ChangeNotifier
 from rhubarbbend.gateway._event_log import EventLog
+from rhubarbbend.gateway._held_memory import read_resident_size
 from rhubarbbend.gateway._metrics import Metrics
 from rhubarbbend.gateway._peer_updates import PeerUpdate, apply_crash_findings
 from rhubarbbend.gateway._replication_timeouts import (
@@ -59,6 +61,8 @@
         self.settings = settings
         self.event_log = event_log
         self.metrics = Metrics()
+        # The bytes that are held for callers and for other instances.
+        self.memory = MemoryLedger(settings.memory, read_resident_size)
         self.random = random.Random()
         self.mirror = Mirror((*tables, ROLLOUT_TABLE, INSTANCE_TABLE))
         self.config_table = tables[0]
@@ -113,6 +117,7 @@
     def apply_settings(self, settings: GatewaySettings) -> None:
         """Apply new limits. What has already been counted towards them stays counted."""
         self.settings = settings
+        self.memory.set_limit(settings.memory)
         self.replication_timeouts = derive_replication_timeouts(settings)
         self.registry.set_options(derive_directory_options(settings))
         self.cold_target_share.set_limit(settings.cold_overshoot, settings.cold_slack)
--- a/rhubarbbend/gateway/_streams.py
+++ b/rhubarbbend/gateway/_streams.py
@@ -8,10 +8,13 @@
 from collections.abc import Callable
 from typing import Final
 
+from rhubarbbend.core.limits import HeldKind
 from rhubarbbend.http import BodyRelay, Exchange
 
 # Data that contains no end of an event within this size is not an event stream.
 MAX_EVENT_BYTES: Final = 1_048_576
+# Incomplete events up to this size are not counted as held: most are parts of one packet.
+UNCOUNTED_EVENT_BYTES: Final = 4_096
 ID_FIELD: Final = b"id:"
 
 
@@ -47,6 +50,7 @@
         self._is_resumed = False
         self._on_first_event: Callable[[], None] = lambda: None
         self._is_event_too_long = False
+        self._is_counted = False
 
     def begin_response(self, is_resumed: bool, on_first_event: Callable[[], None]) -> None:
         """Prepare to relay the body of a target's response from its beginning.
@@ -55,6 +59,8 @@
         when its first complete event has been received.
         """
         self._buffer.clear()
+        if self._exchange.buffer.kind is HeldKind.ANSWER:
+            self._exchange.buffer.kind = HeldKind.STREAM
         self._is_resumed = is_resumed
         self.has_received_event = False
         self.event_count = 0
@@ -68,9 +74,11 @@
         end = _find_end_of_events(self._buffer)
         if end < 0:
             self._is_event_too_long = len(self._buffer) > MAX_EVENT_BYTES
+            self._count_incomplete()
             return
         events = bytes(self._buffer[:end])
         del self._buffer[:end]
+        self._count_incomplete()
         self.event_count += events.count(b"\n\n")
         if not self.has_received_event:
             self.has_received_event = True
@@ -97,6 +105,13 @@
         """Wait until the caller has read enough of the forwarded events."""
         await self._exchange.drain()
 
+    def _count_incomplete(self) -> None:
+        """Count an event that is not complete as held, if it is large."""
+        size = len(self._buffer)
+        if size > UNCOUNTED_EVENT_BYTES or self._is_counted:
+            self._is_counted = size > UNCOUNTED_EVENT_BYTES
+            self._exchange.buffer.record_pending(size if self._is_counted else 0)
+
     def _record_last_id(self, events: bytes) -> bytes:
         """Record the last id in a block of complete events and return the block unchanged."""
         for event in reversed(events.split(b"\n\n")):
--- a/rhubarbbend/http/__init__.py
+++ b/rhubarbbend/http/__init__.py
@@ -4,6 +4,7 @@
 decides what to do with a request: routing and retries are decided by the core.
 """
 
+from rhubarbbend.http._answer_buffer import ClientEnd, shed_excess, wait_for_room
 from rhubarbbend.http._body_forwarder import BodyRelay, BodyTimeoutPolicy
 from rhubarbbend.http._connection import Connection, Response
 from rhubarbbend.http._exchange import Exchange
@@ -17,6 +18,7 @@
     "BodyEnd",
     "BodyTimeoutPolicy",
     "BodyRelay",
+    "ClientEnd",
     "ClientProtocol",
     "Connection",
     "ConnectionOpener",
@@ -34,4 +36,6 @@
     "read_pause",
     "reset_connection",
     "set_keepalive",
+    "shed_excess",
+    "wait_for_room",
 ]
--- a/rhubarbbend/http/_exchange.py
+++ b/rhubarbbend/http/_exchange.py
@@ -9,12 +9,10 @@
 import h11
 import msgspec
 
-from rhubarbbend.http._protocol import make_close_reset
+from rhubarbbend.core.limits import MemoryLedger
+from rhubarbbend.http._answer_buffer import AnswerBuffer, ClientEnd
+from rhubarbbend.http._protocol import make_close_reset, reset_connection
 
-# Above this many unsent bytes, writers of response bodies have to wait.
-WRITE_HIGH_WATER_BYTES: Final = 262_144
-# A connection is aborted if its client keeps the write buffer full for this long.
-STALL_TIMEOUT_S: Final = 30.0
 HTTP_WITHOUT_CHUNKS: Final = b"1.0"
 
 Headers = list[tuple[str, str]]
@@ -39,6 +37,10 @@
         "extra_headers",
         "closed",
         "on_closed",
+        "buffer",
+        "ended_because",
+        "memory_refusal",
+        "on_ended",
         "_conn",
         "_writer",
         "_drain_state",
@@ -53,6 +55,7 @@
         conn: h11.Connection,
         writer: asyncio.StreamWriter,
         drain_state: DrainState | None = None,
+        ledger: MemoryLedger | None = None,
     ) -> None:
         self.method = request.method.decode("ascii")
         self.target = request.target.decode("ascii", "replace")
@@ -66,6 +69,14 @@
         self.closed = asyncio.Event()
         # Called in the event loop iteration in which the disconnection of the client is detected.
         self.on_closed: Callable[[], object] | None = None
+        # What is held of the response until the client has read it.
+        self.buffer = AnswerBuffer(writer.transport, ledger or MemoryLedger(), self.end)
+        # Why the server ended the connection itself, since its client did not read; None if not.
+        self.ended_because: ClientEnd | None = None
+        # Called when that happens, which may be after the handler has returned.
+        self.on_ended: Callable[[ClientEnd], None] | None = None
+        # Why there is no memory for the body, which was not read; the handler then refuses.
+        self.memory_refusal = ""
         self._conn = conn
         self._writer = writer
         self._drain_state = drain_state or DrainState()
@@ -101,18 +112,15 @@
 
     def is_write_buffer_full(self) -> bool:
         """Return whether the write buffer is above its high-water mark."""
-        return self._writer.transport.get_write_buffer_size() > WRITE_HIGH_WATER_BYTES
+        return self.buffer.is_full()
 
     async def drain(self) -> None:
-        """Wait until the write buffer has drained; abort if the client stalls."""
-        if not self.is_write_buffer_full():
-            return
-        try:
-            async with asyncio.timeout(STALL_TIMEOUT_S):
-                await self._writer.drain()
-        except TimeoutError:
-            # A client that reads nothing would otherwise hold its slot at the target forever.
-            self.abort()
+        """Wait until the write buffer has drained; end the connection if the client stalls.
+
+        A client that reads nothing would otherwise hold its slot at the target forever.
+        """
+        if self.buffer.is_full():
+            await self.buffer.drain(self._writer)
 
     def finish(self) -> None:
         """End the body, which marks the response as complete for the client."""
@@ -132,6 +140,27 @@
         self._prepare_abort()
         self._writer.close()
 
+    def end(self, reason: ClientEnd) -> None:
+        """End the connection by a reset, since its client does not read.
+
+        An orderly end would leave what is unsent in the kernel.
+        """
+        if self.ended_because is not None:
+            return
+        self.ended_because = reason
+        self.closed.set()
+        reset_connection(self._writer.transport)
+        if self.on_ended is not None:
+            self.on_ended(reason)
+
+    def release(self) -> None:
+        """Stop counting the response, and drop what refers back to this object.
+
+        It would otherwise be kept, with its body, until the garbage collector finds it.
+        """
+        self.buffer.close()
+        self.on_ended = None
+
     def _prepare_abort(self) -> None:
         self.closed.set()
         if self._ends_with_connection:
@@ -157,3 +186,4 @@
         data = self._conn.send(event)
         if data:
             self._writer.write(data)
+            self.buffer.update(asyncio.get_running_loop().time())
--- a/rhubarbbend/http/_protocol.py
+++ b/rhubarbbend/http/_protocol.py
@@ -15,7 +15,10 @@
 from typing import Final, cast
 
 # Above this many unread bytes, reading from the socket is paused (backpressure).
-READ_HIGH_WATER_BYTES: Final = 262_144
+READ_HIGH_WATER_BYTES: Final = 65_536
+# Most bytes received at once; asyncio reads up to 256 KB. Reading can be paused only after a part,
+# so each part adds to what is held for a receiver that is slow.
+READ_SIZE_BYTES: Final = 16_384
 # TCP keep-alive: the first probe after KEEPALIVE_IDLE_S idle seconds, then one every
 # KEEPALIVE_INTERVAL_S. On Linux, TCP_USER_TIMEOUT decides when unanswered probes give up, whatever
 # their count: at the first one due after it, 3 s after the last sign of life. A peer that is silent
@@ -176,6 +179,9 @@
         """Store the transport and enable TCP keep-alive."""
         self._transport = cast(asyncio.Transport, transport)
         self.last_received_at = self._loop.time()
+        if hasattr(transport, "max_size"):
+            # asyncio's own transports read so much at a time; others are left as they are.
+            transport.max_size = READ_SIZE_BYTES
         set_keepalive(transport.get_extra_info("socket"))
 
     def data_received(self, data: bytes) -> None:
--- a/rhubarbbend/http/_rejection.py
+++ b/rhubarbbend/http/_rejection.py
@@ -16,12 +16,21 @@
 
 
 class RequestRejected(Exception):
-    """A request that is not accepted, with the status of the response to it."""
+    """A request that is not accepted, with the status and the error code of the response to it."""
 
-    def __init__(self, status: int, reason: str) -> None:
+    def __init__(self, status: int, reason: str, code: str = "bad_request") -> None:
         super().__init__(reason)
         self.status = status
         self.reason = reason
+        self.code = code
+
+
+def read_event(conn: h11.Connection) -> object:
+    """Return the next event of a request, or raise `RequestRejected` if it is invalid."""
+    try:
+        return conn.next_event()
+    except h11.RemoteProtocolError as error:
+        raise RequestRejected(error.error_status_hint, str(error)) from error
 
 
 async def reject_request(
@@ -35,7 +44,7 @@
     The body has the format of all other error responses. No response is sent if one was already
     started on the connection.
     """
-    error = {"code": "bad_request", "message": rejected.reason, "verdict": "not_run"}
+    error = {"code": rejected.code, "message": rejected.reason, "verdict": "not_run"}
     body = msgspec.json.encode({"error": error})
     if conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
         response_head = h11.Response(
@@ -49,10 +58,10 @@
         for event in (response_head, h11.Data(data=body), h11.EndOfMessage()):
             writer.write(conn.send(event) or b"")
         await writer.drain()
-        await _discard_remaining_input(reader, writer)
+        await discard_remaining_input(reader, writer)
 
 
-async def _discard_remaining_input(
+async def discard_remaining_input(
     reader: asyncio.StreamReader, writer: asyncio.StreamWriter
 ) -> None:
     """Read and discard what the client still sends, within a time and size limit.
--- /dev/null
+++ b/rhubarbbend/http/_request_body.py
@@ -0,0 +1,142 @@
+"""Reads the bodies of requests, and counts them from their first byte until they are released.
+
+Load handled here: more or larger requests at once than fit into memory, sent quickly or slowly.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Final
+
+import h11
+import msgspec
+
+from rhubarbbend.core.limits import HeldKind, Holding, MemoryLedger
+from rhubarbbend.http._answer_buffer import shed_excess
+from rhubarbbend.http._rejection import READ_SIZE_BYTES, RequestRejected, read_event
+
+# Bodies up to this size are read however short memory is: the messages between instances are so
+# small, and the handler refuses what it has no memory for.
+ALWAYS_READ_BYTES: Final = 8_192
+
+
+class BodyLimits(msgspec.Struct, frozen=True):
+    """Limits on bodies: on one, on all that are held at once, in bytes, and on the time for one."""
+
+    max_bytes: int
+    max_buffered_bytes: int
+    timeout: float
+
+
+class MemoryShort(RequestRejected):
+    """A request for which there is no memory; it has not run."""
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(503, reason, "memory_short")
+
+
+class RequestBody:
+    """A body that is being read or held; `data` is set once it is whole."""
+
+    __slots__ = ("data", "size", "holding")
+
+    def __init__(self) -> None:
+        self.data = b""
+        self.size = 0
+        # None for a request without a body.
+        self.holding: Holding | None = None
+
+
+class BodyReader:
+    """Reads bodies. Invariant: `buffered_bytes` is the size of all that are not released."""
+
+    def __init__(self, ledger: MemoryLedger, kind: HeldKind) -> None:
+        self._ledger = ledger
+        self._kind = kind
+        self.buffered_bytes = 0
+
+    async def read(
+        self,
+        head: h11.Request,
+        conn: h11.Connection,
+        reader: asyncio.StreamReader,
+        limits: BodyLimits,
+    ) -> RequestBody:
+        """Return the whole body of a request, which has to be released.
+
+        Raise `RequestRejected` if it exceeds a limit, `MemoryShort` if there is no memory for it,
+        `TimeoutError` if it takes too long.
+        """
+        body = RequestBody()
+        try:
+            async with asyncio.timeout(limits.timeout) as scope:
+                await self._read_parts(head, body, conn, reader, limits, scope)
+        except TimeoutError as error:
+            self.release(body)
+            if body.holding is not None and body.holding.is_shed:
+                raise MemoryShort("the body arrived slowly, and memory is short") from error
+            raise
+        except BaseException:
+            self.release(body)
+            raise
+        return body
+
+    def release(self, body: RequestBody) -> None:
+        """Stop counting a body."""
+        self.buffered_bytes -= body.size
+        body.size = 0
+        if body.holding is not None:
+            self._ledger.close(body.holding)
+
+    async def _read_parts(
+        self,
+        head: h11.Request,
+        body: RequestBody,
+        conn: h11.Connection,
+        reader: asyncio.StreamReader,
+        limits: BodyLimits,
+        scope: asyncio.Timeout,
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        length = _read_length(head)
+        if length > ALWAYS_READ_BYTES and not self._ledger.can_admit(length, loop.time()):
+            raise MemoryShort("no memory for the body")
+        parts: list[bytes] = []
+        while True:
+            event = read_event(conn)
+            if isinstance(event, h11.Data):
+                if body.holding is None:
+                    body.holding = self._ledger.open(
+                        self._kind, lambda: scope.reschedule(loop.time())
+                    )
+                parts.append(bytes(event.data))
+                self._count_part(body, len(event.data), limits, loop.time())
+            elif isinstance(event, h11.EndOfMessage):
+                body.data = b"".join(parts)
+                if body.holding is not None:
+                    # From now on it waits for this process, not for its client.
+                    body.holding.stalled_since = None
+                return
+            elif event is h11.NEED_DATA:
+                conn.receive_data(await reader.read(READ_SIZE_BYTES))
+            else:
+                raise ConnectionResetError("client closed the connection during the body")
+
+    def _count_part(self, body: RequestBody, size: int, limits: BodyLimits, now: float) -> None:
+        assert body.holding is not None
+        body.size += size
+        self.buffered_bytes += size
+        self._ledger.resize(body.holding, body.size)
+        body.holding.stalled_since = now
+        if body.size > limits.max_bytes:
+            raise RequestRejected(413, "body too large")
+        if self.buffered_bytes > limits.max_buffered_bytes:
+            raise MemoryShort("too many bytes of requests are held")
+        shed_excess(self._ledger, now)
+        if body.size > ALWAYS_READ_BYTES and self._ledger.is_exhausted(now):
+            raise MemoryShort("no memory for the rest of the body")
+
+
+def _read_length(head: h11.Request) -> int:
+    """Return the stated length of a body; 0 if there is none, or it is not stated."""
+    return next((int(value) for name, value in head.headers if name == b"content-length"), 0)
--- a/rhubarbbend/http/_server.py
+++ b/rhubarbbend/http/_server.py
@@ -14,8 +14,18 @@
 import h11
 import msgspec
 
+from rhubarbbend.core.limits import HeldKind, MemoryLedger
+from rhubarbbend.http._answer_buffer import AnswerBuffer, flush, set_limits
 from rhubarbbend.http._exchange import DrainState, Exchange
-from rhubarbbend.http._rejection import READ_SIZE_BYTES, RequestRejected, reject_request
+from rhubarbbend.http._rejection import (
+    READ_SIZE_BYTES,
+    RequestRejected,
+    discard_remaining_input,
+    read_event,
+    reject_request,
+)
+from rhubarbbend.http._request_body import BodyLimits, BodyReader, MemoryShort, RequestBody
+from rhubarbbend.http._send_progress import limit_kernel_buffer
 
 # How long idle connections stay open after the server has stopped accepting: a request may already
 # be on its way.
@@ -23,10 +33,10 @@
 # A connection is aborted if its client accepts no byte of its response for this long while the
 # server flushes it.
 FLUSH_TIMEOUT_S: Final = 10.0
-FLUSH_POLL_INTERVAL_S: Final = 0.02
 
 # Maximum number of connections that the kernel queues until they are accepted.
 LISTEN_BACKLOG: Final = 1024
+TOO_SLOW: Final = "request took too long to send"
 
 Handler = Callable[["Exchange"], Awaitable[None]]
 
@@ -45,10 +55,26 @@
 
 
 class HttpServer:
-    """An HTTP server on one address. Invariant: each open connection has one task in `_tasks`."""
+    """An HTTP server on one address. Invariant: each open connection has one task in `_tasks`.
 
-    def __init__(self, handler: Handler, limits: ServerLimits | None = None) -> None:
+    What is held for clients is counted by the ledger, requests as `kind`. If the handler
+    `answers_refusals`, it is called for requests that are refused for want of memory, with
+    `Exchange.memory_refusal` set; otherwise the server refuses them itself.
+    """
+
+    def __init__(
+        self,
+        handler: Handler,
+        limits: ServerLimits | None = None,
+        ledger: MemoryLedger | None = None,
+        kind: HeldKind = HeldKind.REQUEST,
+        answers_refusals: bool = False,
+    ) -> None:
         self._handler = handler
+        self._ledger = ledger or MemoryLedger()
+        self._kind = kind
+        self._answers_refusals = answers_refusals
+        self._bodies = BodyReader(self._ledger, kind)
         self._limits = limits or ServerLimits()
         self._server: asyncio.Server | None = None
         # In the order of their opening: in a set, it would be that of addresses in memory, and so
@@ -57,7 +83,6 @@
         self._busy: set[asyncio.Task[None]] = set()
         self._stopping = False
         self._drain_state = DrainState()
-        self._buffered_body_bytes = 0
 
     def set_limits(self, limits: ServerLimits) -> None:
         """Replace the limits; they apply from the next request on."""
@@ -117,6 +142,8 @@
             writer.transport.abort()
             return
         self._tasks[task] = None
+        set_limits(writer.transport)
+        limit_kernel_buffer(writer.get_extra_info("socket"))
         try:
             await self._serve_connection(task, reader, writer)
         except (ConnectionError, asyncio.CancelledError, TimeoutError):
@@ -134,29 +161,55 @@
     ) -> None:
         conn = h11.Connection(h11.SERVER, max_incomplete_event_size=self._limits.max_header_bytes)
         while not self._stopping:
+            body = RequestBody()
+            exchange: Exchange | None = None
             try:
                 head = await self._read_head(task, conn, reader)
                 if head is None:
                     return
-                async with asyncio.timeout(self._limits.body_timeout):
-                    body = await self._read_body(conn, reader, writer)
+                try:
+                    body = await self._read_body(head, conn, reader, writer)
+                except MemoryShort as short:
+                    if not self._answers_refusals:
+                        raise
+                    await self._pass_refusal(short, head, conn, reader, writer)
+                    return
+                exchange = self._make_exchange(head, body.data, conn, writer)
+                await self._run_handler(exchange, conn, reader)
+                if not await self._prepare_next(conn, writer, exchange.buffer):
+                    return
             except RequestRejected as rejected:
                 await reject_request(conn, reader, writer, rejected)
                 return
-            except TimeoutError:
-                timed_out = RequestRejected(408, "request took too long to send")
-                await reject_request(conn, reader, writer, timed_out)
-                return
-            exchange = Exchange(head, body, conn, writer, self._drain_state)
-            self._buffered_body_bytes += len(body)
-            try:
-                await self._run_handler(exchange, conn, reader)
             finally:
-                self._buffered_body_bytes -= len(body)
-            if not await self._prepare_next(conn, writer):
-                return
+                self._bodies.release(body)
+                if exchange is not None:
+                    exchange.release()
             self._busy.discard(task)
 
+    def _make_exchange(
+        self, head: h11.Request, body: bytes, conn: h11.Connection, writer: asyncio.StreamWriter
+    ) -> Exchange:
+        exchange = Exchange(head, body, conn, writer, self._drain_state, self._ledger)
+        if self._kind is HeldKind.DETOUR:
+            exchange.buffer.kind = self._kind
+        return exchange
+
+    async def _pass_refusal(
+        self,
+        short: MemoryShort,
+        head: h11.Request,
+        conn: h11.Connection,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Have the handler refuse a request whose body was not read, and end the connection."""
+        exchange = self._make_exchange(head, b"", conn, writer)
+        exchange.memory_refusal = short.reason
+        exchange.extra_headers.append((b"Connection", b"close"))
+        await self._handler(exchange)
+        await discard_remaining_input(reader, writer)
+
     async def _read_head(
         self, task: asyncio.Task[None], conn: h11.Connection, reader: asyncio.StreamReader
     ) -> h11.Request | None:
@@ -169,7 +222,7 @@
         deadline = loop.time() + self._limits.idle_timeout
         begun = False
         while True:
-            event = _next_event(conn)
+            event = read_event(conn)
             if isinstance(event, h11.Request):
                 self._busy.add(task)
                 _check_framing(event)
@@ -184,35 +237,30 @@
                     data = await reader.read(READ_SIZE_BYTES)
             except TimeoutError:
                 if begun:
-                    raise
+                    raise RequestRejected(408, TOO_SLOW) from None
                 return None
             # A request is in flight from its first byte on.
             self._busy.add(task)
             conn.receive_data(data)
 
     async def _read_body(
-        self, conn: h11.Connection, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> bytes:
-        parts: list[bytes] = []
-        size = 0
+        self,
+        head: h11.Request,
+        conn: h11.Connection,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> RequestBody:
+        limits = self._limits
         if conn.they_are_waiting_for_100_continue:
-            head = h11.InformationalResponse(status_code=100, headers=[])
-            writer.write(conn.send(head) or b"")
-        while True:
-            event = _next_event(conn)
-            if isinstance(event, h11.Data):
-                size += len(event.data)
-                if size > self._limits.max_body_bytes:
-                    raise RequestRejected(413, "body too large")
-                if self._buffered_body_bytes + size > self._limits.max_buffered_body_bytes:
-                    raise RequestRejected(503, "too many bytes of requests are held")
-                parts.append(bytes(event.data))
-            elif isinstance(event, h11.EndOfMessage):
-                return b"".join(parts)
-            elif event is h11.NEED_DATA:
-                conn.receive_data(await reader.read(READ_SIZE_BYTES))
-            else:
-                raise ConnectionResetError("client closed the connection during the body")
+            informational = h11.InformationalResponse(status_code=100, headers=[])
+            writer.write(conn.send(informational) or b"")
+        body_limits = BodyLimits(
+            limits.max_body_bytes, limits.max_buffered_body_bytes, limits.body_timeout
+        )
+        try:
+            return await self._bodies.read(head, conn, reader, body_limits)
+        except TimeoutError:
+            raise RequestRejected(408, TOO_SLOW) from None
 
     async def _run_handler(
         self, exchange: Exchange, conn: h11.Connection, reader: asyncio.StreamReader
@@ -229,34 +277,32 @@
             if failure is not None and not isinstance(failure, ConnectionError):
                 raise failure
 
-    async def _prepare_next(self, conn: h11.Connection, writer: asyncio.StreamWriter) -> bool:
+    async def _prepare_next(
+        self, conn: h11.Connection, writer: asyncio.StreamWriter, buffer: AnswerBuffer
+    ) -> bool:
+        await _flush(writer, buffer)
         if writer.transport.is_closing():
             return False
-        await _flush(writer)
         if conn.our_state is h11.DONE and conn.their_state is h11.DONE:
             conn.start_next_cycle()
             return True
         return False
 
 
-async def _flush(writer: asyncio.StreamWriter) -> None:
-    """Wait until the write buffer is empty; abort the connection if the client stalls.
+async def _flush(writer: asyncio.StreamWriter, buffer: AnswerBuffer | None = None) -> None:
+    """Wait until the write buffer is empty; end the connection if the client stalls.
 
     When the process ends, data that a slow client has not received yet would be lost, and its
     response truncated although the handler had finished it. A client that receives nothing for
     `FLUSH_TIMEOUT_S` is probably dead; waiting longer would hold its slot, and block a planned
     stop, forever.
     """
-    transport = writer.transport
-    unsent_bytes = transport.get_write_buffer_size()
-    stalled_s = 0.0
-    while unsent_bytes and stalled_s < FLUSH_TIMEOUT_S:
-        await asyncio.sleep(FLUSH_POLL_INTERVAL_S)
-        size = transport.get_write_buffer_size()
-        stalled_s = 0.0 if size < unsent_bytes else stalled_s + FLUSH_POLL_INTERVAL_S
-        unsent_bytes = size
-    if unsent_bytes:
-        transport.abort()
+    if await flush(writer, FLUSH_TIMEOUT_S, buffer):
+        return
+    if buffer is None:
+        writer.transport.abort()
+    else:
+        buffer.end_stalled()
 
 
 async def _watch_client(
@@ -286,10 +332,3 @@
     names = [name for name, _ in request.headers]
     if b"transfer-encoding" in names and b"content-length" in names:
         raise RequestRejected(400, "both Content-Length and Transfer-Encoding")
-
-
-def _next_event(conn: h11.Connection) -> object:
-    try:
-        return conn.next_event()
-    except h11.RemoteProtocolError as error:
-        raise RequestRejected(error.error_status_hint, str(error)) from error
--- a/standins/_worker.py
+++ b/standins/_worker.py
@@ -277,7 +277,7 @@
         if target.partition("?")[0].endswith("stream"):
             return await self._send_stream(conn, response_headers, headers, body, writer)
         return await self._send_complete_response(
-            conn, response_headers, make_response_body(body, target), writer
+            conn, response_headers, make_response_body(body, target, faults.body_bytes), writer
         )
 
     async def _send_complete_response(
@@ -288,7 +288,7 @@
         writer: asyncio.StreamWriter,
     ) -> bool:
         faults = self._faults
-        response = BodyWriter(conn, writer, faults.unframed)
+        response = BodyWriter(conn, writer, faults.unframed, faults.unread_timeout)
         has_length = not faults.unframed
         length = [("Content-Length", str(len(text)))] if has_length else []
         response.start([*response_headers, *length])
@@ -313,10 +313,10 @@
         faults = self._faults
         last_event_id = 0 if faults.repeat_events else int(headers.get("last-event-id", "0"))
         first_number = last_event_id + 1
-        response = BodyWriter(conn, writer, faults.unframed)
+        response = BodyWriter(conn, writer, faults.unframed, faults.unread_timeout)
         response.start([*response_headers, ("Content-Type", "text/event-stream")])
         for number in range(first_number, faults.events + 1):
-            event = make_stream_event(body, number)
+            event = make_stream_event(body, number, faults.event_bytes)
             events_sent = number - first_number
             if events_sent == faults.cut_after:
                 if faults.cut_inside:
--- a/standins/_worker_responses.py
+++ b/standins/_worker_responses.py
@@ -3,23 +3,33 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
 import h11
 
 from rhubarbbend.http import reset_connection
 
 READ_SIZE_BYTES = 65_536
+KERNEL_SEND_BYTES = 16_384
 
 
 class BodyWriter:
     """Writes a response part by part: in chunks, with a length, or up to the connection's end."""
 
     def __init__(
-        self, conn: h11.Connection, writer: asyncio.StreamWriter, is_unframed: bool
+        self,
+        conn: h11.Connection,
+        writer: asyncio.StreamWriter,
+        is_unframed: bool,
+        unread_timeout: float = 0.0,
     ) -> None:
         self._conn = conn
         self._writer = writer
         self._is_unframed = is_unframed
+        self._unread_timeout = unread_timeout or None
+        if unread_timeout:
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, KERNEL_SEND_BYTES)
 
     def start(self, headers: list[tuple[str, str]]) -> None:
         """Write the head of a success; its body is in chunks if `headers` state no length."""
@@ -30,10 +40,15 @@
             self._writer.write(self._conn.send(make_response_head(200, headers)) or b"")
 
     async def write(self, data: bytes) -> None:
-        """Write a part of the body."""
+        """Write a part of the body; reset the connection if it is not read for too long."""
         part = data if self._is_unframed else self._conn.send(h11.Data(data=data))
         self._writer.write(part or b"")
-        await self._writer.drain()
+        try:
+            async with asyncio.timeout(self._unread_timeout):
+                await self._writer.drain()
+        except TimeoutError:
+            self.break_off(by_reset=True)
+            raise ConnectionResetError("the response was not read") from None
 
     def finish(self) -> bool:
         """End the body; return whether the connection can be used again."""
--- a/standins/_worker_types.py
+++ b/standins/_worker_types.py
@@ -62,6 +62,12 @@
     reborn_as: str = ""
     # Close a connection when a second request arrives on it, without executing that request.
     drop_idle: bool = False
+    # Lengthen each response body and each event to at least so many bytes.
+    body_bytes: int = 0
+    event_bytes: int = 0
+    # Reset the connection if its receiver takes nothing of a response for this long; 0: never. The
+    # kernel then holds little of it.
+    unread_timeout: float = 0.0
     # Start each stream at its first event, even if the request asks to resume it.
     repeat_events: bool = False
 
@@ -107,12 +113,20 @@
     cancelled: int = 0
 
 
-def make_stream_event(body: bytes, number: int) -> bytes:
-    """Return event `number` of the stream that responds to a request with this body."""
+def make_stream_event(body: bytes, number: int, size: int = 0) -> bytes:
+    """Return event `number` of the stream that responds to a request with this body.
+
+    It is lengthened to at least `size` bytes by a comment.
+    """
     data = hashlib.blake2b(body + str(number).encode(), digest_size=6).hexdigest()
-    return f"id: {number}\ndata: {data}\n\n".encode()
+    event = f"id: {number}\ndata: {data}\n\n".encode()
+    return event if len(event) >= size else b":" + b"." * (size - len(event) - 2) + b"\n" + event
 
 
-def make_response_body(body: bytes, target: str) -> bytes:
-    """Return the whole response body to a request with this body and target."""
-    return hashlib.blake2b(body + target.encode(), digest_size=32).hexdigest().encode()
+def make_response_body(body: bytes, target: str, size: int = 0) -> bytes:
+    """Return the whole response body to a request with this body and target.
+
+    It is lengthened to at least `size` bytes.
+    """
+    digest = hashlib.blake2b(body + target.encode(), digest_size=32).hexdigest().encode()
+    return digest.ljust(size, b".")
