--- a/loadtool/__main__.py
+++ b/loadtool/__main__.py
@@ -39,6 +39,7 @@
         has_versions=options.versions,
         has_crashing_parts=options.parts,
         is_crowded=options.crowd,
+        has_unread_answers=options.unread,
     )
     return _soak.main(options.seed, options.seeds, options.duration, options.size, kinds)
 
@@ -79,6 +80,9 @@
     soak.add_argument(
         "--crowd", action="store_true", help="most new connections go to one instance, moving on"
     )
+    soak.add_argument(
+        "--unread", action="store_true", help="callers also read slowly or not at all"
+    )
 
 
 def _parse_arguments() -> argparse.Namespace:
--- a/loadtool/_gateway_fleet.py
+++ b/loadtool/_gateway_fleet.py
@@ -49,6 +49,7 @@
         self._next_id = 0
         self._own_links = False
         self._has_rollouts = True
+        self._memory_mb: int | None = None
         # Faults that each worker injects from its start.
         self._default_worker_faults: dict[str, Any] = {}
 
@@ -62,6 +63,7 @@
         own_links: bool = False,
         has_rollouts: bool = True,
         has_peer_datagrams: bool = False,
+        memory_mb: int | None = None,
     ) -> None:
         """Start the stand-ins and the instances, and wait until the instances are ready.
 
@@ -69,7 +71,9 @@
         and so is each instance by the other instances. If `own_links`, each instance has its own
         proxy route to each worker. Without `has_rollouts` the settings know no roll-outs.
         With `has_peer_datagrams` instances reach one another without the proxy, which passes none.
+        `memory_mb` is what instances may take; the default of their settings if None.
         """
+        self._memory_mb = memory_mb
         self._own_links = own_links
         self._has_rollouts = has_rollouts
         _, self.store_port = await self.group.start_stand_in("store", ["tables"])
@@ -106,6 +110,8 @@
             f"127.0.0.1:{store_port}",
             self._has_rollouts,
         )
+        if self._memory_mb is not None:
+            settings["limits"]["memoryMb"] = self._memory_mb
         node = InstanceNode(name, ip, settings, store_port, view_port=view_port)
         await self._open_links(node)
         if use_proxy_route:
--- a/loadtool/_soak.py
+++ b/loadtool/_soak.py
@@ -26,6 +26,13 @@
 from loadtool._soak_links import find_link_violations
 from loadtool._soak_notices import find_notice_violations
 from loadtool._soak_parts import SoakParts
+from loadtool._soak_reading import (
+    BODY_BYTES,
+    EVENT_BYTES,
+    MEMORY_MB,
+    UNREAD_TIMEOUT_S,
+    SoakReading,
+)
 from loadtool._soak_rollout import SoakRollout
 from loadtool._soak_schedule import (
     ScheduledSoakFault,
@@ -62,7 +69,8 @@
     instances then reach one another directly, since the proxy passes no datagrams. Without
     `has_peer_path_faults` the paths between instances do not fail. With `has_crashing_parts`
     callers send requests with parts of prompts that crash engines. If it `is_crowded`, most new
-    connections go to one instance, then to another.
+    connections go to one instance, then to another. With `has_unread_answers` callers read slowly
+    or not at all, and instances have little memory.
     """
 
     has_rollout: bool = False
@@ -74,6 +82,7 @@
     has_peer_path_faults: bool = True
     has_crashing_parts: bool = False
     is_crowded: bool = False
+    has_unread_answers: bool = False
 
 
 @attrs.define(slots=True)
@@ -141,6 +150,7 @@
         has_peer_datagrams=options.has_versions,
         plain_worker_count=target_count,
         engine_worker_count=target_count,
+        memory_mb=MEMORY_MB if options.has_unread_answers else None,
     ) as fleet:
         if options.has_unframed_answers:
             await fleet.set_default_worker_faults(unframed=True)
@@ -164,7 +174,8 @@
     chooser = random.Random(f"parts and crowd {seed}")
     has_parts = options.has_crashing_parts
     parts = SoakParts(fleet, faults, record, ready, chooser) if has_parts else None
-    extras = [extra for extra in (crashes, parts, versions) if extra is not None]
+    reading = await _make_reading(fleet, record, chooser) if options.has_unread_answers else None
+    extras = [extra for extra in (crashes, parts, versions, reading) if extra is not None]
     names = sorted(fleet.instances)
     crowd = SoakCrowd(record.started, names, chooser) if options.is_crowded else None
     readiness_task = asyncio.create_task(_probe_readiness(fleet, ready))
@@ -194,6 +205,16 @@
     return SoakResult(seed, record, violations, summaries)
 
 
+async def _make_reading(
+    fleet: GatewayFleet, record: RunRecord, chooser: random.Random
+) -> SoakReading:
+    record.body_bytes, record.event_bytes = BODY_BYTES, EVENT_BYTES
+    await fleet.add_default_worker_faults(
+        body_bytes=BODY_BYTES, event_bytes=EVENT_BYTES, unread_timeout=UNREAD_TIMEOUT_S
+    )
+    return SoakReading(fleet, record, chooser)
+
+
 def _find_all_violations(fleet: GatewayFleet, record: RunRecord) -> list[str]:
     arrivals = fleet.read_arrivals()
     record.detoured = _list_detoured(fleet)
--- a/loadtool/_soak_checks.py
+++ b/loadtool/_soak_checks.py
@@ -88,6 +88,9 @@
     # Instances without links to any target.
     cut_off: list[Period] = attrs.Factory(list)
     zone_by_target: dict[str, str] = attrs.Factory(dict)
+    # The least sizes of answers and of events.
+    body_bytes: int = 0
+    event_bytes: int = 0
     # Planned stops: from the order to stop to the end of the process, with its exit status.
     stops: list[tuple[Period, int]] = attrs.Factory(list)
 
@@ -124,7 +127,7 @@
     ]
     for outcome in record.outcomes:
         runs = [arrival for arrival in arrivals_by_id[outcome.id] if arrival.ran]
-        violations += _check_answer(outcome)
+        violations += _check_answer(record, outcome)
         violations += _check_runs(outcome, runs)
         violations += _check_key(record, outcome)
         violations += _check_targets(record, outcome, arrivals_by_id[outcome.id])
@@ -138,14 +141,15 @@
     return violations
 
 
-def _check_answer(outcome: RequestOutcome) -> Iterable[str]:
+def _check_answer(record: RunRecord, outcome: RequestOutcome) -> Iterable[str]:
     """Check that a complete success was produced by a target and answers this request."""
     if not 200 <= outcome.status < 300 or not outcome.complete:
         return
-    expected = make_response_body(outcome.body, outcome.path)
+    expected = make_response_body(outcome.body, outcome.path, record.body_bytes)
     if outcome.path.endswith("stream"):
         expected = b"".join(
-            make_stream_event(outcome.body, n) for n in range(1, STREAM_EVENT_COUNT + 1)
+            make_stream_event(outcome.body, n, record.event_bytes)
+            for n in range(1, STREAM_EVENT_COUNT + 1)
         )
     if not outcome.sealed or outcome.answer != expected:
         yield f"mixed: {outcome.id} ({outcome.kind}) got the wrong answer {outcome.answer[:80]!r}"
--- a/tests/loadtool/test_soak.py
+++ b/tests/loadtool/test_soak.py
@@ -19,6 +19,7 @@
 from loadtool._soak_crowd import SoakCrowd
 from loadtool._soak_notices import find_notice_violations
 from loadtool._soak_parts import find_part_violations
+from loadtool._soak_reading import find_memory_violations, find_slow_violations
 from loadtool._soak_schedule import ScheduledSoakFault, SoakFault, make_soak_schedule
 from standins._worker_types import Arrival, make_response_body
 
@@ -109,6 +110,14 @@
     assert len(find_violations(record, [make_arrival()])) == 1
 
 
+def test_an_instance_above_its_memory_and_an_ended_slow_caller_are_found() -> None:
+    assert find_memory_violations({"front-0": 41 * 2**20, "front-1": 2**20}, 40 * 2**20) == [
+        "memory: front-0 took 41.0 MB of 40"
+    ]
+    assert len(find_slow_violations([make_outcome()], {"r1"})) == 1
+    assert find_slow_violations([make_outcome()], {"r2"}) == []
+
+
 def test_the_same_seed_gives_the_same_schedule() -> None:
     layout = make_soak_layout(INSTANCE_COUNT)
     schedule = make_soak_schedule(7, DURATION, layout)
@@ -314,3 +323,14 @@
     result = asyncio.run(run_soak(seed, DURATION, INSTANCE_COUNT, tmp_path, options))
     print(format_result(result))
     assert result.violations == []
+
+
+# 1: found no fault; 783 callers that read nothing, instances within their memory.
+@pytest.mark.xdist_group("soak")
+@pytest.mark.parametrize("seed", [1])
+def test_all_guarantees_hold_while_callers_do_not_read(seed: int, tmp_path: Path) -> None:
+    """Callers read slowly or nothing, at instances with little memory, beside the usual faults."""
+    options = SoakOptions(has_unread_answers=True)
+    result = asyncio.run(run_soak(seed, DURATION, INSTANCE_COUNT, tmp_path, options))
+    print(format_result(result))
+    assert result.violations == []
