--- a/loadtool/__main__.py
+++ b/loadtool/__main__.py
@@ -41,6 +41,7 @@
         is_crowded=options.crowd,
         has_connection_limits=options.full,
         has_load=options.load,
+        has_unread_answers=options.unread,
     )
     return _soak.main(options.seed, options.seeds, options.duration, options.size, kinds)
 
@@ -87,6 +88,9 @@
     soak.add_argument(
         "--load", action="store_true", help="demand exceeds what targets can do; their pace varies"
     )
+    soak.add_argument(
+        "--unread", action="store_true", help="callers also read slowly or not at all"
+    )
 
 
 def _parse_arguments() -> argparse.Namespace:
--- a/rhubarbbend/gateway/_attempts.py
+++ b/rhubarbbend/gateway/_attempts.py
@@ -180,6 +180,7 @@
         if request.progress.sends > 0:
             self._acquire_retry(request, connection)
         outcome = AttemptOutcome.BROKEN
+        cut_unread = False
         answer: TargetResponseHead | None = None
         self._liveness.add_connection(choice.target.id, connection)
         try:
@@ -193,7 +194,10 @@
             is_full = answer is None and await self._full_targets.is_full(
                 request, choice.target, connection, failure
             )
-            outcome = self._handle_failure(request, choice.target, connection, failure, is_full)
+            cut_unread = self._was_cut_unread(request, failure)
+            outcome = self._handle_failure(
+                request, choice.target, connection, failure, is_full, cut_unread
+            )
             if is_full:
                 return outcome
             if answer is None and self._record_if_dead_while_idle(
@@ -217,10 +221,23 @@
                 leaving=(answer is not None and answer.is_leaving) or None,
                 after=round(self._clock() - request.arrived_at, 4),
             )
-        self.recorder.record_health(choice.target, request, outcome)
-        self.recorder.record_evidence(request, choice, outcome)
+        if not cut_unread:
+            self.recorder.record_health(choice.target, request, outcome)
+            self.recorder.record_evidence(request, choice, outcome)
         return outcome
 
+    def _was_cut_unread(self, request: OpenRequest, failure: HttpFailure) -> bool:
+        """Return whether a target may have broken off an answer that the caller did not read.
+
+        That tells nothing of the target or the request.
+        """
+        if failure.stage is not SendStage.RESPONSE:
+            return False
+        if not request.exchange.buffer.is_behind(self._clock()):
+            return False
+        self._state.metrics.increment_counter(codes.ANSWERS_CUT_UNREAD)
+        return True
+
     def _log(self, event: str, request: OpenRequest, target: Target, **fields: Any) -> None:
         now = self._clock()
         self._state.event_log.write(event, now, id=request.id, target=target.id, **fields)
@@ -313,6 +330,7 @@
         connection: Connection,
         failure: HttpFailure,
         is_full: bool,
+        cut_unread: bool,
     ) -> AttemptOutcome:
         self._log(
             "attempt_failed",
@@ -325,11 +343,12 @@
             full=is_full or None,
             content=request.digest,
             parts=_list_logged_parts(request),
+            cut_unread=cut_unread or None,
         )
         if failure.stage is SendStage.CONNECT:
             return AttemptOutcome.UNREACHED
         is_lost = connection.closed or self._liveness.has_failed_probe(target.id)
-        if is_lost and not is_full:
+        if is_lost and not is_full and not cut_unread:
             self.on_loss(request, target, self._clock())
         return AttemptOutcome.BROKEN
 
