--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -37,6 +37,18 @@
     assert "target=t-1" in timeline[1] and "source" not in timeline[1]
 
 
+def test_timeline_says_why_memory_ended_or_refused_a_request() -> None:
+    """Guards against a caller that was ended after its answer and of whom no line tells why."""
+    lines = [
+        make_line("ended", 10.0, "front-1", id="r-1", outcome="answered"),
+        make_line("caller_ended", 12.5, "front-1", id="r-1", reason="memory_short", held=9),
+        make_line("rejected", 12.6, "front-1", id="r-2", code="memory_short", detail="9 of 8"),
+    ]
+    assert "reason=memory_short held=9" in explain_request("r-1", read_lines(lines))[-1]
+    refused = explain_request("r-2", read_lines(lines))[-1]
+    assert "code=memory_short detail=9 of 8" in refused
+
+
 def test_timeline_of_a_refused_request_holds_the_crashes_of_the_same_content() -> None:
     lines = [
         make_line("attempt_failed", 10.0, "front-2", id="r-3", target="t-1", content="c-1"),
