--- a/rhubarbbend/gateway/_attempts.py
+++ b/rhubarbbend/gateway/_attempts.py
@@ -17,6 +17,7 @@
 from rhubarbbend.core.placement import Choice, compute_max_connections
 from rhubarbbend.gateway._answer_forwarder import AnswerForwarder
 from rhubarbbend.gateway._answer_receiver import AnswerReceiver
+from rhubarbbend.gateway._attempt_log import log_ended, log_sent
 from rhubarbbend.gateway._attempt_recorder import AttemptRecorder
 from rhubarbbend.gateway._full_targets import FullTargetDetector
 from rhubarbbend.gateway._interfaces import ForwardingOptions, TargetProtocol, TargetResponseHead
@@ -191,41 +192,42 @@
                 request, answer, connection, policy, request.can_retry_elsewhere, choice.target
             )
         except HttpFailure as failure:
-            is_full = answer is None and await self._full_targets.is_full(
-                request, choice.target, connection, failure
-            )
             cut_unread = self._was_cut_unread(request, failure)
-            outcome = self._handle_failure(
-                request, choice.target, connection, failure, is_full, cut_unread
+            outcome, is_excused = await self._end_broken(
+                request, choice.target, connection, failure, answer is None, cut_unread
             )
-            if is_full:
-                return outcome
-            if answer is None and self._record_if_dead_while_idle(
-                request, choice.target, connection, failure
-            ):
-                # This says nothing about the target's health.
+            if is_excused:
                 return outcome
         finally:
             self.answering.discard(request)
             self._liveness.discard_connection(choice.target.id, connection)
             self._release_or_close(connection, answer, outcome)
-        if outcome in (AttemptOutcome.REJECTED, AttemptOutcome.MISDIRECTED, AttemptOutcome.FAILED):
-            self._log(
-                "attempt_ended",
-                request,
-                choice.target,
-                end=outcome.value,
-                status=None if answer is None else answer.status,
-                held=None if answer is None or answer.load is None else answer.load.held,
-                pause=None if answer is None else answer.pause_s,
-                leaving=(answer is not None and answer.is_leaving) or None,
-                after=round(self._clock() - request.arrived_at, 4),
-            )
+        log = self._state.event_log
+        log_ended(log, request, choice.target, outcome, answer, self._clock())
         if not cut_unread:
             self.recorder.record_health(choice.target, request, outcome)
             self.recorder.record_evidence(request, choice, outcome)
         return outcome
 
+    async def _end_broken(
+        self,
+        request: OpenRequest,
+        target: Target,
+        connection: Connection,
+        failure: HttpFailure,
+        has_no_head: bool,
+        cut_unread: bool,
+    ) -> tuple[AttemptOutcome, bool]:
+        """Return the outcome of a failed attempt, and whether it tells nothing of its target."""
+        is_full = has_no_head and await self._full_targets.is_full(
+            request, target, connection, failure
+        )
+        outcome = self._handle_failure(request, target, connection, failure, is_full, cut_unread)
+        is_excused = is_full or (
+            has_no_head and self._record_if_dead_while_idle(request, target, connection, failure)
+        )
+        return outcome, is_excused
+
     def _was_cut_unread(self, request: OpenRequest, failure: HttpFailure) -> bool:
         """Return whether a target may have broken off an answer that the caller did not read.
 
@@ -278,38 +280,7 @@
         request.relay.has_received_event = False
         self._state.placement.record_sent(choice, caller.prompt, request.chosen_at, now)
         self.recorder.record_sent(request, choice, now)
-        self._log_sent(request, choice, connection, pause_left)
-
-    def _log_sent(
-        self, request: OpenRequest, choice: Choice, connection: Connection, pause_left: float
-    ) -> None:
-        now = request.sent_at
-        prompt = request.caller.prompt
-        self._log(
-            "sent",
-            request,
-            choice.target,
-            send=request.progress.sends + 1,
-            reason=choice.reason.value,
-            load=choice.load,
-            own=choice.own,
-            mean=choice.mean,
-            load_age=None if choice.report_age is None else round(choice.report_age, 3),
-            estimate=None if choice.estimate is None else round(choice.estimate, 3),
-            pace=None if choice.pace is None else round(choice.pace, 2),
-            cold=choice.cold,
-            source=None if choice.source is None else choice.source.id,
-            prompt=None if prompt is None else prompt.affinity_key,
-            shared=None if prompt is None else prompt.shared_tokens,
-            reused=connection.reused,
-            config=request.config_version,
-            time_left=round(request.compute_time_left(now), 3),
-            resume_after=request.relay.last_id or None,
-            resumes=request.caller.resumes or None,
-            version=choice.target.version,
-            pause_left=round(pause_left, 3) or None,
-            content=request.digest if pause_left > 0.0 else None,
-        )
+        log_sent(self._state.event_log, request, choice, connection.reused, pause_left)
 
     def _select_timeout_policy(
         self, request: OpenRequest, target: Target
--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -16,7 +16,6 @@
 from rhubarbbend.core.readers import InstanceRow, ReaderSelector
 from rhubarbbend.gateway._admission import AdmissionGate
 from rhubarbbend.gateway._attempts import AttemptRunner
-from rhubarbbend.gateway._capacity_gauges import CapacityGauges
 from rhubarbbend.gateway._crash_detector import CrashDetector
 from rhubarbbend.gateway._crash_gate import CrashGate
 from rhubarbbend.gateway._crash_news import CrashNews
@@ -24,7 +23,6 @@
 from rhubarbbend.gateway._detours import DetourClient
 from rhubarbbend.gateway._event_log import EventLog
 from rhubarbbend.gateway._follower import StateFollower
-from rhubarbbend.gateway._held_memory import register_memory_gauges
 from rhubarbbend.gateway._in_flight_protocol import InFlightProtocol
 from rhubarbbend.gateway._interfaces import Adapter
 from rhubarbbend.gateway._metrics import CONTENT_TYPE
@@ -38,6 +36,7 @@
     SettingsReader,
 )
 from rhubarbbend.gateway._state import State, read_clock
+from rhubarbbend.gateway._state_gauges import register_state_gauges
 from rhubarbbend.gateway._stream_origins import StreamOrigins
 from rhubarbbend.gateway._target_checker import TargetChecker
 from rhubarbbend.gateway._target_prober import TargetProber
@@ -241,26 +240,11 @@
         exchange.respond(200, [("Content-Type", CONTENT_TYPE)], self.state.metrics.render())
 
     def _register_gauges(self) -> None:
-        state, metrics = self.state, self.state.metrics
-        register_memory_gauges(metrics, state.memory)
+        metrics = self.state.metrics
         metrics.register_gauge("open_requests", lambda: self._requests.open_requests)
-        metrics.register_gauge("targets", state.registry.count)
-        metrics.register_gauge("instances", lambda: len(state.list_instance_ids()))
-        metrics.register_gauge(
-            "instances_heard", lambda: state.loads.peer_counts.count_instances(read_clock())
-        )
-        metrics.register_gauge("targets_unreachable", lambda: len(state.health.list_unreachable()))
-        metrics.register_gauge(
-            "targets_full", lambda: len(state.connection_limits.list_full(read_clock()))
-        )
-        metrics.register_gauge("ready", lambda: float(state.ready))
         metrics.register_gauge("store_reached", lambda: float(self._follower.is_store_reachable))
         metrics.register_gauge("reads_store", lambda: float(self._follower.reads_store))
-        metrics.register_gauge(
-            "config_version", lambda: -1 if state.catalog is None else state.catalog.version
-        )
-        metrics.register_gauge("log_lines_dropped", lambda: self._event_log.dropped_count)
-        CapacityGauges(state, read_clock).register()
+        register_state_gauges(self.state, read_clock)
 
     # Housekeeping.
 
--- a/tests/gateway/test_pauses.py
+++ b/tests/gateway/test_pauses.py
@@ -133,6 +133,7 @@
     runner = AttemptRunner(state, pool, PlatformTargetProtocol(), lambda: 10.0)
     request: Any = SimpleNamespace(
         id="try-1",
+        sent_work=None,
         route=SimpleNamespace(idempotent=True),
         service=SimpleNamespace(max_connections=96),
     )
