--- a/rhubarbbend/core/admission/_controller.py
+++ b/rhubarbbend/core/admission/_controller.py
@@ -34,7 +34,7 @@
 # Room is scarce for so long after a request that could not be admitted freely. Shares are only
 # enforced meanwhile, and the usual load of accounts is only learned at other times.
 SCARCE_S: Final = 1.0
-# While requests wait, room is looked at at this interval.
+# While requests wait, the room is computed again at this interval.
 LOOK_INTERVAL_S: Final = 0.02
 
 
--- a/rhubarbbend/core/limits/_memory.py
+++ b/rhubarbbend/core/limits/_memory.py
@@ -22,8 +22,7 @@
 # between two measurements and for copies that exist only while data is parsed or sent.
 USABLE_SHARE: Final = 0.8
 # Each byte of the process beyond that lowers the bound on held bytes by so many: freed memory stays
-# in the process in fragments, so giving up a byte frees less. With 1, 400 unread answers of 200 KB
-# took 84.5 MB of 83.9 beside other load; 14 MB of it was fragments.
+# in the process in fragments, so giving up a byte frees less.
 EXCESS_WEIGHT: Final = 3
 # Of the limit: what may be held however much the process itself takes.
 MIN_BUDGET_SHARE: Final = 0.0625
--- a/rhubarbbend/core/placement/_connection_limits.py
+++ b/rhubarbbend/core/placement/_connection_limits.py
@@ -17,15 +17,14 @@
 LIMIT_LIFETIME_S: Final = 3.0
 # Meanwhile it is raised by one connection in this time.
 RAISE_INTERVAL_S: Final = 0.25
-# New connections for commands are checked for this long after the last reset. Targets fill up again
-# once the limits have expired: with 3 s here as well, eight instances lost 13 of 1,800 commands.
+# New connections for commands are checked for this long after the last reset: targets fill up again
+# once the limits have expired, and the first command that meets a reset is lost.
 CHECK_LIFETIME_S: Final = 30.0
 # A new connection that is checked is used once it has not been reset for this long, beyond the
 # round trip that the reset takes.
 CHECK_S: Final = 0.005
 # A target that is short of processor time resets later. Where that was seen, the check takes twice
-# the time that the reset took, up to this bound: on a machine at four times its processors' load,
-# 23 of 836 resets took 12 to 73 ms.
+# the time that the reset took, up to this bound.
 MAX_CHECK_S: Final = 0.04
 # The other instances are told again of a target that is still full after this time, whoever told
 # them last: a third of the lifetime, so that two lost messages in a row do no harm.
--- a/rhubarbbend/core/placement/_expected_time.py
+++ b/rhubarbbend/core/placement/_expected_time.py
@@ -25,8 +25,8 @@
 # Expected times that differ by less than this fraction of the least one count as the same, and the
 # target with the lower load is chosen.
 TIE_FRACTION: Final = 0.05
-# A target of another zone is chosen only if it is sooner by the time of two crossings (3.5 ms each
-# in the largest known deployment) and this fraction of the expected time.
+# A target of another zone is chosen only if it is sooner by the time of two crossings and this
+# fraction of the expected time.
 CROSSING_COST_S: Final = 0.007
 CROSSING_MARGIN: Final = 0.1
 # A prompt is moved from its home or holder only if the other target is sooner by this fraction of
@@ -40,8 +40,8 @@
 PREFILL_COST_FRACTION: Final = 0.5
 # Fetching a token from another engine takes this fraction of the time of its prefill.
 FETCH_FRACTION: Final = 1.0 / 3.0
-# The waits at all targets are estimated again after this time; at a rate of 300 requests a second
-# this saves five of six times.
+# The waits at all targets are estimated again after this time: to add them up costs more than a
+# decision, and they change little meanwhile.
 WAITS_TTL_S: Final = 0.02
 
 
--- a/rhubarbbend/gateway/_admission.py
+++ b/rhubarbbend/gateway/_admission.py
@@ -33,8 +33,8 @@
 from rhubarbbend.gateway._requests import OpenRequest
 from rhubarbbend.gateway._state import Clock, State
 
-# The counts of other instances arrive every 0.05 s. Adding them up takes 0.2 ms at 70 targets, the
-# own ones 0.01 ms.
+# The counts of other instances arrive every 0.05 s, and adding them up costs more than a decision;
+# the own ones are read each time.
 VIEW_INTERVAL_S: Final = 0.05
 REFUSAL_CODES: Final = {
     RefusalReason.TOO_LATE: codes.WAIT_TOO_LONG,
--- a/rhubarbbend/gateway/_full_targets.py
+++ b/rhubarbbend/gateway/_full_targets.py
@@ -25,7 +25,7 @@
 # Bounds the check where a connection was slow to open for another reason than its round trip.
 MAX_ROUND_TRIP_S: Final = 0.01
 # A connection that breaks later than this after it was opened may have another reason than want of
-# room. On a machine at four times its processors' load, resets for want of room took up to 73 ms.
+# room. A target that is short of processor time may take some tens of ms to reset it.
 RESET_WINDOW_S: Final = 0.1
 # If a target ends, its other connections break within this time after the first one.
 CONFIRM_S: Final = 0.005
