--- a/rhubarbbend/core/admission/_controller.py
+++ b/rhubarbbend/core/admission/_controller.py
@@ -30,20 +30,20 @@
 # nothing waits at a target.
 MIN_USED_FRACTION: Final = 0.5
 # A request is refused at once if it is expected to wait for this many times as long as it may.
-HOPELESS_FACTOR: Final = 2.0
+MAX_EXPECTED_WAIT_FACTOR: Final = 2.0
 # Room is scarce for so long after a request that could not be admitted freely. Shares are only
 # enforced meanwhile, and the usual load of accounts is only learned at other times.
 SCARCE_S: Final = 1.0
 # While requests wait, the room is computed again at this interval.
-LOOK_INTERVAL_S: Final = 0.02
+EVALUATION_INTERVAL_S: Final = 0.02
 
 
 class ServiceAdmission:
     """Admission to one service at one instance.
 
     Each request is passed to `decide`. One that has to wait is returned as a `Waiter`; it is later
-    returned by `look`, with its decision, or has to be withdrawn. Invariant: a request for which
-    there is room never waits behind a less urgent one.
+    returned by `reevaluate`, with its decision, or has to be withdrawn. Invariant: a request for
+    which there is room never waits behind a less urgent one.
     """
 
     def __init__(self, random: Random) -> None:
@@ -57,6 +57,8 @@
         self._scarce_until = -math.inf
         # Requests that were admitted from the queue and are not counted in the room yet.
         self.promised = 0
+        # Requests that were refused since more urgent ones filled the queue.
+        self._evicted: list[Waiter] = []
 
     def decide(self, request: AdmissionRequest, view: RoomView, now: float) -> Waiter:
         """Decide on a request that has arrived; the decision is that of the returned waiter."""
@@ -65,7 +67,7 @@
         decision = waiter.decision
         if request.estimate is not None and now + request.estimate > request.deadline:
             self._refuse(waiter, RefusalReason.TOO_LATE, now, view)
-        elif not view.is_known or self._is_calm(view):
+        elif not view.is_known or self._is_underused(view):
             decision.is_open = not view.is_known
             self._admit(waiter, now)
         elif self._may_pass(waiter, view, now):
@@ -76,12 +78,12 @@
             self._enqueue(waiter, view, now)
         return waiter
 
-    def look(self, view: RoomView, now: float) -> list[Waiter]:
+    def reevaluate(self, view: RoomView, now: float) -> list[Waiter]:
         """Return the waiting requests that are now admitted or refused."""
-        done: list[Waiter] = []
+        done, self._evicted = self._evicted, []
         while (waiter := self.queue.find_first(now)) is not None:
-            is_free = not view.is_known or self._is_calm(view)
-            if not is_free and not self._has_room(waiter, view, now):
+            is_free = not view.is_known or self._is_underused(view)
+            if not is_free and not self._try_take_room(waiter, view, now):
                 break
             self.queue.remove(waiter)
             self._admit(waiter, now)
@@ -94,9 +96,9 @@
             done.append(waiter)
         return done
 
-    def compute_next_look(self, now: float) -> float:
+    def compute_next_evaluation(self, now: float) -> float:
         """Return when to look at the room again while requests wait."""
-        return min(now + LOOK_INTERVAL_S, max(now, self.queue.find_next_bound()))
+        return min(now + EVALUATION_INTERVAL_S, max(now, self.queue.find_next_bound()))
 
     def withdraw(self, waiter: Waiter) -> None:
         """Remove a request whose caller has left, or whose deadline has passed."""
@@ -105,7 +107,7 @@
     def record_started(self) -> None:
         """Record that a request admitted from the queue is now counted in the room, or has ended.
 
-        It has to be called for each waiter that `look` returned as admitted.
+        It has to be called for each waiter that `reevaluate` returned as admitted.
         """
         self.promised = max(0, self.promised - 1)
 
@@ -132,12 +134,14 @@
     ) -> Waiter:
         """Count a request, and find the level of urgency by which it is judged."""
         priority = _get_level(request.priority)
-        has_room = not view.is_known or not now < self._scarce_until <= now + SCARCE_S
+        has_room = not view.is_known or not self._is_scarce(now)
         if not request.is_repeat:
             self._shares.record_arrival(request.account, has_room, now)
             self._minimum.record_arrival(kinds, has_room, now)
         starved = None if has_room else self._minimum.find_starved(kinds)
-        is_over = starved is None and not has_room and self._shares.is_over(request.account, now)
+        is_over = (
+            starved is None and not has_room and self._shares.judge_arrival(request.account, now)
+        )
         level = 0 if starved else OVER_SHARE_LEVEL if is_over else priority
         if not request.is_repeat:
             self.levels.record_arrival(level, request.objective, now)
@@ -150,7 +154,12 @@
 
     # Room.
 
-    def _is_calm(self, view: RoomView) -> bool:
+    def _is_scarce(self, now: float) -> bool:
+        """Return whether a request could not be admitted freely a short time ago."""
+        # The upper bound ends the period if the clock was set back.
+        return now < self._scarce_until <= now + SCARCE_S
+
+    def _is_underused(self, view: RoomView) -> bool:
         """Return whether nothing may be refused for want of room."""
         return not view.has_queue and view.held + self.promised < MIN_USED_FRACTION * view.slots
 
@@ -159,9 +168,9 @@
         waiting = self.queue.find_level()
         if waiting is not None and waiting <= waiter.decision.level:
             return False
-        return self._has_room(waiter, view, now)
+        return self._try_take_room(waiter, view, now)
 
-    def _has_room(self, waiter: Waiter, view: RoomView, now: float) -> bool:
+    def _try_take_room(self, waiter: Waiter, view: RoomView, now: float) -> bool:
         """Return whether there is room for a request, and use up its credit if it needs one."""
         level = waiter.decision.level
         room = self.levels.compute_room(level, view, now)
@@ -169,7 +178,7 @@
         if room.free - self.promised >= 1.0:
             return True
         self._scarce_until = now + SCARCE_S
-        if self.levels.read_credit(level, room, now) < 1.0:
+        if self.levels.refill_credit(level, room, now) < 1.0:
             return False
         self.levels.spend_credit(level)
         return True
@@ -182,17 +191,24 @@
         decision = waiter.decision
         decision.preferred = self.queue.count_before(waiter, now)
         room = self.levels.compute_room(decision.level, view, now)
-        missing = decision.preferred + 1.0 - self.levels.read_credit(decision.level, room, now)
-        patience = HOPELESS_FACTOR * WAIT_FRACTION * waiter.request.objective
-        is_hopeless = self.levels.knows_holding and missing > room.rate * patience
-        if is_hopeless or now >= waiter.request.deadline:
+        missing = decision.preferred + 1.0 - self.levels.refill_credit(decision.level, room, now)
+        max_wait = MAX_EXPECTED_WAIT_FACTOR * WAIT_FRACTION * waiter.request.objective
+        exceeds_wait = self.levels.knows_holding and missing > room.rate * max_wait
+        if exceeds_wait or now >= waiter.request.deadline:
             self.queue.remove(waiter)
             is_over = decision.is_over_share
             reason = RefusalReason.OVER_SHARE if is_over else RefusalReason.NO_ROOM
             self._refuse(waiter, reason, now, view, room)
-        elif self.queue.is_full:
-            self.queue.remove(waiter)
-            self._refuse(waiter, RefusalReason.QUEUE_FULL, now, view, room)
+        elif self.queue.is_over_limit:
+            self._evict_last(view, now)
+
+    def _evict_last(self, view: RoomView, now: float) -> None:
+        """Refuse the waiting request that comes last; `reevaluate` returns it."""
+        last = self.queue.find_last(now)
+        if last is not None:
+            self.queue.remove(last)
+            self._refuse(last, RefusalReason.QUEUE_FULL, now, view)
+            self._evicted.append(last)
 
     def _admit(self, waiter: Waiter, now: float) -> None:
         waiter.decision.outcome = Outcome.ADMIT
--- a/rhubarbbend/core/admission/_fairness.py
+++ b/rhubarbbend/core/admission/_fairness.py
@@ -73,10 +73,11 @@
         known = self._accounts.get(account)
         return 0.0 if known is None else known.admitted.read(now) / (1.0 + known.usual.read(now))
 
-    def is_over(self, account: str, now: float) -> bool:
+    def judge_arrival(self, account: str, now: float) -> bool:
         """Return whether a request that has just arrived is beyond its account's share.
 
-        Of an account that asks for twice its share, this holds for every second request.
+        Of an account that asks for twice its share, this holds for every second request. Call it
+        once a request, since it adds to the account's excess.
         """
         known = self._accounts.get(account)
         fraction = self._compute_excess(now).get(account, 0.0)
@@ -163,23 +164,23 @@
 
 
 class _Kind:
-    """A kind of requests; `debt` is how many more of them should have been admitted."""
+    """A kind of requests; `deficit` is how many more of them should have been admitted."""
 
-    __slots__ = ("offered", "admitted", "debt")
+    __slots__ = ("offered", "admitted", "deficit")
 
-    def __init__(self, debt: float) -> None:
+    def __init__(self, deficit: float) -> None:
         self.offered = DecayedSum(ADMITTED_S)
         self.admitted = DecayedSum(ADMITTED_S)
-        self.debt = debt
+        self.deficit = deficit
 
 
 class MinimumShares:
     """Finds kinds of requests that are admitted less than a quarter as often as the others.
 
     A kind is a route, a client account, or the largest requests of a route. With each request of a
-    kind its debt grows by its minimum share, and an admitted one pays one off. An instance may see
-    few requests of a kind, so debts begin at a random part of one: of many instances, each with a
-    few requests, the right number then prefers one.
+    kind its deficit grows by its minimum share, and an admitted one lowers it by one. An instance
+    may see few requests of a kind, so deficits begin at a random part of one: of many instances,
+    each with a few requests, the right number then prefers one.
     """
 
     def __init__(self, random: Random) -> None:
@@ -194,9 +195,11 @@
             known = self._find(kind)
             known.offered.add(1.0, now)
             if has_room:
-                known.debt = self._random.random()
+                known.deficit = self._random.random()
             else:
-                known.debt = min(2.0, known.debt + MIN_SHARE * self._compute_others(known, now))
+                known.deficit = min(
+                    2.0, known.deficit + MIN_SHARE * self._compute_others(known, now)
+                )
 
     def record_admitted(self, kinds: Sequence[str], now: float) -> None:
         """Record that a request was admitted."""
@@ -204,13 +207,13 @@
         for kind in kinds:
             known = self._find(kind)
             known.admitted.add(1.0, now)
-            known.debt = max(-1.0, known.debt - 1.0)
+            known.deficit = max(-1.0, known.deficit - 1.0)
 
     def find_starved(self, kinds: Sequence[str]) -> str | None:
         """Return one of the kinds of which a request is due; None if there is none."""
         for kind in kinds:
             known = self._kinds.get(kind)
-            if known is not None and known.debt >= 1.0:
+            if known is not None and known.deficit >= 1.0:
                 return kind
         return None
 
--- a/rhubarbbend/core/admission/_levels.py
+++ b/rhubarbbend/core/admission/_levels.py
@@ -161,7 +161,7 @@
         objective = min(objectives, default=0.0)
         return min(MAX_WAITING_FACTOR * view.slots, WAIT_AT_TARGET_FRACTION * objective * ending)
 
-    def read_credit(self, level: int, room: LevelRoom, now: float) -> float:
+    def refill_credit(self, level: int, room: LevelRoom, now: float) -> float:
         """Return how many requests of a level may be admitted by their credit.
 
         It is not saved up, since room that was there some time ago may have been used elsewhere.
--- a/rhubarbbend/core/admission/_queue.py
+++ b/rhubarbbend/core/admission/_queue.py
@@ -119,8 +119,8 @@
         return len(self._waiters)
 
     @property
-    def is_full(self) -> bool:
-        """Whether no more requests may wait."""
+    def is_over_limit(self) -> bool:
+        """Whether the last request has to leave the queue."""
         return len(self._waiters) >= MAX_WAITING
 
     def add(self, waiter: Waiter) -> None:
--- a/rhubarbbend/core/admission/_room.py
+++ b/rhubarbbend/core/admission/_room.py
@@ -86,7 +86,7 @@
     view = RoomView(instances)
     known = unknown = 0
     for slots, own, load in targets:
-        if slots is None or not 0 < slots <= max_slots:
+        if slots is None or not _is_valid(slots, max_slots):
             unknown += 1
             view.invalid += slots is not None
             continue
@@ -100,6 +100,10 @@
     return view
 
 
+def _is_valid(slots: int | None, max_slots: int) -> bool:
+    return slots is not None and 0 < slots <= max_slots
+
+
 class UsableTargets:
     """Finds the targets of a service that can be used, and adds up their slots and loads.
 
@@ -135,6 +139,7 @@
         """Return the room of a service for whose targets instances exchange their counts."""
         loads = self._loads
         usable = self.list_usable(service, now)
+        max_slots = service.max_connections or MAX_SLOTS
         view = compute_view(
             (
                 (
@@ -144,11 +149,15 @@
                 )
                 for target in usable
             ),
-            service.max_connections or MAX_SLOTS,
+            max_slots,
             instances,
             loads.has_counts_of_fraction(MIN_KNOWN_PEERS_FRACTION, now),
         )
-        view.targets = tuple(target.id for target in usable)
+        view.targets = tuple(
+            target.id
+            for target in usable
+            if _is_valid(self.count_slots(service, target, now), max_slots)
+        )
         return view
 
     def refresh_own(self, view: RoomView) -> None:
--- a/rhubarbbend/core/capacity/_tracker.py
+++ b/rhubarbbend/core/capacity/_tracker.py
@@ -1,8 +1,8 @@
 """Tracks the slots and the pace that targets report.
 
-Kind of load: targets that work at an uneven pace, up to 2.5 times slower for 0.6 s at a time. A
-report is some 20 to 300 ms old where it is used, and a request takes longer than such a phase, so
-the latest value counts only while it is recent; after that the target's mean does.
+Kind of load: targets that work at an uneven pace. Reports arrive late, and a slow phase can be
+shorter than a request, so the latest value counts only while it is recent; after that the target's
+mean does.
 """
 
 from __future__ import annotations
@@ -15,8 +15,7 @@
 
 # The pace of a target that works as usual; higher values mean that work takes longer.
 USUAL_PACE: Final = 1.0
-# The latest pace loses its weight with this time constant. A phase of 0.6 s lasts 0.3 s more, in
-# the mean, when it is seen.
+# The latest pace loses its weight with this time constant, about the rest of a short slow phase.
 LATEST_TIME_CONSTANT_S: Final = 0.3
 # The time constant of the mean, several times as long as a phase.
 MEAN_TIME_CONSTANT_S: Final = 3.0
@@ -116,7 +115,9 @@
             known.slots_at = at
         if pace is not None and not at <= known.pace_at <= now:
             known.record_pace(pace, at)
-            self._paced_until = at + PACE_TTL_S
+            # A clock that was set back would leave a time that lies too far ahead.
+            known_until = min(self._paced_until, now + PACE_TTL_S)
+            self._paced_until = max(known_until, at + PACE_TTL_S)
 
     def get_slots(self, target: str) -> int | None:
         """Return the number of slots that a target last reported; None if it reported none."""
--- a/rhubarbbend/core/limits/_memory.py
+++ b/rhubarbbend/core/limits/_memory.py
@@ -21,8 +21,8 @@
 # Of the limit: what held bytes and the process may take together. The rest is for what arrives
 # between two measurements and for copies that exist only while data is parsed or sent.
 USABLE_SHARE: Final = 0.8
-# Each byte of the process beyond that lowers the bound on held bytes by so many: freed memory stays
-# in the process in fragments, so giving up a byte frees less.
+# Each resident byte above the usable share lowers the bound on held bytes by so many, since
+# fragmentation keeps freed memory in the process.
 EXCESS_WEIGHT: Final = 3
 # Of the limit: what may be held however much the process itself takes.
 MIN_BUDGET_SHARE: Final = 0.0625
@@ -86,7 +86,7 @@
         # Bytes added since the last measurement.
         self._grown = 0
         self._mean_answer = 0.0
-        # Requests that were admitted and whose answers have not begun to arrive.
+        # Requests that are open; each may still have an answer of the mean size to come.
         self._awaited_answers = 0
 
     @property
@@ -127,9 +127,9 @@
             del self._holdings[holding]
 
     def record_awaited(self, change: int) -> None:
-        """Count requests whose answers are awaited: 1 for one that was sent, -1 for one that was.
+        """Change the number of open requests: 1 when one begins, -1 when it has ended.
 
-        For the answers of these requests some room is kept.
+        Some memory is kept for their answers.
         """
         self._awaited_answers += change
 
--- a/rhubarbbend/gateway/_admission.py
+++ b/rhubarbbend/gateway/_admission.py
@@ -150,7 +150,7 @@
         """Record that an attempt at a service has ended; requests that wait may go on."""
         queue = self._services.get(service)
         if queue is not None and queue.waiting:
-            self._look(queue)
+            self._reevaluate(queue)
 
     def record_outcome(self, request: OpenRequest, choice: Choice, outcome: AttemptOutcome) -> None:
         """Learn from a complete answer for how long a request holds a slot."""
@@ -209,17 +209,17 @@
         """Set the timer of a queue, if requests wait and it is not set."""
         if queue.timer is not None or not queue.admission.queue:
             return
-        at = queue.admission.compute_next_look(now)
+        at = queue.admission.compute_next_evaluation(now)
         queue.timer = asyncio.get_running_loop().call_at(at, self._handle_timer, queue)
 
     def _handle_timer(self, queue: _ServiceQueue) -> None:
         queue.timer = None
-        self._look(queue)
+        self._reevaluate(queue)
 
-    def _look(self, queue: _ServiceQueue) -> None:
+    def _reevaluate(self, queue: _ServiceQueue) -> None:
         """Let those requests go on for which there is room now, or that may wait no longer."""
         now = self._clock()
-        for waiter in queue.admission.look(self._read_view(queue, now), now):
+        for waiter in queue.admission.reevaluate(self._read_view(queue, now), now):
             future = queue.waiting.get(waiter)
             if future is not None and not future.done():
                 future.set_result(None)
--- a/rhubarbbend/gateway/_attempt_recorder.py
+++ b/rhubarbbend/gateway/_attempt_recorder.py
@@ -54,7 +54,8 @@
         failed = outcome is not AttemptOutcome.ANSWERED
         health.record_response(target.id, failed, now, is_shared)
         if outcome is AttemptOutcome.ANSWERED:
-            if request.sent_work is not None:
+            # How long the answer took shows how a slow caller reads, not how the target works.
+            if request.sent_work is not None and not request.exchange.buffer.was_slow:
                 estimator = self._state.placement.estimator
                 estimator.record_answered(request.sent_work, request.relay.event_count, now)
             self.on_answer(request, target, now)
--- a/rhubarbbend/gateway/_attempts.py
+++ b/rhubarbbend/gateway/_attempts.py
@@ -109,7 +109,7 @@
             connection = await self._connect(request, target)
             if connection is None:
                 return AttemptOutcome.UNREACHED
-            if not await self._full_targets.has_room(request, target, connection):
+            if not await self._full_targets.check_new_connection(request, target, connection):
                 return AttemptOutcome.FULL
             if self._state.pauses.compute_remaining(target.id, self._clock()) > 0.0:
                 self._pool.release(connection, self._clock())
@@ -219,7 +219,7 @@
         cut_unread: bool,
     ) -> tuple[AttemptOutcome, bool]:
         """Return the outcome of a failed attempt, and whether it tells nothing of its target."""
-        is_full = has_no_head and await self._full_targets.is_full(
+        is_full = has_no_head and await self._full_targets.detect_full(
             request, target, connection, failure
         )
         outcome = self._handle_failure(request, target, connection, failure, is_full, cut_unread)
--- a/rhubarbbend/gateway/_full_targets.py
+++ b/rhubarbbend/gateway/_full_targets.py
@@ -49,7 +49,9 @@
         self._sweep: asyncio.TimerHandle | None = None
         state.connection_limits.on_full = self._start_sweep
 
-    async def has_room(self, request: OpenRequest, target: Target, connection: Connection) -> bool:
+    async def check_new_connection(
+        self, request: OpenRequest, target: Target, connection: Connection
+    ) -> bool:
         """Return whether a connection to which nothing was written yet can be used; else close it.
 
         A new one to a target that may be full is watched for some ms first.
@@ -73,7 +75,7 @@
             self._state.health.record_response(target.id, True, self._clock())
         return False
 
-    async def is_full(
+    async def detect_full(
         self,
         request: OpenRequest,
         target: Target,
--- a/rhubarbbend/gateway/_request_ender.py
+++ b/rhubarbbend/gateway/_request_ender.py
@@ -90,7 +90,7 @@
         """Return after how many seconds the caller should retry, drawn at random."""
         random = self._state.random
         if code in ADMISSION_CODES and request.admission is not None:
-            # Refused callers have a time each, in order of refusal.
+            # Already spread out: each refused request has a time of its own.
             return request.admission.retry_after
         if code is codes.TARGETS_PAUSED:
             pause_left = self._state.placement.compute_pause_left(request.service, now)
--- a/rhubarbbend/http/_answer_buffer.py
+++ b/rhubarbbend/http/_answer_buffer.py
@@ -185,10 +185,13 @@
     progress = SendProgress(writer.transport, loop.time())
     while True:
         try:
-            async with asyncio.timeout(CHECK_INTERVAL_S):
+            async with asyncio.timeout(CHECK_INTERVAL_S) as interval:
                 await writer.drain()
                 return True
         except TimeoutError:
+            if not interval.expired():
+                # The operating system has given the connection up.
+                raise
             now = loop.time()
             if progress.compute_stall(now) >= stall_timeout:
                 return False
--- a/rhubarbbend/http/_send_progress.py
+++ b/rhubarbbend/http/_send_progress.py
@@ -13,8 +13,8 @@
 # (Linux).
 SIOCOUTQ: Final = 0x5411
 # TCP_NOTSENT_LOWAT, which the standard library does not name: the kernel accepts more data only
-# while it has less than this to send. Without it, the kernel took up to 2.8 MB for one client that
-# reads nothing, and a slow client showed no progress until a third of that had been read.
+# while it has less than this to send. Without it, the kernel buffers megabytes for a client that
+# reads nothing, and the progress of a slow client shows only in large steps.
 TCP_NOTSENT_LOWAT: Final = 25
 MAX_KERNEL_UNSENT_BYTES: Final = 16_384
 
--- a/rhubarbbend/http/_server.py
+++ b/rhubarbbend/http/_server.py
@@ -149,7 +149,7 @@
         except (ConnectionError, TimeoutError):
             pass
         except asyncio.CancelledError:
-            # The time for sending the rest is over: waiting again kept the process from ending.
+            # The time for sending the rest is over, and another wait would delay the end.
             if writer.transport.get_write_buffer_size():
                 writer.transport.abort()
         finally:
--- a/tests/core/admission/simulation.py
+++ b/tests/core/admission/simulation.py
@@ -212,11 +212,11 @@
         view.others = float(others)
         return options.distort(view, instance, now)
 
-    def _look(self, instance: int, now: float) -> None:
+    def _reevaluate(self, instance: int, now: float) -> None:
         admission = self.admissions[instance]
         if not admission.queue:
             return
-        for waiter in admission.look(self.view(instance, now), now):
+        for waiter in admission.reevaluate(self.view(instance, now), now):
             request = self.held.pop(id(waiter))
             if waiter.decision.outcome is Outcome.ADMIT:
                 admission.record_started()
@@ -231,7 +231,7 @@
         self.max_held = max(self.max_held, held)
         self.held_by_time.append((now, held))
         for instance in range(self.options.instances):
-            self._look(instance, now)
+            self._reevaluate(instance, now)
         if now < self.options.duration + 13.0:
             self.push(now + STEP_S, self._step)
 
@@ -294,7 +294,7 @@
                 break
             following.result = "expired"
             self._get_counts(target)[following.instance] -= 1
-        self._look(request.instance, now)
+        self._reevaluate(request.instance, now)
 
     # Results.
 
--- a/tests/core/admission/test_decisions.py
+++ b/tests/core/admission/test_decisions.py
@@ -156,7 +156,7 @@
         admission._shares.record_admitted("busy", NOW)
     order = [(2, "a"), (1, "busy"), (1, "a"), (1, "b"), (0, "busy")]
     waiters = wait_all(admission, [make_request(p, account) for p, account in order])
-    granted = admission.look(make_view(10.0), NOW + 0.01)
+    granted = admission.reevaluate(make_view(10.0), NOW + 0.01)
     assert [waiters.index(waiter) for waiter in granted] == [4, 2, 3, 1, 0]
     assert all(waiter.decision.outcome is Outcome.ADMIT for waiter in granted)
     assert admission.promised == 5
@@ -171,15 +171,28 @@
     gone = admission.decide(make_request(0), make_view(FULL), NOW)
     admission.withdraw(gone)
     over = make_view(300.0)
-    assert admission.look(over, NOW + 0.04) == []
-    assert admission.look(over, NOW + 0.06) == [short]
-    assert admission.look(over, NOW + 0.13) == [less]
-    assert admission.look(over, NOW + 0.24) == []
-    assert admission.look(over, NOW + 0.26) == [urgent]
+    assert admission.reevaluate(over, NOW + 0.04) == []
+    assert admission.reevaluate(over, NOW + 0.06) == [short]
+    assert admission.reevaluate(over, NOW + 0.13) == [less]
+    assert admission.reevaluate(over, NOW + 0.24) == []
+    assert admission.reevaluate(over, NOW + 0.26) == [urgent]
     assert urgent.decision.reason is RefusalReason.NO_ROOM
     assert len(admission.queue) == 0
 
 
+# Guards against urgent requests that are refused while less urgent ones wait.
+def test_a_full_queue_refuses_the_least_urgent_request() -> None:
+    admission = make_admission(None)
+    full = make_view(FULL)
+    fill(admission, full)
+    less = [admission.decide(make_request(2), full, NOW) for _ in range(MAX_WAITING - 1)]
+    urgent = admission.decide(make_request(0), full, NOW)
+    assert urgent.decision.outcome is Outcome.WAIT
+    (evicted,) = admission.reevaluate(make_view(300.0), NOW + 0.01)
+    assert evicted is less[-1] and evicted.decision.reason is RefusalReason.QUEUE_FULL
+
+
+# Guards against repeats that wait, and against a queue without bound.
 def test_repeats_do_not_wait_and_the_queue_is_bounded() -> None:
     admission = make_admission()
     full = make_view(FULL)
--- a/tests/core/admission/test_failures.py
+++ b/tests/core/admission/test_failures.py
@@ -103,9 +103,9 @@
     full = make_view(FULL)
     for number in range(100):
         admission.decide(make_request(number % 3), full, NOW + 0.01 * number)
-        admission.look(full, NOW + 0.01 * number)
+        admission.reevaluate(full, NOW + 0.01 * number)
     then = NOW + 1.0 + step
-    late = admission.look(make_view(300.0), then)
+    late = admission.reevaluate(make_view(300.0), then)
     admitted = 0
     for _ in range(100):
         request = make_request(0, deadline=step + 20.0)
@@ -115,5 +115,5 @@
     assert admitted <= 15
     # Requests that were waiting are not kept for an hour.
     queue = len(admission.queue)
-    admission.look(make_view(300.0), then + 30.0)
+    admission.reevaluate(make_view(300.0), then + 30.0)
     assert len(admission.queue) == 0, (queue, late)
