Tests wait until the event loop knows that a process has ended

Cause: the caller learns of the end by its connection, while `running` is as far as the event loop knows, which may be later. Both wait for that, for as many ends as they check; the checks stay.

--- a/tests/fleet/test_commands.py
+++ b/tests/fleet/test_commands.py
@@ -178,6 +178,7 @@
             caller = make_caller(cluster)
             await set_plain_service_faults(cluster, crash_after=True)
             answers = [await caller.send_command(PATH, "k", BODY)]
+            await wait_until_one_has_ended(cluster)
             await set_faults_of_running_plain_services(cluster, crash_after=False)
             for node in cluster.instances.values():
                 answers.append(await caller.send_command(PATH, "k", BODY, node.address))
@@ -188,6 +189,15 @@
     run_with_timeout(work)
 
 
+async def wait_until_one_has_ended(cluster: Cluster) -> None:
+    """Wait until the event loop knows of the service that crashed; its caller may know before."""
+
+    async def has_ended() -> bool:
+        return any(not node.process.running for node in list_plain_services(cluster))
+
+    await wait_until("a service has ended", has_ended)
+
+
 async def set_faults_of_running_plain_services(cluster: Cluster, **faults: object) -> None:
     """Set faults on the plain services that have not crashed."""
     for node in list_plain_services(cluster):
--- a/tests/fleet/test_crashes.py
+++ b/tests/fleet/test_crashes.py
@@ -10,7 +10,7 @@
 from loadtool import Chat, Cluster
 from loadtool._caller import Answer
 from loadtool._cluster import Node
-from tests.fleet.harness import make_caller, run_with_timeout, start_fleet
+from tests.fleet.harness import make_caller, run_with_timeout, start_fleet, wait_until
 
 CRASH_TRIGGER = "a word that ends the engine"
 REFUSAL_CODE = "request_crashes_targets"
@@ -61,6 +61,12 @@
                 if refusal.code:
                     break
             assert (refusal.status, refusal.code) == (422, REFUSAL_CODE), refusal
+
+            async def have_two_ended() -> bool:
+                return len(list_crashed_targets(cluster)) >= 2
+
+            # The event loop may learn of the end of a process later than its caller.
+            await wait_until("two engines have ended", have_two_ended)
             crashed = list_crashed_targets(cluster)
             assert len(crashed) == 2, crashed
             for node in cluster.instances.values():
