--- a/rhubarbbend/core/crashes/__init__.py
+++ b/rhubarbbend/core/crashes/__init__.py
@@ -2,7 +2,7 @@
 
 from rhubarbbend.core.crashes._content import BEGIN_S, Content, is_part_key, make_part_key
 from rhubarbbend.core.crashes._ledger import CrashLedger, RefusalRules
-from rhubarbbend.core.crashes._losses import Fate, Judgement, Loss
+from rhubarbbend.core.crashes._losses import Fate, Judgement, Loss, LossCounts
 
 __all__ = [
     "BEGIN_S",
@@ -11,6 +11,7 @@
     "Fate",
     "Judgement",
     "Loss",
+    "LossCounts",
     "RefusalRules",
     "is_part_key",
     "make_part_key",
--- a/rhubarbbend/core/crashes/_ledger.py
+++ b/rhubarbbend/core/crashes/_ledger.py
@@ -24,7 +24,13 @@
 import msgspec
 
 from rhubarbbend.core.crashes._content import Content, is_part_key
-from rhubarbbend.core.crashes._losses import Fate, Judgement, Loss, count_in_sequence
+from rhubarbbend.core.crashes._losses import (
+    Fate,
+    Judgement,
+    Loss,
+    LossCounts,
+    count_in_sequence,
+)
 from rhubarbbend.core.crashes._targets import MAX_TARGETS, LostTargets
 
 # Causes kept, about 350 bytes each; a crash adds those in each request that the target was running.
@@ -263,6 +269,12 @@
         """Return the number of targets that have ended under a cause."""
         return len(self._select_ended(self._list_valid(cause, now)))
 
+    def count_losses(self, cause: str, now: float) -> LossCounts:
+        """Return the numbers of losses on which the judgement of a cause rests."""
+        losses = self._list_valid(cause, now)
+        ended = self._select_ended(losses)
+        return LossCounts(len(losses), len(ended), count_in_sequence(losses))
+
     def list_undecided(self, cause: str, now: float) -> list[str]:
         """Return the targets lost under a cause of which it is not known what became of them."""
         losses = self._list_valid(cause, now)
--- a/rhubarbbend/core/crashes/_losses.py
+++ b/rhubarbbend/core/crashes/_losses.py
@@ -88,6 +88,14 @@
         return self.sent_at >= other.lost_at
 
 
+class LossCounts(msgspec.Struct, frozen=True):
+    """The losses under a cause that count; `in_sequence` as in `count_in_sequence`."""
+
+    lost: int
+    ended: int
+    in_sequence: int
+
+
 def count_in_sequence(losses: Sequence[Loss]) -> int:
     """Return the largest number of losses of which each came after the one before.
 
--- a/rhubarbbend/gateway/_attempts.py
+++ b/rhubarbbend/gateway/_attempts.py
@@ -312,6 +312,8 @@
             after=round(self._clock() - request.arrived_at, 4),
             last_event=request.relay.last_id or None,
             full=is_full or None,
+            ran=round(self._clock() - request.sent_at, 4),
+            account=None if request.account is None else request.account.name,
             content=request.digest,
             parts=_list_logged_parts(request),
             cut_unread=cut_unread or None,
--- a/rhubarbbend/gateway/_crash_detector.py
+++ b/rhubarbbend/gateway/_crash_detector.py
@@ -19,7 +19,7 @@
 from rhubarbbend.gateway._peer_updates import LossReport, make_loss_report
 from rhubarbbend.gateway._requests import OpenRequest
 from rhubarbbend.gateway._state import State, read_clock
-from rhubarbbend.gateway._target_checker import TargetChecker
+from rhubarbbend.gateway._target_checker import FateCheck, TargetChecker
 from rhubarbbend.http import Connection, HttpFailure
 
 # A process that ends may still accept a connection while its others are being closed, so a target
@@ -140,13 +140,13 @@
         if target is None:
             return
         started_at = read_clock()
-        fate = await self._checker.find_fate(target)
-        if fate is Fate.UNKNOWN:
-            self._log_doubt(request.id, request.digest, target, "nobody can tell")
-        elif fate is Fate.ALIVE:
+        check = await self._checker.find_fate(target)
+        if check.fate is Fate.UNKNOWN:
+            self._log_doubt(request.id, request.digest, target, "nobody can tell", check)
+        elif check.fate is Fate.ALIVE:
             state.crashes.record_met(incarnation, started_at)
             self._news.tell_met(incarnation, started_at, read_clock())
-            self._log_doubt(request.id, request.digest, target, "the target is running")
+            self._log_doubt(request.id, request.digest, target, "the target is running", check)
         elif state.crashes.record_end(incarnation):
             state.metrics.increment_counter(codes.SUSPECTS)
             state.health.record_unreachable(target.id, read_clock())
@@ -160,6 +160,7 @@
                 target=target.id,
                 crashes=state.crashes.count_crashes(cause, read_clock()),
                 judgement=judgement.value,
+                contacts=check.describe(),
             )
 
     def _find_target(self, incarnation: str) -> Target | None:
@@ -224,8 +225,17 @@
         connection.close()
         return True
 
-    def _log_doubt(self, request: str, digest: str, target: Target, doubt: str) -> None:
-        self._log("crash_doubted", id=request, digest=digest, target=target.id, doubt=doubt)
+    def _log_doubt(
+        self,
+        request: str,
+        digest: str,
+        target: Target,
+        doubt: str,
+        check: FateCheck | None = None,
+    ) -> None:
+        contacts = None if check is None else check.describe()
+        names = {"id": request, "digest": digest, "target": target.id}
+        self._log("crash_doubted", **names, doubt=doubt, contacts=contacts)
 
     def _log(self, event: str, **fields: Any) -> None:
         self._state.event_log.write(event, read_clock(), **fields)
--- a/rhubarbbend/gateway/_crash_gate.py
+++ b/rhubarbbend/gateway/_crash_gate.py
@@ -10,7 +10,7 @@
 from typing import Final
 
 from rhubarbbend import codes
-from rhubarbbend.core.crashes import Judgement
+from rhubarbbend.core.crashes import Judgement, is_part_key
 from rhubarbbend.gateway._crash_detector import CrashDetector
 from rhubarbbend.gateway._requests import OpenRequest
 from rhubarbbend.gateway._state import Clock, State
@@ -60,6 +60,7 @@
         if self._judge(request) is Judgement.CLEAR:
             return True
         self._state.metrics.increment_counter(codes.SUSPECTS_HELD)
+        held_at = self._clock()
         request.goes_apart = request.progress.sends > 0
         is_repeated = (
             self._state.crashes.judge(request.digest, self._clock()) is not Judgement.CLEAR
@@ -71,7 +72,10 @@
         if judgement is Judgement.REFUSED and self._awaits_notices(request, cause, self._clock()):
             await asyncio.sleep(NOTICE_DELAY_S)
         await self._begin_trial(request)
-        return self._judge(request) is not Judgement.REFUSED
+        if self._judge(request) is Judgement.REFUSED:
+            return False
+        self._log_admitted(request, held_at)
+        return True
 
     async def _begin_trial(self, request: OpenRequest) -> None:
         """Wait until no other request is on trial for the same cause."""
@@ -123,6 +127,24 @@
             self._trials.pop(request.trial).set()
             request.trial = None
 
+    def _log_admitted(self, request: OpenRequest, held_at: float) -> None:
+        now = self._clock()
+        cause, judgement = self._find_cause(request, now)
+        counts = self._state.crashes.count_losses(cause, now)
+        self._state.event_log.write(
+            "suspect_admitted",
+            now,
+            id=request.id,
+            digest=request.digest,
+            part=cause if is_part_key(cause) else None,
+            judgement=judgement.value,
+            lost=counts.lost,
+            ended=counts.ended,
+            in_sequence=counts.in_sequence,
+            since_loss=round(now - self._state.crashes.get_last_loss(cause), 3),
+            waited=round(now - held_at, 4),
+        )
+
     def _judge(self, request: OpenRequest) -> Judgement:
         return self._find_cause(request, self._clock())[1]
 
--- a/rhubarbbend/gateway/_target_checker.py
+++ b/rhubarbbend/gateway/_target_checker.py
@@ -57,6 +57,22 @@
     contact: Contact
 
 
+class FateCheck(msgspec.Struct, frozen=True):
+    """What became of a target, and what its contacts showed.
+
+    `contacts` are by the zones of the instances that tried, this one's under its own name; None
+    stands for an instance that did not reply.
+    """
+
+    fate: Fate
+    contacts: dict[str, Contact | None]
+
+    def describe(self) -> str:
+        """Return the contacts for a log line."""
+        shown = {place: "no reply" if c is None else c.value for place, c in self.contacts.items()}
+        return ", ".join(f"{place}: {contact}" for place, contact in shown.items())
+
+
 class TargetChecker:
     """Contacts lost targets, also for other instances."""
 
@@ -75,15 +91,17 @@
         self._has_open_connection = has_open_connection
         self._clock = clock
 
-    async def find_fate(self, target: Target) -> Fate:
+    async def find_fate(self, target: Target) -> FateCheck:
         """Return what became of a target, as far as this and other instances can tell."""
         query = CheckQuery(target.incarnation, target.service, target.address)
         contact = await self._contact(query)
+        contacts: dict[str, Contact | None] = {self._state.settings.instance: contact}
         if contact is Contact.SAME:
-            return Fate.ALIVE
+            return FateCheck(Fate.ALIVE, contacts)
         if contact is Contact.OTHER:
-            return Fate.ENDED
-        return await self._ask_witnesses(target, query, contact)
+            return FateCheck(Fate.ENDED, contacts)
+        fate, seen = await self._ask_witnesses(target, query, contact)
+        return FateCheck(fate, {**contacts, **seen})
 
     async def has_ended(self, target: Target) -> bool:
         """Return whether a target that has just closed a connection has ended, as seen from here.
@@ -110,15 +128,24 @@
             return True
         return False
 
-    async def _ask_witnesses(self, target: Target, query: CheckQuery, own: Contact) -> Fate:
+    async def _ask_witnesses(
+        self, target: Target, query: CheckQuery, own: Contact
+    ) -> tuple[Fate, dict[str, Contact | None]]:
+        """Return what became of a target, and the contacts of other instances by their zones."""
         zones = self._select_witnesses(target)
         if not zones:
             # There is no other instance.
             has_ended = own is Contact.REFUSED and await self.reaches_another(target)
-            return Fate.ENDED if has_ended else Fate.UNKNOWN
+            return Fate.ENDED if has_ended else Fate.UNKNOWN, {}
         data = msgspec.msgpack.encode(query)
         replies = await asyncio.gather(*(self._ask(name, data) for name in zones.values()))
         contacts = dict(zip(zones, replies, strict=True))
+        return self._judge_contacts(target, own, contacts), contacts
+
+    def _judge_contacts(
+        self, target: Target, own: Contact, seen: dict[str, Contact | None]
+    ) -> Fate:
+        contacts = dict(seen)
         if Contact.SAME in contacts.values():
             return Fate.ALIVE
         if Contact.OTHER in contacts.values():
--- a/tests/gateway/test_crash_gate.py
+++ b/tests/gateway/test_crash_gate.py
@@ -24,15 +24,24 @@
     learned = asyncio.Event()
     learned.set()
     metrics = SimpleNamespace(increment_counter=lambda name: None)
+    event_log = SimpleNamespace(write=lambda event, now, **fields: None)
     state = SimpleNamespace(
-        crashes=ledger, crashes_learned=learned, started_at=0.0, metrics=metrics
+        crashes=ledger,
+        crashes_learned=learned,
+        started_at=0.0,
+        metrics=metrics,
+        event_log=event_log,
     )
     return CrashGate(cast(Any, state), cast(Any, None), lambda: NOW)
 
 
 def make_request() -> Any:
     return SimpleNamespace(
-        digest="x", content=Content("x"), trial=None, progress=SimpleNamespace(sends=1)
+        id="r-1",
+        digest="x",
+        content=Content("x"),
+        trial=None,
+        progress=SimpleNamespace(sends=1),
     )
 
 
--- a/tests/gateway/test_fate_of_full_targets.py
+++ b/tests/gateway/test_fate_of_full_targets.py
@@ -84,7 +84,7 @@
     cast(Any, checker)._contact = contact
     cast(Any, checker)._ask = ask
     record = TargetRecord("t", "llm", "127.0.0.1", 1, "c", 1, TargetState.READY)
-    return await checker.find_fate(Target(record, 0.0, 0.0))
+    return (await checker.find_fate(Target(record, 0.0, 0.0))).fate
 
 
 # Guards against an end that is concluded from connections that were accepted and then reset.
