--- a/rhubarbbend/core/_suspects.py
+++ b/rhubarbbend/core/_suspects.py
@@ -46,7 +46,8 @@
 class CrashSuspectTracker:
     """Records crashes, tells the other instances, and judges requests by what they hold.
 
-    Invariant: a digest is removed once its latest crash is older than `suspect_hold`.
+    Invariant: a digest with one crash is removed once it is older than `suspect_hold`. One with
+    several stays suspect until a request with it completes.
     """
 
     def __init__(self, context: Context) -> None:
--- a/rhubarbbend/core/crashes/_ledger.py
+++ b/rhubarbbend/core/crashes/_ledger.py
@@ -7,6 +7,8 @@
 
 - A target that is met again was not crashed (`Fate.ALIVE`).
 - Losses count only one after the other: the request was sent to a target after the loss before.
+- A loss counts until something shows that the target goes on. What cannot be found out is presumed
+  to be an end after some time, and then takes one crash more.
 - What completes somewhere does not crash targets.
 - A request that holds everything that was at all the crashes is refused. Of one that holds some of
   it, the next attempt has to tell, one at a time.
@@ -44,16 +46,17 @@
 RESTART_NOTICE_S: Final = 10.0
 # How often what is too old is removed.
 EXPIRY_INTERVAL_S: Final = 10.0
-# For this long after its last loss, a request waits for what became of the targets.
-MAX_UNDECIDED_S: Final = 1.5
+# A target of which nobody has found out for this long what became of it is presumed to have ended.
+PRESUMPTION_S: Final = 1.5
 
 
 class RefusalRules(msgspec.Struct, frozen=True):
     """When a request is refused, and for how long after its last crash.
 
     `limit` is the number of crashes, one after the other; it takes one more if they may have had
-    another cause. `first_s` is how long a request is refused that has just reached it: if that was
-    wrong, it is served again. One that crashes a target then is refused for `repeated_s`. A part is
+    another cause. `first_s` is how long a request is refused under which just so many targets have
+    ended: if that was wrong, it is served again. Then one attempt at a time is on trial. With more
+    targets it is refused for `repeated_s`. A part is
     refused for `stagger_s` longer at first, by which instances differ: not all of them try it again
     together. With `sure_limit` crashes it is refused for `repeated_s` at once.
     """
@@ -203,12 +206,13 @@
             unexplained = self._select_unexplained(own, ended, now)
             if len(unexplained) < len(ended) or self._has_other_cause(losses, ended):
                 needed += 1
-        if crashes >= needed:
+        presumed = count_in_sequence(self._select_presumed_ended(losses, now))
+        if crashes >= needed or presumed > needed:
             is_refused = self._compute_left(digest, losses, now) > 0.0
-            return Judgement.REFUSED if is_refused else Judgement.SUSPECT
-        if count_in_sequence(losses) >= needed and _is_recent(losses, now):
+            return Judgement.REFUSED if is_refused else Judgement.ON_TRIAL
+        if count_in_sequence(losses) >= needed and len(losses) > len(ended):
             return Judgement.UNDECIDED
-        return Judgement.ON_TRIAL if len(ended) >= self.rules.limit else Judgement.SUSPECT
+        return Judgement.ON_TRIAL if len(losses) >= self.rules.limit else Judgement.SUSPECT
 
     def _judge_part(self, part: str, account: str, own: Collection[str], now: float) -> Judgement:
         """Return what the losses under a part say of a request that holds all causes in `own`.
@@ -222,22 +226,30 @@
         accounts = {name for loss in losses for name in loss.accounts}
         if account and len(accounts) == 1 and account not in accounts:
             return Judgement.SUSPECT
+        limit = self.rules.limit
         ended = self._select_ended(losses)
-        if self._is_cause(losses, ended, own, now):
+        presumed = self._select_presumed_ended(losses, now)
+        if self._is_cause(losses, ended, own, now, limit) or self._is_cause(
+            losses, presumed, own, now, limit + 1
+        ):
             is_refused = self._compute_left(part, losses, now) > 0.0
             return Judgement.REFUSED if is_refused else Judgement.ON_TRIAL
-        if _is_recent(losses, now) and self._is_cause(losses, losses, own, now):
+        if len(losses) > len(ended) and self._is_cause(losses, losses, own, now, limit):
             return Judgement.UNDECIDED
-        return Judgement.ON_TRIAL if len(ended) >= self.rules.limit else Judgement.SUSPECT
+        return Judgement.ON_TRIAL if len(presumed) >= limit else Judgement.SUSPECT
 
     def _is_cause(
-        self, losses: list[Loss], ended: list[Loss], own: Collection[str], now: float
+        self,
+        losses: list[Loss],
+        ended: list[Loss],
+        own: Collection[str],
+        now: float,
+        needed: int,
     ) -> bool:
-        """Return whether a part has crashed targets if the targets of `ended` have ended.
+        """Return whether a part has crashed `needed` targets if those of `ended` have ended.
 
         `losses` are all that count under it. A request that holds all causes in `own` is judged.
         """
-        needed = self.rules.limit
         crashes = count_in_sequence(ended)
         if crashes < needed:
             return False
@@ -250,19 +262,18 @@
         return self._compute_left(cause, self._list_valid(cause, now), now)
 
     def _compute_left(self, cause: str, losses: list[Loss], now: float) -> float:
-        ended = self._select_ended(losses)
+        ended = self._select_presumed_ended(losses, now)
         if not ended:
             return 0.0
         rules = self.rules
-        crashes = count_in_sequence(ended)
         if is_part_key(cause):
             # Several may have ended before the first refusal.
             before = ended[-2].lost_at if len(ended) > 1 else math.inf
             was_refused = ended[-1].lost_at - before >= rules.first_s
-            is_repeated = was_refused or crashes >= rules.sure_limit
+            is_repeated = was_refused or count_in_sequence(ended) >= rules.sure_limit
             refusal_s = rules.repeated_s if is_repeated else rules.first_s + rules.stagger_s
         else:
-            refusal_s = rules.repeated_s if crashes > rules.limit else rules.first_s
+            refusal_s = rules.repeated_s if len(ended) > rules.limit else rules.first_s
         return max(0.0, ended[-1].lost_at + refusal_s - now)
 
     def count_crashes(self, cause: str, now: float) -> int:
@@ -281,19 +292,30 @@
         return [loss.target for loss in losses if self._targets.get_fate(loss) is Fate.UNKNOWN]
 
     def _list_valid(self, cause: str, now: float) -> list[Loss]:
-        """Return the losses that a cause may have led to, in the order of their times."""
+        """Return the losses that a cause may have led to, in the order of their times.
+
+        Those of one under which several targets were lost count until it is cleared, or evicted.
+        """
         valid = [
             loss
             for loss in self._losses.get(cause, {}).values()
-            if self._targets.get_fate(loss) is not Fate.ALIVE
-            and self._targets.was_running(loss)
-            and now - loss.lost_at < self.rules.repeated_s
+            if self._targets.get_fate(loss) is not Fate.ALIVE and self._targets.was_running(loss)
         ]
+        if len(valid) < self.rules.limit:
+            valid = [loss for loss in valid if now - loss.lost_at < self.rules.repeated_s]
         return sorted(valid, key=lambda loss: loss.lost_at)
 
     def _select_ended(self, losses: list[Loss]) -> list[Loss]:
         return [loss for loss in losses if self._targets.get_fate(loss) is Fate.ENDED]
 
+    def _select_presumed_ended(self, losses: list[Loss], now: float) -> list[Loss]:
+        """Return the losses of targets that have ended, or are presumed to."""
+        return [
+            loss
+            for loss in losses
+            if now - loss.lost_at >= PRESUMPTION_S or self._targets.get_fate(loss) is Fate.ENDED
+        ]
+
     def _select_unexplained(
         self, own: Collection[str], ended: list[Loss], now: float
     ) -> list[Loss]:
@@ -332,7 +354,3 @@
 
     def _forget_targets(self) -> None:
         self._targets.forget_all_but({t for losses in self._losses.values() for t in losses})
-
-
-def _is_recent(losses: list[Loss], now: float) -> bool:
-    return now - losses[-1].lost_at < MAX_UNDECIDED_S
--- a/rhubarbbend/gateway/_crash_gate.py
+++ b/rhubarbbend/gateway/_crash_gate.py
@@ -27,6 +27,8 @@
 TRIAL_CHECK_INTERVAL_S: Final = 0.1
 # A request waits so long for the trial of another one that holds the same part.
 MAX_PART_TRIAL_WAIT_S: Final = 1.5
+# Requests that are judged so are sent one at a time.
+UNCERTAIN: Final = frozenset({Judgement.ON_TRIAL, Judgement.UNDECIDED})
 
 
 class CrashGate:
@@ -78,11 +80,14 @@
         return True
 
     async def _begin_trial(self, request: OpenRequest) -> None:
-        """Wait until no other request is on trial for the same cause."""
+        """Wait until no other request is on trial for the same cause.
+
+        One that is still undecided is tried too: nobody could tell what became of its targets.
+        """
         give_up_at = self._clock() + MAX_PART_TRIAL_WAIT_S
         while True:
             cause, judgement = self._find_cause(request, self._clock())
-            if judgement is not Judgement.ON_TRIAL:
+            if judgement not in UNCERTAIN:
                 return
             request.goes_apart = True
             trial = self._trials.get(cause)
--- a/tests/core/crashes/test_ledger.py
+++ b/tests/core/crashes/test_ledger.py
@@ -28,7 +28,10 @@
     lose(ledger, "cause", "t-2", 5.0, 5.1)
     assert ledger.judge("cause", 5.2) is Judgement.REFUSED
     assert ledger.judge("bystander", 5.2) is Judgement.SUSPECT
-    assert ledger.judge("cause", LONG_S) is Judgement.CLEAR
+    assert ledger.judge("bystander", LONG_S) is Judgement.CLEAR
+    # What has crashed several targets is never sent freely again for the passing of time.
+    ledger.expire(LONG_S)
+    assert ledger.judge("cause", LONG_S) is Judgement.ON_TRIAL
 
 
 # Guards against a safeguard that repeats switch off: however close the losses are, they count.
@@ -98,11 +101,42 @@
     assert ledger.list_undecided("x", 0.4) == ["t-1", "t-2"]
     ledger.record_end("t-1")
     assert ledger.judge("x", 0.4) is Judgement.UNDECIDED
-    assert ledger.judge("x", 9.0) is Judgement.SUSPECT
+    assert ledger.judge("x", 9.0) is Judgement.UNDECIDED
     ledger.record_end("t-2")
     assert ledger.judge("x", 0.4) is Judgement.REFUSED
 
 
+# Guards against targets that end without a trace, one after the other under the same request.
+def test_losses_that_nobody_explains_are_presumed_to_be_ends() -> None:
+    ledger = CrashLedger()
+    for number in range(3):
+        sent_at = 4.0 * number
+        assert ledger.judge("x", sent_at) is not Judgement.REFUSED
+        lose(ledger, "x", f"t-{number}", sent_at, sent_at + 0.1, ends=False)
+    assert ledger.judge("x", 8.2) is Judgement.UNDECIDED
+    assert ledger.judge("x", 10.0) is Judgement.REFUSED
+    # They were met: only links had been lost.
+    ledger.record_met("t-1", 11.0)
+    ledger.record_met("t-2", 11.0)
+    assert ledger.judge("x", 11.0) is Judgement.SUSPECT
+
+
+# Guards against copies of a request that crash their targets together, and again when they are
+# back, since losses that overlap count once.
+def test_a_request_under_which_several_targets_were_lost_together_is_on_trial() -> None:
+    ledger = CrashLedger()
+    for number in range(3):
+        lose(ledger, "x", f"t-{number}", 0.0, 0.1, ends=False)
+    for now in (0.2, 2.0, LONG_S):
+        assert ledger.judge("x", now) is Judgement.ON_TRIAL
+    lose(ledger, "x", "t-3", LONG_S, LONG_S + 0.1)
+    assert ledger.judge("x", LONG_S + 0.2) is Judgement.UNDECIDED
+    for number in range(3):
+        ledger.record_end(f"t-{number}")
+    assert ledger.judge("x", LONG_S + 599.0) is Judgement.REFUSED
+    assert ledger.judge("x", LONG_S + 601.0) is Judgement.ON_TRIAL
+
+
 # Guards against refusing a popular request, which is at every crash of anything.
 def test_a_completed_request_is_not_taken_for_the_cause() -> None:
     ledger = CrashLedger()
@@ -166,7 +200,7 @@
     lose(ledger, "x", "t-2", 0.2, 0.3)
     assert ledger.judge("x", 0.3 + FIRST_REFUSAL_S - 0.1) is Judgement.REFUSED
     again = 0.4 + FIRST_REFUSAL_S
-    assert ledger.judge("x", again) is Judgement.SUSPECT
+    assert ledger.judge("x", again) is Judgement.ON_TRIAL
     lose(ledger, "x", "t-3", again, again + 0.1)
     assert ledger.judge("x", again + 500.0) is Judgement.REFUSED
 
--- a/tests/core/test_suspects.py
+++ b/tests/core/test_suspects.py
@@ -27,7 +27,7 @@
 
 def test_second_crash_refuses_the_request_everywhere() -> None:
     """A request is retried after its first crash. After the second one it is refused, also by an
-    instance that never ran it, until the crashes have expired."""
+    instance that never ran it, for the time that crashes are held; then it is tried again."""
     fleet = FakeFleet(ZONE_BY_INSTANCE)
     crash_engine(fleet, dispatch_chat(fleet, "a1", "r1", "bad"))
     crash_engine(fleet, fleet.runs[-1])
@@ -36,7 +36,9 @@
     assert fleet.read_answer("r2").code == "request_crashes_targets"
     assert not fleet.runs
     fleet.advance(700.0)
-    assert dispatch_chat(fleet, "b1", "r3", "bad")
+    fleet.send("b1", "r3", body="bad", service=ENGINE)
+    fleet.advance(0.1)
+    assert [run.action.request for run in fleet.runs] == ["r3"]
 
 
 def test_silent_target_is_not_counted_as_crash() -> None:
