--- a/rhubarbbend/gateway/_requests.py
+++ b/rhubarbbend/gateway/_requests.py
@@ -85,7 +85,7 @@
         self.deadline = _compute_deadline(caller, route, arrived_at)
         self.progress = Progress()
         self.excluded: set[str] = set()
-        self.digest = _compute_digest(caller)
+        self.digest = _compute_digest(caller, account)
         self._content: Content | None = None
         self.relay = EventRelay(exchange, self._send_head, caller.last_event_id)
         self.answer: TargetResponseHead | None = None
@@ -178,8 +178,12 @@
     return arrived_at + min(timeout_s, route.timeout)
 
 
-def _compute_digest(caller: CallerRequest) -> str:
-    """Return a digest of what stays the same when the caller sends the request again."""
+def _compute_digest(caller: CallerRequest, account: ClientAccount | None) -> str:
+    """Return a digest of what stays the same when the caller sends the request again.
+
+    An account may have several keys, and gets others while its callers go on.
+    """
+    sender = caller.api_key if account is None else account.name
     digest = hashlib.blake2b(caller.body, digest_size=12)
-    digest.update(b"\0".join((caller.method, caller.path_and_query, caller.api_key.encode())))
+    digest.update(b"\0".join((caller.method, caller.path_and_query, sender.encode())))
     return digest.hexdigest()
