--- a/rhubarbbend/codes.py
+++ b/rhubarbbend/codes.py
@@ -287,6 +287,10 @@
 SUSPECTS_HELD: Final = _declare_counter(
     "suspects.held", "requests held since a target was lost under an earlier attempt"
 )
+TRIALS_DENIED: Final = _declare_counter(
+    "suspects.trials_denied",
+    "requests refused since one with the same cause of crashes was being tried",
+)
 
 CONNECTIONS_RESET: Final = _declare_counter(
     "targets.connections_reset",
--- a/rhubarbbend/core/crashes/__init__.py
+++ b/rhubarbbend/core/crashes/__init__.py
@@ -3,6 +3,7 @@
 from rhubarbbend.core.crashes._content import BEGIN_S, Content, is_part_key, make_part_key
 from rhubarbbend.core.crashes._ledger import CrashLedger, RefusalRules
 from rhubarbbend.core.crashes._losses import Fate, Judgement, Loss, LossCounts
+from rhubarbbend.core.crashes._trials import TrialTable, list_coordinators
 
 __all__ = [
     "BEGIN_S",
@@ -13,6 +14,8 @@
     "Loss",
     "LossCounts",
     "RefusalRules",
+    "TrialTable",
     "is_part_key",
+    "list_coordinators",
     "make_part_key",
 ]
--- a/rhubarbbend/gateway/_crash_gate.py
+++ b/rhubarbbend/gateway/_crash_gate.py
@@ -12,6 +12,7 @@
 from rhubarbbend import codes
 from rhubarbbend.core.crashes import Judgement, is_part_key
 from rhubarbbend.gateway._crash_detector import CrashDetector
+from rhubarbbend.gateway._crash_trials import TrialClient
 from rhubarbbend.gateway._requests import OpenRequest
 from rhubarbbend.gateway._state import Clock, State
 
@@ -22,24 +23,44 @@
 # For this long after the start, requests wait for what the other instances know. They reply within
 # some ms once this instance has read their addresses.
 START_WAIT_S: Final = 0.8
-# How often a request that waits for the trial of another one looks whether it may go on: a part may
-# be cleared by another instance, or before the trial has ended.
+# How often a request that waits for a trial looks whether it may go on: an answer at any instance
+# may have cleared it.
 TRIAL_CHECK_INTERVAL_S: Final = 0.1
-# A request waits so long for the trial of another one that holds the same part.
-MAX_PART_TRIAL_WAIT_S: Final = 1.5
+# How often it asks for the trial itself.
+TRIAL_QUERY_INTERVAL_S: Final = 0.3
+# After this time it is refused: it is not known whether it crashes targets.
+MAX_TRIAL_WAIT_S: Final = 1.5
 # Requests that are judged so are sent one at a time.
 UNCERTAIN: Final = frozenset({Judgement.ON_TRIAL, Judgement.UNDECIDED})
 
 
+class _Trial:
+    """A trial of this instance, asked for or granted."""
+
+    __slots__ = ("began_at", "ended")
+
+    def __init__(self, began_at: float) -> None:
+        self.began_at = began_at
+        self.ended = asyncio.Event()
+
+
 class CrashGate:
-    """Lets requests pass. Invariant: a cause that is on trial has one attempt in progress."""
+    """Lets requests pass.
 
-    def __init__(self, state: State, detector: CrashDetector, clock: Clock) -> None:
+    Invariant: a cause that is on trial has one attempt in progress, here and, as long as instances
+    reach its coordinator, in the fleet.
+    """
+
+    def __init__(
+        self, state: State, detector: CrashDetector, arbiter: TrialClient, clock: Clock
+    ) -> None:
         self._state = state
         self._detector = detector
+        self._arbiter = arbiter
         self._clock = clock
-        # Set when the attempt of a cause that is on trial has ended.
-        self._trials: dict[str, asyncio.Event] = {}
+        self._trials: dict[str, _Trial] = {}
+        # When the trial of a cause may be asked for again.
+        self._ask_at: dict[str, float] = {}
 
     def refuses(self, request: OpenRequest, now: float) -> bool:
         """Return whether it is known that a request crashes targets."""
@@ -73,33 +94,54 @@
         cause, judgement = self._find_cause(request, self._clock())
         if judgement is Judgement.REFUSED and self._awaits_notices(request, cause, self._clock()):
             await asyncio.sleep(NOTICE_DELAY_S)
-        await self._begin_trial(request)
-        if self._judge(request) is Judgement.REFUSED:
+        if not await self._begin_trial(request) or self._judge(request) is Judgement.REFUSED:
             return False
         self._log_admitted(request, held_at)
         return True
 
-    async def _begin_trial(self, request: OpenRequest) -> None:
-        """Wait until no other request is on trial for the same cause.
+    async def _begin_trial(self, request: OpenRequest) -> bool:
+        """Wait until no other request is on trial for the same cause; return whether this came.
 
         One that is still undecided is tried too: nobody could tell what became of its targets.
         """
-        give_up_at = self._clock() + MAX_PART_TRIAL_WAIT_S
+        give_up_at = self._clock() + MAX_TRIAL_WAIT_S
         while True:
             cause, judgement = self._find_cause(request, self._clock())
             if judgement not in UNCERTAIN:
-                return
+                return True
             request.goes_apart = True
-            trial = self._trials.get(cause)
-            if trial is None:
-                self._trials[cause] = asyncio.Event()
-                request.trial = cause
-                return
-            if cause != request.digest and self._clock() >= give_up_at:
-                return
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(TRIAL_CHECK_INTERVAL_S):
-                    await trial.wait()
+            if cause not in self._trials and await self._ask_for_trial(request, cause):
+                return True
+            if self._clock() >= give_up_at:
+                self._state.metrics.increment_counter(codes.TRIALS_DENIED)
+                return False
+            await self._wait_for_trial(cause)
+
+    async def _ask_for_trial(self, request: OpenRequest, cause: str) -> bool:
+        """Ask for the trial of a cause, which this instance has not; return whether it has it."""
+        now = self._clock()
+        if now < self._ask_at.get(cause, now):
+            return False
+        self._trials[cause] = _Trial(now)
+        request.trial = cause
+        wait_s = await self._arbiter.request(cause)
+        if wait_s <= 0.0:
+            self._ask_at.pop(cause, None)
+            return True
+        now = self._clock()
+        self._ask_at = {c: at for c, at in self._ask_at.items() if at > now}
+        self._ask_at[cause] = now + min(wait_s, TRIAL_QUERY_INTERVAL_S)
+        self._end_trial(request)
+        return False
+
+    async def _wait_for_trial(self, cause: str) -> None:
+        trial = self._trials.get(cause)
+        if trial is None:
+            await asyncio.sleep(TRIAL_CHECK_INTERVAL_S)
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(TRIAL_CHECK_INTERVAL_S):
+                await trial.ended.wait()
 
     async def _await_verdict(self, request: OpenRequest) -> None:
         """Wait until it is known what became of the lost targets, as far as it can be found out.
@@ -128,9 +170,19 @@
 
     def end_attempt(self, request: OpenRequest) -> None:
         """Let the next attempt of a request that is on trial begin."""
-        if request.trial is not None:
-            self._trials.pop(request.trial).set()
-            request.trial = None
+        if request.trial is None:
+            return
+        cause = request.trial
+        trial = self._end_trial(request)
+        was_lost = self._state.crashes.get_last_loss(cause) >= trial.began_at
+        self._arbiter.end(cause, was_lost)
+
+    def _end_trial(self, request: OpenRequest) -> _Trial:
+        assert request.trial is not None
+        trial = self._trials.pop(request.trial)
+        request.trial = None
+        trial.ended.set()
+        return trial
 
     def _log_admitted(self, request: OpenRequest, held_at: float) -> None:
         now = self._clock()
--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -19,6 +19,7 @@
 from rhubarbbend.gateway._crash_detector import CrashDetector
 from rhubarbbend.gateway._crash_gate import CrashGate
 from rhubarbbend.gateway._crash_news import CrashNews
+from rhubarbbend.gateway._crash_trials import TrialClient
 from rhubarbbend.gateway._detour_server import DetourServer
 from rhubarbbend.gateway._detours import DetourClient
 from rhubarbbend.gateway._event_log import EventLog
@@ -142,7 +143,9 @@
         attempts.on_loss = detector.handle_loss
         attempts.forwarder.on_stream_begun.append(detector.handle_begun)
         attempts.recorder.on_answer = detector.handle_answer
-        return CrashGate(self.state, detector, read_clock)
+        trials = TrialClient(self.state, self._peers, self._spawn, read_clock)
+        self._peer_server.on_trial_query = trials.serve
+        return CrashGate(self.state, detector, trials, read_clock)
 
     def _make_detour_client(self, attempts: AttemptRunner) -> DetourClient:
         return DetourClient(
--- a/rhubarbbend/gateway/_peers.py
+++ b/rhubarbbend/gateway/_peers.py
@@ -31,6 +31,7 @@
 CHECK_PATH: Final = "/peer/check"
 CRASHES_PATH: Final = "/peer/crashes"
 STREAMS_PATH: Final = "/peer/streams"
+TRIAL_PATH: Final = "/peer/trial"
 CONTENT_TYPE: Final = "application/msgpack"
 # An instance in the same region replies in about 3 ms. If it does not reply within this time, it is
 # queried again later, and another instance is queried at once.
@@ -107,6 +108,8 @@
         self.on_target_check: Callable[[bytes], Awaitable[bytes]] = _check_nothing
         # Answers a query for the origin of a stream, both encoded; set by the instance.
         self.on_stream_query: Callable[[bytes], bytes] = lambda query: b""
+        # Answers a question for a trial of a cause of crashes, both encoded; set by the instance.
+        self.on_trial_query: Callable[[bytes], bytes] = lambda query: b""
         # Serves a request that another instance cannot send to a target; set by the instance.
         self.serve_detour: Callable[[Exchange], Awaitable[None]] = _reject_detour
 
@@ -130,6 +133,8 @@
                 _respond(exchange, await self.on_target_check(exchange.body))
             elif exchange.target == STREAMS_PATH:
                 _respond(exchange, self.on_stream_query(exchange.body))
+            elif exchange.target == TRIAL_PATH:
+                _respond(exchange, self.on_trial_query(exchange.body))
             elif exchange.target == CRASHES_PATH:
                 known = make_crash_update(self._state.crashes, read_clock())
                 _respond(exchange, msgspec.msgpack.encode(known))
--- a/rhubarbbend/gateway/_request_ender.py
+++ b/rhubarbbend/gateway/_request_ender.py
@@ -21,6 +21,8 @@
 # Callers that are refused at the same time would also retry at the same time. Retry-After is
 # therefore drawn at random between this fraction of its full value and the full value.
 MIN_RETRY_AFTER_FRACTION: Final = 0.5
+# After this time a trial by another request has most likely told whether this one may be sent.
+TRIAL_RETURN_S: Final = 1.0
 # Refusals of admission control, which computes their Retry-After.
 ADMISSION_CODES: Final = frozenset(
     {codes.NO_ROOM, codes.OVER_SHARE, codes.QUEUE_FULL, codes.WAIT_TOO_LONG}
@@ -100,7 +102,8 @@
         if code in (codes.CRASHES_TARGETS, codes.PART_CRASHES_TARGETS):
             # Not shortened either.
             cause, _ = self._state.crashes.find_cause(request.content, now)
-            return self._state.crashes.compute_refusal_left(cause, now)
+            left = self._state.crashes.compute_refusal_left(cause, now)
+            return left or TRIAL_RETURN_S * random.uniform(MIN_RETRY_AFTER_FRACTION, 1.0)
         retry_after = min(
             code.retry_after, RETRY_AFTER_FRACTION * max(0.0, request.compute_time_left(now))
         )
--- a/tests/gateway/test_crash_gate.py
+++ b/tests/gateway/test_crash_gate.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from types import SimpleNamespace
 from typing import Any, cast
 
@@ -14,7 +15,23 @@
 NOW = 1.0
 
 
-def make_gate() -> CrashGate:
+class FakeArbiter:
+    """Grants every trial, unless it is told to deny them."""
+
+    def __init__(self) -> None:
+        self.denies = False
+        self.ended: list[tuple[str, bool]] = []
+
+    async def request(self, cause: str) -> float:
+        return 1.0 if self.denies else 0.0
+
+    def end(self, cause: str, was_lost: bool) -> None:
+        self.ended.append((cause, was_lost))
+
+
+def make_gate(
+    arbiter: FakeArbiter | None = None, clock: Callable[[], float] = lambda: NOW
+) -> CrashGate:
     """Return the gate of an instance where two targets ended together under the content `x`."""
     ledger = CrashLedger()
     for target in ("t-1", "t-2"):
@@ -32,7 +49,8 @@
         metrics=metrics,
         event_log=event_log,
     )
-    return CrashGate(cast(Any, state), cast(Any, None), lambda: NOW)
+    parts = cast(Any, state), cast(Any, None), cast(Any, arbiter or FakeArbiter())
+    return CrashGate(*parts, clock)
 
 
 def make_request() -> Any:
@@ -73,3 +91,36 @@
         assert await admit_soon(gate, make_request())
 
     asyncio.run(work())
+
+
+# Guards against each instance trying for itself what is on trial.
+def test_a_request_whose_trial_another_instance_has_is_refused() -> None:
+    async def work() -> None:
+        arbiter, times = FakeArbiter(), [NOW]
+        gate, request = make_gate(arbiter, lambda: times[-1]), make_request()
+        arbiter.denies = True
+        with pytest.raises(TimeoutError):
+            await admit_soon(gate, request)
+        gate.end_attempt(request)
+        assert not arbiter.ended
+        arbiter.denies = False
+        times.append(NOW + 1.0)
+        assert await admit_soon(gate, request)
+        gate.end_attempt(request)
+        assert arbiter.ended == [("x", False)]
+
+    asyncio.run(work())
+
+
+# Guards against a wait for a trial that lasts until the request's deadline.
+def test_a_request_that_waits_for_a_trial_is_refused_in_time(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("rhubarbbend.gateway._crash_gate.MAX_TRIAL_WAIT_S", 0.0)
+
+    async def work() -> None:
+        gate = make_gate()
+        assert await admit_soon(gate, make_request())
+        assert not await admit_soon(gate, make_request())
+
+    asyncio.run(work())
