--- a/rhubarbbend/core/crashes/_ledger.py
+++ b/rhubarbbend/core/crashes/_ledger.py
@@ -169,6 +169,10 @@
         """Return the lost targets that are known to have ended."""
         return self._targets.list_ended()
 
+    def is_unexplained(self, target: str) -> bool:
+        """Return whether a target was lost, and it is not known what became of it."""
+        return self._targets.is_unexplained(target)
+
     def is_lost(self, target: str, sent_at: float) -> bool:
         """Return whether a target was lost before a time, and not met again since."""
         return self._targets.is_lost(target, sent_at)
--- a/rhubarbbend/core/crashes/_targets.py
+++ b/rhubarbbend/core/crashes/_targets.py
@@ -96,6 +96,11 @@
         record = self._targets.get(target)
         return record is not None and record.met_at < record.first_lost_at < sent_at
 
+    def is_unexplained(self, target: str) -> bool:
+        """Return whether a target was lost, and it is not known what became of it."""
+        record = self._targets.get(target)
+        return record is not None and record.get_fate(record.first_lost_at) is Fate.UNKNOWN
+
     def list_ended(self) -> list[str]:
         """Return the lost targets that are known to have ended."""
         return [target for target, record in self._targets.items() if record.has_ended]
--- a/rhubarbbend/gateway/_crash_detector.py
+++ b/rhubarbbend/gateway/_crash_detector.py
@@ -1,7 +1,8 @@
 """Records targets that are lost under requests, and finds out whether they have ended.
 
 A first loss is told to the other instances at once, since the caller may send the request again
-anywhere. What became of the target is found out only when a request has lost several.
+anywhere. What became of a target is found out soon if it accepts no connections, and again when a
+request comes that has lost several.
 """
 
 from __future__ import annotations
@@ -28,6 +29,9 @@
 CHECK_TIMEOUT_S: Final = 0.2
 # If several targets become unreachable within this time, the cause may be this instance's links.
 SIMULTANEOUS_LOSS_WINDOW_S: Final = 0.4
+# What became of a target is asked at a random moment within this time multiplied by the number of
+# instances: several may have lost it, and the first one tells the others.
+FATE_SPREAD_S: Final = 0.005
 # Lost targets that are remembered after their registrations have gone.
 MAX_LOST_TARGETS: Final = 500
 
@@ -62,7 +66,7 @@
         a while holds no such part.
         """
         if target.state is TargetState.DRAINING or target.is_registration_missing:
-            self._log_doubt(request.id, request.digest, target, "the target is leaving")
+            self._log_doubt(request, target, "the target is leaving")
             return
         ledger = self._state.crashes
         content = request.content
@@ -78,7 +82,7 @@
         if len(self._lost_targets) > MAX_LOST_TARGETS:
             self._lost_targets.popitem(last=False)
         report = make_loss_report(request.digest, loss, now, parts)
-        self._spawn(self._report_loss(request.id, target, report, now))
+        self._spawn(self._report_loss(request, target, report, now))
 
     def handle_answer(self, request: OpenRequest, target: Target, now: float) -> None:
         """Record that a request ran to completion at a target."""
@@ -142,11 +146,11 @@
         started_at = read_clock()
         check = await self._checker.find_fate(target)
         if check.fate is Fate.UNKNOWN:
-            self._log_doubt(request.id, request.digest, target, "nobody can tell", check)
+            self._log_doubt(request, target, "nobody can tell", check)
         elif check.fate is Fate.ALIVE:
             state.crashes.record_met(incarnation, started_at)
             self._news.tell_met(incarnation, started_at, read_clock())
-            self._log_doubt(request.id, request.digest, target, "the target is running", check)
+            self._log_doubt(request, target, "the target is running", check)
         elif state.crashes.record_end(incarnation):
             state.metrics.increment_counter(codes.SUSPECTS)
             state.health.record_unreachable(target.id, read_clock())
@@ -170,7 +174,7 @@
         return self._lost_targets.get(incarnation)
 
     async def _report_loss(
-        self, request: str, target: Target, report: LossReport, lost_at: float
+        self, request: OpenRequest, target: Target, report: LossReport, lost_at: float
     ) -> None:
         """Tell all instances of a loss, at once if the target accepts no connection.
 
@@ -187,35 +191,46 @@
         if not is_first:
             return
         try:
-            await self._check_health(request, report.digest, target, is_reachable)
+            is_reachable = await self._check_health(request, target, is_reachable)
         finally:
             del self._contacts[target.incarnation]
+        if not is_reachable:
+            await self._find_fate_soon(request, target)
 
-    async def _check_health(
-        self, request: str, digest: str, target: Target, is_reachable: bool
-    ) -> None:
+    async def _find_fate_soon(self, request: OpenRequest, target: Target) -> None:
+        """Find out what became of a target, unless another instance does.
+
+        Later it may have started again, and nothing may tell this start from the one before.
+        """
+        spread_s = FATE_SPREAD_S * len(self._state.list_instance_ids())
+        await asyncio.sleep(self._state.random.uniform(0.0, spread_s))
+        if self._state.crashes.is_unexplained(target.incarnation):
+            await self.settle(request, [target.incarnation])
+
+    async def _check_health(self, request: OpenRequest, target: Target, is_reachable: bool) -> bool:
         """Tell all instances not to use a target, if it is its fault that it is not reached.
 
-        If several targets became unreachable at once, or no other is reached, this instance may
-        have lost its own links.
+        Return whether it is reached. If several targets became unreachable at once, or no other is
+        reached, this instance may have lost its own links.
         """
         state = self._state
         if is_reachable:
             await asyncio.sleep(CHECK_DELAY_S)
             if await self._try_connection(target):
-                self._log_doubt(request, digest, target, "accepts connections")
-                return
+                self._log_doubt(request, target, "accepts connections")
+                return True
         state.health.record_unreachable(target.id, read_clock())
         # After this delay, other targets that failed at the same time are known to be unreachable.
         await asyncio.sleep(CHECK_DELAY_S)
         now = read_clock()
         unreachable = state.health.count_unreachable_since(now - SIMULTANEOUS_LOSS_WINDOW_S)
         if unreachable > 1:
-            self._log_doubt(request, digest, target, f"{unreachable} targets lost together")
+            self._log_doubt(request, target, f"{unreachable} targets lost together")
         elif not await self._checker.reaches_another(target):
-            self._log_doubt(request, digest, target, "no other target is reached")
+            self._log_doubt(request, target, "no other target is reached")
         else:
             self._news.tell_unreachable(target.id)
+        return False
 
     async def _try_connection(self, target: Target) -> bool:
         try:
@@ -226,15 +241,10 @@
         return True
 
     def _log_doubt(
-        self,
-        request: str,
-        digest: str,
-        target: Target,
-        doubt: str,
-        check: FateCheck | None = None,
+        self, request: OpenRequest, target: Target, doubt: str, check: FateCheck | None = None
     ) -> None:
         contacts = None if check is None else check.describe()
-        names = {"id": request, "digest": digest, "target": target.id}
+        names = {"id": request.id, "digest": request.digest, "target": target.id}
         self._log("crash_doubted", **names, doubt=doubt, contacts=contacts)
 
     def _log(self, event: str, **fields: Any) -> None:
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -152,6 +152,23 @@
     run(work)
 
 
+# Guards against asking too late: a worker that has started again under its id cannot be told from
+# one that never ended.
+def test_it_is_found_out_at_once_that_a_worker_has_ended(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with start_fleet(
+            tmp_path, instances=3, plain_worker_count=4, engine_worker_count=1
+        ) as fleet:
+            await fleet.set_service_faults("plain", crash_on="poison")
+            await repeat(fleet, "/book/x", 1)
+            await asyncio.sleep(1.0)
+            counted = read_events(fleet, "crash_counted")
+            assert [line["crashes"] for line in counted] == [1]
+            assert counted[0]["contacts"].count("refused") >= 2
+
+    run(work)
+
+
 # Guards against paths that accept connections for workers that are gone.
 def test_crashes_count_behind_a_path_that_accepts_connections(tmp_path: Path) -> None:
     async def work() -> None:
