--- a/rhubarbbend/gateway/_attempts.py
+++ b/rhubarbbend/gateway/_attempts.py
@@ -52,6 +52,9 @@
     {AttemptOutcome.BROKEN, AttemptOutcome.MISDIRECTED, AttemptOutcome.REJECTED}
 )
 
+# A target that has sent nothing for this long when a request is given up is checked.
+MIN_SILENCE_S: Final = 0.1
+
 # Parts of a prompt that a log line names.
 MAX_LOGGED_PARTS: Final = 12
 
@@ -87,6 +90,8 @@
         self.forwarder.on_stream_begun.append(lambda request, _: self.answering.add(request))
         # Called when a target was lost while it ran a request; set by the instance.
         self.on_loss: Callable[[OpenRequest, Target, float], None] = lambda *_: None
+        # Called when a request was given up at a target that was silent; set by the instance.
+        self.on_silence: Callable[[OpenRequest, Target, float], None] = lambda *_: None
 
     def has_open_connection(self, target: str, address: Address) -> bool:
         """Return whether a connection to a target is open, idle or with a request in flight."""
@@ -198,6 +203,9 @@
             )
             if is_excused:
                 return outcome
+        except asyncio.CancelledError:
+            self._record_silence(request, choice.target, connection)
+            raise
         finally:
             self.answering.discard(request)
             self._liveness.discard_connection(choice.target.id, connection)
@@ -323,8 +331,16 @@
         is_lost = connection.closed or self._liveness.has_failed_probe(target.id)
         if is_lost and not is_full and not cut_unread:
             self.on_loss(request, target, self._clock())
+        elif not is_lost:
+            self._record_silence(request, target, connection)
         return AttemptOutcome.BROKEN
 
+    def _record_silence(self, request: OpenRequest, target: Target, connection: Connection) -> None:
+        """Report a target that had sent nothing for a while when a request was given up."""
+        now = self._clock()
+        if now - max(request.sent_at, connection.last_received_at) >= MIN_SILENCE_S:
+            self.on_silence(request, target, now)
+
     def _record_if_dead_while_idle(
         self, request: OpenRequest, target: Target, connection: Connection, failure: HttpFailure
     ) -> bool:
--- a/rhubarbbend/gateway/_crash_detector.py
+++ b/rhubarbbend/gateway/_crash_detector.py
@@ -35,9 +35,22 @@
 # Lost targets that are remembered after their registrations have gone.
 MAX_LOST_TARGETS: Final = 500
 
+# For this long, what a connection to a silent target has shown holds for other requests there.
+SILENCE_CHECK_VALIDITY_S: Final = 0.5
+
 Spawn = Callable[[Coroutine[Any, Any, None]], None]
 
 
+class _SilenceCheck:
+    """A connection that is tried to a target at which a request was given up."""
+
+    __slots__ = ("began_at", "is_reachable")
+
+    def __init__(self, began_at: float, is_reachable: asyncio.Task[bool]) -> None:
+        self.began_at = began_at
+        self.is_reachable = is_reachable
+
+
 class CrashDetector:
     """Records losses of targets. Invariant: at most one check of a target is in progress."""
 
@@ -56,6 +69,7 @@
         self._spawn = spawn
         self._lost_targets: OrderedDict[str, Target] = OrderedDict()
         self._checks: dict[str, asyncio.Task[None]] = {}
+        self._silence_checks: dict[str, _SilenceCheck] = {}
         # Connections that are being tried to targets that were just lost.
         self._contacts: dict[str, asyncio.Task[bool]] = {}
 
@@ -84,6 +98,26 @@
         report = make_loss_report(request.digest, loss, now, parts)
         self._spawn(self._report_loss(request, target, report, now))
 
+    def handle_silence(self, request: OpenRequest, target: Target, now: float) -> None:
+        """Record a target as lost at which a request was given up, if it accepts no connection.
+
+        If its machine has ended, its connections stay open, so that nothing else shows it.
+        """
+        checks = self._silence_checks
+        for name in [n for n, c in checks.items() if now - c.began_at > SILENCE_CHECK_VALIDITY_S]:
+            del checks[name]
+        check = checks.get(target.incarnation)
+        if check is None:
+            check = _SilenceCheck(now, asyncio.create_task(self._try_connection(target)))
+            checks[target.incarnation] = check
+        self._spawn(self._record_if_unreachable(request, target, check, now))
+
+    async def _record_if_unreachable(
+        self, request: OpenRequest, target: Target, check: _SilenceCheck, given_up_at: float
+    ) -> None:
+        if not await check.is_reachable:
+            self.handle_loss(request, target, given_up_at)
+
     def handle_answer(self, request: OpenRequest, target: Target, now: float) -> None:
         """Record that a request ran to completion at a target."""
         ledger = self._state.crashes
--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -141,6 +141,7 @@
         detector = CrashDetector(self.state, news, checker, attempts.answering, self._spawn)
         self.state.on_losses_learned = detector.clear_answered_parts
         attempts.on_loss = detector.handle_loss
+        attempts.on_silence = detector.handle_silence
         attempts.forwarder.on_stream_begun.append(detector.handle_begun)
         attempts.recorder.on_answer = detector.handle_answer
         trials = TrialClient(self.state, self._peers, self._spawn, read_clock)
--- a/standins/_worker.py
+++ b/standins/_worker.py
@@ -12,6 +12,7 @@
 import argparse
 import asyncio
 import os
+import signal
 import time
 from collections import Counter
 
@@ -190,6 +191,8 @@
             for number in range(1, faults.crash_after_events + 1):
                 await response.write(make_stream_event(body, number))
             await asyncio.sleep(faults.event_gap)
+        if faults.crash_silently:
+            os.kill(os.getpid(), signal.SIGSTOP)
         if not faults.reborn_as:
             os._exit(EXIT_CRASHED)
         self._name = faults.reborn_as
--- a/standins/_worker_types.py
+++ b/standins/_worker_types.py
@@ -66,6 +66,8 @@
     # wait this long before, in which other requests run.
     crash_on_parts: list[str] = []
     crash_delay: float = 0.0
+    # Fall silent instead of exiting: connections stay open and carry nothing any longer.
+    crash_silently: bool = False
     # Reset new connections beyond this number; -1: accept any number.
     max_connections: int = -1
     # The same number from each of these Unix times on, in order.
--- a/tests/gateway/test_recurring_crashes.py
+++ b/tests/gateway/test_recurring_crashes.py
@@ -9,7 +9,7 @@
 import attrs
 import pytest
 
-from tests.gateway.harness import KEY, GatewayFleet, Reply, run, start_fleet
+from tests.gateway.harness import KEY, ZONES, GatewayFleet, Reply, run, start_fleet
 
 INSTANCES: Final = 6
 TARGETS: Final = 3
@@ -42,6 +42,8 @@
     expires: bool = False
     # A part that is in its prompt, which is another one each time.
     part: str = ""
+    # Whether targets fall silent instead of ending, and accept no connections.
+    silences: bool = False
 
     @property
     def max_crashes(self) -> int:
@@ -62,6 +64,10 @@
     "six copies": Recurrence((7.8, 3.5, 4.0), copies=6),
     "three copies, after the refusal": Recurrence((7.8, 31.0, 4.0), copies=3),
     "two keys of its account in turn": Recurrence((0.6,) * 7, keys=(KEY, "second-key")),
+    "every 2 s, targets fall silent": Recurrence((2.0,) * 4, silences=True),
+    "a stream every 2 s, targets fall silent": Recurrence(
+        (2.0,) * 4, path="/plan/stream", silences=True
+    ),
     "a part every 3 s": Recurrence((3.0,) * 5, path="/plan/stream", part="bad0"),
 }
 
@@ -69,23 +75,44 @@
 class CrashingTargets:
     """The targets of a fleet, each replaced by another one `RETURN_S` after it has crashed."""
 
-    def __init__(self, fleet: GatewayFleet, expires: bool) -> None:
+    def __init__(self, fleet: GatewayFleet, recurrence: Recurrence) -> None:
         self._fleet = fleet
-        self._expires = expires
+        self._recurrence = recurrence
         self._replacing: dict[str, asyncio.Task[None]] = {}
 
+    async def start(self) -> None:
+        """Start the targets of both services."""
+        parts = [self._recurrence.part] if self._recurrence.part else []
+        await self._fleet.set_default_worker_faults(
+            crash_on=POISON.decode(),
+            crash_on_parts=parts,
+            crash_delay=CRASH_DELAY_S,
+            crash_silently=self._recurrence.silences,
+        )
+        for number in range(TARGETS):
+            for service in ("plain", "llm"):
+                await self._start(f"{service}-{number}", service, ZONES[number])
+
+    async def _start(self, name: str, service: str, zone: str) -> None:
+        await self._fleet.start_worker(name, service, zone, self._recurrence.silences)
+
     async def replace_all(self) -> None:
+        """Replace each target that ends, until this is cancelled."""
         while True:
-            for name, node in list(self._fleet.workers.items()):
-                if not node.process.running and name not in self._replacing:
+            for name in self._list_ended():
+                if name not in self._replacing:
                     self._replacing[name] = asyncio.create_task(self._replace(name))
             await asyncio.sleep(0.02)
 
     async def _replace(self, name: str) -> None:
         node = self._fleet.workers[name]
+        if self._recurrence.silences:
+            await asyncio.sleep(CRASH_DELAY_S)
+            port = node.advertised_port
+            await self._fleet.set_route_faults(port, blackhole=True, listening="silent")
         await asyncio.sleep(RETURN_S)
-        await self._fleet.start_worker(f"{name}-next", node.service, node.zone)
-        if self._expires:
+        await self._start(f"{name}-next", node.service, node.zone)
+        if self._recurrence.expires:
             await asyncio.sleep(ENTRY_LIFETIME_S - RETURN_S)
             await self._fleet.write_row("servers", name, None)
 
@@ -93,8 +120,13 @@
         """Return when requests arrived that crashed a target, in order."""
         return sorted(arrival.at for arrival in self._fleet.read_arrivals() if arrival.crashes)
 
-    def list_ends(self) -> int:
-        return sum(not node.process.running for node in self._fleet.workers.values())
+    def count_ended(self) -> int:
+        return len(self._list_ended())
+
+    def _list_ended(self) -> set[str]:
+        if self._recurrence.silences:
+            return {arrival.worker for arrival in self._fleet.read_arrivals() if arrival.crashes}
+        return {n for n, node in self._fleet.workers.items() if not node.process.running}
 
 
 async def send_copies(fleet: GatewayFleet, recurrence: Recurrence, number: int) -> list[Reply]:
@@ -124,23 +156,18 @@
 
     async def work() -> None:
         async with start_fleet(
-            tmp_path,
-            instances=INSTANCES,
-            plain_worker_count=TARGETS,
-            engine_worker_count=TARGETS,
+            tmp_path, instances=INSTANCES, plain_worker_count=0, engine_worker_count=0
         ) as fleet:
-            parts = [recurrence.part] if recurrence.part else []
-            await fleet.set_default_worker_faults(
-                crash_on="poison", crash_on_parts=parts, crash_delay=CRASH_DELAY_S
-            )
-            targets = CrashingTargets(fleet, recurrence.expires)
+            targets = CrashingTargets(fleet, recurrence)
+            await targets.start()
+            await asyncio.sleep(0.5)
             replacing = asyncio.create_task(targets.replace_all())
             replies: list[Reply] = []
             ends: list[int] = []
             for number, gap in enumerate((*recurrence.gaps, 1.0)):
                 replies = await send_copies(fleet, recurrence, number)
                 await asyncio.sleep(gap)
-                ends.append(targets.list_ends())
+                ends.append(targets.count_ended())
             replacing.cancel()
             assert ends[-1] <= recurrence.max_crashes, ends
             assert count_late_runs(targets.list_runs()) <= MAX_LATE_RUNS
