--- a/loadtool/__main__.py
+++ b/loadtool/__main__.py
@@ -47,6 +47,8 @@
 
 
 def _run_crashes(options: argparse.Namespace) -> int:
+    if options.recurring:
+        return _crash_table.play_recurrences(options.instances, options.seeds)
     setup = Setup(options.instances, options.engines, options.rate)
     return _crash_table.main(setup, options.seeds)
 
@@ -56,6 +58,7 @@
     crashes.add_argument("--engines", type=int, default=9)
     crashes.add_argument("--rate", type=float, default=70.0, help="requests a second")
     crashes.add_argument("--seeds", type=int, default=5)
+    crashes.add_argument("--recurring", action="store_true", help="whole requests that come back")
 
 
 def _add_soak_kinds(soak: argparse.ArgumentParser) -> None:
@@ -121,7 +124,7 @@
     rollouts.add_argument("--site", choices=sorted(SITES), default="", help="one service only")
     _add_crash_options(
         commands.add_parser(
-            "crashes", help="compare ways to judge parts of prompts that crash engines"
+            "crashes", help="compare ways to judge what crashes targets: parts, or whole requests"
         )
     )
     _add_soak_kinds(soak)
--- a/loadtool/_crash_simulation.py
+++ b/loadtool/_crash_simulation.py
@@ -19,7 +19,15 @@
 import attrs
 
 from rhubarbbend.core._rendezvous import hash_to_unit_interval
-from rhubarbbend.core.crashes import BEGIN_S, Content, CrashLedger, Judgement, Loss, RefusalRules
+from rhubarbbend.core.crashes import (
+    BEGIN_S,
+    Content,
+    CrashLedger,
+    Judgement,
+    Loss,
+    RefusalRules,
+    TrialTable,
+)
 
 # From the users' rules.
 CONTACT_S: Final = 3.0
@@ -35,11 +43,16 @@
 # For how long a request that is on trial is kept from others with the same cause.
 MAX_WAIT_S: Final = 1.5
 RETRY_DELAY_S: Final = 0.05
+# A question to the coordinator of trials and its reply.
+TRIAL_QUERY_S: Final = (0.002, 0.02)
 
 
 class Judge(abc.ABC):
     """Judges requests at one instance."""
 
+    # Whether a cause has one trial at a time in the fleet, and not one in each instance.
+    has_fleet_trials = False
+
     @abc.abstractmethod
     def judge(self, content: Content, now: float) -> tuple[str, Judgement]:
         """Return whether a request may be sent, and the cause that this is about."""
@@ -129,10 +142,17 @@
         return False
 
 
+class FleetTrialJudge(LedgerJudge):
+    """The ledger, with one trial of a cause at a time in the fleet."""
+
+    has_fleet_trials = True
+
+
 WAYS: Final[dict[str, Callable[[RefusalRules], Judge]]] = {
     "digest": DigestJudge,
     "trial": FirstLedgerJudge,
     "answering": LedgerJudge,
+    "fleet": FleetTrialJudge,
     "counts": CountJudge,
 }
 
@@ -194,6 +214,7 @@
         ]
         self._runs: dict[str, set[_Run]] = {f"e{n}": set() for n in range(setup.engines)}
         self._trials: dict[tuple[int, str], _Run | None] = {}
+        self._fleet_trials = TrialTable()
         self._bad_runs: dict[str, list[float]] = defaultdict(list)
         self._bad_crashes: dict[str, list[float]] = defaultdict(list)
 
@@ -236,26 +257,49 @@
         self._result.sound += not is_bad
         self._offer(content, bad, self._now, 1)
 
-    def _offer(self, content: Content, bad: str, arrived_at: float, tries_left: int) -> None:
-        """Send a request to an engine, hold it for a while or refuse it."""
-        instance = self._random.randrange(self._setup.instances)
+    def _offer(
+        self, content: Content, bad: str, arrived_at: float, tries_left: int, at: int = -1
+    ) -> None:
+        """Send a request to an engine, hold it for a while or refuse it; at any instance if -1."""
+        instance = self._random.randrange(self._setup.instances) if at < 0 else at
         cause, judgement = self._judges[instance].judge(content, self._now)
         if judgement is Judgement.REFUSED:
             self._result.sound_refused += not bad
             return
-        if judgement is Judgement.ON_TRIAL and self._now - arrived_at < MAX_WAIT_S:
-            key = (instance, cause)
-            if self._trials.get(key) is not None:
-                self._after(0.1, lambda: self._offer(content, bad, arrived_at, tries_left))
-                return
-            self._trials[key] = self._send(instance, content, bad, is_apart=True)
-        else:
+        is_late = self._now - arrived_at >= MAX_WAIT_S
+        is_free = is_late and not self._judges[instance].has_fleet_trials
+        if is_free or judgement not in (Judgement.ON_TRIAL, Judgement.UNDECIDED):
             self._send(instance, content, bad)
+        elif is_late:
+            self._result.sound_refused += not bad
+            return
+        elif not self._begin_trial(instance, cause, content, bad):
+            self._after(0.1, lambda: self._offer(content, bad, arrived_at, tries_left, instance))
+            return
         if not bad:
             self._result.sound_waited_s += self._now - arrived_at
 
+    def _begin_trial(self, instance: int, cause: str, content: Content, bad: str) -> bool:
+        """Send a request if no other one is on trial for the same cause."""
+        key = (instance, cause)
+        if self._trials.get(key) is not None:
+            return False
+        if not self._judges[instance].has_fleet_trials:
+            self._trials[key] = self._send(instance, content, bad, is_apart=True)
+            return True
+        if self._fleet_trials.request(cause, str(instance), self._now) > 0.0:
+            return False
+        delay_s = self._random.uniform(*TRIAL_QUERY_S)
+        self._trials[key] = self._send(instance, content, bad, is_apart=True, delay_s=delay_s)
+        return True
+
     def _send(
-        self, instance: int, content: Content, bad: str, is_apart: bool = False
+        self,
+        instance: int,
+        content: Content,
+        bad: str,
+        is_apart: bool = False,
+        delay_s: float = 0.0,
     ) -> _Run | None:
         """Send a request: to the engine of others with its last part, or apart from them."""
         random = self._random
@@ -267,7 +311,7 @@
             engine = random.choice(engines)
         else:
             engine = max(engines, key=lambda name: hash_to_unit_interval(name + content.parts[-1]))
-        began_at = self._now + random.uniform(*BEGIN_DELAY_S)
+        began_at = self._now + delay_s + random.uniform(*BEGIN_DELAY_S)
         run = _Run(content, instance, bad, self._now, began_at, began_at)
         self._runs[engine].add(run)
         if bad:
@@ -285,10 +329,11 @@
         self._runs.get(engine, set()).discard(run)
         self._end_trial(run)
 
-    def _end_trial(self, run: _Run) -> None:
+    def _end_trial(self, run: _Run, was_lost: bool = False) -> None:
         for key, trial in list(self._trials.items()):
             if trial is run:
                 del self._trials[key]
+                self._fleet_trials.record_end(key[1], str(key[0]), was_lost, self._now)
 
     def _record_run(self, engine: str, run: _Run) -> None:
         if run not in self._runs.get(engine, ()):
@@ -329,7 +374,7 @@
         lost = self._runs.pop(engine)
         now = self._now
         for run in sorted(lost, key=lambda run: run.sent_at):
-            self._end_trial(run)
+            self._end_trial(run, was_lost=True)
             self._result.sound_lost += not run.bad
             loss = Loss(engine, run.sent_at, now, (), (run.content.account,))
             has_gone_on = now - run.began_at > BEGIN_S
--- a/loadtool/_crash_table.py
+++ b/loadtool/_crash_table.py
@@ -1,4 +1,4 @@
-"""Compares ways to judge parts of prompts that crash engines, on the same seeds."""
+"""Compares ways to judge what crashes targets, on the same seeds: parts, and whole requests."""
 
 from __future__ import annotations
 
@@ -8,6 +8,7 @@
 
 import attrs
 
+from loadtool import _recurrence_simulation as recurrence
 from loadtool._crash_simulation import WAYS, CrashSimulation, Result, Setup
 
 # What differs from the usual play of one part, by label.
@@ -18,6 +19,36 @@
     "one part, engines killed": {"kills": 20},
     "no part, engines killed": {"bad_rate": 1e-9, "kills": 20},
 }
+# The same for requests that come back as a whole.
+RECURRENCES: Final[Mapping[str, Mapping[str, Any]]] = {
+    "one every 0.05 s": {"pace_s": 0.05},
+    "one every 4 s": {},
+    "one every 40 s": {"pace_s": 40.0, "duration_s": 900.0},
+    "three copies every 4 s": {"copies": 3},
+    "three copies every 40 s": {"copies": 3, "pace_s": 40.0, "duration_s": 900.0},
+    "eight copies every 4 s": {"copies": 8},
+    "three copies, 9 targets": {"copies": 3, "targets": 9},
+    "three copies, nobody can tell": {"copies": 3, "has_fates": False},
+    "three copies, power cuts": {"copies": 3, "targets": 9, "power_cuts": 7},
+    "power cuts alone": {"copies": 0, "targets": 9, "power_cuts": 7},
+    "power cuts, nobody can tell": {
+        "copies": 0,
+        "targets": 9,
+        "power_cuts": 7,
+        "has_fates": False,
+    },
+}
+
+
+def play_recurrences(instances: int, seeds: int) -> int:
+    """Play each case of requests that come back with each way, and print a line for it."""
+    for label, changes in RECURRENCES.items():
+        setup = recurrence.Setup(instances, **changes)
+        for way in recurrence.WAYS:
+            plays = [recurrence.RecurrenceSimulation(way, setup, seed) for seed in range(seeds)]
+            results = [play.run() for play in plays]
+            print(recurrence.format_line(label, way, results), flush=True)
+    return 0
 
 
 def main(setup: Setup, seeds: int) -> int:
--- a/rhubarbbend/core/crashes/_ledger.py
+++ b/rhubarbbend/core/crashes/_ledger.py
@@ -56,9 +56,9 @@
     `limit` is the number of crashes, one after the other; it takes one more if they may have had
     another cause. `first_s` is how long a request is refused under which just so many targets have
     ended: if that was wrong, it is served again. Then one attempt at a time is on trial. With more
-    targets it is refused for `repeated_s`. A part is
-    refused for `stagger_s` longer at first, by which instances differ: not all of them try it again
-    together. With `sure_limit` crashes it is refused for `repeated_s` at once.
+    targets it is refused for `repeated_s`. A part is refused for `stagger_s` longer at first, by
+    which instances differ: not all of them try it again together. `sure_limit` crashes are enough
+    to refuse a part for `repeated_s`, and a request even if something else was at all of them.
     """
 
     limit: int = 2
@@ -205,11 +205,7 @@
             return Judgement.CLEAR
         ended = self._select_ended(losses)
         crashes = count_in_sequence(ended)
-        needed = self.rules.limit
-        if crashes == needed:
-            unexplained = self._select_unexplained(own, ended, now)
-            if len(unexplained) < len(ended) or self._has_other_cause(losses, ended):
-                needed += 1
+        needed = self._compute_needed(losses, ended, crashes, own, now)
         presumed = count_in_sequence(self._select_presumed_ended(losses, now))
         if crashes >= needed or presumed > needed:
             is_refused = self._compute_left(digest, losses, now) > 0.0
@@ -218,6 +214,21 @@
             return Judgement.UNDECIDED
         return Judgement.ON_TRIAL if len(losses) >= self.rules.limit else Judgement.SUSPECT
 
+    def _compute_needed(
+        self, losses: list[Loss], ended: list[Loss], crashes: int, own: Collection[str], now: float
+    ) -> int:
+        """Return how many crashes it takes to refuse a request that has caused some, perhaps."""
+        rules = self.rules
+        if not rules.limit <= crashes < rules.sure_limit:
+            return rules.limit
+        unexplained = self._select_unexplained(own, ended, now)
+        if not unexplained:
+            # Something else was at all of them. The trials of the two tell them apart.
+            return rules.sure_limit
+        if len(unexplained) < len(ended) or self._has_other_cause(losses, ended):
+            return rules.limit + 1
+        return rules.limit
+
     def _judge_part(self, part: str, account: str, own: Collection[str], now: float) -> Judgement:
         """Return what the losses under a part say of a request that holds all causes in `own`.
 
--- a/tests/core/crashes/test_ledger.py
+++ b/tests/core/crashes/test_ledger.py
@@ -163,6 +163,28 @@
     assert ledger.judge("beside", 1.4) is Judgement.CLEAR
 
 
+# Guards against refusing a popular request that happened to be in flight at each crash.
+def test_of_two_requests_at_the_same_crashes_neither_is_refused_before_a_trial() -> None:
+    ledger = CrashLedger()
+    for number in range(3):
+        for digest in ("cause", "popular"):
+            lose(ledger, digest, f"t-{number}", float(number), number + 0.1)
+    assert ledger.judge("cause", 3.0) is ledger.judge("popular", 3.0) is Judgement.ON_TRIAL
+    ledger.record_completion("popular", 3.2)
+    lose(ledger, "cause", "t-3", 3.3, 3.4)
+    assert ledger.judge("cause", 3.5) is Judgement.REFUSED
+    assert ledger.judge("popular", 3.5) is Judgement.CLEAR
+
+
+# Guards against two requests that always come together and are tried for ever.
+def test_requests_at_the_same_four_crashes_are_refused() -> None:
+    ledger = CrashLedger()
+    for number in range(4):
+        for digest in ("cause", "other"):
+            lose(ledger, digest, f"t-{number}", float(number), number + 0.1)
+    assert ledger.judge("cause", 4.0) is ledger.judge("other", 4.0) is Judgement.REFUSED
+
+
 # Guards against refusing requests whose targets end together with others, as with a loss of power.
 def test_targets_that_end_together_need_a_third_crash() -> None:
     ledger = CrashLedger()
