--- a/loadtool/_soak_crashes.py
+++ b/loadtool/_soak_crashes.py
@@ -23,11 +23,11 @@
 from standins._worker_types import Arrival
 
 CRASH_TRIGGER: Final = "poison"
-# Mean time between the first sendings of two such requests, and for how long each is repeated.
+# Mean time between the first sendings of two such requests, and for how long each is repeated at
+# least; a slow one comes four times at least.
 MEAN_INTERVAL_S: Final = 3.0
 REPEATED_FOR_S: Final = 8.0
-# Callers that send the same request, and the time that each waits after an answer.
-WAYS: Final = ((1, 0.0), (1, 0.1), (3, 0.0), (2, 0.5), (1, 1.0))
+MIN_REPEATS: Final = 4
 MAX_REPEATS: Final = 60
 # Down time of a crashed target.
 DOWN_S: Final = 2.0
@@ -36,6 +36,28 @@
 MAX_LATE_ARRIVALS: Final = 3
 # Sound requests that take longer are told as late.
 LATE_S: Final = 1.0
+
+
+@attrs.define(slots=True, frozen=True)
+class Repetition:
+    """How a request comes again: `callers` send it, and each waits after an answer."""
+
+    callers: int
+    pause_s: float
+    # Whether they all send it at the same moment each time.
+    is_together: bool = False
+
+
+WAYS: Final = (
+    Repetition(1, 0.0),
+    Repetition(1, 0.1),
+    Repetition(3, 0.0),
+    Repetition(2, 0.5),
+    Repetition(1, 1.0),
+    Repetition(1, 2.0),
+    Repetition(1, 4.0),
+    Repetition(3, 4.0, is_together=True),
+)
 REFUSAL_CODES: Final = frozenset({"crashes_targets", "part_crashes_targets"})
 
 
@@ -45,8 +67,7 @@
 
     kind: str
     path: str
-    callers: int
-    pause_s: float
+    repetition: Repetition
     outcomes: list[RequestOutcome] = attrs.Factory(list)
 
 
@@ -76,37 +97,53 @@
         replacing = asyncio.create_task(self._faults.replace_all_ended(DOWN_S))
         sendings: list[asyncio.Task[None]] = []
         while time.time() < until - REPEATED_FOR_S:
-            sendings.append(asyncio.create_task(self._send_repeatedly(len(sendings))))
+            sendings.append(asyncio.create_task(self._send_repeatedly(len(sendings), until)))
             await asyncio.sleep(self._random.expovariate(1.0 / MEAN_INTERVAL_S))
         await asyncio.gather(*sendings)
         await asyncio.sleep(2 * DOWN_S)
         replacing.cancel()
 
-    async def _send_repeatedly(self, number: int) -> None:
+    async def _send_repeatedly(self, number: int, latest: float) -> None:
         kind = self._random.choice(REQUEST_KINDS)
         path = f"/{kind}/{CRASH_TRIGGER}-{number}" + ("/stream" if kind in ("chat", "plan") else "")
-        callers, pause_s = self._random.choice(WAYS)
-        request = CrashingRequest(kind, path, callers, pause_s)
+        repetition = self._random.choice(WAYS)
+        request = CrashingRequest(kind, path, repetition)
         self._requests.append(request)
-        until = time.time() + REPEATED_FOR_S
+        duration_s = max(REPEATED_FOR_S, MIN_REPEATS * repetition.pause_s)
+        until = min(latest, time.time() + duration_s)
+        barrier = asyncio.Barrier(repetition.callers if repetition.is_together else 1)
         await asyncio.gather(
-            *(self._repeat(request, f"{number}-{n}", until) for n in range(callers))
+            *(
+                self._repeat(request, f"{number}-{n}", until, barrier)
+                for n in range(repetition.callers)
+            )
         )
 
-    async def _repeat(self, request: CrashingRequest, seed: str, until: float) -> None:
+    async def _repeat(
+        self, request: CrashingRequest, seed: str, until: float, barrier: asyncio.Barrier
+    ) -> None:
         caller = SoakCaller(self._fleet, self._record, self._ready, seed)
-        body = CRASH_TRIGGER.encode()
         for _ in range(MAX_REPEATS):
+            try:
+                await barrier.wait()
+            except asyncio.BrokenBarrierError:
+                return
             if time.time() >= until:
                 break
-            attempt = self._fleet.make_attempt_id()
-            outcome = RequestOutcome(attempt, request.kind, "", KEY, request.path, body, 0.0)
-            names = sorted(self._ready) or list(self._fleet.instances)
-            await caller.send(outcome, self._random.choice(names))
-            request.outcomes.append(outcome)
-            # A refusal comes so fast that the repeats would be over before the rule binds.
-            is_refused = outcome.status in (0, 503)
-            await asyncio.sleep(max(request.pause_s, 0.1 if is_refused else 0.0))
+            await self._send_once(request, caller)
+        await barrier.abort()
+
+    async def _send_once(self, request: CrashingRequest, caller: SoakCaller) -> None:
+        attempt = self._fleet.make_attempt_id()
+        outcome = RequestOutcome(
+            attempt, request.kind, "", KEY, request.path, CRASH_TRIGGER.encode(), 0.0
+        )
+        names = sorted(self._ready) or list(self._fleet.instances)
+        await caller.send(outcome, self._random.choice(names))
+        request.outcomes.append(outcome)
+        # A refusal comes so fast that the repeats would be over before the rule binds.
+        is_refused = outcome.status in (0, 503)
+        await asyncio.sleep(max(request.repetition.pause_s, 0.1 if is_refused else 0.0))
 
     def find_violations(self) -> list[str]:
         """Return a line for each violated guarantee."""
