--- a/rhubarbbend/core/_suspects.py
+++ b/rhubarbbend/core/_suspects.py
@@ -94,6 +94,20 @@
         is_on_trial = self._ledger.judge_content(content, now) is Judgement.ON_TRIAL
         return is_on_trial or self.get_crash_count(content.digest, now) > 0
 
+    def find_trial_cause(self, content: Content, now: float) -> str | None:
+        """Return the cause for which a request is tried by one instance at a time, if there is one.
+
+        A request under which a single target was lost is not tried, but sent.
+        """
+        if self._ledger.is_empty:
+            return None
+        cause, judgement = self._ledger.find_cause(content, now)
+        return cause if judgement in (Judgement.ON_TRIAL, Judgement.UNDECIDED) else None
+
+    def get_last_loss(self, cause: str) -> float:
+        """Return when a target was last lost under a cause."""
+        return self._ledger.get_last_loss(cause)
+
     def record_crash(self, content: Content, crash: ObservedCrash, now: float) -> None:
         """Count a crash against a request and notify every known instance.
 
@@ -109,18 +123,20 @@
         self._notify(CrashNotice(crashes=[count]))
 
     def record_completion(self, content: Content, began_at: float, now: float) -> None:
-        """Remove the crashes of what cannot be their cause: its request ran to completion.
+        """Remove the crashes of what cannot be their cause, here and at the other instances.
 
-        Parts are cleared of the crashes before its target began to answer.
+        The request ran to completion. Parts are cleared of the crashes before its target began to
+        answer.
         """
         if self._ledger.is_empty:
             return
-        self._ledger.record_completion(content.digest, now)
         cleared = [
             CrashCleared(cause=part, age=now - began_at)
             for part in self._ledger.list_suspect_parts(content)
             if self._ledger.record_completion(part, began_at)
         ]
+        if self._ledger.record_completion(content.digest, now):
+            cleared.append(CrashCleared(cause=content.digest))
         if cleared:
             self._notify(CrashNotice(cleared=cleared))
 
--- a/rhubarbbend/core/messages.py
+++ b/rhubarbbend/core/messages.py
@@ -281,6 +281,32 @@
     cleared: list[CrashCleared] = []
 
 
+class TrialRequest(Message, tag=True):
+    """Asks the coordinator of a cause of crashes for its trial; answered by TrialReply."""
+
+    FIELD: ClassVar[str] = "trial_request"
+
+    cause: str = ""
+
+
+class TrialReply(Message, tag=True):
+    """Tells whether the receiver has a trial; `wait` is 0, or after how long to ask again."""
+
+    FIELD: ClassVar[str] = "trial_reply"
+
+    cause: str = ""
+    wait: float = 0.0
+
+
+class TrialEnd(Message, tag=True):
+    """Tells the coordinator that the sender's trial has ended; it has no reply."""
+
+    FIELD: ClassVar[str] = "trial_end"
+
+    cause: str = ""
+    was_lost: bool = False
+
+
 class ConfigItem(Message, tag=True):
     """One declaration of the configuration and its version; an empty value is a tombstone."""
 
--- a/rhubarbbend/core/requests/_attempts.py
+++ b/rhubarbbend/core/requests/_attempts.py
@@ -23,6 +23,7 @@
 from rhubarbbend.core.requests._responses import ResponseSender
 from rhubarbbend.core.requests._retries import RetryBudget
 from rhubarbbend.core.requests._slots import SlotLeases, SlotSearch
+from rhubarbbend.core.requests._trials import TrialCoordinator
 
 STAGE_CONNECT: Final = "connect"
 # The target replied that it does not accept the request now.
@@ -56,6 +57,7 @@
         responses: ResponseSender,
         claims: ClaimCoordinator,
         suspects: CrashSuspectTracker,
+        trials: TrialCoordinator,
         budget: RetryBudget,
         listener: AttemptListener,
     ) -> None:
@@ -66,6 +68,7 @@
         self._responses = responses
         self._claims = claims
         self._suspects = suspects
+        self._trials = trials
         self._budget = budget
         self._listener = listener
 
@@ -338,6 +341,7 @@
 
     def _retry_elsewhere(self, request: Request, counter: str, now: float) -> None:
         self._leases.release(request, completed=False)
+        self._trials.end(request)
         request.excluded_targets.add(request.target)
         if request.detached:
             # The caller no longer waits. A command that was never sent is abandoned, so that a
--- a/rhubarbbend/core/requests/_coordinator.py
+++ b/rhubarbbend/core/requests/_coordinator.py
@@ -28,6 +28,7 @@
 from rhubarbbend.core.requests._responses import ResponseSender
 from rhubarbbend.core.requests._retries import RetryBudget
 from rhubarbbend.core.requests._slots import OwnerTimeoutCallback, SlotLeases, SlotSearch
+from rhubarbbend.core.requests._trials import TrialCoordinator
 
 MIN_TIME_LEFT_S: Final = 0.0
 
@@ -47,7 +48,9 @@
         self._table = RequestTable(context)
         self._leases = SlotLeases(context, self._table)
         self._responses = ResponseSender(context, self._table, self._leases)
-        self._search = SlotSearch(context, self._table, self._leases, suspects, self)
+        self._trials = TrialCoordinator(context, self._table, suspects)
+        self._trials.refuse = self._refuse_suspect
+        self._search = SlotSearch(context, self._table, self._leases, suspects, self._trials, self)
         self._budget = RetryBudget(context.options.retry_share, context.options.retry_reserve)
         self._attempts = Attempts(
             context,
@@ -57,6 +60,7 @@
             self._responses,
             claims,
             suspects,
+            self._trials,
             self._budget,
             self,
         )
@@ -93,6 +97,7 @@
             SlotReply: self._search.handle_reply,
             ReservedRun: self._reserved.handle_reserved_run,
             ReservedReply: self._reserved.handle_reserved_reply,
+            **self._trials.get_message_handlers(),
         }
 
     def count_open_requests(self) -> int:
@@ -190,9 +195,11 @@
         more target.
         """
         for request in self._table.list_all():
-            awaiting_slot = request.phase is RequestPhase.SLOT and not request.has_slot
-            if awaiting_slot and self._suspects.has_reached_limit(request.content, now):
-                self.handle_slot_refused(request, codes.SUSPECT, now)
+            if request.awaits_slot and self._suspects.has_reached_limit(request.content, now):
+                self._refuse_suspect(request, now)
+
+    def _refuse_suspect(self, request: Request, now: float) -> None:
+        self.handle_slot_refused(request, codes.SUSPECT, now)
 
     def _check_admission(self, request: Request, now: float) -> ErrorCode | None:
         context = self._context
--- a/rhubarbbend/core/requests/_request.py
+++ b/rhubarbbend/core/requests/_request.py
@@ -76,6 +76,12 @@
     # Whether a target crashed while the request ran. A target runs at most one such request at a
     # time.
     is_suspect: bool = False
+    # The cause of crashes whose trial was asked for, since when, and whether it was granted, and
+    # when.
+    trial: str = ""
+    trial_asked_at: float | None = None
+    has_trial: bool = False
+    trial_began_at: float = 0.0
     # How often a run that had sent no byte was requested again over a new connection.
     silence_check_count: int = 0
     # The caller got its response or left; the command runs on so that its outcome is kept.
@@ -101,6 +107,11 @@
             self._content = Content(arrival.body_digest, tuple(parts), self.account.name)
         return self._content
 
+    @property
+    def awaits_slot(self) -> bool:
+        """Whether the request waits for a slot and has none."""
+        return self.phase is RequestPhase.SLOT and not self.has_slot
+
     @property
     def has_gone_on(self) -> bool:
         """Whether its target had been answering for a while when it was lost."""
--- a/rhubarbbend/core/requests/_request_table.py
+++ b/rhubarbbend/core/requests/_request_table.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from rhubarbbend.core._context import Context
 from rhubarbbend.core.limits import LIMITS
 from rhubarbbend.core.requests._request import Request
@@ -21,6 +23,8 @@
         self._by_attempt: dict[str, Request] = {}
         self._limits = [LIMITS.find(name)() for name in LIMITS.list_names()]
         self._next_attempt = 0
+        # Called with each request that is removed.
+        self.on_removed: Callable[[Request], None] = lambda request: None
 
     def __len__(self) -> int:
         return len(self._by_id) + len(self._detached)
@@ -72,6 +76,7 @@
     def remove(self, request: Request) -> None:
         """Remove a request that has ended."""
         self.clear_attempt(request)
+        self.on_removed(request)
         if request.detached:
             found = self._detached.pop(request.claim_id, None)
         else:
--- a/rhubarbbend/core/requests/_slots.py
+++ b/rhubarbbend/core/requests/_slots.py
@@ -33,6 +33,7 @@
 from rhubarbbend.core.requests._planner import Planner
 from rhubarbbend.core.requests._request import Request, RequestPhase
 from rhubarbbend.core.requests._request_table import RequestTable
+from rhubarbbend.core.requests._trials import TrialCoordinator
 from rhubarbbend.core.routing import Reason
 
 MAX_REDIRECTS: Final = 2
@@ -177,13 +178,17 @@
         table: RequestTable,
         leases: SlotLeases,
         suspects: CrashSuspectTracker,
+        trials: TrialCoordinator,
         listener: SlotListener,
     ) -> None:
         self._context = context
         self._table = table
         self._leases = leases
         self._suspects = suspects
+        self._trials = trials
         self._listener = listener
+        trials.start_search = self.start
+        trials.schedule_search = self.schedule_start
         self.planner = Planner(context)
         # Set by the members component, `rhubarbbend.core.members`.
         self.on_owner_timeout: OwnerTimeoutCallback = lambda instance, now: None
@@ -194,6 +199,8 @@
         request.plan_index = -1
         request.plan_outdated = False
         request.redirect_count = 0
+        if not self._trials.begin(request, now):
+            return
         request.is_suspect = self._suspects.is_suspect(request.content, now)
         request.plan = self.planner.plan(request, now)
         if not request.plan:
--- a/rhubarbbend/schema/peers.thrift
+++ b/rhubarbbend/schema/peers.thrift
@@ -211,6 +211,23 @@
   2: list<CrashCleared> cleared = [],
 }
 
+/** Asks the coordinator of a cause of crashes for its trial. Answered with TrialReply. */
+struct TrialRequest {
+  1: string cause = "",
+}
+
+/** `wait` is 0 if the receiver has the trial, else after how many seconds to ask again. */
+struct TrialReply {
+  1: string cause = "",
+  2: double wait = 0,
+}
+
+/** The sender's trial of a cause has ended, with or without its target. */
+struct TrialEnd {
+  1: string cause = "",
+  2: bool was_lost = false,
+}
+
 /** One declaration of the configuration, as of a version. An empty value means it was removed. */
 struct ConfigItem {
   1: string kind = "",
@@ -290,4 +307,7 @@
   17: optional MembersQuery members_query,
   18: optional MembersReply members_reply,
   19: optional TunnelRequest tunnel_request,
+  20: optional TrialRequest trial_request,
+  21: optional TrialReply trial_reply,
+  22: optional TrialEnd trial_end,
 }
