--- a/rhubarbbend/gateway/_crash_gate.py
+++ b/rhubarbbend/gateway/_crash_gate.py
@@ -90,11 +90,20 @@
         )
         if is_repeated and request.progress.sends == 0:
             await asyncio.sleep(NOTICE_DELAY_S)
-        await self._await_verdict(request)
-        cause, judgement = self._find_cause(request, self._clock())
-        if judgement is Judgement.REFUSED and self._awaits_notices(request, cause, self._clock()):
-            await asyncio.sleep(NOTICE_DELAY_S)
-        if not await self._begin_trial(request) or self._judge(request) is Judgement.REFUSED:
+        settled: list[str] = []
+        while True:
+            settled = await self._await_verdict(request, settled)
+            cause, judgement = self._find_cause(request, self._clock())
+            if judgement is Judgement.REFUSED and self._awaits_notices(
+                request, cause, self._clock()
+            ):
+                await asyncio.sleep(NOTICE_DELAY_S)
+            if not await self._begin_trial(request):
+                return False
+            # Notices may have come meanwhile.
+            if self._list_unsettled(request, settled) is None:
+                break
+        if self._judge(request) is Judgement.REFUSED:
             return False
         self._log_admitted(request, held_at)
         return True
@@ -143,22 +152,27 @@
             async with asyncio.timeout(TRIAL_CHECK_INTERVAL_S):
                 await trial.ended.wait()
 
-    async def _await_verdict(self, request: OpenRequest) -> None:
+    async def _await_verdict(self, request: OpenRequest, settled: list[str]) -> list[str]:
         """Wait until it is known what became of the lost targets, as far as it can be found out.
 
-        Meanwhile the request may lose further ones at other instances.
+        Meanwhile the request may lose further ones at other instances. `settled` are those that
+        were asked about before; return those that are now.
         """
-        settled: list[str] = []
         while True:
-            cause, judgement = self._find_cause(request, self._clock())
-            if judgement is not Judgement.UNDECIDED:
-                return
-            lost = self._state.crashes.list_undecided(cause, self._clock())
-            if lost == settled:
-                return
+            lost = self._list_unsettled(request, settled)
+            if lost is None:
+                return settled
             settled = lost
             await self._detector.settle(request, lost)
 
+    def _list_unsettled(self, request: OpenRequest, settled: list[str]) -> list[str] | None:
+        """Return the lost targets that make a request undecided; None if all were asked about."""
+        cause, judgement = self._find_cause(request, self._clock())
+        if judgement is not Judgement.UNDECIDED:
+            return None
+        lost = self._state.crashes.list_undecided(cause, self._clock())
+        return None if lost == settled else lost
+
     async def _wait_for_start(self) -> None:
         """Wait, shortly after the start, until the other instances have told what they know."""
         learned = self._state.crashes_learned
--- a/tests/gateway/test_crash_gate.py
+++ b/tests/gateway/test_crash_gate.py
@@ -124,3 +124,33 @@
         assert not await admit_soon(gate, make_request())
 
     asyncio.run(work())
+
+
+def end_target(ledger: CrashLedger, target: str, sent_at: float) -> None:
+    """Record that a target has ended under the content `x`."""
+    ledger.record_loss("x", Loss(target, sent_at, sent_at + 0.1))
+    ledger.record_end(target)
+
+
+# Guards against a request that is sent since the notice of a crash came while its trial was asked
+# for, after the targets that were known to be lost had been asked about.
+def test_a_crash_that_is_learned_of_during_a_trial_is_judged() -> None:
+    async def work() -> None:
+        arbiter, asked = FakeArbiter(), list[str]()
+        gate = make_gate(arbiter)
+        ledger = cast(Any, gate)._state.crashes
+
+        async def learn(cause: str) -> float:
+            ledger.record_loss("x", Loss("t-3", 0.6, 0.7))
+            return 0.0
+
+        async def settle(request: Any, lost: list[str]) -> None:
+            asked.extend(lost)
+            ledger.record_end("t-3")
+
+        cast(Any, arbiter).request = learn
+        cast(Any, gate)._detector = SimpleNamespace(settle=settle)
+        assert not await admit_soon(gate, make_request())
+        assert asked == ["t-3"]
+
+    asyncio.run(work())
