--- a/rhubarbbend/gateway/_crash_gate.py
+++ b/rhubarbbend/gateway/_crash_gate.py
@@ -17,7 +17,7 @@
 from rhubarbbend.gateway._state import Clock, State
 
 # A caller may repeat a request here before the notice of its last crash elsewhere arrives. One that
-# is known to have lost a target waits for such a notice before it is sent.
+# is known to have lost a target waits for such a notice before it is sent, also again.
 NOTICE_DELAY_S: Final = 0.05
 
 # For this long after the start, requests wait for what the other instances know. They reply within
@@ -88,7 +88,7 @@
         is_repeated = (
             self._state.crashes.judge(request.digest, self._clock()) is not Judgement.CLEAR
         )
-        if is_repeated and request.progress.sends == 0:
+        if is_repeated:
             await asyncio.sleep(NOTICE_DELAY_S)
         settled: list[str] = []
         while True:
--- a/tests/gateway/test_crash_gate.py
+++ b/tests/gateway/test_crash_gate.py
@@ -13,6 +13,7 @@
 from rhubarbbend.gateway._crash_gate import CrashGate
 
 NOW = 1.0
+LATER = 20.0
 
 
 class FakeArbiter:
@@ -154,3 +155,16 @@
         assert asked == ["t-3"]
 
     asyncio.run(work())
+
+
+# Guards against a retry of our own that overtakes the notice of a crash at another instance.
+def test_a_retry_waits_for_notices_of_other_crashes() -> None:
+    async def work() -> None:
+        gate = make_gate(clock=lambda: LATER)
+        ledger = cast(Any, gate)._state.crashes
+        ledger.record_completion("x", NOW)
+        end_target(ledger, "t-8", LATER - 0.5)
+        asyncio.get_running_loop().call_later(0.01, end_target, ledger, "t-9", LATER - 0.3)
+        assert not await admit_soon(gate, make_request())
+
+    asyncio.run(work())
