--- a/rhubarbbend/gateway/_target_checker.py
+++ b/rhubarbbend/gateway/_target_checker.py
@@ -2,7 +2,7 @@
 
 A target that cannot be reached from here may be reached by others. So another instance is asked,
 and one of the target's own availability zone first: what only instances of one other zone cannot
-reach may be partitioned from them.
+reach may be partitioned from them. One that reaches no other target may have lost its own links.
 """
 
 from __future__ import annotations
@@ -39,6 +39,7 @@
     SAME = "same"  # The target itself answers.
     OTHER = "other"  # Another target answers, or another start of it.
     REFUSED = "refused"  # No connection is accepted, or each is closed without an answer.
+    CUT_OFF = "cut off"  # No connection is accepted, nor is one by other targets.
     FULL = "full"  # Each new connection is closed without an answer, while an older one is open.
     SILENT = "silent"  # Nothing comes back.
 
@@ -114,11 +115,16 @@
     async def serve(self, body: bytes) -> bytes:
         """Contact a target for another instance; raise `MsgspecError` if the query is invalid."""
         query = msgspec.msgpack.decode(body, type=CheckQuery)
-        return msgspec.msgpack.encode(CheckReply(await self._contact(query)))
-
-    async def reaches_another(self, target: Target) -> bool:
-        """Return whether some other target accepts a connection."""
-        others = [t for t in self._state.registry.list_targets() if t.id != target.id]
+        contact = await self._contact(query)
+        if contact is Contact.REFUSED and not await self.reaches_another(
+            get_target_id(query.target)
+        ):
+            contact = Contact.CUT_OFF
+        return msgspec.msgpack.encode(CheckReply(contact))
+
+    async def reaches_another(self, target: str) -> bool:
+        """Return whether some other target accepts a connection than the one with an id."""
+        others = [t for t in self._state.registry.list_targets() if t.id != target]
         for other in self._state.random.sample(others, min(MAX_OTHERS_TRIED, len(others))):
             try:
                 connection = await Connection.open(other.address, CONNECT_TIMEOUT_S)
@@ -135,7 +141,7 @@
         zones = self._select_witnesses(target)
         if not zones:
             # There is no other instance.
-            has_ended = own is Contact.REFUSED and await self.reaches_another(target)
+            has_ended = own is Contact.REFUSED and await self.reaches_another(target.id)
             return Fate.ENDED if has_ended else Fate.UNKNOWN, {}
         data = msgspec.msgpack.encode(query)
         replies = await asyncio.gather(*(self._ask(name, data) for name in zones.values()))
--- a/tests/gateway/test_fate_of_full_targets.py
+++ b/tests/gateway/test_fate_of_full_targets.py
@@ -97,6 +97,8 @@
         (Contact.FULL, {"b": Contact.SAME, "c": Contact.FULL}, Fate.ALIVE),
         (Contact.FULL, {"b": Contact.FULL, "c": Contact.OTHER}, Fate.ENDED),
         (Contact.REFUSED, {"b": Contact.REFUSED, "c": Contact.REFUSED}, Fate.ENDED),
+        (Contact.REFUSED, {"b": Contact.CUT_OFF, "c": Contact.CUT_OFF}, Fate.UNKNOWN),
+        (Contact.REFUSED, {"b": Contact.CUT_OFF, "c": Contact.REFUSED}, Fate.ENDED),
     ],
 )
 def test_fate_of_a_target_that_closes_connections(
