--- a/rhubarbbend/core/placement/_placement.py
+++ b/rhubarbbend/core/placement/_placement.py
@@ -130,7 +130,8 @@
         )
         self.last_rejections = candidates.rejections
         if self._brittle.is_brittle(service.name, now):
-            self._keep_with_room(candidates, service, instances, now)
+            expected = self._record_arrival(service, len(instances), now)
+            self._keep_with_room(candidates, instances, expected, now)
         if not candidates.eligible:
             return None
         candidates.bound = compute_spillover_bound(
@@ -148,12 +149,28 @@
             return self._choose_by_load(candidates, key, random, now)
         return self._choose_by_prompt(candidates, key, prompt, headroom, random, now)
 
+    def has_alternative(
+        self,
+        service: Service,
+        excluded: set[str],
+        instances: Sequence[str],
+        now: float,
+        admits: Callable[[Target], bool] = admit_all,
+    ) -> bool:
+        """Return whether a reachable target can take a request that was at `excluded` before."""
+        candidates = self._finder.find(service, excluded, instances, admits, now, True)
+        if self._brittle.is_brittle(service.name, now):
+            expected = self._estimate_unseen(service, len(instances), now)
+            self._keep_with_room(candidates, instances, expected, now)
+        return bool(candidates.eligible)
+
     def _keep_with_room(
-        self, candidates: Candidates, service: Service, instances: Sequence[str], now: float
+        self, candidates: Candidates, instances: Sequence[str], expected: float, now: float
     ) -> None:
         """Reject the candidates of a brittle service that may have no room for a request.
 
-        This holds for repeats too: a request that is rejected counts, whoever sends it.
+        `expected` requests reach other instances before their counts arrive. This holds for repeats
+        too: a request that is rejected counts, whoever sends it.
         """
         eligible = candidates.eligible
         candidates.eligible = self._brittle.select_with_room(
@@ -161,7 +178,7 @@
             candidates.loads,
             {target.id: self._loads.count_own(target.id) for target in eligible},
             instances,
-            self._record_arrival(service, len(instances), now),
+            expected,
             self._loads.has_counts_of_fraction(MIN_KNOWN_PEERS_FRACTION, now),
             now,
         )
@@ -230,9 +247,13 @@
 
     def _record_arrival(self, service: Service, instances: int, now: float) -> float:
         """Record a request; return how many reach other instances before their counts arrive."""
-        rate = self._rates.setdefault(service.name, RequestRate())
-        rate.record(now)
-        return rate.compute(now) * (instances - 1) * PROPAGATION_TIME_S
+        self._rates.setdefault(service.name, RequestRate()).record(now)
+        return self._estimate_unseen(service, instances, now)
+
+    def _estimate_unseen(self, service: Service, instances: int, now: float) -> float:
+        """Return how many requests reach other instances before their counts arrive."""
+        rate = self._rates.get(service.name)
+        return 0.0 if rate is None else rate.compute(now) * (instances - 1) * PROPAGATION_TIME_S
 
     def _choose_by_prompt(
         self,
--- a/tests/gateway/test_answers.py
+++ b/tests/gateway/test_answers.py
@@ -89,6 +89,26 @@
     run(work)
 
 
+# Guards against a read that fails since it is given up at a slow target when no other can take it.
+def test_a_read_is_not_given_up_at_the_only_target(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with start_fleet(
+            tmp_path, instances=2, plain_worker_count=1, engine_worker_count=1
+        ) as fleet:
+            await fleet.set_worker_faults("plain-0", delay=0.5)
+            assert (await fleet.send_request("/read/x")).status == 200
+            # Another one is there now: given up after 0.18 s, the read is answered by it.
+            await fleet.start_worker("plain-1", "plain", "zone-b")
+            await fleet.set_worker_faults("plain-0", hang=True)
+            await asyncio.sleep(0.5)
+            sent_at = asyncio.get_running_loop().time()
+            replies = await asyncio.gather(*(fleet.send_request(f"/read/{n}") for n in range(4)))
+            assert [reply.status for reply in replies] == [200] * 4
+            assert asyncio.get_running_loop().time() - sent_at < 1.0
+
+    run(work)
+
+
 def test_a_stream_cut_within_an_event_is_resumed_at_another_engine(tmp_path: Path) -> None:
     # The engine's connection closes in the middle of the fourth event, when the caller has received
     # three. The other engine resumes after the third, and the caller must see one gapless stream.
