--- a/rhubarbbend/codes.py
+++ b/rhubarbbend/codes.py
@@ -171,6 +171,28 @@
     "answers_cut_unread", "answers that targets broke off while callers did not read them"
 )
 CALLER_GONE: Final = _declare_counter("caller_gone", "callers that left before their answer")
+CONNECTIONS_IDLE: Final = _declare_counter(
+    "connections.idle", "callers' connections closed because they were idle for too long"
+)
+CONNECTIONS_STOPPING: Final = _declare_counter(
+    "connections.stopping", "callers' connections closed because this process stops"
+)
+CONNECTIONS_CLIENT_CLOSED: Final = _declare_counter(
+    "connections.client_closed", "connections that callers closed, or that broke"
+)
+CONNECTIONS_LAST_RESPONSE: Final = _declare_counter(
+    "connections.last_response", "callers' connections closed after their last response"
+)
+CONNECTIONS_REJECTED: Final = _declare_counter(
+    "connections.rejected", "callers' connections closed after a request that was not accepted"
+)
+CONNECTIONS_TOO_MANY: Final = _declare_counter(
+    "connections.too_many", "connections refused because too many are open"
+)
+CONNECTIONS_UNANSWERED: Final = _declare_counter(
+    "connections.unanswered",
+    "connections closed here with a request received and not answered; a fault of this program",
+)
 WAITED_FOR_START: Final = _declare_counter(
     "waited_for_start", "requests that waited for the first configuration of a start"
 )
--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -29,6 +29,7 @@
 from rhubarbbend.gateway._metrics import CONTENT_TYPE
 from rhubarbbend.gateway._pause_detector import detect_pauses
 from rhubarbbend.gateway._peers import PeerClient, PeerServer
+from rhubarbbend.gateway._process_monitor import ProcessMonitor
 from rhubarbbend.gateway._request_server import RequestServer
 from rhubarbbend.gateway._settings import (
     Address,
@@ -117,6 +118,8 @@
         self._caller_server = HttpServer(
             self._requests.serve, ledger=self.state.memory, answers_refusals=True
         )
+        self._monitor = ProcessMonitor(self.state, read_clock)
+        self._caller_server.on_connection_end = self._monitor.handle_connection_end
         self._servers: list[HttpServer] = [self._caller_server]
         self._peer_http: HttpServer | None = None
         self._background: set[asyncio.Task[None]] = set()
@@ -174,7 +177,7 @@
         self._handle_signals()
         await self._listen()
         self._follower.start()
-        self._spawn(detect_pauses(self._handle_pause))
+        self._spawn(detect_pauses(self._handle_pause, self._monitor.handle_delay))
         self._spawn(self._run_housekeeping())
         for broadcasting in self._broadcaster.list_tasks():
             self._spawn(broadcasting)
@@ -323,6 +326,7 @@
             return
         self._limits_version = catalog.version
         limits = catalog.limits
+        self._monitor.log_limits(catalog.version, limits)
         max_buffered_bytes = int(self.settings.memory * BUFFERED_BODY_FRACTION)
         self._caller_server.set_limits(
             ServerLimits(
--- /dev/null
+++ b/rhubarbbend/http/_client_connection.py
@@ -0,0 +1,63 @@
+"""The server's side of one client connection, and why it ended."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+from collections.abc import Iterable
+from typing import Final, SupportsIndex
+
+import h11
+
+
+class ConnectionEnd(enum.Enum):
+    """Why a server closed a client connection, or found it closed."""
+
+    IDLE = "idle"
+    STOPPING = "stopping"
+    CLIENT_CLOSED = "client_closed"
+    LAST_RESPONSE = "last_response"
+    REJECTED = "rejected"
+    TOO_MANY = "too_many"
+
+
+# Ends that the server chooses while it believes that the client waits for nothing.
+ENDS_AT_REST: Final = frozenset({ConnectionEnd.IDLE, ConnectionEnd.STOPPING})
+
+
+class ClientReader(asyncio.StreamReader):
+    """Reads what a client sends; `unread` is how many received bytes are not read yet."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop=loop)
+        self.unread = 0
+
+    def feed_data(self, data: Iterable[SupportsIndex]) -> None:
+        """Buffer received bytes until they are read."""
+        received = bytes(data)
+        self.unread += len(received)
+        super().feed_data(received)
+
+    async def read(self, n: int = -1) -> bytes:
+        """Return up to `n` received bytes, empty after the client has closed its side."""
+        data = await super().read(n)
+        self.unread -= len(data)
+        return data
+
+
+class ClientConnection:
+    """One client connection of a server, with the state of its HTTP protocol."""
+
+    __slots__ = ("reader", "writer", "conn")
+
+    def __init__(
+        self, reader: ClientReader, writer: asyncio.StreamWriter, conn: h11.Connection
+    ) -> None:
+        self.reader = reader
+        self.writer = writer
+        self.conn = conn
+
+    @property
+    def unanswered_bytes(self) -> int:
+        """Return the number of bytes received after the last request that was served."""
+        return self.reader.unread + len(self.conn.trailing_data[0])
--- a/rhubarbbend/http/_server.py
+++ b/rhubarbbend/http/_server.py
@@ -16,6 +16,7 @@
 
 from rhubarbbend.core.limits import HeldKind, MemoryLedger
 from rhubarbbend.http._answer_buffer import AnswerBuffer, flush, set_limits
+from rhubarbbend.http._client_connection import ClientConnection, ClientReader, ConnectionEnd
 from rhubarbbend.http._exchange import DrainState, Exchange
 from rhubarbbend.http._rejection import (
     READ_SIZE_BYTES,
@@ -39,6 +40,12 @@
 TOO_SLOW: Final = "request took too long to send"
 
 Handler = Callable[["Exchange"], Awaitable[None]]
+# Told why a connection ended, and how many received bytes of it were neither served nor rejected.
+OnConnectionEnd = Callable[[ConnectionEnd, int], None]
+
+
+def _ignore_connection_end(end: ConnectionEnd, unanswered_bytes: int) -> None:
+    pass
 
 
 class ServerLimits(msgspec.Struct, frozen=True):
@@ -76,6 +83,7 @@
         self._answers_refusals = answers_refusals
         self._bodies = BodyReader(self._ledger, kind)
         self._limits = limits or ServerLimits()
+        self.on_connection_end: OnConnectionEnd = _ignore_connection_end
         self._server: asyncio.Server | None = None
         # In the order of their opening: in a set, it would be that of addresses in memory, and so
         # would be the order in which idle connections are closed.
@@ -90,15 +98,23 @@
 
     async def listen(self, host: str, port: int) -> int:
         """Start to accept connections on `host` and `port`; return the port in use."""
-        self._server = await asyncio.start_server(self._accept, host, port, backlog=LISTEN_BACKLOG)
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._make_protocol, host, port, backlog=LISTEN_BACKLOG
+        )
         return int(self._server.sockets[0].getsockname()[1])
 
     async def listen_on(self, listener: socket) -> None:
         """Start to accept connections on a socket that is already listening."""
-        self._server = await asyncio.start_server(
-            self._accept, sock=listener, backlog=LISTEN_BACKLOG
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._make_protocol, sock=listener, backlog=LISTEN_BACKLOG
         )
 
+    def _make_protocol(self) -> asyncio.StreamReaderProtocol:
+        loop = asyncio.get_running_loop()
+        return asyncio.StreamReaderProtocol(ClientReader(loop), self._accept, loop=loop)
+
     def start_draining(self) -> None:
         """Send `Connection: close` in each response head from now on."""
         self._drain_state.draining = True
@@ -137,22 +153,28 @@
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.current_task()
-        assert task is not None
+        assert task is not None and isinstance(reader, ClientReader)
         if len(self._tasks) >= self._limits.max_connections:
             writer.transport.abort()
+            self.on_connection_end(ConnectionEnd.TOO_MANY, 0)
             return
         self._tasks[task] = None
         set_limits(writer.transport)
         limit_kernel_buffer(writer.get_extra_info("socket"))
+        conn = h11.Connection(h11.SERVER, max_incomplete_event_size=self._limits.max_header_bytes)
+        client = ClientConnection(reader, writer, conn)
+        end = ConnectionEnd.CLIENT_CLOSED
         try:
-            await self._serve_connection(task, reader, writer)
+            end = await self._serve_connection(task, client)
         except (ConnectionError, TimeoutError):
             pass
         except asyncio.CancelledError:
+            end = ConnectionEnd.STOPPING
             # The time for sending the rest is over, and another wait would delay the end.
             if writer.transport.get_write_buffer_size():
                 writer.transport.abort()
         finally:
+            self.on_connection_end(end, client.unanswered_bytes)
             writer.close()
             try:
                 await _flush(writer)
@@ -161,35 +183,36 @@
                 self._busy.discard(task)
 
     async def _serve_connection(
-        self, task: asyncio.Task[None], reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        conn = h11.Connection(h11.SERVER, max_incomplete_event_size=self._limits.max_header_bytes)
+        self, task: asyncio.Task[None], client: ClientConnection
+    ) -> ConnectionEnd:
+        conn, reader, writer = client.conn, client.reader, client.writer
         while not self._stopping:
             body = RequestBody()
             exchange: Exchange | None = None
             try:
                 head = await self._read_head(task, conn, reader)
-                if head is None:
-                    return
+                if isinstance(head, ConnectionEnd):
+                    return head
                 try:
                     body = await self._read_body(head, conn, reader, writer)
                 except MemoryShort as short:
                     if not self._answers_refusals:
                         raise
                     await self._pass_refusal(short, head, conn, reader, writer)
-                    return
+                    return ConnectionEnd.REJECTED
                 exchange = self._make_exchange(head, body.data, conn, writer)
                 await self._run_handler(exchange, conn, reader)
                 if not await self._prepare_next(conn, writer, exchange.buffer):
-                    return
+                    return ConnectionEnd.LAST_RESPONSE
             except RequestRejected as rejected:
                 await reject_request(conn, reader, writer, rejected)
-                return
+                return ConnectionEnd.REJECTED
             finally:
                 self._bodies.release(body)
                 if exchange is not None:
                     exchange.release()
             self._busy.discard(task)
+        return ConnectionEnd.STOPPING
 
     def _make_exchange(
         self, head: h11.Request, body: bytes, conn: h11.Connection, writer: asyncio.StreamWriter
@@ -216,8 +239,8 @@
 
     async def _read_head(
         self, task: asyncio.Task[None], conn: h11.Connection, reader: asyncio.StreamReader
-    ) -> h11.Request | None:
-        """Return the head of the next request, or None if the client sends none.
+    ) -> h11.Request | ConnectionEnd:
+        """Return the head of the next request, or why there is none.
 
         The time-out applies to the whole head: otherwise a client that sends a byte now and then
         could hold its connection for any length of time.
@@ -232,7 +255,7 @@
                 _check_framing(event)
                 return event
             if event is not h11.NEED_DATA:
-                return None
+                return ConnectionEnd.CLIENT_CLOSED
             if conn.trailing_data[0] and not begun:
                 begun = True
                 deadline = loop.time() + self._limits.head_timeout
@@ -242,7 +265,7 @@
             except TimeoutError:
                 if begun:
                     raise RequestRejected(408, TOO_SLOW) from None
-                return None
+                return ConnectionEnd.IDLE
             # A request is in flight from its first byte on.
             self._busy.add(task)
             conn.receive_data(data)
