--- a/rhubarbbend/http/__init__.py
+++ b/rhubarbbend/http/__init__.py
@@ -10,6 +10,7 @@
 from rhubarbbend.http._connection import Connection, Response
 from rhubarbbend.http._exchange import Exchange
 from rhubarbbend.http._failures import REASON_TIMEOUT, BodyEnd, HttpFailure, SendStage
+from rhubarbbend.http._input_timeout import InputTimeout
 from rhubarbbend.http._notices import read_brittle, read_leaving, read_pause
 from rhubarbbend.http._pool import ConnectionOpener, ConnectionPool, fetch
 from rhubarbbend.http._protocol import ClientProtocol, reset_connection, set_keepalive
@@ -30,6 +31,7 @@
     "HttpFailure",
     "REASON_TIMEOUT",
     "HttpServer",
+    "InputTimeout",
     "Response",
     "SendStage",
     "ServerLimits",
--- a/rhubarbbend/http/_request_body.py
+++ b/rhubarbbend/http/_request_body.py
@@ -13,6 +13,7 @@
 
 from rhubarbbend.core.limits import HeldKind, Holding, MemoryLedger
 from rhubarbbend.http._answer_buffer import shed_excess
+from rhubarbbend.http._input_timeout import InputTimeout
 from rhubarbbend.http._rejection import READ_SIZE_BYTES, RequestRejected, read_event
 
 # Bodies up to this size are read however short memory is: the messages between instances are so
@@ -69,7 +70,8 @@
         """
         body = RequestBody()
         try:
-            async with asyncio.timeout(limits.timeout) as scope:
+            deadline = asyncio.get_running_loop().time() + limits.timeout
+            async with InputTimeout(deadline) as scope:
                 await self._read_parts(head, body, conn, reader, limits, scope)
         except TimeoutError as error:
             self.release(body)
@@ -95,7 +97,7 @@
         conn: h11.Connection,
         reader: asyncio.StreamReader,
         limits: BodyLimits,
-        scope: asyncio.Timeout,
+        scope: InputTimeout,
     ) -> None:
         loop = asyncio.get_running_loop()
         length = _read_length(head)
--- a/rhubarbbend/http/_server.py
+++ b/rhubarbbend/http/_server.py
@@ -18,6 +18,7 @@
 from rhubarbbend.http._answer_buffer import AnswerBuffer, flush, set_limits
 from rhubarbbend.http._client_connection import ClientConnection, ClientReader, ConnectionEnd
 from rhubarbbend.http._exchange import DrainState, Exchange
+from rhubarbbend.http._input_timeout import InputTimeout
 from rhubarbbend.http._rejection import (
     READ_SIZE_BYTES,
     RequestRejected,
@@ -88,7 +89,8 @@
         # In the order of their opening: in a set, it would be that of addresses in memory, and so
         # would be the order in which idle connections are closed.
         self._tasks: dict[asyncio.Task[None], None] = {}
-        self._busy: set[asyncio.Task[None]] = set()
+        # The time-outs of connections that wait for the first byte of a request.
+        self._idle_timeouts: dict[asyncio.Task[None], InputTimeout] = {}
         self._stopping = False
         self._drain_state = DrainState()
 
@@ -134,8 +136,10 @@
             asyncio.get_running_loop().call_later(IDLE_CLOSE_DELAY_S, self._close_idle)
 
     def _close_idle(self) -> None:
-        for task in [task for task in self._tasks if task not in self._busy]:
-            task.cancel()
+        """Have idle connections end, unless a request has already arrived on them."""
+        now = asyncio.get_running_loop().time()
+        for timeout in self._idle_timeouts.values():
+            timeout.reschedule(now)
 
     async def finish(self) -> None:
         """Stop accepting and wait until every response is sent."""
@@ -180,13 +184,12 @@
                 await _flush(writer)
             finally:
                 self._tasks.pop(task, None)
-                self._busy.discard(task)
 
     async def _serve_connection(
         self, task: asyncio.Task[None], client: ClientConnection
     ) -> ConnectionEnd:
         conn, reader, writer = client.conn, client.reader, client.writer
-        while not self._stopping:
+        while True:
             body = RequestBody()
             exchange: Exchange | None = None
             try:
@@ -211,8 +214,6 @@
                 self._bodies.release(body)
                 if exchange is not None:
                     exchange.release()
-            self._busy.discard(task)
-        return ConnectionEnd.STOPPING
 
     def _make_exchange(
         self, head: h11.Request, body: bytes, conn: h11.Connection, writer: asyncio.StreamWriter
@@ -246,30 +247,41 @@
         could hold its connection for any length of time.
         """
         loop = asyncio.get_running_loop()
-        deadline = loop.time() + self._limits.idle_timeout
-        begun = False
+        head_deadline: float | None = None
         while True:
             event = read_event(conn)
             if isinstance(event, h11.Request):
-                self._busy.add(task)
                 _check_framing(event)
                 return event
             if event is not h11.NEED_DATA:
                 return ConnectionEnd.CLIENT_CLOSED
-            if conn.trailing_data[0] and not begun:
-                begun = True
-                deadline = loop.time() + self._limits.head_timeout
-            try:
-                async with asyncio.timeout_at(deadline):
-                    data = await reader.read(READ_SIZE_BYTES)
-            except TimeoutError:
-                if begun:
+            if head_deadline is None and not conn.trailing_data[0]:
+                data = await self._wait_for_request(task, reader)
+                if isinstance(data, ConnectionEnd):
+                    return data
+            else:
+                head_deadline = head_deadline or loop.time() + self._limits.head_timeout
+                try:
+                    async with InputTimeout(head_deadline):
+                        data = await reader.read(READ_SIZE_BYTES)
+                except TimeoutError:
                     raise RequestRejected(408, TOO_SLOW) from None
-                return ConnectionEnd.IDLE
-            # A request is in flight from its first byte on.
-            self._busy.add(task)
             conn.receive_data(data)
 
+    async def _wait_for_request(
+        self, task: asyncio.Task[None], reader: asyncio.StreamReader
+    ) -> bytes | ConnectionEnd:
+        """Return the first bytes of a request, or why the idle connection ends without one."""
+        idle_timeout = IDLE_CLOSE_DELAY_S if self._stopping else self._limits.idle_timeout
+        try:
+            async with InputTimeout(asyncio.get_running_loop().time() + idle_timeout) as timeout:
+                self._idle_timeouts[task] = timeout
+                return await reader.read(READ_SIZE_BYTES)
+        except TimeoutError:
+            return ConnectionEnd.STOPPING if self._stopping else ConnectionEnd.IDLE
+        finally:
+            self._idle_timeouts.pop(task, None)
+
     async def _read_body(
         self,
         head: h11.Request,
