--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from rhubarbbend import VERSION, codes
+from rhubarbbend.core.catalog import Catalog
 from rhubarbbend.core.limits import HeldKind
 from rhubarbbend.core.readers import InstanceRow, ReaderSelector
 from rhubarbbend.gateway._admission import AdmissionGate
@@ -31,6 +32,7 @@
 from rhubarbbend.gateway._peers import PeerClient, PeerServer
 from rhubarbbend.gateway._process_monitor import ProcessMonitor
 from rhubarbbend.gateway._request_server import RequestServer
+from rhubarbbend.gateway._server_limits import make_caller_limits, make_peer_limits
 from rhubarbbend.gateway._settings import (
     Address,
     GatewaySettings,
@@ -43,19 +45,11 @@
 from rhubarbbend.gateway._target_checker import TargetChecker
 from rhubarbbend.gateway._target_prober import TargetProber
 from rhubarbbend.gateway._update_broadcaster import UpdateBroadcaster
-from rhubarbbend.http import ConnectionPool, Exchange, HttpServer, ServerLimits
+from rhubarbbend.http import ConnectionPool, Exchange, HttpServer
 from rhubarbbend.stop_signals import STOP_SIGNALS, ignore_late_stop
 
 # Maximum time for which an idle connection to a target or another instance is kept.
 TARGET_IDLE_TIMEOUT_S: Final = 10.0
-# File descriptors that callers cannot use: connections to targets, the store and other instances,
-# and files.
-RESERVED_DESCRIPTORS: Final = 700
-# Fraction of the process's memory limit that buffered request bodies may use together. The rest is
-# for the program (17 MB), responses in transit and the kernel's buffers for connections.
-BUFFERED_BODY_FRACTION: Final = 0.25
-# What the headers of a detour take beyond the caller's own.
-DETOUR_HEADER_BYTES: Final = 4_096
 HOUSEKEEPING_INTERVAL_S: Final = 1.0
 # The settings file may change without a signal. Reading it takes 0.1 ms.
 SETTINGS_RELOAD_INTERVAL_S: Final = 5.0
@@ -124,7 +118,7 @@
         self._peer_http: HttpServer | None = None
         self._background: set[asyncio.Task[None]] = set()
         self._stop_requested = asyncio.Event()
-        self._limits_version = -1
+        self.state.on_catalog_applied = self._apply_limits
         self._settings_read_at = 0.0
         self._broadcaster = UpdateBroadcaster(self.state, self._peers)
 
@@ -291,7 +285,6 @@
             self.state.connection_limits.expire(now)
             self._pool.close_expired(now)
             self._peer_pool.close_expired(now)
-            self._apply_limits()
             if now - self._settings_read_at >= SETTINGS_RELOAD_INTERVAL_S:
                 self._reload_settings()
 
@@ -320,34 +313,12 @@
         self.state.apply_settings(self.settings)
         self._log("reloaded", changed=changed, needs_start=restart_only or None)
 
-    def _apply_limits(self) -> None:
-        catalog = self.state.catalog
-        if catalog is None or catalog.version == self._limits_version:
-            return
-        self._limits_version = catalog.version
+    def _apply_limits(self, catalog: Catalog) -> None:
         limits = catalog.limits
         self._monitor.log_limits(catalog.version, limits)
-        max_buffered_bytes = int(self.settings.memory * BUFFERED_BODY_FRACTION)
-        self._caller_server.set_limits(
-            ServerLimits(
-                max_header_bytes=limits.max_header_bytes,
-                max_body_bytes=limits.max_body_bytes,
-                max_buffered_body_bytes=max_buffered_bytes,
-                head_timeout=limits.header_timeout,
-                idle_timeout=limits.idle_timeout,
-                max_connections=max(64, self.settings.max_descriptors - RESERVED_DESCRIPTORS),
-            )
-        )
+        self._caller_server.set_limits(make_caller_limits(limits, self.settings))
         if self._peer_http is not None:
-            # Requests of callers that come through another instance have its headers too.
-            default = ServerLimits()
-            self._peer_http.set_limits(
-                ServerLimits(
-                    max_header_bytes=limits.max_header_bytes + DETOUR_HEADER_BYTES,
-                    max_body_bytes=max(default.max_body_bytes, limits.max_body_bytes),
-                    max_buffered_body_bytes=max_buffered_bytes,
-                )
-            )
+            self._peer_http.set_limits(make_peer_limits(limits, self.settings))
 
     # Shutdown.
 
--- a/rhubarbbend/gateway/_state.py
+++ b/rhubarbbend/gateway/_state.py
@@ -80,6 +80,8 @@
         self.crashes = CrashLedger(_make_refusal_rules(settings))
         # Called with the present time when others have told of losses; set by the instance.
         self.on_losses_learned: Callable[[float], None] = lambda now: None
+        # Called when another version of the configuration is in force; set by the instance.
+        self.on_catalog_applied: Callable[[Catalog], None] = lambda catalog: None
         # Set once other instances were asked, after the start, which requests crash targets.
         self.crashes_learned = asyncio.Event()
         self.placement = self._make_placement()
--- a/rhubarbbend/gateway/_state_updater.py
+++ b/rhubarbbend/gateway/_state_updater.py
@@ -148,6 +148,7 @@
             self._state.metrics.increment_counter(codes.CONFIG_STALE)
             return
         self._state.catalog = change.catalog
+        self._state.on_catalog_applied(change.catalog)
         self._state.metrics.increment_counter(codes.CONFIG_APPLIED)
         self._log(
             "config_applied",
--- a/rhubarbbend/http/_server.py
+++ b/rhubarbbend/http/_server.py
@@ -271,16 +271,25 @@
     async def _wait_for_request(
         self, task: asyncio.Task[None], reader: asyncio.StreamReader
     ) -> bytes | ConnectionEnd:
-        """Return the first bytes of a request, or why the idle connection ends without one."""
-        idle_timeout = IDLE_CLOSE_DELAY_S if self._stopping else self._limits.idle_timeout
-        try:
-            async with InputTimeout(asyncio.get_running_loop().time() + idle_timeout) as timeout:
-                self._idle_timeouts[task] = timeout
-                return await reader.read(READ_SIZE_BYTES)
-        except TimeoutError:
-            return ConnectionEnd.STOPPING if self._stopping else ConnectionEnd.IDLE
-        finally:
-            self._idle_timeouts.pop(task, None)
+        """Return the first bytes of a request, or why the idle connection ends without one.
+
+        An idle time-out that was lengthened meanwhile applies: the client goes by the new one.
+        """
+        loop = asyncio.get_running_loop()
+        idle_since = loop.time()
+        while True:
+            idle_timeout = IDLE_CLOSE_DELAY_S if self._stopping else self._limits.idle_timeout
+            try:
+                async with InputTimeout(idle_since + idle_timeout) as timeout:
+                    self._idle_timeouts[task] = timeout
+                    return await reader.read(READ_SIZE_BYTES)
+            except TimeoutError:
+                if self._stopping:
+                    return ConnectionEnd.STOPPING
+                if loop.time() >= idle_since + self._limits.idle_timeout:
+                    return ConnectionEnd.IDLE
+            finally:
+                self._idle_timeouts.pop(task, None)
 
     async def _read_body(
         self,
