--- a/rhubarbbend/http/_connection.py
+++ b/rhubarbbend/http/_connection.py
@@ -24,6 +24,7 @@
     HttpFailure,
     SendStage,
 )
+from rhubarbbend.http._input_timeout import InputTimeout
 from rhubarbbend.http._protocol import ClientProtocol
 
 MAX_HEAD_BYTES: Final = 65_536
@@ -185,8 +186,9 @@
 
     async def receive_head(self, timeout: float) -> Response:
         """Return the response head; raise `HttpFailure` if it takes over `timeout` seconds."""
+        deadline = asyncio.get_running_loop().time() + timeout
         try:
-            async with asyncio.timeout(timeout):
+            async with InputTimeout(deadline):
                 while True:
                     event = self._conn.next_event()
                     if event is h11.NEED_DATA:
@@ -210,11 +212,12 @@
         connection whose state a middlebox has lost stays open and never delivers anything.
         Raise `HttpFailure` at stage RESPONSE if the body is incomplete.
         """
+        loop = asyncio.get_running_loop()
         try:
             while True:
                 event = self._conn.next_event()
                 if event is h11.NEED_DATA:
-                    async with asyncio.timeout(progress_timeout):
+                    async with InputTimeout(loop.time() + progress_timeout):
                         data = await self._protocol.read()
                     self._conn.receive_data(data)
                 elif isinstance(event, h11.Data):
--- a/rhubarbbend/http/_pool.py
+++ b/rhubarbbend/http/_pool.py
@@ -16,6 +16,7 @@
     Response,
 )
 from rhubarbbend.http._failures import REASON_TIMEOUT, HttpFailure, SendStage
+from rhubarbbend.http._input_timeout import InputTimeout
 
 # How long the idle limit learned from a dead connection applies to its address: long enough that
 # requests seldom meet a dead connection, short enough that connections are reused again soon after
@@ -200,7 +201,8 @@
     connection = await pool.acquire(address, now, new_connection)
     traffic_before = connection.traffic
     try:
-        async with asyncio.timeout(timeout) as total_timeout:
+        deadline = asyncio.get_running_loop().time() + timeout
+        async with InputTimeout(deadline) as total_timeout:
             await connection.send(method, target, headers or [], body)
             response = await connection.receive_head(timeout)
             if progress_timeout is not None:
