--- a/rhubarbbend/gateway/_request_server.py
+++ b/rhubarbbend/gateway/_request_server.py
@@ -30,7 +30,7 @@
 from rhubarbbend.gateway._stream_origins import StreamOrigins
 from rhubarbbend.gateway._target_prober import TargetProber
 from rhubarbbend.gateway._version_selector import VersionSelector
-from rhubarbbend.http import ClientEnd, Exchange, shed_excess
+from rhubarbbend.http import ClientEnd, Exchange, InputTimeout, shed_excess
 
 # A request is refused once more than this many targets have failed to accept a connection for it.
 MAX_CONNECT_FAILURES: Final = 4
@@ -242,7 +242,7 @@
             return
         try:
             self._state.memory.record_awaited(1)
-            async with asyncio.timeout_at(request.deadline):
+            async with InputTimeout(request.deadline):
                 await self._try_targets(request)
         except TimeoutError:
             self._expire(request)
