--- a/rhubarbbend/core/__init__.py
+++ b/rhubarbbend/core/__init__.py
@@ -2,7 +2,7 @@
 
 The caller (the shell in production, a test otherwise) passes events to `Core.handle(event, now)`
 and carries out the actions that it returns. `Core.next_timer()` returns the time at which the
-caller must send `events.TimerDue` if no other event comes first.
+caller must send `events.TimerDue`, after the events that have arrived by then.
 
 The names exported here are imported on first use. Some instances use only packages such as
 `placement` and never create a `Core`; importing the components of `Core` eagerly would cost each
--- a/rhubarbbend/core/_core.py
+++ b/rhubarbbend/core/_core.py
@@ -55,10 +55,24 @@
         self._register(self.stop)
 
     def handle(self, event: events.Event, now: float) -> list[actions.Action]:
-        """Handle an event at a local time and return the actions to carry out, in order."""
+        """Handle an event at a local time and return the actions to carry out, in order.
+
+        Timers run at `TimerDue` alone. After a stall of the process, they would otherwise run
+        before the messages that waited, and take the stall for a silence of their senders.
+        """
         context = self.context
         context.out = []
-        self._run_timers(now)
+        if isinstance(event, events.TimerDue):
+            self._run_timers(now)
+        else:
+            self._handle_event(event, now)
+        return context.out
+
+    def next_timer(self) -> float | None:
+        """Return when `TimerDue` must be handled; None for never."""
+        return self.context.next_timer()
+
+    def _handle_event(self, event: events.Event, now: float) -> None:
         if isinstance(event, events.PeerSaid):
             self.members.record_message_from(event.sender)
             self._handle_message(event.sender, event.message, now)
@@ -66,11 +80,6 @@
             for handler in self._events.get(type(event), ()):
                 handler(event, now)
         self._handle_local_messages(now)
-        return context.out
-
-    def next_timer(self) -> float | None:
-        """Return when `TimerDue` must be handled if no other event comes first; None for never."""
-        return self.context.next_timer()
 
     def _run_timers(self, now: float) -> None:
         callback = self.context.pop_due(now)
--- a/rhubarbbend/core/requests/_coordinator.py
+++ b/rhubarbbend/core/requests/_coordinator.py
@@ -216,8 +216,13 @@
     # The SlotListener interface: results of the search for a slot.
 
     def handle_slot_granted(self, request: Request, now: float) -> None:
-        """Dispatch a request that got a slot, or claim its key first."""
-        if request.idempotent or request.claimed:
+        """Dispatch a request that got a slot, or claim its key first.
+
+        After a stall of the process, its deadline may have passed; the timer that ends it follows.
+        """
+        if request.time_left(now) <= 0.0:
+            self._leases.release(request, completed=False)
+        elif request.idempotent or request.claimed:
             self._attempts.dispatch(request, now)
         else:
             request.phase = RequestPhase.CLAIM
@@ -239,7 +244,10 @@
     # The ClaimListener interface: results of claims.
 
     def handle_claim_won(self, request_id: str, generation: int, now: float) -> None:
-        """Dispatch a request whose claim is confirmed in the claim table."""
+        """Dispatch a request whose claim is confirmed in the claim table.
+
+        One whose deadline has passed is ended by its timer.
+        """
         found = self._table.find(request_id)
         if found is None:
             return
@@ -248,7 +256,7 @@
         if self._suspects.has_reached_limit(found.content, now):
             # The notice of its last crash arrived while the claim was being written.
             self.handle_slot_refused(found, codes.SUSPECT, now)
-        else:
+        elif found.time_left(now) > 0.0:
             self._attempts.dispatch(found, now)
 
     def handle_claim_retry_needed(
