--- a/rhubarbbend/peers/_links.py
+++ b/rhubarbbend/peers/_links.py
@@ -15,6 +15,7 @@
 from typing import Final
 
 from rhubarbbend.core.messages import Message, TunnelRequest
+from rhubarbbend.http import InputTimeout
 from rhubarbbend.peers._codec import (
     MAX_FRAME_BYTES,
     FrameAuthenticator,
@@ -102,7 +103,7 @@
             writer.close()
 
     async def _receive(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+        async with InputTimeout(asyncio.get_running_loop().time() + CONNECT_TIMEOUT_S):
             hello = await reader.readexactly(HELLO_BYTES)
         self.traffic += HELLO_BYTES
         if not hmac.compare_digest(hello, self._hello):
@@ -164,7 +165,7 @@
         try:
             if self._is_backing_off(loop.time()):
                 return
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            async with InputTimeout(loop.time() + CONNECT_TIMEOUT_S):
                 reader, writer = await asyncio.open_connection(*self.address)
             initial_data = self._links.hello + b"".join(self._queue)
             self._links.traffic += len(initial_data)
@@ -199,7 +200,7 @@
         while loop.time() - self._sent_at < self._links.idle_timeout:
             writer.write(PING)
             self._links.traffic += len(PING) + len(PONG)
-            async with asyncio.timeout(PONG_TIMEOUT_S):
+            async with InputTimeout(loop.time() + PONG_TIMEOUT_S):
                 if not await reader.read(64):
                     raise ConnectionError("connection closed by the peer")
             await asyncio.sleep(PING_INTERVAL_S)
--- a/rhubarbbend/peers/_tunnels.py
+++ b/rhubarbbend/peers/_tunnels.py
@@ -15,6 +15,7 @@
     ClientProtocol,
     Connection,
     HttpFailure,
+    InputTimeout,
     SendStage,
     reset_connection,
     set_keepalive,
@@ -56,7 +57,7 @@
         protocol: ClientProtocol | None = None
         reply = b""
         try:
-            async with asyncio.timeout(timeout):
+            async with InputTimeout(loop.time() + timeout):
                 _, protocol = await loop.create_connection(ClientProtocol, *helper)
                 request = TunnelRequest(target=target)
                 frame = self._authenticator.sign(encode_frame(self._own_id, request))
@@ -82,7 +83,7 @@
 ) -> bool:
     """Connect to a target and pass on bytes until one end closes; return whether it was reached."""
     try:
-        async with asyncio.timeout(TARGET_CONNECT_TIMEOUT_S):
+        async with InputTimeout(asyncio.get_running_loop().time() + TARGET_CONNECT_TIMEOUT_S):
             target_reader, target_writer = await asyncio.open_connection(*target)
     except (OSError, TimeoutError):
         await decline_tunnel(writer)
--- a/tests/peers/test_links.py
+++ b/tests/peers/test_links.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import threading
 import time
 from collections.abc import Awaitable, Callable
 
+import pytest
+
 from loadtool._processes import pick_port
 from rhubarbbend.core.messages import Heartbeat, Message, SlotRequest
-from rhubarbbend.peers import PeerLinks, PeerListener
+from rhubarbbend.peers import PeerLinks, PeerListener, _links
 
 HOST = "127.0.0.1"
 SECRET = b"a secret of the test"
@@ -166,3 +170,58 @@
         await receiver.listener.close()
 
     run(scenario)
+
+
+# Guards against taking a peer for lost whose pong was received before its time-out was handled:
+# the messages that wait on the connection are lost.
+def test_a_pong_received_before_its_time_out_is_handled_keeps_the_link(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(_links, "PONG_TIMEOUT_S", 0.3)
+    lost: list[str] = []
+
+    def run_peer(listener: socket.socket) -> None:
+        connection, _ = listener.accept()
+        with connection:
+            connection.recv(4096)
+            time.sleep(0.25)
+            connection.sendall(_links.PONG)
+            time.sleep(0.7)
+
+    async def scenario() -> None:
+        with socket.create_server((HOST, 0)) as listener:
+            peer = threading.Thread(target=run_peer, args=(listener,))
+            peer.start()
+            links = PeerLinks("entry-a1", SECRET, lost.append)
+            links.send("entry-a2", listener.getsockname()[:2], SlotRequest(attempt="1"))
+            await asyncio.sleep(0.2)
+            time.sleep(0.4)
+            await asyncio.sleep(0.1)
+            await links.close()
+            await asyncio.to_thread(peer.join)
+
+    run(scenario)
+    assert not lost
+
+
+# Guards against the same for a connection that was made before its time-out was handled.
+def test_a_connection_made_before_its_time_out_is_handled_is_used(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(_links, "CONNECT_TIMEOUT_S", 0.2)
+    lost: list[str] = []
+
+    async def scenario() -> None:
+        receiver = Receiver()
+        port = await receiver.listener.listen(HOST, 0)
+        links = PeerLinks("entry-a1", SECRET, lost.append)
+        links.send("entry-a2", (HOST, port), SlotRequest(attempt="1"))
+        await asyncio.sleep(0)
+        time.sleep(0.4)
+        await wait_for(lambda: bool(receiver.attempts or lost))
+        assert receiver.attempts == ["1"]
+        await links.close()
+        await receiver.listener.close()
+
+    run(scenario)
+    assert not lost
