--- a/rhubarbbend/operators/_server.py
+++ b/rhubarbbend/operators/_server.py
@@ -16,6 +16,7 @@
 from rhubarbbend.core._fleet import InstanceView
 from rhubarbbend.core.accepted._proposals import ERROR_BEHIND, ERROR_CONFLICT, ERROR_UNKNOWN
 from rhubarbbend.core.events import ChangeProposed, Event, VersionsAsked
+from rhubarbbend.http import InputTimeout
 from rhubarbbend.operators._checks import find_unknown_target_kinds
 from rhubarbbend.operators._schema import SCHEMA
 
@@ -26,6 +27,8 @@
 IDLE_TIMEOUT_S: Final = 60.0
 # How long a planned stop waits until active calls are answered.
 CLOSE_TIMEOUT_S: Final = 10.0
+# How long a planned stop waits for connections that the event loop has accepted.
+ACCEPT_DELAY_S: Final = 0.05
 # How long `show instances` waits for all instances to report their version.
 VERSION_TIMEOUT_S: Final = 1.0
 VERSION_POLL_INTERVAL_S: Final = 0.02
@@ -258,24 +261,30 @@
         self._server: asyncio.Server | None = None
         # In the order of their opening, not that of their addresses in memory.
         self._tasks: dict[asyncio.Task[None], None] = {}
-        self._active_tasks: set[asyncio.Task[None]] = set()
+        # The time-outs of connections on which no call is active.
+        self._idle_timeouts: dict[asyncio.Task[None], InputTimeout] = {}
+        self._is_closing = False
 
     async def listen(self, host: str, port: int) -> None:
         """Start to accept calls."""
         self._server = await asyncio.start_server(self._accept, host, port)
 
     async def close(self) -> None:
-        """Stop accepting calls, and wait until the active ones are answered.
+        """Stop accepting calls, and wait until those that have been received are answered.
 
         An operator whose connection closes during a change does not know whether the change was
         accepted.
         """
         if self._server is not None:
             self._server.close()
-        for task in [task for task in self._tasks if task not in self._active_tasks]:
-            task.cancel()
-        if self._active_tasks:
-            await asyncio.wait(list(self._active_tasks), timeout=CLOSE_TIMEOUT_S)
+        self._is_closing = True
+        # Connections that were accepted are served from the next iterations of the event loop on.
+        await asyncio.sleep(ACCEPT_DELAY_S)
+        now = asyncio.get_running_loop().time()
+        for timeout in self._idle_timeouts.values():
+            timeout.reschedule(now)
+        if self._tasks:
+            await asyncio.wait(list(self._tasks), timeout=CLOSE_TIMEOUT_S)
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -296,23 +305,25 @@
             pass
         finally:
             self._tasks.pop(task, None)
-            self._active_tasks.discard(task)
+            self._idle_timeouts.pop(task, None)
             writer.close()
 
     async def _serve_connection(
         self, task: asyncio.Task[None], reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        while self._server is not None and self._server.is_serving():
-            async with asyncio.timeout(IDLE_TIMEOUT_S):
+        is_open = True
+        while is_open:
+            async with InputTimeout(asyncio.get_running_loop().time() + IDLE_TIMEOUT_S) as timeout:
+                self._idle_timeouts[task] = timeout
                 length = int.from_bytes(await reader.readexactly(FRAME_HEADER_BYTES), "big")
                 if length > MAX_CALL_BYTES:
                     return
                 call = await reader.readexactly(length)
-            self._active_tasks.add(task)
+            del self._idle_timeouts[task]
             data = await self._run_call(call)
             writer.write(len(data).to_bytes(FRAME_HEADER_BYTES, "big") + data)
             await writer.drain()
-            self._active_tasks.discard(task)
+            is_open = not self._is_closing
 
     async def _run_call(self, data: bytes) -> bytes:
         arguments = TCyBinaryProtocol(TCyMemoryBuffer(data))
--- a/tests/operators/test_server.py
+++ b/tests/operators/test_server.py
@@ -4,6 +4,9 @@
 
 import asyncio
 import contextlib
+import threading
+import time
+from collections.abc import Awaitable
 
 import pytest
 from hypothesis import HealthCheck, given, settings
@@ -119,3 +122,50 @@
             writer.close()
 
     run_with_client(check)
+
+
+def call_while_late(server: OperatorServer, idle_s: float, ending: Awaitable[None]) -> int | None:
+    """Return the result of a change that arrives while the event loop is late, None if cut.
+
+    The connection has been idle for `idle_s` seconds then; `ending` is awaited directly after.
+    """
+    is_connected, may_send = threading.Event(), threading.Event()
+    versions: list[int] = []
+
+    def call(address: tuple[str, int]) -> None:
+        with contextlib.suppress(Exception), OperatorClient(address, KEY) as client:
+            is_connected.set()
+            may_send.wait(5.0)
+            versions.append(client.apply_change("c", "ana", 1, [make_zone("a", False)]))
+
+    async def scenario() -> None:
+        await server.listen("127.0.0.1", 0)
+        assert server._server is not None
+        address = server._server.sockets[0].getsockname()[:2]
+        caller = threading.Thread(target=call, args=(address,))
+        caller.start()
+        await asyncio.to_thread(is_connected.wait, 5.0)
+        await asyncio.sleep(idle_s)
+        may_send.set()
+        time.sleep(0.3)
+        await ending
+        await asyncio.to_thread(caller.join)
+        await server.close()
+
+    asyncio.run(scenario())
+    return versions[0] if versions else None
+
+
+# Guards against closing an idle connection whose next call was received before its time-out was
+# handled: the operator does not know whether the change was accepted.
+def test_a_call_received_before_the_idle_time_out_is_handled_is_answered(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(_server, "IDLE_TIMEOUT_S", 0.3)
+    assert call_while_late(make_server(make_core()), 0.1, asyncio.sleep(0.0)) == 2
+
+
+# Guards against the same when a planned stop closes idle connections.
+def test_a_call_received_before_a_stop_closes_its_connection_is_answered() -> None:
+    server = make_server(make_core())
+    assert call_while_late(server, 0.1, server.close()) == 2
