--- a/rhubarbbend/shell/_runtime.py
+++ b/rhubarbbend/shell/_runtime.py
@@ -25,6 +25,7 @@
 from rhubarbbend.core.messages import Message, ReservedReply, ReservedRun
 from rhubarbbend.core.requests._responses import make_peer_request_id
 from rhubarbbend.http import ConnectionPool, HttpServer, ServerLimits
+from rhubarbbend.http._input_timeout import INPUT_LOOP_ITERATIONS
 from rhubarbbend.operators import ChangeAnswer, OperatorServer, derive_operator_key
 from rhubarbbend.peers import PeerLinks, PeerListener, TunnelOpener
 from rhubarbbend.settings import Settings, parse_address, read_operator_secret
@@ -72,6 +73,8 @@
         self._is_processing = False
         self._last_active_at = 0.0
         self._timer: asyncio.TimerHandle | None = None
+        # Whether `_timer` has expired and `TimerDue` is about to be submitted.
+        self._is_timer_expired = False
         self._background: set[asyncio.Task[None]] = set()
         self._exit_requested = asyncio.Event()
         fleet = self.core.context.fleet
@@ -140,6 +143,10 @@
         Events submitted in the meantime are queued.
         """
         self._queue.append(event)
+        self._process_queue()
+
+    def _process_queue(self) -> None:
+        """Process the queued events, after a pause of this process if there was one."""
         if self._is_processing:
             return
         self._is_processing = True
@@ -180,6 +187,8 @@
         return asyncio.get_running_loop().time()
 
     def _set_timer(self) -> None:
+        if self._is_timer_expired:
+            return
         due = self.core.next_timer()
         if self._timer is not None:
             if due is not None and abs(self._timer.when() - due) < 1e-4:
@@ -188,9 +197,18 @@
             self._timer = None
         if due is not None:
             loop = asyncio.get_running_loop()
-            self._timer = loop.call_at(due, self._run_timer)
+            self._timer = loop.call_at(due, self._run_timer, INPUT_LOOP_ITERATIONS)
+
+    def _run_timer(self, iterations: int) -> None:
+        """Submit `TimerDue` after some iterations of the event loop.
 
-    def _run_timer(self) -> None:
+        An event loop that was late passes on what it has received in these. Otherwise the core
+        would judge peers and targets as silent whose messages wait in this process.
+        """
+        self._is_timer_expired = iterations > 0
+        if self._is_timer_expired:
+            asyncio.get_running_loop().call_soon(self._run_timer, iterations - 1)
+            return
         self._timer = None
         self.submit_event(events.TimerDue())
 
@@ -299,10 +317,10 @@
     # Background work.
 
     async def _run_pause_detector(self) -> None:
-        """Submit an event at short intervals, so that a pause shows as a gap between events."""
+        """Be active at short intervals, so that a pause shows as a gap between them."""
         while True:
             await asyncio.sleep(PAUSE_CHECK_INTERVAL_S)
-            self.submit_event(events.TimerDue())
+            self._process_queue()
 
     async def _run_housekeeping(self) -> None:
         while True:
--- a/tests/shell/test_runtime.py
+++ b/tests/shell/test_runtime.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import signal
+import time
 from pathlib import Path
 from typing import Any
 
@@ -12,6 +13,8 @@
 from loadtool._processes import pick_port
 from rhubarbbend import codes
 from rhubarbbend.core import actions, events
+from rhubarbbend.core.messages import SlotReply
+from rhubarbbend.peers import PeerLinks
 from rhubarbbend.settings import load_settings
 from rhubarbbend.shell import Runtime
 from rhubarbbend.stop_signals import STOP_SIGNALS
@@ -73,6 +76,40 @@
     assert any("a fault" in str(message) for message in logged)
 
 
+# Guards against judging peers as silent whose messages were received while the event loop was late:
+# a slot that was granted in time is asked for again, and a target that answered counts as lost.
+def test_messages_that_have_arrived_are_handled_before_a_late_timer(tmp_path: Path) -> None:
+    handled: list[events.Event] = []
+
+    def handle(event: events.Event, now: float) -> list[actions.Action]:
+        handled.append(event)
+        return []
+
+    def count_messages() -> int:
+        return sum(isinstance(event, events.PeerSaid) for event in handled)
+
+    async def scenario() -> None:
+        runtime = _make_runtime(tmp_path)
+        runtime._handle_in_core = handle
+        own = runtime.settings.instance
+        await runtime._peer_listener.listen(own.host, own.peer_port)
+        links = PeerLinks("e2", runtime._identity.secret, lambda peer: None)
+        links.send("e1", (own.host, own.peer_port), SlotReply(attempt="1"))
+        while not count_messages():
+            await asyncio.sleep(0.01)
+        runtime.core.context.set_timer(asyncio.get_running_loop().time() + 0.1, lambda now: None)
+        runtime.submit_event(events.PeerLost("e3"))
+        links.send("e1", (own.host, own.peer_port), SlotReply(attempt="2"))
+        time.sleep(0.4)
+        while not any(isinstance(event, events.TimerDue) for event in handled):
+            await asyncio.sleep(0)
+        assert count_messages() == 2
+        await links.close()
+        await runtime._peer_listener.close()
+
+    asyncio.run(asyncio.wait_for(scenario(), 10.0))
+
+
 def test_stop_signals_after_the_end_do_not_kill_the_process(tmp_path: Path) -> None:
     # A supervisor may repeat the stop signal. If a signal that arrives while the event loop closes
     # killed the process, a planned stop would look like a crash.
