--- a/rhubarbbend/gateway/_peers.py
+++ b/rhubarbbend/gateway/_peers.py
@@ -22,7 +22,7 @@
 from rhubarbbend.gateway._peer_updates import PeerUpdate, apply_crash_findings, make_crash_update
 from rhubarbbend.gateway._settings import Address
 from rhubarbbend.gateway._state import ROLLOUT_TABLE, State, read_clock
-from rhubarbbend.http import ConnectionPool, Exchange, HttpFailure, Response, fetch
+from rhubarbbend.http import ConnectionPool, Exchange, HttpFailure, InputTimeout, Response, fetch
 
 CHANGES_PATH: Final = "/peer/changes"
 UPDATE_PATH: Final = "/peer/note"
@@ -314,7 +314,7 @@
         headers = [("Content-Type", CONTENT_TYPE)]
         now = read_clock()
         try:
-            async with asyncio.timeout(timeout):
+            async with InputTimeout(now + timeout):
                 response, data = await fetch(
                     self._pool, peer, "POST", path, now, body, headers, timeout=timeout
                 )
