--- a/rhubarbbend/core/admission/_controller.py
+++ b/rhubarbbend/core/admission/_controller.py
@@ -80,6 +80,16 @@
 
     def reevaluate(self, view: RoomView, now: float) -> list[Waiter]:
         """Return the waiting requests that are now admitted or refused."""
+        done = self.admit_waiting(view, now)
+        for waiter in self.queue.pop_expired(now):
+            is_over = waiter.decision.is_over_share
+            reason = RefusalReason.OVER_SHARE if is_over else RefusalReason.NO_ROOM
+            self._refuse(waiter, reason, now, view)
+            done.append(waiter)
+        return done
+
+    def admit_waiting(self, view: RoomView, now: float) -> list[Waiter]:
+        """Return the waiting requests for which there is room now, and those that were evicted."""
         done, self._evicted = self._evicted, []
         while (waiter := self.queue.find_first(now)) is not None:
             is_free = not view.is_known or self._is_underused(view)
@@ -89,11 +99,6 @@
             self._admit(waiter, now)
             self.promised += 1
             done.append(waiter)
-        for waiter in self.queue.pop_expired(now):
-            is_over = waiter.decision.is_over_share
-            reason = RefusalReason.OVER_SHARE if is_over else RefusalReason.NO_ROOM
-            self._refuse(waiter, reason, now, view)
-            done.append(waiter)
         return done
 
     def compute_next_evaluation(self, now: float) -> float:
@@ -107,7 +112,7 @@
     def record_started(self) -> None:
         """Record that a request admitted from the queue is now counted in the room, or has ended.
 
-        It has to be called for each waiter that `reevaluate` returned as admitted.
+        It has to be called for each waiter that was returned as admitted.
         """
         self.promised = max(0, self.promised - 1)
 
--- a/rhubarbbend/gateway/_admission.py
+++ b/rhubarbbend/gateway/_admission.py
@@ -32,6 +32,7 @@
 from rhubarbbend.core.placement import Choice, Prompt
 from rhubarbbend.gateway._requests import OpenRequest
 from rhubarbbend.gateway._state import Clock, State
+from rhubarbbend.http._input_timeout import INPUT_LOOP_ITERATIONS
 
 # The counts of other instances arrive every 0.05 s, and adding them up costs more than a decision;
 # the own ones are read each time.
@@ -58,7 +59,7 @@
         self.view = view
         self.viewed_at = -math.inf
         self.waiting: dict[Waiter, asyncio.Future[None]] = {}
-        self.timer: asyncio.TimerHandle | None = None
+        self.timer: asyncio.Handle | None = None
 
 
 class AdmissionGate:
@@ -147,10 +148,15 @@
                 queue.admission.record_started()
 
     def record_freed(self, service: str) -> None:
-        """Record that an attempt at a service has ended; requests that wait may go on."""
+        """Record that an attempt at a service has ended; requests that wait may go on.
+
+        None is refused here: after a stall of this process, more attempts may be about to end.
+        """
         queue = self._services.get(service)
         if queue is not None and queue.waiting:
-            self._reevaluate(queue)
+            now = self._clock()
+            self._wake(queue, queue.admission.admit_waiting(self._read_view(queue, now), now))
+            self._schedule(queue, now)
 
     def record_outcome(self, request: OpenRequest, choice: Choice, outcome: AttemptOutcome) -> None:
         """Learn from a complete answer for how long a request holds a slot."""
@@ -210,20 +216,33 @@
         if queue.timer is not None or not queue.admission.queue:
             return
         at = queue.admission.compute_next_evaluation(now)
-        queue.timer = asyncio.get_running_loop().call_at(at, self._handle_timer, queue)
+        queue.timer = asyncio.get_running_loop().call_at(
+            at, self._handle_timer, queue, INPUT_LOOP_ITERATIONS
+        )
 
-    def _handle_timer(self, queue: _ServiceQueue) -> None:
+    def _handle_timer(self, queue: _ServiceQueue, iterations: int) -> None:
+        """Look at the room again after some iterations of the event loop.
+
+        A loop that was late passes on the answers that have arrived, whose slots are free, in them.
+        """
+        if iterations > 0:
+            loop = asyncio.get_running_loop()
+            queue.timer = loop.call_soon(self._handle_timer, queue, iterations - 1)
+            return
         queue.timer = None
         self._reevaluate(queue)
 
     def _reevaluate(self, queue: _ServiceQueue) -> None:
         """Let those requests go on for which there is room now, or that may wait no longer."""
         now = self._clock()
-        for waiter in queue.admission.reevaluate(self._read_view(queue, now), now):
+        self._wake(queue, queue.admission.reevaluate(self._read_view(queue, now), now))
+        self._schedule(queue, now)
+
+    def _wake(self, queue: _ServiceQueue, waiters: list[Waiter]) -> None:
+        for waiter in waiters:
             future = queue.waiting.get(waiter)
             if future is not None and not future.done():
                 future.set_result(None)
-        self._schedule(queue, now)
 
     def _log(self, request: OpenRequest, decision: Decision, began_at: float) -> None:
         """Log a decision on a request that could not be sent at once."""
--- a/tests/gateway/test_admission_gate.py
+++ b/tests/gateway/test_admission_gate.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from typing import Any
 
 from rhubarbbend import codes
@@ -104,6 +105,30 @@
     asyncio.run(work())
 
 
+# Guards against refusing requests that waited, when the answers that make room for them were
+# received while the event loop was late.
+def test_answers_that_have_arrived_make_room_before_waits_end() -> None:
+    async def work() -> None:
+        loop = asyncio.get_running_loop()
+        state = make_state(True)
+        fill(state, 8)
+        gate = AdmissionGate(state, read_clock)
+        waiting = [asyncio.create_task(gate.admit(make_request(0))) for _ in range(4)]
+        await asyncio.sleep(0.01)
+
+        def end_attempts() -> None:
+            for target in ("t-0", "t-1", "t-0", "t-1"):
+                state.loads.record_end(target)
+                gate.record_freed("llm")
+
+        time.sleep(OBJECTIVE_S)
+        # The loop reads an answer in its next iteration, and its task ends in the one after that.
+        loop.call_soon(loop.call_soon, end_attempts)
+        assert await asyncio.gather(*waiting) == [None] * 4
+
+    asyncio.run(work())
+
+
 def test_repeats_are_decided_on_unless_they_may_have_run() -> None:
     async def work() -> None:
         state = make_state(True)
