--- a/rhubarbbend/gateway/_detours.py
+++ b/rhubarbbend/gateway/_detours.py
@@ -40,6 +40,9 @@
 UNABLE_CODES: Final = frozenset({codes.NO_TARGET.name, codes.NOT_READY.name})
 # How often it is checked whether the helper is still heard while its answer is awaited.
 HELPER_CHECK_INTERVAL_S: Final = 0.3
+# A helper is lost if it is not heard at so many checks in a row. At the first one after a stall of
+# this process, messages that the helper has sent may not be read yet.
+LOST_AFTER_CHECKS: Final = 2
 
 
 class DetourResult(msgspec.Struct, frozen=True):
@@ -188,14 +191,16 @@
         a command waits, since it may still be answered.
         """
         was_heard = self._is_heard(helper)
+        unheard_checks = 0
         while True:
             backstop = request.compute_backstop_timeout(self._clock())
             try:
                 return await connection.receive_head(min(HELPER_CHECK_INTERVAL_S, backstop))
             except HttpFailure as failure:
                 is_silent = failure.reason == REASON_TIMEOUT and not connection.closed
-                is_lost = request.route.idempotent and was_heard and not self._is_heard(helper)
-                if not is_silent or is_lost:
+                unheard_checks = 0 if self._is_heard(helper) else unheard_checks + 1
+                is_lost = was_heard and unheard_checks >= LOST_AFTER_CHECKS
+                if not is_silent or (is_lost and request.route.idempotent):
                     raise
 
     def _is_heard(self, helper: str) -> bool:
