--- a/rhubarbbend/http/__init__.py
+++ b/rhubarbbend/http/__init__.py
@@ -9,10 +9,17 @@
 from rhubarbbend.http._client_connection import ENDS_AT_REST, ConnectionEnd
 from rhubarbbend.http._connection import Connection, Response
 from rhubarbbend.http._exchange import Exchange
-from rhubarbbend.http._failures import REASON_TIMEOUT, BodyEnd, HttpFailure, SendStage
+from rhubarbbend.http._failures import (
+    REASON_TIMEOUT,
+    BodyEnd,
+    EndlessAnswer,
+    HttpFailure,
+    SendStage,
+)
 from rhubarbbend.http._notices import read_brittle, read_leaving, read_pause
 from rhubarbbend.http._pool import ConnectionOpener, ConnectionPool, fetch
 from rhubarbbend.http._protocol import ClientProtocol, reset_connection, set_keepalive
+from rhubarbbend.http._receive_limits import SMALL_BODY_PART_BYTES, TrickleDetector
 from rhubarbbend.http._server import HttpServer, ServerLimits
 
 __all__ = [
@@ -26,12 +33,15 @@
     "ConnectionOpener",
     "ConnectionPool",
     "ENDS_AT_REST",
+    "EndlessAnswer",
     "Exchange",
     "HttpFailure",
     "REASON_TIMEOUT",
     "HttpServer",
     "Response",
+    "SMALL_BODY_PART_BYTES",
     "SendStage",
+    "TrickleDetector",
     "ServerLimits",
     "fetch",
     "read_brittle",
--- a/rhubarbbend/http/_body_forwarder.py
+++ b/rhubarbbend/http/_body_forwarder.py
@@ -15,6 +15,7 @@
     SendStage,
 )
 from rhubarbbend.http._protocol import ClientProtocol, Sink
+from rhubarbbend.http._receive_limits import FramingMonitor, make_failure
 
 # The shortest interval between two checks of whether a body makes progress.
 MIN_CHECK_INTERVAL_S: Final = 0.05
@@ -23,7 +24,8 @@
 class BodyRelay(abc.ABC):
     """Receives a body part by part and passes it on.
 
-    Hooks: `write` is called for each part and must not block. If `is_write_buffer_full` returns
+    Hooks: `write` is called for each part and must not block; it raises `HttpFailure` if the body
+    cannot be what it should be, and is not called again. If `is_write_buffer_full` returns
     True, reading the body is paused until `drain` has returned.
     """
 
@@ -79,12 +81,16 @@
         self._ended = ended
         self._timeout_policy = timeout_policy
         self._loop = ended.get_loop()
+        self._framing = FramingMonitor()
+        # When the last part of the body came. Bytes that carry none, such as a chunk extension, are
+        # no progress.
+        self._progressed_at = 0.0
         self._progress_timer: asyncio.TimerHandle | None = None
         self._drain_task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
         """Forward the data received so far, then each part as it arrives."""
-        self._protocol.last_received_at = self._loop.time()
+        self._protocol.last_received_at = self._progressed_at = self._loop.time()
         self._check_progress()
         self._parse()
         self._protocol.set_sink(self)
@@ -114,6 +120,10 @@
             return
         try:
             self._conn.receive_data(data)
+            self._framing.record_received(self._loop.time(), len(data))
+        except HttpFailure as failure:
+            self._end_with(failure)
+            return
         except (h11.RemoteProtocolError, RuntimeError) as error:
             self._fail(str(error))
             return
@@ -124,6 +134,8 @@
             while not self._ended.done():
                 event = self._conn.next_event()
                 if isinstance(event, h11.Data):
+                    self._framing.record_data()
+                    self._progressed_at = self._loop.time()
                     self._relay.write(bytes(event.data))
                 elif event is h11.NEED_DATA:
                     break
@@ -131,8 +143,10 @@
                     self._ended.set_result(None)
                 else:
                     self._fail(REASON_CLOSED)
+        except HttpFailure as failure:
+            self._end_with(failure)
         except h11.RemoteProtocolError as error:
-            self._fail(str(error))
+            self._end_with(make_failure(SendStage.RESPONSE, error))
         if (
             self._drain_task is None
             and not self._ended.done()
@@ -153,14 +167,12 @@
             return
         finally:
             self._drain_task = None
-        self._protocol.last_received_at = self._loop.time()
+        self._protocol.last_received_at = self._progressed_at = self._loop.time()
         self._protocol.resume_reading()
 
     def _check_progress(self) -> None:
         """Fail a body that makes no progress, unless reading it is paused."""
-        remaining = self._timeout_policy.compute_remaining(
-            self._loop.time() - self._protocol.last_received_at
-        )
+        remaining = self._timeout_policy.compute_remaining(self._loop.time() - self._progressed_at)
         if self._drain_task is None and remaining <= 0.0:
             self._fail(REASON_NO_PROGRESS)
             return
@@ -169,5 +181,8 @@
         )
 
     def _fail(self, reason: str) -> None:
+        self._end_with(HttpFailure(SendStage.RESPONSE, reason))
+
+    def _end_with(self, failure: HttpFailure) -> None:
         if not self._ended.done():
-            self._ended.set_exception(HttpFailure(SendStage.RESPONSE, reason))
+            self._ended.set_exception(failure)
--- a/rhubarbbend/http/_connection.py
+++ b/rhubarbbend/http/_connection.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Final
 
 import h11
@@ -21,10 +21,20 @@
     REASON_NO_PROGRESS,
     REASON_TIMEOUT,
     BodyEnd,
+    EndlessAnswer,
     HttpFailure,
     SendStage,
 )
-from rhubarbbend.http._protocol import ClientProtocol
+from rhubarbbend.http._protocol import ClientProtocol, Sink
+from rhubarbbend.http._receive_limits import (
+    MAX_DISCARD_S,
+    MAX_DISCARDED_BYTES,
+    SMALL_BODY_PART_BYTES,
+    FramingMonitor,
+    HeadMonitor,
+    TrickleDetector,
+    make_failure,
+)
 
 MAX_HEAD_BYTES: Final = 65_536
 DEFAULT_CONNECT_TIMEOUT_S: Final = 1.0
@@ -65,6 +75,7 @@
         "idle_time_s",
         "_body_ends_with_connection",
         "_conn",
+        "_head_monitor",
         "_protocol",
         "_sent",
     )
@@ -84,6 +95,7 @@
         self._body_ends_with_connection = False
         self._sent: list[h11.Event] = []
         self._conn = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self._head_monitor = HeadMonitor()
         self._protocol = protocol
 
     @classmethod
@@ -164,9 +176,28 @@
             data = b"".join(self._conn.send(event) or b"" for event in self._sent)
         except h11.LocalProtocolError as error:
             raise HttpFailure(SendStage.CONNECT, str(error)) from error
+        self._head_monitor = HeadMonitor()
         self._protocol.traffic += len(data)
         self._protocol.transport.write(data)
 
+    async def discard_body(self, progress_timeout: float) -> None:
+        """Discard the rest of a body, so that the connection can be used again.
+
+        Raise `HttpFailure` if it is incomplete, or larger or slower than is worth that.
+        """
+        size = 0
+        trickle = TrickleDetector(SMALL_BODY_PART_BYTES)
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(MAX_DISCARD_S):
+                async for part in self.receive_body(progress_timeout):
+                    is_slow = trickle.record(loop.time(), len(part), continues=size > 0)
+                    size += len(part)
+                    if is_slow or size > MAX_DISCARDED_BYTES:
+                        raise EndlessAnswer(SendStage.RESPONSE, "too large or too slow to discard")
+        except TimeoutError as error:
+            raise HttpFailure(SendStage.RESPONSE, REASON_NO_PROGRESS) from error
+
     async def discard_response(self, timeout: float) -> None:
         """Discard the body of a response that belongs to no request and prepare for the next head.
 
@@ -174,8 +205,7 @@
         next request is expected. h11 allows one response per request, so a new h11 connection
         state parses what follows. `timeout` is the progress time-out in seconds.
         """
-        async for _ in self.receive_body(timeout):
-            pass
+        await self.discard_body(timeout)
         rest, _ = self._conn.trailing_data
         self._conn = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         for event in self._sent:
@@ -190,18 +220,29 @@
                 while True:
                     event = self._conn.next_event()
                     if event is h11.NEED_DATA:
-                        self._conn.receive_data(await self._protocol.read())
+                        await self._read_head_part()
+                    elif isinstance(event, h11.InformationalResponse):
+                        self._head_monitor.record_informational()
                     elif isinstance(event, h11.Response):
                         headers = {k.decode(): v.decode("latin-1") for k, v in event.headers}
                         response = Response(event.status_code, headers, list(event.headers))
                         self._body_ends_with_connection = response.ends_with_connection
                         return response
-                    elif not isinstance(event, h11.InformationalResponse):
+                    else:
                         raise HttpFailure(SendStage.SENT, "closed before the response")
         except TimeoutError as error:
             raise HttpFailure(SendStage.SENT, REASON_TIMEOUT) from error
         except (OSError, h11.RemoteProtocolError) as error:
-            raise HttpFailure(SendStage.SENT, str(error)) from error
+            raise make_failure(SendStage.SENT, error) from error
+
+    async def _read_head_part(self) -> None:
+        """Read more of an incomplete head, or the first part of one."""
+        incomplete, _ = self._conn.trailing_data
+        self._head_monitor.check_incomplete(incomplete)
+        data = await self._protocol.read()
+        self._conn.receive_data(data)
+        now = asyncio.get_running_loop().time()
+        self._head_monitor.record_received(now, len(data), continues=bool(incomplete))
 
     async def receive_body(self, progress_timeout: float) -> AsyncIterator[bytes]:
         """Yield the parts of the body; each must arrive within `progress_timeout` seconds.
@@ -210,6 +251,8 @@
         connection whose state a middlebox has lost stays open and never delivers anything.
         Raise `HttpFailure` at stage RESPONSE if the body is incomplete.
         """
+        loop = asyncio.get_running_loop()
+        framing = FramingMonitor()
         try:
             while True:
                 event = self._conn.next_event()
@@ -217,7 +260,9 @@
                     async with asyncio.timeout(progress_timeout):
                         data = await self._protocol.read()
                     self._conn.receive_data(data)
+                    framing.record_received(loop.time(), len(data))
                 elif isinstance(event, h11.Data):
+                    framing.record_data()
                     yield bytes(event.data)
                 elif isinstance(event, h11.EndOfMessage):
                     return
@@ -226,7 +271,7 @@
         except TimeoutError as error:
             raise HttpFailure(SendStage.RESPONSE, REASON_NO_PROGRESS) from error
         except (OSError, h11.RemoteProtocolError) as error:
-            raise HttpFailure(SendStage.RESPONSE, str(error)) from error
+            raise make_failure(SendStage.RESPONSE, error) from error
 
     async def relay_body(self, relay: BodyRelay, timeout_policy: BodyTimeoutPolicy | float) -> None:
         """Pass each part of the body to a relay in the event loop iteration that received it.
@@ -280,6 +325,17 @@
         """Return whether the peer has sent any data."""
         return self._protocol.has_received
 
+    def start_idle(self, on_stray_bytes: Callable[[], None]) -> None:
+        """Close the connection at once if the peer sends data that no request has asked for.
+
+        Such bytes may come without end. `on_stray_bytes` is called then.
+        """
+        self._protocol.set_sink(_IdleSink(self, on_stray_bytes))
+
+    def end_idle(self) -> None:
+        """Let a request use the connection."""
+        self._protocol.set_sink(None)
+
     async def closes_within(self, timeout: float) -> bool:
         """Return whether the peer closes or resets the connection within `timeout` seconds."""
         with contextlib.suppress(TimeoutError):
@@ -290,3 +346,20 @@
     def close(self) -> None:
         """Close immediately and discard unsent data."""
         self._protocol.transport.abort()
+
+
+class _IdleSink(Sink):
+    """Closes an idle connection on which data arrives."""
+
+    def __init__(self, connection: Connection, on_stray_bytes: Callable[[], None]) -> None:
+        self._connection = connection
+        self._on_stray_bytes = on_stray_bytes
+
+    def receive(self, data: bytes) -> None:
+        """Close the connection, unless an earlier part has closed it."""
+        if not self._connection.closed:
+            self._connection.close()
+            self._on_stray_bytes()
+
+    def handle_end(self, error: Exception | None) -> None:
+        """Do nothing: a pool does not use connections that are closed."""
--- a/rhubarbbend/http/_failures.py
+++ b/rhubarbbend/http/_failures.py
@@ -38,3 +38,7 @@
         super().__init__(f"{stage.value}: {reason}")
         self.stage = stage
         self.reason = reason
+
+
+class EndlessAnswer(HttpFailure):
+    """The peer sent more, or for longer, than any answer needs; it may never have ended."""
--- a/rhubarbbend/http/_pool.py
+++ b/rhubarbbend/http/_pool.py
@@ -5,6 +5,7 @@
 import abc
 import asyncio
 from collections import deque
+from collections.abc import Callable
 from typing import Final
 
 import msgspec
@@ -15,7 +16,12 @@
     Connection,
     Response,
 )
-from rhubarbbend.http._failures import REASON_TIMEOUT, HttpFailure, SendStage
+from rhubarbbend.http._failures import REASON_TIMEOUT, EndlessAnswer, HttpFailure, SendStage
+from rhubarbbend.http._receive_limits import (
+    MAX_FETCHED_BYTES,
+    SMALL_BODY_PART_BYTES,
+    TrickleDetector,
+)
 
 # How long the idle limit learned from a dead connection applies to its address: long enough that
 # requests seldom meet a dead connection, short enough that connections are reused again soon after
@@ -63,6 +69,8 @@
         self._max_per_address = max_per_address
         self._idle: dict[Address, deque[Connection]] = {}
         self._idle_limits: dict[Address, _IdleLimit] = {}
+        # Called when an idle connection is closed because its peer sent data on it.
+        self.on_stray_bytes: Callable[[], None] = lambda: None
         # Bytes sent and received by `fetch`: load reports, probes and platform calls.
         self.fetch_traffic = 0
 
@@ -87,6 +95,7 @@
             if max_idle is not None and now - idle[-1].idle_since > max_idle:
                 break
             connection = idle.pop()
+            connection.end_idle()
             if self._is_usable(connection, now):
                 connection.reused = True
                 connection.idle_time_s = now - connection.idle_since
@@ -145,8 +154,12 @@
 
     def add_idle(self, connection: Connection) -> None:
         """Add a reusable connection to the pool, idle since its `idle_since`."""
+        connection.start_idle(self._handle_stray_bytes)
         self._idle.setdefault(connection.address, deque()).append(connection)
 
+    def _handle_stray_bytes(self) -> None:
+        self.on_stray_bytes()
+
     def close_expired(self, now: float) -> None:
         """Close connections that were idle too long or are closed, and expire learned limits."""
         for address in list(self._idle):
@@ -189,13 +202,14 @@
     timeout: float = 2.0,
     new_connection: bool = False,
     progress_timeout: float | None = None,
+    max_body_bytes: int = MAX_FETCHED_BYTES,
 ) -> tuple[Response, bytes]:
     """Send one small request and return the head and the whole body of its response.
 
     The response must be complete within `timeout` seconds. With `progress_timeout`, only its head
     must arrive within `timeout`, and then each part of its body within `progress_timeout` seconds
     of the one before, which allows for a large response over a slow link. Raise `HttpFailure` on
-    failure.
+    failure, also if the body is larger than `max_body_bytes` or arrives byte by byte.
     """
     connection = await pool.acquire(address, now, new_connection)
     traffic_before = connection.traffic
@@ -205,7 +219,9 @@
             response = await connection.receive_head(timeout)
             if progress_timeout is not None:
                 total_timeout.reschedule(None)
-            parts = [part async for part in connection.receive_body(progress_timeout or timeout)]
+            data = await _receive_whole_body(
+                connection, progress_timeout or timeout, max_body_bytes
+            )
     except TimeoutError as error:
         connection.close()
         raise HttpFailure(SendStage.SENT, REASON_TIMEOUT) from error
@@ -215,4 +231,19 @@
     finally:
         pool.fetch_traffic += connection.traffic - traffic_before
     pool.release(connection, now)
-    return response, b"".join(parts)
+    return response, data
+
+
+async def _receive_whole_body(
+    connection: Connection, progress_timeout: float, max_bytes: int
+) -> bytes:
+    parts: list[bytes] = []
+    size = 0
+    trickle = TrickleDetector(SMALL_BODY_PART_BYTES)
+    async for part in connection.receive_body(progress_timeout):
+        size += len(part)
+        now = asyncio.get_running_loop().time()
+        if size > max_bytes or trickle.record(now, len(part), continues=bool(parts)):
+            raise EndlessAnswer(SendStage.RESPONSE, "a body without end")
+        parts.append(part)
+    return b"".join(parts)
