--- a/rhubarbbend/shell/_runtime.py
+++ b/rhubarbbend/shell/_runtime.py
@@ -24,8 +24,7 @@
 from rhubarbbend.core import Core, Identity, actions, events
 from rhubarbbend.core.messages import Message, ReservedReply, ReservedRun
 from rhubarbbend.core.requests._responses import make_peer_request_id
-from rhubarbbend.http import ConnectionPool, HttpServer, ServerLimits
-from rhubarbbend.http._input_timeout import INPUT_LOOP_ITERATIONS
+from rhubarbbend.http import INPUT_LOOP_ITERATIONS, ConnectionPool, HttpServer, ServerLimits
 from rhubarbbend.operators import ChangeAnswer, OperatorServer, derive_operator_key
 from rhubarbbend.peers import PeerLinks, PeerListener, TunnelOpener
 from rhubarbbend.settings import Settings, parse_address, read_operator_secret
