--- a/rhubarbbend/core/placement/_placement.py
+++ b/rhubarbbend/core/placement/_placement.py
@@ -149,20 +149,26 @@
             return self._choose_by_load(candidates, key, random, now)
         return self._choose_by_prompt(candidates, key, prompt, headroom, random, now)
 
-    def has_alternative(
+    def find_alternatives(
         self,
         service: Service,
         excluded: set[str],
         instances: Sequence[str],
         now: float,
         admits: Callable[[Target], bool] = admit_all,
-    ) -> bool:
-        """Return whether a reachable target can take a request that was at `excluded` before."""
-        candidates = self._finder.find(service, excluded, instances, admits, now, True)
+        avoids_unreachable: bool = True,
+    ) -> Candidates:
+        """Find the targets that can take a request that was at `excluded` before.
+
+        If `avoids_unreachable`, only those of which it is known that they can be reached.
+        """
+        candidates = self._finder.find(
+            service, excluded, instances, admits, now, avoids_unreachable
+        )
         if self._brittle.is_brittle(service.name, now):
             expected = self._estimate_unseen(service, len(instances), now)
             self._keep_with_room(candidates, instances, expected, now)
-        return bool(candidates.eligible)
+        return candidates
 
     def _keep_with_room(
         self, candidates: Candidates, instances: Sequence[str], expected: float, now: float
--- a/rhubarbbend/gateway/_answer_receiver.py
+++ b/rhubarbbend/gateway/_answer_receiver.py
@@ -8,20 +8,16 @@
 from rhubarbbend.core.capacity import ReportedLoad
 from rhubarbbend.core.delivery import LatencyTracker
 from rhubarbbend.core.directory import Target
+from rhubarbbend.gateway._alternatives import Alternatives
 from rhubarbbend.gateway._detour_messages import LEAVING_HEADER
 from rhubarbbend.gateway._interfaces import TargetProtocol, TargetResponseHead
-from rhubarbbend.gateway._liveness import (
-    PROBE_VALIDITY_S,
-    StreamTimeoutPolicy,
-    TargetLivenessMonitor,
-)
+from rhubarbbend.gateway._liveness import StreamTimeoutPolicy, TargetLivenessMonitor
 from rhubarbbend.gateway._requests import OpenRequest
 from rhubarbbend.gateway._state import Clock, State
 from rhubarbbend.http import REASON_TIMEOUT, Connection, HttpFailure, Response, SendStage
 
-# How often a request that waits for its only target looks for another one. This is also the least
-# time that a silent target is waited for.
-ALTERNATIVE_CHECK_S: Final = 0.02
+# The least time that a silent target is waited for.
+MIN_HEAD_TIMEOUT_S: Final = 0.02
 # Progress time-out for discarding an answer that does not belong to the current request.
 STRAY_ANSWER_TIMEOUT_S: Final = 0.5
 
@@ -35,12 +31,14 @@
         target_protocol: TargetProtocol,
         liveness: TargetLivenessMonitor,
         latencies: LatencyTracker,
+        alternatives: Alternatives,
         clock: Clock,
     ) -> None:
         self._state = state
         self._target_protocol = target_protocol
         self._liveness = liveness
         self._latencies = latencies
+        self._alternatives = alternatives
         self._clock = clock
 
     async def receive_head(
@@ -137,38 +135,18 @@
         while True:
             timeout = timeout_policy.compute_remaining(self._clock() - started_at)
             try:
-                return await connection.receive_head(max(timeout, ALTERNATIVE_CHECK_S))
+                return await connection.receive_head(max(timeout, MIN_HEAD_TIMEOUT_S))
             except HttpFailure as failure:
                 # The operating system also reports a time-out when it gives up a connection; that
                 # connection is closed.
                 is_silent = failure.reason == REASON_TIMEOUT and not connection.closed
                 if not is_silent:
                     raise
-                if timeout_policy.compute_remaining(self._clock() - started_at) > 0.0:
-                    continue
-                if not self._is_only_choice(request, target):
+                if timeout_policy.compute_remaining(self._clock() - started_at) <= 0.0:
                     raise
 
-    def _is_only_choice(self, request: OpenRequest, target: Target) -> bool:
-        """Return whether no other target can take a request, and this one still runs.
-
-        Given up here, the request would fail, though its answer may be on its way.
-        """
-        now = self._clock()
-        if self._liveness.has_failed_probe(target.id):
-            return False
-        if self._state.placement.has_alternative(
-            request.service,
-            request.excluded,
-            self._state.list_instance_ids(),
-            now,
-            request.admits,
-        ):
-            return False
-        if now - self._liveness.find_last_contact(target.id, now) > PROBE_VALIDITY_S:
-            self._liveness.start_probe(target)
-        return True
-
     def make_timeout_policy(self, request: OpenRequest, target: Target) -> StreamTimeoutPolicy:
         """Return the time-outs of one attempt at a target."""
-        return StreamTimeoutPolicy(request, target, self._liveness, self._latencies, self._clock)
+        return StreamTimeoutPolicy(
+            request, target, self._liveness, self._latencies, self._alternatives, self._clock
+        )
--- a/rhubarbbend/gateway/_attempts.py
+++ b/rhubarbbend/gateway/_attempts.py
@@ -15,6 +15,7 @@
 from rhubarbbend.core.delivery import AttemptOutcome, LatencyTracker
 from rhubarbbend.core.directory import Target
 from rhubarbbend.core.placement import Choice, compute_max_connections
+from rhubarbbend.gateway._alternatives import Alternatives
 from rhubarbbend.gateway._answer_forwarder import AnswerForwarder
 from rhubarbbend.gateway._answer_receiver import AnswerReceiver
 from rhubarbbend.gateway._attempt_log import log_ended, log_sent
@@ -80,8 +81,9 @@
         self.recorder = AttemptRecorder(state, clock)
         self._liveness = TargetLivenessMonitor(state, pool, CONNECT_TIMEOUT_S, clock)
         self._full_targets = FullTargetDetector(state, pool, self._liveness, clock)
+        self.alternatives = Alternatives(state, clock)
         self._answers = AnswerReceiver(
-            state, target_protocol, self._liveness, self._latencies, clock
+            state, target_protocol, self._liveness, self._latencies, self.alternatives, clock
         )
         self.forwarder = AnswerForwarder(state, self._latencies, clock)
         self.forwarder.on_stream_begun.append(self.recorder.record_begun)
@@ -253,16 +255,10 @@
         self._state.event_log.write(event, now, id=request.id, target=target.id, **fields)
 
     def _acquire_retry(self, request: OpenRequest, connection: Connection) -> None:
-        if not self.try_acquire_retry(request):
+        if not self.alternatives.acquire_retry(request):
             self._pool.release(connection, self._clock())
             raise RetryBudgetExhausted
 
-    def try_acquire_retry(self, request: OpenRequest) -> bool:
-        """Take a retry from this instance's share of the budget; return whether there was one."""
-        instances = len(self._state.list_instance_ids())
-        share = self._state.get_retry_budget_share(request.service.name)
-        return share.try_acquire(instances, self._clock())
-
     def _send(self, request: OpenRequest, choice: Choice, connection: Connection) -> None:
         now = self._clock()
         caller = request.caller
--- a/rhubarbbend/gateway/_liveness.py
+++ b/rhubarbbend/gateway/_liveness.py
@@ -13,12 +13,15 @@
 from rhubarbbend import codes
 from rhubarbbend.core.delivery import LatencyTracker
 from rhubarbbend.core.directory import Target
+from rhubarbbend.gateway._alternatives import ALTERNATIVE_CHECK_S, Alternatives
 from rhubarbbend.gateway._requests import OpenRequest
 from rhubarbbend.gateway._state import Clock, State
 from rhubarbbend.http import BodyTimeoutPolicy, Connection, ConnectionPool, HttpFailure
 
 # For this long after it accepted a probe connection, a target counts as alive and is not probed.
 PROBE_VALIDITY_S: Final = 0.5
+# A sound target may be silent for a second or so, in which it may accept no connection either.
+MAX_SOUND_SILENCE_S: Final = 2.0
 
 
 class TargetLivenessMonitor:
@@ -132,19 +135,23 @@
         target: Target,
         liveness: TargetLivenessMonitor,
         latencies: LatencyTracker,
+        alternatives: Alternatives,
         clock: Clock,
     ) -> None:
+        self._request = request
         self._relay = request.relay
         self._target = target
         self._liveness = liveness
         self._first_event_timeouts = latencies.compute_first_event_timeouts(request.route)
         self._pause_timeouts = latencies.compute_pause_timeouts(request.route)
+        self._alternatives = alternatives
         self._clock = clock
 
     def compute_remaining(self, silence: float) -> float:
         """Return how many more seconds to wait after `silence` seconds; 0 to give up.
 
-        The target is probed if the time-outs demand it.
+        The target is probed if the time-outs demand it. After them, it is given up as soon as the
+        request can go on elsewhere.
         """
         now = self._clock()
         timeouts = (
@@ -156,4 +163,19 @@
         )
         if decision.probe:
             self._liveness.start_probe(self._target)
-        return decision.seconds
+        if decision.seconds > 0.0:
+            return decision.seconds
+        if self._is_gone(silence) or self._alternatives.reserve(self._request):
+            return 0.0
+        if contact_age > PROBE_VALIDITY_S and not self._liveness.has_failed_probe(self._target.id):
+            self._liveness.start_probe(self._target)
+        return ALTERNATIVE_CHECK_S
+
+    def _is_gone(self, silence: float) -> bool:
+        """Return whether a target is silent for longer than a sound one, and takes no connection.
+
+        A stream that has begun is not ended for that: its connection ends if the target is gone.
+        """
+        if self._request.progress.started or silence <= MAX_SOUND_SILENCE_S:
+            return False
+        return self._liveness.has_failed_probe(self._target.id)
--- a/rhubarbbend/gateway/_request_server.py
+++ b/rhubarbbend/gateway/_request_server.py
@@ -344,7 +344,9 @@
         request.rejection_counts = {r.value: count for r, count in rejections.items()}
         code = self._select_refusal(request, rejections.keys())
         if needs_detour(rejections, connect_failures):
-            if request.progress.sends > 0 and not self._attempts.try_acquire_retry(request):
+            if request.progress.sends > 0 and not self._attempts.alternatives.acquire_retry(
+                request
+            ):
                 self._ender.finish_failed(request, codes.RETRY_BUDGET)
                 return
             result = await self._run_detour(request)
--- a/rhubarbbend/gateway/_requests.py
+++ b/rhubarbbend/gateway/_requests.py
@@ -60,6 +60,7 @@
         "unread_tokens",
         "sent_work",
         "trial",
+        "has_reserved_retry",
         "body_end",
         "origin",
         "goes_apart",
@@ -107,6 +108,8 @@
         self.sent_work: SentWork | None = None
         # The cause of losses for which no other attempt may begin until the current one has ended.
         self.trial: str | None = None
+        # Whether a retry was taken from the budget for it and not used yet.
+        self.has_reserved_retry = False
         # How the last answer ended with its connection; None if it ended by its framing.
         self.body_end: BodyEnd | None = None
         # The origin of the stream that the caller gets or takes up again; None before it is known.
--- a/rhubarbbend/http/_body_forwarder.py
+++ b/rhubarbbend/http/_body_forwarder.py
@@ -158,10 +158,11 @@
 
     def _check_progress(self) -> None:
         """Fail a body that makes no progress, unless reading it is paused."""
-        remaining = self._timeout_policy.compute_remaining(
-            self._loop.time() - self._protocol.last_received_at
-        )
-        if self._drain_task is None and remaining <= 0.0:
+        remaining = MIN_CHECK_INTERVAL_S
+        if self._drain_task is None:
+            silence = self._loop.time() - self._protocol.last_received_at
+            remaining = self._timeout_policy.compute_remaining(silence)
+        if remaining <= 0.0:
             self._fail(REASON_NO_PROGRESS)
             return
         self._progress_timer = self._loop.call_later(
