--- a/rhubarbbend/gateway/_liveness.py
+++ b/rhubarbbend/gateway/_liveness.py
@@ -166,6 +166,7 @@
         if decision.seconds > 0.0:
             return decision.seconds
         if self._is_gone(silence) or self._alternatives.reserve(self._request):
+            self._request.has_left_silent_target = True
             return 0.0
         if contact_age > PROBE_VALIDITY_S and not self._liveness.has_failed_probe(self._target.id):
             self._liveness.start_probe(self._target)
--- a/rhubarbbend/gateway/_request_ender.py
+++ b/rhubarbbend/gateway/_request_ender.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Set
 from typing import Final
 
 from rhubarbbend import codes
 from rhubarbbend.codes import ErrorCode, Verdict
 from rhubarbbend.core.crashes import is_part_key
 from rhubarbbend.core.delivery import AttemptOutcome, compute_verdict
-from rhubarbbend.core.placement import MAX_PAUSE_RETURN_FACTOR
+from rhubarbbend.core.placement import MAX_PAUSE_RETURN_FACTOR, Rejection
 from rhubarbbend.gateway._answer_forwarder import send_answer
 from rhubarbbend.gateway._interfaces import CallerProtocol
 from rhubarbbend.gateway._requests import OpenRequest
@@ -27,6 +28,10 @@
 ADMISSION_CODES: Final = frozenset(
     {codes.NO_ROOM, codes.OVER_SHARE, codes.QUEUE_FULL, codes.WAIT_TOO_LONG}
 )
+# Reasons for rejecting targets that are available and will accept requests again soon.
+OVERLOAD_REJECTIONS: Final = frozenset(
+    {Rejection.COLD, Rejection.CONNECTIONS, Rejection.FULL, Rejection.LOAD}
+)
 
 
 class RequestEnder:
@@ -73,6 +78,16 @@
             return
         self.refuse(request, code, self._clock())
 
+    def select_refusal(self, request: OpenRequest, rejections: Set[Rejection]) -> ErrorCode:
+        """Return the error for a request that no target can accept now."""
+        if request.origin is not None:
+            self._state.metrics.increment_counter(codes.STREAMS_NO_ROOM)
+            if not rejections:
+                return codes.STREAM_VERSION_GONE
+        if OVERLOAD_REJECTIONS & rejections:
+            return codes.OVERLOADED
+        return codes.TARGETS_PAUSED if Rejection.PAUSED in rejections else codes.NO_TARGET
+
     def refuse(self, request: OpenRequest, code: ErrorCode, now: float) -> None:
         """Answer a request with an error, of which nothing was sent to the caller yet."""
         if code is codes.CRASHES_TARGETS and self._find_crashing_part(request, now) is not None:
--- a/rhubarbbend/gateway/_request_server.py
+++ b/rhubarbbend/gateway/_request_server.py
@@ -9,7 +9,6 @@
 import asyncio
 import contextlib
 import traceback
-from collections.abc import Set
 from functools import partial
 from typing import Final
 
@@ -18,9 +17,10 @@
 from rhubarbbend.core.catalog import Catalog, RequestKind
 from rhubarbbend.core.delivery import AttemptOutcome, decide_step
 from rhubarbbend.core.detours import needs_detour
-from rhubarbbend.core.placement import Choice, Rejection
+from rhubarbbend.core.placement import Choice
 from rhubarbbend.gateway._admission import AdmissionGate
 from rhubarbbend.gateway._attempts import AttemptRunner, RetryBudgetExhausted
+from rhubarbbend.gateway._caller_checks import is_disconnected
 from rhubarbbend.gateway._crash_gate import CrashGate
 from rhubarbbend.gateway._detours import DetourClient, DetourResult
 from rhubarbbend.gateway._interfaces import BadRequest, CallerProtocol, CallerRequest
@@ -34,9 +34,6 @@
 
 # A request is refused once more than this many targets have failed to accept a connection for it.
 MAX_CONNECT_FAILURES: Final = 4
-# Iterations of the event loop within which a disconnection is read that arrived right after the
-# request.
-EOF_LOOP_ITERATIONS: Final = 3
 # For this long after its start, an instance lets callers wait for the configuration. This is twice
 # the time that the store takes to return it, and the time that other instances take to send it if
 # the store does not.
@@ -44,10 +41,6 @@
 # At startup, a caller waits at most this fraction of its request's time-out, so that an attempt
 # at another instance can still be answered in time.
 STARTUP_WAIT_FRACTION: Final = 0.33
-# Reasons for rejecting targets that are available and will accept requests again soon.
-OVERLOAD_REJECTIONS: Final = frozenset(
-    {Rejection.COLD, Rejection.CONNECTIONS, Rejection.FULL, Rejection.LOAD}
-)
 
 
 class RequestServer:
@@ -74,6 +67,7 @@
         self._caller_protocol = caller_protocol
         self._ender = self._make_ender()
         self._attempts = attempts
+        self._alternatives = attempts.alternatives
         self._detours = detours
         self._prober = prober
         self._gate = gate
@@ -236,7 +230,7 @@
             # If the caller disconnects, the work is cancelled. A command that was sent is left to
             # finish, since it could otherwise be partly executed.
             request.exchange.on_closed = task.cancel
-        elif await _is_disconnected(request.exchange):
+        elif await is_disconnected(request.exchange):
             self._state.metrics.increment_counter(codes.CALLER_GONE)
             self._ender.log_end(request, "caller_gone", 0)
             return
@@ -273,18 +267,24 @@
                 switched = True
                 continue
             if choice is None or connect_failures > MAX_CONNECT_FAILURES:
-                await self._finish_without_target(request, connect_failures)
-                return
+                if not await self._go_on_without_target(request, connect_failures):
+                    return
+                connect_failures = 0
+                continue
             self._state.metrics.increment_counter(f"routed.{choice.reason.value}")
             request.excluded.add(choice.target.id)
+            outcome: AttemptOutcome | None = None
             try:
                 outcome = await self._attempts.run(request, choice)
             except RetryBudgetExhausted:
-                self._ender.finish_failed(request, codes.RETRY_BUDGET)
-                return
+                pass
             finally:
                 self._gate.end_attempt(request)
                 self._admission.record_freed(request.service.name)
+            if outcome is None:
+                if not await self._wait_or_fail(request, codes.RETRY_BUDGET):
+                    return
+                continue
             self._admission.record_outcome(request, choice, outcome)
             if outcome is AttemptOutcome.UNREACHED:
                 connect_failures += 1
@@ -335,40 +335,41 @@
         self._prober.probe(request.service.name, now)
         return True
 
-    async def _finish_without_target(self, request: OpenRequest, connect_failures: int) -> None:
-        """End a request that this instance can send to no target.
+    async def _go_on_without_target(self, request: OpenRequest, connect_failures: int) -> bool:
+        """End a request that this instance can send to no target, or wait until it can.
 
-        If most cannot be reached from here, another instance may reach them.
+        If most cannot be reached from here, another instance may reach them. Return whether a
+        target can take the request.
         """
         rejections = self._state.placement.last_rejections
         request.rejection_counts = {r.value: count for r, count in rejections.items()}
-        code = self._select_refusal(request, rejections.keys())
+        code = self._ender.select_refusal(request, rejections.keys())
         if needs_detour(rejections, connect_failures):
-            if request.progress.sends > 0 and not self._attempts.alternatives.acquire_retry(
-                request
-            ):
-                self._ender.finish_failed(request, codes.RETRY_BUDGET)
-                return
-            result = await self._run_detour(request)
-            if result.outcome is not None:
-                self._ender.finish_answered(request, result.outcome)
-                return
-            code = result.code or code
+            if request.progress.sends > 0 and not self._alternatives.acquire_retry(request):
+                code = codes.RETRY_BUDGET
+            else:
+                result = await self._run_detour(request)
+                if result.outcome is not None:
+                    self._ender.finish_answered(request, result.outcome)
+                    return False
+                code = result.code or code
+                if result.may_have_run:
+                    # What the helper has tried does not count here.
+                    self._ender.finish_failed(request, code)
+                    return False
+        return await self._wait_or_fail(request, code)
+
+    async def _wait_or_fail(self, request: OpenRequest, code: ErrorCode) -> bool:
+        """Wait until a target can take a request if it may wait; end it with `code` if none can."""
+        self._gate.end_attempt(request)
+        if await self._alternatives.wait(request):
+            return True
         self._ender.finish_failed(request, code)
+        return False
 
     async def _run_detour(self, request: OpenRequest) -> DetourResult:
         return await self._detours.run(request)
 
-    def _select_refusal(self, request: OpenRequest, rejections: Set[Rejection]) -> ErrorCode:
-        """Return the error for a request that no target can accept now."""
-        if request.origin is not None:
-            self._state.metrics.increment_counter(codes.STREAMS_NO_ROOM)
-            if not rejections:
-                return codes.STREAM_VERSION_GONE
-        if OVERLOAD_REJECTIONS & rejections:
-            return codes.OVERLOADED
-        return codes.TARGETS_PAUSED if Rejection.PAUSED in rejections else codes.NO_TARGET
-
     def _handle_outcome(self, request: OpenRequest, outcome: AttemptOutcome) -> bool:
         """Return whether to try another target; end the request if not."""
         request.progress.record_outcome(outcome)
@@ -389,14 +390,3 @@
             # The attempt in progress may have been sent; its outcome was not recorded.
             request.progress.may_have_run = True
         self._ender.finish_failed(request, codes.DEADLINE)
-
-
-async def _is_disconnected(exchange: Exchange) -> bool:
-    """Return whether the caller had already disconnected when its request was read.
-
-    After this process was paused, a request and the end of its connection can be waiting together;
-    they are then read one after the other.
-    """
-    for _ in range(EOF_LOOP_ITERATIONS):
-        await asyncio.sleep(0)
-    return exchange.closed.is_set()
--- a/rhubarbbend/gateway/_requests.py
+++ b/rhubarbbend/gateway/_requests.py
@@ -61,6 +61,8 @@
         "sent_work",
         "trial",
         "has_reserved_retry",
+        "has_left_silent_target",
+        "wait_ends_at",
         "body_end",
         "origin",
         "goes_apart",
@@ -110,6 +112,10 @@
         self.trial: str | None = None
         # Whether a retry was taken from the budget for it and not used yet.
         self.has_reserved_retry = False
+        # Whether it was given up at a target that was silent, and until when it waits for another
+        # one; None if it did not wait yet.
+        self.has_left_silent_target = False
+        self.wait_ends_at: float | None = None
         # How the last answer ended with its connection; None if it ended by its framing.
         self.body_end: BodyEnd | None = None
         # The origin of the stream that the caller gets or takes up again; None before it is known.
--- a/tests/gateway/test_silent_targets.py
+++ b/tests/gateway/test_silent_targets.py
@@ -22,6 +22,8 @@
 # Requests are under way by then, and streams have begun unless their targets take longer.
 BEGUN_S: Final = 0.3
 SLOW_START_S: Final = 0.6
+# After a silence of the first target, the second one has got its requests by then.
+LEFT_S: Final = 0.7
 EVENTS: Final = 20
 EVENT_GAP_S: Final = 0.05
 STREAM: Final = "/chat/stream"
@@ -90,7 +92,8 @@
 
 
 # Guards against cutting, refusing or repeating what targets have that are all silent (LOST).
-@pytest.mark.parametrize(("by_links", "delay"), [(False, 0.0), (False, SLOW_START_S), (True, 0.0)])
+@pytest.mark.parametrize("delay", [0.0, SLOW_START_S], ids=["in_answers", "before_answers"])
+@pytest.mark.parametrize("by_links", [False, True], ids=["suspended", "links"])
 def test_nothing_is_lost_while_all_targets_are_silent(
     tmp_path: Path, by_links: bool, delay: float
 ) -> None:
@@ -160,3 +163,28 @@
                 await set_silent(fleet, ENGINES[1:], is_silent, by_links=False)
                 await asyncio.sleep(SILENCE_S)
             assert await list_lost(replies) == []
+
+
+# Guards against losing what went on elsewhere when the target it went to falls silent too.
+@pytest.mark.parametrize("delay", [0.0, SLOW_START_S], ids=["in_answers", "before_answers"])
+def test_requests_survive_two_silences_one_after_the_other(tmp_path: Path, delay: float) -> None:
+    async def work() -> None:
+        changes = {"routes": make_routes()}
+        async with start_fleet(
+            tmp_path, instances=1, own_links=True, config_changes=changes
+        ) as fleet:
+            await fleet.set_default_worker_faults(events=EVENTS, event_gap=EVENT_GAP_S, delay=delay)
+            replies = send(fleet)
+            await asyncio.sleep(BEGUN_S)
+            first, second = [ENGINES[0], PLAIN[0]], [ENGINES[1], PLAIN[1]]
+            await set_silent(fleet, first, True, by_links=True)
+            await asyncio.sleep(LEFT_S)
+            await set_silent(fleet, second, True, by_links=True)
+            await asyncio.sleep(SILENCE_S - LEFT_S)
+            await set_silent(fleet, first, False, by_links=True)
+            await asyncio.sleep(LEFT_S)
+            await set_silent(fleet, second, False, by_links=True)
+            assert await list_lost(replies) == []
+            assert set(count_runs(fleet, COMMANDS).values()) == {1}
+
+    run(work)
