--- a/rhubarbbend/gateway/_answer_receiver.py
+++ b/rhubarbbend/gateway/_answer_receiver.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Final
 
 from rhubarbbend import codes
@@ -14,7 +15,14 @@
 from rhubarbbend.gateway._liveness import StreamTimeoutPolicy, TargetLivenessMonitor
 from rhubarbbend.gateway._requests import OpenRequest
 from rhubarbbend.gateway._state import Clock, State
-from rhubarbbend.http import REASON_TIMEOUT, Connection, HttpFailure, Response, SendStage
+from rhubarbbend.http import (
+    REASON_TIMEOUT,
+    Connection,
+    HttpFailure,
+    Response,
+    SendStage,
+    SilenceClock,
+)
 
 # The least time that a silent target is waited for.
 MIN_HEAD_TIMEOUT_S: Final = 0.02
@@ -132,17 +140,22 @@
             return await connection.receive_head(request.compute_backstop_timeout(self._clock()))
         timeout_policy = self.make_timeout_policy(request, target)
         started_at = self._clock()
+        silence = SilenceClock()
         while True:
-            timeout = timeout_policy.compute_remaining(self._clock() - started_at)
+            remaining = timeout_policy.compute_remaining(silence.measure(started_at, self._clock()))
+            timeout = max(remaining, MIN_HEAD_TIMEOUT_S)
+            silence.check_at = self._clock() + timeout
             try:
-                return await connection.receive_head(max(timeout, MIN_HEAD_TIMEOUT_S))
+                return await connection.receive_head(timeout)
             except HttpFailure as failure:
                 # The operating system also reports a time-out when it gives up a connection; that
                 # connection is closed.
                 is_silent = failure.reason == REASON_TIMEOUT and not connection.closed
                 if not is_silent:
                     raise
-                if timeout_policy.compute_remaining(self._clock() - started_at) <= 0.0:
+                silent_s = silence.measure(started_at, self._clock())
+                silence.check_at = math.inf
+                if timeout_policy.compute_remaining(silent_s) <= 0.0:
                     raise
 
     def make_timeout_policy(self, request: OpenRequest, target: Target) -> StreamTimeoutPolicy:
--- a/rhubarbbend/http/_body_forwarder.py
+++ b/rhubarbbend/http/_body_forwarder.py
@@ -4,6 +4,7 @@
 
 import abc
 import asyncio
+import math
 from typing import Final
 
 import h11
@@ -18,6 +19,8 @@
 
 # The shortest interval between two checks of whether a body makes progress.
 MIN_CHECK_INTERVAL_S: Final = 0.05
+# The event loop of a busy process may be late by less.
+MIN_STALL_S: Final = 0.1
 
 
 class BodyRelay(abc.ABC):
@@ -62,6 +65,29 @@
         return self._limit - silence
 
 
+class SilenceClock:
+    """Measures the silence of a peer, without the time in which this process stood still.
+
+    What the peer sent meanwhile may not have arrived yet. `check_at` is when the silence is to be
+    measured next; a check that is much later shows that the event loop did not run.
+    """
+
+    def __init__(self) -> None:
+        self.check_at = math.inf
+        self._last_received_at = -math.inf
+        self._stalled_s = 0.0
+
+    def measure(self, last_received_at: float, now: float) -> float:
+        """Return the seconds of silence since `last_received_at` that count."""
+        if last_received_at != self._last_received_at:
+            self._last_received_at = last_received_at
+            self._stalled_s = 0.0
+        began_at = max(self.check_at, last_received_at)
+        if now - began_at > MIN_STALL_S:
+            self._stalled_s += now - began_at
+        return now - last_received_at - self._stalled_s
+
+
 class BodyForwarder(Sink):
     """Forwards a body from a protocol to a relay. Invariant: `ended` is completed at most once."""
 
@@ -80,6 +106,7 @@
         self._timeout_policy = timeout_policy
         self._loop = ended.get_loop()
         self._progress_timer: asyncio.TimerHandle | None = None
+        self._silence = SilenceClock()
         self._drain_task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -160,14 +187,14 @@
         """Fail a body that makes no progress, unless reading it is paused."""
         remaining = MIN_CHECK_INTERVAL_S
         if self._drain_task is None:
-            silence = self._loop.time() - self._protocol.last_received_at
+            silence = self._silence.measure(self._protocol.last_received_at, self._loop.time())
             remaining = self._timeout_policy.compute_remaining(silence)
         if remaining <= 0.0:
             self._fail(REASON_NO_PROGRESS)
             return
-        self._progress_timer = self._loop.call_later(
-            max(remaining, MIN_CHECK_INTERVAL_S), self._check_progress
-        )
+        delay = max(remaining, MIN_CHECK_INTERVAL_S)
+        self._silence.check_at = self._loop.time() + delay
+        self._progress_timer = self._loop.call_later(delay, self._check_progress)
 
     def _fail(self, reason: str) -> None:
         if not self._ended.done():
--- a/tests/gateway/test_silent_targets.py
+++ b/tests/gateway/test_silent_targets.py
@@ -188,3 +188,28 @@
             assert set(count_runs(fleet, COMMANDS).values()) == {1}
 
     run(work)
+
+
+# Guards against taking a stall of the instance for a silence of its targets.
+@pytest.mark.parametrize("delay", [0.0, SLOW_START_S], ids=["in_answers", "before_answers"])
+def test_nothing_is_repeated_after_the_instance_itself_stood_still(
+    tmp_path: Path, delay: float
+) -> None:
+    async def work() -> None:
+        changes = {"routes": make_routes()}
+        async with start_fleet(tmp_path, instances=1, config_changes=changes) as fleet:
+            await fleet.set_default_worker_faults(events=EVENTS, event_gap=EVENT_GAP_S, delay=delay)
+            replies = send(fleet, [STREAM])
+            process = fleet.instances["front-0"].process
+            assert process is not None
+            await asyncio.sleep(BEGUN_S)
+            await set_silent(fleet, ENGINES, True, by_links=False)
+            process.freeze()
+            await asyncio.sleep(SILENCE_S)
+            process.resume()
+            await asyncio.sleep(BEGUN_S)
+            await set_silent(fleet, ENGINES, False, by_links=False)
+            assert await list_lost(replies) == []
+            assert set(count_runs(fleet, [STREAM]).values()) == {1}
+
+    run(work)
