--- a/rhubarbbend/gateway/_answer_receiver.py
+++ b/rhubarbbend/gateway/_answer_receiver.py
@@ -16,6 +16,7 @@
     TargetLivenessMonitor,
 )
 from rhubarbbend.gateway._requests import OpenRequest
+from rhubarbbend.gateway._retries import try_reserve_retry
 from rhubarbbend.gateway._state import Clock, State
 from rhubarbbend.http import REASON_TIMEOUT, Connection, HttpFailure, Response, SendStage
 
@@ -150,20 +151,21 @@
                     raise
 
     def _is_only_choice(self, request: OpenRequest, target: Target) -> bool:
-        """Return whether no other target can take a request, and this one still runs.
+        """Return whether a request can go to no other target now, and this one still runs.
 
         Given up here, the request would fail, though its answer may be on its way.
         """
         now = self._clock()
         if self._liveness.has_failed_probe(target.id):
             return False
-        if self._state.placement.has_alternative(
+        has_alternative = self._state.placement.has_alternative(
             request.service,
             request.excluded,
             self._state.list_instance_ids(),
             now,
             request.admits,
-        ):
+        )
+        if has_alternative and try_reserve_retry(self._state, request, now):
             return False
         if now - self._liveness.find_last_contact(target.id, now) > PROBE_VALIDITY_S:
             self._liveness.start_probe(target)
--- a/rhubarbbend/gateway/_attempts.py
+++ b/rhubarbbend/gateway/_attempts.py
@@ -23,6 +23,7 @@
 from rhubarbbend.gateway._interfaces import ForwardingOptions, TargetProtocol, TargetResponseHead
 from rhubarbbend.gateway._liveness import TargetLivenessMonitor
 from rhubarbbend.gateway._requests import OpenRequest
+from rhubarbbend.gateway._retries import try_acquire_retry
 from rhubarbbend.gateway._settings import Address
 from rhubarbbend.gateway._state import Clock, State
 from rhubarbbend.http import (
@@ -259,9 +260,7 @@
 
     def try_acquire_retry(self, request: OpenRequest) -> bool:
         """Take a retry from this instance's share of the budget; return whether there was one."""
-        instances = len(self._state.list_instance_ids())
-        share = self._state.get_retry_budget_share(request.service.name)
-        return share.try_acquire(instances, self._clock())
+        return try_acquire_retry(self._state, request, self._clock())
 
     def _send(self, request: OpenRequest, choice: Choice, connection: Connection) -> None:
         now = self._clock()
--- a/rhubarbbend/gateway/_requests.py
+++ b/rhubarbbend/gateway/_requests.py
@@ -64,6 +64,7 @@
         "origin",
         "goes_apart",
         "admission",
+        "has_reserved_retry",
     )
 
     def __init__(
@@ -115,6 +116,8 @@
         self.goes_apart = False
         # What admission control decided on it last; None if it was not asked.
         self.admission: Decision | None = None
+        # Whether a retry was taken from the budget for it that was not sent yet.
+        self.has_reserved_retry = False
 
     @property
     def id(self) -> str:
--- a/tests/gateway/test_answers.py
+++ b/tests/gateway/test_answers.py
@@ -11,6 +11,7 @@
 
 import pytest
 
+from loadtool._gateway_config import BOUNDS
 from standins._worker_types import make_response_body, make_stream_event
 from tests.gateway.harness import GatewayFleet, Reply, run, start_fleet, wait_until
 
@@ -109,6 +110,23 @@
     run(work)
 
 
+# Guards against reads that fail since more of them are given up than the budget has retries for.
+@pytest.mark.parametrize("slack", [0, 2])
+def test_a_read_is_not_given_up_without_a_retry_in_the_budget(tmp_path: Path, slack: int) -> None:
+    async def work() -> None:
+        bounds = {**BOUNDS, "retryBudgetRatio": 0.0, "budgetSlack": slack}
+        async with start_fleet(
+            tmp_path, instances=1, settings_changes={"bounds": bounds}, engine_worker_count=1
+        ) as fleet:
+            await fleet.set_service_faults("plain", delay=0.5)
+            replies = await asyncio.gather(*(fleet.send_request(f"/read/{n}") for n in range(8)))
+            assert [reply.status for reply in replies] == [200] * 8
+            sent = [line for line in fleet.read_log("front-0") if line["event"] == "sent"]
+            assert len(sent) == 8 + (slack > 0)
+
+    run(work)
+
+
 def test_a_stream_cut_within_an_event_is_resumed_at_another_engine(tmp_path: Path) -> None:
     # The engine's connection closes in the middle of the fourth event, when the caller has received
     # three. The other engine resumes after the third, and the caller must see one gapless stream.
