--- a/rhubarbbend/gateway/_requests.py
+++ b/rhubarbbend/gateway/_requests.py
@@ -60,13 +60,13 @@
         "unread_tokens",
         "sent_work",
         "trial",
-        "has_reserved_retry",
         "has_left_silent_target",
         "wait_ends_at",
         "body_end",
         "origin",
         "goes_apart",
         "admission",
+        "has_reserved_retry",
     )
 
     def __init__(
