--- a/rhubarbbend/core/delivery/_steps.py
+++ b/rhubarbbend/core/delivery/_steps.py
@@ -17,7 +17,8 @@
 
     # No byte of the request was written.
     UNREACHED = "unreached"
-    # Nothing was written: the target asked for a pause while the connection to it was being opened.
+    # Nothing was written: while the connection was being opened, the target asked for a pause, or
+    # the deadline passed.
     WITHHELD = "withheld"
     # Nothing was written: the target has reset the new connection, since it accepts no more.
     FULL = "full"
--- a/rhubarbbend/gateway/_attempts.py
+++ b/rhubarbbend/gateway/_attempts.py
@@ -118,7 +118,7 @@
                 return AttemptOutcome.UNREACHED
             if not await self._full_targets.check_new_connection(request, target, connection):
                 return AttemptOutcome.FULL
-            if self._state.pauses.compute_remaining(target.id, self._clock()) > 0.0:
+            if self._is_too_late(request, target):
                 self._pool.release(connection, self._clock())
                 return AttemptOutcome.WITHHELD
             return await self._send_and_receive(request, choice, connection)
@@ -130,6 +130,12 @@
             self.recorder.record_left(request)
             self._state.pauses.record_end(target.id, request.id, was_accepted=False)
 
+    def _is_too_late(self, request: OpenRequest, target: Target) -> bool:
+        """Return whether a request must not be sent any more, though there is a connection."""
+        now = self._clock()
+        has_expired = request.compute_time_left(now) <= 0.0
+        return has_expired or self._state.pauses.compute_remaining(target.id, now) > 0.0
+
     async def _connect(self, request: OpenRequest, target: Target) -> Connection | None:
         now = self._clock()
         max_idle = None if request.route.idempotent else NON_IDEMPOTENT_MAX_IDLE_S
--- a/rhubarbbend/gateway/_request_server.py
+++ b/rhubarbbend/gateway/_request_server.py
@@ -239,9 +239,11 @@
             async with InputTimeout(request.deadline):
                 await self._try_targets(request)
         except TimeoutError:
-            self._expire(request)
+            self._fail_unfinished(request, codes.DEADLINE)
         except asyncio.CancelledError:
             if not request.exchange.closed.is_set():
+                # The time for a planned stop is over.
+                self._fail_unfinished(request, codes.STOPPING)
                 raise
             task.uncancel()
             self._ender.finish_caller_gone(request)
@@ -262,6 +264,9 @@
             if refusal is not None:
                 self._ender.finish_failed(request, refusal)
                 return
+            if request.compute_time_left(self._clock()) <= 0.0:
+                # The event loop was late, and what had arrived was processed first.
+                raise TimeoutError
             choice = self._choose_target(request)
             if choice is None and not switched and self._versions.switch(request):
                 switched = True
@@ -384,9 +389,8 @@
             self._ender.finish_failed(request, step.code)
         return False
 
-    def _expire(self, request: OpenRequest) -> None:
-        """End a request whose deadline has passed."""
-        if request.attempt_target is not None and not request.progress.may_have_run:
-            # The attempt in progress may have been sent; its outcome was not recorded.
+    def _fail_unfinished(self, request: OpenRequest, code: ErrorCode) -> None:
+        """End a request whose attempt, if any, was cancelled; it may have been sent."""
+        if request.attempt_target is not None:
             request.progress.may_have_run = True
-        self._ender.finish_failed(request, codes.DEADLINE)
+        self._ender.finish_failed(request, code)
