--- a/rhubarbbend/codes.py
+++ b/rhubarbbend/codes.py
@@ -189,6 +189,9 @@
 CONNECTIONS_TOO_MANY: Final = _declare_counter(
     "connections.too_many", "connections refused because too many are open"
 )
+CONNECTIONS_FAILED: Final = _declare_counter(
+    "connections.failed", "callers' connections ended by an error of this program"
+)
 CONNECTIONS_UNANSWERED: Final = _declare_counter(
     "connections.unanswered",
     "connections closed here with a request received and not answered; a fault of this program",
--- a/rhubarbbend/gateway/_process_monitor.py
+++ b/rhubarbbend/gateway/_process_monitor.py
@@ -11,7 +11,7 @@
 from rhubarbbend import codes
 from rhubarbbend.core.catalog import TrafficLimits
 from rhubarbbend.gateway._state import Clock, State
-from rhubarbbend.http import ENDS_AT_REST, ConnectionEnd
+from rhubarbbend.http import IDLE_ENDS, ConnectionEnd
 
 # A delay of the event loop from which on it is logged: callers notice it, and time-outs of this
 # process may expire together with the data that they wait for.
@@ -23,6 +23,7 @@
     ConnectionEnd.LAST_RESPONSE: codes.CONNECTIONS_LAST_RESPONSE,
     ConnectionEnd.REJECTED: codes.CONNECTIONS_REJECTED,
     ConnectionEnd.TOO_MANY: codes.CONNECTIONS_TOO_MANY,
+    ConnectionEnd.FAILED: codes.CONNECTIONS_FAILED,
 }
 
 
@@ -54,7 +55,7 @@
     def handle_connection_end(self, end: ConnectionEnd, unanswered_bytes: int) -> None:
         """Record why a caller's connection ended, and what was received on it and not answered."""
         self._state.metrics.increment_counter(COUNTERS[end])
-        if not unanswered_bytes or end not in ENDS_AT_REST:
+        if not unanswered_bytes or end not in IDLE_ENDS:
             return
         now = self._clock()
         self._state.metrics.increment_counter(codes.CONNECTIONS_UNANSWERED)
--- a/rhubarbbend/http/__init__.py
+++ b/rhubarbbend/http/__init__.py
@@ -6,7 +6,7 @@
 
 from rhubarbbend.http._answer_buffer import ClientEnd, shed_excess, wait_for_room
 from rhubarbbend.http._body_forwarder import BodyRelay, BodyTimeoutPolicy, SilenceClock
-from rhubarbbend.http._client_connection import ENDS_AT_REST, ConnectionEnd
+from rhubarbbend.http._client_connection import IDLE_ENDS, ConnectionEnd
 from rhubarbbend.http._connection import Connection, Response
 from rhubarbbend.http._exchange import Exchange
 from rhubarbbend.http._failures import (
@@ -33,7 +33,7 @@
     "ConnectionEnd",
     "ConnectionOpener",
     "ConnectionPool",
-    "ENDS_AT_REST",
+    "IDLE_ENDS",
     "EndlessAnswer",
     "Exchange",
     "HttpFailure",
--- a/rhubarbbend/http/_client_connection.py
+++ b/rhubarbbend/http/_client_connection.py
@@ -19,10 +19,12 @@
     LAST_RESPONSE = "last_response"
     REJECTED = "rejected"
     TOO_MANY = "too_many"
+    # An error of this program.
+    FAILED = "failed"
 
 
 # Ends that the server chooses while it believes that the client waits for nothing.
-ENDS_AT_REST: Final = frozenset({ConnectionEnd.IDLE, ConnectionEnd.STOPPING})
+IDLE_ENDS: Final = frozenset({ConnectionEnd.IDLE, ConnectionEnd.STOPPING})
 
 
 class ClientReader(asyncio.StreamReader):
@@ -48,14 +50,24 @@
 class ClientConnection:
     """One client connection of a server, with the state of its HTTP protocol."""
 
-    __slots__ = ("reader", "writer", "conn")
+    __slots__ = ("reader", "writer", "conn", "_max_header_bytes")
 
     def __init__(
-        self, reader: ClientReader, writer: asyncio.StreamWriter, conn: h11.Connection
+        self, reader: ClientReader, writer: asyncio.StreamWriter, max_header_bytes: int
     ) -> None:
         self.reader = reader
         self.writer = writer
-        self.conn = conn
+        self._max_header_bytes = max_header_bytes
+        self.conn = self._make_conn()
+
+    def set_limit(self, max_header_bytes: int) -> None:
+        """Set the limit on the next request's head, of which nothing was parsed yet."""
+        if max_header_bytes != self._max_header_bytes:
+            self._max_header_bytes = max_header_bytes
+            self.conn = self._make_conn()
+
+    def _make_conn(self) -> h11.Connection:
+        return h11.Connection(h11.SERVER, max_incomplete_event_size=self._max_header_bytes)
 
     @property
     def unanswered_bytes(self) -> int:
--- a/rhubarbbend/http/_connection.py
+++ b/rhubarbbend/http/_connection.py
@@ -25,7 +25,6 @@
     HttpFailure,
     SendStage,
 )
-from rhubarbbend.http._input_timeout import InputTimeout
 from rhubarbbend.http._protocol import ClientProtocol, Sink
 from rhubarbbend.http._receive_limits import (
     MAX_DISCARD_S,
@@ -218,30 +217,29 @@
         """Return the response head; raise `HttpFailure` if it takes over `timeout` seconds."""
         deadline = asyncio.get_running_loop().time() + timeout
         try:
-            async with InputTimeout(deadline):
-                while True:
-                    event = self._conn.next_event()
-                    if event is h11.NEED_DATA:
-                        await self._read_head_part()
-                    elif isinstance(event, h11.InformationalResponse):
-                        self._head_monitor.record_informational()
-                    elif isinstance(event, h11.Response):
-                        headers = {k.decode(): v.decode("latin-1") for k, v in event.headers}
-                        response = Response(event.status_code, headers, list(event.headers))
-                        self._body_ends_with_connection = response.ends_with_connection
-                        return response
-                    else:
-                        raise HttpFailure(SendStage.SENT, "closed before the response")
+            while True:
+                event = self._conn.next_event()
+                if event is h11.NEED_DATA:
+                    await self._read_head_part(deadline)
+                elif isinstance(event, h11.InformationalResponse):
+                    self._head_monitor.record_informational()
+                elif isinstance(event, h11.Response):
+                    headers = {k.decode(): v.decode("latin-1") for k, v in event.headers}
+                    response = Response(event.status_code, headers, list(event.headers))
+                    self._body_ends_with_connection = response.ends_with_connection
+                    return response
+                else:
+                    raise HttpFailure(SendStage.SENT, "closed before the response")
         except TimeoutError as error:
             raise HttpFailure(SendStage.SENT, REASON_TIMEOUT) from error
         except (OSError, h11.RemoteProtocolError) as error:
             raise make_failure(SendStage.SENT, error) from error
 
-    async def _read_head_part(self) -> None:
+    async def _read_head_part(self, deadline: float) -> None:
         """Read more of an incomplete head, or the first part of one."""
         incomplete, _ = self._conn.trailing_data
         self._head_monitor.check_incomplete(incomplete)
-        data = await self._protocol.read()
+        data = await self._protocol.read_before(deadline)
         self._conn.receive_data(data)
         now = asyncio.get_running_loop().time()
         self._head_monitor.record_received(now, len(data), continues=bool(incomplete))
@@ -259,8 +257,7 @@
             while True:
                 event = self._conn.next_event()
                 if event is h11.NEED_DATA:
-                    async with InputTimeout(loop.time() + progress_timeout):
-                        data = await self._protocol.read()
+                    data = await self._protocol.read_before(loop.time() + progress_timeout)
                     self._conn.receive_data(data)
                     framing.record_received(loop.time(), len(data))
                 elif isinstance(event, h11.Data):
--- a/rhubarbbend/http/_input_timeout.py
+++ b/rhubarbbend/http/_input_timeout.py
@@ -52,15 +52,15 @@
         self._cancel_timer()
         self._scope.reschedule(None)
         if when is not None:
-            self._handle = self._loop.call_at(when, self._pass_input, INPUT_LOOP_ITERATIONS)
+            self._handle = self._loop.call_at(when, self._count_down, INPUT_LOOP_ITERATIONS)
 
     def expired(self) -> bool:
         """Return whether it has expired."""
         return self._scope.expired()
 
-    def _pass_input(self, iterations: int) -> None:
+    def _count_down(self, iterations: int) -> None:
         if iterations > 0:
-            self._handle = self._loop.call_soon(self._pass_input, iterations - 1)
+            self._handle = self._loop.call_soon(self._count_down, iterations - 1)
         else:
             self._scope.reschedule(self._loop.time())
 
--- a/rhubarbbend/http/_protocol.py
+++ b/rhubarbbend/http/_protocol.py
@@ -14,6 +14,8 @@
 from collections.abc import Awaitable
 from typing import Final, cast
 
+from rhubarbbend.http._input_timeout import InputTimeout
+
 # Above this many unread bytes, reading from the socket is paused (backpressure).
 READ_HIGH_WATER_BYTES: Final = 65_536
 # Most bytes received at once; asyncio reads up to 256 KB. Reading can be paused only after a part,
@@ -151,6 +153,17 @@
         self.resume_reading()
         return data
 
+    async def read_before(self, when: float) -> bytes:
+        """Like `read`; raise `TimeoutError` if nothing was received by `when`, in loop time."""
+        try:
+            async with InputTimeout(when):
+                return await self.read()
+        except TimeoutError:
+            if not self._buffer:
+                raise
+        # It arrived after the time-out had cancelled the read.
+        return await self.read()
+
     def set_sink(self, sink: Sink | None) -> None:
         """Pass received data, including what is still unread, to a sink; None stops that."""
         self._sink = sink
--- a/rhubarbbend/http/_server.py
+++ b/rhubarbbend/http/_server.py
@@ -89,13 +89,16 @@
         # In the order of their opening: in a set, it would be that of addresses in memory, and so
         # would be the order in which idle connections are closed.
         self._tasks: dict[asyncio.Task[None], None] = {}
-        # The time-outs of connections that wait for the first byte of a request.
-        self._idle_timeouts: dict[asyncio.Task[None], InputTimeout] = {}
+        # Of connections that wait for the first byte of a request, in the order of their waits.
+        self._idle_timeouts: dict[InputTimeout, None] = {}
         self._stopping = False
         self._drain_state = DrainState()
 
     def set_limits(self, limits: ServerLimits) -> None:
-        """Replace the limits; they apply from the next request on."""
+        """Replace the limits; they apply from the next request on.
+
+        A longer idle time-out also applies to connections that are idle already.
+        """
         self._limits = limits
 
     async def listen(self, host: str, port: int) -> int:
@@ -138,7 +141,7 @@
     def _close_idle(self) -> None:
         """Have idle connections end, unless a request has already arrived on them."""
         now = asyncio.get_running_loop().time()
-        for timeout in self._idle_timeouts.values():
+        for timeout in self._idle_timeouts:
             timeout.reschedule(now)
 
     async def finish(self) -> None:
@@ -165,13 +168,12 @@
         self._tasks[task] = None
         set_limits(writer.transport)
         limit_kernel_buffer(writer.get_extra_info("socket"))
-        conn = h11.Connection(h11.SERVER, max_incomplete_event_size=self._limits.max_header_bytes)
-        client = ClientConnection(reader, writer, conn)
-        end = ConnectionEnd.CLIENT_CLOSED
+        client = ClientConnection(reader, writer, self._limits.max_header_bytes)
+        end = ConnectionEnd.FAILED
         try:
-            end = await self._serve_connection(task, client)
+            end = await self._serve_connection(client)
         except (ConnectionError, TimeoutError):
-            pass
+            end = ConnectionEnd.CLIENT_CLOSED
         except asyncio.CancelledError:
             end = ConnectionEnd.STOPPING
             # The time for sending the rest is over, and another wait would delay the end.
@@ -185,17 +187,16 @@
             finally:
                 self._tasks.pop(task, None)
 
-    async def _serve_connection(
-        self, task: asyncio.Task[None], client: ClientConnection
-    ) -> ConnectionEnd:
-        conn, reader, writer = client.conn, client.reader, client.writer
+    async def _serve_connection(self, client: ClientConnection) -> ConnectionEnd:
+        reader, writer = client.reader, client.writer
         while True:
             body = RequestBody()
             exchange: Exchange | None = None
             try:
-                head = await self._read_head(task, conn, reader)
+                head = await self._read_head(client)
                 if isinstance(head, ConnectionEnd):
                     return head
+                conn = client.conn
                 try:
                     body = await self._read_body(head, conn, reader, writer)
                 except MemoryShort as short:
@@ -208,7 +209,7 @@
                 if not await self._prepare_next(conn, writer, exchange.buffer):
                     return ConnectionEnd.LAST_RESPONSE
             except RequestRejected as rejected:
-                await reject_request(conn, reader, writer, rejected)
+                await reject_request(client.conn, reader, writer, rejected)
                 return ConnectionEnd.REJECTED
             finally:
                 self._bodies.release(body)
@@ -238,9 +239,7 @@
         await self._handler(exchange)
         await discard_remaining_input(reader, writer)
 
-    async def _read_head(
-        self, task: asyncio.Task[None], conn: h11.Connection, reader: asyncio.StreamReader
-    ) -> h11.Request | ConnectionEnd:
+    async def _read_head(self, client: ClientConnection) -> h11.Request | ConnectionEnd:
         """Return the head of the next request, or why there is none.
 
         The time-out applies to the whole head: otherwise a client that sends a byte now and then
@@ -249,28 +248,27 @@
         loop = asyncio.get_running_loop()
         head_deadline: float | None = None
         while True:
-            event = read_event(conn)
+            event = read_event(client.conn)
             if isinstance(event, h11.Request):
                 _check_framing(event)
                 return event
             if event is not h11.NEED_DATA:
                 return ConnectionEnd.CLIENT_CLOSED
-            if head_deadline is None and not conn.trailing_data[0]:
-                data = await self._wait_for_request(task, reader)
+            if head_deadline is None and not client.conn.trailing_data[0]:
+                data = await self._wait_for_request(client.reader)
                 if isinstance(data, ConnectionEnd):
                     return data
+                client.set_limit(self._limits.max_header_bytes)
             else:
                 head_deadline = head_deadline or loop.time() + self._limits.head_timeout
                 try:
                     async with InputTimeout(head_deadline):
-                        data = await reader.read(READ_SIZE_BYTES)
+                        data = await client.reader.read(READ_SIZE_BYTES)
                 except TimeoutError:
                     raise RequestRejected(408, TOO_SLOW) from None
-            conn.receive_data(data)
+            client.conn.receive_data(data)
 
-    async def _wait_for_request(
-        self, task: asyncio.Task[None], reader: asyncio.StreamReader
-    ) -> bytes | ConnectionEnd:
+    async def _wait_for_request(self, reader: ClientReader) -> bytes | ConnectionEnd:
         """Return the first bytes of a request, or why the idle connection ends without one.
 
         An idle time-out that was lengthened meanwhile applies: the client goes by the new one.
@@ -279,17 +277,24 @@
         idle_since = loop.time()
         while True:
             idle_timeout = IDLE_CLOSE_DELAY_S if self._stopping else self._limits.idle_timeout
+            timeout = InputTimeout(idle_since + idle_timeout)
             try:
-                async with InputTimeout(idle_since + idle_timeout) as timeout:
-                    self._idle_timeouts[task] = timeout
+                async with timeout:
+                    self._idle_timeouts[timeout] = None
                     return await reader.read(READ_SIZE_BYTES)
             except TimeoutError:
+                if not timeout.expired():
+                    # The operating system has given the connection up.
+                    raise
+                if reader.unread:
+                    # It arrived after the time-out had cancelled the read.
+                    continue
                 if self._stopping:
                     return ConnectionEnd.STOPPING
                 if loop.time() >= idle_since + self._limits.idle_timeout:
                     return ConnectionEnd.IDLE
             finally:
-                self._idle_timeouts.pop(task, None)
+                self._idle_timeouts.pop(timeout, None)
 
     async def _read_body(
         self,
@@ -361,7 +366,11 @@
     A client that sends more than `READ_SIZE_BYTES` early is disconnected.
     """
     while True:
-        data = await reader.read(READ_SIZE_BYTES)
+        try:
+            data = await reader.read(READ_SIZE_BYTES)
+        except OSError:
+            # The client has reset its connection.
+            data = b""
         if not data:
             exchange.mark_closed()
             return
--- a/tests/http/test_late_event_loop.py
+++ b/tests/http/test_late_event_loop.py
@@ -215,3 +215,41 @@
                 await asyncio.to_thread(target.join)
 
     assert asyncio.run(work()) == b"whole"
+
+
+# Guards against closing a connection with a request that was received while the loop was busy in
+# one of the iterations in which the time-out lets input be processed.
+@pytest.mark.parametrize("iterations", range(6))
+@pytest.mark.parametrize("end", [ConnectionEnd.IDLE, ConnectionEnd.STOPPING])
+def test_no_received_request_is_left_when_an_idle_connection_ends(
+    iterations: int, end: ConnectionEnd
+) -> None:
+    async def work() -> None:
+        loop = asyncio.get_running_loop()
+        server = HttpServer(respond, ServerLimits(idle_timeout=0.3))
+        ends: list[tuple[ConnectionEnd, int]] = []
+        server.on_connection_end = lambda end, unanswered: ends.append((end, unanswered))
+        port = await server.listen(HOST, 0)
+        with socket.create_connection((HOST, port)) as client:
+            await asyncio.sleep(0.05)
+
+            def stall_after(iterations: int) -> None:
+                if iterations:
+                    loop.call_soon(stall_after, iterations - 1)
+                    return
+                threading.Timer(0.02, client.sendall, (REQUEST,)).start()
+                time.sleep(0.1)
+
+            if end is ConnectionEnd.STOPPING:
+                server.stop_accepting()
+                server._close_idle()
+                loop.call_soon(stall_after, iterations)
+            else:
+                handle = next(iter(server._idle_timeouts))._handle
+                assert isinstance(handle, asyncio.TimerHandle)
+                loop.call_at(handle.when(), stall_after, iterations)
+            await asyncio.sleep(0.6)
+            await server.close()
+            assert [unanswered for _, unanswered in ends] == [0]
+
+    asyncio.run(work())
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import time
 
 import msgspec
 import pytest
 
-from rhubarbbend.http import Exchange, HttpServer, ServerLimits
+from rhubarbbend.http import ConnectionEnd, Exchange, HttpServer, ServerLimits
+from rhubarbbend.http._protocol import RESETTING_LINGER
 
 HOST = "127.0.0.1"
+REQUEST = b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
 LIMITS = ServerLimits(
     max_header_bytes=2_000,
     max_body_bytes=1_000,
@@ -136,3 +139,67 @@
         await server.close()
 
     asyncio.run(scenario())
+
+
+# Guards against an event loop that stands still until the idle time-out, since the operating system
+# has given up an idle connection: its error is a `TimeoutError` too.
+def test_an_idle_connection_that_is_given_up_by_the_system_ends_at_once() -> None:
+    async def work() -> None:
+        server = HttpServer(respond_with_body_size, ServerLimits(idle_timeout=1.0))
+        protocol = server._make_protocol()
+        server._make_protocol = lambda: protocol  # type: ignore[method-assign]
+        ends: list[ConnectionEnd] = []
+        server.on_connection_end = lambda end, unanswered: ends.append(end)
+        port = await server.listen(HOST, 0)
+        with socket.create_connection((HOST, port)):
+            await asyncio.sleep(0.05)
+            protocol._transport._fatal_error(TimeoutError(110, "Connection timed out"))
+            began_at = time.monotonic()
+            await asyncio.sleep(0.05)
+            assert time.monotonic() - began_at < 0.5
+            assert ends == [ConnectionEnd.CLIENT_CLOSED]
+        await server.close()
+
+    asyncio.run(work())
+
+
+# Guards against refusing (431) a head that the limit in force allows, on a connection that is older
+# than that limit.
+def test_a_larger_limit_of_headers_holds_for_connections_that_are_open() -> None:
+    async def work() -> None:
+        server = HttpServer(respond_with_body_size, ServerLimits(max_header_bytes=1_000))
+        port = await server.listen(HOST, 0)
+        reader, writer = await asyncio.open_connection(HOST, port)
+        writer.write(REQUEST)
+        await reader.readuntil(b"\r\n\r\n0")
+        server.set_limits(ServerLimits(max_header_bytes=9_000))
+        writer.write(REQUEST[:-2] + b"X: " + 4_000 * b"a")
+        await asyncio.sleep(0.05)
+        writer.write(b"\r\n\r\n")
+        assert (await reader.read(1_000)).startswith(b"HTTP/1.1 200")
+        writer.close()
+        await server.close()
+
+    asyncio.run(work())
+
+
+# Guards against work that goes on for a client that has reset its connection.
+def test_a_reset_of_the_client_ends_its_request() -> None:
+    async def work() -> None:
+        ended = asyncio.Event()
+
+        async def wait_for_end(exchange: Exchange) -> None:
+            await exchange.closed.wait()
+            ended.set()
+
+        server = HttpServer(wait_for_end)
+        port = await server.listen(HOST, 0)
+        with socket.create_connection((HOST, port)) as client:
+            client.sendall(REQUEST)
+            await asyncio.sleep(0.05)
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESETTING_LINGER)
+        async with asyncio.timeout(1.0):
+            await ended.wait()
+        await server.close()
+
+    asyncio.run(work())
