--- a/rhubarbbend/gateway/_crash_gate.py
+++ b/rhubarbbend/gateway/_crash_gate.py
@@ -15,6 +15,7 @@
 from rhubarbbend.gateway._crash_trials import TrialClient
 from rhubarbbend.gateway._requests import OpenRequest
 from rhubarbbend.gateway._state import Clock, State
+from rhubarbbend.http import InputTimeout
 
 # A caller may repeat a request here before the notice of its last crash elsewhere arrives. One that
 # is known to have lost a target waits for such a notice before it is sent, also again.
@@ -179,7 +180,7 @@
         left = self._state.started_at + START_WAIT_S - self._clock()
         if not learned.is_set() and left > 0.0:
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(left):
+                async with InputTimeout(asyncio.get_running_loop().time() + left):
                     await learned.wait()
 
     def end_attempt(self, request: OpenRequest) -> None:
--- a/tests/gateway/test_crash_gate.py
+++ b/tests/gateway/test_crash_gate.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Callable
 from types import SimpleNamespace
 from typing import Any, cast
@@ -10,7 +11,7 @@
 import pytest
 
 from rhubarbbend.core.crashes import Content, CrashLedger, Judgement, Loss
-from rhubarbbend.gateway._crash_gate import CrashGate
+from rhubarbbend.gateway._crash_gate import START_WAIT_S, CrashGate
 
 NOW = 1.0
 LATER = 20.0
@@ -69,6 +70,33 @@
         return await gate.admit(request)
 
 
+# Guards against sending a request that others know to have ended targets, when their replies were
+# received while the event loop was late.
+def test_replies_received_before_the_wait_at_the_start_ends_are_heeded() -> None:
+    async def work() -> None:
+        loop = asyncio.get_running_loop()
+        gate, request = make_gate(), make_request()
+        state = cast(Any, gate._state)
+        known, state.crashes = state.crashes, CrashLedger()
+        state.crashes_learned.clear()
+        state.started_at = NOW - START_WAIT_S + 0.2
+
+        def learn() -> None:
+            state.crashes = known
+            state.crashes_learned.set()
+
+        admitting = asyncio.create_task(gate.admit(request))
+        await asyncio.sleep(0.1)
+        time.sleep(0.2)
+        # The loop reads the replies in its next iteration, the tasks that asked get them in the
+        # one after that, and the task that waits for these applies them in the third.
+        loop.call_soon(loop.call_soon, loop.call_soon, learn)
+        assert await admitting
+        assert request.trial == "x"
+
+    asyncio.run(work())
+
+
 def test_one_request_at_a_time_is_on_trial() -> None:
     async def work() -> None:
         gate, first, second = make_gate(), make_request(), make_request()
