--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 import time
 
 import msgspec
@@ -136,3 +138,29 @@
         await server.close()
 
     asyncio.run(scenario())
+
+
+# Guards against work that goes on at a target after its caller has gone: a client whose process is
+# killed, or which gives up with data unread, resets its connection.
+@pytest.mark.parametrize("by_reset", [False, True])
+def test_a_client_that_leaves_while_its_request_runs_is_noticed(by_reset: bool) -> None:
+    was_noticed = asyncio.Event()
+
+    async def wait_for_the_end(exchange: Exchange) -> None:
+        await exchange.closed.wait()
+        was_noticed.set()
+
+    async def scenario() -> None:
+        server = HttpServer(wait_for_the_end, LIMITS)
+        port = await server.listen(HOST, 0)
+        with socket.create_connection((HOST, port)) as client:
+            client.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+            await asyncio.sleep(0.1)
+            if by_reset:
+                client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        try:
+            await asyncio.wait_for(was_noticed.wait(), 2.0)
+        finally:
+            await server.close()
+
+    asyncio.run(scenario())
