--- a/rhubarbbend/codes.py
+++ b/rhubarbbend/codes.py
@@ -222,6 +222,12 @@
 IDLE_CONNECTIONS_DEAD: Final = _declare_counter(
     "idle_connections_dead", "requests that met a connection which had died while it was idle"
 )
+IDLE_CONNECTIONS_STRAY: Final = _declare_counter(
+    "idle_connections_stray", "idle connections closed because targets sent bytes on them"
+)
+ENDLESS_ANSWERS: Final = _declare_counter(
+    "endless_answers", "attempts ended because what a target sent might never have ended"
+)
 ZONES_SUSPECTED: Final = _declare_counter(
     "zones_doubted", "times that all targets of a zone were doubted, since one was lost"
 )
--- a/rhubarbbend/gateway/_answer_forwarder.py
+++ b/rhubarbbend/gateway/_answer_forwarder.py
@@ -14,11 +14,23 @@
 from rhubarbbend.gateway._interfaces import TargetResponseHead
 from rhubarbbend.gateway._requests import BufferedAnswer, OpenRequest
 from rhubarbbend.gateway._state import Clock, State, read_clock
-from rhubarbbend.http import BodyTimeoutPolicy, Connection, HttpFailure, SendStage, wait_for_room
+from rhubarbbend.http import (
+    SMALL_BODY_PART_BYTES,
+    BodyTimeoutPolicy,
+    Connection,
+    EndlessAnswer,
+    HttpFailure,
+    SendStage,
+    TrickleDetector,
+    wait_for_room,
+)
 
 # Answers up to this size are buffered until they are complete, so that one that was truncated can
 # be replaced by another target's.
 MAX_BUFFERED_ANSWER_BYTES: Final = 262_144
+# A target that rejects a request sends its whole answer at once; a sound path may be silent for a
+# second or two.
+REJECTION_PROGRESS_TIMEOUT_S: Final = 2.5
 # Statuses that guarantee to the caller that its request did not and will not run.
 NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
 
@@ -51,12 +63,10 @@
         is None if the answer comes through a helper. Raise `HttpFailure` if this is no whole answer
         of the target.
         """
-        if answer.misdirected:
-            await _read_body(connection, request)
-            return AttemptOutcome.MISDIRECTED
-        if answer.was_not_executed:
-            await _read_body(connection, request)
-            return AttemptOutcome.REJECTED
+        if answer.misdirected or answer.was_not_executed:
+            await connection.discard_body(REJECTION_PROGRESS_TIMEOUT_S)
+            is_misdirected = answer.misdirected
+            return AttemptOutcome.MISDIRECTED if is_misdirected else AttemptOutcome.REJECTED
         if not answer.is_authentic or answer.status in NOT_RUN_STATUSES:
             # The request ran or may have run; the caller would take the status for a guarantee that
             # it did not.
@@ -70,8 +80,6 @@
             reason = f"status {answer.status} instead of the rest of a stream"
             raise HttpFailure(SendStage.RESPONSE, reason)
         body = await _read_body(connection, request)
-        if body is None:
-            raise HttpFailure(SendStage.RESPONSE, "the answer is too large to buffer")
         await self._confirm_end(request, target)
         failed = answer.status >= 500
         if failed and can_retry and self._has_retry_left(request):
@@ -156,16 +164,24 @@
     exchange.finish()
 
 
-async def _read_body(connection: Connection, request: OpenRequest) -> bytes | None:
-    """Return the body of an answer, None if it is larger than `MAX_BUFFERED_ANSWER_BYTES`."""
+async def _read_body(connection: Connection, request: OpenRequest) -> bytes:
+    """Return the body of an answer.
+
+    Raise `EndlessAnswer` if it is larger than `MAX_BUFFERED_ANSWER_BYTES`, or arrives byte by byte
+    while another target could still answer.
+    """
     parts: list[bytes] = []
     size = 0
     buffer = request.exchange.buffer
     kept = 0 if request.fallback_answer is None else len(request.fallback_answer.body)
+    trickle = TrickleDetector(SMALL_BODY_PART_BYTES)
     async for part in connection.receive_body(request.compute_backstop_timeout(read_clock())):
         size += len(part)
         if size > MAX_BUFFERED_ANSWER_BYTES:
-            return None
+            raise EndlessAnswer(SendStage.RESPONSE, "the answer is too large to buffer")
+        is_slow = trickle.record(read_clock(), len(part), continues=bool(parts))
+        if is_slow and request.can_retry_elsewhere:
+            raise EndlessAnswer(SendStage.RESPONSE, "an answer that arrives byte by byte")
         parts.append(part)
         buffer.record_pending(kept + size)
         await wait_for_room(buffer.ledger)
--- a/rhubarbbend/gateway/_answer_receiver.py
+++ b/rhubarbbend/gateway/_answer_receiver.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from typing import Final
 
 from rhubarbbend import codes
@@ -17,11 +18,20 @@
 )
 from rhubarbbend.gateway._requests import OpenRequest
 from rhubarbbend.gateway._state import Clock, State
-from rhubarbbend.http import REASON_TIMEOUT, Connection, HttpFailure, Response, SendStage
+from rhubarbbend.http import (
+    REASON_TIMEOUT,
+    Connection,
+    EndlessAnswer,
+    HttpFailure,
+    Response,
+    SendStage,
+)
 
 # How often a request that waits for its only target looks for another one. This is also the least
 # time that a silent target is waited for.
 ALTERNATIVE_CHECK_S: Final = 0.02
+# Answers to other requests that are discarded before one attempt is given up.
+MAX_STRAY_ANSWERS: Final = 8
 # Progress time-out for discarding an answer that does not belong to the current request.
 STRAY_ANSWER_TIMEOUT_S: Final = 0.5
 
@@ -50,7 +60,7 @@
 
         Answers that arrive before it and belong to other requests are discarded.
         """
-        while True:
+        for stray_count in itertools.count():
             response = await self._receive_next_head(request, target, connection)
             answer = self._target_protocol.read_response_head(response)
             self._record_notices(request, target, answer)
@@ -66,6 +76,8 @@
             )
             if not answer.request:
                 raise HttpFailure(SendStage.RESPONSE, "the answer carries no request id")
+            if stray_count >= MAX_STRAY_ANSWERS:
+                raise EndlessAnswer(SendStage.RESPONSE, "too many answers to other requests")
             await connection.discard_response(STRAY_ANSWER_TIMEOUT_S)
         was_accepted = answer.status < 500 and not (answer.was_not_executed or answer.misdirected)
         self._state.pauses.record_end(target.id, request.id, was_accepted)
--- a/rhubarbbend/gateway/_attempts.py
+++ b/rhubarbbend/gateway/_attempts.py
@@ -30,6 +30,7 @@
     BodyTimeoutPolicy,
     Connection,
     ConnectionPool,
+    EndlessAnswer,
     HttpFailure,
     SendStage,
 )
@@ -77,6 +78,7 @@
         self._target_protocol = target_protocol
         self._clock = clock
         self._latencies = LatencyTracker()
+        pool.on_stray_bytes = lambda: state.metrics.increment_counter(codes.IDLE_CONNECTIONS_STRAY)
         self.recorder = AttemptRecorder(state, clock)
         self._liveness = TargetLivenessMonitor(state, pool, CONNECT_TIMEOUT_S, clock)
         self._full_targets = FullTargetDetector(state, pool, self._liveness, clock)
@@ -326,6 +328,8 @@
             parts=_list_logged_parts(request),
             cut_unread=cut_unread or None,
         )
+        if isinstance(failure, EndlessAnswer):
+            self._state.metrics.increment_counter(codes.ENDLESS_ANSWERS)
         if failure.stage is SendStage.CONNECT:
             return AttemptOutcome.UNREACHED
         is_lost = connection.closed or self._liveness.has_failed_probe(target.id)
@@ -352,7 +356,7 @@
         """
         if connection.idle_time_s < MIN_DEAD_IDLE_TIME_S or failure.stage is not SendStage.SENT:
             return False
-        if failure.reason == REASON_TIMEOUT:
+        if failure.reason == REASON_TIMEOUT or isinstance(failure, EndlessAnswer):
             return False
         self._pool.record_dead_idle(connection.address, connection.idle_time_s, self._clock())
         self._state.metrics.increment_counter(codes.IDLE_CONNECTIONS_DEAD)
--- a/rhubarbbend/gateway/_detours.py
+++ b/rhubarbbend/gateway/_detours.py
@@ -38,6 +38,8 @@
 # Refusals of a helper that cannot send a request either. With others it has no room now, and may
 # have some for the next request.
 UNABLE_CODES: Final = frozenset({codes.NO_TARGET.name, codes.NOT_READY.name})
+# A helper sends a refusal at once; a sound path may be silent for a second or two.
+REFUSAL_PROGRESS_TIMEOUT_S: Final = 2.5
 # How often it is checked whether the helper is still heard while its answer is awaited.
 HELPER_CHECK_INTERVAL_S: Final = 0.3
 
@@ -118,7 +120,7 @@
             refusal = read_refusal(response.headers)
             if refusal is not None:
                 is_reusable = True
-                await _discard_body(request, connection, self._clock())
+                await connection.discard_body(REFUSAL_PROGRESS_TIMEOUT_S)
                 return self._handle_refusal(request, helper, refusal)
             answer = self._targets.read_response_head(response)
             self._record_leaving(response)
@@ -249,8 +251,3 @@
         self._state.event_log.write(
             "detour_ended", now, id=request.id, helper=helper, end=end, took=taken_s, **fields
         )
-
-
-async def _discard_body(request: OpenRequest, connection: Connection, now: float) -> None:
-    async for _ in connection.receive_body(request.compute_backstop_timeout(now)):
-        pass
--- a/rhubarbbend/gateway/_streams.py
+++ b/rhubarbbend/gateway/_streams.py
@@ -5,11 +5,12 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from typing import Final
 
 from rhubarbbend.core.limits import HeldKind
-from rhubarbbend.http import BodyRelay, Exchange
+from rhubarbbend.http import BodyRelay, EndlessAnswer, Exchange, SendStage, TrickleDetector
 
 # Data that contains no end of an event within this size is not an event stream.
 MAX_EVENT_BYTES: Final = 1_048_576
@@ -49,7 +50,7 @@
         self._buffer = bytearray()
         self._is_resumed = False
         self._on_first_event: Callable[[], None] = lambda: None
-        self._is_event_too_long = False
+        self._trickle = TrickleDetector()
         self._is_counted = False
 
     def begin_response(self, is_resumed: bool, on_first_event: Callable[[], None]) -> None:
@@ -67,15 +68,17 @@
         self._on_first_event = on_first_event
 
     def write(self, data: bytes) -> None:
-        """Accept a part of the target's body and forward the events that it completes."""
-        if self._is_event_too_long:
-            return
+        """Accept a part of the target's body and forward the events that it completes.
+
+        Raise `EndlessAnswer` if what it sends instead may never become an event.
+        """
+        searched = len(self._buffer)
         self._buffer += data
-        end = _find_end_of_events(self._buffer)
+        end = _find_end_of_events(self._buffer, searched)
         if end < 0:
-            self._is_event_too_long = len(self._buffer) > MAX_EVENT_BYTES
-            self._count_incomplete()
+            self._check_incomplete(len(data))
             return
+        self._trickle.reset()
         events = bytes(self._buffer[:end])
         del self._buffer[:end]
         self._count_incomplete()
@@ -95,7 +98,7 @@
 
     def is_complete(self) -> bool:
         """Return whether the body received so far ends at the end of an event."""
-        return not self._is_event_too_long and not self._buffer.strip()
+        return not self._buffer.strip()
 
     def is_write_buffer_full(self) -> bool:
         """Return whether the caller reads more slowly than events arrive."""
@@ -105,6 +108,18 @@
         """Wait until the caller has read enough of the forwarded events."""
         await self._exchange.drain()
 
+    def _check_incomplete(self, received: int) -> None:
+        """Check an event of which another part was received, but not its end."""
+        size = len(self._buffer)
+        now = asyncio.get_running_loop().time()
+        continues = size > received
+        is_endless = self._trickle.record(now, received, continues) or size > MAX_EVENT_BYTES
+        if is_endless:
+            self._buffer.clear()
+        self._count_incomplete()
+        if is_endless:
+            raise EndlessAnswer(SendStage.RESPONSE, "an event without end")
+
     def _count_incomplete(self) -> None:
         """Count an event that is not complete as held, if it is large."""
         size = len(self._buffer)
@@ -135,9 +150,12 @@
         return b"".join(output)
 
 
-def _find_end_of_events(buffer: bytearray) -> int:
-    """Return the length of the complete events at the start of a buffer, -1 if there are none."""
-    end = buffer.rfind(b"\n\n")
+def _find_end_of_events(buffer: bytearray, searched: int) -> int:
+    """Return the length of the complete events at the start of a buffer, -1 if there are none.
+
+    The first `searched` bytes hold no end of an event; a large one may come in very many parts.
+    """
+    end = buffer.rfind(b"\n\n", max(0, searched - 1))
     return -1 if end < 0 else end + 2
 
 
--- a/rhubarbbend/gateway/_target_checker.py
+++ b/rhubarbbend/gateway/_target_checker.py
@@ -41,7 +41,7 @@
     REFUSED = "refused"  # No connection is accepted, or each is closed without an answer.
     CUT_OFF = "cut off"  # No connection is accepted, nor is one by other targets.
     FULL = "full"  # Each new connection is closed without an answer, while an older one is open.
-    SILENT = "silent"  # Nothing comes back.
+    SILENT = "silent"  # Nothing comes back that tells who it is.
 
 
 class CheckQuery(msgspec.Struct, frozen=True, array_like=True):
@@ -203,7 +203,8 @@
             try:
                 return await self._identify(connection, query, address)
             except HttpFailure as failure:
-                if failure.reason == REASON_TIMEOUT:
+                if failure.reason == REASON_TIMEOUT or not connection.closed:
+                    # Bytes that are no answer show that a process runs, but not which one.
                     return Contact.SILENT
             finally:
                 connection.close()
--- a/standins/_worker.py
+++ b/standins/_worker.py
@@ -19,6 +19,7 @@
 import h11
 import msgspec
 
+from standins._worker_floods import send_flood
 from standins._worker_responses import (
     BodyWriter,
     make_response_head,
@@ -310,6 +311,8 @@
         if faults.garbage:
             writer.write(b"\x00\x01 these bytes are no answer\r\n\r\n")
             return False
+        if faults.flood:
+            return await send_flood(writer, faults, response_headers)
         if faults.stray:
             writer.write(make_stray_response())
         if faults.status:
--- a/standins/_worker_types.py
+++ b/standins/_worker_types.py
@@ -50,6 +50,10 @@
     extra: bool = False
     # Send bytes that are not HTTP (`garbage`), or a response without the `Response-Seal` header.
     garbage: bool = False
+    # Send this kind of bytes without end (`standins._worker_floods`) instead of a response, or
+    # after it: as fast as they are read, or one each `flood_gap` seconds.
+    flood: str = ""
+    flood_gap: float = 0.0
     unsealed: bool = False
     # Break a plain response off in the middle of its body (`truncate`), by closing the connection
     # or as `cut_by_reset` says; send bodies and streams without a length or chunks, which end when
