--- a/rhubarbbend/http/__init__.py
+++ b/rhubarbbend/http/__init__.py
@@ -16,6 +16,7 @@
     HttpFailure,
     SendStage,
 )
+from rhubarbbend.http._input_timeout import InputTimeout
 from rhubarbbend.http._notices import read_brittle, read_leaving, read_pause
 from rhubarbbend.http._pool import ConnectionOpener, ConnectionPool, fetch
 from rhubarbbend.http._protocol import ClientProtocol, reset_connection, set_keepalive
@@ -38,6 +39,7 @@
     "HttpFailure",
     "REASON_TIMEOUT",
     "HttpServer",
+    "InputTimeout",
     "Response",
     "SMALL_BODY_PART_BYTES",
     "SendStage",
--- a/rhubarbbend/http/_connection.py
+++ b/rhubarbbend/http/_connection.py
@@ -25,6 +25,7 @@
     HttpFailure,
     SendStage,
 )
+from rhubarbbend.http._input_timeout import InputTimeout
 from rhubarbbend.http._protocol import ClientProtocol, Sink
 from rhubarbbend.http._receive_limits import (
     MAX_DISCARD_S,
@@ -189,7 +190,7 @@
         trickle = TrickleDetector(SMALL_BODY_PART_BYTES)
         loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(MAX_DISCARD_S):
+            async with InputTimeout(loop.time() + MAX_DISCARD_S):
                 async for part in self.receive_body(progress_timeout):
                     is_slow = trickle.record(loop.time(), len(part), continues=size > 0)
                     size += len(part)
@@ -215,8 +216,9 @@
 
     async def receive_head(self, timeout: float) -> Response:
         """Return the response head; raise `HttpFailure` if it takes over `timeout` seconds."""
+        deadline = asyncio.get_running_loop().time() + timeout
         try:
-            async with asyncio.timeout(timeout):
+            async with InputTimeout(deadline):
                 while True:
                     event = self._conn.next_event()
                     if event is h11.NEED_DATA:
@@ -257,7 +259,7 @@
             while True:
                 event = self._conn.next_event()
                 if event is h11.NEED_DATA:
-                    async with asyncio.timeout(progress_timeout):
+                    async with InputTimeout(loop.time() + progress_timeout):
                         data = await self._protocol.read()
                     self._conn.receive_data(data)
                     framing.record_received(loop.time(), len(data))
--- a/rhubarbbend/http/_pool.py
+++ b/rhubarbbend/http/_pool.py
@@ -17,6 +17,7 @@
     Response,
 )
 from rhubarbbend.http._failures import REASON_TIMEOUT, EndlessAnswer, HttpFailure, SendStage
+from rhubarbbend.http._input_timeout import InputTimeout
 from rhubarbbend.http._receive_limits import (
     MAX_FETCHED_BYTES,
     SMALL_BODY_PART_BYTES,
@@ -214,7 +215,8 @@
     connection = await pool.acquire(address, now, new_connection)
     traffic_before = connection.traffic
     try:
-        async with asyncio.timeout(timeout) as total_timeout:
+        deadline = asyncio.get_running_loop().time() + timeout
+        async with InputTimeout(deadline) as total_timeout:
             await connection.send(method, target, headers or [], body)
             response = await connection.receive_head(timeout)
             if progress_timeout is not None:
