--- a/rhubarbbend/http/_connection.py
+++ b/rhubarbbend/http/_connection.py
@@ -25,6 +25,7 @@
     HttpFailure,
     SendStage,
 )
+from rhubarbbend.http._input_timeout import InputTimeout
 from rhubarbbend.http._protocol import ClientProtocol, Sink
 from rhubarbbend.http._receive_limits import (
     MAX_DISCARD_S,
@@ -189,7 +190,7 @@
         trickle = TrickleDetector(SMALL_BODY_PART_BYTES)
         loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(MAX_DISCARD_S):
+            async with InputTimeout(loop.time() + MAX_DISCARD_S):
                 async for part in self.receive_body(progress_timeout):
                     is_slow = trickle.record(loop.time(), len(part), continues=size > 0)
                     size += len(part)
