--- a/rhubarbbend/gateway/_alternatives.py
+++ b/rhubarbbend/gateway/_alternatives.py
@@ -56,6 +56,9 @@
         )
         if not candidates.eligible and not self._has_helper(request, candidates.rejections, now):
             return False
+        return self._reserve_retry(request)
+
+    def _reserve_retry(self, request: OpenRequest) -> bool:
         request.has_reserved_retry = self.acquire_retry(request)
         return request.has_reserved_retry
 
@@ -82,7 +85,7 @@
         while self._clock() < request.wait_ends_at:
             await asyncio.sleep(ALTERNATIVE_CHECK_S)
             request.excluded.clear()
-            if self._has_target(request) and self.reserve(request):
+            if self._has_target(request) and self._reserve_retry(request):
                 return True
         return False
 
--- a/rhubarbbend/gateway/_request_server.py
+++ b/rhubarbbend/gateway/_request_server.py
@@ -344,7 +344,8 @@
         rejections = self._state.placement.last_rejections
         request.rejection_counts = {r.value: count for r, count in rejections.items()}
         code = self._ender.select_refusal(request, rejections.keys())
-        if needs_detour(rejections, connect_failures):
+        has_waited = request.wait_ends_at is not None
+        if needs_detour(rejections, connect_failures) and not has_waited:
             if request.progress.sends > 0 and not self._alternatives.acquire_retry(request):
                 code = codes.RETRY_BUDGET
             else:
@@ -357,6 +358,8 @@
                     # What the helper has tried does not count here.
                     self._ender.finish_failed(request, code)
                     return False
+                # No helper has sent it on.
+                request.has_reserved_retry = request.progress.sends > 0
         return await self._wait_or_fail(request, code)
 
     async def _wait_or_fail(self, request: OpenRequest, code: ErrorCode) -> bool:
--- a/tests/gateway/test_silent_targets.py
+++ b/tests/gateway/test_silent_targets.py
@@ -93,14 +93,18 @@
 
 # Guards against cutting, refusing or repeating what targets have that are all silent (LOST).
 @pytest.mark.parametrize("delay", [0.0, SLOW_START_S], ids=["in_answers", "before_answers"])
-@pytest.mark.parametrize("by_links", [False, True], ids=["suspended", "links"])
+@pytest.mark.parametrize(
+    ("by_links", "instances"),
+    [(False, 1), (True, 1), (True, 2)],
+    ids=["suspended", "links", "links_beside_a_helper"],
+)
 def test_nothing_is_lost_while_all_targets_are_silent(
-    tmp_path: Path, by_links: bool, delay: float
+    tmp_path: Path, by_links: bool, instances: int, delay: float
 ) -> None:
     async def work() -> None:
         changes = {"routes": make_routes()}
         async with start_fleet(
-            tmp_path, instances=1, own_links=True, config_changes=changes
+            tmp_path, instances=instances, own_links=True, config_changes=changes
         ) as fleet:
             await fleet.set_default_worker_faults(events=EVENTS, event_gap=EVENT_GAP_S, delay=delay)
             replies = send(fleet)
