--- a/rhubarbbend/core/placement/_connection_limits.py
+++ b/rhubarbbend/core/placement/_connection_limits.py
@@ -23,24 +23,30 @@
 # A new connection that is checked is used once it has not been reset for this long, beyond the
 # round trip that the reset takes.
 CHECK_S: Final = 0.005
-# A target that is short of processor time resets later. Where that was seen, the check takes twice
-# the time that the reset took, up to this bound.
-MAX_CHECK_S: Final = 0.04
+# A target that is short of processor time resets later. Where that was seen, here or by another
+# instance, the check takes twice the time that the reset took, up to this bound. It is as long as
+# the time in which a reset is taken for one by a full target.
+MAX_CHECK_S: Final = 0.1
 # The other instances are told again of a target that is still full after this time, whoever told
 # them last: a third of the lifetime, so that two lost messages in a row do no harm.
 REPEAT_INTERVAL_S: Final = 1.0
 
 
 class FullTargetNotice(msgspec.Struct, frozen=True, array_like=True):
-    """Reports that a target of a service reset a new connection `age` seconds ago."""
+    """Reports that a target of a service reset a new connection `age` seconds ago.
+
+    `check` is for how many seconds the sender checks new connections to the service, 0 if it is as
+    usual. Older builds do not send it, and ignore it.
+    """
 
     service: str
     target: str
     age: float = 0.0
+    check: float = 0.0
 
     def add_age(self, seconds: float) -> FullTargetNotice:
         """Return the notice with a time added to its age."""
-        return FullTargetNotice(self.service, self.target, self.age + seconds)
+        return msgspec.structs.replace(self, age=self.age + seconds)
 
 
 class _FullTarget:
@@ -99,21 +105,29 @@
 
     def record_reset_age(self, service: str, age: float, now: float) -> None:
         """Record how old a connection was, beyond its round trip, when a target reset it."""
-        check = min(MAX_CHECK_S, 2.0 * age)
-        if age > CHECK_S and check >= self.compute_check(service, now):
+        if age > CHECK_S:
+            self._lengthen_check(service, 2.0 * age, now)
+
+    def _lengthen_check(self, service: str, check: float, now: float) -> None:
+        check = min(MAX_CHECK_S, check)
+        if check >= self.compute_check(service, now):
             self._long_checks[service] = (check, now + CHECK_LIFETIME_S)
 
     def compute_check(self, service: str, now: float) -> float:
         """Return for how long a new connection that needs a check must not be reset."""
-        check, until = self._long_checks.get(service, (CHECK_S, math.inf))
-        return check if now < until else CHECK_S
+        return self._find_long_check(service, now) or CHECK_S
+
+    def _find_long_check(self, service: str, now: float) -> float:
+        """Return for how long connections are checked since a reset came late; 0 if as usual."""
+        check, until = self._long_checks.get(service, (0.0, -math.inf))
+        return check if now < until else 0.0
 
     def merge_notices(self, notices: Iterable[FullTargetNotice], now: float) -> int:
         """Record what another instance has met; return how many notices were invalid."""
         invalid_count = 0
         for notice in notices:
-            # Also False if the age is not a number.
-            if not notice.age >= 0.0:
+            # Also False if one is not a number.
+            if not (notice.age >= 0.0 and notice.check >= 0.0):
                 invalid_count += 1
                 continue
             at = now - notice.age
@@ -122,6 +136,8 @@
             known = self._targets.setdefault(notice.target, _FullTarget(notice.service))
             known.full_at = max(known.full_at, at)
             known.told_at = max(known.told_at, at)
+            if notice.check > CHECK_S:
+                self._lengthen_check(notice.service, notice.check, now)
             self.on_full()
         return invalid_count
 
@@ -130,7 +146,12 @@
         unsent, self._unsent = self._unsent, {}
         known = [(target, self._targets[target]) for target in unsent if target in self._targets]
         return [
-            FullTargetNotice(full.service, target, max(0.0, now - full.full_at))
+            FullTargetNotice(
+                full.service,
+                target,
+                max(0.0, now - full.full_at),
+                self._find_long_check(full.service, now),
+            )
             for target, full in known
         ]
 
--- a/standins/_worker.py
+++ b/standins/_worker.py
@@ -74,6 +74,7 @@
         conn = h11.Connection(h11.SERVER)
         is_first = True
         if 0 <= self._faults.find_max_connections(time.time()) <= len(self._writers):
+            await asyncio.sleep(self._faults.reset_delay)
             writer.transport.abort()
             return
         self._writers.add(writer)
--- a/standins/_worker_types.py
+++ b/standins/_worker_types.py
@@ -68,8 +68,10 @@
     crash_delay: float = 0.0
     # Fall silent instead of exiting: connections stay open and carry nothing any longer.
     crash_silently: bool = False
-    # Reset new connections beyond this number; -1: accept any number.
+    # Reset new connections beyond this number, so many seconds after they were accepted; -1: accept
+    # any number.
     max_connections: int = -1
+    reset_delay: float = 0.0
     # The same number from each of these Unix times on, in order.
     connection_limits: list[tuple[float, int]] = []
     # Instead of exiting, close all connections and be at once a new incarnation with this id.
--- a/tests/core/placement/test_connection_limits.py
+++ b/tests/core/placement/test_connection_limits.py
@@ -196,3 +196,17 @@
     view.placement.record_departure(target, 10.0)
     assert tracker.find_limit("plain-a", 10.0) is None
     assert tracker.pop_unsent(10.0) == []
+
+
+# Guards against a command lost at each instance before it has met a late reset itself.
+def test_a_longer_check_is_told_to_the_other_instances() -> None:
+    met, told = ConnectionLimitTracker(), ConnectionLimitTracker()
+    met.record_reset_age("bookings", 0.03, 10.0)
+    met.record_reset("bookings", "plain-a", 1, 10.0)
+    assert told.merge_notices(met.pop_unsent(10.0), 10.1) == 0
+    assert told.compute_check("bookings", 10.1) == met.compute_check("bookings", 10.1) == 0.06
+    invalid = [FullTargetNotice("bookings", "plain-a", 0.0, check) for check in (-1.0, math.nan)]
+    assert (
+        told.merge_notices([*invalid, FullTargetNotice("bookings", "plain-a", 0.0, 9.0)], 10.1) == 2
+    )
+    assert told.compute_check("bookings", 10.1) == MAX_CHECK_S
--- a/tests/gateway/test_full_targets.py
+++ b/tests/gateway/test_full_targets.py
@@ -100,6 +100,23 @@
     run(work)
 
 
+# Guards against commands that are written since a busy target takes some tens of ms to reset.
+def test_commands_are_not_lost_to_full_targets_that_reset_late(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with start_fleet(
+            tmp_path, instances=INSTANCES, plain_worker_count=TARGETS, engine_worker_count=1
+        ) as fleet:
+            faults = {"delay": DELAY_S, "max_connections": 8, "reset_delay": 0.06}
+            await fleet.set_service_faults("plain", **faults)
+            commands = await send_commands(fleet, DURATION_S)
+            check_runs(fleet, commands)
+            statuses = Counter(command.status for command in commands)
+            assert statuses[502] <= MAX_FAILED_AT_ONSET, statuses
+            assert list_late_failures(commands) == []
+
+    run(work)
+
+
 # Guards against commands that are sent where there is no room, rather than refused unsent.
 def test_commands_without_room_anywhere_are_refused_as_not_run(tmp_path: Path) -> None:
     async def work() -> None:
@@ -120,10 +137,10 @@
 
 # Guards against news that counts from the time at which a relay passed it on.
 def test_news_of_a_full_target_gets_older_at_a_relay() -> None:
-    update = PeerUpdate(full=[FullTargetNotice("plain", "plain-0", 0.25)], received_at=5.0)
+    update = PeerUpdate(full=[FullTargetNotice("plain", "plain-0", 0.25, 0.06)], received_at=5.0)
     sent = msgspec.msgpack.encode(update.add_age(5.5))
     received = msgspec.msgpack.decode(sent, type=PeerUpdate)
-    assert received.full == [FullTargetNotice("plain", "plain-0", 0.75)]
+    assert received.full == [FullTargetNotice("plain", "plain-0", 0.75, 0.06)]
     # An instance of the version before sends no such field.
     before = msgspec.msgpack.encode(msgspec.msgpack.decode(sent)[:-1])
     assert msgspec.msgpack.decode(before, type=PeerUpdate).full == []
