--- a/rhubarbbend/core/admission/_controller.py
+++ b/rhubarbbend/core/admission/_controller.py
@@ -31,8 +31,7 @@
 MIN_USED_FRACTION: Final = 0.5
 # A request is refused at once if it is expected to wait for this many times as long as it may.
 MAX_EXPECTED_WAIT_FACTOR: Final = 2.0
-# Room is scarce for so long after a request that could not be admitted freely, or that a target had
-# no room for. Shares are only
+# Room is scarce for so long after a request that could not be admitted freely. Shares are only
 # enforced meanwhile, and the usual load of accounts is only learned at other times.
 SCARCE_S: Final = 1.0
 # While requests wait, the room is computed again at this interval.
@@ -61,11 +60,6 @@
         # Requests that were refused since more urgent ones filled the queue.
         self._evicted: list[Waiter] = []
 
-    def is_scarce(self, now: float) -> bool:
-        """Return whether there was no room for a request a short time ago."""
-        # The upper bound ends the period if the clock was set back.
-        return now < self._scarce_until <= now + SCARCE_S
-
     def decide(self, request: AdmissionRequest, view: RoomView, now: float) -> Waiter:
         """Decide on a request that has arrived; the decision is that of the returned waiter."""
         kinds = self._list_kinds(request)
@@ -115,23 +109,6 @@
         """Remove a request whose caller has left, or whose deadline has passed."""
         self.queue.remove(waiter)
 
-    def record_unlimited(self, request: AdmissionRequest, now: float) -> None:
-        """Record a request that is admitted without a decision, while room is not scarce.
-
-        Who sends how much while there is room for all decides on the shares when there is not.
-        """
-        kinds = self._list_kinds(request)
-        if not request.is_repeat:
-            self._shares.record_arrival(request.account, True, now)
-            self._minimum.record_arrival(kinds, True, now)
-            self.levels.record_arrival(_get_level(request.priority), request.objective, now)
-        self._shares.record_admitted(request.account, now)
-        self._minimum.record_admitted(kinds, now)
-
-    def record_rejection(self, now: float) -> None:
-        """Record that a target had no room for a request, so that room is scarce."""
-        self._scarce_until = now + SCARCE_S
-
     def record_started(self) -> None:
         """Record that a request admitted from the queue is now counted in the room, or has ended.
 
@@ -162,7 +139,7 @@
     ) -> Waiter:
         """Count a request, and find the level of urgency by which it is judged."""
         priority = _get_level(request.priority)
-        has_room = not view.is_known or not self.is_scarce(now)
+        has_room = not view.is_known or not self._is_scarce(now)
         if not request.is_repeat:
             self._shares.record_arrival(request.account, has_room, now)
             self._minimum.record_arrival(kinds, has_room, now)
@@ -182,6 +159,11 @@
 
     # Room.
 
+    def _is_scarce(self, now: float) -> bool:
+        """Return whether a request could not be admitted freely a short time ago."""
+        # The upper bound ends the period if the clock was set back.
+        return now < self._scarce_until <= now + SCARCE_S
+
     def _is_underused(self, view: RoomView) -> bool:
         """Return whether nothing may be refused for want of room."""
         return not view.has_queue and view.held + self.promised < MIN_USED_FRACTION * view.slots
--- a/rhubarbbend/core/admission/_levels.py
+++ b/rhubarbbend/core/admission/_levels.py
@@ -102,11 +102,6 @@
         """Whether it is known for how long requests hold a slot, and so when room is expected."""
         return self._holding.seconds is not None
 
-    @property
-    def mean_holding(self) -> float | None:
-        """The seconds for which a request holds a slot; None if that is not known."""
-        return self._holding.seconds
-
     def record_arrival(self, level: int, objective: float, now: float) -> None:
         """Record a request."""
         known = self._find(level, objective)
--- a/rhubarbbend/core/admission/_room.py
+++ b/rhubarbbend/core/admission/_room.py
@@ -138,55 +138,26 @@
     def compute_view(self, service: Service, instances: int, now: float) -> RoomView:
         """Return the room of a service for whose targets instances exchange their counts."""
         loads = self._loads
-        return self._add_up(
-            service,
-            instances,
-            loads.has_counts_of_fraction(MIN_KNOWN_PEERS_FRACTION, now),
-            lambda target, slots: loads.estimate(target.id, True, now),
-            now,
-        )
-
-    def compute_reported_view(
-        self, service: Service, instances: int, time_held: float | None, now: float
-    ) -> RoomView:
-        """Return the room of a service of which only the targets report what they hold.
-
-        Each request holds a slot for `time_held` seconds, None if unknown. Since the last report of
-        a target as many have ended as its slots finish: if they were still counted, nobody would
-        send it anything, and it would report nothing new.
-        """
-        loads = self._loads
-
-        def estimate(target: Target, slots: int | None) -> float:
-            if slots is None or not time_held:
-                return loads.estimate(target.id, False, now)
-            return loads.estimate_reported(target.id, slots / time_held, now)
-
-        return self._add_up(service, instances, True, estimate, now)
-
-    def _add_up(
-        self,
-        service: Service,
-        instances: int,
-        hears_peers: bool,
-        estimate: Callable[[Target, int | None], float],
-        now: float,
-    ) -> RoomView:
+        usable = self.list_usable(service, now)
         max_slots = service.max_connections or MAX_SLOTS
-        targets = [
-            (target, self.count_slots(service, target, now))
-            for target in self.list_usable(service, now)
-        ]
         view = compute_view(
             (
-                (slots, self._loads.count_own(target.id), estimate(target, slots))
-                for target, slots in targets
+                (
+                    self.count_slots(service, target, now),
+                    loads.count_own(target.id),
+                    loads.estimate(target.id, True, now),
+                )
+                for target in usable
             ),
             max_slots,
             instances,
-            hears_peers,
+            loads.has_counts_of_fraction(MIN_KNOWN_PEERS_FRACTION, now),
+        )
+        view.targets = tuple(
+            target.id
+            for target in usable
+            if _is_valid(self.count_slots(service, target, now), max_slots)
         )
-        view.targets = tuple(target.id for target, slots in targets if _is_valid(slots, max_slots))
         return view
 
     def refresh_own(self, view: RoomView) -> None:
--- a/rhubarbbend/core/placement/_loads.py
+++ b/rhubarbbend/core/placement/_loads.py
@@ -166,19 +166,6 @@
         freshness = max(0.0, 1.0 - (now - report.at) / REPORT_TTL_S)
         return known + unknown * freshness
 
-    def estimate_reported(self, target: str, ends_per_s: float, now: float) -> float:
-        """Estimate how many requests a target holds of which so many end a second.
-
-        Of those in its last report that were not this instance's, the ones that have ended since
-        are taken off.
-        """
-        own = self.count_own(target)
-        report = self._reports.get(target)
-        if report is None:
-            return float(own)
-        ended = ends_per_s * max(0.0, now - report.at)
-        return own + max(0.0, report.held - report.own - ended)
-
     def has_counts_of_all_peers(self, now: float) -> bool:
         """Whether the in-flight requests of all other instances are known."""
         return self.has_counts_of_fraction(1.0, now)
--- a/rhubarbbend/gateway/_admission.py
+++ b/rhubarbbend/gateway/_admission.py
@@ -82,12 +82,9 @@
     async def admit(self, request: OpenRequest) -> ErrorCode | None:
         """Wait until a request may be sent; return why it is refused, None if it may be sent."""
         now = self._clock()
-        if not self._state.settings.admission_control or not self._needs_decision(request):
+        if not self._is_active(request.service, now) or not self._needs_decision(request):
             return None
         queue = self._find_queue(request.service)
-        if not self._is_limited(queue, now):
-            queue.admission.record_unlimited(self._describe(request, now), now)
-            return None
         view = self._read_view(queue, now)
         waiter = queue.admission.decide(self._describe(request, now), view, now)
         decision = request.admission = waiter.decision
@@ -103,14 +100,13 @@
         self._log(request, decision, now)
         return None if decision.reason is None else REFUSAL_CODES[decision.reason]
 
-    def _is_limited(self, queue: _ServiceQueue, now: float) -> bool:
-        """Return whether requests to a service are decided on.
+    def _is_active(self, service: Service, now: float) -> bool:
+        """Return whether admission to a service is controlled.
 
-        Without the counts of the other instances its room is known by the reports of its targets,
-        which are as old as their last answers here. So it is only taken for full once a target
-        rejects requests, and as long as there is less room than requests.
+        Without the counts of the other instances its room is not known: what plain targets report
+        is as old as their last answers here, and their requests end sooner than counts arrive.
         """
-        return self._state.has_peer_counts(queue.service, now) or queue.admission.is_scarce(now)
+        return self._state.settings.admission_control and self._state.has_peer_counts(service, now)
 
     def _needs_decision(self, request: OpenRequest) -> bool:
         """Return whether a request has to be decided on before its next attempt.
@@ -163,17 +159,11 @@
             self._schedule(queue, now)
 
     def record_outcome(self, request: OpenRequest, choice: Choice, outcome: AttemptOutcome) -> None:
-        """Learn for how long a request holds a slot, and where there is no room for one."""
+        """Learn from a complete answer for how long a request holds a slot."""
         queue = self._services.get(request.service.name)
-        if queue is None:
+        if queue is None or outcome is not AttemptOutcome.ANSWERED or choice.cold:
             return
         now = self._clock()
-        if outcome is AttemptOutcome.REJECTED:
-            if not self._state.has_peer_counts(request.service, now):
-                queue.admission.record_rejection(now)
-            return
-        if outcome is not AttemptOutcome.ANSWERED or choice.cold:
-            return
         target = choice.target
         slots = self._usable.count_slots(request.service, target, now)
         if slots is not None and choice.load < slots:
@@ -213,13 +203,7 @@
             self._usable.refresh_own(queue.view)
             return queue.view
         instances = len(self._state.list_instance_ids())
-        if self._state.has_peer_counts(queue.service, now):
-            queue.view = self._usable.compute_view(queue.service, instances, now)
-        else:
-            time_held = queue.admission.levels.mean_holding
-            queue.view = self._usable.compute_reported_view(
-                queue.service, instances, time_held, now
-            )
+        queue.view = self._usable.compute_view(queue.service, instances, now)
         queue.viewed_at = now
         if queue.view.invalid:
             self._state.metrics.increment_counter(codes.ADMISSION_INVALID, queue.view.invalid)
--- a/tests/core/admission/test_decisions.py
+++ b/tests/core/admission/test_decisions.py
@@ -136,37 +136,6 @@
     assert usable.compute_view(BOOKINGS, 2, NOW).slots == 2 * 64
 
 
-# Guards against targets that get nothing more since their last reports said that they are full.
-def test_what_has_ended_since_a_report_is_not_counted_as_held() -> None:
-    fleet = FleetView()
-    usable = UsableTargets(
-        fleet.registry, fleet.loads, fleet.health, fleet.pauses, count_known_slots
-    )
-    names = [target.id for target in usable.list_usable(BOOKINGS, NOW)]
-    for name in names:
-        fleet.loads.record_report(name, 160, NOW)
-    held = [
-        usable.compute_reported_view(BOOKINGS, 8, 1.0, NOW + age).held for age in (0.0, 1.0, 2.5)
-    ]
-    assert held == [160.0 * len(names), 96.0 * len(names), 0.0]
-    # Without the time for which a request holds a slot, reports lose weight as elsewhere.
-    unknown = usable.compute_reported_view(BOOKINGS, 8, None, NOW + 1.0).held
-    assert 96.0 * len(names) < unknown < 160.0 * len(names)
-
-
-# Guards against limits that last on after there is room again, or that begin without want of it.
-def test_room_is_scarce_for_a_second_after_there_was_none() -> None:
-    admission = make_admission()
-    admission.record_unlimited(make_request(), NOW)
-    assert not admission.is_scarce(NOW)
-    admission.record_rejection(NOW)
-    assert admission.is_scarce(NOW + 0.9) and not admission.is_scarce(NOW + 1.1)
-    admission.decide(make_request(), make_view(FULL), NOW + 0.9)
-    assert admission.is_scarce(NOW + 1.8)
-    admission.decide(make_request(), make_view(10.0), NOW + 1.8)
-    assert not admission.is_scarce(NOW + 2.0)
-
-
 # Guards against holding a request until a deadline that it cannot meet.
 def test_a_request_that_comes_too_late_by_the_estimate_is_refused_at_once() -> None:
     admission = make_admission()
--- a/tests/gateway/test_admission_gate.py
+++ b/tests/gateway/test_admission_gate.py
@@ -4,15 +4,13 @@
 
 import asyncio
 import time
-from types import SimpleNamespace
 from typing import Any
 
 from rhubarbbend import codes
 from rhubarbbend.core.admission import Decision, Outcome, RefusalReason
 from rhubarbbend.core.catalog import Engine, RequestKind, Route, Service
-from rhubarbbend.core.delivery import AttemptOutcome
 from rhubarbbend.core.directory import TargetRecord, TargetState
-from rhubarbbend.gateway._admission import VIEW_INTERVAL_S, AdmissionGate
+from rhubarbbend.gateway._admission import AdmissionGate
 from rhubarbbend.gateway._event_log import EventLog
 from rhubarbbend.gateway._interfaces import CallerRequest
 from rhubarbbend.gateway._requests import OpenRequest
@@ -41,17 +39,6 @@
     return state
 
 
-def make_plain_state() -> State:
-    """Make such a state with targets of a plain service, for which no counts are sent."""
-    state = make_state(True)
-    for number in range(2):
-        target = f"p-{number}"
-        record = TargetRecord(target, "plain", "127.0.0.1", 1, "a", 4, TargetState.READY)
-        state.registry.register(record, 0.0)
-        state.loads.record_report(target, 12, read_clock())
-    return state
-
-
 def make_request(priority: int = 0, **fields: Any) -> OpenRequest:
     route = Route(
         f"route-{priority}", "h", "/", RequestKind.SAFE, 10.0, OBJECTIVE_S, priority, (), 2
@@ -90,32 +77,6 @@
     asyncio.run(work())
 
 
-# Guards against plain targets that reject urgent requests since less urgent ones fill them.
-def test_a_plain_service_is_limited_once_a_target_rejects_requests() -> None:
-    async def work() -> None:
-        state = make_plain_state()
-        gate = AdmissionGate(state, read_clock)
-
-        async def admit(priority: int) -> object:
-            request = make_request(priority)
-            request.service = PLAIN
-            return await gate.admit(request)
-
-        assert await admit(2) is None
-        rejected = make_request(0)
-        rejected.service = PLAIN
-        target: Any = state.registry.find("p-0")
-        choice: Any = SimpleNamespace(target=target, cold=False, load=12.0)
-        gate.record_outcome(rejected, choice, AttemptOutcome.REJECTED)
-        assert await admit(2) is codes.NO_ROOM
-        for number in range(2):
-            state.loads.record_report(f"p-{number}", 0, read_clock())
-        await asyncio.sleep(VIEW_INTERVAL_S)
-        assert await admit(2) is None
-
-    asyncio.run(work())
-
-
 def test_waiting_requests_leave_at_room_bound_and_disconnection() -> None:
     async def work() -> None:
         state = make_state(True)
