Load tool: versions of the configuration are written by one writer; requests are prepared by functions

Two writers with version counters of their own would overwrite one another's changes, so the fault injector has one method that writes the fleet's changes with the present keys, one version after the other.

Preparing a request and its headers is the same for other callers now; the order of random choices, and so what a seed sends, is unchanged.

--- a/loadtool/_soak_caller.py
+++ b/loadtool/_soak_caller.py
@@ -59,7 +59,7 @@
         `instance`. Without a `kind` it is of a random kind.
         """
         kind = kind or self._random.choice(REQUEST_KINDS)
-        return await self.send(self._make_random_request(kind), instance)
+        return await self.send(make_random_outcome(self._fleet, self._random, kind), instance)
 
     async def send(self, outcome: RequestOutcome, instance: str = "") -> RequestOutcome:
         """Send a request that was prepared, and return its outcome."""
@@ -97,27 +97,8 @@
         except HttpFailure:
             return None
 
-    def _make_random_request(self, kind: str) -> RequestOutcome:
-        number = self._random.randrange(1_000_000)
-        key = SECOND_KEY if self._random.random() < SECOND_KEY_FRACTION else KEY
-        path = f"/{kind}/{number}"
-        if kind in ("chat", "plan"):
-            path += "/stream"
-        body = b"" if kind == "read" else f"{kind} {number}".encode()
-        return RequestOutcome(self._fleet.make_attempt_id(), kind, "", key, path, body, 0.0)
-
     async def _send_and_receive(self, connection: Connection, outcome: RequestOutcome) -> None:
-        headers = {
-            "Host": HOST,
-            "Attempt-Id": outcome.id,
-            "X-Api-Key": outcome.key,
-            "Deadline-Ms": DEADLINE_MS,
-            "Content-Length": str(len(outcome.body)),
-        }
-        if outcome.kind in ("chat", "plan"):
-            session = self._random.randrange(PREFIX_SESSION_COUNT)
-            outcome.prompt = outcome.prompt or f"common:300,{session:x}:900,own:50"
-            headers["Prefix-Hash"] = outcome.prompt
+        headers = make_headers(outcome, self._random)
         raw_headers = [(name.encode(), value.encode()) for name, value in headers.items()]
         method = b"POST" if outcome.body else b"GET"
         connection.send_raw(method, outcome.path.encode(), raw_headers, outcome.body)
@@ -127,3 +108,30 @@
         async for part in connection.receive_body(CALLER_TIMEOUT_S):
             outcome.answer += part
         outcome.complete = True
+
+
+def make_random_outcome(fleet: GatewayFleet, chooser: random.Random, kind: str) -> RequestOutcome:
+    """Return the outcome of a request of a kind that is still to be sent."""
+    number = chooser.randrange(1_000_000)
+    key = SECOND_KEY if chooser.random() < SECOND_KEY_FRACTION else KEY
+    path = f"/{kind}/{number}"
+    if kind in ("chat", "plan"):
+        path += "/stream"
+    body = b"" if kind == "read" else f"{kind} {number}".encode()
+    return RequestOutcome(fleet.make_attempt_id(), kind, "", key, path, body, 0.0)
+
+
+def make_headers(outcome: RequestOutcome, chooser: random.Random) -> dict[str, str]:
+    """Return the headers of a request; its prompt is chosen if it has none."""
+    headers = {
+        "Host": HOST,
+        "Attempt-Id": outcome.id,
+        "X-Api-Key": outcome.key,
+        "Deadline-Ms": DEADLINE_MS,
+        "Content-Length": str(len(outcome.body)),
+    }
+    if outcome.kind in ("chat", "plan"):
+        session = chooser.randrange(PREFIX_SESSION_COUNT)
+        outcome.prompt = outcome.prompt or f"common:300,{session:x}:900,own:50"
+        headers["Prefix-Hash"] = outcome.prompt
+    return headers
--- a/loadtool/_soak_faults.py
+++ b/loadtool/_soak_faults.py
@@ -93,6 +93,7 @@
         self._fleet = fleet
         self._record = record
         self._config_version = 1
+        self._api_keys = [KEY, SECOND_KEY]
         # The target that currently stands in for each target of the schedule: a target that was
         # killed or drained is replaced by one with a new name.
         self._current_targets = {name: name for name in fleet.workers}
@@ -234,8 +235,14 @@
 
     async def _set_target_faults(self, node: WorkerNode, faults: dict[str, Any]) -> None:
         """Set the faults of a target that runs; a killed or suspended one cannot be called."""
-        if node.process.running and not node.process.frozen:
+        if not node.process.running or node.process.frozen:
+            return
+        try:
             await self._fleet.set_worker_faults(node.name, **faults)
+        except TimeoutError:
+            # Another fault may have ended it meanwhile.
+            if node.process.running:
+                raise
 
     async def replace_ended(self, name: str, down_s: float) -> None:
         """Start another target in place of one that has ended, after a time."""
@@ -295,15 +302,24 @@
         await self._fleet.write_row("op", row, None)
 
     async def _revoke_second_key(self, scheduled_fault: ScheduledSoakFault) -> None:
-        await self._write_api_keys([KEY])
+        self._api_keys = [KEY]
+        await self.write_config()
         period = Period(SECOND_KEY, time.time())
         self._record.revoked.append(period)
         await self._sleep_until(scheduled_fault.until)
         period.until = time.time()
-        await self._write_api_keys([KEY, SECOND_KEY])
+        self._api_keys = [KEY, SECOND_KEY]
+        await self.write_config()
+
+    async def write_config(self) -> None:
+        """Write the next version of the configuration: the fleet's changes with the present keys.
 
-    async def _write_api_keys(self, keys: list[str]) -> None:
-        self._config_version += 1
-        config = make_config(self._config_version, **copy.deepcopy(self._fleet.config_changes))
-        config["tenants"][0]["apiKeys"] = keys
-        await self._fleet.write_row("op", "config", config)
+        Versions are written one after the other, so that a later one is never replaced by an
+        earlier one.
+        """
+        async with self._locks["configuration"]:
+            self._config_version += 1
+            changes = copy.deepcopy(self._fleet.config_changes)
+            config = make_config(self._config_version, **changes)
+            config["tenants"][0]["apiKeys"] = self._api_keys
+            await self._fleet.write_row("op", "config", config)
