--- a/loadtool/__main__.py
+++ b/loadtool/__main__.py
@@ -42,6 +42,7 @@
         has_connection_limits=options.full,
         has_load=options.load,
         has_unread_answers=options.unread,
+        has_config_changes=options.changes,
     )
     return _soak.main(options.seed, options.seeds, options.duration, options.size, kinds)
 
@@ -94,6 +95,9 @@
     soak.add_argument(
         "--unread", action="store_true", help="callers also read slowly or not at all"
     )
+    soak.add_argument(
+        "--changes", action="store_true", help="the configuration changes in quick succession"
+    )
 
 
 def _parse_arguments() -> argparse.Namespace:
--- a/loadtool/_soak.py
+++ b/loadtool/_soak.py
@@ -19,6 +19,7 @@
 from loadtool._gateway_config import ACCOUNT
 from loadtool._gateway_fleet import ZONES, GatewayFleet, start_fleet
 from loadtool._soak_caller import REQUEST_KINDS, SoakCaller
+from loadtool._soak_changes import SoakChanges, make_change_schedule
 from loadtool._soak_checks import RunRecord, count_outcomes, find_violations
 from loadtool._soak_crashes import SoakCrashes
 from loadtool._soak_crowd import SoakCrowd
@@ -58,6 +59,11 @@
 # callers stop end within their deadline.
 RECOVERY_TIMEOUT_S: Final = 12.0
 
+# What acts beside the usual callers and faults, and checks what came of it.
+SoakExtra = (
+    SoakCrashes | SoakParts | SoakVersions | SoakLimits | SoakLoad | SoakReading | SoakChanges
+)
+
 
 @attrs.define(slots=True, frozen=True)
 class SoakOptions:
@@ -74,7 +80,8 @@
     connections go to one instance, then to another. With `has_connection_limits` the number of
     connections that targets accept sinks and rises. With `has_load` demand exceeds for a time what
     the targets can do, and their pace varies. With `has_unread_answers` callers read slowly or not
-    at all, and instances have little memory.
+    at all, and instances have little memory. With `has_config_changes` the configuration changes
+    in quick succession, and instances and targets are suspended at these moments.
     """
 
     has_rollout: bool = False
@@ -89,6 +96,7 @@
     has_connection_limits: bool = False
     has_load: bool = False
     has_unread_answers: bool = False
+    has_config_changes: bool = False
 
 
 @attrs.define(slots=True)
@@ -135,8 +143,11 @@
     notices = make_notice_schedule(seed, duration, layout) if options.has_notices else []
     links = make_own_link_schedule(seed, duration, layout) if options.has_link_faults else []
     breaks = make_break_schedule(seed, duration, layout) if options.has_unframed_answers else []
+    changes = make_change_schedule(seed, duration, layout) if options.has_config_changes else None
+    suspensions = [] if changes is None else changes.suspensions
     return sorted(
-        [*schedule, *notices, *links, *breaks], key=lambda scheduled_fault: scheduled_fault.at
+        [*schedule, *notices, *links, *breaks, *suspensions],
+        key=lambda scheduled_fault: scheduled_fault.at,
     )
 
 
@@ -177,17 +188,8 @@
     faults = SoakFaultInjector(fleet, record)
     rollout = SoakRollout(fleet, seed) if options.has_rollout else None
     ready = set(fleet.instances)
-    crashes = SoakCrashes(fleet, faults, record, ready, seed) if options.has_crashes else None
-    versions = SoakVersions(fleet, record, ready, seed) if options.has_versions else None
     chooser = random.Random(f"parts and crowd {seed}")
-    has_parts = options.has_crashing_parts
-    parts = SoakParts(fleet, faults, record, ready, chooser) if has_parts else None
-    limits = SoakLimits(fleet, record, chooser) if options.has_connection_limits else None
-    load = SoakLoad(fleet, faults, record, ready, seed, duration) if options.has_load else None
-    reading = await _make_reading(fleet, record, chooser) if options.has_unread_answers else None
-    extras = [
-        extra for extra in (crashes, parts, versions, limits, load, reading) if extra is not None
-    ]
+    extras = await _make_extras(fleet, faults, record, ready, chooser, seed, duration, options)
     names = sorted(fleet.instances)
     crowd = SoakCrowd(record.started, names, chooser) if options.is_crowded else None
     readiness_task = asyncio.create_task(_probe_readiness(fleet, ready))
@@ -217,6 +219,36 @@
     return SoakResult(seed, record, violations, summaries)
 
 
+async def _make_extras(
+    fleet: GatewayFleet,
+    faults: SoakFaultInjector,
+    record: RunRecord,
+    ready: set[str],
+    chooser: random.Random,
+    seed: int,
+    duration: float,
+    options: SoakOptions,
+) -> list[SoakExtra]:
+    """Return what a run has beside its usual callers and scheduled faults."""
+    extras: list[SoakExtra] = []
+    if options.has_crashes:
+        extras.append(SoakCrashes(fleet, faults, record, ready, seed))
+    if options.has_crashing_parts:
+        extras.append(SoakParts(fleet, faults, record, ready, chooser))
+    if options.has_versions:
+        extras.append(SoakVersions(fleet, record, ready, seed))
+    if options.has_connection_limits:
+        extras.append(SoakLimits(fleet, record, chooser))
+    if options.has_load:
+        extras.append(SoakLoad(fleet, faults, record, ready, seed, duration))
+    if options.has_unread_answers:
+        extras.append(await _make_reading(fleet, record, chooser))
+    if options.has_config_changes:
+        schedule = make_change_schedule(seed, duration, make_soak_layout(len(fleet.instances)))
+        extras.append(SoakChanges(fleet, faults, record, ready, seed, schedule.changes))
+    return extras
+
+
 async def _make_reading(
     fleet: GatewayFleet, record: RunRecord, chooser: random.Random
 ) -> SoakReading:
