--- a/rhubarbbend/gateway/_streams.py
+++ b/rhubarbbend/gateway/_streams.py
@@ -60,6 +60,7 @@
         when its first complete event has been received.
         """
         self._buffer.clear()
+        self._trickle.reset()
         if self._exchange.buffer.kind is HeldKind.ANSWER:
             self._exchange.buffer.kind = HeldKind.STREAM
         self._is_resumed = is_resumed
