--- a/rhubarbbend/core/placement/_connection_limits.py
+++ b/rhubarbbend/core/placement/_connection_limits.py
@@ -49,6 +49,13 @@
         return msgspec.structs.replace(self, age=self.age + seconds)
 
 
+class _LongCheck(msgspec.Struct, frozen=True):
+    """Until `until`, new connections to a service are checked for `seconds`."""
+
+    seconds: float
+    until: float
+
+
 class _FullTarget:
     """A target that was full lately. `limit` is None if only other instances have met its limit."""
 
@@ -74,7 +81,9 @@
         # By service, when a new connection was last reset for a reason that is not known.
         self._doubted_at: dict[str, float] = {}
         # By service, how long checks take since a reset came late, and until when.
-        self._long_checks: dict[str, tuple[float, float]] = {}
+        self._long_checks: dict[str, _LongCheck] = {}
+        # Those of them that this instance has found to be needed.
+        self._own_long_checks: dict[str, _LongCheck] = {}
         # In the order in which they were found, so that the same events give the same messages.
         self._unsent: dict[str, None] = {}
         # Called when there is something to tell the other instances; set by the instance.
@@ -106,21 +115,13 @@
     def record_reset_age(self, service: str, age: float, now: float) -> None:
         """Record how old a connection was, beyond its round trip, when a target reset it."""
         if age > CHECK_S:
-            self._lengthen_check(service, 2.0 * age, now)
-
-    def _lengthen_check(self, service: str, check: float, now: float) -> None:
-        check = min(MAX_CHECK_S, check)
-        if check >= self.compute_check(service, now):
-            self._long_checks[service] = (check, now + CHECK_LIFETIME_S)
+            check = _LongCheck(min(MAX_CHECK_S, 2.0 * age), now + CHECK_LIFETIME_S)
+            _lengthen_check(self._long_checks, service, check, now)
+            _lengthen_check(self._own_long_checks, service, check, now)
 
     def compute_check(self, service: str, now: float) -> float:
         """Return for how long a new connection that needs a check must not be reset."""
-        return self._find_long_check(service, now) or CHECK_S
-
-    def _find_long_check(self, service: str, now: float) -> float:
-        """Return for how long connections are checked since a reset came late; 0 if as usual."""
-        check, until = self._long_checks.get(service, (0.0, -math.inf))
-        return check if now < until else 0.0
+        return _find_long_check(self._long_checks, service, now) or CHECK_S
 
     def merge_notices(self, notices: Iterable[FullTargetNotice], now: float) -> int:
         """Record what another instance has met; return how many notices were invalid."""
@@ -137,12 +138,17 @@
             known.full_at = max(known.full_at, at)
             known.told_at = max(known.told_at, at)
             if notice.check > CHECK_S:
-                self._lengthen_check(notice.service, notice.check, now)
+                check = _LongCheck(min(MAX_CHECK_S, notice.check), now + CHECK_LIFETIME_S)
+                _lengthen_check(self._long_checks, notice.service, check, now)
             self.on_full()
         return invalid_count
 
     def pop_unsent(self, now: float) -> list[FullTargetNotice]:
-        """Return the targets found full since the last call, for the other instances."""
+        """Return the targets found full since the last call, for the other instances.
+
+        Only a check that this instance has found to be needed is told: one that is passed on would
+        never end.
+        """
         unsent, self._unsent = self._unsent, {}
         known = [(target, self._targets[target]) for target in unsent if target in self._targets]
         return [
@@ -150,7 +156,7 @@
                 full.service,
                 target,
                 max(0.0, now - full.full_at),
-                self._find_long_check(full.service, now),
+                _find_long_check(self._own_long_checks, full.service, now),
             )
             for target, full in known
         ]
@@ -197,3 +203,17 @@
         """Remove targets that were full too long ago to matter."""
         known = self._targets
         self._targets = {t: f for t, f in known.items() if now - f.full_at < CHECK_LIFETIME_S}
+
+
+def _find_long_check(checks: dict[str, _LongCheck], service: str, now: float) -> float:
+    """Return for how long connections are checked since a reset came late; 0 if as usual."""
+    check = checks.get(service)
+    return check.seconds if check is not None and now < check.until else 0.0
+
+
+def _lengthen_check(
+    checks: dict[str, _LongCheck], service: str, check: _LongCheck, now: float
+) -> None:
+    """Record a check unless a longer one is in force."""
+    if check.seconds >= _find_long_check(checks, service, now):
+        checks[service] = check
--- a/tests/core/placement/test_connection_limits.py
+++ b/tests/core/placement/test_connection_limits.py
@@ -210,3 +210,13 @@
         told.merge_notices([*invalid, FullTargetNotice("bookings", "plain-a", 0.0, 9.0)], 10.1) == 2
     )
     assert told.compute_check("bookings", 10.1) == MAX_CHECK_S
+
+
+# Guards against long checks that never end, since instances tell each other of them in turn.
+def test_a_longer_check_that_was_told_is_not_passed_on() -> None:
+    met, told = ConnectionLimitTracker(), ConnectionLimitTracker()
+    met.record_reset_age("bookings", 0.03, 10.0)
+    met.record_reset("bookings", "plain-a", 1, 10.0)
+    told.merge_notices(met.pop_unsent(10.0), 10.0)
+    told.record_reset("bookings", "plain-a", 1, 20.0)
+    assert [notice.check for notice in told.pop_unsent(20.0)] == [0.0]
