--- a/rhubarbbend/codes.py
+++ b/rhubarbbend/codes.py
@@ -194,7 +194,7 @@
 )
 CONNECTIONS_UNANSWERED: Final = _declare_counter(
     "connections.unanswered",
-    "connections closed here with a request received and not answered; a fault of this program",
+    "connections closed here, idle or at a stop, with bytes of a request not answered",
 )
 WAITED_FOR_START: Final = _declare_counter(
     "waited_for_start", "requests that waited for the first configuration of a start"
--- a/rhubarbbend/gateway/_admission.py
+++ b/rhubarbbend/gateway/_admission.py
@@ -32,7 +32,7 @@
 from rhubarbbend.core.placement import Choice, Prompt
 from rhubarbbend.gateway._requests import OpenRequest
 from rhubarbbend.gateway._state import Clock, State
-from rhubarbbend.http._input_timeout import INPUT_LOOP_ITERATIONS
+from rhubarbbend.http import INPUT_LOOP_ITERATIONS
 
 # The counts of other instances arrive every 0.05 s, and adding them up costs more than a decision;
 # the own ones are read each time.
--- a/rhubarbbend/gateway/_alternatives.py
+++ b/rhubarbbend/gateway/_alternatives.py
@@ -73,8 +73,8 @@
     async def wait(self, request: OpenRequest) -> bool:
         """Wait until a target can take a request that was sent; return False if none can in time.
 
-        Any target will do, also one that the request has left. A request that need not wait is to
-        be ended at once: what was begun for its caller is not lost, and its target was not silent.
+        Any target will do, also one that the request has left. Only a request that may be repeated
+        waits, and only if its caller has a part of the answer or it has left a silent target.
         """
         progress = request.progress
         can_repeat = request.route.idempotent and progress.targets < request.route.max_attempts
--- a/rhubarbbend/gateway/_liveness.py
+++ b/rhubarbbend/gateway/_liveness.py
@@ -150,8 +150,8 @@
     def compute_remaining(self, silence: float) -> float:
         """Return how many more seconds to wait after `silence` seconds; 0 to give up.
 
-        The target is probed if the time-outs demand it. After them, it is given up as soon as the
-        request can go on elsewhere.
+        The target is probed if the time-outs demand it. Once they have passed, it is given up if it
+        is gone, or as soon as another target can take the request; a retry is then reserved.
         """
         now = self._clock()
         timeouts = (
--- a/rhubarbbend/gateway/_process_monitor.py
+++ b/rhubarbbend/gateway/_process_monitor.py
@@ -13,8 +13,8 @@
 from rhubarbbend.gateway._state import Clock, State
 from rhubarbbend.http import IDLE_ENDS, ConnectionEnd
 
-# A delay of the event loop from which on it is logged: callers notice it, and time-outs of this
-# process may expire together with the data that they wait for.
+# Delays of the event loop are logged from this length on: callers notice them, and time-outs of
+# this process may expire together with the data that they wait for.
 MIN_LOGGED_DELAY_S: Final = 0.1
 COUNTERS: Final = {
     ConnectionEnd.IDLE: codes.CONNECTIONS_IDLE,
--- a/rhubarbbend/gateway/_request_server.py
+++ b/rhubarbbend/gateway/_request_server.py
@@ -369,6 +369,7 @@
 
     async def _wait_or_fail(self, request: OpenRequest, code: ErrorCode) -> bool:
         """Wait until a target can take a request if it may wait; end it with `code` if none can."""
+        # Otherwise, requests with the same cause of losses could not be tried while this one waits.
         self._gate.end_attempt(request)
         if await self._alternatives.wait(request):
             return True
@@ -393,7 +394,7 @@
         return False
 
     def _fail_unfinished(self, request: OpenRequest, code: ErrorCode) -> None:
-        """End a request whose attempt, if any, was cancelled; it may have been sent."""
+        """End a request that was cancelled. Once it had an attempt, it counts as possibly sent."""
         if request.attempt_target is not None:
             request.progress.may_have_run = True
         self._ender.finish_failed(request, code)
--- a/rhubarbbend/http/_body_forwarder.py
+++ b/rhubarbbend/http/_body_forwarder.py
@@ -20,7 +20,8 @@
 
 # The shortest interval between two checks of whether a body makes progress.
 MIN_CHECK_INTERVAL_S: Final = 0.05
-# The event loop of a busy process may be late by less.
+# A check that is late by more than this shows that this process did not run. The event loop of a
+# busy process is often late by less, which counts as silence.
 MIN_STALL_S: Final = 0.1
 
 
@@ -68,7 +69,7 @@
 
 
 class SilenceClock:
-    """Measures the silence of a peer, without the time in which this process stood still.
+    """Measures the silence of a peer, without the time in which this process did not run.
 
     What the peer sent meanwhile may not have arrived yet. `check_at` is when the silence is to be
     measured next; a check that is much later shows that the event loop did not run.
--- a/rhubarbbend/http/_client_connection.py
+++ b/rhubarbbend/http/_client_connection.py
@@ -23,7 +23,8 @@
     FAILED = "failed"
 
 
-# Ends that the server chooses while it believes that the client waits for nothing.
+# Ends that the server chooses for connections on which it knows of no request; `STOPPING` also ends
+# those whose requests outlast a planned stop.
 IDLE_ENDS: Final = frozenset({ConnectionEnd.IDLE, ConnectionEnd.STOPPING})
 
 
--- a/rhubarbbend/http/_connection.py
+++ b/rhubarbbend/http/_connection.py
@@ -184,7 +184,7 @@
     async def discard_body(self, progress_timeout: float) -> None:
         """Discard the rest of a body, so that the connection can be used again.
 
-        Raise `HttpFailure` if it is incomplete, or larger or slower than is worth that.
+        Raise `HttpFailure` if it is incomplete, too large or too slow; a new connection costs less.
         """
         size = 0
         trickle = TrickleDetector(SMALL_BODY_PART_BYTES)
--- a/rhubarbbend/http/_receive_limits.py
+++ b/rhubarbbend/http/_receive_limits.py
@@ -15,11 +15,11 @@
 
 # Responses with a status below 200 that may come before the response to one request.
 MAX_INFORMATIONAL_RESPONSES: Final = 32
-# What is read of a body that nobody gets, to keep its connection.
+# The most that is read of a body that is discarded, so that its connection can be reused.
 MAX_DISCARDED_BYTES: Final = 262_144
-# The time for that. A sound path may be silent for a second or two.
+# The most time for that. A sound path may be silent for a second or two.
 MAX_DISCARD_S: Final = 2.5
-# The largest response to a request of an instance's own.
+# The largest response to a request that an instance makes itself, such as a read of the store.
 MAX_FETCHED_BYTES: Final = 16_777_216
 
 # How long something that is sent in one write may arrive in small parts.
--- a/tests/core/test_late_timers.py
+++ b/tests/core/test_late_timers.py
@@ -35,7 +35,7 @@
     assert "peers.lost" not in driver.counts
 
 
-# Guards against the same where a message of the peer waited while the event loop was late.
+# Guards against taking a peer for silent whose message waited while the event loop was late.
 def test_a_peer_whose_message_has_arrived_is_not_lost_to_a_late_timer() -> None:
     driver = make_owner(peers=("entry-a2",))
     driver.now += SILENCE_S + 0.5
--- a/tests/http/test_late_event_loop.py
+++ b/tests/http/test_late_event_loop.py
@@ -112,7 +112,7 @@
     assert asyncio.run(work()).startswith(b"HTTP/1.1 200")
 
 
-# Guards against the same when a planned stop closes idle connections.
+# Guards against closing an idle connection at a planned stop whose request was already received.
 def test_a_request_received_before_a_stop_closes_its_connection_is_answered(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -188,7 +188,7 @@
     assert asyncio.run(answer_late(parts, read)) == b"whole"
 
 
-# Guards against the same for calls to the store and to other instances.
+# Guards against failing calls to the store or to instances whose response was received in time.
 def test_a_response_to_a_call_received_before_its_time_out_is_handled_is_returned() -> None:
     async def work() -> bytes:
         with socket.create_server((HOST, 0)) as listener:
--- a/tests/loadtool/test_soak_changes.py
+++ b/tests/loadtool/test_soak_changes.py
@@ -154,6 +154,7 @@
     assert asyncio.run(call()) is end
 
 
+# Guards against runs that cannot be repeated from the seed in a report.
 def test_the_same_seed_gives_the_same_changes() -> None:
     layout = make_soak_layout(INSTANCE_COUNT)
     schedule = make_change_schedule(7, RUN_DURATION_S, layout)
