--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""LOST: a stream that comes on an open connection just over 3 s after SIGTERM is cut."""
+"""LOST: a stopping instance takes further streams on open connections, and cuts them."""
 
 from __future__ import annotations
 
@@ -13,15 +13,15 @@
 ZONES = ("almaty-a", "almaty-b", "almaty-c")
 INSTANCES = 2
 WORKERS = 3
-CLIENTS = 60
+CLIENTS = 30
 # Events of a stream, and the pause between two of them: less than `gapTargetMs`.
-EVENTS = 20
+EVENTS = 16
 GAP_S = 0.28
-SHORT_EVENTS = 2
-# Each client sends its next request so long after the SIGTERM, drawn evenly.
-FROM_S, TO_S = 2.7, 3.4
+# The SIGTERM comes so long after the first streams were asked for.
+TERM_AFTER_S = 1.0
+# A client asks for its next stream so long after the one before has ended, at most.
+MAX_PAUSE_S = 0.3
 EXCUSED_UNTIL_S = 3.0
-GRACE_S = 8.0
 
 
 class StreamWorker(Worker):
@@ -111,24 +111,24 @@
             return attempt, sent_at, None
         return attempt, sent_at, answer.whole
 
-    clients = [Client(deployment.fronts["front-0"]) for _ in range(CLIENTS)]
-    await asyncio.gather(*(ask(client, SHORT_EVENTS) for client in clients))
-    kept = [client for client in clients if client.is_connected]
-    record.write("connections kept open", count=len(kept))
-    await asyncio.sleep(1.0)
+    term_at = 0.0
 
+    async def chat(client: Client) -> tuple[str, float, bool | None]:
+        """Ask for a stream, and for the next one on the same connection if it is still open."""
+        _, _, is_whole = await ask(client, EVENTS)
+        if not is_whole or not client.is_connected:
+            return "", record.now(), None
+        await asyncio.sleep(random.uniform(0.0, MAX_PAUSE_S))
+        return await ask(client, EVENTS)
+
+    clients = [Client(deployment.fronts["front-0"]) for _ in range(CLIENTS)]
+    chats = [asyncio.create_task(chat(client)) for client in clients]
+    await asyncio.sleep(TERM_AFTER_S)
     term_at = record.now()
     if trouble:
         record.write("SIGTERM", instance="front-0")
         deployment.instances["front-0"].send_signal(signal.SIGTERM)
-
-    async def come_back(client: Client) -> tuple[str, float, bool | None]:
-        await asyncio.sleep(random.uniform(FROM_S, TO_S))
-        if not client.is_connected:
-            return "", record.now(), None
-        return await ask(client, EVENTS)
-
-    answers = await asyncio.gather(*(come_back(client) for client in kept))
+    answers = await asyncio.gather(*chats)
     lost = 0
     excused = 0
     whole = 0
