--- a/rhubarbbend/codes.py
+++ b/rhubarbbend/codes.py
@@ -199,6 +199,9 @@
 WAITED_FOR_START: Final = _declare_counter(
     "waited_for_start", "requests that waited for the first configuration of a start"
 )
+REQUESTS_WHILE_STOPPING: Final = _declare_counter(
+    "requests_while_stopping", "requests that arrived during a planned stop of this instance"
+)
 REPLAYS: Final = _declare_counter("replays", "kept outcomes given for a repeated key")
 
 RETRY_CONNECT: Final = _declare_counter("retry.connect", "attempts moved: connect failed")
--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -15,6 +15,7 @@
 from rhubarbbend.core.catalog import Catalog
 from rhubarbbend.core.limits import HeldKind
 from rhubarbbend.core.readers import InstanceRow, ReaderSelector
+from rhubarbbend.core.stop_schedule import StopSchedule
 from rhubarbbend.gateway._admission import AdmissionGate
 from rhubarbbend.gateway._attempts import AttemptRunner
 from rhubarbbend.gateway._crash_detector import CrashDetector
@@ -332,32 +333,37 @@
         """Shut down without interrupting a request: leave the rotation, then finish open requests.
 
         Readiness is withdrawn at once. Until the platform notices, new connections still arrive and
-        are served; from now on every response closes its connection.
+        are served; from now on every response closes its connection. Afterwards, only requests that
+        end before the stop does are accepted.
         """
-        stop_began_at = read_clock()
-        killed_at = stop_began_at + self.settings.stop_grace - STOP_MARGIN_S
-        self.state.stopping = True
+        stop = self._make_stop_schedule(read_clock())
+        self.state.stop = stop
         self._log("stopping", open=self._count_open())
         self._caller_server.start_draining()
         if self.settings.peers is not None:
             self._spawn(self._follower.instance_list.leave())
-        await asyncio.sleep(min(READINESS_PROPAGATION_S, self.settings.stop_grace / 3))
+        await asyncio.sleep(stop.late_from - stop.began_at)
         self._caller_server.stop_accepting()
-        while self._count_open() and read_clock() < killed_at:
+        while self._count_open() and read_clock() < stop.ends_at:
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
         unfinished = self._count_open()
         if not unfinished:
             # Responses that were written may still be in transit.
             try:
-                async with asyncio.timeout_at(killed_at):
+                async with asyncio.timeout_at(stop.ends_at):
                     await self._caller_server.finish()
             except TimeoutError:
                 self._log("callers_slow")
         self._follower.stop()
-        self._log("stopped", cut=unfinished, after=round(read_clock() - stop_began_at, 3))
+        self._log("stopped", cut=unfinished, after=round(read_clock() - stop.began_at, 3))
         self._event_log.close()
         ignore_late_stop(asyncio.get_running_loop())
 
+    def _make_stop_schedule(self, now: float) -> StopSchedule:
+        grace = self.settings.stop_grace
+        late_from = now + min(READINESS_PROPAGATION_S, grace / 3)
+        return StopSchedule(now, late_from, now + grace - STOP_MARGIN_S)
+
     def _count_open(self) -> int:
         return self._requests.open_requests + self._detours_served.open_requests
 
--- a/rhubarbbend/gateway/_request_server.py
+++ b/rhubarbbend/gateway/_request_server.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import traceback
 from functools import partial
 from typing import Final
@@ -26,7 +25,9 @@
 from rhubarbbend.gateway._interfaces import BadRequest, CallerProtocol, CallerRequest
 from rhubarbbend.gateway._request_ender import RequestEnder
 from rhubarbbend.gateway._requests import OpenRequest
+from rhubarbbend.gateway._startup_gate import StartupGate
 from rhubarbbend.gateway._state import Clock, State
+from rhubarbbend.gateway._stop_gate import StopGate
 from rhubarbbend.gateway._stream_origins import StreamOrigins
 from rhubarbbend.gateway._target_prober import TargetProber
 from rhubarbbend.gateway._version_selector import VersionSelector
@@ -34,13 +35,6 @@
 
 # A request is refused once more than this many targets have failed to accept a connection for it.
 MAX_CONNECT_FAILURES: Final = 4
-# For this long after its start, an instance lets callers wait for the configuration. This is twice
-# the time that the store takes to return it, and the time that other instances take to send it if
-# the store does not.
-STARTUP_WAIT_S: Final = 0.8
-# At startup, a caller waits at most this fraction of its request's time-out, so that an attempt
-# at another instance can still be answered in time.
-STARTUP_WAIT_FRACTION: Final = 0.33
 
 
 class RequestServer:
@@ -74,6 +68,8 @@
         self._origins = origins
         self._admission = admission
         self._versions = VersionSelector(state, clock)
+        self._startup_gate = StartupGate(state, caller_protocol, clock)
+        self._stop_gate = StopGate(state)
         self.open_requests = 0
 
     def _make_ender(self) -> RequestEnder:
@@ -91,7 +87,7 @@
                 self._ender.reject_for_memory(exchange, now)
                 return
             if not self._state.became_ready.is_set():
-                await self._wait_until_opened(exchange, now)
+                await self._startup_gate.wait(exchange, now)
             request = None if exchange.closed.is_set() else self._admit(exchange, now)
             if request is not None:
                 await self._deliver(request)
@@ -130,36 +126,6 @@
 
     # Admission.
 
-    async def _wait_until_opened(self, exchange: Exchange, now: float) -> None:
-        """Wait until the configuration is known, for at most the time that a start usually takes.
-
-        If all instances start at once and each refused its callers, a caller would use up its
-        attempts in less time than the configuration takes to arrive. An instance that starts
-        without a reachable store has not received it by the end of that time, and refuses requests
-        at once from then on.
-        """
-        caller_timeout_s = self._caller_protocol.read_timeout(exchange)
-        timeout = self._state.started_at + STARTUP_WAIT_S - now
-        if caller_timeout_s is not None:
-            timeout = min(timeout, STARTUP_WAIT_FRACTION * caller_timeout_s)
-        if timeout <= 0.0:
-            return
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(timeout):
-                await self._state.became_ready.wait()
-        self._state.metrics.increment_counter(codes.WAITED_FOR_START)
-        is_gone = exchange.closed.is_set()
-        if is_gone:
-            self._state.metrics.increment_counter(codes.CALLER_GONE)
-        self._state.event_log.write(
-            "waited_for_start",
-            self._clock(),
-            id=self._caller_protocol.read_request_id(exchange),
-            waited=round(self._clock() - now, 4),
-            opened=self._state.became_ready.is_set(),
-            caller_gone=is_gone or None,
-        )
-
     def _admit(self, exchange: Exchange, now: float) -> OpenRequest | None:
         """Return the request if it may be sent to targets; otherwise answer it and return None."""
         catalog = self._state.catalog
@@ -209,6 +175,9 @@
             return None
         config_version = catalog.version
         request = OpenRequest(caller, exchange, route, service, account, now, config_version)
+        if self._stop_gate.refuses(request):
+            self._ender.refuse(request, codes.STOPPING, now)
+            return None
         if self._gate.refuses(request, now):
             self._ender.refuse(request, codes.CRASHES_TARGETS, now)
             return None
--- a/rhubarbbend/gateway/_state.py
+++ b/rhubarbbend/gateway/_state.py
@@ -30,6 +30,7 @@
 from rhubarbbend.core.readers import InstanceRow, PeerUpdateLog
 from rhubarbbend.core.rollouts import ExposureOptions, RolloutTracker
 from rhubarbbend.core.shares import ColdTargetShare, RetryBudgetShare
+from rhubarbbend.core.stop_schedule import StopSchedule
 from rhubarbbend.gateway._change_notifier import ChangeNotifier
 from rhubarbbend.gateway._event_log import EventLog
 from rhubarbbend.gateway._held_memory import read_resident_size
@@ -101,7 +102,8 @@
         self.changed = ChangeNotifier()
         # Notified when instances have joined that may be missing from the list as last read.
         self.instance_joined = ChangeNotifier()
-        self.stopping = False
+        # The times of a planned stop; None before one begins.
+        self.stop: StopSchedule | None = None
         self.started_at = 0.0
         # Set once callers can be served for the first time.
         self.became_ready = asyncio.Event()
@@ -157,6 +159,11 @@
         """Whether callers can be served and new ones are accepted."""
         return self.has_config_and_targets and not self.stopping
 
+    @property
+    def stopping(self) -> bool:
+        """Whether a planned stop has begun."""
+        return self.stop is not None
+
     def has_peer_counts(self, service: Service, now: float) -> bool:
         """Return whether instances send one another their counts of requests at a service."""
         return service.engine is not None or self.brittle.is_brittle(service.name, now)
--- a/rhubarbbend/http/_client_connection.py
+++ b/rhubarbbend/http/_client_connection.py
@@ -49,15 +49,19 @@
 
 
 class ClientConnection:
-    """One client connection of a server, with the state of its HTTP protocol."""
+    """One client connection of a server, with the state of its HTTP protocol.
 
-    __slots__ = ("reader", "writer", "conn", "_max_header_bytes")
+    `is_used` says whether a request was served on it.
+    """
+
+    __slots__ = ("reader", "writer", "conn", "is_used", "_max_header_bytes")
 
     def __init__(
         self, reader: ClientReader, writer: asyncio.StreamWriter, max_header_bytes: int
     ) -> None:
         self.reader = reader
         self.writer = writer
+        self.is_used = False
         self._max_header_bytes = max_header_bytes
         self.conn = self._make_conn()
 
--- a/rhubarbbend/http/_server.py
+++ b/rhubarbbend/http/_server.py
@@ -29,8 +29,8 @@
 from rhubarbbend.http._request_body import BodyLimits, BodyReader, MemoryShort, RequestBody
 from rhubarbbend.http._send_progress import limit_kernel_buffer
 
-# How long idle connections stay open after the server has stopped accepting: a request may already
-# be on its way.
+# How long a connection without a request yet stays open after the server has stopped accepting: its
+# first request may already be on its way.
 IDLE_CLOSE_DELAY_S: Final = 0.5
 # A connection is aborted if its client accepts no byte of its response for this long while the
 # server flushes it.
@@ -89,8 +89,9 @@
         # In the order of their opening: in a set, it would be that of addresses in memory, and so
         # would be the order in which idle connections are closed.
         self._tasks: dict[asyncio.Task[None], None] = {}
-        # Of connections that wait for the first byte of a request, in the order of their waits.
-        self._idle_timeouts: dict[InputTimeout, None] = {}
+        # Of connections that wait for the first byte of a request, in the order of their waits; the
+        # value says whether a request was served on the connection before.
+        self._idle_timeouts: dict[InputTimeout, bool] = {}
         self._stopping = False
         self._drain_state = DrainState()
 
@@ -125,24 +126,27 @@
         self._drain_state.draining = True
 
     def stop_accepting(self) -> None:
-        """Close the listening socket, and idle connections after a short delay.
+        """Close the listening socket and idle connections; requests in flight continue.
 
-        Requests in flight continue. A request sent on an idle connection before its client could
-        learn of the stop is still served; closing the connection at once would break it off.
+        A connection on which a request was served before ends as soon as it is idle: its client can
+        repeat elsewhere a request that was not read, but not one that the end of the process cuts.
+        A new connection is kept for a short time, since its first request may be on its way.
         """
         self.start_draining()
         if self._stopping:
             return
         self._stopping = True
+        self._close_idle(used_only=True)
         if self._server is not None:
             self._server.close()
             asyncio.get_running_loop().call_later(IDLE_CLOSE_DELAY_S, self._close_idle)
 
-    def _close_idle(self) -> None:
+    def _close_idle(self, used_only: bool = False) -> None:
         """Have idle connections end, unless a request has already arrived on them."""
         now = asyncio.get_running_loop().time()
-        for timeout in self._idle_timeouts:
-            timeout.reschedule(now)
+        for timeout, is_used in self._idle_timeouts.items():
+            if is_used or not used_only:
+                timeout.reschedule(now)
 
     async def finish(self) -> None:
         """Stop accepting and wait until every response is sent."""
@@ -208,6 +212,7 @@
                 await self._run_handler(exchange, conn, reader)
                 if not await self._prepare_next(conn, writer, exchange.buffer):
                     return ConnectionEnd.LAST_RESPONSE
+                client.is_used = True
             except RequestRejected as rejected:
                 await reject_request(client.conn, reader, writer, rejected)
                 return ConnectionEnd.REJECTED
@@ -255,7 +260,7 @@
             if event is not h11.NEED_DATA:
                 return ConnectionEnd.CLIENT_CLOSED
             if head_deadline is None and not client.conn.trailing_data[0]:
-                data = await self._wait_for_request(client.reader)
+                data = await self._wait_for_request(client)
                 if isinstance(data, ConnectionEnd):
                     return data
                 client.set_limit(self._limits.max_header_bytes)
@@ -268,19 +273,22 @@
                     raise RequestRejected(408, TOO_SLOW) from None
             client.conn.receive_data(data)
 
-    async def _wait_for_request(self, reader: ClientReader) -> bytes | ConnectionEnd:
+    async def _wait_for_request(self, client: ClientConnection) -> bytes | ConnectionEnd:
         """Return the first bytes of a request, or why the idle connection ends without one.
 
         An idle time-out that was lengthened meanwhile applies: the client goes by the new one.
         """
         loop = asyncio.get_running_loop()
         idle_since = loop.time()
+        reader = client.reader
         while True:
-            idle_timeout = IDLE_CLOSE_DELAY_S if self._stopping else self._limits.idle_timeout
+            idle_timeout = self._limits.idle_timeout
+            if self._stopping:
+                idle_timeout = 0.0 if client.is_used else IDLE_CLOSE_DELAY_S
             timeout = InputTimeout(idle_since + idle_timeout)
             try:
                 async with timeout:
-                    self._idle_timeouts[timeout] = None
+                    self._idle_timeouts[timeout] = client.is_used
                     return await reader.read(READ_SIZE_BYTES)
             except TimeoutError:
                 if not timeout.expired():
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -10,6 +10,7 @@
 
 from rhubarbbend.core.mirror import MirroredRow, TablePage
 from rhubarbbend.core.readers import InstanceRow, PeerUpdatePage, ReaderSelector
+from rhubarbbend.core.stop_schedule import StopSchedule
 from rhubarbbend.gateway import _instance_list
 from rhubarbbend.gateway._event_log import EventLog
 from rhubarbbend.gateway._follower import StateFollower
@@ -278,7 +279,7 @@
         state.remove_instance("front-0")
         await asyncio.sleep(0.3)
         assert len(store.written) > 1
-        state.stopping = True
+        state.stop = StopSchedule(0.0, 0.0, 0.0)
         await asyncio.wait_for(joining, 1.0)
 
     run(work)
--- a/tests/http/test_server_stop.py
+++ b/tests/http/test_server_stop.py
@@ -110,3 +110,58 @@
         writer.close()
 
     asyncio.run(scenario())
+
+
+async def respond_before_stop(exchange: Exchange) -> None:
+    """Begin an answer at once, and end it after the stop of the tests below has begun."""
+    exchange.start(200, [("Content-Length", "4")])
+    exchange.write(b"do")
+    await asyncio.sleep(0.7)
+    exchange.write(b"ne")
+    exchange.finish()
+
+
+# Guards against a request that is read long after the stop began, on a connection whose last answer
+# did not say that it would be closed; and against one that has arrived and is lost.
+@pytest.mark.parametrize("is_pipelined", [False, True])
+def test_a_used_connection_ends_with_its_answer_during_a_stop(is_pipelined: bool) -> None:
+    async def scenario() -> None:
+        server = HttpServer(respond_before_stop)
+        port = await server.listen("127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        request = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+        writer.write(request * (2 if is_pipelined else 1))
+        await asyncio.sleep(0.1)
+        server.stop_accepting()
+        async with asyncio.timeout(2.0):
+            received = await reader.readuntil(b"done")
+            if is_pipelined:
+                received += await reader.readuntil(b"done")
+            ended_at = asyncio.get_running_loop().time()
+            received += await reader.read()
+        assert received.count(b"done") == (2 if is_pipelined else 1)
+        assert asyncio.get_running_loop().time() - ended_at < _server.IDLE_CLOSE_DELAY_S / 2
+        writer.close()
+
+    asyncio.run(scenario())
+
+
+# Guards against a kept connection that goes on to take requests after the listening socket closed.
+def test_idle_connections_end_at_a_stop_and_new_ones_are_kept_for_a_request() -> None:
+    async def scenario() -> None:
+        server = HttpServer(respond_before_stop)
+        port = await server.listen("127.0.0.1", 0)
+        used, used_writer = await asyncio.open_connection("127.0.0.1", port)
+        new, new_writer = await asyncio.open_connection("127.0.0.1", port)
+        used_writer.write(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        async with asyncio.timeout(2.0):
+            await used.readuntil(b"done")
+            server.stop_accepting()
+            async with asyncio.timeout(0.2):
+                assert await used.read() == b""
+            new_writer.write(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+            assert (await new.read()).endswith(b"done")
+        used_writer.close()
+        new_writer.close()
+
+    asyncio.run(scenario())
