--- a/rhubarbbend/core/_context.py
+++ b/rhubarbbend/core/_context.py
@@ -21,6 +21,7 @@
 from rhubarbbend.core._pauses import PauseTracker
 from rhubarbbend.core.configuration import Configuration
 from rhubarbbend.core.messages import Message, SlotMessage
+from rhubarbbend.core.stop_schedule import StopSchedule
 
 Callback = Callable[[float], None]
 
@@ -104,7 +105,8 @@
         self.out: list[actions.Action] = []
         self.local: deque[Message] = deque()
         self.unix_time_offset_s = 0.0
-        self.stopping = False
+        # The times of a planned stop; None before one begins.
+        self.stop: StopSchedule | None = None
         self.config_ready = False
         # Whether the instances and targets are known, from the platform's list or from a peer.
         self.are_members_known = False
@@ -117,6 +119,11 @@
         self._timers: list[tuple[float, int, Callback]] = []
         self._sequence = itertools.count()
 
+    @property
+    def stopping(self) -> bool:
+        """Whether a planned stop has begun."""
+        return self.stop is not None
+
     def emit(self, action: actions.Action) -> None:
         """Append an action for the shell to carry out."""
         self.out.append(action)
--- a/rhubarbbend/core/_stop.py
+++ b/rhubarbbend/core/_stop.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import enum
+import math
 from typing import Final
 
 from rhubarbbend.core import actions, events
@@ -17,6 +18,7 @@
 from rhubarbbend.core.messages import Message
 from rhubarbbend.core.owners._owner import OwnershipCoordinator
 from rhubarbbend.core.requests._coordinator import RequestCoordinator
+from rhubarbbend.core.stop_schedule import StopSchedule
 
 DRAIN_CHECK_INTERVAL_S: Final = 0.1
 # How long, beyond the balancer lag, the exit may be delayed by outcomes of commands that could not
@@ -66,7 +68,10 @@
         context = self._context
         self._phase = StopPhase.UNREADY
         self._started_at = now
-        context.stopping = True
+        # An instance that was never ready is unknown to the balancer, so there is no lag to wait.
+        late_from = now + (context.options.balancer_lag if context.config_ready else 0.0)
+        stop_limit = context.options.stop_limit or math.inf
+        context.stop = StopSchedule(now, late_from, now + stop_limit)
         context.log("stop_begun", open=str(self._requests.count_open_requests()))
         context.emit(actions.SetReady(False))
         context.fleet.instances[context.identity.instance].reported_leaving = True
@@ -76,9 +81,7 @@
         self._members.broadcast_heartbeat(now)
         self._owner.hand_over_all(now)
         self._requests.renew_slots(now)
-        # An instance that was never ready is unknown to the balancer, so there is no lag to wait.
-        lag = context.options.balancer_lag if context.config_ready else 0.0
-        context.set_timer(now + lag, self._drain)
+        context.set_timer(late_from, self._drain)
 
     def _drain(self, now: float) -> None:
         self._phase = StopPhase.DRAINING
--- a/rhubarbbend/core/requests/_coordinator.py
+++ b/rhubarbbend/core/requests/_coordinator.py
@@ -207,6 +207,8 @@
             return codes.SUSPECT
         if request.time_left(now) <= MIN_TIME_LEFT_S:
             return codes.DEADLINE
+        if context.stop is not None and not context.stop.leaves_time(now, request.deadline):
+            return codes.STOPPING
         needs_claim_table = not request.idempotent and not has_reserved_prefix(request.arrival.key)
         failed_recently = now - context.last_platform_failure < context.options.config_interval
         if needs_claim_table and context.is_table_service_down and failed_recently:
--- a/tests/core/test_service.py
+++ b/tests/core/test_service.py
@@ -43,9 +43,9 @@
     )
 
 
-def start_owner(*targets: tuple[str, str, str]) -> Core:
+def start_owner(*targets: tuple[str, str, str], **options: float) -> Core:
     """Start the only instance of zone a, which owns the targets; they have reported ready."""
-    core = start_core("e1")
+    core = start_core("e1", **options)
     row = make_row(1, ("service", "booking", BOOKING_SERVICE), ("account", "desk", ACCOUNT))
     answer_scan(core, 3.5, row)
     core.handle(make_target_list(*targets), 3.6)
--- a/tests/core/test_stop.py
+++ b/tests/core/test_stop.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from rhubarbbend.core import actions, events
 from rhubarbbend.core._fleet import compute_rendezvous_weight
 from rhubarbbend.core.claims._key_issuer import KeyIssuer
@@ -118,3 +120,30 @@
         if isinstance(action.message, ZoneQuery)
     ]
     assert queries and all(query.leaving for query in queries)
+
+
+# Guards against a request that is accepted late in a planned stop and cut by its limit. Without a
+# limit the instance waits for it.
+@pytest.mark.parametrize(
+    ("stop_limit", "arrived_at", "time_left", "is_refused"),
+    [
+        (8.0, 11.9, 60.0, False),
+        (8.0, 12.5, 5.0, False),
+        (8.0, 12.5, 6.0, True),
+        (0.0, 12.5, 60.0, False),
+    ],
+)
+def test_a_late_request_that_the_limit_of_a_stop_could_cut_is_refused(
+    stop_limit: float, arrived_at: float, time_left: float, is_refused: bool
+) -> None:
+    core = start_owner(("t1", "a", "live"), stop_limit=stop_limit)
+    core.handle(STOP, 10.0)
+    # Keeps the instance from ending once it accepts no connections.
+    first = events.RequestArrived("r1", "a" * 64, "booking", "", "POST", "/bookings", "d", 9.0)
+    first.key = "k1"
+    core.handle(first, 10.1)
+    run_timers(core, arrived_at)
+    late = events.RequestArrived("r2", "a" * 64, "booking", "", "POST", "/bookings", "d", time_left)
+    late.key = "k2"
+    refusals = filter_actions(core.handle(late, arrived_at), actions.Refuse)
+    assert [action.code for action in refusals] == (["stopping"] if is_refused else [])
