--- a/rhubarbbend/cli/_explain.py
+++ b/rhubarbbend/cli/_explain.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from rhubarbbend.decoding import decode_json
+
 # Log lines about no request are included from this long before the request's first line. It is the
 # longest time that a change can take to reach an instance, plus a margin.
 CONTEXT_S: Final = 3.0
@@ -59,7 +61,7 @@
         if start < 0:
             continue
         try:
-            value = msgspec.json.decode(text[start:])
+            value = decode_json(text[start:])
         except msgspec.MsgspecError:
             continue
         if not isinstance(value, dict) or not {"event", "time", "instance"} <= value.keys():
--- a/rhubarbbend/cli/_operator_commands.py
+++ b/rhubarbbend/cli/_operator_commands.py
@@ -20,6 +20,7 @@
 from rhubarbbend.cli._exit_status import ExitStatus
 from rhubarbbend.cli._options import Options
 from rhubarbbend.core.configuration import TargetState, Zone
+from rhubarbbend.decoding import decode_json
 from rhubarbbend.operators import SCHEMA, OperatorClient, derive_operator_key
 from rhubarbbend.settings import SecretSettings, parse_address, read_secret
 
@@ -182,7 +183,7 @@
                 "kind": d.kind,
                 "name": d.name,
                 "version": shown.version,
-                "value": msgspec.json.decode(_as_bytes(d.value)),
+                "value": decode_json(_as_bytes(d.value)),
             }
             for d in shown.declarations
         ]
--- a/rhubarbbend/core/accepted/_follower.py
+++ b/rhubarbbend/core/accepted/_follower.py
@@ -19,6 +19,7 @@
 from rhubarbbend.core.configuration import Item, Position
 from rhubarbbend.core.members._poll_scheduler import ZonePollScheduler
 from rhubarbbend.core.messages import ConfigItem, ConfigQuery, ConfigReply, Message
+from rhubarbbend.decoding import decode_json, decode_msgpack
 
 CHANGE_TABLE: Final = "changes"
 CHANGE_SCAN_OP: Final = "config:scan"
@@ -178,7 +179,7 @@
 
     def _apply_snapshot(self, data: bytes) -> None:
         try:
-            snapshot = msgspec.msgpack.decode(data, type=Snapshot)
+            snapshot = decode_msgpack(data, type=Snapshot)
         except msgspec.MsgspecError:
             self._context.log("snapshot_unreadable")
             return
@@ -207,7 +208,7 @@
 
     def _apply_row(self, row: events.Row) -> None:
         try:
-            change = msgspec.json.decode(row.value, type=Change)
+            change = decode_json(row.value, type=Change)
         except msgspec.MsgspecError:
             self._context.count(codes.CONFIG_UNREADABLE)
             if self._last_unreadable_key != row.key:
--- a/rhubarbbend/core/accepted/_proposals.py
+++ b/rhubarbbend/core/accepted/_proposals.py
@@ -23,6 +23,7 @@
 )
 from rhubarbbend.core.accepted._validation import find_problems
 from rhubarbbend.core.messages import Message
+from rhubarbbend.decoding import decode_json
 
 CHANGE_ID_TABLE: Final = "change_ids"
 WRITE_OP_PREFIX: Final = "config:write:"
@@ -128,7 +129,7 @@
         It is a retry after the reply to the first write was lost, or the id was used for another
         change, which is an error.
         """
-        accepted = msgspec.json.decode(row.value, type=AcceptedChangeId)
+        accepted = decode_json(row.value, type=AcceptedChangeId)
         if accepted.digest == _compute_digest(proposal.change):
             self._accept(proposal, accepted.version, now)
             return
@@ -165,6 +166,6 @@
     if row is None:
         return ""
     try:
-        return msgspec.json.decode(row.value, type=Change).author
+        return decode_json(row.value, type=Change).author
     except msgspec.MsgspecError:
         return ""
--- a/rhubarbbend/core/accepted/_validation.py
+++ b/rhubarbbend/core/accepted/_validation.py
@@ -23,6 +23,7 @@
     decode_declaration,
 )
 from rhubarbbend.core.routing import POLICIES
+from rhubarbbend.decoding import decode_json
 
 NAME_PATTERN: Final = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:@-]{0,99}")
 # Callers choose models by name, and the name often holds the vendor's name before a "/".
@@ -71,7 +72,7 @@
         return [f"{label} is named {declaration.name!r} inside"]
     declared[(kind, name)] = declaration
     found = [
-        *find_unknown_fields(kind, msgspec.json.decode(value)),
+        *find_unknown_fields(kind, decode_json(value)),
         *check_declaration(declaration),
     ]
     return [f"{label}: {problem}" for problem in found]
--- a/rhubarbbend/core/claims/_claim_rows.py
+++ b/rhubarbbend/core/claims/_claim_rows.py
@@ -11,6 +11,7 @@
 from rhubarbbend import codes
 from rhubarbbend.codes import ErrorCode, Verdict
 from rhubarbbend.core import events
+from rhubarbbend.decoding import decode_json
 
 CLAIM_TABLE: Final = "claims"
 
@@ -158,7 +159,7 @@
 def decode_row(row: events.Row) -> ClaimRow | None:
     """Decode a row of the claim table; None if its value is not a valid claim."""
     try:
-        return msgspec.json.decode(row.value, type=ClaimRow)
+        return decode_json(row.value, type=ClaimRow)
     except msgspec.MsgspecError:
         return None
 
--- a/rhubarbbend/core/configuration.py
+++ b/rhubarbbend/core/configuration.py
@@ -13,6 +13,8 @@
 
 import msgspec
 
+from rhubarbbend.decoding import decode_json
+
 ANY_METHOD: Final = "*"
 KIND_ENGINE: Final = "engine"
 
@@ -130,7 +132,7 @@
 
     Raises msgspec.MsgspecError if the value does not fit the kind, KeyError if the kind is unknown.
     """
-    return msgspec.json.decode(value, type=KINDS[kind])
+    return decode_json(value, type=KINDS[kind])
 
 
 class Configuration:
--- a/rhubarbbend/core/routing/_tickets.py
+++ b/rhubarbbend/core/routing/_tickets.py
@@ -16,6 +16,8 @@
 import msgspec
 from returns.maybe import Maybe, Nothing, Some
 
+from rhubarbbend.decoding import decode_msgpack
+
 SIGNATURE_BYTES: Final = 8
 MAX_TICKET_CHARS: Final = 1_024
 
@@ -60,6 +62,6 @@
         payload = raw[SIGNATURE_BYTES:]
         if not hmac.compare_digest(raw[:SIGNATURE_BYTES], _sign(secret, account, chat, payload)):
             return Nothing
-        return Some(msgspec.msgpack.decode(payload, type=Ticket))
+        return Some(decode_msgpack(payload, type=Ticket))
     except (binascii.Error, ValueError, msgspec.MsgspecError):
         return Nothing
--- a/rhubarbbend/gateway/_crash_trials.py
+++ b/rhubarbbend/gateway/_crash_trials.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from rhubarbbend.core.crashes import TrialTable, list_coordinators
+from rhubarbbend.decoding import decode_msgpack
 from rhubarbbend.gateway._peers import TRIAL_PATH, PeerClient
 from rhubarbbend.gateway._state import Clock, State
 
@@ -51,9 +52,7 @@
 
     def serve(self, body: bytes) -> bytes:
         """Answer another instance's query; raise `MsgspecError` if it is invalid."""
-        return msgspec.msgpack.encode(
-            self._coordinate(msgspec.msgpack.decode(body, type=TrialQuery))
-        )
+        return msgspec.msgpack.encode(self._coordinate(decode_msgpack(body, type=TrialQuery)))
 
     def _coordinate(self, query: TrialQuery) -> TrialReply:
         now = self._clock()
@@ -97,7 +96,7 @@
             self._silent_until[instance] = self._clock() + SILENCE_BACKOFF_S
             return None
         try:
-            return msgspec.msgpack.decode(reply, type=TrialReply)
+            return decode_msgpack(reply, type=TrialReply)
         except msgspec.MsgspecError as error:
             self._state.event_log.write("peer_unreadable", self._clock(), reason=str(error))
             return None
--- a/rhubarbbend/gateway/_detour_messages.py
+++ b/rhubarbbend/gateway/_detour_messages.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from rhubarbbend.codes import ErrorCode, Verdict, find_error
+from rhubarbbend.decoding import decode_json
 
 # On the request: `DetourTerms` as JSON. Callers cannot set it: it is read only at the address for
 # other instances, and the sender leaves out any header of this name that the caller sent.
@@ -66,7 +67,7 @@
 def read_terms(headers: dict[str, str]) -> DetourTerms | None:
     """Return the terms of a detour, None if there are none. Raise `MsgspecError` if invalid."""
     text = headers.get(TERMS_HEADER.decode())
-    return None if text is None else msgspec.json.decode(text, type=DetourTerms)
+    return None if text is None else decode_json(text, type=DetourTerms)
 
 
 def read_leaving_target(headers: dict[str, str]) -> str:
@@ -82,4 +83,4 @@
 def read_refusal(headers: dict[str, str]) -> DetourRefusal | None:
     """Return a helper's refusal; None if the response is a target's. Raise `MsgspecError`."""
     text = headers.get(REFUSAL_HEADER.decode())
-    return None if text is None else msgspec.json.decode(text, type=DetourRefusal)
+    return None if text is None else decode_json(text, type=DetourRefusal)
--- a/rhubarbbend/gateway/_in_flight_protocol.py
+++ b/rhubarbbend/gateway/_in_flight_protocol.py
@@ -26,6 +26,7 @@
     is_plausible,
 )
 from rhubarbbend.core.readers import ReaderSelector
+from rhubarbbend.decoding import decode_msgpack
 from rhubarbbend.gateway._settings import Address
 from rhubarbbend.gateway._state import ASSUMED_INSTANCES, State, read_clock
 
@@ -170,7 +171,7 @@
             self.on_notice(data.removeprefix(NOTICE_MARK), addr)
             return
         try:
-            update = msgspec.msgpack.decode(data, type=InFlightUpdate)
+            update = decode_msgpack(data, type=InFlightUpdate)
         except msgspec.MsgspecError:
             self._state.metrics.increment_counter(codes.PEER_FRAMES_BAD)
             return
--- a/rhubarbbend/gateway/_peers.py
+++ b/rhubarbbend/gateway/_peers.py
@@ -18,6 +18,7 @@
 from rhubarbbend.core.mirror import TablePage
 from rhubarbbend.core.placement import TargetLoad
 from rhubarbbend.core.readers import InstanceRow, PeerUpdatePage, ReaderSelector
+from rhubarbbend.decoding import decode_msgpack
 from rhubarbbend.gateway._detour_messages import is_detour
 from rhubarbbend.gateway._peer_updates import PeerUpdate, apply_crash_findings, make_crash_update
 from rhubarbbend.gateway._settings import Address
@@ -121,10 +122,10 @@
             elif exchange.memory_refusal:
                 exchange.respond(503, [], b"")
             elif exchange.target == CHANGES_PATH:
-                query = msgspec.msgpack.decode(exchange.body, type=ChangesQuery)
+                query = decode_msgpack(exchange.body, type=ChangesQuery)
                 await self._serve_changes(exchange, query)
             elif exchange.target == UPDATE_PATH:
-                update = msgspec.msgpack.decode(exchange.body, type=PeerUpdate)
+                update = decode_msgpack(exchange.body, type=PeerUpdate)
                 self._state.apply_peer_update(update, read_clock())
                 _respond(exchange, b"")
             elif exchange.target == ROLLOUT_PATH:
@@ -139,7 +140,7 @@
                 known = make_crash_update(self._state.crashes, read_clock())
                 _respond(exchange, msgspec.msgpack.encode(known))
             elif exchange.target == JOIN_PATH:
-                notice = msgspec.msgpack.decode(exchange.body, type=JoinNotice)
+                notice = decode_msgpack(exchange.body, type=JoinNotice)
                 self._state.add_instance(notice.instance, notice.row)
                 self._state.instance_joined.notify_all_soon()
                 _respond(exchange, msgspec.msgpack.encode(self._make_join_reply(read_clock())))
@@ -242,7 +243,7 @@
         if body is None:
             return None
         try:
-            return msgspec.msgpack.decode(body, type=ChangesReply)
+            return decode_msgpack(body, type=ChangesReply)
         except msgspec.MsgspecError as error:
             self._state.event_log.write("peer_unreadable", read_clock(), reason=str(error))
             return None
@@ -257,7 +258,7 @@
         if not reply:
             return False
         try:
-            update = msgspec.msgpack.decode(reply, type=PeerUpdate)
+            update = decode_msgpack(reply, type=PeerUpdate)
         except msgspec.MsgspecError as error:
             self._state.event_log.write("peer_unreadable", read_clock(), reason=str(error))
             return False
@@ -288,7 +289,7 @@
         replies = await self._send_to_relays(JOIN_PATH, data, others)
         for reply in replies:
             if reply:
-                update = msgspec.msgpack.decode(reply, type=PeerUpdate)
+                update = decode_msgpack(reply, type=PeerUpdate)
                 self._state.apply_peer_update(update, read_clock())
         self._state.crashes_learned.set()
 
--- a/rhubarbbend/gateway/_rollouts.py
+++ b/rhubarbbend/gateway/_rollouts.py
@@ -26,6 +26,7 @@
     Ruling,
     TargetCounts,
 )
+from rhubarbbend.decoding import decode_json, decode_msgpack
 from rhubarbbend.gateway._interfaces import StatusEncoder
 from rhubarbbend.gateway._peer_updates import PeerUpdate, ServiceRollout
 from rhubarbbend.gateway._peers import PeerClient
@@ -119,7 +120,7 @@
 
         Raise `msgspec.MsgspecError` if it cannot be decoded.
         """
-        report = msgspec.msgpack.decode(data, type=RolloutReport)
+        report = decode_msgpack(data, type=RolloutReport)
         return msgspec.msgpack.encode(self._reply_to(report))
 
     def _reply_to(self, report: RolloutReport) -> RolloutReply:
@@ -190,7 +191,7 @@
             # It does not know of the order yet.
             return
         try:
-            reply = msgspec.msgpack.decode(body, type=RolloutReply)
+            reply = decode_msgpack(body, type=RolloutReply)
         except msgspec.MsgspecError as error:
             self._log("peer_unreadable", reason=str(error))
             return
@@ -387,6 +388,6 @@
     if value is None:
         return None
     try:
-        return msgspec.json.decode(value, type=RolloutRecord)
+        return decode_json(value, type=RolloutRecord)
     except msgspec.MsgspecError:
         return None
--- a/rhubarbbend/gateway/_state_updater.py
+++ b/rhubarbbend/gateway/_state_updater.py
@@ -14,6 +14,7 @@
 from rhubarbbend.core.mirror import RowChange, TablePage
 from rhubarbbend.core.readers import InstanceRow
 from rhubarbbend.core.rollouts import RolloutRecord
+from rhubarbbend.decoding import decode_json
 from rhubarbbend.gateway._interfaces import (
     CatalogPublished,
     RolloutOrdered,
@@ -63,7 +64,7 @@
                 self._state.remove_instance(change.key)
                 continue
             try:
-                row = msgspec.json.decode(change.value, type=InstanceRow)
+                row = decode_json(change.value, type=InstanceRow)
             except msgspec.MsgspecError as error:
                 self._log("row_unreadable", row=change.key, reason=str(error))
                 continue
@@ -76,7 +77,7 @@
                 self._log("row_unreadable", row=change.key, reason="deleted")
                 continue
             try:
-                record = msgspec.json.decode(change.value, type=RolloutRecord)
+                record = decode_json(change.value, type=RolloutRecord)
             except msgspec.MsgspecError as error:
                 self._log("row_unreadable", row=change.key, reason=str(error))
                 continue
--- a/rhubarbbend/gateway/_stream_origins.py
+++ b/rhubarbbend/gateway/_stream_origins.py
@@ -25,6 +25,7 @@
     make_stream_key,
     select_told,
 )
+from rhubarbbend.decoding import decode_msgpack
 from rhubarbbend.gateway._peers import STREAMS_PATH, PeerClient
 from rhubarbbend.gateway._requests import OpenRequest
 from rhubarbbend.gateway._settings import Address
@@ -94,7 +95,7 @@
     def handle_notice(self, data: bytes, address: Address) -> None:
         """Record what another instance tells; drop what cannot be from one."""
         try:
-            notice = msgspec.msgpack.decode(data, type=StreamNotice)
+            notice = decode_msgpack(data, type=StreamNotice)
         except msgspec.MsgspecError:
             self._state.metrics.increment_counter(codes.PEER_FRAMES_BAD)
             return
@@ -106,7 +107,7 @@
 
     def serve(self, body: bytes) -> bytes:
         """Answer another instance's query; raise `MsgspecError` if it is invalid."""
-        query = msgspec.msgpack.decode(body, type=StreamQuery)
+        query = decode_msgpack(body, type=StreamQuery)
         return msgspec.msgpack.encode(StreamReply(self._ledger.find(query.stream, self._clock())))
 
     # Streams that are taken up again.
@@ -179,7 +180,7 @@
         if not reply:
             return None, name
         try:
-            return msgspec.msgpack.decode(reply, type=StreamReply).origin, name
+            return decode_msgpack(reply, type=StreamReply).origin, name
         except msgspec.MsgspecError as error:
             self._state.event_log.write("peer_unreadable", self._clock(), reason=str(error))
             return None, name
--- a/rhubarbbend/gateway/_target_checker.py
+++ b/rhubarbbend/gateway/_target_checker.py
@@ -16,6 +16,7 @@
 
 from rhubarbbend.core.crashes import Fate
 from rhubarbbend.core.directory import Target, get_target_id
+from rhubarbbend.decoding import decode_msgpack
 from rhubarbbend.gateway._interfaces import TargetProtocol
 from rhubarbbend.gateway._peers import CHECK_PATH, PeerClient
 from rhubarbbend.gateway._settings import Address
@@ -114,7 +115,7 @@
 
     async def serve(self, body: bytes) -> bytes:
         """Contact a target for another instance; raise `MsgspecError` if the query is invalid."""
-        query = msgspec.msgpack.decode(body, type=CheckQuery)
+        query = decode_msgpack(body, type=CheckQuery)
         contact = await self._contact(query)
         if contact is Contact.REFUSED and not await self.reaches_another(
             get_target_id(query.target)
@@ -181,7 +182,7 @@
         if not reply:
             return None
         try:
-            return msgspec.msgpack.decode(reply, type=CheckReply).contact
+            return decode_msgpack(reply, type=CheckReply).contact
         except msgspec.MsgspecError as error:
             self._state.event_log.write("peer_unreadable", self._clock(), reason=str(error))
             return None
--- a/rhubarbbend/settings/_decode.py
+++ b/rhubarbbend/settings/_decode.py
@@ -175,7 +175,7 @@
         data = tomllib.loads(path.read_text("utf-8"))
     except (OSError, UnicodeDecodeError) as error:
         raise SettingsInvalid([SettingError(str(path), "(file)", str(error))]) from error
-    except tomllib.TOMLDecodeError as error:
+    except (tomllib.TOMLDecodeError, RecursionError) as error:
         raise SettingsInvalid([SettingError(str(path), "(syntax)", str(error))]) from error
     return _structure(data, str(path), settings_class)
 
--- a/rhubarbbend/shell/_requests.py
+++ b/rhubarbbend/shell/_requests.py
@@ -12,6 +12,7 @@
 
 from rhubarbbend.codes import BAD_REQUEST, UNKNOWN_PATH, ErrorCode
 from rhubarbbend.core.events import RequestArrived
+from rhubarbbend.decoding import decode_json
 from rhubarbbend.http import Exchange
 
 CHAT_PATH: Final = "/v1/chat/completions"
@@ -155,7 +156,7 @@
     if exchange.method != "POST":
         return Failure(BadRequest(BAD_REQUEST, "expected POST"))
     try:
-        body = msgspec.json.decode(exchange.body, type=ChatBody)
+        body = decode_json(exchange.body, type=ChatBody)
     except msgspec.MsgspecError as error:
         return Failure(BadRequest(BAD_REQUEST, str(error)))
     event.model = body.model
--- a/rhubarbbend/storage/_http.py
+++ b/rhubarbbend/storage/_http.py
@@ -11,6 +11,7 @@
 
 from rhubarbbend.core.actions import Write
 from rhubarbbend.core.events import Listed, Row
+from rhubarbbend.decoding import decode_json
 from rhubarbbend.http import ConnectionPool, HttpFailure, fetch
 from rhubarbbend.storage._base import PLATFORMS, PlatformClient, PlatformError
 
@@ -104,7 +105,7 @@
         status, data = await self._send(method, target, body)
         self._check_status(status)
         try:
-            return msgspec.json.decode(data, type=response_type)
+            return decode_json(data, type=response_type)
         except msgspec.MsgspecError as error:
             raise PlatformError(str(error)) from error
 
--- a/rhubarbbend/targets/_base.py
+++ b/rhubarbbend/targets/_base.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from rhubarbbend.core.actions import Dispatch
+from rhubarbbend.decoding import decode_json
 from rhubarbbend.kernel import Registry
 
 # The header with the attempt's id, which the target has to return in its response.
@@ -66,7 +67,7 @@
 
     def read_report(self, data: bytes) -> LoadReport:
         """Decode and return a load report; raise `msgspec.MsgspecError` if it is invalid."""
-        return msgspec.json.decode(data, type=LoadReport)
+        return decode_json(data, type=LoadReport)
 
 
 TARGET_KINDS: Final[Registry[TargetKind]] = Registry("target kind")
--- a/rhubarbbend/trace/_format.py
+++ b/rhubarbbend/trace/_format.py
@@ -97,7 +97,7 @@
     """Decode the header line; raises `TraceInvalid` if it has another format or version."""
     try:
         header = _HEADER_DECODER.decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as error:
         raise TraceInvalid(f"line 1: invalid trace header: {error}") from error
     if header.format != FORMAT or header.version != FORMAT_VERSION:
         raise TraceInvalid(
@@ -130,7 +130,7 @@
         if isinstance(event, RecordedPeerSaid):
             message = msgspec.convert(event.message, _MESSAGE_TYPE)
             event = events.PeerSaid(event.sender, message)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as error:
         raise TraceInvalid(f"line {line_number}: {error}") from error
     assert isinstance(event, events.Event)
     return line, event
--- a/rhubarbbend/trace/_redaction.py
+++ b/rhubarbbend/trace/_redaction.py
@@ -34,6 +34,7 @@
 )
 from rhubarbbend.core.messages import ReservedRun
 from rhubarbbend.core.routing._tickets import SIGNATURE_BYTES, decode_ticket, encode_ticket
+from rhubarbbend.decoding import decode_json
 from rhubarbbend.trace._format import TRACE_SECRET
 
 _DIGEST_CHARS: Final = 24
@@ -83,7 +84,7 @@
 def _redact_claim_row(value: bytes) -> bytes:
     """Redact the body in a stored claim; a value that is not a claim is replaced by its digest."""
     try:
-        row = msgspec.json.decode(value)
+        row = decode_json(value)
         body = base64.b64decode(row["body"], validate=True)
     except (msgspec.MsgspecError, UnicodeDecodeError, binascii.Error, LookupError, TypeError):
         return redact_body(value)
--- a/tests/gateway/test_store.py
+++ b/tests/gateway/test_store.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import base64
 import signal
 from pathlib import Path
 
@@ -137,6 +138,35 @@
     run(work)
 
 
+# Guards against an instance that silently stops to follow a table (review/2): requests went to a
+# draining target for good, and an instance that was restarted refused everything.
+@pytest.mark.parametrize("depth", [900, 4_000])
+def test_a_row_nested_too_deeply_does_not_end_the_following(tmp_path: Path, depth: int) -> None:
+    async def work() -> None:
+        async with start_fleet(tmp_path, instances=1, engine_worker_count=0) as fleet:
+            raw = base64.b64encode(b'{"nested":' + b"[" * depth).decode()
+            for table, key in (("servers", "forged"), ("op", "rollout/plain"), ("op", "config")):
+                await fleet.write_row(table, key, None, raw=raw)
+            await asyncio.sleep(0.4)
+            await fleet.register_worker("plain-0", state="draining", seqNo=2)
+            await asyncio.sleep(1.0)
+            before = len((await fleet.read_stats("plain-0")).seen)
+            for _ in range(12):
+                assert (await fleet.send_request("/read/x")).status == 200
+            assert len((await fleet.read_stats("plain-0")).seen) == before
+            events = [line["event"] for line in fleet.read_log("front-0")]
+            assert events.count("row_unreadable") == 3 and "internal_error" not in events
+            await fleet.write_row("op", "config", make_config(9))
+            process = fleet.instances["front-0"].process
+            assert process is not None
+            await process.stop()
+            await fleet.start_instance("front-0")
+            await fleet.wait_ready("front-0")
+            assert (await fleet.send_request("/read/x")).status == 200
+
+    run(work)
+
+
 def test_older_configuration_is_never_applied(tmp_path: Path) -> None:
     async def work() -> None:
         async with start_fleet(tmp_path, instances=1, engine_worker_count=1) as fleet:
