--- a/rhubarbbend/gateway/_crash_detector.py
+++ b/rhubarbbend/gateway/_crash_detector.py
@@ -171,6 +171,9 @@
 
     def _forget_check(self, incarnation: str, check: asyncio.Task[None]) -> None:
         del self._checks[incarnation]
+        error = None if check.cancelled() else check.exception()
+        if error is not None:
+            self._state.report_internal_error("find_fate", error)
 
     async def _find_fate(self, incarnation: str, request: OpenRequest) -> None:
         state = self._state
--- a/rhubarbbend/gateway/_follower.py
+++ b/rhubarbbend/gateway/_follower.py
@@ -9,10 +9,11 @@
 
 import asyncio
 import math
-from collections.abc import Coroutine
+from functools import partial
 from typing import Any, Final
 
 from rhubarbbend import codes
+from rhubarbbend.background import BackgroundTasks
 from rhubarbbend.core.readers import ReaderSelector
 from rhubarbbend.gateway._instance_list import InstanceListMaintainer
 from rhubarbbend.gateway._interfaces import StateDecoder
@@ -21,6 +22,7 @@
 from rhubarbbend.gateway._settings import Address
 from rhubarbbend.gateway._state import INSTANCE_TABLE, ROLLOUT_TABLE, State, read_clock
 from rhubarbbend.gateway._state_updater import StateUpdater
+from rhubarbbend.gateway._store_availability import StoreAvailabilityTracker
 from rhubarbbend.storage import HistoryCompacted, RowStore, StoreError
 
 # Delay after a change, so that changes in quick succession are read with one call: a call costs the
@@ -56,38 +58,6 @@
 READER_CHECK_INTERVAL_S: Final = 0.5
 
 
-class StoreAvailabilityTracker:
-    """Tracks whether the store answers this instance. Invariant: `lost_at` is None while it does.
-
-    `has_answered` is True once the store has answered for the first time.
-    """
-
-    def __init__(self) -> None:
-        self.lost_at: float | None = None
-        self.has_answered = False
-        self._recovered = asyncio.Event()
-
-    def record_answer(self, now: float) -> float | None:
-        """Record an answer, and return the outage in seconds if it ended one, otherwise None."""
-        self.has_answered = True
-        self._recovered.set()
-        lost_at, self.lost_at = self.lost_at, None
-        return None if lost_at is None else now - lost_at
-
-    def record_failure(self, now: float) -> bool:
-        """Record a failed call, and return whether it is the first of an outage."""
-        if self.lost_at is not None:
-            return False
-        self.lost_at = now
-        self._recovered.clear()
-        return True
-
-    async def wait_until_recovered(self) -> None:
-        """Wait until the store answers again."""
-        if self.lost_at is not None:
-            await self._recovered.wait()
-
-
 class StateFollower:
     """Keeps the copies of the decoder's tables and of the list of instances up to date."""
 
@@ -112,7 +82,7 @@
         # Set while this instance reads the store itself.
         self._reads_directly = asyncio.Event()
         self._reads_directly.set()
-        self._tasks: list[asyncio.Task[None]] = []
+        self._background = BackgroundTasks(state.report_internal_error)
         self._started_at = 0.0
         # Whether the reader has been queried at least once, whether or not it replied.
         self._reader_queried = False
@@ -135,19 +105,19 @@
     def start(self) -> None:
         """Start the background tasks."""
         self._started_at = read_clock()
+        run = self._background.spawn_loop
         for table in self._tables:
-            self._spawn(self._follow_table(table))
-        self._spawn(self._follow_rollouts())
-        self._spawn(self.instance_list.follow(self._reads_directly))
-        self._spawn(self._follow_reader())
-        self._spawn(self._relay_load_reports())
-        self._spawn(self._query_peers())
-        self._spawn(self._expire_targets())
+            run(partial(self._follow_table, table))
+        run(self._follow_rollouts)
+        run(partial(self.instance_list.follow, self._reads_directly))
+        run(self._follow_reader)
+        run(self._relay_load_reports)
+        run(self._query_peers)
+        run(self._expire_targets)
 
     def stop(self) -> None:
         """Cancel the background tasks."""
-        for task in self._tasks:
-            task.cancel()
+        self._background.cancel()
 
     def refresh(self) -> None:
         """Read everything again over new connections, after this process was paused."""
@@ -155,9 +125,6 @@
         self._start_reading_store("paused")
         self._store.close_connections()
 
-    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
-        self._tasks.append(asyncio.get_running_loop().create_task(coroutine))
-
     # Reading the store.
 
     async def _wait_for_first_reader_reply(self, until: float) -> None:
--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -6,12 +6,14 @@
 import os
 import signal
 from collections.abc import Callable, Coroutine
+from functools import partial
 from socket import socket
 from typing import Any, Final
 
 import msgspec
 
 from rhubarbbend import VERSION, codes
+from rhubarbbend.background import BackgroundTasks
 from rhubarbbend.core.catalog import Catalog
 from rhubarbbend.core.limits import HeldKind
 from rhubarbbend.core.readers import InstanceRow, ReaderSelector
@@ -84,6 +86,7 @@
         self._listener = listener
         self._read_settings = read_settings
         self.state = State(settings, adapter.decoder.tables, event_log)
+        self._background = BackgroundTasks(self.state.report_internal_error)
         self._adapter = adapter
         self._event_log = event_log
         self._pool = ConnectionPool(TARGET_IDLE_TIMEOUT_S)
@@ -117,7 +120,6 @@
         self._caller_server.on_connection_end = self._monitor.handle_connection_end
         self._servers: list[HttpServer] = [self._caller_server]
         self._peer_http: HttpServer | None = None
-        self._background: set[asyncio.Task[None]] = set()
         self._stop_requested = asyncio.Event()
         self.state.on_catalog_applied = self._apply_limits
         self._settings_read_at = 0.0
@@ -172,17 +174,20 @@
         self._handle_signals()
         await self._listen()
         self._follower.start()
-        self._spawn(detect_pauses(self._handle_pause, self._monitor.handle_delay))
-        self._spawn(self._run_housekeeping())
-        for broadcasting in self._broadcaster.list_tasks():
-            self._spawn(broadcasting)
-        self._spawn(self._run_rollouts())
+        loops = (
+            lambda: detect_pauses(self._handle_pause, self._monitor.handle_delay),
+            self._run_housekeeping,
+            *self._broadcaster.list_loops(),
+            self._run_rollouts,
+        )
+        for loop in loops:
+            self._background.spawn_loop(loop)
         if settings.peer_address is not None:
             sends_from = settings.peers if settings.advertised is not None else None
             row = InstanceRow(
                 settings.zone, *settings.peer_address, settings.link, settings.cores, sends_from
             )
-            self._spawn(self._follower.instance_list.join(row))
+            self._background.spawn_loop(partial(self._follower.instance_list.join, row))
         await self._stop_requested.wait()
         await self._stop()
 
@@ -199,7 +204,7 @@
             )
             await self._listen_with(self._peer_http, settings.peers)
             await self._in_flight_protocol.open(settings.peers)
-            self._spawn(self._in_flight_protocol.run())
+            self._background.spawn_loop(self._in_flight_protocol.run)
         if settings.metrics is not None:
             try:
                 await self._serve_on(settings.metrics, self._serve_metrics)
@@ -216,16 +221,8 @@
         await server.listen(*address)
         self._servers.append(server)
 
-    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.get_running_loop().create_task(coroutine)
-        self._background.add(task)
-        task.add_done_callback(self._handle_task_done)
-
-    def _handle_task_done(self, task: asyncio.Task[None]) -> None:
-        self._background.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            self.state.metrics.increment_counter(codes.INTERNAL_ERRORS)
-            self._log("internal_error", reason=repr(task.exception()))
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        self._background.spawn(work)
 
     def _log(self, event: str, **fields: Any) -> None:
         self._event_log.write(event, read_clock(), **fields)
--- a/rhubarbbend/gateway/_liveness.py
+++ b/rhubarbbend/gateway/_liveness.py
@@ -11,6 +11,7 @@
 from typing import Final
 
 from rhubarbbend import codes
+from rhubarbbend.background import BackgroundTasks
 from rhubarbbend.core.delivery import LatencyTracker
 from rhubarbbend.core.directory import Target
 from rhubarbbend.gateway._alternatives import ALTERNATIVE_CHECK_S, Alternatives
@@ -40,6 +41,7 @@
         self._clock = clock
         self._awaiting_answer: dict[str, set[Connection]] = {}
         self._probes: dict[str, asyncio.Task[None]] = {}
+        self._background = BackgroundTasks(state.report_internal_error)
         # Until when a target counts as alive because it accepted a probe connection.
         self._alive_until: dict[str, float] = {}
         self._probe_failed_at: dict[str, float] = {}
@@ -93,7 +95,7 @@
         A successful probe adds its connection to the pool, where the next request can use it.
         """
         if target.id not in self._probes:
-            probe = asyncio.get_running_loop().create_task(self._run_probe(target))
+            probe = self._background.spawn(self._run_probe(target))
             self._probes[target.id] = probe
             probe.add_done_callback(lambda _: self._probes.pop(target.id))
 
--- a/rhubarbbend/gateway/_state.py
+++ b/rhubarbbend/gateway/_state.py
@@ -5,6 +5,7 @@
 import asyncio
 import math
 import random
+import traceback
 from collections.abc import Callable, Mapping
 from typing import Final
 
@@ -164,6 +165,12 @@
         """Whether a planned stop has begun."""
         return self.stop is not None
 
+    def report_internal_error(self, task: str, error: BaseException) -> None:
+        """Count and log an error of this program in a task of the background."""
+        self.metrics.increment_counter(codes.INTERNAL_ERRORS)
+        reason = "".join(traceback.format_exception(error)[-3:])
+        self.event_log.write("internal_error", read_clock(), task=task, reason=reason)
+
     def has_peer_counts(self, service: Service, now: float) -> bool:
         """Return whether instances send one another their counts of requests at a service."""
         return service.engine is not None or self.brittle.is_brittle(service.name, now)
--- a/rhubarbbend/gateway/_state_updater.py
+++ b/rhubarbbend/gateway/_state_updater.py
@@ -41,14 +41,12 @@
         count = 0
         for table, changes in self._state.mirror.merge(pages).items():
             count += len(changes)
-            if table == INSTANCE_TABLE:
-                self._apply_instance_changes(changes)
-                continue
-            if table == ROLLOUT_TABLE:
-                self._apply_rollout_changes(changes, source)
-                continue
-            for change in self._decoder.decode(table, changes):
-                self._apply(change, source)
+            for change in changes:
+                try:
+                    self._apply_row(table, change, source)
+                except Exception as error:
+                    # The mirror holds the whole page, so the other rows would never be applied.
+                    self._state.report_internal_error(f"{table}/{change.key}", error)
         tables = self._state.mirror.tables
         if all(table.known for name, table in tables.items() if name != ROLLOUT_TABLE):
             self._state.registry.mark_initial_read_complete(read_clock())
@@ -58,38 +56,45 @@
             self._state.changed.notify_all()
         return count
 
-    def _apply_instance_changes(self, changes: list[RowChange]) -> None:
-        for change in changes:
-            if change.value is None:
-                self._state.remove_instance(change.key)
-                continue
-            try:
-                row = decode_json(change.value, type=InstanceRow)
-            except msgspec.MsgspecError as error:
-                self._log("row_unreadable", row=change.key, reason=str(error))
-                continue
-            self._state.add_instance(change.key, row)
-
-    def _apply_rollout_changes(self, changes: list[RowChange], source: str) -> None:
-        for change in changes:
-            if change.value is None:
-                # Nothing deletes these rows. Without it, a version rolled back might return.
-                self._log("row_unreadable", row=change.key, reason="deleted")
-                continue
-            try:
-                record = decode_json(change.value, type=RolloutRecord)
-            except msgspec.MsgspecError as error:
-                self._log("row_unreadable", row=change.key, reason=str(error))
-                continue
-            self._state.rollouts.record_outcome(change.key, record)
-            self._log(
-                "rollout_recorded",
-                service=change.key,
-                to=record.to_version,
-                phase=record.phase.value,
-                reason=record.reason or None,
-                source=source,
-            )
+    def _apply_row(self, table: str, change: RowChange, source: str) -> None:
+        if table == INSTANCE_TABLE:
+            self._apply_instance_row(change)
+        elif table == ROLLOUT_TABLE:
+            self._apply_rollout_row(change, source)
+        else:
+            for decoded in self._decoder.decode(table, [change]):
+                self._apply(decoded, source)
+
+    def _apply_instance_row(self, change: RowChange) -> None:
+        if change.value is None:
+            self._state.remove_instance(change.key)
+            return
+        try:
+            row = decode_json(change.value, type=InstanceRow)
+        except msgspec.MsgspecError as error:
+            self._log("row_unreadable", row=change.key, reason=str(error))
+            return
+        self._state.add_instance(change.key, row)
+
+    def _apply_rollout_row(self, change: RowChange, source: str) -> None:
+        if change.value is None:
+            # Nothing deletes these rows. Without it, a version rolled back might return.
+            self._log("row_unreadable", row=change.key, reason="deleted")
+            return
+        try:
+            record = decode_json(change.value, type=RolloutRecord)
+        except msgspec.MsgspecError as error:
+            self._log("row_unreadable", row=change.key, reason=str(error))
+            return
+        self._state.rollouts.record_outcome(change.key, record)
+        self._log(
+            "rollout_recorded",
+            service=change.key,
+            to=record.to_version,
+            phase=record.phase.value,
+            reason=record.reason or None,
+            source=source,
+        )
 
     def _apply_rollout_order(self, change: RolloutOrdered, source: str, now: float) -> None:
         order = change.order
--- a/rhubarbbend/gateway/_target_prober.py
+++ b/rhubarbbend/gateway/_target_prober.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-import asyncio
-
+from rhubarbbend.background import BackgroundTasks
 from rhubarbbend.core.directory import Target
 from rhubarbbend.gateway._attempts import CONNECT_TIMEOUT_S
 from rhubarbbend.gateway._state import Clock, State
@@ -20,16 +19,14 @@
         self._state = state
         self._pool = pool
         self._clock = clock
-        self._probes: set[asyncio.Task[None]] = set()
+        self._probes = BackgroundTasks(state.report_internal_error)
 
     def probe(self, service: str, now: float) -> None:
         """Start a probe of each unreachable target of a service that may be tried now."""
         health = self._state.health
         for target in self._state.registry.list_available(service, now):
             if not health.is_blocked(target.id, now) and health.begin_trial(target.id, now):
-                task = asyncio.get_running_loop().create_task(self._run(target))
-                self._probes.add(task)
-                task.add_done_callback(self._probes.discard)
+                self._probes.spawn(self._run(target))
 
     async def _run(self, target: Target) -> None:
         try:
--- a/rhubarbbend/gateway/_update_broadcaster.py
+++ b/rhubarbbend/gateway/_update_broadcaster.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any, Final
 
 from rhubarbbend.gateway._peer_updates import PeerUpdate
@@ -33,13 +33,13 @@
         self._has_unsent_full = asyncio.Event()
         state.connection_limits.on_unsent = self._has_unsent_full.set
 
-    def list_tasks(self) -> list[Coroutine[Any, Any, None]]:
-        """Return the tasks that send updates for as long as the instance runs."""
+    def list_loops(self) -> list[Callable[[], Coroutine[Any, Any, None]]]:
+        """Return the loops that send updates for as long as the instance runs."""
         return [
-            self._broadcast_prompt_locations(),
-            self._broadcast_outcomes(),
-            self._broadcast_brittle(),
-            self._broadcast_full(),
+            self._broadcast_prompt_locations,
+            self._broadcast_outcomes,
+            self._broadcast_brittle,
+            self._broadcast_full,
         ]
 
     async def _broadcast_prompt_locations(self) -> None:
--- a/rhubarbbend/shell/_attempts.py
+++ b/rhubarbbend/shell/_attempts.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from rhubarbbend import codes
+from rhubarbbend.background import BackgroundTasks, ReportError
 from rhubarbbend.core import actions, events
 from rhubarbbend.http import (
     REASON_TIMEOUT,
@@ -62,13 +63,19 @@
     only one task acts for the attempt.
     """
 
-    def __init__(self, pool: ConnectionPool, submit_event: SubmitEvent, max_kept_body: int) -> None:
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        submit_event: SubmitEvent,
+        max_kept_body: int,
+        report_error: ReportError,
+    ) -> None:
         self._pool = pool
         self._submit_event = submit_event
         self._max_kept_body = max_kept_body
         # By attempt, in the order of their start, not that of their addresses in memory.
         self._tasks: dict[str, dict[asyncio.Task[None], None]] = {}
-        self._background: set[asyncio.Task[None]] = set()
+        self._background = BackgroundTasks(report_error)
         self._kinds: dict[str, TargetKind] = {}
 
     def find_target_kind(self, name: str) -> TargetKind:
@@ -103,14 +110,13 @@
 
     async def close(self) -> None:
         """Cancel every task and wait until all have ended."""
-        running = [task for tasks in self._tasks.values() for task in tasks]
-        tasks = [*running, *self._background]
+        tasks = self._background.list_running()
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
     def _start(self, attempt: str, coroutine: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.get_running_loop().create_task(coroutine)
+        task = self._background.spawn(coroutine)
         self._tasks.setdefault(attempt, {})[task] = None
         task.add_done_callback(lambda done: self._remove_task(attempt, done))
 
@@ -134,9 +140,7 @@
             task.cancel()
 
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.get_running_loop().create_task(coroutine)
-        self._background.add(task)
-        task.add_done_callback(self._background.discard)
+        self._background.spawn(coroutine)
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
--- a/rhubarbbend/shell/_runtime.py
+++ b/rhubarbbend/shell/_runtime.py
@@ -21,6 +21,7 @@
 import eliot
 
 from rhubarbbend import codes
+from rhubarbbend.background import BackgroundTasks
 from rhubarbbend.core import Core, Identity, actions, events
 from rhubarbbend.core.messages import Message, ReservedReply, ReservedRun
 from rhubarbbend.core.requests._responses import make_peer_request_id
@@ -74,12 +75,14 @@
         self._timer: asyncio.TimerHandle | None = None
         # Whether `_timer` has expired and `TimerDue` is about to be submitted.
         self._is_timer_expired = False
-        self._background: set[asyncio.Task[None]] = set()
+        self._background = BackgroundTasks(self._report_error)
         self._exit_requested = asyncio.Event()
         fleet = self.core.context.fleet
         opener = DetourOpener(fleet, TunnelOpener(own.id, secret), self.metrics)
         self._pool = ConnectionPool(settings.limits.target_idle, opener=opener)
-        self._attempts = AttemptRunner(self._pool, self.submit_event, settings.core.max_kept_body)
+        self._attempts = AttemptRunner(
+            self._pool, self.submit_event, settings.core.max_kept_body, self._report_error
+        )
         self._platform = PLATFORMS.find(settings.platform.kind)(
             parse_address(settings.platform.address), settings.platform.timeout, own.zone
         )
@@ -131,8 +134,8 @@
             self.submit_event(events.SeedNamed(seed.id, seed.zone, host, port))
         await self._http_server.listen(own.host, own.http_port)
         eliot.log_message("instance_started", instance=own.id, zone=own.zone, pid=os.getpid())
-        self._spawn(self._run_pause_detector())
-        self._spawn(self._run_housekeeping())
+        self._background.spawn_loop(self._run_pause_detector)
+        self._background.spawn_loop(self._run_housekeeping)
         await self._exit_requested.wait()
         await self._close()
 
@@ -211,10 +214,12 @@
         self._timer = None
         self.submit_event(events.TimerDue())
 
-    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.get_running_loop().create_task(coroutine)
-        self._background.add(task)
-        task.add_done_callback(self._background.discard)
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        self._background.spawn(work)
+
+    def _report_error(self, task: str, error: BaseException) -> None:
+        self.metrics.add(codes.INTERNAL_ERRORS)
+        eliot.write_traceback(exc_info=(type(error), error, error.__traceback__))
 
     # Peers and operators.
 
@@ -344,8 +349,7 @@
         await self._attempts.close()
         await self._peer_links.close()
         await self._peer_listener.close()
-        for task in list(self._background):
-            task.cancel()
+        self._background.cancel()
         self.metrics.send()
         if self._recorder is not None:
             self._recorder.close()
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -8,16 +8,18 @@
 
 import pytest
 
-from rhubarbbend.core.mirror import MirroredRow, TablePage
+from rhubarbbend import codes
+from rhubarbbend.core.mirror import MirroredRow, RowChange, TablePage
 from rhubarbbend.core.readers import InstanceRow, PeerUpdatePage, ReaderSelector
 from rhubarbbend.core.stop_schedule import StopSchedule
 from rhubarbbend.gateway import _instance_list
 from rhubarbbend.gateway._event_log import EventLog
 from rhubarbbend.gateway._follower import StateFollower
-from rhubarbbend.gateway._interfaces import StateChange, StateDecoder
+from rhubarbbend.gateway._interfaces import StateChange, StateDecoder, ZoneServiceChanged
 from rhubarbbend.gateway._peers import ChangesReply, PeerClient
 from rhubarbbend.gateway._settings import GatewaySettings
 from rhubarbbend.gateway._state import ROLLOUT_TABLE, State
+from rhubarbbend.gateway._state_updater import StateUpdater
 from rhubarbbend.http import ConnectionPool
 from rhubarbbend.storage import (
     RowPut,
@@ -322,3 +324,54 @@
         assert sorted(store.watched) == ([] if is_reader_alive else list(TABLES))
 
     run(work)
+
+
+class FailingDecoder(StateDecoder):
+    """Raises an unexpected error for one row, and decodes the others."""
+
+    tables = TABLES
+
+    def decode(self, table: str, changes: Sequence[RowChange]) -> list[StateChange]:
+        if any(change.key == "bad" for change in changes):
+            raise RuntimeError("unexpected")
+        return [ZoneServiceChanged(change.key, True) for change in changes]
+
+
+# Guards against a row whose handling fails and that keeps the other rows of its page from being
+# applied: they count as read already.
+def test_the_other_rows_of_a_page_are_applied_after_an_error() -> None:
+    async def work() -> None:
+        state, _ = make_follower(ScriptedStore())
+        rows = [MirroredRow(key, b"{}", 2) for key in ("zone-1", "bad", "zone-2")]
+        taken_out: list[str] = []
+        state.registry.take_zone_out_of_service = lambda zone, now: taken_out.append(zone)
+        pages = {TABLES[0]: TablePage(rows, 2, True)}
+        assert StateUpdater(state, FailingDecoder()).apply_pages(pages, "store") == 3
+        assert sorted(taken_out) == ["zone-1", "zone-2"]
+        assert state.metrics.read_counter(codes.INTERNAL_ERRORS) == 1
+
+    run(work)
+
+
+# Guards against a table that is no longer followed after one unexpected error (review/2), with
+# nothing logged.
+def test_a_table_is_followed_after_an_unexpected_error() -> None:
+    async def work(state: State, store: ScriptedStore) -> None:
+        async def are_watched() -> bool:
+            return set(TABLES) <= set(store.watched)
+
+        async def is_counted() -> bool:
+            return state.metrics.read_counter(codes.INTERNAL_ERRORS) == 1
+
+        async def fail_once(table: str, after_version: int, wait: float) -> TablePage:
+            store.watch_table = watch_table  # type: ignore[method-assign]
+            raise RuntimeError("unexpected")
+
+        watch_table = store.watch_table
+        await wait_until("the tables are watched", are_watched)
+        store.watch_table = fail_once  # type: ignore[method-assign]
+        await wait_until("the error is counted", is_counted)
+        store.watched.clear()
+        await wait_until("both tables are watched again", are_watched)
+
+    run_with_follower(work)
--- a/tests/shell/test_attempts.py
+++ b/tests/shell/test_attempts.py
@@ -28,11 +28,17 @@
 
     def __init__(self, reply: Callable[[str, asyncio.StreamWriter], None]) -> None:
         self.events: asyncio.Queue[events.Event] = asyncio.Queue()
-        self.runner = AttemptRunner(ConnectionPool(5.0), self.events.put_nowait, 1_000)
+        self.errors: list[BaseException] = []
+        self.runner = AttemptRunner(
+            ConnectionPool(5.0), self.events.put_nowait, 1_000, self.record_error
+        )
         self.connections_opened = 0
         self._reply = reply
         self.port = 0
 
+    def record_error(self, task: str, error: BaseException) -> None:
+        self.errors.append(error)
+
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections_opened += 1
         while head := await reader.readuntil(b"\r\n\r\n"):
@@ -189,7 +195,7 @@
         order.append(f"fed {type(event).__name__}")
 
     harness = AttemptHarness(lambda attempt, writer: writer.write(make_response(attempt, b"words")))
-    harness.runner = AttemptRunner(ConnectionPool(5.0), record_event, 1_000)
+    harness.runner = AttemptRunner(ConnectionPool(5.0), record_event, 1_000, harness.record_error)
 
     async def scenario() -> None:
         action = actions.Dispatch("r", "one", "t", HOST, harness.port, False, head_timeout=5.0)
