--- a/rhubarbbend/gateway/_answer_receiver.py
+++ b/rhubarbbend/gateway/_answer_receiver.py
@@ -64,7 +64,7 @@
             response = await self._receive_next_head(request, target, connection)
             answer = self._target_protocol.read_response_head(response)
             self._record_notices(request, target, answer)
-            if answer.request == request.id or answer.misdirected:
+            if _is_answer_to(answer, request.id):
                 break
             self._state.metrics.increment_counter(codes.WRONG_ID)
             self._state.event_log.write(
@@ -90,7 +90,7 @@
     ) -> None:
         """Record what an answer of a target says of the requests that may follow."""
         now = self._clock()
-        if answer.misdirected:
+        if answer.misdirected and _is_answer_to(answer, request.id):
             # Another target speaks of itself.
             return
         if answer.pause_s is not None:
@@ -169,3 +169,12 @@
         return StreamTimeoutPolicy(
             request, target, self._liveness, self._latencies, self._alternatives, self._clock
         )
+
+
+def _is_answer_to(answer: TargetResponseHead, request: str) -> bool:
+    """Return whether an answer belongs to a request, by the request id that it carries.
+
+    A target that a request was not meant for need not carry one. With another id, such an answer
+    tells nothing of this request, which may be running.
+    """
+    return answer.request == request or (answer.misdirected and not answer.request)
--- a/standins/_worker.py
+++ b/standins/_worker.py
@@ -315,7 +315,7 @@
         if faults.flood:
             return await send_flood(writer, faults, response_headers)
         if faults.stray:
-            writer.write(make_stray_response())
+            writer.write(make_stray_response(faults.stray_status))
         if faults.status:
             return send_response(conn, writer, faults.status, response_headers, b"failed")
         if target.partition("?")[0].endswith("stream"):
@@ -343,7 +343,7 @@
         await response.write(text)
         can_reuse = response.finish()
         if faults.extra:
-            writer.write(make_stray_response())
+            writer.write(make_stray_response(faults.stray_status))
         return can_reuse
 
     async def _send_stream(
--- a/standins/_worker_responses.py
+++ b/standins/_worker_responses.py
@@ -74,7 +74,7 @@
     return b"".join(f"{name}: {value}\r\n".encode("latin-1") for name, value in headers)
 
 
-def make_stray_response() -> bytes:
+def make_stray_response(status: int = 200) -> bytes:
     """Return a response to a request that nobody sent here."""
     text = b"an answer to somebody else"
     headers = [
@@ -82,7 +82,8 @@
         ("Response-Seal", "seal"),
         ("Content-Length", str(len(text))),
     ]
-    return b"HTTP/1.1 200 OK\r\n" + encode_headers(headers) + b"\r\n" + text
+    status_line = f"HTTP/1.1 {status} \r\n".encode()
+    return status_line + encode_headers(headers) + b"\r\n" + text
 
 
 def send_response(
--- a/standins/_worker_types.py
+++ b/standins/_worker_types.py
@@ -45,9 +45,10 @@
     # Stop sending after so many events but keep the connection open; -1: never.
     stall_after: int = -1
     # Send a response with another request's id before each response (`stray`) or after it
-    # (`extra`).
+    # (`extra`), with the status `stray_status`.
     stray: bool = False
     extra: bool = False
+    stray_status: int = 200
     # Send bytes that are not HTTP (`garbage`), or a response without the `Response-Seal` header.
     garbage: bool = False
     # Send this kind of bytes without end (`standins._worker_floods`) instead of a response, or
--- a/tests/gateway/test_answers.py
+++ b/tests/gateway/test_answers.py
@@ -53,6 +53,27 @@
     run(work)
 
 
+# Guards against a command that runs twice (review/1): an answer with status 421 and the id of another
+# request was taken for one to this request, which was sent to a second target while it ran.
+@pytest.mark.parametrize("fault", ["stray", "extra"])
+@pytest.mark.parametrize("path", ["/book/x", "/plan/stream"])
+def test_a_misdirected_answer_to_another_request_is_discarded(
+    tmp_path: Path, fault: str, path: str
+) -> None:
+    async def work() -> None:
+        async with start_fleet(tmp_path, instances=1) as fleet:
+            service = "plain" if path == "/book/x" else "llm"
+            await fleet.set_service_faults(service, stray_status=421, **{fault: True})
+            for number in range(8):
+                reply = await fleet.send_request(path, b"%d" % number, Prefix_Hash=PROMPT)
+                assert (reply.status, reply.complete) == (200, True)
+            stats = await fleet.read_all_stats(service)
+            runs = [count for s in stats.values() for count in s.runs.values()]
+            assert runs == [1] * 8
+
+    run(work)
+
+
 @pytest.mark.parametrize("fault", ["garbage", "truncate", "unsealed"])
 @pytest.mark.parametrize(("path", "status"), [("/read/x", 200), ("/book/x", 502)])
 def test_an_invalid_answer_is_replaced_if_the_request_may_run_again(
