--- a/rhubarbbend/gateway/_answer_forwarder.py
+++ b/rhubarbbend/gateway/_answer_forwarder.py
@@ -10,7 +10,7 @@
 
 from rhubarbbend.core.catalog import RequestKind
 from rhubarbbend.core.delivery import AttemptOutcome, LatencyTracker
-from rhubarbbend.core.directory import Target, TargetState
+from rhubarbbend.core.directory import Target
 from rhubarbbend.gateway._interfaces import TargetResponseHead
 from rhubarbbend.gateway._requests import BufferedAnswer, OpenRequest
 from rhubarbbend.gateway._state import Clock, State, read_clock
@@ -97,11 +97,11 @@
         """Raise `HttpFailure` if a target has ended together with an answer without length.
 
         The connections of a process that ends are closed in order too. A target that leaves may end
-        as soon as its last answer is whole.
+        as soon as its last answer is whole, but not before it has drained.
         """
         if request.body_end is None or target is None:
             return
-        if target.state is TargetState.DRAINING or target.is_registration_missing:
+        if target.may_have_left(self._state.settings.drain_time, self._clock()):
             return
         if await self.has_ended(target):
             reason = "the target ended when it closed the connection"
@@ -134,8 +134,10 @@
         request.body_end = connection.body_end
         if not relay.is_complete():
             raise HttpFailure(SendStage.RESPONSE, "the stream ended in the middle of an event")
-        if request.body_end is not None and not (relay.has_received_event or relay.last_id):
-            # A process that ends may close its connections in order.
+        may_be_at_end = relay.last_id and not is_resumed
+        if request.body_end is not None and not (relay.has_received_event or may_be_at_end):
+            # A process that ends may close its connections in order. A caller may ask for what
+            # follows the last event; a stream that broke off here is more likely to go on.
             raise HttpFailure(SendStage.RESPONSE, "the stream was closed before its first event")
         await self._confirm_end(request, target)
         self._latencies.record_longest_pause(request.route, connection.longest_receive_gap_s)
--- a/rhubarbbend/gateway/_detours.py
+++ b/rhubarbbend/gateway/_detours.py
@@ -210,12 +210,11 @@
 
     def _record_leaving(self, response: Response) -> None:
         """Record that a target leaves: this instance passes its answer on to the caller."""
+        now = self._clock()
         target = self._state.registry.find(read_leaving_target(response.headers))
-        if target is not None and self._state.registry.record_leaving(target):
+        if target is not None and self._state.registry.record_leaving(target, now):
             self._state.metrics.increment_counter(codes.TARGETS_LEAVING)
-            self._state.event_log.write(
-                "target_leaving", self._clock(), target=target.id, source="helper"
-            )
+            self._state.event_log.write("target_leaving", now, target=target.id, source="helper")
 
     def _handle_refusal(
         self, request: OpenRequest, helper: str, refusal: DetourRefusal
--- a/tests/gateway/test_answers.py
+++ b/tests/gateway/test_answers.py
@@ -53,8 +53,8 @@
     run(work)
 
 
-# Guards against a command that runs twice (review/1): an answer with status 421 and the id of another
-# request was taken for one to this request, which was sent to a second target while it ran.
+# Guards against a command that runs twice (review/1): an answer with status 421 and the id of
+# another request was taken for one to this request, which was sent to a second target while it ran.
 @pytest.mark.parametrize("fault", ["stray", "extra"])
 @pytest.mark.parametrize("path", ["/book/x", "/plan/stream"])
 def test_a_misdirected_answer_to_another_request_is_discarded(
