--- a/rhubarbbend/gateway/_state_updater.py
+++ b/rhubarbbend/gateway/_state_updater.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from rhubarbbend import codes
+from rhubarbbend.core.addresses import check_address
 from rhubarbbend.core.directory import Target
 from rhubarbbend.core.mirror import RowChange, TablePage
 from rhubarbbend.core.readers import InstanceRow
@@ -71,7 +72,10 @@
             return
         try:
             row = decode_json(change.value, type=InstanceRow)
-        except msgspec.MsgspecError as error:
+            check_address(row.host, row.port)
+            if row.sends_from is not None:
+                check_address(*row.sends_from)
+        except (msgspec.MsgspecError, ValueError) as error:
             self._log("row_unreadable", row=change.key, reason=str(error))
             return
         self._state.add_instance(change.key, row)
--- a/rhubarbbend/http/__init__.py
+++ b/rhubarbbend/http/__init__.py
@@ -10,6 +10,7 @@
 from rhubarbbend.http._connection import Connection, Response
 from rhubarbbend.http._exchange import Exchange
 from rhubarbbend.http._failures import (
+    CONNECT_ERRORS,
     REASON_TIMEOUT,
     BodyEnd,
     EndlessAnswer,
@@ -27,6 +28,7 @@
     "BodyEnd",
     "BodyTimeoutPolicy",
     "BodyRelay",
+    "CONNECT_ERRORS",
     "ClientEnd",
     "ClientProtocol",
     "Connection",
--- a/rhubarbbend/http/_connection.py
+++ b/rhubarbbend/http/_connection.py
@@ -17,6 +17,7 @@
     FixedTimeoutPolicy,
 )
 from rhubarbbend.http._failures import (
+    CONNECT_ERRORS,
     REASON_CLOSED,
     REASON_NO_PROGRESS,
     REASON_TIMEOUT,
@@ -117,7 +118,7 @@
             if not opening.done():
                 raise HttpFailure(SendStage.CONNECT, REASON_TIMEOUT)
             _, protocol = opening.result()
-        except OSError as error:
+        except CONNECT_ERRORS as error:
             raise HttpFailure(SendStage.CONNECT, str(error) or REASON_TIMEOUT) from error
         finally:
             opening.cancel()
--- a/rhubarbbend/http/_failures.py
+++ b/rhubarbbend/http/_failures.py
@@ -12,6 +12,9 @@
 # The reason if the peer did not respond in time. Failures in which the peer showed any other sign,
 # such as a reset, have another reason.
 REASON_TIMEOUT: Final = "timeout"
+# What opening a connection raises; the last two are for addresses that cannot be used, as with a
+# port out of range or a host with a NUL byte.
+CONNECT_ERRORS: Final = (OSError, OverflowError, ValueError)
 REASON_CLOSED: Final = "closed during the body"
 REASON_NO_PROGRESS: Final = "no progress"
 
--- a/rhubarbbend/peers/_links.py
+++ b/rhubarbbend/peers/_links.py
@@ -15,7 +15,7 @@
 from typing import Final
 
 from rhubarbbend.core.messages import Message, TunnelRequest
-from rhubarbbend.http import InputTimeout
+from rhubarbbend.http import CONNECT_ERRORS, InputTimeout
 from rhubarbbend.peers._codec import (
     MAX_FRAME_BYTES,
     FrameAuthenticator,
@@ -174,7 +174,7 @@
             self._writer = writer
             await self._keep_alive(reader, writer)
             idle = True
-        except (OSError, TimeoutError):
+        except CONNECT_ERRORS:
             # Only a failure starts the backoff. If each message sent during the backoff restarted
             # it, steady traffic would keep the connection closed forever, even after the peer has
             # recovered.
--- a/rhubarbbend/peers/_tunnels.py
+++ b/rhubarbbend/peers/_tunnels.py
@@ -11,6 +11,7 @@
 
 from rhubarbbend.core.messages import TunnelRequest
 from rhubarbbend.http import (
+    CONNECT_ERRORS,
     REASON_TIMEOUT,
     ClientProtocol,
     Connection,
@@ -65,7 +66,7 @@
                 reply = await protocol.read()
         except TimeoutError as error:
             raise HttpFailure(SendStage.CONNECT, REASON_TIMEOUT) from error
-        except OSError as error:
+        except CONNECT_ERRORS as error:
             raise HttpFailure(SendStage.CONNECT, str(error)) from error
         finally:
             if protocol is not None and reply != ACCEPTED:
@@ -85,7 +86,7 @@
     try:
         async with InputTimeout(asyncio.get_running_loop().time() + TARGET_CONNECT_TIMEOUT_S):
             target_reader, target_writer = await asyncio.open_connection(*target)
-    except (OSError, TimeoutError):
+    except CONNECT_ERRORS:
         await decline_tunnel(writer)
         return False
     for end in (writer, target_writer):
--- a/tests/gateway/test_store.py
+++ b/tests/gateway/test_store.py
@@ -138,6 +138,32 @@
     run(work)
 
 
+# Guards against 500 for requests to a target whose address cannot be used, and against
+# an instance list with such an address, which ended the exchange of counts.
+@pytest.mark.parametrize("address", ["127.0.0.1:70000", "127.0.0.1:0", "host\0:80", "a b:80"])
+def test_a_target_without_a_usable_address_gets_no_request(tmp_path: Path, address: str) -> None:
+    async def work() -> None:
+        async with start_fleet(tmp_path, instances=2, engine_worker_count=0) as fleet:
+            host, _, port = address.rpartition(":")
+            entry = {
+                "service": "plain",
+                "address": address,
+                "zone": "zone-a",
+                "slots": 6,
+                "version": "v1",
+            }
+            await fleet.write_row("servers", "forged", {**entry, "state": "ready"})
+            row = {"zone": "zone-a", "host": host, "port": int(port)}
+            await fleet.write_row("instances", "forged", row)
+            await asyncio.sleep(0.4)
+            for _ in range(20):
+                assert (await fleet.send_request("/read/x")).status == 200
+            events = [line["event"] for line in fleet.read_log("front-0")]
+            assert "row_unreadable" in events and "internal_error" not in events
+
+    run(work)
+
+
 # Guards against an instance that silently stops to follow a table (review/2): requests went to a
 # draining target for good, and an instance that was restarted refused everything.
 @pytest.mark.parametrize("depth", [900, 4_000])
