A target's failure that was passed on ends its request

What callers saw: after a whole answer with status 500 of a read, their connection was ended; if a retry became free in the budget meanwhile, a second answer could follow on it (found by a soak with planned stops).

Cause: a failure is passed on if the budget has no retry left, but the next step was decided without looking at that and retried.

Why the fix works: nothing follows once a part of an answer was sent.

Both tests failed before: a retry in place of the end; log `caller_gone` in place of `failed`.

--- a/rhubarbbend/core/delivery/_steps.py
+++ b/rhubarbbend/core/delivery/_steps.py
@@ -97,8 +97,10 @@
     if end is AttemptOutcome.REJECTED and (not progress.may_have_run or route.idempotent):
         return Step(has_attempt_left, codes.OVERLOADED)
     if end is AttemptOutcome.FAILED:
-        # The target's own answer tells the caller more than an error generated here.
-        return Step(True) if has_attempt_left and route.idempotent else PASS_ANSWER
+        # The target's own answer tells the caller more than an error generated here. Once it was
+        # sent, as when the budget had no retry left, another attempt would add a second answer.
+        can_retry = has_attempt_left and route.idempotent and not progress.started
+        return Step(True) if can_retry else PASS_ANSWER
     if has_attempt_left and route.idempotent:
         return Step(True, codes.TARGET_FAILED)
     return Step(False, codes.TARGET_FAILED)
--- a/tests/core/delivery/test_delivery.py
+++ b/tests/core/delivery/test_delivery.py
@@ -75,3 +75,12 @@
     progress.record_outcome(AttemptOutcome.BROKEN)
     progress.record_outcome(AttemptOutcome.REJECTED)
     assert compute_verdict(progress) is Verdict.MAY_HAVE_RUN
+
+
+# Guards against a second answer on a caller's connection: the first one, a failure, was passed on
+# since the budget had no retry left.
+def test_nothing_follows_a_failure_that_was_passed_on() -> None:
+    progress = Progress(started=True)
+    progress.record_outcome(AttemptOutcome.FAILED)
+    step = decide_step(SAFE, AttemptOutcome.FAILED, progress)
+    assert not step.retry and step.code is None
--- a/tests/gateway/test_answers.py
+++ b/tests/gateway/test_answers.py
@@ -380,3 +380,20 @@
                 assert json.loads(reply.body)["verdict"] == "not_run"
 
     run(work)
+
+
+# Guards against a request that goes on after its answer, a failure that was passed on since the
+# budget had no retry left: its connection was ended, or a second answer followed on it.
+def test_a_failure_that_is_passed_on_ends_its_request(tmp_path: Path) -> None:
+    async def work() -> None:
+        bounds = {**BOUNDS, "retryBudgetRatio": 0.0, "budgetSlack": 0}
+        async with start_fleet(
+            tmp_path, instances=1, settings_changes={"bounds": bounds}, engine_worker_count=1
+        ) as fleet:
+            await fleet.set_service_faults("plain", status=500)
+            replies = [await fleet.send_request(f"/read/{n}") for n in range(4)]
+            assert [(reply.status, reply.complete) for reply in replies] == [(500, True)] * 4
+            ended = [line for line in fleet.read_log("front-0") if line["event"] == "ended"]
+            assert [line["outcome"] for line in ended] == ["failed"] * 4
+
+    run(work)
