--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -49,7 +49,7 @@
 from rhubarbbend.gateway._target_prober import TargetProber
 from rhubarbbend.gateway._update_broadcaster import UpdateBroadcaster
 from rhubarbbend.http import ConnectionPool, Exchange, HttpServer
-from rhubarbbend.stop_signals import STOP_SIGNALS, ignore_late_stop
+from rhubarbbend.stop_signals import STOP_SIGNALS, ignore_late_stop, release_reloads
 
 # Maximum time for which an idle connection to a target or another instance is kept.
 TARGET_IDLE_TIMEOUT_S: Final = 10.0
@@ -325,6 +325,7 @@
         for signal_number in STOP_SIGNALS:
             loop.add_signal_handler(signal_number, self._stop_requested.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload_settings)
+        release_reloads()
 
     async def _stop(self) -> None:
         """Shut down without interrupting a request: leave the rotation, then finish open requests.
--- a/rhubarbbend/stop_signals.py
+++ b/rhubarbbend/stop_signals.py
@@ -1,4 +1,4 @@
-"""Orders to stop that come before a program takes them, and after it has stopped.
+"""Signals that come before a program takes them, and orders to stop after it has stopped.
 
 Imports nothing that takes time: the programs call it before they load themselves.
 """
@@ -14,6 +14,7 @@
     import asyncio
 
 STOP_SIGNALS: Final = (signal.SIGTERM, signal.SIGINT)
+RELOAD_SIGNALS: Final = (signal.SIGHUP,)
 
 
 def take_early_stop() -> None:
@@ -25,6 +26,16 @@
     signal.signal(signal.SIGTERM, _leave)
 
 
+def hold_reloads() -> None:
+    """Keep SIGHUP pending until `release_reloads`; it would end a process that is still loading."""
+    signal.pthread_sigmask(signal.SIG_BLOCK, RELOAD_SIGNALS)
+
+
+def release_reloads() -> None:
+    """Deliver SIGHUP from now on, also one that came before; a handler must be set."""
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, RELOAD_SIGNALS)
+
+
 def ignore_late_stop(loop: asyncio.AbstractEventLoop) -> None:
     """Leave further orders to stop unheeded: nothing is left to do but to end.
 
--- a/tests/gateway/test_store.py
+++ b/tests/gateway/test_store.py
@@ -280,3 +280,31 @@
             assert lines["reloaded"]["changed"] == ["load_factor"]
 
     run(work)
+
+
+# Guards against a reload that ends an instance, since it comes before the program is loaded.
+def test_a_reload_while_an_instance_loads_is_obeyed_later(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with start_fleet(tmp_path, instances=1, engine_worker_count=0) as fleet:
+            node = fleet.instances["front-0"]
+            assert node.process is not None
+            await node.process.stop()
+            await fleet.start_instance("front-0")
+
+            async def is_listening() -> bool:
+                try:
+                    _, writer = await asyncio.open_connection(*node.front_address)
+                except OSError:
+                    return False
+                writer.close()
+                return True
+
+            # From then on the process loads the program.
+            await wait_until("it listens", is_listening)
+            for _ in range(20):
+                node.process.send_signal(signal.SIGHUP)
+                await asyncio.sleep(0.01)
+            await fleet.wait_ready("front-0")
+            assert node.process.running
+
+    run(work)
