--- a/tests/gateway/test_pauses.py
+++ b/tests/gateway/test_pauses.py
@@ -128,6 +128,7 @@
         connection_limits=ConnectionLimitTracker(),
         placement=SimpleNamespace(record_chosen=lambda target, now: None),
         list_instance_ids=lambda: ("front-0",),
+        report_internal_error=lambda task, error: None,
     )
     pool: Any = SlowPool()
     runner = AttemptRunner(state, pool, PlatformTargetProtocol(), lambda: 10.0)
