--- a/tests/gateway/test_answers.py
+++ b/tests/gateway/test_answers.py
@@ -393,7 +393,16 @@
             await fleet.set_service_faults("plain", status=500)
             replies = [await fleet.send_request(f"/read/{n}") for n in range(4)]
             assert [(reply.status, reply.complete) for reply in replies] == [(500, True)] * 4
-            ended = [line for line in fleet.read_log("front-0") if line["event"] == "ended"]
-            assert [line["outcome"] for line in ended] == ["failed"] * 4
+
+            # An end is logged after its answer was sent.
+            async def are_ended() -> bool:
+                return len(read_outcomes()) == 4
+
+            def read_outcomes() -> list[str]:
+                lines = fleet.read_log("front-0")
+                return [str(line["outcome"]) for line in lines if line["event"] == "ended"]
+
+            await wait_until("the ends are logged", are_ended)
+            assert read_outcomes() == ["failed"] * 4
 
     run(work)
