--- a/rhubarbbend/core/directory/_directory.py
+++ b/rhubarbbend/core/directory/_directory.py
@@ -48,6 +48,8 @@
         self._versions_left_at: dict[str, dict[str, float]] = {}
         # Since when no change of the registrations was missed, as far as is known.
         self._followed_since = math.inf
+        # When changes were missed last.
+        self._gap_at = -math.inf
         # The boot and state of each removed target, and when it was removed.
         self._removed: dict[str, tuple[int, TargetState, float]] = {}
         # When operators took each zone out of service; zones in service are left out.
@@ -80,15 +82,15 @@
         """Return the number of registered targets of a service by version."""
         return self._versions.get(service, {})
 
-    def find_only_version(self, service: str, period_s: float, now: float) -> str | None:
-        """Return the version of a service if no other one is known of the last `period_s` seconds.
+    def list_versions(self) -> dict[str, list[str]]:
+        """Return the versions of the registered targets by service."""
+        return {service: list(versions) for service, versions in self._versions.items() if versions}
 
-        None if there were several.
-        """
+    def list_versions_since(self, service: str, period_s: float, now: float) -> set[str]:
+        """Return the versions of a service that this instance knows of the last `period_s`."""
         left = self._versions_left_at.get(service, {})
         recent = (version for version, at in left.items() if now - at <= period_s)
-        versions = {*self.count_versions(service), *recent}
-        return versions.pop() if len(versions) == 1 else None
+        return {*self.count_versions(service), *recent}
 
     def has_followed(self, period_s: float, now: float) -> bool:
         """Return whether no change of the last `period_s` seconds was missed, as far as known."""
@@ -120,7 +122,14 @@
 
     def record_gap(self, now: float) -> None:
         """Record that changes until `now` may have been missed, as while the process was paused."""
-        self._followed_since = now
+        self._followed_since = self._gap_at = now
+
+    def had_gap(self, period_s: float, now: float) -> bool:
+        """Return whether changes may have been missed in the last `period_s` seconds.
+
+        What an instance did not see before it started is no gap.
+        """
+        return now - self._gap_at < period_s
 
     def record_store_recovery(self, now: float) -> None:
         """Record that the store answers again after an outage, since `now` or earlier."""
--- a/rhubarbbend/core/streams/__init__.py
+++ b/rhubarbbend/core/streams/__init__.py
@@ -2,22 +2,35 @@
 
 What two versions write does not fit together, so a stream goes on only at the version that began
 it. The instance that passes on its first event tells a few others, its keepers, which every
-instance computes from the id of the caller's attempt; whoever gets the resumption asks them.
+instance computes from the id of the caller's attempt; whoever gets the resumption asks them. Of a
+stream that none of them knows, the store tells whether one version alone can have begun it.
 """
 
 from rhubarbbend.core.streams._keepers import list_keepers, select_told
 from rhubarbbend.core.streams._ledger import (
-    MAX_STREAM_AGE_S,
     StreamLedger,
     compute_origin,
     make_stream_key,
 )
+from rhubarbbend.core.streams._version_history import (
+    STREAM_RETENTION_S,
+    UNKNOWN_VERSION,
+    VersionHistory,
+    VersionRecord,
+    extend_record,
+    reduce_record,
+)
 
 __all__ = [
-    "MAX_STREAM_AGE_S",
+    "STREAM_RETENTION_S",
+    "UNKNOWN_VERSION",
     "StreamLedger",
+    "VersionHistory",
+    "VersionRecord",
     "compute_origin",
+    "extend_record",
     "list_keepers",
     "make_stream_key",
+    "reduce_record",
     "select_told",
 ]
--- a/rhubarbbend/core/streams/_ledger.py
+++ b/rhubarbbend/core/streams/_ledger.py
@@ -12,10 +12,10 @@
 import msgspec
 import xxhash
 
-# Callers take a stream up again within the deadline of their first attempt, which is shorter.
-MAX_STREAM_AGE_S: Final = 20.0
+# Callers take most streams up again within the deadline of their first attempt, which is shorter.
+USUAL_STREAM_AGE_S: Final = 20.0
 # An entry outlives the streams, since clocks of instances differ in speed.
-MEMORY_S: Final = 1.5 * MAX_STREAM_AGE_S
+MEMORY_S: Final = 1.5 * USUAL_STREAM_AGE_S
 # Bounds the memory; at 7,100 streams a second over 400 instances there are 1,600 entries.
 MAX_STREAMS: Final = 20_000
 SEPARATOR: Final = "\0"
--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -48,6 +48,7 @@
 from rhubarbbend.gateway._target_checker import TargetChecker
 from rhubarbbend.gateway._target_prober import TargetProber
 from rhubarbbend.gateway._update_broadcaster import UpdateBroadcaster
+from rhubarbbend.gateway._version_recorder import VersionRecorder
 from rhubarbbend.http import ConnectionPool, Exchange, HttpServer
 from rhubarbbend.stop_signals import STOP_SIGNALS, ignore_late_stop, release_reloads
 
@@ -179,6 +180,7 @@
             self._run_housekeeping,
             *self._broadcaster.list_loops(),
             self._run_rollouts,
+            VersionRecorder(self.state, self._adapter.store).run,
         )
         for loop in loops:
             self._background.spawn_loop(loop)
--- a/rhubarbbend/gateway/_settings.py
+++ b/rhubarbbend/gateway/_settings.py
@@ -61,6 +61,8 @@
     cores: float = 0.0
     # Whether requests for which a service has no room wait here or are refused.
     admission_control: bool = False
+    # Whether the whole system starts for the first time.
+    is_first_start: bool = False
     # The process is killed if it uses more than this many bytes.
     memory: int = 256 * 1024 * 1024
 
--- a/rhubarbbend/gateway/_state.py
+++ b/rhubarbbend/gateway/_state.py
@@ -32,6 +32,7 @@
 from rhubarbbend.core.rollouts import ExposureOptions, RolloutTracker
 from rhubarbbend.core.shares import ColdTargetShare, RetryBudgetShare
 from rhubarbbend.core.stop_schedule import StopSchedule
+from rhubarbbend.core.streams import VersionHistory
 from rhubarbbend.gateway._change_notifier import ChangeNotifier
 from rhubarbbend.gateway._event_log import EventLog
 from rhubarbbend.gateway._held_memory import read_resident_size
@@ -48,6 +49,10 @@
 INSTANCE_TABLE: Final = "instances"
 # The table in which instances record roll-outs.
 ROLLOUT_TABLE: Final = "rollouts"
+# The table in which instances record the versions of each service (`core/streams`).
+VERSION_TABLE: Final = "versions"
+# Tables that an instance can serve callers without.
+OPTIONAL_TABLES: Final = frozenset({INSTANCE_TABLE, ROLLOUT_TABLE, VERSION_TABLE})
 # Instances try a refused part again at times that differ by up to so much; a crash is known to all
 # within some ms.
 MAX_STAGGER_S: Final = 15.0
@@ -68,7 +73,7 @@
         # The bytes that are held for callers and for other instances.
         self.memory = MemoryLedger(settings.memory, read_resident_size)
         self.random = random.Random()
-        self.mirror = Mirror((*tables, ROLLOUT_TABLE, INSTANCE_TABLE))
+        self.mirror = Mirror((*tables, ROLLOUT_TABLE, VERSION_TABLE, INSTANCE_TABLE))
         self.config_table = tables[0]
         self.catalog: Catalog | None = None
         self.replication_timeouts = derive_replication_timeouts(settings)
@@ -89,6 +94,7 @@
         self.placement = self._make_placement()
         self.rollouts = RolloutTracker(_make_exposure_options(settings), self.random)
         self.rollouts.versions.needs_order = settings.has_rollouts
+        self.version_history = VersionHistory(settings.instance)
         # Set once an order to roll out a version was known, and stays set.
         self.rollout_ordered = asyncio.Event()
         # Set while there may be something to do about a roll-out.
@@ -149,8 +155,7 @@
         that was rolled back may still have targets.
         """
         tables = self.mirror.tables
-        optional = {INSTANCE_TABLE, ROLLOUT_TABLE}
-        known = all(table.known for name, table in tables.items() if name not in optional)
+        known = all(table.known for name, table in tables.items() if name not in OPTIONAL_TABLES)
         needs_records = self.rollout_ordered.is_set() and not self.became_ready.is_set()
         has_records = tables[ROLLOUT_TABLE].known or not needs_records
         return self.catalog is not None and known and has_records
@@ -220,6 +225,13 @@
         """Return how many seconds ago the data was last known to match the store."""
         return now - self.up_to_date_at
 
+    def is_current(self, now: float) -> bool:
+        """Return whether the data matched the store a short time ago.
+
+        Between the ends of two watches an instance does not know that nothing has changed.
+        """
+        return self.compute_staleness(now) <= 2.0 * self.replication_timeouts.watch_timeout_s
+
     def get_logged_staleness(self, now: float) -> float | None:
         """Return the staleness for log lines; None if no data was ever read."""
         return None if math.isinf(self.up_to_date_at) else round(self.compute_staleness(now), 3)
--- a/rhubarbbend/gateway/_stream_origins.py
+++ b/rhubarbbend/gateway/_stream_origins.py
@@ -18,7 +18,7 @@
 from rhubarbbend.core.catalog import RequestKind
 from rhubarbbend.core.directory import Target
 from rhubarbbend.core.streams import (
-    MAX_STREAM_AGE_S,
+    STREAM_RETENTION_S,
     StreamLedger,
     compute_origin,
     list_keepers,
@@ -34,6 +34,8 @@
 # How an origin came to be known, in the log.
 SOURCE_OWN: Final = "own"
 SOURCE_ONLY_VERSION: Final = "only version"
+# By then an instance has read again what it may have missed while it was paused.
+REREAD_TIME_S: Final = 20.0
 
 
 class StreamNotice(msgspec.Struct, frozen=True, array_like=True):
@@ -138,10 +140,9 @@
     async def _find_origin(self, request: OpenRequest) -> tuple[int | None, str]:
         """Return the origin of a stream and who knew it.
 
-        One that a caller names and nobody knows may be older than what this instance has followed;
-        of one that is not named, nothing but the versions of late is known.
+        Of one that is not named or that nobody knows, as after the loss of all instances, it is
+        known at best that one version alone can have begun it.
         """
-        service, registry, now = request.service.name, self._state.registry, self._clock()
         if request.caller.resumes:
             key = _make_key(request)
             own = self._ledger.find(key, self._clock())
@@ -150,13 +151,25 @@
             asked, keeper = await self._ask_keepers(key)
             if asked is not None:
                 return asked, keeper
-            if not registry.has_followed(MAX_STREAM_AGE_S, now):
-                return None, ""
-        only = registry.find_only_version(service, MAX_STREAM_AGE_S, self._clock())
+        service = request.service.name
+        only = self._find_only_version(service, self._clock())
         if only is None:
             return None, ""
         return compute_origin(service, only), SOURCE_ONLY_VERSION
 
+    def _find_only_version(self, service: str, now: float) -> str | None:
+        """Return the version of a service that alone can have begun any stream, if that is known.
+
+        The records of the store tell of the time before this instance started, and the
+        registrations that it has followed since. Both may lack a version that came and went while
+        the process was paused or did not hear of the store.
+        """
+        registry = self._state.registry
+        if registry.had_gap(REREAD_TIME_S, now) or not self._state.is_current(now):
+            return None
+        seen = registry.list_versions_since(service, STREAM_RETENTION_S, now)
+        return self._state.version_history.find_only_version(service, seen)
+
     async def _ask_keepers(self, key: int) -> tuple[int | None, str]:
         """Return the first origin that a keeper knows and the keeper, after all have replied."""
         query = msgspec.msgpack.encode(StreamQuery(key))
--- a/tests/core/directory/test_directory.py
+++ b/tests/core/directory/test_directory.py
@@ -139,21 +139,22 @@
 def test_version_counts_as_present_for_a_time_after_its_last_target() -> None:
     directory = TargetRegistry()
     register_version(directory, "t-1", "v1", 0.0)
-    assert directory.find_only_version("llm", 20.0, 1.0) == "v1"
+    assert directory.list_versions_since("llm", 20.0, 1.0) == {"v1"}
     register_version(directory, "t-2", "v2", 10.0)
-    assert directory.find_only_version("llm", 20.0, 11.0) is None
+    assert directory.list_versions_since("llm", 20.0, 11.0) == {"v1", "v2"}
     directory.unregister("t-1", 12.0)
-    assert directory.find_only_version("llm", 20.0, 32.0) is None
-    assert directory.find_only_version("llm", 20.0, 32.1) == "v2"
-    assert directory.find_only_version("another", 20.0, 40.0) is None
+    assert directory.list_versions_since("llm", 20.0, 32.0) == {"v1", "v2"}
+    assert directory.list_versions_since("llm", 20.0, 32.1) == {"v2"}
+    assert directory.list_versions_since("another", 20.0, 40.0) == set()
+    assert directory.list_versions() == {"llm": ["v2"]}
 
 
 def test_target_that_changes_its_version_leaves_the_old_one() -> None:
     directory = TargetRegistry()
     register_version(directory, "t-1", "v1", 0.0)
     register_version(directory, "t-1", "v2", 5.0)
-    assert directory.find_only_version("llm", 20.0, 6.0) is None
-    assert directory.find_only_version("llm", 20.0, 25.1) == "v2"
+    assert directory.list_versions_since("llm", 20.0, 6.0) == {"v1", "v2"}
+    assert directory.list_versions_since("llm", 20.0, 25.1) == {"v2"}
 
 
 # Guards against an instance that was paused and takes what it knows for all that has happened.
@@ -166,6 +167,7 @@
     directory.record_gap(40.0)
     directory.mark_initial_read_complete(41.0)
     assert not directory.has_followed(20.0, 59.0) and directory.has_followed(20.0, 60.0)
+    assert directory.had_gap(20.0, 59.9) and not directory.had_gap(20.0, 60.0)
 
 
 # Guards against a crash of a target that is taken for the end of its drain, and against the planned
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -354,17 +354,99 @@
     run(work)
 
 
-# Guards against an instance that has just started and takes the versions that it sees for all.
-def test_named_stream_that_nobody_knows_is_refused_by_an_instance_that_started(
-    tmp_path: Path,
+# The settings of instances of a system that starts for the first time.
+FIRST_START: Final = {"bootstrap": True}
+
+
+async def kill_instances(fleet: GatewayFleet) -> None:
+    processes = [node.process for node in fleet.instances.values() if node.process is not None]
+    await asyncio.gather(*(process.kill() for process in processes))
+
+
+async def restart_instances(fleet: GatewayFleet) -> None:
+    await asyncio.gather(*(fleet.start_instance(name) for name in fleet.instances))
+    for name in fleet.instances:
+        await fleet.wait_ready(name)
+
+
+async def resume_unnamed(fleet: GatewayFleet, instance: str, attempt: str) -> Reply:
+    return await fleet.send_request(
+        PATH, BODY, instance, Prefix_Hash=make_prompt(attempt), Last_Event_Id=str(EVENTS_READ)
+    )
+
+
+# Guards against streams joined from two versions after all instances were lost at once: nobody
+# knows the streams any more, and those that start see the targets of the new version only.
+# They are taken up at once, or when the instances have followed the registrations for long.
+@pytest.mark.parametrize("after_s", [0.0, 22.0])
+@pytest.mark.parametrize("replaced", ["before", "while down"])
+def test_stream_is_not_taken_up_at_another_version_after_a_loss_of_all_instances(
+    tmp_path: Path, replaced: str, after_s: float
 ) -> None:
+    async def work() -> None:
+        async with start_fleet(
+            tmp_path,
+            instances=4,
+            plain_worker_count=0,
+            has_rollouts=False,
+            settings_changes=FIRST_START,
+        ) as fleet:
+            await fleet.set_default_worker_faults(events=EVENTS, event_gap=EVENT_GAP_S)
+            await asyncio.sleep(SETTLE_S)
+            attempts = await begin_all(fleet, "front-0")
+            if replaced == "while down":
+                await kill_instances(fleet)
+            await start_versions(fleet)
+            await take_away(fleet, ["engine-0", "engine-1"], "removed")
+            await kill_instances(fleet)
+            await restart_instances(fleet)
+            await asyncio.sleep(after_s)
+            replies = await resume_all(fleet, "front-1", attempts)
+            replies += [await resume_unnamed(fleet, "front-2", attempt) for attempt in attempts]
+            for reply in replies:
+                assert reply.status == 503 and b"stream_unknown" in reply.body
+            for name in ("new-0", "new-1"):
+                assert (await fleet.read_stats(name)).seen == []
+
+    run(work)
+
+
+# Guards against the loss of every open stream with all instances, although one version alone has
+# ever served and nothing could be mixed.
+def test_stream_goes_on_at_the_only_version_after_a_loss_of_all_instances(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with start_fleet(
+            tmp_path,
+            instances=4,
+            plain_worker_count=0,
+            has_rollouts=False,
+            settings_changes=FIRST_START,
+        ) as fleet:
+            await fleet.set_default_worker_faults(events=EVENTS, event_gap=EVENT_GAP_S)
+            await asyncio.sleep(SETTLE_S)
+            attempts = await begin_all(fleet, "front-0")
+            await kill_instances(fleet)
+            await restart_instances(fleet)
+            await asyncio.sleep(SETTLE_S)
+            replies = await resume_all(fleet, "front-1", attempts)
+            replies += [await resume_unnamed(fleet, "front-2", attempt) for attempt in attempts]
+            assert count_whole(replies) >= 0.9 * len(replies)
+
+    run(work)
+
+
+# Guards against an instance that has just started and takes the versions that it sees for all.
+# Without a record of what served before, neither kind of resumption may go on.
+def test_stream_that_nobody_knows_is_refused_by_an_instance_that_started(tmp_path: Path) -> None:
     async def work() -> None:
         async with start_fleet(
             tmp_path, instances=1, plain_worker_count=0, has_rollouts=False
         ) as fleet:
-            named = await resume(fleet, "front-0", "made-up")
-            assert named.status == 503 and b"stream_unknown" in named.body
-            not_named = await fleet.send_request(PATH, BODY, Prefix_Hash=PROMPT, Last_Event_Id="3")
-            assert not_named.status == 200
+            await asyncio.sleep(SETTLE_S)
+            for reply in (
+                await resume(fleet, "front-0", "made-up"),
+                await resume_unnamed(fleet, "front-0", "made-up"),
+            ):
+                assert reply.status == 503 and b"stream_unknown" in reply.body
 
     run(work)
