--- a/rhubarbbend/codes.py
+++ b/rhubarbbend/codes.py
@@ -386,6 +386,9 @@
     "control.target_bytes", "bytes of load reports, probes and cancellations"
 )
 CONTROL_METRICS: Final = _declare_counter("control.statsd_bytes", "bytes of counters sent")
+LISTEN_FAILURES: Final = _declare_counter(
+    "listen.failed", "addresses that could not be listened on at once, and are tried again"
+)
 INTERNAL_ERRORS: Final = _declare_counter(
     "internal_errors", "events whose handling raised an error; a fault of this program"
 )
--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -50,6 +50,7 @@
 from rhubarbbend.gateway._update_broadcaster import UpdateBroadcaster
 from rhubarbbend.gateway._version_recorder import VersionRecorder
 from rhubarbbend.http import ConnectionPool, Exchange, HttpServer
+from rhubarbbend.listening import Listen, start_listening
 from rhubarbbend.stop_signals import STOP_SIGNALS, ignore_late_stop, release_reloads
 
 # Maximum time for which an idle connection to a target or another instance is kept.
@@ -119,7 +120,8 @@
         )
         self._monitor = ProcessMonitor(self.state, read_clock)
         self._caller_server.on_connection_end = self._monitor.handle_connection_end
-        self._servers: list[HttpServer] = [self._caller_server]
+        # The servers of readiness and metrics, which would otherwise be garbage.
+        self._servers: list[HttpServer] = []
         self._peer_http: HttpServer | None = None
         self._stop_requested = asyncio.Event()
         self.state.on_catalog_applied = self._apply_limits
@@ -195,33 +197,48 @@
 
     async def _listen(self) -> None:
         settings = self.settings
-        if self._listener is None:
-            await self._caller_server.listen(*settings.callers)
-        else:
-            await self._caller_server.listen_on(self._listener)
-        await self._serve_on(settings.ready, self._serve_ready)
+        await self._start_listening("callers", self._listen_for_callers, self._handle_listening)
+        await self._serve_on("ready", settings.ready, self._serve_ready)
         if settings.peers is not None:
             self._peer_http = HttpServer(
                 self._peer_server.serve, None, self.state.memory, HeldKind.DETOUR, True
             )
-            await self._listen_with(self._peer_http, settings.peers)
-            await self._in_flight_protocol.open(settings.peers)
+            await self._start_listening("peers", partial(self._peer_http.listen, *settings.peers))
+            open_datagrams = partial(self._in_flight_protocol.open, settings.peers)
+            await self._start_listening("peer datagrams", open_datagrams)
             self._background.spawn_loop(self._in_flight_protocol.run)
         if settings.metrics is not None:
-            try:
-                await self._serve_on(settings.metrics, self._serve_metrics)
-            except OSError as error:
-                # Callers can be served without it, and missing metrics are noticed by their reader.
-                self._log("metrics_unavailable", reason=str(error))
+            await self._serve_on("metrics", settings.metrics, self._serve_metrics)
 
     async def _serve_on(
-        self, address: tuple[str, int], handler: Callable[[Exchange], Coroutine[Any, Any, None]]
+        self, use: str, address: Address, handler: Callable[[Exchange], Coroutine[Any, Any, None]]
     ) -> None:
-        await self._listen_with(HttpServer(handler), address)
-
-    async def _listen_with(self, server: HttpServer, address: Address) -> None:
-        await server.listen(*address)
+        server = HttpServer(handler)
         self._servers.append(server)
+        await self._start_listening(use, partial(server.listen, *address))
+
+    async def _listen_for_callers(self) -> None:
+        if self._listener is None:
+            await self._caller_server.listen(*self.settings.callers)
+        else:
+            await self._caller_server.listen_on(self._listener)
+
+    def _handle_listening(self) -> None:
+        self.state.accepts_callers = True
+        if self.state.stopping:
+            # The address became free after the stop had begun.
+            self._caller_server.stop_accepting()
+
+    async def _start_listening(
+        self, use: str, listen: Listen, handle_listening: Callable[[], None] = lambda: None
+    ) -> None:
+        """Listen on an address, without which the instance goes on until the address is free."""
+
+        def report_failure(error: OSError) -> None:
+            self.state.metrics.increment_counter(codes.LISTEN_FAILURES)
+            self._log("listen_failed", use=use, reason=str(error))
+
+        await start_listening(listen, self._spawn, report_failure, handle_listening)
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         self._background.spawn(work)
--- a/rhubarbbend/gateway/_state.py
+++ b/rhubarbbend/gateway/_state.py
@@ -109,6 +109,8 @@
         self.changed = ChangeNotifier()
         # Notified when instances have joined that may be missing from the list as last read.
         self.instance_joined = ChangeNotifier()
+        # Whether callers' connections are accepted.
+        self.accepts_callers = False
         # The times of a planned stop; None before one begins.
         self.stop: StopSchedule | None = None
         self.started_at = 0.0
@@ -163,7 +165,7 @@
     @property
     def ready(self) -> bool:
         """Whether callers can be served and new ones are accepted."""
-        return self.has_config_and_targets and not self.stopping
+        return self.has_config_and_targets and self.accepts_callers and not self.stopping
 
     @property
     def stopping(self) -> bool:
--- /dev/null
+++ b/rhubarbbend/listening.py
@@ -0,0 +1,50 @@
+"""Listens on an address that may be taken for a while as the process starts.
+
+After a loss of power the process of before may not be gone yet, and the port of an address that is
+not listened on may be in use for another process's outgoing connection. A process that ended for
+that would not be there when the address is free.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any, Final
+
+# How often an address that is taken is tried again.
+RETRY_INTERVAL_S: Final = 0.25
+
+Listen = Callable[[], Awaitable[object]]
+Spawn = Callable[[Coroutine[Any, Any, None]], object]
+# Called once for an address, with the error of the first attempt.
+ReportFailure = Callable[[OSError], None]
+
+
+async def start_listening(
+    listen: Listen,
+    spawn: Spawn,
+    report_failure: ReportFailure,
+    handle_listening: Callable[[], None] = lambda: None,
+) -> None:
+    """Listen on an address; if that fails, return and have it tried again until it succeeds.
+
+    `handle_listening` is called as soon as it has succeeded.
+    """
+    try:
+        await listen()
+    except OSError as error:
+        report_failure(error)
+        spawn(_retry(listen, handle_listening))
+    else:
+        handle_listening()
+
+
+async def _retry(listen: Listen, handle_listening: Callable[[], None]) -> None:
+    while True:
+        await asyncio.sleep(RETRY_INTERVAL_S)
+        try:
+            await listen()
+        except OSError:
+            continue
+        handle_listening()
+        return
--- a/rhubarbbend/shell/_runtime.py
+++ b/rhubarbbend/shell/_runtime.py
@@ -15,6 +15,7 @@
 import time
 from collections import deque
 from collections.abc import Callable, Coroutine
+from functools import partial
 from pathlib import Path
 from typing import Any, Final
 
@@ -26,6 +27,7 @@
 from rhubarbbend.core.messages import Message, ReservedReply, ReservedRun
 from rhubarbbend.core.requests._responses import make_peer_request_id
 from rhubarbbend.http import INPUT_LOOP_ITERATIONS, ConnectionPool, HttpServer, ServerLimits
+from rhubarbbend.listening import Listen, start_listening
 from rhubarbbend.operators import ChangeAnswer, OperatorServer, derive_operator_key
 from rhubarbbend.peers import PeerLinks, PeerListener, TunnelOpener
 from rhubarbbend.settings import Settings, parse_address, read_operator_secret
@@ -119,8 +121,12 @@
         """Serve until a planned stop has completed."""
         own = self.settings.instance
         loop = asyncio.get_running_loop()
-        await self._peer_listener.listen(own.host, own.peer_port)
-        await self._operator_server.listen(own.host, own.operator_port)
+        await self._start_listening(
+            "peers", partial(self._peer_listener.listen, own.host, own.peer_port)
+        )
+        await self._start_listening(
+            "operators", partial(self._operator_server.listen, own.host, own.operator_port)
+        )
         self._last_active_at = self._now()
         self.submit_event(events.Started(time.time()))
         # The core cannot handle a stop before its first event; until then, the signal has its
@@ -132,13 +138,24 @@
         for seed in self.settings.seeds:
             host, port = parse_address(seed.address)
             self.submit_event(events.SeedNamed(seed.id, seed.zone, host, port))
-        await self._http_server.listen(own.host, own.http_port)
+        await self._start_listening(
+            "callers", partial(self._http_server.listen, own.host, own.http_port)
+        )
         eliot.log_message("instance_started", instance=own.id, zone=own.zone, pid=os.getpid())
         self._background.spawn_loop(self._run_pause_detector)
         self._background.spawn_loop(self._run_housekeeping)
         await self._exit_requested.wait()
         await self._close()
 
+    async def _start_listening(self, use: str, listen: Listen) -> None:
+        """Listen on an address, without which the instance goes on until the address is free."""
+
+        def report_failure(error: OSError) -> None:
+            self.metrics.add(codes.LISTEN_FAILURES)
+            eliot.log_message("listen_failed", use=use, reason=str(error))
+
+        await start_listening(listen, self._spawn, report_failure)
+
     def submit_event(self, event: events.Event) -> None:
         """Pass an event to the core and carry out its actions.
 
--- a/tests/gateway/test_start.py
+++ b/tests/gateway/test_start.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import time
 from pathlib import Path
 
+import pytest
+
 from tests.gateway.harness import GatewayFleet, make_config, run, start_fleet
 
 # How long after its start an instance lets callers wait for its first configuration.
@@ -90,3 +93,50 @@
                 assert (await fleet.send_request("/read/x", instance=name)).status == 401
 
     run(work)
+
+
+# How long an address stays taken after the start, and by when its instance serves then, in seconds.
+TAKEN_S = 1.5
+SERVES_WITHIN_S = 5.0
+METRICS_PORT = 9464
+
+
+def take_address(host: str, port: int, kind: socket.SocketKind) -> socket.socket:
+    """Take an address, as the process of before or another program may do."""
+    taken = socket.socket(socket.AF_INET, kind)
+    if kind is socket.SOCK_STREAM:
+        # Closed connections of the former process do not keep the address.
+        taken.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    taken.bind((host, port))
+    if kind is socket.SOCK_STREAM:
+        taken.listen()
+    return taken
+
+
+# Guards against an instance that ends, and never comes back, since an address is taken for a moment
+# as it starts.
+@pytest.mark.parametrize("use", ["front", "ready", "control", "datagrams", "metrics"])
+def test_instance_waits_for_an_address_that_is_taken_as_it_starts(tmp_path: Path, use: str) -> None:
+    async def work() -> None:
+        async with start_fleet(tmp_path, instances=2) as fleet:
+            node = fleet.instances["front-0"]
+            assert node.process is not None
+            await node.process.kill()
+            addresses = {**node.settings["listen"], "metrics": f"{node.ip}:{METRICS_PORT}"}
+            address = addresses["control" if use == "datagrams" else use]
+            kind = socket.SOCK_DGRAM if use == "datagrams" else socket.SOCK_STREAM
+            taken = take_address(node.ip, int(address.rpartition(":")[2]), kind)
+            await fleet.start_instance("front-0")
+            await asyncio.sleep(TAKEN_S)
+            if use in ("front", "ready"):
+                assert not await fleet.is_ready("front-0", 0.5)
+            taken.close()
+            await fleet.wait_ready("front-0", SERVES_WITHIN_S)
+            assert (await fleet.send_request("/read/x")).status == 200
+            assert node.process.running
+            failed = [
+                line for line in fleet.read_log("front-0") if line["event"] == "listen_failed"
+            ]
+            assert len(failed) == 1
+
+    run(work)
--- a/tests/shell/test_runtime.py
+++ b/tests/shell/test_runtime.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import signal
+import socket
 import time
 from pathlib import Path
 from typing import Any
 
 import eliot
+import pytest
 
 from loadtool._processes import pick_port
 from rhubarbbend import codes
@@ -129,3 +131,21 @@
         for number, handler in handlers.items():
             signal.signal(number, handler)
         signal.pthread_sigmask(signal.SIG_SETMASK, mask)
+
+
+# Guards against an instance that ends since an address is taken for a moment as it starts.
+@pytest.mark.parametrize("use", ["http_port", "peer_port", "operator_port"])
+def test_instance_waits_for_an_address_that_is_taken_as_it_starts(tmp_path: Path, use: str) -> None:
+    async def scenario() -> None:
+        runtime = _make_runtime(tmp_path)
+        address = ("127.0.0.1", getattr(runtime.settings.instance, use))
+        with socket.create_server(address):
+            running = asyncio.create_task(runtime.run())
+            await asyncio.sleep(0.5)
+            assert not running.done()
+        await asyncio.sleep(0.5)
+        _, writer = await asyncio.open_connection(*address)
+        writer.close()
+        running.cancel()
+
+    asyncio.run(scenario())
