--- a/tests/adapter/test_rows.py
+++ b/tests/adapter/test_rows.py
@@ -136,3 +136,14 @@
     assert decode("op", "evacuate/almaty-a", {}) == [ZoneServiceChanged("almaty-a", True)]
     assert decode("op", "evacuate/almaty-a", None) == [ZoneServiceChanged("almaty-a", False)]
     assert decode("op", "something-else", {"x": 1}) == []
+
+
+# Guards against one odd row that makes every request of its service fail, since arithmetic with its
+# number raises an error.
+@pytest.mark.parametrize("field", ["slots", "born"])
+@pytest.mark.parametrize("number", [2**63, -(2**63), 10**400, 10**3_999])
+def test_registration_with_a_number_too_large_is_unreadable(field: str, number: int) -> None:
+    data = msgspec.json.encode({**REGISTRATION, field: "NUMBER"})
+    value = data.replace(b'"NUMBER"', str(number).encode())
+    changes = PlatformStateDecoder().decode("servers", [RowChange("i-1", value)])
+    assert [type(change) for change in changes] == [RowUnreadable, TargetUnregistered]
