--- a/rhubarbbend/gateway/_streams.py
+++ b/rhubarbbend/gateway/_streams.py
@@ -162,5 +162,11 @@
 
 def _is_after(event_id: str, last_id: str) -> bool:
     if event_id.isdecimal() and last_id.isdecimal():
-        return int(event_id) > int(last_id)
+        return _make_order(event_id) > _make_order(last_id)
     return event_id != last_id
+
+
+def _make_order(digits: str) -> tuple[int, str]:
+    """Return a key that orders whole numbers of any length; `int` refuses very long ones."""
+    significant = digits.lstrip("0")
+    return len(significant), significant
--- a/tests/gateway/test_event_relay.py
+++ b/tests/gateway/test_event_relay.py
@@ -9,7 +9,7 @@
 import pytest
 
 from rhubarbbend.core.limits import HeldKind
-from rhubarbbend.gateway._streams import EventRelay
+from rhubarbbend.gateway._streams import EventRelay, _is_after
 from rhubarbbend.http import EndlessAnswer, Exchange
 
 
@@ -28,3 +28,26 @@
         relay.write(b"id: 7\n")
 
     asyncio.run(work())
+
+
+# Guards against a stream that ends with an internal error since an id has more digits than Python
+# converts to a number.
+@pytest.mark.parametrize(
+    ("event_id", "last_id", "is_after"),
+    [
+        ("9" * 5_000, "7", True),
+        ("7", "9" * 5_000, False),
+        ("10", "9", True),
+        ("0010", "9", True),
+        ("9", "10", False),
+        ("10", "10", False),
+        ("010", "10", False),
+        ("0", "00", False),
+        ("b", "a", True),
+        ("a", "a", False),
+    ],
+)
+def test_ids_of_events_of_any_length_are_compared(
+    event_id: str, last_id: str, is_after: bool
+) -> None:
+    assert _is_after(event_id, last_id) is is_after
