--- a/standins/_worker.py
+++ b/standins/_worker.py
@@ -26,6 +26,7 @@
     make_stray_response,
     read_body,
     read_event,
+    send_part_of_head,
     send_response,
 )
 from standins._worker_slots import (
@@ -312,6 +313,8 @@
         if faults.garbage:
             writer.write(b"\x00\x01 these bytes are no answer\r\n\r\n")
             return False
+        if faults.head_cut is not None:
+            return send_part_of_head(writer, response_headers, faults)
         if faults.flood:
             return await send_flood(writer, faults, response_headers)
         if faults.stray:
--- a/standins/_worker_responses.py
+++ b/standins/_worker_responses.py
@@ -8,6 +8,7 @@
 import h11
 
 from rhubarbbend.http import reset_connection
+from standins._worker_types import Faults
 
 READ_SIZE_BYTES = 65_536
 KERNEL_SEND_BYTES = 16_384
@@ -100,6 +101,19 @@
     return True
 
 
+def send_part_of_head(
+    writer: asyncio.StreamWriter, headers: list[tuple[str, str]], faults: Faults
+) -> bool:
+    """Break a response off in its head; return that its connection cannot be used again."""
+    framing = ("Connection", "close") if faults.unframed else ("Transfer-Encoding", "chunked")
+    lines = encode_headers([*headers, ("Content-Type", "text/event-stream"), framing])
+    head = b"HTTP/1.1 200 OK\r\n" + lines + b"\r\n"
+    writer.write(head[: faults.head_cut])
+    if faults.cut_by_reset:
+        reset_connection(writer.transport)
+    return False
+
+
 async def read_event(conn: h11.Connection, reader: asyncio.StreamReader) -> object:
     """Return the next event of a connection, reading what it needs."""
     while True:
--- a/standins/_worker_types.py
+++ b/standins/_worker_types.py
@@ -49,6 +49,9 @@
     stray: bool = False
     extra: bool = False
     stray_status: int = 200
+    # Break a response off in its head: send so many bytes of it, or all but so many if negative,
+    # and end the connection as `cut_by_reset` says.
+    head_cut: int | None = None
     # Send bytes that are not HTTP (`garbage`), or a response without the `Response-Seal` header.
     garbage: bool = False
     # Send this kind of bytes without end (`standins._worker_floods`) instead of a response, or
