--- a/rhubarbbend/core/placement/_connection_limits.py
+++ b/rhubarbbend/core/placement/_connection_limits.py
@@ -20,6 +20,10 @@
 # New connections for commands are checked for this long after the last reset: targets fill up again
 # once the limits have expired, and the first command that meets a reset is lost.
 CHECK_LIFETIME_S: Final = 30.0
+# All new connections are checked for this long after a start. After a loss of power of all, targets
+# hold places for the former instances, and what these had found out is lost. By then it is found
+# out again where requests come.
+START_CHECK_S: Final = 10.0
 # A new connection that is checked is used once it has not been reset for this long, beyond the
 # round trip that the reset takes.
 CHECK_S: Final = 0.005
@@ -78,6 +82,7 @@
 
     def __init__(self) -> None:
         self._targets: dict[str, _FullTarget] = {}
+        self._started_at = -math.inf
         # By service, when a new connection was last reset for a reason that is not known.
         self._doubted_at: dict[str, float] = {}
         # By service, how long checks take since a reset came late, and until when.
@@ -91,6 +96,10 @@
         # Called when a target is found to be full; set by the instance.
         self.on_full: Callable[[], None] = lambda: None
 
+    def record_start(self, now: float) -> None:
+        """Record that this instance has started, so that it knows no limits."""
+        self._started_at = now
+
     def record_reset(self, service: str, target: str, serving: int, now: float) -> None:
         """Record that a target reset a new connection while `serving` others from here go on.
 
@@ -182,6 +191,8 @@
         A command that is lost with a connection cannot be sent again, so it needs that at all
         targets of a service once one of them was full: they are full at nearly the same time.
         """
+        if now - self._started_at < START_CHECK_S:
+            return True
         if is_idempotent:
             return self.was_full(target, now)
         if now - self._doubted_at.get(service, -math.inf) < CHECK_LIFETIME_S:
--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -172,6 +172,7 @@
         """Serve until a requested stop has completed."""
         settings = self.settings
         self.state.started_at = read_clock()
+        self.state.connection_limits.record_start(self.state.started_at)
         self._log("started", version=VERSION, pid=os.getpid(), zone=settings.zone)
         self._register_gauges()
         self._handle_signals()
--- a/rhubarbbend/gateway/_target_checker.py
+++ b/rhubarbbend/gateway/_target_checker.py
@@ -27,7 +27,7 @@
 ANSWER_TIMEOUT_S: Final = 0.2
 # A process that ends may still accept connections while its others are being closed, so one that
 # closes a connection without an answer is tried again. One that goes on doing so while it keeps
-# older connections open is at its limit on connections.
+# older connections open, or others have met its limit lately, is at its limit on connections.
 MAX_TRIES: Final = 3
 RETRY_DELAY_S: Final = 0.05
 # Other targets that are tried to find out whether this instance has any links at all.
@@ -41,7 +41,8 @@
     OTHER = "other"  # Another target answers, or another start of it.
     REFUSED = "refused"  # No connection is accepted, or each is closed without an answer.
     CUT_OFF = "cut off"  # No connection is accepted, nor is one by other targets.
-    FULL = "full"  # Each new connection is closed without an answer, while an older one is open.
+    # Each new connection is closed without an answer, while an older one is open or was lately.
+    FULL = "full"
     SILENT = "silent"  # Nothing comes back that tells who it is.
 
 
@@ -209,7 +210,9 @@
                     return Contact.SILENT
             finally:
                 connection.close()
-        return Contact.FULL if self._has_open_connection(target, address) else Contact.REFUSED
+        was_full = self._state.connection_limits.was_full(target, self._clock())
+        is_full = was_full or self._has_open_connection(target, address)
+        return Contact.FULL if is_full else Contact.REFUSED
 
     async def _identify(
         self, connection: Connection, query: CheckQuery, address: Address
--- a/tests/gateway/test_full_targets.py
+++ b/tests/gateway/test_full_targets.py
@@ -14,7 +14,7 @@
 
 from rhubarbbend.core.placement import FullTargetNotice
 from rhubarbbend.gateway._peer_updates import PeerUpdate
-from tests.gateway.harness import GatewayFleet, run, start_fleet
+from tests.gateway.harness import GatewayFleet, Reply, run, start_fleet
 
 INSTANCES = 8
 TARGETS = 4
@@ -135,6 +135,46 @@
     run(work)
 
 
+RETURNED = 12
+PLACES = 2
+
+
+# Guards against sound requests that are refused as crashing targets after all instances were lost:
+# targets still hold most places, and nobody remembers that they are full.
+def test_requests_are_not_blamed_for_places_that_targets_hold_for_lost_instances(
+    tmp_path: Path,
+) -> None:
+    async def work() -> None:
+        async with start_fleet(
+            tmp_path, instances=RETURNED, plain_worker_count=TARGETS, engine_worker_count=1
+        ) as fleet:
+            processes = [n.process for n in fleet.instances.values() if n.process is not None]
+            await asyncio.gather(*(process.kill() for process in processes))
+            await fleet.set_service_faults("plain", delay=0.045, max_connections=PLACES)
+            await asyncio.gather(*(fleet.start_instance(name) for name in fleet.instances))
+            for name in fleet.instances:
+                await fleet.wait_ready(name)
+            replies = await asyncio.gather(
+                *(send_equal_requests(fleet, f"front-{number}") for number in range(RETURNED))
+            )
+            statuses = Counter(reply.status for each in replies for reply in each)
+            assert not read_events(fleet, "crash_counted")
+            assert not any(b"crashes_targets" in reply.body for each in replies for reply in each)
+            assert statuses[502] <= RETURNED, statuses
+
+    run(work)
+
+
+async def send_equal_requests(fleet: GatewayFleet, instance: str) -> list[Reply]:
+    """Send equal commands and reads to an instance one after the other."""
+    replies: list[Reply] = []
+    for _ in range(8):
+        replies.append(await fleet.send_request("/book/x", b"equal", instance))
+        replies.append(await fleet.send_request("/read/x", b"", instance))
+        await asyncio.sleep(0.2)
+    return replies
+
+
 # Guards against news that counts from the time at which a relay passed it on.
 def test_news_of_a_full_target_gets_older_at_a_relay() -> None:
     update = PeerUpdate(full=[FullTargetNotice("plain", "plain-0", 0.25, 0.06)], received_at=5.0)
