--- a/rhubarbbend/core/directory/_directory.py
+++ b/rhubarbbend/core/directory/_directory.py
@@ -48,8 +48,6 @@
         self._versions_left_at: dict[str, dict[str, float]] = {}
         # Since when no change of the registrations was missed, as far as is known.
         self._followed_since = math.inf
-        # When changes were missed last.
-        self._gap_at = -math.inf
         # The boot and state of each removed target, and when it was removed.
         self._removed: dict[str, tuple[int, TargetState, float]] = {}
         # When operators took each zone out of service; zones in service are left out.
@@ -122,14 +120,7 @@
 
     def record_gap(self, now: float) -> None:
         """Record that changes until `now` may have been missed, as while the process was paused."""
-        self._followed_since = self._gap_at = now
-
-    def had_gap(self, period_s: float, now: float) -> bool:
-        """Return whether changes may have been missed in the last `period_s` seconds.
-
-        What an instance did not see before it started is no gap.
-        """
-        return now - self._gap_at < period_s
+        self._followed_since = now
 
     def record_store_recovery(self, now: float) -> None:
         """Record that the store answers again after an outage, since `now` or earlier."""
--- a/rhubarbbend/gateway/_state.py
+++ b/rhubarbbend/gateway/_state.py
@@ -227,12 +227,10 @@
         """Return how many seconds ago the data was last known to match the store."""
         return now - self.up_to_date_at
 
-    def is_current(self, now: float) -> bool:
-        """Return whether the data matched the store a short time ago.
-
-        Between the ends of two watches an instance does not know that nothing has changed.
-        """
-        return self.compute_staleness(now) <= 2.0 * self.replication_timeouts.watch_timeout_s
+    @property
+    def is_caught_up(self) -> bool:
+        """Whether the data has matched the store since the start, and since the last pause."""
+        return not math.isinf(self.up_to_date_at)
 
     def get_logged_staleness(self, now: float) -> float | None:
         """Return the staleness for log lines; None if no data was ever read."""
--- a/rhubarbbend/gateway/_stream_origins.py
+++ b/rhubarbbend/gateway/_stream_origins.py
@@ -34,8 +34,6 @@
 # How an origin came to be known, in the log.
 SOURCE_OWN: Final = "own"
 SOURCE_ONLY_VERSION: Final = "only version"
-# By then an instance has read again what it may have missed while it was paused.
-REREAD_TIME_S: Final = 20.0
 
 
 class StreamNotice(msgspec.Struct, frozen=True, array_like=True):
@@ -161,13 +159,12 @@
         """Return the version of a service that alone can have begun any stream, if that is known.
 
         The records of the store tell of the time before this instance started, and the
-        registrations that it has followed since. Both may lack a version that came and went while
-        the process was paused or did not hear of the store.
+        registrations that it has followed since. Both may lack a version that came while the
+        process was paused, until they are read again.
         """
-        registry = self._state.registry
-        if registry.had_gap(REREAD_TIME_S, now) or not self._state.is_current(now):
+        if not self._state.is_caught_up:
             return None
-        seen = registry.list_versions_since(service, STREAM_RETENTION_S, now)
+        seen = self._state.registry.list_versions_since(service, STREAM_RETENTION_S, now)
         return self._state.version_history.find_only_version(service, seen)
 
     async def _ask_keepers(self, key: int) -> tuple[int | None, str]:
--- a/rhubarbbend/gateway/_version_recorder.py
+++ b/rhubarbbend/gateway/_version_recorder.py
@@ -61,7 +61,7 @@
 
     async def _remove_expired(self, now: float) -> None:
         registry, history = self._state.registry, self._state.version_history
-        if not registry.has_followed(STREAM_RETENTION_S, now) or not self._state.is_current(now):
+        if not registry.has_followed(STREAM_RETENTION_S, now) or not self._state.is_caught_up:
             return
         for service in registry.list_versions():
             seen = registry.list_versions_since(service, STREAM_RETENTION_S, now)
