--- a/tests/gateway/test_start.py
+++ b/tests/gateway/test_start.py
@@ -140,3 +140,25 @@
             assert len(failed) == 1
 
     run(work)
+
+
+# Guards against an instance that ends, and never comes back, since its settings are being replaced
+# as it starts.
+@pytest.mark.parametrize("content", [None, "", '{"nodeName": "front'])
+def test_instance_waits_for_settings_that_are_being_replaced(
+    tmp_path: Path, content: str | None
+) -> None:
+    async def work() -> None:
+        async with start_fleet(tmp_path, instances=1) as fleet:
+            await restart_instance(fleet)
+            path = tmp_path / "front-0.json"
+            whole = path.read_text("utf-8")
+            path.unlink()
+            if content is not None:
+                path.write_text(content, "utf-8")
+            await asyncio.sleep(1.0)
+            path.write_text(whole, "utf-8")
+            await fleet.wait_ready("front-0")
+            assert (await fleet.send_request("/read/x")).status == 200
+
+    run(work)
