--- a/loadtool/__main__.py
+++ b/loadtool/__main__.py
@@ -43,6 +43,7 @@
         has_load=options.load,
         has_unread_answers=options.unread,
         has_config_changes=options.changes,
+        has_returns=options.returns,
     )
     return _soak.main(options.seed, options.seeds, options.duration, options.size, kinds)
 
@@ -98,6 +99,9 @@
     soak.add_argument(
         "--changes", action="store_true", help="the configuration changes in quick succession"
     )
+    soak.add_argument(
+        "--returns", action="store_true", help="all instances are lost at once and come back"
+    )
 
 
 def _parse_arguments() -> argparse.Namespace:
--- a/loadtool/_soak.py
+++ b/loadtool/_soak.py
@@ -36,6 +36,11 @@
     UNREAD_TIMEOUT_S,
     SoakReading,
 )
+from loadtool._soak_returns import (
+    describe_return,
+    find_return_violations,
+    make_return_schedule,
+)
 from loadtool._soak_rollout import SoakRollout
 from loadtool._soak_schedule import (
     ScheduledSoakFault,
@@ -81,7 +86,8 @@
     connections that targets accept sinks and rises. With `has_load` demand exceeds for a time what
     the targets can do, and their pace varies. With `has_unread_answers` callers read slowly or not
     at all, and instances have little memory. With `has_config_changes` the configuration changes
-    in quick succession, and instances and targets are suspended at these moments.
+    in quick succession, and instances and targets are suspended at these moments. With
+    `has_returns` all instances are lost at once and come back.
     """
 
     has_rollout: bool = False
@@ -97,6 +103,7 @@
     has_load: bool = False
     has_unread_answers: bool = False
     has_config_changes: bool = False
+    has_returns: bool = False
 
 
 @attrs.define(slots=True)
@@ -145,8 +152,9 @@
     breaks = make_break_schedule(seed, duration, layout) if options.has_unframed_answers else []
     changes = make_change_schedule(seed, duration, layout) if options.has_config_changes else None
     suspensions = [] if changes is None else changes.suspensions
+    returns = make_return_schedule(seed, duration, layout) if options.has_returns else []
     return sorted(
-        [*schedule, *notices, *links, *breaks, *suspensions],
+        [*schedule, *notices, *links, *breaks, *suspensions, *returns],
         key=lambda scheduled_fault: scheduled_fault.at,
     )
 
@@ -213,6 +221,10 @@
     violations += [] if rollout is None else rollout.find_violations(record)
     summaries = [] if rollout is None else [rollout.describe()]
     violations += [] if crowd is None else crowd.find_violations(record)
+    if options.has_returns:
+        losses = make_return_schedule(seed, duration, make_soak_layout(len(fleet.instances)))
+        violations += find_return_violations(record, losses)
+        summaries.append(describe_return(record, losses))
     for extra in extras:
         violations += extra.find_violations()
         summaries.append(extra.describe())
