--- a/rhubarbbend/core/streams/_version_history.py
+++ b/rhubarbbend/core/streams/_version_history.py
@@ -32,17 +32,29 @@
 
 
 class VersionHistory:
-    """The recorded versions of all services.
+    """The versions of all services that were recorded when the store's table was read last.
 
-    Invariant: a version that is recorded counts until its record is replaced.
+    They tell of the time before this instance started; what it has followed since, it knows itself.
     """
 
     def __init__(self, instance: str) -> None:
         self._instance = instance
+        # Whether the table was read since the start, or since the last time it was forgotten.
+        self.is_known = False
         self._recorded: dict[str, frozenset[str]] = {}
         # Since when a version of a service has been missing from its record.
         self._missing_since: dict[tuple[str, str], float] = {}
 
+    def record_table(self, records: Mapping[str, VersionRecord]) -> None:
+        """Record all that the store holds, by service."""
+        self._recorded = {name: frozenset(record.versions) for name, record in records.items()}
+        self.is_known = True
+
+    def forget(self) -> None:
+        """Forget what the store holds: a version may have come and gone since it was read."""
+        self._recorded = {}
+        self.is_known = False
+
     def record_row(self, service: str, record: VersionRecord | None) -> None:
         """Record what the store holds of a service; None if it holds nothing."""
         if record is None:
@@ -50,16 +62,21 @@
         else:
             self._recorded[service] = frozenset(record.versions)
 
-    def find_only_version(self, service: str, seen: Collection[str]) -> str | None:
+    def find_only_version(
+        self, service: str, seen: Collection[str], has_followed: bool
+    ) -> str | None:
         """Return the version that alone may have begun a stream; None if that is not known.
 
-        `seen` are the versions that this instance knows of the last `STREAM_RETENTION_S`.
+        `seen` are the versions that this instance knows of the last `STREAM_RETENTION_S`, and
+        `has_followed` is whether it has followed all registrations in that time.
         """
-        recorded = self._recorded.get(service)
-        if recorded is None:
-            return None
-        versions = recorded.union(seen)
-        return next(iter(versions)) if len(versions) == 1 else None
+        versions = set(seen)
+        if not has_followed:
+            recorded = self._recorded.get(service)
+            if recorded is None:
+                return None
+            versions |= recorded
+        return versions.pop() if len(versions) == 1 else None
 
     def list_missing(
         self, registered: Mapping[str, Collection[str]], instances: Collection[str], now: float
--- a/rhubarbbend/gateway/_follower.py
+++ b/rhubarbbend/gateway/_follower.py
@@ -20,13 +20,7 @@
 from rhubarbbend.gateway._peer_updates import PeerUpdate
 from rhubarbbend.gateway._peers import ChangesReply, PeerClient, ReaderCursor
 from rhubarbbend.gateway._settings import Address
-from rhubarbbend.gateway._state import (
-    INSTANCE_TABLE,
-    ROLLOUT_TABLE,
-    VERSION_TABLE,
-    State,
-    read_clock,
-)
+from rhubarbbend.gateway._state import INSTANCE_TABLE, ROLLOUT_TABLE, State, read_clock
 from rhubarbbend.gateway._state_updater import StateUpdater
 from rhubarbbend.gateway._store_availability import StoreAvailabilityTracker
 from rhubarbbend.storage import HistoryCompacted, RowStore, StoreError
@@ -57,11 +51,9 @@
 # reader that hangs is detected within 0.8 s. A target's load report takes half of this time to
 # reach the reader, and half to reach the other instances.
 LONG_POLL_S: Final = 0.4
-# How long a call waits for changes of tables that need not be up to date at once. The instances
-# also tell one another of roll-outs, and the record of a version only matters to those that start.
-# So the calls need not be frequent enough to show that the connection still works.
-SLOW_WATCH_TIMEOUT_S: Final = 25.0
-SLOWLY_WATCHED_TABLES: Final = frozenset({ROLLOUT_TABLE, VERSION_TABLE})
+# How long a call waits for changes of the records of roll-outs. The instances also tell one another
+# of these, so the calls need not be frequent enough to show that the connection still works.
+ROLLOUT_WATCH_TIMEOUT_S: Final = 25.0
 # How often an instance that reads the store itself checks whether it should wait at a reader.
 READER_CHECK_INTERVAL_S: Final = 0.5
 
@@ -117,7 +109,6 @@
         for table in self._tables:
             run(partial(self._follow_table, table))
         run(self._follow_rollouts)
-        run(partial(self._follow_table, VERSION_TABLE))
         run(partial(self.instance_list.follow, self._reads_directly))
         run(self._follow_reader)
         run(self._relay_load_reports)
@@ -212,8 +203,8 @@
         timeouts = self._state.replication_timeouts
         if self._store_availability.lost_at is not None:
             return 0.0
-        if table in SLOWLY_WATCHED_TABLES:
-            return SLOW_WATCH_TIMEOUT_S
+        if table == ROLLOUT_TABLE:
+            return ROLLOUT_WATCH_TIMEOUT_S
         if table != self._state.config_table:
             return timeouts.watch_timeout_s
             # An instance that does not know yet whether others wait at it uses the short time-out
--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -275,6 +275,7 @@
         self._peer_pool.close_all_idle()
         self._follower.refresh()
         self.state.registry.record_gap(now)
+        self.state.version_history.forget()
         self._spawn(self._fetch_crashes())
 
     async def _fetch_crashes(self, peer: Address | None = None) -> None:
--- a/rhubarbbend/gateway/_peers.py
+++ b/rhubarbbend/gateway/_peers.py
@@ -22,7 +22,7 @@
 from rhubarbbend.gateway._detour_messages import is_detour
 from rhubarbbend.gateway._peer_updates import PeerUpdate, apply_crash_findings, make_crash_update
 from rhubarbbend.gateway._settings import Address
-from rhubarbbend.gateway._state import ROLLOUT_TABLE, VERSION_TABLE, State, read_clock
+from rhubarbbend.gateway._state import ROLLOUT_TABLE, State, read_clock
 from rhubarbbend.http import ConnectionPool, Exchange, HttpFailure, InputTimeout, Response, fetch
 
 CHANGES_PATH: Final = "/peer/changes"
@@ -161,9 +161,7 @@
         # A sender that lacks a table has no use for the staleness yet, only for the table as soon
         # as it is available.
         lacks_table = any(
-            position < 0
-            for name, position in query.positions.items()
-            if name not in (ROLLOUT_TABLE, VERSION_TABLE)
+            position < 0 for name, position in query.positions.items() if name != ROLLOUT_TABLE
         )
         while not exchange.closed.is_set():
             now = read_clock()
--- a/rhubarbbend/gateway/_state.py
+++ b/rhubarbbend/gateway/_state.py
@@ -51,8 +51,6 @@
 ROLLOUT_TABLE: Final = "rollouts"
 # The table in which instances record the versions of each service (`core/streams`).
 VERSION_TABLE: Final = "versions"
-# Tables that an instance can serve callers without.
-OPTIONAL_TABLES: Final = frozenset({INSTANCE_TABLE, ROLLOUT_TABLE, VERSION_TABLE})
 # Instances try a refused part again at times that differ by up to so much; a crash is known to all
 # within some ms.
 MAX_STAGGER_S: Final = 15.0
@@ -73,7 +71,7 @@
         # The bytes that are held for callers and for other instances.
         self.memory = MemoryLedger(settings.memory, read_resident_size)
         self.random = random.Random()
-        self.mirror = Mirror((*tables, ROLLOUT_TABLE, VERSION_TABLE, INSTANCE_TABLE))
+        self.mirror = Mirror((*tables, ROLLOUT_TABLE, INSTANCE_TABLE))
         self.config_table = tables[0]
         self.catalog: Catalog | None = None
         self.replication_timeouts = derive_replication_timeouts(settings)
@@ -157,7 +155,8 @@
         that was rolled back may still have targets.
         """
         tables = self.mirror.tables
-        known = all(table.known for name, table in tables.items() if name not in OPTIONAL_TABLES)
+        optional = {INSTANCE_TABLE, ROLLOUT_TABLE}
+        known = all(table.known for name, table in tables.items() if name not in optional)
         needs_records = self.rollout_ordered.is_set() and not self.became_ready.is_set()
         has_records = tables[ROLLOUT_TABLE].known or not needs_records
         return self.catalog is not None and known and has_records
@@ -227,11 +226,6 @@
         """Return how many seconds ago the data was last known to match the store."""
         return now - self.up_to_date_at
 
-    @property
-    def is_caught_up(self) -> bool:
-        """Whether the data has matched the store since the start, and since the last pause."""
-        return not math.isinf(self.up_to_date_at)
-
     def get_logged_staleness(self, now: float) -> float | None:
         """Return the staleness for log lines; None if no data was ever read."""
         return None if math.isinf(self.up_to_date_at) else round(self.compute_staleness(now), 3)
--- a/rhubarbbend/gateway/_state_updater.py
+++ b/rhubarbbend/gateway/_state_updater.py
@@ -27,14 +27,7 @@
     TargetUnregistered,
     ZoneServiceChanged,
 )
-from rhubarbbend.gateway._state import (
-    INSTANCE_TABLE,
-    ROLLOUT_TABLE,
-    VERSION_TABLE,
-    State,
-    read_clock,
-)
-from rhubarbbend.gateway._version_recorder import decode_record
+from rhubarbbend.gateway._state import INSTANCE_TABLE, ROLLOUT_TABLE, State, read_clock
 
 
 class StateUpdater:
@@ -56,8 +49,7 @@
                     # The mirror holds the whole page, so the other rows would never be applied.
                     self._state.report_internal_error(f"{table}/{change.key}", error)
         tables = self._state.mirror.tables
-        unneeded = {ROLLOUT_TABLE, VERSION_TABLE}
-        if all(table.known for name, table in tables.items() if name not in unneeded):
+        if all(table.known for name, table in tables.items() if name != ROLLOUT_TABLE):
             self._state.registry.mark_initial_read_complete(read_clock())
         if self._state.has_config_and_targets:
             self._state.became_ready.set()
@@ -70,8 +62,6 @@
             self._apply_instance_row(change)
         elif table == ROLLOUT_TABLE:
             self._apply_rollout_row(change, source)
-        elif table == VERSION_TABLE:
-            self._apply_version_row(change)
         else:
             for decoded in self._decoder.decode(table, [change]):
                 self._apply(decoded, source)
@@ -110,15 +100,6 @@
             source=source,
         )
 
-    def _apply_version_row(self, change: RowChange) -> None:
-        try:
-            record = decode_record(change.value)
-        except msgspec.MsgspecError as error:
-            # Without a readable record, no version counts as the only one.
-            self._log("row_unreadable", row=change.key, reason=str(error))
-            record = None
-        self._state.version_history.record_row(change.key, record)
-
     def _apply_rollout_order(self, change: RolloutOrdered, source: str, now: float) -> None:
         order = change.order
         self._state.rollouts.record_order(
--- a/rhubarbbend/gateway/_stream_origins.py
+++ b/rhubarbbend/gateway/_stream_origins.py
@@ -159,13 +159,12 @@
         """Return the version of a service that alone can have begun any stream, if that is known.
 
         The records of the store tell of the time before this instance started, and the
-        registrations that it has followed since. Both may lack a version that came while the
-        process was paused, until they are read again.
+        registrations that it has followed since.
         """
-        if not self._state.is_caught_up:
-            return None
-        seen = self._state.registry.list_versions_since(service, STREAM_RETENTION_S, now)
-        return self._state.version_history.find_only_version(service, seen)
+        registry = self._state.registry
+        seen = registry.list_versions_since(service, STREAM_RETENTION_S, now)
+        has_followed = registry.has_followed(STREAM_RETENTION_S, now)
+        return self._state.version_history.find_only_version(service, seen, has_followed)
 
     async def _ask_keepers(self, key: int) -> tuple[int | None, str]:
         """Return the first origin that a keeper knows and the keeper, after all have replied."""
--- a/rhubarbbend/gateway/_version_recorder.py
+++ b/rhubarbbend/gateway/_version_recorder.py
@@ -43,12 +43,32 @@
     async def run(self) -> None:
         """Record versions that have registered and remove those that expired, until cancelled."""
         while True:
+            if not self._state.version_history.is_known:
+                await self._read_table()
             await self._state.changed.wait(CHECK_INTERVAL_S)
-            if self._state.stopping or not self._state.mirror.tables[VERSION_TABLE].known:
+            if self._state.stopping or not self._state.version_history.is_known:
                 continue
             await self._record_missing(read_clock())
             await self._remove_expired(read_clock())
 
+    async def _read_table(self) -> None:
+        try:
+            page = await self._store.read_table(VERSION_TABLE)
+        except StoreError as error:
+            self._log("versions_not_read", reason=str(error))
+            return
+        records: dict[str, VersionRecord] = {}
+        for row in page.rows:
+            try:
+                record = decode_record(row.value)
+            except msgspec.MsgspecError as error:
+                # Without a readable record, no version of the service counts as the only one.
+                self._log("row_unreadable", row=row.key, reason=str(error))
+                continue
+            if record is not None:
+                records[row.key] = record
+        self._state.version_history.record_table(records)
+
     async def _record_missing(self, now: float) -> None:
         registry, history = self._state.registry, self._state.version_history
         registered = registry.list_versions()
@@ -61,7 +81,7 @@
 
     async def _remove_expired(self, now: float) -> None:
         registry, history = self._state.registry, self._state.version_history
-        if not registry.has_followed(STREAM_RETENTION_S, now) or not self._state.is_caught_up:
+        if not registry.has_followed(STREAM_RETENTION_S, now):
             return
         for service in registry.list_versions():
             seen = registry.list_versions_since(service, STREAM_RETENTION_S, now)
