--- a/rhubarbbend/gateway/_stream_origins.py
+++ b/rhubarbbend/gateway/_stream_origins.py
@@ -29,11 +29,13 @@
 from rhubarbbend.gateway._peers import STREAMS_PATH, PeerClient
 from rhubarbbend.gateway._requests import OpenRequest
 from rhubarbbend.gateway._settings import Address
-from rhubarbbend.gateway._state import Clock, State
+from rhubarbbend.gateway._state import INSTANCE_TABLE, Clock, State
 
 # How an origin came to be known, in the log.
 SOURCE_OWN: Final = "own"
 SOURCE_ONLY_VERSION: Final = "only version"
+# An instance may be ready before it has read who the other instances are, which takes some ms more.
+START_WAIT_S: Final = 0.8
 
 
 class StreamNotice(msgspec.Struct, frozen=True, array_like=True):
@@ -146,6 +148,7 @@
             own = self._ledger.find(key, self._clock())
             if own is not None:
                 return own, SOURCE_OWN
+            await self._wait_for_list()
             asked, keeper = await self._ask_keepers(key)
             if asked is not None:
                 return asked, keeper
@@ -166,6 +169,15 @@
         has_followed = registry.has_followed(STREAM_RETENTION_S, now)
         return self._state.version_history.find_only_version(service, seen, has_followed)
 
+    async def _wait_for_list(self) -> None:
+        """Wait until the other instances are known, shortly after the start."""
+        ends_at = self._state.started_at + START_WAIT_S
+        while not self._state.mirror.tables[INSTANCE_TABLE].known:
+            now = self._clock()
+            if now >= ends_at:
+                return
+            await self._state.changed.wait(ends_at - now)
+
     async def _ask_keepers(self, key: int) -> tuple[int | None, str]:
         """Return the first origin that a keeper knows and the keeper, after all have replied."""
         query = msgspec.msgpack.encode(StreamQuery(key))
