--- a/rhubarbbend/core/placement/_connection_limits.py
+++ b/rhubarbbend/core/placement/_connection_limits.py
@@ -190,6 +190,7 @@
 
         A command that is lost with a connection cannot be sent again, so it needs that at all
         targets of a service once one of them was full: they are full at nearly the same time.
+        Shortly after the start, any target may be full.
         """
         if now - self._started_at < START_CHECK_S:
             return True
--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -120,8 +120,6 @@
         )
         self._monitor = ProcessMonitor(self.state, read_clock)
         self._caller_server.on_connection_end = self._monitor.handle_connection_end
-        # The servers of readiness and metrics, which would otherwise be garbage.
-        self._servers: list[HttpServer] = []
         self._peer_http: HttpServer | None = None
         self._stop_requested = asyncio.Event()
         self.state.on_catalog_applied = self._apply_limits
@@ -214,9 +212,7 @@
     async def _serve_on(
         self, use: str, address: Address, handler: Callable[[Exchange], Coroutine[Any, Any, None]]
     ) -> None:
-        server = HttpServer(handler)
-        self._servers.append(server)
-        await self._start_listening(use, partial(server.listen, *address))
+        await self._start_listening(use, partial(HttpServer(handler).listen, *address))
 
     async def _listen_for_callers(self) -> None:
         if self._listener is None:
--- a/rhubarbbend/gateway/_version_recorder.py
+++ b/rhubarbbend/gateway/_version_recorder.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from functools import partial
 from typing import Any, Final
@@ -22,8 +23,10 @@
 from rhubarbbend.gateway._state import VERSION_TABLE, State, read_clock
 from rhubarbbend.storage import RowPut, RowStore, RowVersion, StoreError
 
-# How often expired versions are looked for, and how long a failed write is not tried again.
+# How often expired versions are looked for.
 CHECK_INTERVAL_S: Final = 1.0
+# After a call that failed, the store is left alone for this long.
+BACKOFF_S: Final = 1.0
 
 # Returns the new record of a service, given the present one.
 RecordUpdate = Callable[[VersionRecord | None], VersionRecord | None]
@@ -39,15 +42,19 @@
     def __init__(self, state: State, store: RowStore) -> None:
         self._state = state
         self._store = store
+        self._retry_at = -math.inf
 
     async def run(self) -> None:
-        """Record versions that have registered and remove those that expired, until cancelled."""
-        while True:
-            if not self._state.version_history.is_known:
-                await self._read_table()
+        """Record versions that have registered and remove those that expired, until the stop."""
+        while not self._state.stopping:
+            if read_clock() >= self._retry_at:
+                await self._update_all()
             await self._state.changed.wait(CHECK_INTERVAL_S)
-            if self._state.stopping or not self._state.version_history.is_known:
-                continue
+
+    async def _update_all(self) -> None:
+        if not self._state.version_history.is_known:
+            await self._read_table()
+        if self._state.version_history.is_known:
             await self._record_missing(read_clock())
             await self._remove_expired(read_clock())
 
@@ -55,6 +62,7 @@
         try:
             page = await self._store.read_table(VERSION_TABLE)
         except StoreError as error:
+            self._retry_at = read_clock() + BACKOFF_S
             self._log("versions_not_read", reason=str(error))
             return
         records: dict[str, VersionRecord] = {}
@@ -102,6 +110,7 @@
                 )
                 self._log("versions_recorded", service=service, versions=list(after.versions))
         except (StoreError, msgspec.MsgspecError) as error:
+            self._retry_at = read_clock() + BACKOFF_S
             self._log("versions_not_recorded", service=service, reason=str(error))
         else:
             self._state.version_history.record_row(service, after)
