--- a/rhubarbbend/gateway/_answer_forwarder.py
+++ b/rhubarbbend/gateway/_answer_forwarder.py
@@ -145,6 +145,7 @@
             request.answer = answer
             request.progress.started = True
             request.exchange.start_raw(answer.status, answer.headers)
+        relay.flush()
         request.exchange.finish()
         return AttemptOutcome.ANSWERED
 
--- a/rhubarbbend/gateway/_streams.py
+++ b/rhubarbbend/gateway/_streams.py
@@ -14,6 +14,9 @@
 
 # Data that contains no end of an event within this size is not an event stream.
 MAX_EVENT_BYTES: Final = 1_048_576
+# Line ends between two events are no event themselves. More of them than this are no event stream.
+MAX_BLANK_BYTES: Final = 1_024
+LINE_ENDS: Final = b"\r\n"
 # Incomplete events up to this size are not counted as held: most are parts of one packet.
 UNCOUNTED_EVENT_BYTES: Final = 4_096
 ID_FIELD: Final = b"id:"
@@ -76,14 +79,14 @@
         searched = len(self._buffer)
         self._buffer += data
         end = _find_end_of_events(self._buffer, searched)
-        if end < 0:
+        if end < 0 or not self._buffer[:end].strip(LINE_ENDS):
             self._check_incomplete(len(data))
             return
         self._trickle.reset()
         events = bytes(self._buffer[:end])
         del self._buffer[:end]
         self._count_incomplete()
-        self.event_count += events.count(b"\n\n")
+        self.event_count += events.lstrip(LINE_ENDS).count(b"\n\n")
         if not self.has_received_event:
             self.has_received_event = True
             self._on_first_event()
@@ -101,6 +104,12 @@
         """Return whether the body received so far ends at the end of an event."""
         return not self._buffer.strip()
 
+    def flush(self) -> None:
+        """Forward the line ends after the last event, since a body is passed on unchanged."""
+        if self._buffer and not self._is_resumed:
+            self._exchange.write(bytes(self._buffer))
+        self._buffer.clear()
+
     def is_write_buffer_full(self) -> bool:
         """Return whether the caller reads more slowly than events arrive."""
         return self._exchange.is_write_buffer_full()
@@ -114,7 +123,9 @@
         size = len(self._buffer)
         now = asyncio.get_running_loop().time()
         continues = size > received
-        is_endless = self._trickle.record(now, received, continues) or size > MAX_EVENT_BYTES
+        is_blank = size > MAX_BLANK_BYTES and not self._buffer.strip(LINE_ENDS)
+        is_too_long = size > MAX_EVENT_BYTES or is_blank
+        is_endless = self._trickle.record(now, received, continues) or is_too_long
         if is_endless:
             self._buffer.clear()
         self._count_incomplete()
