Load tool: instances are told that the whole system starts for the first time

Settings of the platform say so (bootstrap); without it an instance takes the versions of before for unknown, so two tests in which callers take a stream up by its last event alone, test_a_caller_that_resumes_a_stream_itself_gets_the_rest and test_stream_that_is_taken_up_after_its_last_event_is_whole, got 503 since the versions are recorded. The test of an instance that finds no record says that it is not the first start.

--- a/loadtool/_gateway_config.py
+++ b/loadtool/_gateway_config.py
@@ -83,5 +83,7 @@
         "limits": {"maxFds": 1_024},
         "bounds": {**BOUNDS, **(ROLLOUT_BOUNDS if has_rollouts else {})},
         "platform": {"address": store},
+        # A run starts the whole system for the first time.
+        "bootstrap": True,
         "aFieldNobodyKnows": {"of": "the future"},
     }
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -354,8 +354,8 @@
     run(work)
 
 
-# The settings of instances of a system that starts for the first time.
-FIRST_START: Final = {"bootstrap": True}
+# The settings of instances of a system that has served before.
+NOT_FIRST_START: Final = {"bootstrap": False}
 
 
 async def kill_instances(fleet: GatewayFleet) -> None:
@@ -389,7 +389,6 @@
             instances=4,
             plain_worker_count=0,
             has_rollouts=False,
-            settings_changes=FIRST_START,
         ) as fleet:
             await fleet.set_default_worker_faults(events=EVENTS, event_gap=EVENT_GAP_S)
             await asyncio.sleep(SETTLE_S)
@@ -420,7 +419,6 @@
             instances=4,
             plain_worker_count=0,
             has_rollouts=False,
-            settings_changes=FIRST_START,
         ) as fleet:
             await fleet.set_default_worker_faults(events=EVENTS, event_gap=EVENT_GAP_S)
             await asyncio.sleep(SETTLE_S)
@@ -440,7 +438,11 @@
 def test_stream_that_nobody_knows_is_refused_by_an_instance_that_started(tmp_path: Path) -> None:
     async def work() -> None:
         async with start_fleet(
-            tmp_path, instances=1, plain_worker_count=0, has_rollouts=False
+            tmp_path,
+            instances=1,
+            plain_worker_count=0,
+            has_rollouts=False,
+            settings_changes=NOT_FIRST_START,
         ) as fleet:
             await asyncio.sleep(SETTLE_S)
             for reply in (
