--- a/rhubarbbend/core/streams/_version_history.py
+++ b/rhubarbbend/core/streams/_version_history.py
@@ -63,19 +63,20 @@
             self._recorded[service] = frozenset(record.versions)
 
     def find_only_version(
-        self, service: str, seen: Collection[str], has_followed: bool
+        self, service: str, seen: Collection[str], has_followed: bool, is_first_start: bool
     ) -> str | None:
         """Return the version that alone may have begun a stream; None if that is not known.
 
         `seen` are the versions that this instance knows of the last `STREAM_RETENTION_S`, and
-        `has_followed` is whether it has followed all registrations in that time.
+        `has_followed` is whether it has followed all registrations in that time. If the whole
+        system starts for the first time, nothing served before a service's record began.
         """
+        if not has_followed and not self.is_known:
+            return None
         versions = set(seen)
         if not has_followed:
-            recorded = self._recorded.get(service)
-            if recorded is None:
-                return None
-            versions |= recorded
+            before = frozenset() if is_first_start else frozenset({UNKNOWN_VERSION})
+            versions |= self._recorded.get(service, before)
         return versions.pop() if len(versions) == 1 else None
 
     def list_missing(
--- a/rhubarbbend/gateway/_stream_origins.py
+++ b/rhubarbbend/gateway/_stream_origins.py
@@ -34,7 +34,8 @@
 # How an origin came to be known, in the log.
 SOURCE_OWN: Final = "own"
 SOURCE_ONLY_VERSION: Final = "only version"
-# An instance may be ready before it has read who the other instances are, which takes some ms more.
+# An instance may be ready before it has read who the other instances are and which versions served,
+# which takes some ms more.
 START_WAIT_S: Final = 0.8
 
 
@@ -143,12 +144,12 @@
         Of one that is not named or that nobody knows, as after the loss of all instances, it is
         known at best that one version alone can have begun it.
         """
+        await self._wait_for_start()
         if request.caller.resumes:
             key = _make_key(request)
             own = self._ledger.find(key, self._clock())
             if own is not None:
                 return own, SOURCE_OWN
-            await self._wait_for_list()
             asked, keeper = await self._ask_keepers(key)
             if asked is not None:
                 return asked, keeper
@@ -167,17 +168,23 @@
         registry = self._state.registry
         seen = registry.list_versions_since(service, STREAM_RETENTION_S, now)
         has_followed = registry.has_followed(STREAM_RETENTION_S, now)
-        return self._state.version_history.find_only_version(service, seen, has_followed)
+        return self._state.version_history.find_only_version(
+            service, seen, has_followed, self._state.settings.is_first_start
+        )
 
-    async def _wait_for_list(self) -> None:
-        """Wait until the other instances are known, shortly after the start."""
+    async def _wait_for_start(self) -> None:
+        """Wait until other instances and recorded versions are known, shortly after the start."""
         ends_at = self._state.started_at + START_WAIT_S
-        while not self._state.mirror.tables[INSTANCE_TABLE].known:
+        while not self._knows_others():
             now = self._clock()
             if now >= ends_at:
                 return
             await self._state.changed.wait(ends_at - now)
 
+    def _knows_others(self) -> bool:
+        is_listed = self._state.mirror.tables[INSTANCE_TABLE].known
+        return is_listed and self._state.version_history.is_known
+
     async def _ask_keepers(self, key: int) -> tuple[int | None, str]:
         """Return the first origin that a keeper knows and the keeper, after all have replied."""
         query = msgspec.msgpack.encode(StreamQuery(key))
--- a/rhubarbbend/gateway/_version_recorder.py
+++ b/rhubarbbend/gateway/_version_recorder.py
@@ -15,6 +15,7 @@
 
 from rhubarbbend.core.streams import (
     STREAM_RETENTION_S,
+    UNKNOWN_VERSION,
     VersionRecord,
     extend_record,
     reduce_record,
@@ -72,10 +73,11 @@
             except msgspec.MsgspecError as error:
                 # Without a readable record, no version of the service counts as the only one.
                 self._log("row_unreadable", row=row.key, reason=str(error))
-                continue
+                record = VersionRecord((UNKNOWN_VERSION,))
             if record is not None:
                 records[row.key] = record
         self._state.version_history.record_table(records)
+        self._state.changed.notify_all()
 
     async def _record_missing(self, now: float) -> None:
         registry, history = self._state.registry, self._state.version_history
