--- a/loadtool/_soak_returns.py
+++ b/loadtool/_soak_returns.py
@@ -9,7 +9,7 @@
 import random
 from typing import Final
 
-from loadtool._soak_checks import RunRecord
+from loadtool._soak_checks import RequestOutcome, RunRecord
 from loadtool._soak_schedule import ScheduledSoakFault, SoakFault, SoakLayout
 
 # When all are lost, as a fraction of the run, so that enough of it is left after the return.
@@ -53,7 +53,7 @@
     lost_at = min(kill.at for kill in kills)
     recovered_at = max(kill.until for kill in kills) + RECOVERY_S
     before, after = [], []
-    for outcome in record.outcomes:
+    for outcome in _list_awaited(record):
         at = outcome.sent_at - record.started
         is_served = outcome.status == 200 and outcome.complete
         if at < lost_at:
@@ -70,6 +70,11 @@
     ]
 
 
+def _list_awaited(record: RunRecord) -> list[RequestOutcome]:
+    """Return the requests whose callers waited for the whole answer."""
+    return [outcome for outcome in record.outcomes if not outcome.was_left]
+
+
 def describe_return(record: RunRecord, losses: list[ScheduledSoakFault]) -> str:
     """Return the share of requests served in each second after the first loss as a line."""
     lost_at = int(losses[0].at)
@@ -77,7 +82,7 @@
     for second in range(lost_at, lost_at + int(RECOVERY_S) + 4):
         served = [
             outcome.status == 200 and outcome.complete
-            for outcome in record.outcomes
+            for outcome in _list_awaited(record)
             if int(outcome.sent_at - record.started) == second
         ]
         shares.append(f"{sum(served) / len(served):.2f}" if served else "-")
--- a/rhubarbbend/codes.py
+++ b/rhubarbbend/codes.py
@@ -248,6 +248,9 @@
     "streams.no_room", "such streams refused because no target of their version could take them"
 )
 STREAMS_TOLD: Final = _declare_counter("streams.told", "notices of new streams to their keepers")
+ORIGINS_WRITTEN: Final = _declare_counter(
+    "streams.origins_written", "writes of the origins of streams into the store"
+)
 STREAMS_ASKED: Final = _declare_counter("streams.asked", "queries for the version of a stream")
 WRONG_ID: Final = _declare_counter("wrong_id", "answers dropped: they carried another request's id")
 
--- a/rhubarbbend/core/streams/__init__.py
+++ b/rhubarbbend/core/streams/__init__.py
@@ -3,15 +3,23 @@
 What two versions write does not fit together, so a stream goes on only at the version that began
 it. The instance that passes on its first event tells a few others, its keepers, which every
 instance computes from the id of the caller's attempt; whoever gets the resumption asks them. Of a
-stream that none of them knows, the store tells whether one version alone can have begun it.
+stream that none of them knows, the store tells whether one version alone can have begun it. While
+several versions serve, it also keeps which of them began each stream of the last seconds.
 """
 
 from rhubarbbend.core.streams._keepers import list_keepers, select_told
 from rhubarbbend.core.streams._ledger import (
+    USUAL_STREAM_AGE_S,
     StreamLedger,
     compute_origin,
     make_stream_key,
 )
+from rhubarbbend.core.streams._origin_batch import (
+    OriginBatch,
+    StreamOrigin,
+    compute_write_interval,
+    have_several,
+)
 from rhubarbbend.core.streams._version_history import (
     STREAM_RETENTION_S,
     UNKNOWN_VERSION,
@@ -24,11 +32,16 @@
 __all__ = [
     "STREAM_RETENTION_S",
     "UNKNOWN_VERSION",
+    "USUAL_STREAM_AGE_S",
+    "OriginBatch",
     "StreamLedger",
+    "StreamOrigin",
     "VersionHistory",
     "VersionRecord",
     "compute_origin",
+    "compute_write_interval",
     "extend_record",
+    "have_several",
     "list_keepers",
     "make_stream_key",
     "reduce_record",
--- a/rhubarbbend/core/streams/_version_history.py
+++ b/rhubarbbend/core/streams/_version_history.py
@@ -50,6 +50,10 @@
         self._recorded = {name: frozenset(record.versions) for name, record in records.items()}
         self.is_known = True
 
+    def list_recorded(self) -> list[frozenset[str]]:
+        """Return the recorded versions of each service."""
+        return list(self._recorded.values())
+
     def forget(self) -> None:
         """Forget what the store holds: a version may have come and gone since it was read."""
         self._recorded = {}
--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -31,6 +31,7 @@
 from rhubarbbend.gateway._in_flight_protocol import InFlightProtocol
 from rhubarbbend.gateway._interfaces import Adapter
 from rhubarbbend.gateway._metrics import CONTENT_TYPE
+from rhubarbbend.gateway._origin_store import OriginStore
 from rhubarbbend.gateway._pause_detector import detect_pauses
 from rhubarbbend.gateway._peers import PeerClient, PeerServer
 from rhubarbbend.gateway._process_monitor import ProcessMonitor
@@ -100,6 +101,7 @@
         self._peers = PeerClient(self.state, self._peer_pool, selector)
         self._peer_server = PeerServer(self.state)
         gate = self._set_up_crash_detection(attempts)
+        self._origin_store = OriginStore(self.state, adapter.store)
         origins = self._set_up_streams(attempts)
         admission = AdmissionGate(self.state, read_clock)
         parts = (
@@ -164,6 +166,9 @@
         origins = StreamOrigins(self.state, self._peers, read_clock)
         attempts.forwarder.on_stream_begun.append(origins.record_begun)
         self._peer_server.on_stream_query = origins.serve
+        origins.on_begun = self._origin_store.record
+        origins.is_loaded = lambda: self._origin_store.is_loaded
+        self._origin_store.on_loaded = origins.record_stored
         return origins
 
     async def run(self) -> None:
@@ -182,6 +187,7 @@
             *self._broadcaster.list_loops(),
             self._run_rollouts,
             VersionRecorder(self.state, self._adapter.store).run,
+            self._origin_store.run,
         )
         for loop in loops:
             self._background.spawn_loop(loop)
--- a/rhubarbbend/gateway/_stream_origins.py
+++ b/rhubarbbend/gateway/_stream_origins.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import zlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 import msgspec
@@ -20,6 +20,7 @@
 from rhubarbbend.core.streams import (
     STREAM_RETENTION_S,
     StreamLedger,
+    StreamOrigin,
     compute_origin,
     list_keepers,
     make_stream_key,
@@ -72,6 +73,10 @@
         self._ledger = StreamLedger()
         # Sends a datagram to another instance; set by the instance.
         self.send_notice: Callable[[bytes, Address], None] = lambda data, address: None
+        # Called with the hashes of each stream that begins and its origin; set by the instance.
+        self.on_begun: Callable[[int, int], None] = lambda stream, origin: None
+        # Whether the origins that the store holds were read; set by the instance.
+        self.is_loaded: Callable[[], bool] = lambda: True
 
     # Streams that begin.
 
@@ -86,6 +91,7 @@
             return
         key = _make_key(request)
         self._ledger.record(key, request.origin, self._clock())
+        self.on_begun(key, request.origin)
         own = self._state.settings
         notice = StreamNotice(_hash_name(own.instance), key, request.origin)
         data = msgspec.msgpack.encode(notice)
@@ -108,6 +114,11 @@
         else:
             self._state.metrics.increment_counter(codes.PEER_COUNTS_REJECTED)
 
+    def record_stored(self, origins: Iterable[StreamOrigin]) -> None:
+        """Record what the store held at the start of this instance."""
+        for entry in origins:
+            self._ledger.record(entry.stream, entry.origin, self._clock())
+
     def serve(self, body: bytes) -> bytes:
         """Answer another instance's query; raise `MsgspecError` if it is invalid."""
         query = decode_msgpack(body, type=StreamQuery)
@@ -183,7 +194,7 @@
 
     def _knows_others(self) -> bool:
         is_listed = self._state.mirror.tables[INSTANCE_TABLE].known
-        return is_listed and self._state.version_history.is_known
+        return is_listed and self._state.version_history.is_known and self.is_loaded()
 
     async def _ask_keepers(self, key: int) -> tuple[int | None, str]:
         """Return the first origin that a keeper knows and the keeper, after all have replied."""
