--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -5,7 +5,7 @@
 import asyncio
 import os
 import signal
-from collections.abc import Callable, Coroutine
+from collections.abc import Coroutine
 from functools import partial
 from socket import socket
 from typing import Any, Final
@@ -26,11 +26,11 @@
 from rhubarbbend.gateway._crash_trials import TrialClient
 from rhubarbbend.gateway._detour_server import DetourServer
 from rhubarbbend.gateway._detours import DetourClient
+from rhubarbbend.gateway._endpoints import Endpoints
 from rhubarbbend.gateway._event_log import EventLog
 from rhubarbbend.gateway._follower import StateFollower
 from rhubarbbend.gateway._in_flight_protocol import InFlightProtocol
 from rhubarbbend.gateway._interfaces import Adapter
-from rhubarbbend.gateway._metrics import CONTENT_TYPE
 from rhubarbbend.gateway._origin_store import OriginStore
 from rhubarbbend.gateway._pause_detector import detect_pauses
 from rhubarbbend.gateway._peers import PeerClient, PeerServer
@@ -50,8 +50,7 @@
 from rhubarbbend.gateway._target_prober import TargetProber
 from rhubarbbend.gateway._update_broadcaster import UpdateBroadcaster
 from rhubarbbend.gateway._version_recorder import VersionRecorder
-from rhubarbbend.http import ConnectionPool, Exchange, HttpServer
-from rhubarbbend.listening import Listen, start_listening
+from rhubarbbend.http import ConnectionPool, HttpServer
 from rhubarbbend.stop_signals import STOP_SIGNALS, ignore_late_stop, release_reloads
 
 # Maximum time for which an idle connection to a target or another instance is kept.
@@ -96,17 +95,17 @@
         self._peer_pool = ConnectionPool(TARGET_IDLE_TIMEOUT_S)
         attempts = AttemptRunner(self.state, self._pool, adapter.targets, read_clock)
         detours = self._make_detour_client(attempts)
-        prober = TargetProber(self.state, self._pool, read_clock)
         selector = ReaderSelector(settings.instance, settings.zone)
         self._peers = PeerClient(self.state, self._peer_pool, selector)
         self._peer_server = PeerServer(self.state)
         gate = self._set_up_crash_detection(attempts)
+        self._in_flight_protocol = InFlightProtocol(self.state, selector)
         self._origin_store = OriginStore(self.state, adapter.store)
         origins = self._set_up_streams(attempts)
-        admission = AdmissionGate(self.state, read_clock)
         parts = (
-            *(self.state, adapter.callers, attempts, detours, prober),
-            *(gate, origins, admission, read_clock),
+            *(self.state, adapter.callers, attempts, detours),
+            *(TargetProber(self.state, self._pool, read_clock), gate, origins),
+            *(AdmissionGate(self.state, read_clock), read_clock),
         )
         self._requests = RequestServer(*parts)
         self._detours_served = DetourServer(*parts)
@@ -114,20 +113,25 @@
             self.state, adapter.store, adapter.decoder, self._peers, selector
         )
         self._peer_server.serve_detour = self._detours_served.serve
-        self._in_flight_protocol = InFlightProtocol(self.state, selector)
-        self._in_flight_protocol.on_notice = origins.handle_notice
-        origins.send_notice = self._in_flight_protocol.send_notice
-        self._caller_server = HttpServer(
-            self._requests.serve, ledger=self.state.memory, answers_refusals=True
-        )
         self._monitor = ProcessMonitor(self.state, read_clock)
-        self._caller_server.on_connection_end = self._monitor.handle_connection_end
-        self._peer_http: HttpServer | None = None
+        self._caller_server, self._peer_http = self._make_servers()
+        self._endpoints = Endpoints(self.state, self._caller_server, self._peer_http, self._spawn)
         self._stop_requested = asyncio.Event()
         self.state.on_catalog_applied = self._apply_limits
         self._settings_read_at = 0.0
         self._broadcaster = UpdateBroadcaster(self.state, self._peers)
 
+    def _make_servers(self) -> tuple[HttpServer, HttpServer | None]:
+        """Return the servers for callers and for other instances, if these have an address."""
+        memory = self.state.memory
+        callers = HttpServer(self._requests.serve, ledger=memory, answers_refusals=True)
+        callers.on_connection_end = self._monitor.handle_connection_end
+        if self.settings.peers is None:
+            return callers, None
+        return callers, HttpServer(
+            self._peer_server.serve, None, memory, HeldKind.DETOUR, answers_refusals=True
+        )
+
     def _set_up_crash_detection(self, attempts: AttemptRunner) -> CrashGate:
         """Have attempts report losses of targets, and return the gate that they have to pass."""
         self._peers.on_regained = lambda peer: self._spawn(self._fetch_crashes(peer))
@@ -166,6 +170,8 @@
         origins = StreamOrigins(self.state, self._peers, read_clock)
         attempts.forwarder.on_stream_begun.append(origins.record_begun)
         self._peer_server.on_stream_query = origins.serve
+        self._in_flight_protocol.on_notice = origins.handle_notice
+        origins.send_notice = self._in_flight_protocol.send_notice
         origins.on_begun = self._origin_store.record
         origins.is_loaded = lambda: self._origin_store.is_loaded
         self._origin_store.on_loaded = origins.record_stored
@@ -179,7 +185,7 @@
         self._log("started", version=VERSION, pid=os.getpid(), zone=settings.zone)
         self._register_gauges()
         self._handle_signals()
-        await self._listen()
+        await self._endpoints.listen(self._listener, self._in_flight_protocol.open)
         self._follower.start()
         loops = (
             lambda: detect_pauses(self._handle_pause, self._monitor.handle_delay),
@@ -191,6 +197,8 @@
         )
         for loop in loops:
             self._background.spawn_loop(loop)
+        if settings.peers is not None:
+            self._background.spawn_loop(self._in_flight_protocol.run)
         if settings.peer_address is not None:
             sends_from = settings.peers if settings.advertised is not None else None
             row = InstanceRow(
@@ -200,66 +208,12 @@
         await self._stop_requested.wait()
         await self._stop()
 
-    async def _listen(self) -> None:
-        settings = self.settings
-        await self._start_listening("callers", self._listen_for_callers, self._handle_listening)
-        await self._serve_on("ready", settings.ready, self._serve_ready)
-        if settings.peers is not None:
-            self._peer_http = HttpServer(
-                self._peer_server.serve, None, self.state.memory, HeldKind.DETOUR, True
-            )
-            await self._start_listening("peers", partial(self._peer_http.listen, *settings.peers))
-            open_datagrams = partial(self._in_flight_protocol.open, settings.peers)
-            await self._start_listening("peer datagrams", open_datagrams)
-            self._background.spawn_loop(self._in_flight_protocol.run)
-        if settings.metrics is not None:
-            await self._serve_on("metrics", settings.metrics, self._serve_metrics)
-
-    async def _serve_on(
-        self, use: str, address: Address, handler: Callable[[Exchange], Coroutine[Any, Any, None]]
-    ) -> None:
-        await self._start_listening(use, partial(HttpServer(handler).listen, *address))
-
-    async def _listen_for_callers(self) -> None:
-        if self._listener is None:
-            await self._caller_server.listen(*self.settings.callers)
-        else:
-            await self._caller_server.listen_on(self._listener)
-
-    def _handle_listening(self) -> None:
-        self.state.accepts_callers = True
-        if self.state.stopping:
-            # The address became free after the stop had begun.
-            self._caller_server.stop_accepting()
-
-    async def _start_listening(
-        self, use: str, listen: Listen, handle_listening: Callable[[], None] = lambda: None
-    ) -> None:
-        """Listen on an address, without which the instance goes on until the address is free."""
-
-        def report_failure(error: OSError) -> None:
-            self.state.metrics.increment_counter(codes.LISTEN_FAILURES)
-            self._log("listen_failed", use=use, reason=str(error))
-
-        await start_listening(listen, self._spawn, report_failure, handle_listening)
-
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         self._background.spawn(work)
 
     def _log(self, event: str, **fields: Any) -> None:
         self._event_log.write(event, read_clock(), **fields)
 
-    # Endpoints of the platform.
-
-    async def _serve_ready(self, exchange: Exchange) -> None:
-        if self.state.ready:
-            exchange.respond(200, [("Content-Type", "text/plain")], b"ready\n")
-        else:
-            exchange.respond(503, [("Content-Type", "text/plain")], b"not ready\n")
-
-    async def _serve_metrics(self, exchange: Exchange) -> None:
-        exchange.respond(200, [("Content-Type", CONTENT_TYPE)], self.state.metrics.render())
-
     def _register_gauges(self) -> None:
         metrics = self.state.metrics
         metrics.register_gauge("open_requests", lambda: self._requests.open_requests)
--- a/rhubarbbend/shell/_runtime.py
+++ b/rhubarbbend/shell/_runtime.py
@@ -8,25 +8,22 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import os
 import random
-import sys
 import time
 from collections import deque
 from collections.abc import Callable, Coroutine
 from functools import partial
-from pathlib import Path
 from typing import Any, Final
 
 import eliot
 
 from rhubarbbend import codes
 from rhubarbbend.background import BackgroundTasks
-from rhubarbbend.core import Core, Identity, actions, events
+from rhubarbbend.core import Core, actions, events
 from rhubarbbend.core.messages import Message, ReservedReply, ReservedRun
 from rhubarbbend.core.requests._responses import make_peer_request_id
-from rhubarbbend.http import INPUT_LOOP_ITERATIONS, ConnectionPool, HttpServer, ServerLimits
+from rhubarbbend.http import INPUT_LOOP_ITERATIONS, ConnectionPool, HttpServer
 from rhubarbbend.listening import Listen, start_listening
 from rhubarbbend.operators import ChangeAnswer, OperatorServer, derive_operator_key
 from rhubarbbend.peers import PeerLinks, PeerListener, TunnelOpener
@@ -37,10 +34,15 @@
 from rhubarbbend.shell._metrics import Metrics
 from rhubarbbend.shell._open_request import OpenRequest
 from rhubarbbend.shell._platform_calls import PlatformCalls
+from rhubarbbend.shell._startup import (
+    make_identity,
+    make_server_limits,
+    open_log,
+    open_recorder,
+)
 from rhubarbbend.shell._tunnels import DetourOpener, TunnelServer
 from rhubarbbend.stop_signals import STOP_SIGNALS, ignore_late_stop
 from rhubarbbend.storage import PLATFORMS
-from rhubarbbend.trace import Recorder
 
 PAUSE_CHECK_INTERVAL_S: Final = 0.25
 # If the event loop was inactive for this much longer than the check interval, the process has been
@@ -55,18 +57,10 @@
     def __init__(self, settings: Settings, secret: bytes) -> None:
         self.settings = settings
         own = settings.instance
-        self._identity = Identity(
-            instance=own.id,
-            zone=own.zone,
-            host=own.host,
-            port=own.http_port,
-            peer_port=own.peer_port,
-            incarnation=time.time_ns() // 1_000_000,
-            secret=secret,
-        )
+        self._identity = make_identity(settings, secret)
         seed = random.SystemRandom().getrandbits(32)
         self.core = Core(self._identity, settings.core, seed)
-        self._recorder = _open_recorder(settings, self.core, self._identity, seed)
+        self._recorder = open_recorder(settings, self.core, self._identity, seed)
         self._handle_in_core = self.core.handle if self._recorder is None else self._recorder.handle
         self.metrics = Metrics(settings.statsd, own.id)
         self._caller_server = CallerServer(settings.limits, self.submit_event, self.metrics)
@@ -98,16 +92,23 @@
             self._count_bad_frame,
             TunnelServer(fleet, self.metrics).serve,
         )
-        self._http_server = HttpServer(self._caller_server.serve, _make_server_limits(settings))
-        operator_secret = read_operator_secret(settings.operators, secret)
-        self._operator_server = OperatorServer(
+        self._http_server = HttpServer(self._caller_server.serve, make_server_limits(settings))
+        self._operator_server = self._make_operator_server(secret)
+        self._traffic = self._make_traffic()
+        self._action_handlers = self._get_action_handlers()
+
+    def _make_operator_server(self, secret: bytes) -> OperatorServer:
+        operator_secret = read_operator_secret(self.settings.operators, secret)
+        return OperatorServer(
             self.core,
             derive_operator_key(operator_secret),
             self._propose_change,
             self.submit_event,
             self._now,
         )
-        self._traffic = ControlTraffic(
+
+    def _make_traffic(self) -> ControlTraffic:
+        return ControlTraffic(
             {
                 codes.CONTROL_PEERS: lambda: self._peer_links.traffic + self._peer_listener.traffic,
                 codes.CONTROL_PLATFORM: lambda: self._platform.traffic,
@@ -115,7 +116,6 @@
                 codes.CONTROL_METRICS: lambda: self.metrics.traffic,
             }
         )
-        self._action_handlers = self._get_action_handlers()
 
     async def run(self) -> None:
         """Serve until a planned stop has completed."""
@@ -374,35 +374,9 @@
         ignore_late_stop(asyncio.get_running_loop())
 
 
-def _open_recorder(
-    settings: Settings, core: Core, identity: Identity, seed: int
-) -> Recorder | None:
-    record = settings.record
-    if not record.file:
-        return None
-    return Recorder(Path(record.file), record.max_bytes, core, identity, settings.core, seed)
-
-
-def _make_server_limits(settings: Settings) -> ServerLimits:
-    limits = settings.limits
-    return ServerLimits(
-        max_header_bytes=limits.max_header_bytes,
-        max_body_bytes=limits.max_body_bytes,
-        head_timeout=limits.head_timeout,
-        body_timeout=limits.body_timeout,
-        max_connections=limits.max_connections,
-    )
-
-
-def _open_log(settings: Settings) -> contextlib.AbstractContextManager[Any]:
-    if settings.log.file == "-":
-        return contextlib.nullcontext(sys.stderr)
-    return open(settings.log.file, "a", encoding="utf-8")  # noqa: SIM115  (a context manager)
-
-
 def serve(settings: Settings, secret: bytes) -> int:
     """Run one instance until it is stopped; return the exit status."""
-    with _open_log(settings) as log:
+    with open_log(settings) as log:
         destination = eliot.FileDestination(file=log)
         eliot.add_destinations(destination)
         try:
--- a/standins/_worker.py
+++ b/standins/_worker.py
@@ -22,10 +22,10 @@
 from standins._worker_floods import send_flood
 from standins._worker_responses import (
     BodyWriter,
-    make_response_head,
     make_stray_response,
     read_body,
     read_event,
+    respond_early,
     send_part_of_head,
     send_response,
 )
@@ -43,6 +43,7 @@
     Stats,
     make_response_body,
     make_stream_event,
+    make_unserved,
 )
 
 EXIT_CRASHED = 70
@@ -104,7 +105,8 @@
         headers = {k.decode(): v.decode("latin-1") for k, v in head.headers}
         target = head.target.decode()
         if self._faults.early and not target.startswith("/admin/"):
-            await self._respond_early(conn, headers, reader, writer)
+            late_body = await respond_early(conn, headers, reader, writer)
+            self._received.append(make_unserved(headers, late_body))
             return False
         body = await read_body(conn, reader)
         if target.startswith("/admin/"):
@@ -376,26 +378,6 @@
             await self._work(faults.event_gap)
         return response.finish()
 
-    async def _respond_early(
-        self,
-        conn: h11.Connection,
-        headers: dict[str, str],
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ) -> None:
-        """Respond after the request head, then read the rest of the body."""
-        response_headers = [("Attempt-Id", headers.get("attempt-id", "")), ("Not-Executed", "1")]
-        writer.write(
-            conn.send(make_response_head(503, [*response_headers, ("Content-Length", "0")])) or b""
-        )
-        writer.write(conn.send(h11.EndOfMessage()) or b"")
-        await writer.drain()
-        body = await read_body(conn, reader)
-        received = ReceivedRequest(
-            headers.get("attempt-id", ""), "", "", headers, body.decode("latin-1"), False
-        )
-        self._received.append(received)
-
 
 def add_options(parser: argparse.ArgumentParser) -> None:
     """Add the command-line options of a worker."""
--- a/standins/_worker_responses.py
+++ b/standins/_worker_responses.py
@@ -114,6 +114,22 @@
     return False
 
 
+async def respond_early(
+    conn: h11.Connection,
+    headers: dict[str, str],
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+) -> bytes:
+    """Respond after the request head, then read the rest of the body and return it."""
+    response_headers = [("Attempt-Id", headers.get("attempt-id", "")), ("Not-Executed", "1")]
+    writer.write(
+        conn.send(make_response_head(503, [*response_headers, ("Content-Length", "0")])) or b""
+    )
+    writer.write(conn.send(h11.EndOfMessage()) or b"")
+    await writer.drain()
+    return await read_body(conn, reader)
+
+
 async def read_event(conn: h11.Connection, reader: asyncio.StreamReader) -> object:
     """Return the next event of a connection, reading what it needs."""
     while True:
--- a/standins/_worker_types.py
+++ b/standins/_worker_types.py
@@ -113,6 +113,12 @@
     instance: str = ""
 
 
+def make_unserved(headers: dict[str, str], body: bytes) -> ReceivedRequest:
+    """Return a request whose response was sent before its body was read."""
+    attempt_id = headers.get("attempt-id", "")
+    return ReceivedRequest(attempt_id, "", "", headers, body.decode("latin-1"), False)
+
+
 class Arrival(msgspec.Struct):
     """A line of the arrivals file: a worker received a request at Unix time `at`.
 
