--- a/rhubarbbend/http/_server.py
+++ b/rhubarbbend/http/_server.py
@@ -28,6 +28,7 @@
 )
 from rhubarbbend.http._request_body import BodyLimits, BodyReader, MemoryShort, RequestBody
 from rhubarbbend.http._send_progress import limit_kernel_buffer
+from rhubarbbend.listening import find_port
 
 # How long a connection without a request yet stays open after the server has stopped accepting: its
 # first request may already be on its way.
@@ -108,7 +109,7 @@
         self._server = await loop.create_server(
             self._make_protocol, host, port, backlog=LISTEN_BACKLOG
         )
-        return int(self._server.sockets[0].getsockname()[1])
+        return find_port(self._server)
 
     async def listen_on(self, listener: socket) -> None:
         """Start to accept connections on a socket that is already listening."""
--- a/rhubarbbend/listening.py
+++ b/rhubarbbend/listening.py
@@ -20,6 +20,17 @@
 ReportFailure = Callable[[OSError], None]
 
 
+def find_port(server: asyncio.Server) -> int:
+    """Return the port of a server that has been started.
+
+    Raise OSError if it has none: asyncio goes on without a socket if none could be opened, as for
+    want of descriptors.
+    """
+    if not server.sockets:
+        raise OSError("no socket could be opened")
+    return int(server.sockets[0].getsockname()[1])
+
+
 async def start_listening(
     listen: Listen,
     spawn: Spawn,
--- a/rhubarbbend/operators/_server.py
+++ b/rhubarbbend/operators/_server.py
@@ -17,6 +17,7 @@
 from rhubarbbend.core.accepted._proposals import ERROR_BEHIND, ERROR_CONFLICT, ERROR_UNKNOWN
 from rhubarbbend.core.events import ChangeProposed, Event, VersionsAsked
 from rhubarbbend.http import InputTimeout
+from rhubarbbend.listening import find_port
 from rhubarbbend.operators._checks import find_unknown_target_kinds
 from rhubarbbend.operators._schema import SCHEMA
 
@@ -268,6 +269,7 @@
     async def listen(self, host: str, port: int) -> None:
         """Start to accept calls."""
         self._server = await asyncio.start_server(self._accept, host, port)
+        find_port(self._server)
 
     async def close(self) -> None:
         """Stop accepting calls, and wait until those that have been received are answered.
--- a/rhubarbbend/peers/_links.py
+++ b/rhubarbbend/peers/_links.py
@@ -16,6 +16,7 @@
 
 from rhubarbbend.core.messages import Message, TunnelRequest
 from rhubarbbend.http import CONNECT_ERRORS, InputTimeout
+from rhubarbbend.listening import find_port
 from rhubarbbend.peers._codec import (
     MAX_FRAME_BYTES,
     FrameAuthenticator,
@@ -74,7 +75,7 @@
     async def listen(self, host: str, port: int) -> int:
         """Start to accept connections; return the port in use."""
         self._server = await asyncio.start_server(self._accept, host, port)
-        return int(self._server.sockets[0].getsockname()[1])
+        return find_port(self._server)
 
     def count_connections(self) -> int:
         """Return the number of open connections from other instances."""
