Streams of a target that started again with another version are forgotten

What callers saw: a target started again under its id, with another version, and served before its registration said so.

Cause: the origin of a stream is the version that the target's registration states, which is true only of the start that registered.

Change: each instance remembers at which start of a target streams began.

Evidence: test_streams_of_a_target_that_started_again_are_not_mixed fails without the change for both instances (2 of 2) and passes with it; the other 42 tests of the file and of tests/core/streams pass.

Left: until the registration arrives, and for what is continued within one answer, the former version counts (docs/design/stream-versions.md).

--- a/loadtool/_gateway_fleet.py
+++ b/loadtool/_gateway_fleet.py
@@ -176,6 +176,14 @@
         await self.register_worker(name, **fields)
         return node
 
+    async def restart_worker(self, name: str) -> None:
+        """Kill a worker and start it again under its id and address, without a registration."""
+        node = self.workers[name]
+        await node.process.kill()
+        arrivals = str(self.folder / ARRIVALS_FILE)
+        arguments = ["--port", str(node.port), "worker", "--name", name, "--arrivals", arrivals]
+        node.process, _ = await self.group.start_stand_in(name, arguments)
+
     async def register_worker(self, name: str, **fields: Any) -> None:
         """Write the entry of a worker to the table `servers`, with extra or changed `fields`."""
         node = self.workers[name]
--- a/rhubarbbend/core/streams/_ledger.py
+++ b/rhubarbbend/core/streams/_ledger.py
@@ -66,6 +66,10 @@
             return None
         return entry.origin
 
+    def forget(self, key: int) -> None:
+        """Forget a stream whose origin may be another one than was recorded."""
+        self._entries.pop(key, None)
+
     def _expire(self, now: float) -> None:
         while self._entries:
             oldest = next(iter(self._entries.values()))
--- a/rhubarbbend/core/streams/_origin_batch.py
+++ b/rhubarbbend/core/streams/_origin_batch.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import Final
 
 import msgspec
@@ -43,6 +43,12 @@
         self._entries.append((now, entry))
         self.has_new = True
 
+    def forget(self, streams: Collection[int]) -> None:
+        """Remove streams whose origins may be others than were recorded."""
+        kept = [(at, entry) for at, entry in self._entries if entry.stream not in streams]
+        self._entries = deque(kept, maxlen=MAX_ENTRIES)
+        self.has_new = True
+
     def list_recent(self, now: float) -> list[StreamOrigin]:
         """Return the entries that callers may take up, which then are no longer new."""
         while self._entries and now - self._entries[0][0] > USUAL_STREAM_AGE_S:
--- a/rhubarbbend/gateway/_follower.py
+++ b/rhubarbbend/gateway/_follower.py
@@ -72,9 +72,9 @@
         self._state = state
         self._store = store
         self._tables = decoder.tables
-        self._updater = StateUpdater(state, decoder)
+        self.updater = StateUpdater(state, decoder)
         self.instance_list = InstanceListMaintainer(
-            state, store, self._updater, peers, self._record_store_failure
+            state, store, self.updater, peers, self._record_store_failure
         )
         self._peers = peers
         self._selector = selector
@@ -197,7 +197,7 @@
             # The store answers a watch at its time-out at the latest. An answer that arrives later
             # describes the store at that time only, because it may have been delayed in transit.
             self._state.up_to_date_at = max(self._state.up_to_date_at, min(now, queried_at + wait))
-        return bool(self._updater.apply_pages({table: page}, "store"))
+        return bool(self.updater.apply_pages({table: page}, "store"))
 
     def _compute_watch_timeout(self, table: str, now: float) -> float:
         timeouts = self._state.replication_timeouts
@@ -297,7 +297,7 @@
         self._record_store_recovery(reply, queried_at)
         self._state.up_to_date_at = max(self._state.up_to_date_at, up_to_date_at)
         if reply.pages:
-            self._updater.apply_pages(reply.pages, "peer")
+            self.updater.apply_pages(reply.pages, "peer")
         self._state.loads.merge_reports(reply.loads, True, now)
         for update in reply.updates.items:
             self._state.apply_peer_update(update, now)
@@ -355,7 +355,7 @@
             reply = await self._peers.query_changes(queue.pop())
             if reply is not None and reply.pages:
                 self._record_store_recovery(reply, queried_at)
-                self._updater.apply_pages(reply.pages, "peer")
+                self.updater.apply_pages(reply.pages, "peer")
 
     def _may_query_seeds(self, now: float) -> bool:
         is_lost = self._store_availability.lost_at is not None
--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -101,10 +101,10 @@
         gate = self._set_up_crash_detection(attempts)
         self._in_flight_protocol = InFlightProtocol(self.state, selector)
         self._origin_store = OriginStore(self.state, adapter.store)
-        origins = self._set_up_streams(attempts)
+        self._origins = self._set_up_streams(attempts)
         parts = (
             *(self.state, adapter.callers, attempts, detours),
-            *(TargetProber(self.state, self._pool, read_clock), gate, origins),
+            *(TargetProber(self.state, self._pool, read_clock), gate, self._origins),
             *(AdmissionGate(self.state, read_clock), read_clock),
         )
         self._requests = RequestServer(*parts)
@@ -173,6 +173,7 @@
         self._in_flight_protocol.on_notice = origins.handle_notice
         origins.send_notice = self._in_flight_protocol.send_notice
         origins.on_begun = self._origin_store.record
+        origins.on_forgotten = self._origin_store.forget
         origins.is_loaded = lambda: self._origin_store.is_loaded
         self._origin_store.on_loaded = origins.record_stored
         return origins
@@ -186,6 +187,7 @@
         self._register_gauges()
         self._handle_signals()
         await self._endpoints.listen(self._listener, self._in_flight_protocol.open)
+        self._follower.updater.on_target_restarted = self._origins.handle_restart
         self._follower.start()
         loops = (
             lambda: detect_pauses(self._handle_pause, self._monitor.handle_delay),
@@ -258,6 +260,7 @@
             now = read_clock()
             self.state.crashes.expire(now)
             self.state.connection_limits.expire(now)
+            self._origins.expire(now)
             self._pool.close_expired(now)
             self._peer_pool.close_expired(now)
             if now - self._settings_read_at >= SETTINGS_RELOAD_INTERVAL_S:
--- a/rhubarbbend/gateway/_origin_store.py
+++ b/rhubarbbend/gateway/_origin_store.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Any, Final
 
 import msgspec
@@ -53,6 +53,10 @@
         """Record a stream that has begun here."""
         self._batch.record(StreamOrigin(stream, origin), read_clock())
 
+    def forget(self, streams: Collection[int]) -> None:
+        """Remove streams whose origins may be others than were recorded."""
+        self._batch.forget(streams)
+
     async def run(self) -> None:
         """Read the rows of all, then keep this instance's row, until the stop."""
         await self._load()
--- a/rhubarbbend/gateway/_state_updater.py
+++ b/rhubarbbend/gateway/_state_updater.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -36,6 +37,8 @@
     def __init__(self, state: State, decoder: StateDecoder) -> None:
         self._state = state
         self._decoder = decoder
+        # Called with the former and the present start of a target; set by the instance.
+        self.on_target_restarted: Callable[[Target, Target], None] = lambda former, target: None
 
     def apply_pages(self, pages: dict[str, TablePage], source: str) -> int:
         """Merge pages into the mirror, apply the changes in them, and return their number."""
@@ -174,6 +177,7 @@
         target = self._state.registry.register(record, now)
         if before is not None and before.boot < target.boot:
             self._record_end(before, "started again", is_certain=True)
+            self.on_target_restarted(before, target)
         self._log(
             "target_registered",
             target=record.id,
--- a/rhubarbbend/gateway/_stream_origins.py
+++ b/rhubarbbend/gateway/_stream_origins.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import zlib
+from collections import deque
 from collections.abc import Callable, Iterable
 from typing import Final
 
@@ -19,6 +20,7 @@
 from rhubarbbend.core.directory import Target
 from rhubarbbend.core.streams import (
     STREAM_RETENTION_S,
+    USUAL_STREAM_AGE_S,
     StreamLedger,
     StreamOrigin,
     compute_origin,
@@ -35,6 +37,10 @@
 # How an origin came to be known, in the log.
 SOURCE_OWN: Final = "own"
 SOURCE_ONLY_VERSION: Final = "only version"
+# In a notice: the stream's origin is not certain any more.
+UNCERTAIN_ORIGIN: Final = 0
+# Streams remembered for each target; more than it begins in the time for which they matter.
+MAX_BEGUN: Final = 2_000
 # An instance may be ready before it has read who the other instances are and which versions served,
 # which takes some ms more.
 START_WAIT_S: Final = 0.8
@@ -73,6 +79,10 @@
         self._ledger = StreamLedger()
         # Sends a datagram to another instance; set by the instance.
         self.send_notice: Callable[[bytes, Address], None] = lambda data, address: None
+        # The streams that began at each start of a target lately, with the times.
+        self._begun_at: dict[str, deque[tuple[float, int]]] = {}
+        # Called with streams whose origins are not certain any more; set by the instance.
+        self.on_forgotten: Callable[[set[int]], None] = lambda streams: None
         # Called with the hashes of each stream that begins and its origin; set by the instance.
         self.on_begun: Callable[[int, int], None] = lambda stream, origin: None
         # Whether the origins that the store holds were read; set by the instance.
@@ -92,8 +102,13 @@
         key = _make_key(request)
         self._ledger.record(key, request.origin, self._clock())
         self.on_begun(key, request.origin)
+        begun = self._begun_at.setdefault(target.incarnation, deque(maxlen=MAX_BEGUN))
+        begun.append((self._clock(), key))
+        self._tell_keepers(key, request.origin)
+
+    def _tell_keepers(self, key: int, origin: int) -> None:
         own = self._state.settings
-        notice = StreamNotice(_hash_name(own.instance), key, request.origin)
+        notice = StreamNotice(_hash_name(own.instance), key, origin)
         data = msgspec.msgpack.encode(notice)
         for name in select_told(key, self._state.instance_zones, own.zone):
             row = self._state.instances[name]
@@ -101,6 +116,29 @@
                 self.send_notice(data, (row.host, row.port))
                 self._state.metrics.increment_counter(codes.STREAMS_TOLD)
 
+    def handle_restart(self, former: Target, target: Target) -> None:
+        """Forget which version began the last streams at a target that has started again.
+
+        Its registration tells so later than it serves, so its new version may have begun them.
+        """
+        begun = self._begun_at.pop(former.incarnation, ())
+        if former.version == target.version:
+            return
+        now = self._clock()
+        recent = {key for at, key in begun if now - at <= USUAL_STREAM_AGE_S}
+        for key in recent:
+            self._ledger.forget(key)
+            self._tell_keepers(key, UNCERTAIN_ORIGIN)
+        self.on_forgotten(recent)
+
+    def expire(self, now: float) -> None:
+        """Forget at which targets streams began that nobody takes up any more."""
+        self._begun_at = {
+            incarnation: begun
+            for incarnation, begun in self._begun_at.items()
+            if now - begun[-1][0] <= USUAL_STREAM_AGE_S
+        }
+
     def handle_notice(self, data: bytes, address: Address) -> None:
         """Record what another instance tells; drop what cannot be from one."""
         try:
@@ -109,10 +147,12 @@
             self._state.metrics.increment_counter(codes.PEER_FRAMES_BAD)
             return
         senders = [r for n, r in self._state.instances.items() if _hash_name(n) == notice.sender]
-        if any(row.may_send_from(*address[:2]) for row in senders):
-            self._ledger.record(notice.stream, notice.origin, self._clock())
-        else:
+        if not any(row.may_send_from(*address[:2]) for row in senders):
             self._state.metrics.increment_counter(codes.PEER_COUNTS_REJECTED)
+        elif notice.origin == UNCERTAIN_ORIGIN:
+            self._ledger.forget(notice.stream)
+        else:
+            self._ledger.record(notice.stream, notice.origin, self._clock())
 
     def record_stored(self, origins: Iterable[StreamOrigin]) -> None:
         """Record what the store held at the start of this instance."""
--- a/tests/core/streams/test_origin_batch.py
+++ b/tests/core/streams/test_origin_batch.py
@@ -20,6 +20,8 @@
     assert batch.has_new
     assert batch.list_recent(10.0 + USUAL_STREAM_AGE_S) == [old, new] and not batch.has_new
     assert batch.list_recent(10.1 + USUAL_STREAM_AGE_S) == [new]
+    batch.forget({new.stream})
+    assert batch.has_new and batch.list_recent(20.0) == []
 
 
 def test_large_fleets_write_less_often() -> None:
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -255,3 +255,30 @@
             assert await list_versions(fleet) == {}
 
     run(work)
+
+
+# Guards against streams joined from two versions as a target starts again under its id with another
+# version and serves before its registration says so.
+@pytest.mark.parametrize("instance", ["front-0", "front-1"])
+def test_streams_of_a_target_that_started_again_are_not_mixed(
+    tmp_path: Path, instance: str
+) -> None:
+    async def work() -> None:
+        async with start_fleet(
+            tmp_path, instances=3, plain_worker_count=0, has_rollouts=False
+        ) as fleet:
+            await fleet.set_default_worker_faults(events=EVENTS, event_gap=EVENT_GAP_S)
+            await fleet.restart_worker("engine-0")
+            await fleet.set_worker_faults("engine-0", events=EVENTS, event_gap=EVENT_GAP_S)
+            await asyncio.sleep(3 * SETTLE_S)
+            attempts = await begin_all(fleet, "front-0", 24)
+            seen = (await fleet.read_stats("engine-0")).seen
+            begun_by_new = {request.id for request in seen if request.ran}
+            assert begun_by_new
+            await fleet.register_worker("engine-0", version="v2", born=2)
+            await asyncio.sleep(SETTLE_S)
+            await resume_all(fleet, instance, attempts)
+            others = (await fleet.read_stats("engine-1")).seen
+            assert begun_by_new.isdisjoint(r.headers.get("resumes") for r in others if r.ran)
+
+    run(work)
