Streams taken up: the log tells why nobody knew one

`stream_taken_up` now says how many keepers were asked and replied. Notices that are not taken have a counter (`streams.notices_rejected`, until now counted as `peers.counts_rejected`) and one log line for each sender (`stream_notices_rejected`). The exchange with the keepers moves to a module of its own; nothing else changes.

--- a/rhubarbbend/codes.py
+++ b/rhubarbbend/codes.py
@@ -248,6 +248,9 @@
     "streams.no_room", "such streams refused because no target of their version could take them"
 )
 STREAMS_TOLD: Final = _declare_counter("streams.told", "notices of new streams to their keepers")
+STREAM_NOTICES_REJECTED: Final = _declare_counter(
+    "streams.notices_rejected", "notices of streams that no listed instance can have sent"
+)
 ORIGINS_WRITTEN: Final = _declare_counter(
     "streams.origins_written", "writes of the origins of streams into the store"
 )
--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -45,6 +45,7 @@
 )
 from rhubarbbend.gateway._state import State, read_clock
 from rhubarbbend.gateway._state_gauges import register_state_gauges
+from rhubarbbend.gateway._stream_keepers import StreamKeepers
 from rhubarbbend.gateway._stream_origins import StreamOrigins
 from rhubarbbend.gateway._target_checker import TargetChecker
 from rhubarbbend.gateway._target_prober import TargetProber
@@ -167,11 +168,12 @@
 
     def _set_up_streams(self, attempts: AttemptRunner) -> StreamOrigins:
         """Have attempts tell which version began each stream, and answer others that ask."""
-        origins = StreamOrigins(self.state, self._peers, read_clock)
+        keepers = StreamKeepers(self.state, self._peers, read_clock)
+        origins = StreamOrigins(self.state, keepers, read_clock)
         attempts.forwarder.on_stream_begun.append(origins.record_begun)
         self._peer_server.on_stream_query = origins.serve
         self._in_flight_protocol.on_notice = origins.handle_notice
-        origins.send_notice = self._in_flight_protocol.send_notice
+        keepers.send_notice = self._in_flight_protocol.send_notice
         origins.on_begun = self._origin_store.record
         origins.on_forgotten = self._origin_store.forget
         origins.is_loaded = lambda: self._origin_store.is_loaded
--- a/rhubarbbend/gateway/_stream_origins.py
+++ b/rhubarbbend/gateway/_stream_origins.py
@@ -1,13 +1,7 @@
-"""Finds the origin of streams that callers take up again, and tells the keepers of new ones.
-
-A notice is one datagram to each keeper that is told, sent before the first event is passed on. It
-may be lost: then the other keeper knows, or this instance itself.
-"""
+"""Finds the origin of streams that callers take up again, and records it of new ones."""
 
 from __future__ import annotations
 
-import asyncio
-import zlib
 from collections import deque
 from collections.abc import Callable, Iterable
 from typing import Final
@@ -24,21 +18,22 @@
     StreamLedger,
     StreamOrigin,
     compute_origin,
-    list_keepers,
     make_stream_key,
-    select_told,
 )
 from rhubarbbend.decoding import decode_msgpack
-from rhubarbbend.gateway._peers import STREAMS_PATH, PeerClient
 from rhubarbbend.gateway._requests import OpenRequest
 from rhubarbbend.gateway._settings import Address
 from rhubarbbend.gateway._state import INSTANCE_TABLE, Clock, State
+from rhubarbbend.gateway._stream_keepers import (
+    UNCERTAIN_ORIGIN,
+    StreamKeepers,
+    StreamQuery,
+    StreamReply,
+)
 
 # How an origin came to be known, in the log.
 SOURCE_OWN: Final = "own"
 SOURCE_ONLY_VERSION: Final = "only version"
-# In a notice: the stream's origin is not certain any more.
-UNCERTAIN_ORIGIN: Final = 0
 # Streams remembered for each target; more than it begins in the time for which they matter.
 MAX_BEGUN: Final = 2_000
 # An instance may be ready before it has read who the other instances are and which versions served,
@@ -46,24 +41,17 @@
 START_WAIT_S: Final = 0.8
 
 
-class StreamNotice(msgspec.Struct, frozen=True, array_like=True):
-    """Tells a keeper the origin of a stream; `sender` is the hash of the sender's name."""
-
-    sender: int
-    stream: int
-    origin: int
-
-
-class StreamQuery(msgspec.Struct, frozen=True, array_like=True):
-    """Asks a keeper for the origin of a stream."""
-
-    stream: int
+class OriginSearch(msgspec.Struct):
+    """What was found of a stream that a caller takes up: its origin, and who knew it.
 
+    `asked` and `replied` are the numbers of keepers, to tell in the log whether one that may know
+    the stream did not reply.
+    """
 
-class StreamReply(msgspec.Struct, frozen=True, array_like=True):
-    """The origin of a stream, None if the keeper does not know it."""
-
-    origin: int | None
+    origin: int | None = None
+    source: str = ""
+    asked: int = 0
+    replied: int = 0
 
 
 class StreamOrigins:
@@ -72,13 +60,11 @@
     Invariant: a request that continues a stream has an origin before it is sent to a target.
     """
 
-    def __init__(self, state: State, peers: PeerClient, clock: Clock) -> None:
+    def __init__(self, state: State, keepers: StreamKeepers, clock: Clock) -> None:
         self._state = state
-        self._peers = peers
+        self._keepers = keepers
         self._clock = clock
         self._ledger = StreamLedger()
-        # Sends a datagram to another instance; set by the instance.
-        self.send_notice: Callable[[bytes, Address], None] = lambda data, address: None
         # The streams that began at each start of a target lately, with the times.
         self._begun_at: dict[str, deque[tuple[float, int]]] = {}
         # Called with streams whose origins are not certain any more; set by the instance.
@@ -104,17 +90,7 @@
         self.on_begun(key, request.origin)
         begun = self._begun_at.setdefault(target.incarnation, deque(maxlen=MAX_BEGUN))
         begun.append((self._clock(), key))
-        self._tell_keepers(key, request.origin)
-
-    def _tell_keepers(self, key: int, origin: int) -> None:
-        own = self._state.settings
-        notice = StreamNotice(_hash_name(own.instance), key, origin)
-        data = msgspec.msgpack.encode(notice)
-        for name in select_told(key, self._state.instance_zones, own.zone):
-            row = self._state.instances[name]
-            if name != own.instance:
-                self.send_notice(data, (row.host, row.port))
-                self._state.metrics.increment_counter(codes.STREAMS_TOLD)
+        self._keepers.tell(key, request.origin)
 
     def handle_restart(self, former: Target, target: Target) -> None:
         """Forget which version began the last streams at a target that has started again.
@@ -128,7 +104,7 @@
         recent = {key for at, key in begun if now - at <= USUAL_STREAM_AGE_S}
         for key in recent:
             self._ledger.forget(key)
-            self._tell_keepers(key, UNCERTAIN_ORIGIN)
+            self._keepers.tell(key, UNCERTAIN_ORIGIN)
         self.on_forgotten(recent)
 
     def expire(self, now: float) -> None:
@@ -141,15 +117,10 @@
 
     def handle_notice(self, data: bytes, address: Address) -> None:
         """Record what another instance tells; drop what cannot be from one."""
-        try:
-            notice = decode_msgpack(data, type=StreamNotice)
-        except msgspec.MsgspecError:
-            self._state.metrics.increment_counter(codes.PEER_FRAMES_BAD)
+        notice = self._keepers.decode_notice(data, address)
+        if notice is None:
             return
-        senders = [r for n, r in self._state.instances.items() if _hash_name(n) == notice.sender]
-        if not any(row.may_send_from(*address[:2]) for row in senders):
-            self._state.metrics.increment_counter(codes.PEER_COUNTS_REJECTED)
-        elif notice.origin == UNCERTAIN_ORIGIN:
+        if notice.origin == UNCERTAIN_ORIGIN:
             self._ledger.forget(notice.stream)
         else:
             self._ledger.record(notice.stream, notice.origin, self._clock())
@@ -170,8 +141,8 @@
         """Find the origin of the stream that a request continues; return why it may not go on."""
         if request.is_detour or not _is_resumption(request):
             return None
-        origin, source = await self._find_origin(request)
-        version = None if origin is None else self._find_version(request, origin)
+        found = await self._find_origin(request)
+        version = None if found.origin is None else self._find_version(request, found.origin)
         self._state.event_log.write(
             "stream_taken_up",
             self._clock(),
@@ -179,36 +150,40 @@
             resumes=request.caller.resumes or None,
             after=request.caller.last_event_id or None,
             version=version,
-            source=source or None,
+            source=found.source or None,
+            asked=found.asked,
+            replied=found.replied,
         )
-        if origin is None:
+        if found.origin is None:
             return codes.STREAM_UNKNOWN
-        request.origin = origin
+        request.origin = found.origin
         if version is None:
             return codes.STREAM_VERSION_GONE
         self._state.metrics.increment_counter(codes.STREAMS_TAKEN_UP)
         return None
 
-    async def _find_origin(self, request: OpenRequest) -> tuple[int | None, str]:
-        """Return the origin of a stream and who knew it.
+    async def _find_origin(self, request: OpenRequest) -> OriginSearch:
+        """Return the origin of the stream and who knew it.
 
         Of one that is not named or that nobody knows, as after the loss of all instances, it is
         known at best that one version alone can have begun it.
         """
         await self._wait_for_start()
+        found = OriginSearch()
         if request.caller.resumes:
             key = _make_key(request)
             own = self._ledger.find(key, self._clock())
             if own is not None:
-                return own, SOURCE_OWN
-            asked, keeper = await self._ask_keepers(key)
-            if asked is not None:
-                return asked, keeper
-        service = request.service.name
-        only = self._find_only_version(service, self._clock())
-        if only is None:
-            return None, ""
-        return compute_origin(service, only), SOURCE_ONLY_VERSION
+                return OriginSearch(own, SOURCE_OWN)
+            kept = await self._keepers.ask(key)
+            found = OriginSearch(kept.origin, kept.keeper, kept.asked, kept.replied)
+        if found.origin is None:
+            service = request.service.name
+            only = self._find_only_version(service, self._clock())
+            if only is not None:
+                found.origin = compute_origin(service, only)
+                found.source = SOURCE_ONLY_VERSION
+        return found
 
     def _find_only_version(self, service: str, now: float) -> str | None:
         """Return the version of a service that alone can have begun any stream, if that is known.
@@ -236,34 +211,6 @@
         is_listed = self._state.mirror.tables[INSTANCE_TABLE].known
         return is_listed and self._state.version_history.is_known and self.is_loaded()
 
-    async def _ask_keepers(self, key: int) -> tuple[int | None, str]:
-        """Return the first origin that a keeper knows and the keeper, after all have replied."""
-        query = msgspec.msgpack.encode(StreamQuery(key))
-        names = list_keepers(key, self._state.instance_zones)
-        others = [name for name in names if name != self._state.settings.instance]
-        asking = [asyncio.create_task(self._ask(name, query)) for name in others]
-        self._state.metrics.increment_counter(codes.STREAMS_ASKED, len(asking))
-        try:
-            for reply in asyncio.as_completed(asking):
-                origin, name = await reply
-                if origin is not None:
-                    return origin, name
-        finally:
-            for task in asking:
-                task.cancel()
-        return None, ""
-
-    async def _ask(self, name: str, query: bytes) -> tuple[int | None, str]:
-        row = self._state.instances[name]
-        reply = await self._peers.ask((row.host, row.port), STREAMS_PATH, query)
-        if not reply:
-            return None, name
-        try:
-            return decode_msgpack(reply, type=StreamReply).origin, name
-        except msgspec.MsgspecError as error:
-            self._state.event_log.write("peer_unreadable", self._clock(), reason=str(error))
-            return None, name
-
     def _find_version(self, request: OpenRequest, origin: int) -> str | None:
         """Return the version of an origin, None if it has no target that may be used."""
         service = request.service.name
@@ -282,7 +229,3 @@
 def _make_key(request: OpenRequest) -> int:
     account = "" if request.account is None else request.account.name
     return make_stream_key(account, request.caller.resumes or request.id)
-
-
-def _hash_name(name: str) -> int:
-    return zlib.crc32(name.encode())
--- a/tests/gateway/test_in_flight_protocol.py
+++ b/tests/gateway/test_in_flight_protocol.py
@@ -18,6 +18,7 @@
 from rhubarbbend.gateway._peers import PeerClient
 from rhubarbbend.gateway._settings import GatewaySettings
 from rhubarbbend.gateway._state import INSTANCE_TABLE, State, read_clock
+from rhubarbbend.gateway._stream_keepers import StreamKeepers
 from rhubarbbend.gateway._stream_origins import StreamOrigins
 from rhubarbbend.http import ConnectionPool
 from tests.gateway.harness import run
@@ -166,7 +167,7 @@
     async def work() -> None:
         state, protocol = make_protocol()
         peers = PeerClient(state, ConnectionPool(1.0), ReaderSelector("front-0", "zone-0"))
-        origins = StreamOrigins(state, peers, read_clock)
+        origins = StreamOrigins(state, StreamKeepers(state, peers, read_clock), read_clock)
         protocol.on_notice = origins.handle_notice
         protocol.datagram_received(NOTICE_MARK + data, (host, 7))
         reply = origins.serve(msgspec.msgpack.encode([5]))
