Streams that a planned stop cuts go on elsewhere

Cause: an instance wrote the origins of its streams into the store only until the signal of its stop, but goes on beginning streams for 2.6 s, and these are the ones that the stop cuts. Their keepers had been restarted, or had taken the sender off their list and dropped its notices.

Change: the row is written until the process ends, a new process takes over the entries of the one before, and a stream that no keeper knows is looked up in the store at that moment, with one read for all that wait. That does not depend on who else is restarted. Handing over what keepers know as they stop was not built: their successors may be stopping too.

--- a/rhubarbbend/codes.py
+++ b/rhubarbbend/codes.py
@@ -254,6 +254,9 @@
 ORIGINS_WRITTEN: Final = _declare_counter(
     "streams.origins_written", "writes of the origins of streams into the store"
 )
+STREAM_RECORDS_READ: Final = _declare_counter(
+    "streams.records_read", "reads of what the store holds of streams that no instance knew"
+)
 STREAMS_ASKED: Final = _declare_counter("streams.asked", "queries for the version of a stream")
 WRONG_ID: Final = _declare_counter("wrong_id", "answers dropped: they carried another request's id")
 
--- a/rhubarbbend/core/streams/__init__.py
+++ b/rhubarbbend/core/streams/__init__.py
@@ -17,6 +17,7 @@
 from rhubarbbend.core.streams._origin_batch import (
     OriginBatch,
     StreamOrigin,
+    compute_read_interval,
     compute_write_interval,
     have_several,
 )
@@ -39,6 +40,7 @@
     "VersionHistory",
     "VersionRecord",
     "compute_origin",
+    "compute_read_interval",
     "compute_write_interval",
     "extend_record",
     "have_several",
--- a/rhubarbbend/core/streams/_origin_batch.py
+++ b/rhubarbbend/core/streams/_origin_batch.py
@@ -19,6 +19,9 @@
 # All instances together write this often at the most; the store serves several hundred writes a
 # second, and other writes must not wait for these.
 MAX_WRITES_PER_S: Final = 100.0
+# The same of reads of all that the store holds of streams; each takes three calls.
+MIN_READ_INTERVAL_S: Final = 0.2
+MAX_READS_PER_S: Final = 200.0
 # A row of the store holds at most 64 KB; an entry takes 18 bytes and a third more in base64.
 MAX_ENTRIES: Final = 2_000
 
@@ -62,6 +65,11 @@
     return max(MIN_WRITE_INTERVAL_S, instances / MAX_WRITES_PER_S)
 
 
+def compute_read_interval(instances: int) -> float:
+    """Return how many seconds an instance waits between two reads of the origins of all."""
+    return max(MIN_READ_INTERVAL_S, instances / MAX_READS_PER_S)
+
+
 def have_several(versions_by_service: Iterable[Iterable[str]]) -> bool:
     """Return whether some service has several versions."""
     return any(len(set(versions)) > 1 for versions in versions_by_service)
--- a/rhubarbbend/gateway/_follower.py
+++ b/rhubarbbend/gateway/_follower.py
@@ -127,6 +127,17 @@
 
     # Reading the store.
 
+    async def read_targets(self) -> None:
+        """Read the registrations of targets now, whoever sends their changes to this instance.
+
+        Raise `StoreError` on failure.
+        """
+        for table in self._tables:
+            if table != self._state.config_table:
+                page = await self._store.read_table(table)
+                self._record_store_answer(read_clock())
+                self.updater.apply_pages({table: page}, "store")
+
     async def _wait_for_first_reader_reply(self, until: float) -> None:
         """Wait until the reader was queried for the first time, if there is a reader.
 
--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -47,6 +47,7 @@
 from rhubarbbend.gateway._state_gauges import register_state_gauges
 from rhubarbbend.gateway._stream_keepers import StreamKeepers
 from rhubarbbend.gateway._stream_origins import StreamOrigins
+from rhubarbbend.gateway._stream_records import StreamRecordReader
 from rhubarbbend.gateway._target_checker import TargetChecker
 from rhubarbbend.gateway._target_prober import TargetProber
 from rhubarbbend.gateway._update_broadcaster import UpdateBroadcaster
@@ -102,6 +103,10 @@
         gate = self._set_up_crash_detection(attempts)
         self._in_flight_protocol = InFlightProtocol(self.state, selector)
         self._origin_store = OriginStore(self.state, adapter.store)
+        self._version_recorder = VersionRecorder(self.state, adapter.store)
+        self._follower = StateFollower(
+            self.state, adapter.store, adapter.decoder, self._peers, selector
+        )
         self._origins = self._set_up_streams(attempts)
         parts = (
             *(self.state, adapter.callers, attempts, detours),
@@ -110,9 +115,6 @@
         )
         self._requests = RequestServer(*parts)
         self._detours_served = DetourServer(*parts)
-        self._follower = StateFollower(
-            self.state, adapter.store, adapter.decoder, self._peers, selector
-        )
         self._peer_server.serve_detour = self._detours_served.serve
         self._monitor = ProcessMonitor(self.state, read_clock)
         self._caller_server, self._peer_http = self._make_servers()
@@ -169,7 +171,13 @@
     def _set_up_streams(self, attempts: AttemptRunner) -> StreamOrigins:
         """Have attempts tell which version began each stream, and answer others that ask."""
         keepers = StreamKeepers(self.state, self._peers, read_clock)
-        origins = StreamOrigins(self.state, keepers, read_clock)
+        records = StreamRecordReader(
+            self.state,
+            self._version_recorder.read_table,
+            self._follower.read_targets,
+            self._origin_store.read,
+        )
+        origins = StreamOrigins(self.state, keepers, records, read_clock)
         attempts.forwarder.on_stream_begun.append(origins.record_begun)
         self._peer_server.on_stream_query = origins.serve
         self._in_flight_protocol.on_notice = origins.handle_notice
@@ -196,7 +204,7 @@
             self._run_housekeeping,
             *self._broadcaster.list_loops(),
             self._run_rollouts,
-            VersionRecorder(self.state, self._adapter.store).run,
+            self._version_recorder.run,
             self._origin_store.run,
         )
         for loop in loops:
--- a/rhubarbbend/gateway/_origin_store.py
+++ b/rhubarbbend/gateway/_origin_store.py
@@ -1,8 +1,9 @@
 """Keeps the origins of streams in the store while targets of several versions serve.
 
-The instances that know an origin may all be lost at once. Each writes the origins of the streams
-that it began lately into a row of its own, at intervals, and an instance that starts reads the rows
-of all. No stream waits for the store.
+The instances that know an origin may all be lost at once, or be restarted one after the other. Each
+writes the origins of the streams that it began lately into a row of its own, at intervals. The rows
+of all are read at the start, and for a stream that no instance knows. No stream that begins waits
+for the store.
 """
 
 from __future__ import annotations
@@ -34,9 +35,10 @@
 
 
 class OriginStore:
-    """Writes this instance's row, and reads those of all after the start.
+    """Writes this instance's row, and reads those of all.
 
-    Invariant: there is no row of this instance once one version alone has served for a while.
+    Invariants: there is no row of this instance once one version alone has served for a while; the
+    row that an earlier process of this instance wrote is not replaced before it was read.
     """
 
     def __init__(self, state: State, store: RowStore) -> None:
@@ -58,9 +60,13 @@
         self._batch.forget(streams)
 
     async def run(self) -> None:
-        """Read the rows of all, then keep this instance's row, until the stop."""
+        """Read the rows of all, then keep this instance's row.
+
+        It is kept during a planned stop too: the stop cuts the streams that began after it had
+        begun, if any, so these are the ones that callers take up elsewhere.
+        """
         await self._load()
-        while not self._state.stopping:
+        while True:
             interval = CHECK_INTERVAL_S
             try:
                 if self._versions_differ():
@@ -80,36 +86,53 @@
             for service in registry.list_versions()
         )
 
+    def _are_several_recorded(self) -> bool:
+        return have_several(self._state.version_history.list_recorded())
+
     async def _load(self) -> None:
         """Read the rows of all if streams of several versions may be open."""
         while not self._state.version_history.is_known:
             await self._state.changed.wait(CHECK_INTERVAL_S)
-        if have_several(self._state.version_history.list_recorded()):
-            origins = await self._read_until_answered()
-            self.on_loaded(origins)
-            self._log("origins_read", count=len(origins))
+        if self._are_several_recorded():
+            rows = await self._read_until_answered()
+            for entry in rows.get(self._state.settings.instance, ()):
+                # Written by an earlier process; its streams can still be taken up.
+                self._batch.record(entry, read_clock())
+            self.on_loaded([entry for row in rows.values() for entry in row])
+            self._log("origins_read", count=sum(len(row) for row in rows.values()))
         self.is_loaded = True
         self._state.changed.notify_all()
 
-    async def _read_until_answered(self) -> list[StreamOrigin]:
+    async def read(self) -> dict[int, int]:
+        """Return the origins of streams in the store, if several versions may have begun them.
+
+        Raise `StoreError` on failure.
+        """
+        if not self._versions_differ() and not self._are_several_recorded():
+            return {}
+        rows = await self._read_rows()
+        return {entry.stream: entry.origin for row in rows.values() for entry in row}
+
+    async def _read_until_answered(self) -> dict[str, list[StreamOrigin]]:
         while True:
             try:
-                return await self._read()
+                return await self._read_rows()
             except StoreError as error:
                 self._log("origins_not_read", reason=str(error))
             await asyncio.sleep(BACKOFF_S)
 
-    async def _read(self) -> list[StreamOrigin]:
+    async def _read_rows(self) -> dict[str, list[StreamOrigin]]:
+        """Return the entries in the store by the instance that wrote them."""
         page = await self._store.read_table(ORIGIN_TABLE)
-        origins: list[StreamOrigin] = []
+        rows: dict[str, list[StreamOrigin]] = {}
         for row in page.rows:
             try:
-                origins += decode_msgpack(row.value or b"\x90", type=list[StreamOrigin])
+                rows[row.key] = decode_msgpack(row.value or b"\x90", type=list[StreamOrigin])
             except msgspec.MsgspecError as error:
                 self._log("row_unreadable", row=row.key, reason=str(error))
             if row.key == self._state.settings.instance:
                 self._has_row = True
-        return origins
+        return rows
 
     async def _write(self) -> None:
         if not self._batch.has_new:
--- a/rhubarbbend/gateway/_stream_origins.py
+++ b/rhubarbbend/gateway/_stream_origins.py
@@ -30,9 +30,11 @@
     StreamQuery,
     StreamReply,
 )
+from rhubarbbend.gateway._stream_records import StreamRecordReader
 
 # How an origin came to be known, in the log.
 SOURCE_OWN: Final = "own"
+SOURCE_STORE: Final = "store"
 SOURCE_ONLY_VERSION: Final = "only version"
 # Streams remembered for each target; more than it begins in the time for which they matter.
 MAX_BEGUN: Final = 2_000
@@ -60,9 +62,12 @@
     Invariant: a request that continues a stream has an origin before it is sent to a target.
     """
 
-    def __init__(self, state: State, keepers: StreamKeepers, clock: Clock) -> None:
+    def __init__(
+        self, state: State, keepers: StreamKeepers, records: StreamRecordReader, clock: Clock
+    ) -> None:
         self._state = state
         self._keepers = keepers
+        self._records = records
         self._clock = clock
         self._ledger = StreamLedger()
         # The streams that began at each start of a target lately, with the times.
@@ -177,6 +182,11 @@
                 return OriginSearch(own, SOURCE_OWN)
             kept = await self._keepers.ask(key)
             found = OriginSearch(kept.origin, kept.keeper, kept.asked, kept.replied)
+        if found.origin is None and request.caller.resumes:
+            records = await self._records.read()
+            if records is not None:
+                found.origin = records.origins.get(_make_key(request))
+                found.source = "" if found.origin is None else SOURCE_STORE
         if found.origin is None:
             service = request.service.name
             only = self._find_only_version(service, self._clock())
--- a/rhubarbbend/gateway/_version_recorder.py
+++ b/rhubarbbend/gateway/_version_recorder.py
@@ -54,18 +54,18 @@
 
     async def _update_all(self) -> None:
         if not self._state.version_history.is_known:
-            await self._read_table()
+            try:
+                await self.read_table()
+            except StoreError as error:
+                self._retry_at = read_clock() + BACKOFF_S
+                self._log("versions_not_read", reason=str(error))
         if self._state.version_history.is_known:
             await self._record_missing(read_clock())
             await self._remove_expired(read_clock())
 
-    async def _read_table(self) -> None:
-        try:
-            page = await self._store.read_table(VERSION_TABLE)
-        except StoreError as error:
-            self._retry_at = read_clock() + BACKOFF_S
-            self._log("versions_not_read", reason=str(error))
-            return
+    async def read_table(self) -> None:
+        """Read the records of all services; raise `StoreError` on failure."""
+        page = await self._store.read_table(VERSION_TABLE)
         records: dict[str, VersionRecord] = {}
         for row in page.rows:
             try:
--- a/tests/gateway/test_in_flight_protocol.py
+++ b/tests/gateway/test_in_flight_protocol.py
@@ -20,6 +20,7 @@
 from rhubarbbend.gateway._state import INSTANCE_TABLE, State, read_clock
 from rhubarbbend.gateway._stream_keepers import StreamKeepers
 from rhubarbbend.gateway._stream_origins import StreamOrigins
+from rhubarbbend.gateway._stream_records import StreamRecordReader
 from rhubarbbend.http import ConnectionPool
 from tests.gateway.harness import run
 
@@ -151,6 +152,14 @@
     run(work)
 
 
+async def read_nothing() -> None:
+    """Stand for reads of the store that change nothing."""
+
+
+async def read_no_origins() -> dict[int, int]:
+    return {}
+
+
 # Guards against anyone who reaches the port and says which version began a stream.
 @pytest.mark.parametrize(
     ("data", "host", "is_accepted"),
@@ -167,7 +176,9 @@
     async def work() -> None:
         state, protocol = make_protocol()
         peers = PeerClient(state, ConnectionPool(1.0), ReaderSelector("front-0", "zone-0"))
-        origins = StreamOrigins(state, StreamKeepers(state, peers, read_clock), read_clock)
+        keepers = StreamKeepers(state, peers, read_clock)
+        records = StreamRecordReader(state, read_nothing, read_nothing, read_no_origins)
+        origins = StreamOrigins(state, keepers, records, read_clock)
         protocol.on_notice = origins.handle_notice
         protocol.datagram_received(NOTICE_MARK + data, (host, 7))
         reply = origins.serve(msgspec.msgpack.encode([5]))
