The origins of the last streams are written before a planned stop ends

What callers saw: streams that began and broke off in the last half second of a planned stop were refused elsewhere as unknown, if the other instances had already taken the stopping one off their lists (LOST).

Cause: origins are written every 0.5 s, and a stop ends as soon as nothing is open, so the last interval was never written.

Change: what is new is written at once at the end of a stop, within 0.3 s of the time that is left before the process is killed.

--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -342,6 +342,8 @@
                     await self._caller_server.finish()
             except TimeoutError:
                 self._log("callers_slow")
+        # Callers may still take up a stream that began since the last write and broke off.
+        await self._origin_store.flush()
         self._follower.stop()
         self._log("stopped", cut=unfinished, after=round(read_clock() - stop.began_at, 3))
         self._event_log.close()
--- a/rhubarbbend/gateway/_origin_store.py
+++ b/rhubarbbend/gateway/_origin_store.py
@@ -30,6 +30,8 @@
 ORIGIN_TABLE: Final = "origins"
 # After a call that failed, the store is left alone for this long.
 BACKOFF_S: Final = 1.0
+# How long the end of a planned stop waits for the last write.
+FLUSH_TIMEOUT_S: Final = 0.3
 # How often it is checked whether several versions serve.
 CHECK_INTERVAL_S: Final = 1.0
 
@@ -79,6 +81,15 @@
                 interval = BACKOFF_S
             await asyncio.sleep(interval)
 
+    async def flush(self) -> None:
+        """Write at once what is new; a failure is only logged."""
+        try:
+            async with asyncio.timeout(FLUSH_TIMEOUT_S):
+                if self._versions_differ():
+                    await self._write()
+        except (StoreError, TimeoutError) as error:
+            self._log("origins_not_written", reason=str(error) or "no answer within the time-out")
+
     def _versions_differ(self) -> bool:
         registry, now = self._state.registry, read_clock()
         return have_several(
