An instance that is cut off takes no stream up at another version

Cause: as no keeper replied, the one version that the instance knew was taken for the only one that can have begun the stream. It knew that from a record read at its start and from registrations that it had not followed for two seconds; after 600 s it did not look at the record at all. What was not seen was taken for what was not there.

Change: that no other version exists counts only if the store says so at that moment: records and registrations are read together with the origins. A bound on the age of what is known would not be enough, since a version begins streams as soon as it registers.

test_what_was_followed_for_long_goes_before_the_record is gone: it asserted that an instance which has followed registrations needs no record, which is the fault.

--- a/rhubarbbend/core/streams/_version_history.py
+++ b/rhubarbbend/core/streams/_version_history.py
@@ -32,10 +32,7 @@
 
 
 class VersionHistory:
-    """The versions of all services that were recorded when the store's table was read last.
-
-    They tell of the time before this instance started; what it has followed since, it knows itself.
-    """
+    """The versions of all services that were recorded when the store's table was read last."""
 
     def __init__(self, instance: str) -> None:
         self._instance = instance
@@ -67,21 +64,18 @@
             self._recorded[service] = frozenset(record.versions)
 
     def find_only_version(
-        self, service: str, seen: Collection[str], has_followed: bool, is_first_start: bool
+        self, service: str, seen: Collection[str], is_first_start: bool
     ) -> str | None:
         """Return the version that alone may have begun a stream; None if that is not known.
 
-        `seen` are the versions that this instance knows of the last `STREAM_RETENTION_S`, and
-        `has_followed` is whether it has followed all registrations in that time. If the whole
-        system starts for the first time, nothing served before a service's record began.
+        `seen` are the versions that this instance knows of the last `STREAM_RETENTION_S`. If the
+        whole system starts for the first time, nothing served before a service's record began.
         """
-        if not has_followed and not self.is_known:
+        if not self.is_known:
             return None
-        versions = set(seen)
-        if not has_followed:
-            before = frozenset() if is_first_start else frozenset({UNKNOWN_VERSION})
-            versions |= self._recorded.get(service, before)
-        return versions.pop() if len(versions) == 1 else None
+        before = frozenset() if is_first_start else frozenset({UNKNOWN_VERSION})
+        versions = self._recorded.get(service, before).union(seen)
+        return next(iter(versions)) if len(versions) == 1 else None
 
     def list_missing(
         self, registered: Mapping[str, Collection[str]], instances: Collection[str], now: float
--- a/rhubarbbend/gateway/_stream_origins.py
+++ b/rhubarbbend/gateway/_stream_origins.py
@@ -30,7 +30,7 @@
     StreamQuery,
     StreamReply,
 )
-from rhubarbbend.gateway._stream_records import StreamRecordReader
+from rhubarbbend.gateway._stream_records import StreamRecordReader, StreamRecords
 
 # How an origin came to be known, in the log.
 SOURCE_OWN: Final = "own"
@@ -171,7 +171,8 @@
         """Return the origin of the stream and who knew it.
 
         Of one that is not named or that nobody knows, as after the loss of all instances, it is
-        known at best that one version alone can have begun it.
+        known at best that one version alone can have begun it. That counts only if the store says
+        so now: this instance may have been cut off while another version came.
         """
         await self._wait_for_start()
         found = OriginSearch()
@@ -182,30 +183,32 @@
                 return OriginSearch(own, SOURCE_OWN)
             kept = await self._keepers.ask(key)
             found = OriginSearch(kept.origin, kept.keeper, kept.asked, kept.replied)
-        if found.origin is None and request.caller.resumes:
+        if found.origin is None:
             records = await self._records.read()
             if records is not None:
-                found.origin = records.origins.get(_make_key(request))
-                found.source = "" if found.origin is None else SOURCE_STORE
+                self._search_records(request, records, found)
+        return found
+
+    def _search_records(
+        self, request: OpenRequest, records: StreamRecords, found: OriginSearch
+    ) -> None:
+        if request.caller.resumes:
+            found.origin = records.origins.get(_make_key(request))
+            found.source = SOURCE_STORE
         if found.origin is None:
             service = request.service.name
             only = self._find_only_version(service, self._clock())
-            if only is not None:
-                found.origin = compute_origin(service, only)
-                found.source = SOURCE_ONLY_VERSION
-        return found
+            found.origin = None if only is None else compute_origin(service, only)
+            found.source = "" if only is None else SOURCE_ONLY_VERSION
 
     def _find_only_version(self, service: str, now: float) -> str | None:
         """Return the version of a service that alone can have begun any stream, if that is known.
 
-        The records of the store tell of the time before this instance started, and the
-        registrations that it has followed since.
+        The record of the store and the registrations have to be of the present.
         """
-        registry = self._state.registry
-        seen = registry.list_versions_since(service, STREAM_RETENTION_S, now)
-        has_followed = registry.has_followed(STREAM_RETENTION_S, now)
+        seen = self._state.registry.list_versions_since(service, STREAM_RETENTION_S, now)
         return self._state.version_history.find_only_version(
-            service, seen, has_followed, self._state.settings.is_first_start
+            service, seen, self._state.settings.is_first_start
         )
 
     async def _wait_for_start(self) -> None:
--- a/tests/core/streams/test_version_history.py
+++ b/tests/core/streams/test_version_history.py
@@ -20,8 +20,8 @@
     return history
 
 
-def find_only(history: VersionHistory, seen: set[str], has_followed: bool = False) -> str | None:
-    return history.find_only_version(SERVICE, seen, has_followed, is_first_start=False)
+def find_only(history: VersionHistory, seen: set[str]) -> str | None:
+    return history.find_only_version(SERVICE, seen, is_first_start=False)
 
 
 # Guards against a stream that goes on at the version that is left, at an instance that started
@@ -34,25 +34,19 @@
     assert find_only(make_history("v1"), set()) == "v1"
 
 
-# Guards against a record of long ago that holds back an instance which has seen all itself.
-def test_what_was_followed_for_long_goes_before_the_record() -> None:
-    assert find_only(make_history("v1", "v2"), {"v2"}, True) == "v2"
-    assert find_only(make_history("v1"), {"v1", "v2"}, True) is None
-
-
 # Guards against a missing record that is taken for a record of no other version, and against the
 # refusal of streams in the first moments of a system, before its versions are recorded.
 def test_without_a_record_nothing_served_before_only_if_the_system_has_just_begun() -> None:
     history = VersionHistory("front-0")
-    assert history.find_only_version(SERVICE, {"v1"}, False, is_first_start=True) is None
+    assert history.find_only_version(SERVICE, {"v1"}, is_first_start=True) is None
     history.record_table({})
     assert find_only(history, {"v1"}) is None
-    assert history.find_only_version(SERVICE, {"v1"}, False, is_first_start=True) == "v1"
+    assert history.find_only_version(SERVICE, {"v1"}, is_first_start=True) == "v1"
     history.record_table({SERVICE: VersionRecord(("v1", "v2"))})
-    assert history.find_only_version(SERVICE, {"v1"}, False, is_first_start=True) is None
+    assert history.find_only_version(SERVICE, {"v1"}, is_first_start=True) is None
     history.forget()
-    assert history.find_only_version(SERVICE, {"v1"}, False, is_first_start=True) is None
-    assert find_only(history, {"v1"}, has_followed=True) == "v1"
+    assert history.find_only_version(SERVICE, {"v1"}, is_first_start=True) is None
+    assert find_only(history, {"v1"}) is None
 
 
 # Guards against a write by each of many instances for each new version.
