Targets are read anew before a stream's version counts as gone

Cause: the origin was found, from another instance or the store, but this instance had not read the new registrations yet. As with the only version, what it had not seen counted as not there.

Change: if no target of the origin's version is known, the registrations are read from the store, once for all that wait, before the stream is refused.

--- a/rhubarbbend/gateway/_stream_origins.py
+++ b/rhubarbbend/gateway/_stream_origins.py
@@ -47,13 +47,14 @@
     """What was found of a stream that a caller takes up: its origin, and who knew it.
 
     `asked` and `replied` are the numbers of keepers, to tell in the log whether one that may know
-    the stream did not reply.
+    the stream did not reply. `has_read_records` is whether the store was read, too.
     """
 
     origin: int | None = None
     source: str = ""
     asked: int = 0
     replied: int = 0
+    has_read_records: bool = False
 
 
 class StreamOrigins:
@@ -147,7 +148,7 @@
         if request.is_detour or not _is_resumption(request):
             return None
         found = await self._find_origin(request)
-        version = None if found.origin is None else self._find_version(request, found.origin)
+        version = await self._find_version(request, found)
         self._state.event_log.write(
             "stream_taken_up",
             self._clock(),
@@ -185,6 +186,7 @@
             found = OriginSearch(kept.origin, kept.keeper, kept.asked, kept.replied)
         if found.origin is None:
             records = await self._records.read()
+            found.has_read_records = True
             if records is not None:
                 self._search_records(request, records, found)
         return found
@@ -224,8 +226,21 @@
         is_listed = self._state.mirror.tables[INSTANCE_TABLE].known
         return is_listed and self._state.version_history.is_known and self.is_loaded()
 
-    def _find_version(self, request: OpenRequest, origin: int) -> str | None:
-        """Return the version of an origin, None if it has no target that may be used."""
+    async def _find_version(self, request: OpenRequest, found: OriginSearch) -> str | None:
+        """Return the version of an origin, None if it has no target that may be used.
+
+        The version may have come while this instance was cut off or stood still, so the targets
+        that are registered now are read before a stream is refused.
+        """
+        if found.origin is None:
+            return None
+        version = self._find_known_version(request, found.origin)
+        if version is None and not found.has_read_records:
+            await self._records.read()
+            version = self._find_known_version(request, found.origin)
+        return version
+
+    def _find_known_version(self, request: OpenRequest, origin: int) -> str | None:
         service = request.service.name
         for target in self._state.registry.list_available(service, self._clock()):
             if compute_origin(service, target.version) == origin:
--- a/tests/gateway/test_stream_versions_out_of_step.py
+++ b/tests/gateway/test_stream_versions_out_of_step.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 from pathlib import Path
 from typing import Any, Final
 
@@ -74,7 +75,7 @@
 
 # Guards against the loss of streams (LOST) at an instance that can learn at that moment which
 # version began them: from the store, or from targets that have registered meanwhile.
-@pytest.mark.parametrize("how", ["from instances", "healed"])
+@pytest.mark.parametrize("how", ["from instances", "healed", "suspended"])
 def test_instance_that_reaches_the_store_takes_streams_up_at_their_version(
     tmp_path: Path, how: str
 ) -> None:
@@ -82,10 +83,17 @@
         async with start_fleet(
             tmp_path, instances=2, plain_worker_count=0, use_proxy_routes=True, has_rollouts=False
         ) as fleet:
-            await set_peer_paths(fleet, **RESET)
+            process = fleet.instances["front-1"].process
+            assert process is not None
+            if how == "suspended":
+                process.send_signal(signal.SIGSTOP)
+            else:
+                await set_peer_paths(fleet, **RESET)
             if how == "healed":
                 await set_store_path(fleet, **RESET)
             attempts = await begin_at_two_versions(fleet)
+            if how == "suspended":
+                process.send_signal(signal.SIGCONT)
             if how == "healed":
                 await set_store_path(fleet, **MENDED)
                 await set_peer_paths(fleet, **MENDED)
