Datagrams of an instance that stops are accepted until its stop ends

What happened: from the signal of a planned stop on, an instance's counts of requests in flight and its notices of streams were dropped by all others that read the list of instances again, for up to the grace of the stop. Its requests counted for nothing at engines, and its streams were known to nobody.

Cause: datagrams were taken only from instances on the list, which an instance leaves as its stop begins, so that it gets no more work.

Change: an instance that has left the list is believed for as long as a planned stop takes, from its own address as before.

Evidence: two of three cases of the new test failed before.

--- a/rhubarbbend/gateway/_in_flight_protocol.py
+++ b/rhubarbbend/gateway/_in_flight_protocol.py
@@ -176,7 +176,7 @@
             self._state.metrics.increment_counter(codes.PEER_FRAMES_BAD)
             return
         now = read_clock()
-        row = self._state.instances.get(update.sender)
+        row = self._state.list_senders(now).get(update.sender)
         if row is None or update.sender == self._name:
             self._state.metrics.increment_counter(codes.PEER_COUNTS_REJECTED)
         elif not row.may_send_from(*addr[:2]):
--- a/rhubarbbend/gateway/_state.py
+++ b/rhubarbbend/gateway/_state.py
@@ -100,6 +100,8 @@
         # Replaced by a new object with each change, so that values computed from it can be cached.
         self.instances: Mapping[str, InstanceRow] = {}
         self.instance_zones: dict[str, str] = {}
+        # The rows of instances that have left the list, and when.
+        self._departed: dict[str, tuple[InstanceRow, float]] = {}
         self.peer_updates: PeerUpdateLog[PeerUpdate] = PeerUpdateLog()
         # The latest time at which this instance's data is known to have matched the store.
         self.up_to_date_at = -math.inf
@@ -210,13 +212,30 @@
     def add_instance(self, name: str, row: InstanceRow) -> None:
         """Add an instance to the list, or replace its row."""
         self.instances = {**self.instances, name: row}
+        self._departed.pop(name, None)
         self._handle_instances_changed()
 
-    def remove_instance(self, name: str) -> None:
+    def remove_instance(self, name: str, now: float) -> None:
         """Remove an instance from the list."""
+        row = self.instances.get(name)
+        if row is None:
+            return
+        self._departed[name] = (row, now)
         self.instances = {known: row for known, row in self.instances.items() if known != name}
         self._handle_instances_changed()
 
+    def list_senders(self, now: float) -> Mapping[str, InstanceRow]:
+        """Return the instances whose messages are believed: those listed, and those that stop.
+
+        An instance leaves the list when its planned stop begins, and works until the stop ends.
+        """
+        ended = [n for n, (_, at) in self._departed.items() if now - at > self.settings.stop_grace]
+        for name in ended:
+            del self._departed[name]
+        if not self._departed:
+            return self.instances
+        return {**{name: row for name, (row, _) in self._departed.items()}, **self.instances}
+
     def _handle_instances_changed(self) -> None:
         self.instance_zones = {name: row.zone for name, row in self.instances.items()}
         self._instance_ids = None
--- a/rhubarbbend/gateway/_state_updater.py
+++ b/rhubarbbend/gateway/_state_updater.py
@@ -71,7 +71,7 @@
 
     def _apply_instance_row(self, change: RowChange) -> None:
         if change.value is None:
-            self._state.remove_instance(change.key)
+            self._state.remove_instance(change.key, read_clock())
             return
         try:
             row = decode_json(change.value, type=InstanceRow)
--- a/rhubarbbend/gateway/_stream_keepers.py
+++ b/rhubarbbend/gateway/_stream_keepers.py
@@ -86,7 +86,8 @@
         except msgspec.MsgspecError:
             self._state.metrics.increment_counter(codes.PEER_FRAMES_BAD)
             return None
-        senders = [r for n, r in self._state.instances.items() if _hash_name(n) == notice.sender]
+        known = self._state.list_senders(self._clock())
+        senders = [row for name, row in known.items() if _hash_name(name) == notice.sender]
         if any(row.may_send_from(*address[:2]) for row in senders):
             self._rejected.discard(notice.sender)
             return notice
--- a/tests/gateway/test_in_flight_protocol.py
+++ b/tests/gateway/test_in_flight_protocol.py
@@ -152,6 +152,24 @@
     run(work)
 
 
+# Guards against engines that take more than their bound, and streams that nobody knows, while an
+# instance stops: it leaves the list at once, and its datagrams were dropped until it ended.
+@pytest.mark.parametrize(("after_s", "is_accepted"), [(0.0, True), (7.9, True), (8.1, False)])
+def test_counts_of_an_instance_that_stops_are_accepted_until_its_stop_ends(
+    after_s: float, is_accepted: bool
+) -> None:
+    async def work() -> None:
+        state, protocol = make_protocol()
+        state.remove_instance("front-7", read_clock() - after_s)
+        update = InFlightUpdate(
+            "front-7", CountScope.SENDER_GROUP, 1, True, {compute_target_hash("engine"): 3}, 1
+        )
+        protocol.datagram_received(msgspec.msgpack.encode(update), ("10.0.0.9", 7))
+        assert state.loads.estimate("engine", True, 0.0) == (3.0 if is_accepted else 0.0)
+
+    run(work)
+
+
 async def read_nothing() -> None:
     """Stand for reads of the store that change nothing."""
 
