An outage of the store ends the time for which registrations were followed

What callers could see: a version is taken off the record of its service by an instance that has followed all registrations for 600 s without a target of it. That time went on through an outage of the store, during which a version may come and go unseen, so its record could be removed while its streams were open, and such a stream go on at another version (ORDER).

Change: the recovery of the store, which instances also tell one another, and a history that the store has dropped, both begin the time anew.

Evidence: the new test failed before. That a dropped history begins the time anew has no test of its own.

--- a/rhubarbbend/core/directory/_directory.py
+++ b/rhubarbbend/core/directory/_directory.py
@@ -123,8 +123,12 @@
         self._followed_since = now
 
     def record_store_recovery(self, now: float) -> None:
-        """Record that the store answers again after an outage, since `now` or earlier."""
+        """Record that the store answers again after an outage, since `now` or earlier.
+
+        A target may have come and gone meanwhile, of which the changes since tell nothing.
+        """
         self.store_recovered_at = max(self.store_recovered_at, now)
+        self._followed_since = max(self._followed_since, self.store_recovered_at)
 
     def register(self, record: TargetRecord, now: float) -> Target:
         """Add or update a target from its record and return it; ignore records of old starts."""
--- a/rhubarbbend/gateway/_follower.py
+++ b/rhubarbbend/gateway/_follower.py
@@ -166,6 +166,7 @@
             except HistoryCompacted:
                 # The whole table is read next. Until then, what is known stays in force.
                 self._log("history_gone", table=table)
+                self._state.registry.record_gap(read_clock())
                 reads_whole_table = True
                 continue
             except StoreError as error:
--- a/tests/core/directory/test_directory.py
+++ b/tests/core/directory/test_directory.py
@@ -169,6 +169,17 @@
     assert not directory.has_followed(20.0, 59.0) and directory.has_followed(20.0, 60.0)
 
 
+# Guards against an instance that takes a version off the record, whose streams are still open: the
+# version came and went while the store was out of the instance's reach.
+def test_registrations_were_not_followed_during_an_outage_of_the_store() -> None:
+    directory = TargetRegistry()
+    directory.record_store_recovery(5.0)
+    assert not directory.has_followed(20.0, 100.0)
+    directory.mark_initial_read_complete(10.0)
+    directory.record_store_recovery(40.0)
+    assert not directory.has_followed(20.0, 59.0) and directory.has_followed(20.0, 60.0)
+
+
 # Guards against a crash of a target that is taken for the end of its drain, and against the planned
 # end of one that is taken for a crash.
 def test_the_end_of_a_target_is_planned_only_after_it_has_drained() -> None:
