Load reports of targets are given up at 64 KB

What happened: another operator told of a target that sent bytes without end; the instance kept them, ran out of memory and ended with the requests of all its callers. Here, on the product's own interface, a load report or a query for the state of a target kept up to 16 MB for up to a second, with each target, so ten such targets fill an instance.

Cause: the limit of calls to the store and to other instances, whose answers may be large, held for reports as well, which take some KB.

Change: reports have a limit of their own.

Evidence: the new test failed before in both forms, 41 MB sent for two queries, and passes.

--- a/rhubarbbend/shell/_attempts.py
+++ b/rhubarbbend/shell/_attempts.py
@@ -42,6 +42,9 @@
 BUSY_STATUSES: Final = (429, 502, 503, 504)
 PROBE_TIMEOUT_S: Final = 0.8
 REPORT_TIMEOUT_S: Final = 1.0
+# A report takes some KB. Several targets that send without end must not fill the memory, since each
+# is asked anew every second.
+MAX_REPORT_BYTES: Final = 65_536
 CANCEL_TIMEOUT_S: Final = 1.0
 
 SubmitEvent = Callable[[events.Event], None]
@@ -336,6 +339,7 @@
                 kind.report_path,
                 self._now(),
                 timeout=PROBE_TIMEOUT_S,
+                max_body_bytes=MAX_REPORT_BYTES,
                 new_connection=True,
             )
             boot_id = kind.read_report(data).boot_id
@@ -354,6 +358,7 @@
                 kind.report_path,
                 self._now(),
                 timeout=REPORT_TIMEOUT_S,
+                max_body_bytes=MAX_REPORT_BYTES,
             )
             report = kind.read_report(data)
         except (HttpFailure, msgspec.MsgspecError) as error:
--- a/tests/shell/test_attempts.py
+++ b/tests/shell/test_attempts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
 
 import pytest
@@ -10,6 +11,7 @@
 from rhubarbbend import codes
 from rhubarbbend.core import actions, events
 from rhubarbbend.http import ConnectionPool, Exchange, HttpServer, reset_connection
+from rhubarbbend.http._receive_limits import MAX_FETCHED_BYTES
 from rhubarbbend.shell._attempts import MAX_COMMAND_RESPONSE_BYTES, AttemptRunner
 from rhubarbbend.shell._open_request import OpenRequest
 
@@ -179,6 +181,37 @@
     asyncio.run(harness.run(scenario))
 
 
+# Guards against targets whose load reports have no end and fill the memory of the instance that
+# asks them, which ends with all its requests.
+@pytest.mark.parametrize("framing", ["Content-Length: 99999999999", "Connection: close"])
+def test_report_without_end_is_not_kept(framing: str) -> None:
+    sent = 0
+
+    async def flood(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        nonlocal sent
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(f"HTTP/1.1 200 OK\r\n{framing}\r\n\r\n".encode())
+        with contextlib.suppress(ConnectionError):
+            while True:
+                writer.write(b"x" * 16_384)
+                await writer.drain()
+                sent += 16_384
+
+    async def scenario() -> None:
+        server = await asyncio.start_server(flood, HOST, 0)
+        port = int(server.sockets[0].getsockname()[1])
+        harness.runner.read_report(actions.ReadReport("t", "chat", HOST, port), "engine")
+        harness.runner.probe(actions.Probe("t", "one", HOST, port))
+        assert isinstance(await harness.events.get(), events.ReportFailed | events.ProbeAnswered)
+        assert isinstance(await harness.events.get(), events.ReportFailed | events.ProbeAnswered)
+        server.close()
+        # Beside what is read, the kernel's buffers take some.
+        assert sent < MAX_FETCHED_BYTES / 2
+
+    harness = AttemptHarness(lambda attempt, writer: None)
+    asyncio.run(harness.run(scenario))
+
+
 def test_the_slot_is_released_before_the_response_to_the_caller_ends() -> None:
     """The response to a chat ends, and its caller sends the next turn through another instance.
 
