An entry without a version names no target

Cause: the field had the default "", so targets of both versions counted as of one, and their streams had the same origin.

--- a/rhubarbbend/core/streams/_version_history.py
+++ b/rhubarbbend/core/streams/_version_history.py
@@ -17,8 +17,8 @@
 # No setting bounds how long a caller may wait before it takes a stream up again. This is far above
 # the deadlines of requests, within which callers that behave do so.
 STREAM_RETENTION_S: Final = 600.0
-# Stands for the versions that served before a service's record began. Targets that state no version
-# have it too: nothing tells them from others of their service.
+# Stands for the versions that served before a service's record began, and for targets that state an
+# empty one: nothing tells them from others of their service.
 UNKNOWN_VERSION: Final = ""
 # Instances write a missing version one after the other, in an order that all compute alike, so that
 # the store gets one write and not one from each.
