--- a/rhubarbbend/core/streams/_origin_batch.py
+++ b/rhubarbbend/core/streams/_origin_batch.py
@@ -19,7 +19,7 @@
 # All instances together write this often at the most; the store serves several hundred writes a
 # second, and other writes must not wait for these.
 MAX_WRITES_PER_S: Final = 100.0
-# The same of reads of all that the store holds of streams; each takes three calls.
+# Likewise for reads of what the store holds of all streams; each of them takes three calls.
 MIN_READ_INTERVAL_S: Final = 0.2
 MAX_READS_PER_S: Final = 200.0
 # A row of the store holds at most 64 KB; an entry takes 18 bytes and a third more in base64.
--- a/rhubarbbend/gateway/_stream_origins.py
+++ b/rhubarbbend/gateway/_stream_origins.py
@@ -172,8 +172,8 @@
         """Return the origin of the stream and who knew it.
 
         Of one that is not named or that nobody knows, as after the loss of all instances, it is
-        known at best that one version alone can have begun it. That counts only if the store says
-        so now: this instance may have been cut off while another version came.
+        known at best that one version alone can have begun it. This is read from the store now,
+        since another version may have come while this instance was cut off.
         """
         await self._wait_for_start()
         found = OriginSearch()
@@ -206,7 +206,7 @@
     def _find_only_version(self, service: str, now: float) -> str | None:
         """Return the version of a service that alone can have begun any stream, if that is known.
 
-        The record of the store and the registrations have to be of the present.
+        The store's record and the registrations must have just been read.
         """
         seen = self._state.registry.list_versions_since(service, STREAM_RETENTION_S, now)
         return self._state.version_history.find_only_version(
--- a/rhubarbbend/gateway/_stream_records.py
+++ b/rhubarbbend/gateway/_stream_records.py
@@ -1,9 +1,9 @@
-"""Reads from the store what tells the origin of a stream that no other instance knows.
+"""Reads from the store which version began a stream that no instance within reach knows.
 
-Instances may be unable to reach one another, or may have forgotten what they knew as they were
-restarted. Then the store still tells which version began a stream, or that one version alone can
-have begun it. What an instance has read earlier tells neither, since it may have been cut off from
-the store, or standing still, while a version came.
+Instances may be cut off from one another, or restarted and without what they knew. The store still
+tells the origin of a stream, or that one version alone can have begun it. What an instance has read
+earlier does not tell the latter: it may have been cut off from the store, or suspended, while a
+version came.
 """
 
 from __future__ import annotations
@@ -25,13 +25,13 @@
 
 
 class StreamRecords(msgspec.Struct, frozen=True):
-    """What the store held at one time: the origins of streams, while several versions serve."""
+    """The origins of streams that the store held at one time; empty while one version serves."""
 
     origins: Mapping[int, int]
 
 
 class StreamRecordReader:
-    """Reads the records of streams, versions and targets, once for all streams that need them."""
+    """Reads the origins of streams, the recorded versions and the targets, once for all callers."""
 
     def __init__(
         self,
@@ -51,8 +51,7 @@
     async def read(self) -> StreamRecords | None:
         """Return what the store holds now, None if it does not answer in time.
 
-        When this returns records, this instance also knows the recorded versions and the registered
-        targets of a time after the call.
+        If it returns records, the versions and targets that this instance knows are as recent.
         """
         interval = compute_read_interval(len(self._state.list_instance_ids()))
         try:
