--- a/tests/gateway/test_stream_versions_after_loss.py
+++ b/tests/gateway/test_stream_versions_after_loss.py
@@ -21,6 +21,7 @@
     MIN_SHARE,
     PATH,
     SETTLE_S,
+    begin,
     begin_all,
     count_mixed,
     count_whole,
@@ -49,8 +50,10 @@
     )
 
 
-async def kill_instances(fleet: GatewayFleet) -> None:
-    processes = [node.process for node in fleet.instances.values() if node.process is not None]
+async def kill_instances(fleet: GatewayFleet, names: list[str] | None = None) -> None:
+    """Kill the instances named, or all."""
+    nodes = [fleet.instances[name] for name in names or fleet.instances]
+    processes = [node.process for node in nodes if node.process is not None]
     await asyncio.gather(*(process.kill() for process in processes))
 
 
@@ -165,6 +168,24 @@
     run(work)
 
 
+# Guards against the loss of open streams with most instances (LOST): the one that is left had read
+# the origins in the store only at its start.
+def test_streams_go_on_at_the_instance_that_is_left(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with start_versions_fleet(tmp_path) as fleet:
+            await start_versions(fleet)
+            attempts = await begin_all(fleet, "front-0", 12)
+            more = [f"{attempt}-b" for attempt in attempts]
+            assert [await begin(fleet, "front-2", attempt) for attempt in more] == [200] * 12
+            await asyncio.sleep(WRITTEN_S)
+            await kill_instances(fleet, ["front-0", "front-2", "front-3"])
+            replies = await resume_all(fleet, "front-1", attempts + more)
+            assert count_whole(replies) >= 0.9 * len(replies)
+            assert await count_mixed(fleet) == 0
+
+    run(work)
+
+
 # Guards against streams whose version has left that go on at the other one, since the store holds
 # the origins of both.
 def test_streams_of_a_version_that_left_are_refused_after_a_loss_of_all_instances(
