A stopping instance removes only the row that it has read

What could happen: the call that takes a stopping instance off the list is answered late or not at all and carried out seconds later, when the next process of the instance has written its row.

Change: the row is read first, and its removal holds for that version only. One more call to the store for each planned stop.

Evidence: the new test failed before (the removal named no version).

--- a/rhubarbbend/gateway/_instance_list.py
+++ b/rhubarbbend/gateway/_instance_list.py
@@ -102,9 +102,16 @@
                 written_at = now
 
     async def leave(self) -> None:
-        """Remove this instance from the list."""
+        """Remove this instance from the list.
+
+        A call without an answer may be carried out seconds later, when the next process of this
+        instance has written its row, so only the row as it is now is removed.
+        """
+        own_id = self._state.settings.instance
         try:
-            await self._store.remove_row(INSTANCE_TABLE, self._state.settings.instance)
+            row = await self._store.read_row(INSTANCE_TABLE, own_id)
+            if row.value is not None:
+                await self._store.remove_row(INSTANCE_TABLE, own_id, row.version)
         except StoreError as error:
             self._log("leave_failed", reason=str(error))
 
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -63,6 +63,7 @@
         self.written: list[str] = []
         self.removed: list[tuple[str, int | None]] = []
         self.renewed: set[str] = set()
+        self.rows: dict[str, StoredRow] = {}
         self.closures = 0
 
     async def read_table(self, table: str) -> TablePage:
@@ -97,7 +98,7 @@
 
     async def read_row(self, table: str, key: str) -> StoredRow:
         self.calls += 1
-        return StoredRow(None, 0, 0.0)
+        return self.rows.get(key, StoredRow(None, 0, 0.0))
 
     async def write_rows(self, puts: Sequence[RowPut], expected: Sequence[RowVersion]) -> None:
         self.calls += 1
@@ -287,6 +288,21 @@
     run(work)
 
 
+# Guards against an instance that is missing from the list for half a minute after a quick restart:
+# the deletion of its row by the process before it took effect late, on the new row.
+def test_stopping_instance_removes_only_the_row_that_it_has_read() -> None:
+    async def work() -> None:
+        store = ScriptedStore()
+        _, follower = make_follower(store)
+        await follower.instance_list.leave()
+        assert store.removed == []
+        store.rows["front-0"] = StoredRow(b"{}", 7, 0.0)
+        await follower.instance_list.leave()
+        assert store.removed == [("front-0", 7)]
+
+    run(work)
+
+
 def make_zone_page_with_reader() -> TablePage:
     """Return a list of six instances; front-1 is their reader because it has the most capacity."""
     row = '{"zone":"zone-a","host":"127.0.0.1","port":1,"link":%d,"cores":%d}'
