A write of origins that failed is made again

What could happen: the store refuses one write of an instance's row of origins. The streams in it were taken for written, and stood in the store only once another stream began at that instance. If the instances that knew them were lost or stopped before, they were refused (LOST).

Cause: the batch was marked as written before the call to the store.

Change: a call that fails marks it as new again.

Evidence: the new test failed before; found by reading.

--- a/rhubarbbend/gateway/_origin_store.py
+++ b/rhubarbbend/gateway/_origin_store.py
@@ -150,7 +150,12 @@
             return
         data = msgspec.msgpack.encode(self._batch.list_recent(read_clock()))
         self._has_row = True
-        await self._store.put_row(ORIGIN_TABLE, self._state.settings.instance, data)
+        try:
+            await self._store.put_row(ORIGIN_TABLE, self._state.settings.instance, data)
+        except BaseException:
+            # Without this, the streams would not be written until another one begins.
+            self._batch.has_new = True
+            raise
         self._state.metrics.increment_counter(codes.ORIGINS_WRITTEN)
 
     async def _remove(self) -> None:
