An instance that is heard is reached although its link has failed

Cause: the links of the other instances to a suspended one fail, and what is sent during the backoff of 0.5 s is dropped. The instance that had stood in as the owner hears the returned one on that one's own connection and hands the engine over at once, into its own backoff. Without the handover the owner stays on probation.

Fix: a message of a peer ends the backoff of the link to it. It shows that the peer runs, which is more recent than the failure.

--- a/rhubarbbend/peers/_links.py
+++ b/rhubarbbend/peers/_links.py
@@ -159,6 +159,10 @@
         if self._task is not None:
             self._task.cancel()
 
+    def end_backoff(self) -> None:
+        """Let the next frame open the connection, whenever the last attempt failed."""
+        self._backoff_until = 0.0
+
     async def _run(self) -> None:
         loop = asyncio.get_running_loop()
         writer: asyncio.StreamWriter | None = None
@@ -243,6 +247,16 @@
         frame = self._last_encoded[1]
         link.send(frame)
 
+    def record_heard(self, peer: str) -> None:
+        """Record that a message of a peer has arrived, so that it can be reached again.
+
+        What is sent during a backoff is dropped. A peer that has just come back would miss the
+        handover of its targets, and grant next to nothing until their reports end its probation.
+        """
+        link = self._links.get(peer)
+        if link is not None:
+            link.end_backoff()
+
     def handle_link_closed(self, link: _Link, dropped: int) -> None:
         """Record the dropped frames of a link that has failed, and report its peer as lost."""
         self.dropped += dropped
--- a/rhubarbbend/shell/_runtime.py
+++ b/rhubarbbend/shell/_runtime.py
@@ -241,6 +241,7 @@
     # Peers and operators.
 
     def _handle_peer_message(self, sender: str, message: Message) -> None:
+        self._peer_links.record_heard(sender)
         if isinstance(message, ReservedRun):
             request = make_peer_request_id(sender, message.request)
             headers = {"content-type": message.content_type, "idempotency-key": message.key}
--- a/tests/peers/test_links.py
+++ b/tests/peers/test_links.py
@@ -99,6 +99,29 @@
     run(scenario)
 
 
+# Guards against a handover that is lost because its receiver, which was suspended, has just come
+# back: the link to it had failed, and what is sent during the backoff is dropped.
+def test_a_peer_that_was_heard_is_reached_during_the_backoff() -> None:
+    async def scenario() -> None:
+        receiver = Receiver()
+        port = await receiver.listener.listen(HOST, 0)
+        await receiver.listener.close()
+        lost: list[str] = []
+        links = PeerLinks("entry-a1", SECRET, lost.append)
+        links.send("entry-a2", (HOST, port), SlotRequest(attempt="1"))
+        await wait_for(lambda: len(lost) == 1)
+        back = Receiver()
+        await back.listener.listen(HOST, port)
+        links.record_heard("entry-a2")
+        links.send("entry-a2", (HOST, port), SlotRequest(attempt="2"))
+        await wait_for(lambda: bool(back.attempts), timeout=_links.RECONNECT_BACKOFF_S / 2)
+        assert back.attempts == ["2"] and links.dropped == 1
+        await links.close()
+        await back.listener.close()
+
+    run(scenario)
+
+
 def test_an_instance_of_another_fleet_is_rejected() -> None:
     async def scenario() -> None:
         receiver = Receiver()
--- a/tests/shell/test_runtime.py
+++ b/tests/shell/test_runtime.py
@@ -15,8 +15,8 @@
 from loadtool._processes import pick_port
 from rhubarbbend import codes
 from rhubarbbend.core import actions, events
-from rhubarbbend.core.messages import SlotReply
-from rhubarbbend.peers import PeerLinks
+from rhubarbbend.core.messages import Message, SlotReply, SlotRequest
+from rhubarbbend.peers import PeerLinks, PeerListener
 from rhubarbbend.settings import load_settings
 from rhubarbbend.shell import Runtime
 from rhubarbbend.stop_signals import STOP_SIGNALS
@@ -149,3 +149,36 @@
         running.cancel()
 
     asyncio.run(scenario())
+
+
+# Guards against the loss of what is sent to an instance that has just come back: a handover, say.
+def test_an_instance_that_is_heard_is_reached_although_its_link_has_failed(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        runtime = _make_runtime(tmp_path)
+        received: list[Message] = []
+        listener = PeerListener(
+            b"a secret of the tests of the runtime",
+            lambda sender, message: received.append(message),
+            lambda: None,
+        )
+        port = pick_port()
+
+        def send(attempt: str) -> None:
+            message = SlotRequest(attempt=attempt)
+            runtime._send_peer(actions.SendPeer("e2", "127.0.0.1", port, message))
+
+        send("1")
+        async with asyncio.timeout(5.0):
+            while not runtime._peer_links.dropped:
+                await asyncio.sleep(0.01)
+            await listener.listen("127.0.0.1", port)
+            runtime._handle_peer_message("e2", SlotReply(attempt="0"))
+            send("2")
+            while not received:
+                await asyncio.sleep(0.01)
+        assert received == [SlotRequest(attempt="2")]
+        assert runtime._peer_links.dropped == 1
+        await runtime._peer_links.close()
+        await listener.close()
+
+    asyncio.run(scenario())
