--- a/loadtool/_gateway_fleet.py
+++ b/loadtool/_gateway_fleet.py
@@ -164,10 +164,10 @@
         If `use_proxy_route`, it is reached through a proxy route. The proxy accepts connections
         even for a worker that has ended, as some networks do.
         """
-        arguments = ["worker", "--name", name, "--arrivals", str(self.folder / ARRIVALS_FILE)]
-        process, port = await self.group.start_stand_in(name, arguments)
+        born = int(fields.get("born", 1))
+        process, port = await self.group.start_stand_in(name, self._make_arguments(name, born))
         advertised_port = await self.open_route(port) if use_proxy_route else port
-        node = WorkerNode(name, service, zone, port, advertised_port, process)
+        node = WorkerNode(name, service, zone, port, advertised_port, process, born)
         self.workers[name] = node
         for instance in list(self.instances.values()):
             await self._open_links(instance)
@@ -180,10 +180,14 @@
         """Kill a worker and start it again under its id and address, without a registration."""
         node = self.workers[name]
         await node.process.kill()
-        arrivals = str(self.folder / ARRIVALS_FILE)
-        arguments = ["--port", str(node.port), "worker", "--name", name, "--arrivals", arrivals]
+        node.born += 1
+        arguments = ["--port", str(node.port), *self._make_arguments(name, node.born)]
         node.process, _ = await self.group.start_stand_in(name, arguments)
 
+    def _make_arguments(self, name: str, born: int) -> list[str]:
+        arrivals = str(self.folder / ARRIVALS_FILE)
+        return ["worker", "--name", name, "--arrivals", arrivals, "--born", str(born)]
+
     async def register_worker(self, name: str, **fields: Any) -> None:
         """Write the entry of a worker to the table `servers`, with extra or changed `fields`."""
         node = self.workers[name]
@@ -196,7 +200,7 @@
             "state": "ready",
             "coldLeftMs": 0,
             "seqNo": 1,
-            "born": 1,
+            "born": node.born,
         }
         await self.write_row("servers", name, {**entry, **fields})
 
--- a/loadtool/_gateway_nodes.py
+++ b/loadtool/_gateway_nodes.py
@@ -53,7 +53,7 @@
     """A worker process.
 
     `advertised_port` is the port by which instances reach it: that of a proxy route or its own
-    `port`.
+    `port`. `born` is the start that it states of itself, in its registration too.
     """
 
     name: str
@@ -62,3 +62,4 @@
     port: int
     advertised_port: int
     process: ManagedProcess
+    born: int = 1
--- a/rhubarbbend/core/directory/__init__.py
+++ b/rhubarbbend/core/directory/__init__.py
@@ -5,6 +5,7 @@
     Target,
     TargetRecord,
     TargetState,
+    get_boot,
     get_target_id,
 )
 
@@ -14,5 +15,6 @@
     "TargetRecord",
     "TargetRegistry",
     "TargetState",
+    "get_boot",
     "get_target_id",
 ]
--- a/rhubarbbend/core/directory/_targets.py
+++ b/rhubarbbend/core/directory/_targets.py
@@ -87,3 +87,8 @@
 def get_target_id(incarnation: str) -> str:
     """Return the id of the target that one of its starts belongs to."""
     return incarnation.rpartition(BOOT_SEPARATOR)[0]
+
+
+def get_boot(incarnation: str) -> int:
+    """Return the boot number of one start of a target; 0 if its registration states none."""
+    return int(incarnation.rpartition(BOOT_SEPARATOR)[2])
--- a/rhubarbbend/gateway/_answer_forwarder.py
+++ b/rhubarbbend/gateway/_answer_forwarder.py
@@ -45,8 +45,9 @@
         self._clock = clock
         # Called with the first event of each stream that comes from a target; set by the instance.
         self.on_stream_begun: list[Callable[[OpenRequest, Target], None]] = []
-        # Whether a target that has closed a connection runs on; set by the instance.
-        self.runs_on: Callable[[Target], Awaitable[bool]] = _assume_running
+        # Whether a target that has closed a connection runs on, given since when it has worked on
+        # the request; set by the instance.
+        self.runs_on: Callable[[Target, float], Awaitable[bool]] = _assume_running
 
     async def forward(
         self,
@@ -101,7 +102,11 @@
         runs has ended its answer. One that leaves is no exception: it may end in the middle of its
         last answers, and its crash would look the same.
         """
-        if request.body_end is None or target is None or await self.runs_on(target):
+        if (
+            request.body_end is None
+            or target is None
+            or await self.runs_on(target, request.sent_at)
+        ):
             return
         self._state.metrics.increment_counter(codes.ANSWERS_END_UNCONFIRMED)
         raise HttpFailure(
@@ -151,7 +156,7 @@
         return AttemptOutcome.ANSWERED
 
 
-async def _assume_running(target: Target) -> bool:
+async def _assume_running(target: Target, since: float) -> bool:
     return True
 
 
--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -100,13 +100,15 @@
         selector = ReaderSelector(settings.instance, settings.zone)
         self._peers = PeerClient(self.state, self._peer_pool, selector)
         self._peer_server = PeerServer(self.state)
-        gate = self._set_up_crash_detection(attempts)
+        checker = self._make_target_checker(attempts)
+        gate = self._set_up_crash_detection(attempts, checker)
         self._in_flight_protocol = InFlightProtocol(self.state, selector)
         self._origin_store = OriginStore(self.state, adapter.store)
         self._version_recorder = VersionRecorder(self.state, adapter.store)
         self._follower = StateFollower(
             self.state, adapter.store, adapter.decoder, self._peers, selector
         )
+        checker.read_targets = self._follower.read_targets
         self._origins = self._set_up_streams(attempts)
         parts = (
             *(self.state, adapter.callers, attempts, detours),
@@ -135,9 +137,8 @@
             self._peer_server.serve, None, memory, HeldKind.DETOUR, answers_refusals=True
         )
 
-    def _set_up_crash_detection(self, attempts: AttemptRunner) -> CrashGate:
-        """Have attempts report losses of targets, and return the gate that they have to pass."""
-        self._peers.on_regained = lambda peer: self._spawn(self._fetch_crashes(peer))
+    def _make_target_checker(self, attempts: AttemptRunner) -> TargetChecker:
+        """Return what tells whether targets have ended, also for answers that are forwarded."""
         checker = TargetChecker(
             self.state,
             self._peers,
@@ -147,6 +148,11 @@
         )
         attempts.forwarder.runs_on = checker.runs_on
         self._peer_server.on_target_check = checker.serve
+        return checker
+
+    def _set_up_crash_detection(self, attempts: AttemptRunner, checker: TargetChecker) -> CrashGate:
+        """Have attempts report losses of targets, and return the gate that they have to pass."""
+        self._peers.on_regained = lambda peer: self._spawn(self._fetch_crashes(peer))
         news = CrashNews(self._peers, self._spawn)
         detector = CrashDetector(self.state, news, checker, attempts.answering, self._spawn)
         self.state.on_losses_learned = detector.clear_answered_parts
--- a/rhubarbbend/gateway/_target_checker.py
+++ b/rhubarbbend/gateway/_target_checker.py
@@ -3,25 +3,32 @@
 A target that cannot be reached from here may be reached by others. So another instance is asked,
 and one of the target's own availability zone first: what only instances of one other zone cannot
 reach may be partitioned from them. One that reaches no other target may have lost its own links.
+
+A target may be back under its id and address before it is asked, so an id alone does not show that
+it is the same start. Engines state their boot number; that of other targets is in the registry.
 """
 
 from __future__ import annotations
 
 import asyncio
 import enum
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from http import HTTPStatus
 from typing import Final
 
 import msgspec
 
+from rhubarbbend.core.catalog import Service
 from rhubarbbend.core.crashes import Fate
-from rhubarbbend.core.directory import Target, get_target_id
+from rhubarbbend.core.directory import Target, get_boot, get_target_id
 from rhubarbbend.decoding import decode_msgpack
+from rhubarbbend.gateway._coalesced_call import CoalescedCall
 from rhubarbbend.gateway._interfaces import TargetProtocol
 from rhubarbbend.gateway._peers import CHECK_PATH, PeerClient
 from rhubarbbend.gateway._settings import Address
 from rhubarbbend.gateway._state import Clock, State
-from rhubarbbend.http import REASON_TIMEOUT, Connection, HttpFailure
+from rhubarbbend.http import REASON_TIMEOUT, Connection, HttpFailure, receive_whole_body
+from rhubarbbend.storage import StoreError
 
 CONNECT_TIMEOUT_S: Final = 0.1
 ANSWER_TIMEOUT_S: Final = 0.2
@@ -32,16 +39,21 @@
 RETRY_DELAY_S: Final = 0.05
 # Other targets that are tried to find out whether this instance has any links at all.
 MAX_OTHERS_TRIED: Final = 2
+MAX_REPORT_BYTES: Final = 65_536
 # A sound target may be silent for a second or so, so one that has ended an answer is contacted up
 # to this many times, with this pause between.
 MAX_END_CHECKS: Final = 3
 END_CHECK_INTERVAL_S: Final = 0.5
+# Registrations are read at most this often to tell one start of a target from the next.
+REGISTRATION_READ_INTERVAL_S: Final = 0.2
+REGISTRATION_READ_TIMEOUT_S: Final = 1.0
 
 
 class Contact(enum.Enum):
     """What a connection to a target's address shows."""
 
     SAME = "same"  # The target itself answers.
+    SAME_ID = "same id"  # A target with its id answers and does not say which start of it it is.
     OTHER = "other"  # Another target answers, or another start of it.
     REFUSED = "refused"  # No connection is accepted, or each is closed without an answer.
     CUT_OFF = "cut off"  # No connection is accepted, nor is one by other targets.
@@ -50,6 +62,10 @@
     SILENT = "silent"  # Nothing comes back that tells who it is.
 
 
+# Contacts of a target that runs.
+RUNNING_CONTACTS: Final = frozenset({Contact.SAME, Contact.SAME_ID})
+
+
 class CheckQuery(msgspec.Struct, frozen=True, array_like=True):
     """Asks an instance to contact a target. `target` is one start of it; `address` the sender's."""
 
@@ -80,6 +96,10 @@
         return ", ".join(f"{place}: {contact}" for place, contact in shown.items())
 
 
+# Asks over a connection who answers at a target's address.
+Compare = Callable[[Connection, CheckQuery, Address], Awaitable[Contact | None]]
+
+
 class TargetChecker:
     """Contacts lost targets, also for other instances."""
 
@@ -97,21 +117,27 @@
         # Whether this instance has an open connection to a target, given its id and address.
         self._has_open_connection = has_open_connection
         self._clock = clock
+        # Reads the registrations of targets anew; raises `StoreError`. Set by the instance.
+        self.read_targets: Callable[[], Awaitable[None]] = _read_nothing
+        self._registration_reads = CoalescedCall(self._try_read_targets, clock)
 
     async def find_fate(self, target: Target) -> FateCheck:
         """Return what became of a target, as far as this and other instances can tell."""
         query = CheckQuery(target.incarnation, target.service, target.address)
         contact = await self._contact(query)
         contacts: dict[str, Contact | None] = {self._state.settings.instance: contact}
-        if contact is Contact.SAME:
+        if contact in RUNNING_CONTACTS:
             return FateCheck(Fate.ALIVE, contacts)
         if contact is Contact.OTHER:
             return FateCheck(Fate.ENDED, contacts)
         fate, seen = await self._ask_witnesses(target, query, contact)
         return FateCheck(fate, {**contacts, **seen})
 
-    async def runs_on(self, target: Target) -> bool:
-        """Return whether a target that has closed a connection in order is known to run on."""
+    async def runs_on(self, target: Target, since: float) -> bool:
+        """Return whether a target that has closed a connection in order is known to run on.
+
+        `since` is when the request was sent that the connection carried.
+        """
         check = await self.find_fate(target)
         for _ in range(MAX_END_CHECKS - 1):
             if check.fate is not Fate.UNKNOWN:
@@ -121,7 +147,34 @@
         if check.fate is Fate.UNKNOWN:
             # A process that ends closes all its connections at once.
             return self._has_open_connection(target.id, target.address)
-        return check.fate is Fate.ALIVE
+        if check.fate is Fate.ENDED:
+            return False
+        return Contact.SAME in check.contacts.values() or await self._is_same_start(target, since)
+
+    async def _is_same_start(self, target: Target, since: float) -> bool:
+        """Return whether a target that runs is known not to have started again after `since`.
+
+        A new start registers itself. If this instance has missed registrations meanwhile, as while
+        it was suspended, it reads them.
+        """
+        now = self._clock()
+        if self._state.registry.has_followed(now - since, now):
+            return True
+        try:
+            async with asyncio.timeout(REGISTRATION_READ_TIMEOUT_S):
+                has_read = await self._registration_reads.get(REGISTRATION_READ_INTERVAL_S)
+        except TimeoutError:
+            return False
+        registered = self._state.registry.find(target.id)
+        return has_read and registered is not None and registered.boot == target.boot
+
+    async def _try_read_targets(self) -> bool:
+        try:
+            await self.read_targets()
+        except StoreError as error:
+            self._state.event_log.write("targets_not_read", self._clock(), reason=str(error))
+            return False
+        return True
 
     async def serve(self, body: bytes) -> bytes:
         """Contact a target for another instance; raise `MsgspecError` if the query is invalid."""
@@ -163,7 +216,7 @@
         self, target: Target, own: Contact, seen: dict[str, Contact | None]
     ) -> Fate:
         contacts = dict(seen)
-        if Contact.SAME in contacts.values():
+        if not RUNNING_CONTACTS.isdisjoint(contacts.values()):
             return Fate.ALIVE
         if Contact.OTHER in contacts.values():
             return Fate.ENDED
@@ -204,6 +257,20 @@
         if registered is not None and registered.incarnation != query.target:
             return Contact.OTHER
         address = query.address if registered is None else registered.address
+        if self._reports_boot(query):
+            contact = await self._ask_target(self._compare_boot, query, address)
+            if contact is not None:
+                return contact
+        return await self._ask_target(self._compare_id, query, address) or Contact.SILENT
+
+    async def _ask_target(
+        self, compare: Compare, query: CheckQuery, address: Address
+    ) -> Contact | None:
+        """Return what a connection to a target shows; None if the target answers and says nothing.
+
+        `compare` asks who it is over the connection; it raises `HttpFailure` if it gets no answer.
+        """
+        target = get_target_id(query.target)
         for number in range(MAX_TRIES):
             if number:
                 await asyncio.sleep(RETRY_DELAY_S)
@@ -212,7 +279,7 @@
             except HttpFailure as failure:
                 return Contact.SILENT if failure.reason == REASON_TIMEOUT else Contact.REFUSED
             try:
-                return await self._identify(connection, query, address)
+                return await compare(connection, query, address)
             except HttpFailure as failure:
                 if failure.reason == REASON_TIMEOUT or not connection.closed:
                     # Bytes that are no answer show that a process runs, but not which one.
@@ -223,15 +290,45 @@
         is_full = was_full or self._has_open_connection(target, address)
         return Contact.FULL if is_full else Contact.REFUSED
 
-    async def _identify(
+    def _find_service(self, query: CheckQuery) -> Service | None:
+        catalog = self._state.catalog
+        return None if catalog is None else catalog.services.get(query.service)
+
+    def _reports_boot(self, query: CheckQuery) -> bool:
+        """Return whether a target is an engine whose boot number is known."""
+        service = self._find_service(query)
+        is_engine = service is not None and service.engine is not None
+        return is_engine and get_boot(query.target) != 0
+
+    async def _compare_boot(
+        self, connection: Connection, query: CheckQuery, address: Address
+    ) -> Contact | None:
+        """Compare the boot number that a target reports; return None if it reports none."""
+        headers = self._targets.make_health_headers(get_target_id(query.target), address)
+        connection.send_raw(b"GET", self._targets.report_path, headers, b"")
+        response = await connection.receive_head(ANSWER_TIMEOUT_S)
+        if response.status != HTTPStatus.OK:
+            return None
+        body = await receive_whole_body(connection, ANSWER_TIMEOUT_S, MAX_REPORT_BYTES)
+        boot = self._targets.read_boot(body)
+        if boot is None:
+            return None
+        return Contact.SAME if boot == get_boot(query.target) else Contact.OTHER
+
+    async def _compare_id(
         self, connection: Connection, query: CheckQuery, address: Address
     ) -> Contact:
-        catalog = self._state.catalog
-        service = None if catalog is None else catalog.services.get(query.service)
+        """Compare the id that a target states in the answer to a health check."""
+        service = self._find_service(query)
         path = b"/" if service is None else service.health_path.encode()
         target = get_target_id(query.target)
         headers = self._targets.make_health_headers(target, address)
         connection.send_raw(b"GET", path, headers, b"")
         response = await connection.receive_head(ANSWER_TIMEOUT_S)
         identity = self._targets.read_identity(response)
-        return Contact.SAME if identity in (None, target) else Contact.OTHER
+        return Contact.SAME_ID if identity in (None, target) else Contact.OTHER
+
+
+async def _read_nothing() -> None:
+    """Read no registrations; raise `StoreError` since none can be read."""
+    raise StoreError("there is no store")
--- a/rhubarbbend/http/__init__.py
+++ b/rhubarbbend/http/__init__.py
@@ -19,7 +19,12 @@
 )
 from rhubarbbend.http._input_timeout import INPUT_LOOP_ITERATIONS, InputTimeout
 from rhubarbbend.http._notices import read_brittle, read_leaving, read_pause
-from rhubarbbend.http._pool import ConnectionOpener, ConnectionPool, fetch
+from rhubarbbend.http._pool import (
+    ConnectionOpener,
+    ConnectionPool,
+    fetch,
+    receive_whole_body,
+)
 from rhubarbbend.http._protocol import ClientProtocol, reset_connection, set_keepalive
 from rhubarbbend.http._receive_limits import SMALL_BODY_PART_BYTES, TrickleDetector
 from rhubarbbend.http._server import HttpServer, ServerLimits
@@ -53,6 +58,7 @@
     "read_brittle",
     "read_leaving",
     "read_pause",
+    "receive_whole_body",
     "reset_connection",
     "set_keepalive",
     "shed_excess",
--- a/rhubarbbend/http/_pool.py
+++ b/rhubarbbend/http/_pool.py
@@ -221,9 +221,7 @@
             response = await connection.receive_head(timeout)
             if progress_timeout is not None:
                 total_timeout.reschedule(None)
-            data = await _receive_whole_body(
-                connection, progress_timeout or timeout, max_body_bytes
-            )
+            data = await receive_whole_body(connection, progress_timeout or timeout, max_body_bytes)
     except TimeoutError as error:
         connection.close()
         raise HttpFailure(SendStage.SENT, REASON_TIMEOUT) from error
@@ -236,9 +234,14 @@
     return response, data
 
 
-async def _receive_whole_body(
+async def receive_whole_body(
     connection: Connection, progress_timeout: float, max_bytes: int
 ) -> bytes:
+    """Return the body of a response of which the head was read.
+
+    Each part must arrive within `progress_timeout` seconds of the one before. Raise `HttpFailure`
+    on failure, also if the body is larger than `max_bytes` or arrives byte by byte.
+    """
     parts: list[bytes] = []
     size = 0
     trickle = TrickleDetector(SMALL_BODY_PART_BYTES)
--- a/standins/_worker.py
+++ b/standins/_worker.py
@@ -48,13 +48,16 @@
 
 EXIT_CRASHED = 70
 HEALTH_PATH = "/health"
+REPORT_PATH = "/report"
 
 
 class Worker:
     """A worker that listens on one port."""
 
-    def __init__(self, name: str, arrivals: str = "") -> None:
+    def __init__(self, name: str, arrivals: str = "", born: int = 0) -> None:
         self._name = name
+        # When it started, in Unix milliseconds, as in its registration; 0 to state nothing.
+        self._born = born
         # Arrivals are written without a buffer, so that they survive a crash of this process.
         self._arrivals = open(arrivals, "ab", buffering=0) if arrivals else None  # noqa: SIM115
         self._faults = Faults()
@@ -113,8 +116,17 @@
             return send_response(conn, writer, 200, [], self._handle_admin(target, body))
         if target == HEALTH_PATH:
             return send_response(conn, writer, 200, [("Instance-Id", self._name)], b"")
+        if target == REPORT_PATH:
+            return self._send_report(conn, writer)
         return await self._handle_request(conn, head, headers, body, reader, writer)
 
+    def _send_report(self, conn: h11.Connection, writer: asyncio.StreamWriter) -> bool:
+        report = {"seqNo": 0, "queueDepth": 0, "inFlight": self._slots.running}
+        if self._born:
+            report["born"] = self._born
+        headers = [("Content-Type", "application/json")]
+        return send_response(conn, writer, 200, headers, msgspec.json.encode(report))
+
     def _handle_admin(self, target: str, body: bytes) -> bytes:
         if target == "/admin/faults":
             for field, value in msgspec.json.decode(body).items():
@@ -201,6 +213,8 @@
         if not faults.reborn_as:
             os._exit(EXIT_CRASHED)
         self._name = faults.reborn_as
+        if self._born:
+            self._born += 1
         for other in list(self._writers):
             other.transport.abort()
         return False
@@ -383,8 +397,9 @@
     """Add the command-line options of a worker."""
     parser.add_argument("--name", required=True, help="instance id that requests must expect")
     parser.add_argument("--arrivals", default="", help="file to append arrivals to")
+    parser.add_argument("--born", type=int, default=0, help="start that its reports state")
 
 
 def make_worker(options: argparse.Namespace) -> Worker:
     """Make a worker from its command-line options."""
-    return Worker(options.name, options.arrivals)
+    return Worker(options.name, options.arrivals, options.born)
--- a/tests/adapter/test_targets.py
+++ b/tests/adapter/test_targets.py
@@ -110,3 +110,21 @@
     answer = PlatformTargetProtocol().read_response_head(make_response(server_leaving=header))
     assert answer.is_leaving is is_leaving
     assert b"server-leaving" not in [name for name, _ in answer.headers]
+
+
+# Guards against a new start of a target that is taken for the one before, or the other way round.
+@pytest.mark.parametrize(
+    ("report", "boot"),
+    [
+        (b'{"born": 1789998219565, "inFlight": 3}', 1_789_998_219_565),
+        (b'{"inFlight": 3}', None),
+        (b'{"born": null}', None),
+        (b'{"born": "1789998219565"}', None),
+        (b'{"born": 1.5}', None),
+        (b'{"born": 1', None),
+        (b"[" * 100_000, None),
+        (b"", None),
+    ],
+)
+def test_boot_number_is_read_only_if_it_is_stated(report: bytes, boot: int | None) -> None:
+    assert PlatformTargetProtocol().read_boot(report) == boot
--- a/tests/gateway/test_target_checker.py
+++ b/tests/gateway/test_target_checker.py
@@ -7,14 +7,16 @@
 from types import SimpleNamespace
 from typing import Any, cast
 
+import msgspec
 import pytest
 
 from rhubarbbend.core.directory import Target, TargetRecord, TargetRegistry, TargetState
 from rhubarbbend.gateway import _target_checker
 from rhubarbbend.gateway._target_checker import Contact, TargetChecker
+from rhubarbbend.storage import StoreError
 
 RECORD = TargetRecord("t", "llm", "127.0.0.1", 1, "a", 1, TargetState.READY, boot=1)
-NOW = 20.0
+SENT_AT, NOW = 10.0, 20.0
 
 
 def make_checker(
@@ -53,7 +55,7 @@
 
 
 def find_runs_on(checker: TargetChecker) -> bool:
-    return asyncio.run(checker.runs_on(Target(RECORD, 0.0, 0.0)))
+    return asyncio.run(checker.runs_on(Target(RECORD, 0.0, 0.0), SENT_AT))
 
 
 @pytest.fixture(autouse=True)
@@ -85,3 +87,34 @@
     own: list[Contact], witness: Contact | None, has_open_connection: bool, runs_on: bool
 ) -> None:
     assert find_runs_on(make_checker(own, witness, has_open_connection)) is runs_on
+
+
+# Guards against a target that is back under its id while this instance stood still, and that does
+# not state which start it is: its registration tells.
+@pytest.mark.parametrize(
+    ("gap_at", "registered_boot", "is_store_away", "runs_on"),
+    [
+        (SENT_AT - 1.0, 1, True, True),
+        (SENT_AT + 1.0, 1, False, True),
+        (SENT_AT + 1.0, 2, False, False),
+        (SENT_AT + 1.0, None, False, False),
+        (SENT_AT + 1.0, 1, True, False),
+    ],
+)
+def test_an_id_alone_is_believed_only_if_no_registration_was_missed(
+    gap_at: float, registered_boot: int | None, is_store_away: bool, runs_on: bool
+) -> None:
+    checker = make_checker([Contact.SAME_ID])
+    registry = cast(Any, checker)._state.registry
+    registry.record_gap(gap_at)
+
+    async def read_targets() -> None:
+        if is_store_away:
+            raise StoreError("no answer")
+        if registered_boot is None:
+            registry.unregister("t", NOW)
+        else:
+            registry.register(msgspec.structs.replace(RECORD, boot=registered_boot), NOW)
+
+    checker.read_targets = read_targets
+    assert find_runs_on(checker) is runs_on
--- a/tests/gateway/test_unframed_answers.py
+++ b/tests/gateway/test_unframed_answers.py
@@ -262,6 +262,41 @@
     run(work)
 
 
+# Guards against streams that look complete after a crash that their instance has missed (review/8):
+# it stood still, and the engine is back under its id and address when it asks who is there.
+@pytest.mark.parametrize("is_registered", [True, False])
+def test_target_that_is_back_under_its_id_ends_no_stream_as_whole(
+    tmp_path: Path, is_registered: bool
+) -> None:
+    async def work() -> None:
+        async with start_fleet(
+            tmp_path, instances=1, plain_worker_count=0, engine_worker_count=2
+        ) as fleet:
+            await fleet.set_service_faults("llm", unframed=True, events=EVENTS, event_gap=0.31)
+            requests = [
+                asyncio.create_task(
+                    fleet.send_request("/plan/stream", b"%d" % number, Deadline_Ms="4000")
+                )
+                for number in range(6)
+            ]
+            await asyncio.sleep(0.6)
+            running = len((await fleet.read_stats("engine-0")).seen)
+            instance = fleet.instances["front-0"].process
+            assert instance is not None
+            instance.freeze()
+            await asyncio.sleep(0.1)
+            await fleet.restart_worker("engine-0")
+            if is_registered:
+                await fleet.register_worker("engine-0")
+            await asyncio.sleep(0.5)
+            instance.resume()
+            replies = await asyncio.gather(*requests)
+            assert 0 < running < len(replies)
+            assert sum(reply.complete for reply in replies) == len(replies) - running
+
+    run(work)
+
+
 # Guards against a stream that is resumed at an engine which ends before its first event, and that
 # then looks complete.
 def test_stream_that_is_resumed_and_closed_at_once_is_not_whole(tmp_path: Path) -> None:
