--- a/rhubarbbend/codes.py
+++ b/rhubarbbend/codes.py
@@ -158,6 +158,9 @@
 ANSWERS_UNFRAMED: Final = _declare_counter(
     "answers_unframed", "such answers without length and chunks, ended by their connection"
 )
+STARTS_UNCONFIRMED: Final = _declare_counter(
+    "starts_unconfirmed", "targets that may have started again while the store was out of reach"
+)
 ANSWERS_END_UNCONFIRMED: Final = _declare_counter(
     "answers_end_unconfirmed", "answers without length and chunks whose target may have ended"
 )
@@ -224,6 +227,9 @@
 RETRY_WITHHELD: Final = _declare_counter(
     "retry.withheld", "attempts moved: the target asked for a pause before the request was sent"
 )
+RETRY_RESTARTED: Final = _declare_counter(
+    "retry.restarted", "streams moved: the target may have another version than is registered"
+)
 RETRY_MISDIRECTED: Final = _declare_counter(
     "retry.misdirected", "attempts moved: another target answered at the address"
 )
--- a/rhubarbbend/core/delivery/_steps.py
+++ b/rhubarbbend/core/delivery/_steps.py
@@ -22,6 +22,9 @@
     WITHHELD = "withheld"
     # Nothing was written: the target has reset the new connection, since it accepts no more.
     FULL = "full"
+    # Nothing was written: the target may have started again with another version than the stream
+    # has that the request continues.
+    RESTARTED = "restarted"
     # The target reported that it did not run the request and will not.
     REJECTED = "rejected"
     # A different target answered at the address; the request was not run.
@@ -35,7 +38,12 @@
 
 
 NOT_SENT_OUTCOMES: Final = frozenset(
-    {AttemptOutcome.UNREACHED, AttemptOutcome.WITHHELD, AttemptOutcome.FULL}
+    {
+        AttemptOutcome.UNREACHED,
+        AttemptOutcome.WITHHELD,
+        AttemptOutcome.FULL,
+        AttemptOutcome.RESTARTED,
+    }
 )
 
 
--- a/rhubarbbend/gateway/_attempt_log.py
+++ b/rhubarbbend/gateway/_attempt_log.py
@@ -11,6 +11,8 @@
 from rhubarbbend.gateway._interfaces import TargetResponseHead
 from rhubarbbend.gateway._requests import OpenRequest
 
+# Parts of a prompt that a log line names.
+MAX_LOGGED_PARTS: Final = 12
 # Outcomes that the target itself has stated.
 LOGGED_OUTCOMES: Final = frozenset(
     {AttemptOutcome.REJECTED, AttemptOutcome.MISDIRECTED, AttemptOutcome.FAILED}
@@ -74,3 +76,12 @@
         leaving=answer.is_leaving or None,
         after=round(now - request.arrived_at, 4),
     )
+
+
+def list_logged_parts(request: OpenRequest) -> list[str] | None:
+    """Return the ids of the first and the last of the shared parts of a prompt, for log lines."""
+    prompt = request.caller.prompt
+    if prompt is None:
+        return None
+    ids = [part.id for part in prompt.parts[:-1]]
+    return ids if len(ids) <= MAX_LOGGED_PARTS else [*ids[:4], "...", *ids[4 - MAX_LOGGED_PARTS :]]
--- a/rhubarbbend/gateway/_attempts.py
+++ b/rhubarbbend/gateway/_attempts.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any, Final
 
 from rhubarbbend import codes
@@ -18,7 +18,7 @@
 from rhubarbbend.gateway._alternatives import Alternatives
 from rhubarbbend.gateway._answer_forwarder import AnswerForwarder
 from rhubarbbend.gateway._answer_receiver import AnswerReceiver
-from rhubarbbend.gateway._attempt_log import log_ended, log_sent
+from rhubarbbend.gateway._attempt_log import list_logged_parts, log_ended, log_sent
 from rhubarbbend.gateway._attempt_recorder import AttemptRecorder
 from rhubarbbend.gateway._full_targets import FullTargetDetector
 from rhubarbbend.gateway._interfaces import ForwardingOptions, TargetProtocol, TargetResponseHead
@@ -57,9 +57,6 @@
 # A target that has sent nothing for this long when a request is given up is checked.
 MIN_SILENCE_S: Final = 0.1
 
-# Parts of a prompt that a log line names.
-MAX_LOGGED_PARTS: Final = 12
-
 
 class RetryBudgetExhausted(Exception):
     """A retry is needed, but this instance's share of the retry budget is exhausted."""
@@ -96,6 +93,9 @@
         self.on_loss: Callable[[OpenRequest, Target, float], None] = lambda *_: None
         # Called when a request was given up at a target that was silent; set by the instance.
         self.on_silence: Callable[[OpenRequest, Target, float], None] = lambda *_: None
+        # Whether a target that a connection was opened to at some time is the start that is
+        # registered; set by the instance.
+        self.confirm_start: Callable[[Target, float], Awaitable[bool]] = _assume_registered
 
     def has_open_connection(self, target: str, address: Address) -> bool:
         """Return whether a connection to a target is open, idle or with a request in flight."""
@@ -120,6 +120,11 @@
                 return AttemptOutcome.UNREACHED
             if not await self._full_targets.check_new_connection(request, target, connection):
                 return AttemptOutcome.FULL
+            if request.origin is not None and not await self.confirm_start(
+                target, connection.opened_at
+            ):
+                self._pool.release(connection, self._clock())
+                return AttemptOutcome.RESTARTED
             if self._is_too_late(request, target):
                 self._pool.release(connection, self._clock())
                 return AttemptOutcome.WITHHELD
@@ -284,6 +289,7 @@
         if pause_left > 0.0:
             self._state.metrics.increment_counter(codes.SENT_DURING_PAUSE)
         request.sent_at = now
+        request.connected_at = connection.opened_at
         request.first_event_at = None
         if request.version.participant is not None and caller.prompt is not None:
             request.unread_tokens = self.recorder.count_unread_tokens(
@@ -327,7 +333,7 @@
             ran=round(self._clock() - request.sent_at, 4),
             account=None if request.account is None else request.account.name,
             content=request.digest,
-            parts=_list_logged_parts(request),
+            parts=list_logged_parts(request),
             cut_unread=cut_unread or None,
         )
         if isinstance(failure, EndlessAnswer):
@@ -380,10 +386,5 @@
         self._pool.release(connection, self._clock())
 
 
-def _list_logged_parts(request: OpenRequest) -> list[str] | None:
-    """Return the ids of the first and the last of the shared parts of a prompt, for log lines."""
-    prompt = request.caller.prompt
-    if prompt is None:
-        return None
-    ids = [part.id for part in prompt.parts[:-1]]
-    return ids if len(ids) <= MAX_LOGGED_PARTS else [*ids[:4], "...", *ids[4 - MAX_LOGGED_PARTS :]]
+async def _assume_registered(target: Target, connected_at: float) -> bool:
+    return True
--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -43,6 +43,7 @@
     SettingsInvalid,
     SettingsReader,
 )
+from rhubarbbend.gateway._start_confirmer import StartConfirmer
 from rhubarbbend.gateway._state import State, read_clock
 from rhubarbbend.gateway._state_gauges import register_state_gauges
 from rhubarbbend.gateway._stream_keepers import StreamKeepers
@@ -109,6 +110,7 @@
             self.state, adapter.store, adapter.decoder, self._peers, selector
         )
         checker.read_targets = self._follower.read_targets
+        self._starts = self._make_start_confirmer(attempts, checker)
         self._origins = self._set_up_streams(attempts)
         parts = (
             *(self.state, adapter.callers, attempts, detours),
@@ -174,6 +176,15 @@
             read_clock,
         )
 
+    def _make_start_confirmer(
+        self, attempts: AttemptRunner, checker: TargetChecker
+    ) -> StartConfirmer:
+        """Return what confirms the starts of targets, also for streams that are continued."""
+        starts = StartConfirmer(self.state, checker, read_clock)
+        starts.is_store_reachable = lambda: self._follower.is_store_reachable
+        attempts.confirm_start = starts.confirm_if_needed
+        return starts
+
     def _set_up_streams(self, attempts: AttemptRunner) -> StreamOrigins:
         """Have attempts tell which version began each stream, and answer others that ask."""
         keepers = StreamKeepers(self.state, self._peers, read_clock)
@@ -183,7 +194,7 @@
             self._follower.read_targets,
             self._origin_store.read,
         )
-        origins = StreamOrigins(self.state, keepers, records, read_clock)
+        origins = StreamOrigins(self.state, keepers, records, self._starts, read_clock)
         attempts.forwarder.on_stream_begun.append(origins.record_begun)
         self._peer_server.on_stream_query = origins.serve
         self._in_flight_protocol.on_notice = origins.handle_notice
@@ -277,6 +288,7 @@
             self.state.crashes.expire(now)
             self.state.connection_limits.expire(now)
             self._origins.expire(now)
+            self._starts.expire()
             self._pool.close_expired(now)
             self._peer_pool.close_expired(now)
             if now - self._settings_read_at >= SETTINGS_RELOAD_INTERVAL_S:
--- a/rhubarbbend/gateway/_requests.py
+++ b/rhubarbbend/gateway/_requests.py
@@ -52,6 +52,7 @@
         "attempt_target",
         "chosen_at",
         "sent_at",
+        "connected_at",
         "rejection_counts",
         "config_version",
         "version",
@@ -96,6 +97,8 @@
         self.fallback_answer: BufferedAnswer | None = None
         self.attempt_target: Target | None = None
         self.chosen_at = self.sent_at = arrived_at
+        # When the connection was opened that carries the current attempt.
+        self.connected_at = arrived_at
         # If no target could be chosen: the number of targets rejected, by reason.
         self.rejection_counts: dict[str, int] | None = None
         self.config_version = config_version
--- a/rhubarbbend/gateway/_stream_origins.py
+++ b/rhubarbbend/gateway/_stream_origins.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from rhubarbbend import codes
+from rhubarbbend.background import BackgroundTasks
 from rhubarbbend.codes import ErrorCode
 from rhubarbbend.core.catalog import RequestKind
 from rhubarbbend.core.directory import Target
@@ -23,6 +24,7 @@
 from rhubarbbend.decoding import decode_msgpack
 from rhubarbbend.gateway._requests import OpenRequest
 from rhubarbbend.gateway._settings import Address
+from rhubarbbend.gateway._start_confirmer import StartConfirmer
 from rhubarbbend.gateway._state import INSTANCE_TABLE, Clock, State
 from rhubarbbend.gateway._stream_keepers import (
     UNCERTAIN_ORIGIN,
@@ -64,11 +66,18 @@
     """
 
     def __init__(
-        self, state: State, keepers: StreamKeepers, records: StreamRecordReader, clock: Clock
+        self,
+        state: State,
+        keepers: StreamKeepers,
+        records: StreamRecordReader,
+        starts: StartConfirmer,
+        clock: Clock,
     ) -> None:
         self._state = state
         self._keepers = keepers
         self._records = records
+        self._starts = starts
+        self._confirming = BackgroundTasks(state.report_internal_error)
         self._clock = clock
         self._ledger = StreamLedger()
         # The streams that began at each start of a target lately, with the times.
@@ -88,15 +97,31 @@
         A stream that was taken up again is told anew: the list of instances may have changed.
         """
         if request.origin is None:
+            if self._starts.is_needed(target, request.connected_at):
+                request.origin = UNCERTAIN_ORIGIN
+                self._confirming.spawn(self._confirm_begun(request, target))
+                return
+            request.origin = compute_origin(target.service, target.version)
+        self._record(request, target, request.origin)
+
+    async def _confirm_begun(self, request: OpenRequest, target: Target) -> None:
+        """Record a stream whose origin is uncertain, once its target has stated its start.
+
+        Until then the stream goes on nowhere else.
+        """
+        if await self._starts.confirm(target):
             request.origin = compute_origin(target.service, target.version)
+            self._record(request, target, request.origin)
+
+    def _record(self, request: OpenRequest, target: Target, origin: int) -> None:
         if not request.route.idempotent:
             return
         key = _make_key(request)
-        self._ledger.record(key, request.origin, self._clock())
-        self.on_begun(key, request.origin)
+        self._ledger.record(key, origin, self._clock())
+        self.on_begun(key, origin)
         begun = self._begun_at.setdefault(target.incarnation, deque(maxlen=MAX_BEGUN))
         begun.append((self._clock(), key))
-        self._keepers.tell(key, request.origin)
+        self._keepers.tell(key, origin)
 
     def handle_restart(self, former: Target, target: Target) -> None:
         """Forget which version began the last streams at a target that has started again.
--- a/rhubarbbend/gateway/_target_checker.py
+++ b/rhubarbbend/gateway/_target_checker.py
@@ -123,7 +123,7 @@
 
     async def find_fate(self, target: Target) -> FateCheck:
         """Return what became of a target, as far as this and other instances can tell."""
-        query = CheckQuery(target.incarnation, target.service, target.address)
+        query = _make_query(target)
         contact = await self._contact(query)
         contacts: dict[str, Contact | None] = {self._state.settings.instance: contact}
         if contact in RUNNING_CONTACTS:
@@ -149,9 +149,19 @@
             return self._has_open_connection(target.id, target.address)
         if check.fate is Fate.ENDED:
             return False
-        return Contact.SAME in check.contacts.values() or await self._is_same_start(target, since)
+        return Contact.SAME in check.contacts.values() or await self._has_not_restarted(
+            target, since
+        )
 
-    async def _is_same_start(self, target: Target, since: float) -> bool:
+    def reports_boot(self, target: Target) -> bool:
+        """Return whether a target can tell which start of it runs."""
+        return self._reports_boot(_make_query(target))
+
+    async def is_same_start(self, target: Target) -> bool:
+        """Return whether a target states that it is the start that is registered."""
+        return await self._contact(_make_query(target)) is Contact.SAME
+
+    async def _has_not_restarted(self, target: Target, since: float) -> bool:
         """Return whether a target that runs is known not to have started again after `since`.
 
         A new start registers itself. If this instance has missed registrations meanwhile, as while
@@ -329,6 +339,10 @@
         return Contact.SAME_ID if identity in (None, target) else Contact.OTHER
 
 
+def _make_query(target: Target) -> CheckQuery:
+    return CheckQuery(target.incarnation, target.service, target.address)
+
+
 async def _read_nothing() -> None:
     """Read no registrations; raise `StoreError` since none can be read."""
     raise StoreError("there is no store")
--- a/tests/gateway/test_in_flight_protocol.py
+++ b/tests/gateway/test_in_flight_protocol.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import zlib
+from typing import Any, cast
 
 import msgspec
 import pytest
@@ -17,6 +18,7 @@
 from rhubarbbend.gateway._in_flight_protocol import NOTICE_MARK, InFlightProtocol
 from rhubarbbend.gateway._peers import PeerClient
 from rhubarbbend.gateway._settings import GatewaySettings
+from rhubarbbend.gateway._start_confirmer import StartConfirmer
 from rhubarbbend.gateway._state import INSTANCE_TABLE, State, read_clock
 from rhubarbbend.gateway._stream_keepers import StreamKeepers
 from rhubarbbend.gateway._stream_origins import StreamOrigins
@@ -196,7 +198,8 @@
         peers = PeerClient(state, ConnectionPool(1.0), ReaderSelector("front-0", "zone-0"))
         keepers = StreamKeepers(state, peers, read_clock)
         records = StreamRecordReader(state, read_nothing, read_nothing, read_no_origins)
-        origins = StreamOrigins(state, keepers, records, read_clock)
+        starts = StartConfirmer(state, cast(Any, None), read_clock)
+        origins = StreamOrigins(state, keepers, records, starts, read_clock)
         protocol.on_notice = origins.handle_notice
         protocol.datagram_received(NOTICE_MARK + data, (host, 7))
         reply = origins.serve(msgspec.msgpack.encode([5]))
--- a/tests/gateway/test_stream_versions_out_of_step.py
+++ b/tests/gateway/test_stream_versions_out_of_step.py
@@ -15,6 +15,8 @@
 
 from tests.gateway.harness import GatewayFleet, run, start_fleet
 from tests.gateway.version_streams import (
+    EVENT_GAP_S,
+    EVENTS,
     MIN_SHARE,
     begin_all,
     count_mixed,
@@ -29,6 +31,7 @@
 MENDED: Final[dict[str, Any]] = {"listening": "open", "blackhole": False}
 # By then the origins of streams that have begun are in the store.
 WRITTEN_S: Final = 1.0
+ENGINES: Final = ("engine-0", "engine-1", "new-0", "new-1")
 
 
 async def set_store_path(fleet: GatewayFleet, **faults: Any) -> None:
@@ -102,3 +105,47 @@
             assert await count_mixed(fleet) == 0
 
     run(work)
+
+
+# Guards against streams joined from two versions (ORDER): while the store is away, a target is back
+# under its id with another version, and is taken for what its former registration says. Streams
+# that it began, or those of another one that is lost, are taken up at the wrong version.
+@pytest.mark.parametrize("lost", ["engine-0", "engine-1"])
+@pytest.mark.parametrize("instance", ["front-0", "front-1"])
+def test_target_that_is_back_with_another_version_mixes_no_streams_while_the_store_is_away(
+    tmp_path: Path, instance: str, lost: str
+) -> None:
+    async def work() -> None:
+        async with start_fleet(
+            tmp_path, instances=2, plain_worker_count=0, has_rollouts=False
+        ) as fleet:
+            await start_versions(fleet)
+            await fleet.set_store_faults(status=503)
+            await asyncio.sleep(WRITTEN_S)
+            # From now on engine-0 has the version of the new targets, and no registration says so.
+            await fleet.restart_worker("engine-0")
+            await fleet.set_worker_faults("engine-0", events=EVENTS, event_gap=EVENT_GAP_S)
+            attempts = await begin_all(fleet, "front-0", 48)
+            ran = await list_runs(fleet)
+            begun = {engine: [a for a in attempts if engine in ran[a]] for engine in ENGINES}
+            assert all(begun.values())
+            await fleet.workers[lost].process.kill()
+            replies = await resume_all(fleet, instance, attempts)
+            (left,) = {"engine-0", "engine-1"} - {lost}
+            ran = await list_runs(fleet, but=lost)
+            assert set(begun[lost]).isdisjoint(a for a in attempts if left in ran.get(a, ()))
+            goes_on = {a for a, reply in zip(attempts, replies, strict=True) if reply.status == 200}
+            known = [*begun["new-0"], *begun["new-1"]]
+            assert len(goes_on.intersection(known)) >= MIN_SHARE * len(known)
+
+    run(work)
+
+
+async def list_runs(fleet: GatewayFleet, but: str = "") -> dict[str, set[str]]:
+    """Return the engines that ran each stream, by the id of the attempt that began it."""
+    ran: dict[str, set[str]] = {}
+    for engine in (engine for engine in ENGINES if engine != but):
+        for request in (await fleet.read_stats(engine)).seen:
+            if request.ran:
+                ran.setdefault(request.headers.get("resumes", request.id), set()).add(engine)
+    return ran
