--- a/rhubarbbend/core/directory/_directory.py
+++ b/rhubarbbend/core/directory/_directory.py
@@ -180,6 +180,20 @@
             return
         self._remove(target, now)
 
+    def record_unreadable(self, target_id: str, now: float) -> None:
+        """Handle a registration that does not describe a target any more.
+
+        Another writer may have replaced it. A target that is alive writes it again at its next
+        heartbeat, so one that was ready is used for a moment longer, as it was known.
+        """
+        target = self._targets.get(target_id)
+        if target is None:
+            return
+        if target.state is TargetState.DRAINING:
+            self._remove(target, now)
+        elif target.expires_at is None:
+            target.expires_at = now + self._options.missing_registration_grace_s
+
     def expire_unregistered(self, now: float) -> list[Target]:
         """Remove the targets whose registrations did not come back in time, and return them."""
         expired = [
--- a/rhubarbbend/gateway/_interfaces.py
+++ b/rhubarbbend/gateway/_interfaces.py
@@ -181,7 +181,13 @@
 
 
 class TargetUnregistered(msgspec.Struct, frozen=True):
-    """A target's registration no longer exists, or does not describe a target."""
+    """A target's registration no longer exists."""
+
+    target: str
+
+
+class RegistrationUnreadable(msgspec.Struct, frozen=True):
+    """A target's registration does not describe a target any more, as if by another writer."""
 
     target: str
 
@@ -216,6 +222,7 @@
     CatalogPublished
     | TargetRegistered
     | TargetUnregistered
+    | RegistrationUnreadable
     | ZoneServiceChanged
     | RolloutOrdered
     | RolloutWithdrawn
--- a/rhubarbbend/gateway/_state_updater.py
+++ b/rhubarbbend/gateway/_state_updater.py
@@ -19,6 +19,7 @@
 from rhubarbbend.decoding import decode_json
 from rhubarbbend.gateway._interfaces import (
     CatalogPublished,
+    RegistrationUnreadable,
     RolloutOrdered,
     RolloutWithdrawn,
     RowUnreadable,
@@ -129,12 +130,10 @@
         elif isinstance(change, TargetRegistered):
             self._apply_target(change, source, now)
         elif isinstance(change, TargetUnregistered):
-            target = self._state.registry.find(change.target)
-            self._state.registry.unregister(change.target, now)
-            if target is not None and self._state.registry.find(change.target) is None:
-                self._state.placement.record_departure(target, now)
-                self._record_end(target, "not registered any more")
+            self._apply_missing(change.target, self._state.registry.unregister, now)
             self._log("target_unregistered", target=change.target, source=source)
+        elif isinstance(change, RegistrationUnreadable):
+            self._apply_missing(change.target, self._state.registry.record_unreadable, now)
         elif isinstance(change, ZoneServiceChanged):
             if change.is_out_of_service:
                 self._state.registry.take_zone_out_of_service(change.zone, now)
@@ -191,6 +190,16 @@
             source=source,
         )
 
+    def _apply_missing(
+        self, target_id: str, record: Callable[[str, float], None], now: float
+    ) -> None:
+        """Have the registry record that a registration is missing, and that its target has left."""
+        target = self._state.registry.find(target_id)
+        record(target_id, now)
+        if target is not None and self._state.registry.find(target_id) is None:
+            self._state.placement.record_departure(target, now)
+            self._record_end(target, "not registered any more")
+
     def _record_end(self, target: Target, reason: str, is_certain: bool = False) -> None:
         """Record the end of a target that was lost under a request, if it was."""
         if self._state.crashes.record_end(target.incarnation, is_certain):
--- a/tests/core/directory/test_directory.py
+++ b/tests/core/directory/test_directory.py
@@ -178,3 +178,21 @@
     directory.mark_initial_read_complete(10.0)
     directory.record_store_recovery(40.0)
     assert not directory.has_followed(20.0, 59.0) and directory.has_followed(20.0, 60.0)
+
+
+# Guards against a target that gets nothing since another writer has replaced its entry, and against
+# one that gets requests for good after that.
+def test_target_with_an_unreadable_registration_is_used_for_a_moment() -> None:
+    directory = TargetRegistry()
+    directory.register(make_record(), 0.0)
+    directory.record_unreadable("t-1", 10.0)
+    directory.record_unreadable("t-1", 11.0)
+    assert directory.list_available("llm", 11.6)
+    directory.register(make_record(), 11.6)
+    assert not directory.expire_unregistered(20.0)
+    directory.record_unreadable("t-1", 20.0)
+    assert not directory.list_available("llm", 21.8)
+    assert [target.id for target in directory.expire_unregistered(21.8)] == ["t-1"]
+    directory.register(make_record(boot=2, state=TargetState.DRAINING), 30.0)
+    directory.record_unreadable("t-1", 30.1)
+    assert directory.find("t-1") is None
