--- a/standins/_proxy.py
+++ b/standins/_proxy.py
@@ -22,6 +22,7 @@
 import contextlib
 import enum
 import socket
+import time
 
 import attrs
 import msgspec
@@ -30,6 +31,9 @@
 from standins._server import StandIn, respond_json
 
 READ_SIZE_BYTES = 65_536
+# On a real path, the system of a sender that has closed its connection gives up bytes that are not
+# acknowledged for so long (TCP_USER_TIMEOUT of an instance); they do not arrive later.
+UNACKNOWLEDGED_TIMEOUT_S = 2.5
 # Connections that fill the queue of a socket that accepts none; the system drops what comes then.
 FILLER_CONNECTIONS = 3
 
@@ -208,8 +212,12 @@
                 break
             if route.delay:
                 await asyncio.sleep(route.delay)
+            held_at = time.monotonic()
             while connection.frozen or route.blackhole or (is_response and route.mute):
                 await asyncio.sleep(0.05)
+            has_closed = reader.at_eof() or reader.exception() is not None
+            if has_closed and time.monotonic() - held_at > UNACKNOWLEDGED_TIMEOUT_S:
+                raise ConnectionResetError("the sender has given up what was not acknowledged")
             if is_response:
                 route.response_bytes += len(data)
                 if route.truncate >= 0 and forwarded + len(data) > route.truncate:
--- a/tests/standins/test_proxy.py
+++ b/tests/standins/test_proxy.py
@@ -10,6 +10,7 @@
 import pytest
 
 from rhubarbbend.http import Connection, HttpFailure
+from standins import _proxy
 from standins._proxy import Proxy
 
 HOST = "127.0.0.1"
@@ -55,3 +56,38 @@
         assert await can_connect(port)
 
     asyncio.run(work())
+
+
+# Guards against a drain that looks broken: a path that was cut for longer than a sender's system
+# keeps unacknowledged bytes delivered a request that its sender had given up.
+@pytest.mark.parametrize("is_given_up", [True, False])
+def test_held_bytes_of_a_sender_that_has_closed_are_dropped(
+    monkeypatch: pytest.MonkeyPatch, is_given_up: bool
+) -> None:
+    monkeypatch.setattr(_proxy, "UNACKNOWLEDGED_TIMEOUT_S", 0.2 if is_given_up else 5.0)
+    received: list[bytes] = []
+
+    async def receive(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while data := await reader.read(100):
+            received.append(data)
+        writer.close()
+
+    async def work() -> None:
+        upstream = await asyncio.start_server(receive, HOST, 0)
+        proxy = Proxy(HOST)
+        admin_port = await proxy.listen(HOST, 0)
+        to = upstream.sockets[0].getsockname()
+        port = (await call(admin_port, "routes", {"to": to}))["port"]
+        _, writer = await asyncio.open_connection(HOST, port)
+        writer.write(b"first")
+        await asyncio.sleep(0.1)
+        await call(admin_port, "faults", {"ports": [port], "blackhole": True})
+        writer.write(b"held")
+        writer.close()
+        await asyncio.sleep(0.5)
+        await call(admin_port, "faults", {"ports": [port], "blackhole": False})
+        await asyncio.sleep(0.3)
+        assert received == ([b"first"] if is_given_up else [b"first", b"held"])
+        upstream.close()
+
+    asyncio.run(work())
