--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -112,14 +112,7 @@
         checker.read_targets = self._follower.read_targets
         self._starts = self._make_start_confirmer(attempts, checker)
         self._origins = self._set_up_streams(attempts)
-        parts = (
-            *(self.state, adapter.callers, attempts, detours),
-            *(TargetProber(self.state, self._pool, read_clock), gate, self._origins),
-            *(AdmissionGate(self.state, read_clock), read_clock),
-        )
-        self._requests = RequestServer(*parts)
-        self._detours_served = DetourServer(*parts)
-        self._peer_server.serve_detour = self._detours_served.serve
+        self._requests, self._detours_served = self._make_request_servers(attempts, detours, gate)
         self._monitor = ProcessMonitor(self.state, read_clock)
         self._caller_server, self._peer_http = self._make_servers()
         self._endpoints = Endpoints(self.state, self._caller_server, self._peer_http, self._spawn)
@@ -128,6 +121,19 @@
         self._settings_read_at = 0.0
         self._broadcaster = UpdateBroadcaster(self.state, self._peers)
 
+    def _make_request_servers(
+        self, attempts: AttemptRunner, detours: DetourClient, gate: CrashGate
+    ) -> tuple[RequestServer, DetourServer]:
+        """Return what serves callers' requests, and those that other instances hand over."""
+        parts = (
+            *(self.state, self._adapter.callers, attempts, detours),
+            *(TargetProber(self.state, self._pool, read_clock), gate, self._origins),
+            *(AdmissionGate(self.state, read_clock), read_clock),
+        )
+        detour_server = DetourServer(*parts)
+        self._peer_server.serve_detour = detour_server.serve
+        return RequestServer(*parts), detour_server
+
     def _make_servers(self) -> tuple[HttpServer, HttpServer | None]:
         """Return the servers for callers and for other instances, if these have an address."""
         memory = self.state.memory
--- a/standins/_worker_responses.py
+++ b/standins/_worker_responses.py
@@ -6,6 +6,7 @@
 import socket
 
 import h11
+import msgspec
 
 from rhubarbbend.http import reset_connection
 from standins._worker_types import Faults
@@ -101,6 +102,20 @@
     return True
 
 
+def send_report(
+    conn: h11.Connection, writer: asyncio.StreamWriter, running: int, born: int
+) -> bool:
+    """Write a report of a worker's state; return whether the connection can be used again.
+
+    `born` is the start that it states, 0 to state none.
+    """
+    report = {"seqNo": 0, "queueDepth": 0, "inFlight": running}
+    if born:
+        report["born"] = born
+    headers = [("Content-Type", "application/json")]
+    return send_response(conn, writer, 200, headers, msgspec.json.encode(report))
+
+
 def send_part_of_head(
     writer: asyncio.StreamWriter, headers: list[tuple[str, str]], faults: Faults
 ) -> bool:
--- a/tests/peers/test_links.py
+++ b/tests/peers/test_links.py
@@ -49,6 +49,18 @@
     asyncio.run(limited())
 
 
+async def make_failed_link() -> tuple[PeerLinks, list[str], int]:
+    """Return links of which one has just failed, the peers reported as lost, and its port."""
+    receiver = Receiver()
+    port = await receiver.listener.listen(HOST, 0)
+    await receiver.listener.close()
+    lost: list[str] = []
+    links = PeerLinks("entry-a1", SECRET, lost.append)
+    links.send("entry-a2", (HOST, port), SlotRequest(attempt="1"))
+    await wait_for(lambda: len(lost) == 1)
+    return links, lost, port
+
+
 def test_steady_traffic_does_not_keep_a_link_closed() -> None:
     """A peer is down while messages are sent to it every 50 ms, and then restarts.
 
@@ -84,13 +96,7 @@
 
 def test_messages_to_an_unreachable_peer_are_dropped_and_reported_at_once() -> None:
     async def scenario() -> None:
-        receiver = Receiver()
-        port = await receiver.listener.listen(HOST, 0)
-        await receiver.listener.close()
-        lost: list[str] = []
-        links = PeerLinks("entry-a1", SECRET, lost.append)
-        links.send("entry-a2", (HOST, port), SlotRequest(attempt="1"))
-        await wait_for(lambda: len(lost) == 1)
+        links, lost, port = await make_failed_link()
         links.send("entry-a2", (HOST, port), SlotRequest(attempt="2"))
         await wait_for(lambda: len(lost) == 2, timeout=0.3)
         assert links.dropped == 2
@@ -103,13 +109,7 @@
 # back: the link to it had failed, and what is sent during the backoff is dropped.
 def test_a_peer_that_was_heard_is_reached_during_the_backoff() -> None:
     async def scenario() -> None:
-        receiver = Receiver()
-        port = await receiver.listener.listen(HOST, 0)
-        await receiver.listener.close()
-        lost: list[str] = []
-        links = PeerLinks("entry-a1", SECRET, lost.append)
-        links.send("entry-a2", (HOST, port), SlotRequest(attempt="1"))
-        await wait_for(lambda: len(lost) == 1)
+        links, _, port = await make_failed_link()
         back = Receiver()
         await back.listener.listen(HOST, port)
         links.record_heard("entry-a2")
