Starts are confirmed only where versions may have changed

Change: an engine is asked only if several versions of its service have served lately, or if it has accepted no connection at some time since what is known was last current. Data that arrives on a connection of before is proof for those that were opened since. Streams that nobody may continue ask nothing.

Why it still holds: another version can only come by a restart of the target, which is away meanwhile, and in a release several versions are known.

The test with an outage passes as before.

--- a/rhubarbbend/core/placement/_health.py
+++ b/rhubarbbend/core/placement/_health.py
@@ -66,6 +66,7 @@
         "unreachable_since",
         "timed_out_at",
         "last_contact_at",
+        "last_unreachable_at",
     )
 
     def __init__(self, now: float) -> None:
@@ -81,6 +82,8 @@
         self.timed_out_at: float | None = None
         # When the target last responded without a failure or accepted a connection.
         self.last_contact_at = -math.inf
+        # When the target was last seen to accept no connection.
+        self.last_unreachable_at = -math.inf
 
     def decay(self, now: float) -> None:
         """Reduce the weights of earlier results by their age."""
@@ -233,8 +236,14 @@
             record.backoff = min(MAX_BACKOFF_S, max(INITIAL_BACKOFF_S, 2.0 * record.backoff))
             record.backoff_until = now + record.backoff
         record.trial_until = 0.0
+        record.last_unreachable_at = now
         return record.backoff_until
 
+    def was_unreachable_since(self, target: str, at: float) -> bool:
+        """Return whether a target accepted no connection at some time since `at`."""
+        record = self._records.get(target)
+        return record is not None and record.last_unreachable_at >= at
+
     def count_unreachable_since(self, at: float) -> int:
         """Count the unreachable targets that became so at `at` or later."""
         records = self._records.values()
--- a/rhubarbbend/gateway/_attempts.py
+++ b/rhubarbbend/gateway/_attempts.py
@@ -101,6 +101,10 @@
         """Return whether a connection to a target is open, idle or with a request in flight."""
         return self._liveness.has_open_connection(target) or self._pool.has_open_idle(address)
 
+    def has_contact(self, target: str, opened_before: float, since: float) -> bool:
+        """Return whether data has arrived since a time on a connection that was opened earlier."""
+        return self._liveness.has_contact(target, opened_before, since)
+
     async def run(self, request: OpenRequest, choice: Choice) -> AttemptOutcome:
         """Send a request to the chosen target and return how the attempt ended.
 
--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -188,6 +188,7 @@
         """Return what confirms the starts of targets, also for streams that are continued."""
         starts = StartConfirmer(self.state, checker, read_clock)
         starts.is_store_reachable = lambda: self._follower.is_store_reachable
+        starts.has_contact = attempts.has_contact
         attempts.confirm_start = starts.confirm_if_needed
         return starts
 
--- a/rhubarbbend/gateway/_liveness.py
+++ b/rhubarbbend/gateway/_liveness.py
@@ -71,6 +71,15 @@
         awaiting = self._awaiting_answer.get(target, ())
         return sum(c.opened_at < opened_before and not c.closed for c in awaiting)
 
+    def has_contact(self, target: str, opened_before: float, since: float) -> bool:
+        """Return whether data has arrived since a time on a connection that was opened earlier."""
+        return any(
+            connection.opened_at <= opened_before
+            and connection.last_received_at >= since
+            and not connection.closed
+            for connection in self._awaiting_answer.get(target, ())
+        )
+
     def find_last_contact(self, target: str, now: float) -> float:
         """Return when data last arrived from a target on a connection that awaits an answer.
 
--- a/rhubarbbend/gateway/_stream_origins.py
+++ b/rhubarbbend/gateway/_stream_origins.py
@@ -97,7 +97,8 @@
         A stream that was taken up again is told anew: the list of instances may have changed.
         """
         if request.origin is None:
-            if self._starts.is_needed(target, request.connected_at):
+            is_recorded = request.route.idempotent
+            if is_recorded and self._starts.is_needed(target, request.connected_at):
                 request.origin = UNCERTAIN_ORIGIN
                 self._confirming.spawn(self._confirm_begun(request, target))
                 return
