--- a/tests/gateway/test_pauses.py
+++ b/tests/gateway/test_pauses.py
@@ -135,6 +135,7 @@
     request: Any = SimpleNamespace(
         id="try-1",
         sent_work=None,
+        origin=None,
         route=SimpleNamespace(idempotent=True),
         service=SimpleNamespace(max_connections=96),
         compute_time_left=lambda now: 1.0,
