--- a/rhubarbbend/codes.py
+++ b/rhubarbbend/codes.py
@@ -158,9 +158,6 @@
 ANSWERS_UNFRAMED: Final = _declare_counter(
     "answers_unframed", "such answers without length and chunks, ended by their connection"
 )
-STARTS_UNCONFIRMED: Final = _declare_counter(
-    "starts_unconfirmed", "targets that may have started again while the store was out of reach"
-)
 ANSWERS_END_UNCONFIRMED: Final = _declare_counter(
     "answers_end_unconfirmed", "answers without length and chunks whose target may have ended"
 )
@@ -266,6 +263,9 @@
 STREAM_RECORDS_READ: Final = _declare_counter(
     "streams.records_read", "reads of what the store holds of streams that no instance knew"
 )
+STARTS_UNCONFIRMED: Final = _declare_counter(
+    "starts_unconfirmed", "targets that may have started again while the store was out of reach"
+)
 STREAMS_ASKED: Final = _declare_counter("streams.asked", "queries for the version of a stream")
 WRONG_ID: Final = _declare_counter("wrong_id", "answers dropped: they carried another request's id")
 
