Targets at whose addresses others answer are held out, and all are told

Cause: a target that starts again under another id at its address answers 421 to requests for the former id. That counted as unreachable for 0.25 to 0.6 s and ended with the first connection that the address accepted, which the new target does. Former targets look idle and are preferred, each try uses up a retry of the budget that all share, and each instance found out for itself.

Such a target now gets nothing until it registers anew, or states at its address that it is there; only who answers there proves that, not a connection. It is asked after 10 s, and then twice as late each time, so that no check is made where registrations expire as usual. The instance that meets another target tells the others, for that start and that address only. A displaced target no longer lowers the mean load from which the bound on the others follows.

test_news_of_a_full_target_gets_older_at_a_relay took the last field off a message to make that of an older instance; it now takes off `full` and all that came after it.

--- a/rhubarbbend/codes.py
+++ b/rhubarbbend/codes.py
@@ -230,6 +230,9 @@
 RETRY_MISDIRECTED: Final = _declare_counter(
     "retry.misdirected", "attempts moved: another target answered at the address"
 )
+TARGETS_DISPLACED: Final = _declare_counter(
+    "targets.displaced", "targets held out: another one answers at their address"
+)
 RETRY_BROKEN: Final = _declare_counter("retry.broken", "attempts moved: no whole answer came back")
 IDLE_CONNECTIONS_DEAD: Final = _declare_counter(
     "idle_connections_dead", "requests that met a connection which had died while it was idle"
--- a/rhubarbbend/core/placement/_candidates.py
+++ b/rhubarbbend/core/placement/_candidates.py
@@ -112,7 +112,8 @@
 
         If `avoids_unreachable`, the request is not used to try an unreachable target.
         """
-        targets = [t for t in self._registry.list_available(service.name, now) if admits(t)]
+        available = self._registry.list_available(service.name, now)
+        targets = [t for t in available if admits(t) and not self._health.is_displaced(t.id)]
         found = Candidates(targets, self._estimate_loads(service, now), admits)
         found.failing = self._health.list_failing([target.id for target in targets], now)
         max_requests = compute_max_connections(service, len(instances))
@@ -159,15 +160,18 @@
     def _estimate_loads(self, service: Service, now: float) -> dict[str, float]:
         """Estimate the loads of a service's targets, also in zones that are out of service.
 
-        Draining targets no longer count towards their service. The targets of a zone that is out
-        of service are idle and lower the bound on the others: with the mean of the remaining
-        targets alone, a hot key would load its engine beyond the bound.
+        Draining targets no longer count towards their service, nor do displaced ones, which have
+        ended. The targets of a zone that is out of service are idle and lower the bound on the
+        others: with the mean of the remaining targets alone, a hot key would load its engine beyond
+        the bound.
         """
         targets = self._registry.list_not_draining(service.name)
         is_brittle = self._brittle.is_brittle(service.name, now)
         has_peer_counts = service.engine is not None or is_brittle
         return {
-            target.id: self._loads.estimate(target.id, has_peer_counts, now) for target in targets
+            target.id: self._loads.estimate(target.id, has_peer_counts, now)
+            for target in targets
+            if not self._health.is_displaced(target.id)
         }
 
     def _may_send_cold(
--- a/rhubarbbend/core/placement/_health.py
+++ b/rhubarbbend/core/placement/_health.py
@@ -1,7 +1,7 @@
 """Tracks the health of targets from the responses and connections of callers' requests.
 
-It knows which targets are unreachable, and which ones fail many requests while they accept
-connections.
+It knows which targets are unreachable, which ones fail many requests while they accept connections,
+and which ones were not met at their addresses, where others answer.
 """
 
 from __future__ import annotations
@@ -67,6 +67,7 @@
         "timed_out_at",
         "last_contact_at",
         "last_unreachable_at",
+        "is_displaced",
     )
 
     def __init__(self, now: float) -> None:
@@ -84,6 +85,8 @@
         self.last_contact_at = -math.inf
         # When the target was last seen to accept no connection.
         self.last_unreachable_at = -math.inf
+        # Whether another target answered at its address. A connection does not end that.
+        self.is_displaced = False
 
     def decay(self, now: float) -> None:
         """Reduce the weights of earlier results by their age."""
@@ -249,10 +252,30 @@
         records = self._records.values()
         return sum(r.unreachable_since is not None and r.unreachable_since >= at for r in records)
 
+    def record_displaced(self, target: str) -> None:
+        """Record that another target answered at a target's address."""
+        self._get_or_create(target, now=0.0).is_displaced = True
+
+    def record_met(self, target: str) -> None:
+        """Record that a target itself answers at its address, or is registered anew."""
+        record = self._records.get(target)
+        if record is not None:
+            record.is_displaced = False
+
+    def is_displaced(self, target: str) -> bool:
+        """Whether another target answered at a target's address, and it was not met since."""
+        record = self._records.get(target)
+        return record is not None and record.is_displaced
+
     def is_blocked(self, target: str, now: float) -> bool:
-        """Whether no request may be sent to a target now, because of its backoff or a trial."""
+        """Whether no request may be sent to a target now.
+
+        It is displaced, in its backoff, or tried by another request.
+        """
         record = self._records.get(target)
-        return record is not None and now < max(record.backoff_until, record.trial_until)
+        if record is None:
+            return False
+        return record.is_displaced or now < max(record.backoff_until, record.trial_until)
 
     def compute_failure_fraction(self, target: str, now: float) -> float:
         """Return the recent fraction of failed requests; 0 with fewer than `MIN_REQUESTS`."""
--- a/rhubarbbend/gateway/_attempt_recorder.py
+++ b/rhubarbbend/gateway/_attempt_recorder.py
@@ -21,6 +21,8 @@
         self._clock = clock
         # Called when a request ran to completion; set by the instance.
         self.on_answer: Callable[[OpenRequest, Target, float], None] = lambda *_: None
+        # Called when another target answered at a target's address; set by the instance.
+        self.on_misdirected: Callable[[Target], None] = lambda target: None
 
     def record_sent(self, request: OpenRequest, choice: Choice, now: float) -> None:
         """Record that a request was sent, for the estimates of times until a first event."""
@@ -47,7 +49,7 @@
         now = self._clock()
         health = self._state.health
         if outcome is AttemptOutcome.MISDIRECTED:
-            health.record_unreachable(target.id, now)
+            self.on_misdirected(target)
             return
         # Engines get many requests of each instance, and tell more by the events of their streams.
         is_shared = request.service.engine is None
--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -26,6 +26,7 @@
 from rhubarbbend.gateway._crash_trials import TrialClient
 from rhubarbbend.gateway._detour_server import DetourServer
 from rhubarbbend.gateway._detours import DetourClient
+from rhubarbbend.gateway._displaced_targets import DisplacedTargets
 from rhubarbbend.gateway._endpoints import Endpoints
 from rhubarbbend.gateway._event_log import EventLog
 from rhubarbbend.gateway._follower import StateFollower
@@ -148,12 +149,11 @@
     def _make_target_checker(self, attempts: AttemptRunner) -> TargetChecker:
         """Return what tells whether targets have ended, also for answers that are forwarded."""
         checker = TargetChecker(
-            self.state,
-            self._peers,
-            self._adapter.targets,
-            attempts.has_open_connection,
-            read_clock,
+            self.state, self._peers, self._adapter.targets, attempts.has_open_connection, read_clock
         )
+        displaced = DisplacedTargets(self.state, self._peers, checker.is_met, read_clock)
+        attempts.recorder.on_misdirected = displaced.record
+        self.state.on_displaced_learned = displaced.merge_notices
         attempts.forwarder.runs_on = checker.runs_on
         self._peer_server.on_target_check = checker.serve
         return checker
--- a/rhubarbbend/gateway/_peer_updates.py
+++ b/rhubarbbend/gateway/_peer_updates.py
@@ -17,6 +17,7 @@
     TargetOutcomes,
 )
 from rhubarbbend.core.rollouts import RolloutRecord
+from rhubarbbend.gateway._settings import Address
 
 
 class LossReport(msgspec.Struct, frozen=True, array_like=True):
@@ -86,6 +87,13 @@
     record: RolloutRecord
 
 
+class DisplacedTarget(msgspec.Struct, frozen=True, array_like=True):
+    """Reports that another target answered at an address of one start of a target."""
+
+    target: str
+    address: Address
+
+
 class PeerUpdate(msgspec.Struct, frozen=True, array_like=True):
     """An update that an instance sends to all others.
 
@@ -106,6 +114,7 @@
     findings: CrashFindings | None = None
     is_urgent: bool = False
     full: list[FullTargetNotice] = []
+    displaced: list[DisplacedTarget] = []
 
     def add_age(self, now: float) -> PeerUpdate:
         """Return the update to relay now; the time since its receipt is added to its ages."""
--- a/rhubarbbend/gateway/_state.py
+++ b/rhubarbbend/gateway/_state.py
@@ -85,6 +85,8 @@
         self.crashes = CrashLedger(_make_refusal_rules(settings))
         # Called with the present time when others have told of losses; set by the instance.
         self.on_losses_learned: Callable[[float], None] = lambda now: None
+        # Called with an update that tells of displaced targets; set by the instance.
+        self.on_displaced_learned: Callable[[PeerUpdate], None] = lambda update: None
         # Called when another version of the configuration is in force; set by the instance.
         self.on_catalog_applied: Callable[[Catalog], None] = lambda catalog: None
         # Set once other instances were asked, after the start, which requests crash targets.
@@ -261,6 +263,7 @@
             self.health.merge_outcomes(update.outcomes, now)
             self.brittle.merge_notices(update.brittle, now)
             self._merge_full_targets(update, now)
+            self.on_displaced_learned(update)
         for rollout in update.rollouts:
             self.rollouts.record_outcome(rollout.service, rollout.record)
         self.queue_for_listeners(update, now)
@@ -290,6 +293,7 @@
             update.brittle,
             update.findings,
             update.full,
+            update.displaced,
         )
         if not any(relayed):
             return
--- a/rhubarbbend/gateway/_state_updater.py
+++ b/rhubarbbend/gateway/_state_updater.py
@@ -173,7 +173,11 @@
     def _apply_target(self, change: TargetRegistered, source: str, now: float) -> None:
         record = change.record
         before = self._state.registry.find(record.id)
+        former_address = None if before is None else before.address
         target = self._state.registry.register(record, now)
+        if target is not before or target.address != former_address:
+            # Who answered at the former address says nothing of this one.
+            self._state.health.record_met(target.id)
         if before is not None and before.boot < target.boot:
             self._record_end(before, "started again", is_certain=True)
             self.on_target_restarted(before, target)
--- a/rhubarbbend/gateway/_target_checker.py
+++ b/rhubarbbend/gateway/_target_checker.py
@@ -161,6 +161,10 @@
         """Return whether a target states that it is the start that is registered."""
         return await self._contact(_make_query(target)) is Contact.SAME
 
+    async def is_met(self, target: Target) -> bool:
+        """Return whether a target answers at its address, as far as the answer tells who it is."""
+        return await self._contact(_make_query(target)) in RUNNING_CONTACTS
+
     async def _has_not_restarted(self, target: Target, since: float) -> bool:
         """Return whether a target that runs is known not to have started again after `since`.
 
--- a/tests/core/placement/test_health.py
+++ b/tests/core/placement/test_health.py
@@ -154,3 +154,13 @@
         health.record_response(target, True, 1.0, is_shared=True)
     health.record_unreachable("t-0", 1.1)
     assert health.pop_unsent() == [TargetOutcomes("t-1", 1, 1)]
+
+
+# Guards against requests for a target that has ended, since another one accepts connections there.
+def test_connection_does_not_show_that_a_displaced_target_is_there() -> None:
+    health = HealthTracker()
+    health.record_displaced("t1")
+    health.record_connected("t1", 1.0)
+    assert health.is_blocked("t1", 60.0)
+    health.record_met("t1")
+    assert not health.is_blocked("t1", 60.0)
--- a/tests/gateway/test_full_targets.py
+++ b/tests/gateway/test_full_targets.py
@@ -181,6 +181,7 @@
     sent = msgspec.msgpack.encode(update.add_age(5.5))
     received = msgspec.msgpack.decode(sent, type=PeerUpdate)
     assert received.full == [FullTargetNotice("plain", "plain-0", 0.75, 0.06)]
-    # An instance of the version before sends no such field.
-    before = msgspec.msgpack.encode(msgspec.msgpack.decode(sent)[:-1])
+    # An instance of the version before sends neither this field nor what came after it.
+    known_before = PeerUpdate.__struct_fields__.index("full")
+    before = msgspec.msgpack.encode(msgspec.msgpack.decode(sent)[:known_before])
     assert msgspec.msgpack.decode(before, type=PeerUpdate).full == []
