--- a/rhubarbbend/core/placement/_health.py
+++ b/rhubarbbend/core/placement/_health.py
@@ -252,9 +252,9 @@
         records = self._records.values()
         return sum(r.unreachable_since is not None and r.unreachable_since >= at for r in records)
 
-    def record_displaced(self, target: str) -> None:
+    def record_displaced(self, target: str, now: float) -> None:
         """Record that another target answered at a target's address."""
-        self._get_or_create(target, now=0.0).is_displaced = True
+        self._get_or_create(target, now).is_displaced = True
 
     def record_met(self, target: str) -> None:
         """Record that a target itself answers at its address, or is registered anew."""
--- a/rhubarbbend/gateway/_displaced_targets.py
+++ b/rhubarbbend/gateway/_displaced_targets.py
@@ -1,4 +1,4 @@
-"""Holds out targets at whose addresses other targets answer, until they are met there again.
+"""Holds out targets at whose addresses other targets answer: stale registrations.
 
 The registration of a target that has ended may stay, while a later start of it, under another id,
 or another target listens at its address. That one accepts connections, so a connection shows
@@ -70,7 +70,7 @@
         target = self._find(notice)
         if target is None or health.is_displaced(target.id):
             return False
-        health.record_displaced(target.id)
+        health.record_displaced(target.id, self._clock())
         self._state.metrics.increment_counter(codes.TARGETS_DISPLACED)
         self._log("target_displaced", target, found_by=found_by)
         self._tasks.spawn(self._check_until_met(notice))
--- a/tests/core/placement/test_health.py
+++ b/tests/core/placement/test_health.py
@@ -159,7 +159,7 @@
 # Guards against requests for a target that has ended, since another one accepts connections there.
 def test_connection_does_not_show_that_a_displaced_target_is_there() -> None:
     health = HealthTracker()
-    health.record_displaced("t1")
+    health.record_displaced("t1", 0.0)
     health.record_connected("t1", 1.0)
     assert health.is_blocked("t1", 60.0)
     health.record_met("t1")
