--- a/tests/gateway/test_displaced_targets.py
+++ b/tests/gateway/test_displaced_targets.py
@@ -105,12 +105,17 @@
     )
 
 
-def make_displaced_targets(state: Any, sent: list[PeerUpdate], is_met: bool) -> DisplacedTargets:
+def make_displaced_targets(
+    state: Any, sent: list[PeerUpdate], may_check: asyncio.Event
+) -> DisplacedTargets:
+    """Return them for an instance that meets each target as soon as it may check."""
+
     async def broadcast(update: PeerUpdate) -> None:
         sent.append(update)
 
     async def check(target: Target) -> bool:
-        return is_met
+        await may_check.wait()
+        return True
 
     peers: Any = SimpleNamespace(broadcast=broadcast)
     return DisplacedTargets(state, peers, check, lambda: 0.0)
@@ -124,7 +129,7 @@
 def test_news_of_a_displaced_target_is_for_one_start_and_address(record: dict[str, Any]) -> None:
     async def work() -> None:
         for state, is_held_out in ((make_state(), True), (make_state(**record), False)):
-            displaced = make_displaced_targets(state, [], is_met=False)
+            displaced = make_displaced_targets(state, [], asyncio.Event())
             displaced.merge_notices(PeerUpdate(displaced=[NOTICE], sender="front-1"))
             names = [target.id for target in state.registry.list_targets()]
             assert [state.health.is_displaced(name) for name in names] == [is_held_out]
@@ -137,19 +142,20 @@
 def test_displaced_target_is_told_once_and_used_again_when_it_is_met(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(_displaced_targets, "INITIAL_CHECK_DELAY_S", 0.5)
+    monkeypatch.setattr(_displaced_targets, "INITIAL_CHECK_DELAY_S", 0.01)
 
     async def work() -> None:
-        state, sent = make_state(), []
-        displaced = make_displaced_targets(state, sent, is_met=True)
+        state, sent, may_check = make_state(), [], asyncio.Event()
+        displaced = make_displaced_targets(state, sent, may_check)
         (target,) = state.registry.list_targets()
         displaced.record(target)
         displaced.record(target)
-        assert state.health.is_displaced(target.id)
-        await asyncio.sleep(0.3)
+        while not sent:
+            await asyncio.sleep(0.01)
         assert [update.displaced for update in sent] == [[NOTICE]]
         assert state.health.is_displaced(target.id)
-        await asyncio.sleep(0.4)
-        assert not state.health.is_displaced(target.id)
+        may_check.set()
+        while state.health.is_displaced(target.id):
+            await asyncio.sleep(0.01)
 
     run(work)
