A target that has registered a new address is not held out for the former one

What callers would see: a target that moves to another address without a new start gets no request for 10 s, from any instance.

Cause: a displaced target was recorded with the address that it has when the answer 421 arrives, not with the one to which the request was sent. One that registers its new address meanwhile was held out there, where nobody else answers.

Evidence: test_answer_from_a_former_address_displaces_nothing fails without the change.

Fix: the address of the attempt's connection goes with the report, so the notice is for the start and the address at which another target answered.

--- a/rhubarbbend/gateway/_attempt_recorder.py
+++ b/rhubarbbend/gateway/_attempt_recorder.py
@@ -10,6 +10,7 @@
 from rhubarbbend.core.placement import Choice, Prompt
 from rhubarbbend.core.rollouts import AttemptTiming
 from rhubarbbend.gateway._requests import OpenRequest
+from rhubarbbend.gateway._settings import Address
 from rhubarbbend.gateway._state import Clock, State
 
 
@@ -21,8 +22,8 @@
         self._clock = clock
         # Called when a request ran to completion; set by the instance.
         self.on_answer: Callable[[OpenRequest, Target, float], None] = lambda *_: None
-        # Called when another target answered at a target's address; set by the instance.
-        self.on_misdirected: Callable[[Target], None] = lambda target: None
+        # Called when another target answered at an address of a target; set by the instance.
+        self.on_misdirected: Callable[[Target, Address], None] = lambda target, address: None
 
     def record_sent(self, request: OpenRequest, choice: Choice, now: float) -> None:
         """Record that a request was sent, for the estimates of times until a first event."""
@@ -44,12 +45,14 @@
             self._state.placement.estimator.record_left(request.sent_work)
             request.sent_work = None
 
-    def record_health(self, target: Target, request: OpenRequest, outcome: AttemptOutcome) -> None:
-        """Record what an attempt tells of the health of its target."""
+    def record_health(
+        self, target: Target, request: OpenRequest, outcome: AttemptOutcome, address: Address
+    ) -> None:
+        """Record what an attempt at an address of a target tells of the target's health."""
         now = self._clock()
         health = self._state.health
         if outcome is AttemptOutcome.MISDIRECTED:
-            self.on_misdirected(target)
+            self.on_misdirected(target, address)
             return
         # Engines get many requests of each instance, and tell more by the events of their streams.
         is_shared = request.service.engine is None
--- a/rhubarbbend/gateway/_attempts.py
+++ b/rhubarbbend/gateway/_attempts.py
@@ -232,7 +232,7 @@
         log = self._state.event_log
         log_ended(log, request, choice.target, outcome, answer, self._clock())
         if not cut_unread:
-            self.recorder.record_health(choice.target, request, outcome)
+            self.recorder.record_health(choice.target, request, outcome, connection.address)
             self.recorder.record_evidence(request, choice, outcome)
         return outcome
 
--- a/rhubarbbend/gateway/_displaced_targets.py
+++ b/rhubarbbend/gateway/_displaced_targets.py
@@ -17,6 +17,7 @@
 from rhubarbbend.core.directory import Target, get_target_id
 from rhubarbbend.gateway._peer_updates import DisplacedTarget, PeerUpdate
 from rhubarbbend.gateway._peers import PeerClient
+from rhubarbbend.gateway._settings import Address
 from rhubarbbend.gateway._state import Clock, State
 
 # Targets found within this time are told to the other instances together. After a return of all,
@@ -50,9 +51,12 @@
         # In the order in which they were found.
         self._unsent: list[DisplacedTarget] = []
 
-    def record(self, target: Target) -> None:
-        """Hold a target out, since another one has answered a request at its address."""
-        notice = DisplacedTarget(target.incarnation, target.address)
+    def record(self, target: Target, address: Address) -> None:
+        """Hold a target out, since another one has answered a request at an address of it.
+
+        The target may have registered another address since the request was sent.
+        """
+        notice = DisplacedTarget(target.incarnation, address)
         if not self._hold_out(notice, self._state.settings.instance):
             return
         if not self._unsent:
--- a/tests/gateway/test_displaced_targets.py
+++ b/tests/gateway/test_displaced_targets.py
@@ -137,6 +137,19 @@
     run(work)
 
 
+# Guards against holding a target out that registers a new address while the answer of whoever is
+# at the former one is on its way.
+def test_answer_from_a_former_address_displaces_nothing() -> None:
+    async def work() -> None:
+        state = make_state(port=81)
+        displaced = make_displaced_targets(state, [], asyncio.Event())
+        (target,) = state.registry.list_targets()
+        displaced.record(target, ("10.0.0.1", 80))
+        assert not state.health.is_displaced(target.id)
+
+    run(work)
+
+
 # Guards against a target that is never used again after a wrong answer, and against messages
 # without end about one that all know.
 def test_displaced_target_is_told_once_and_used_again_when_it_is_met(
@@ -148,8 +161,8 @@
         state, sent, may_check = make_state(), [], asyncio.Event()
         displaced = make_displaced_targets(state, sent, may_check)
         (target,) = state.registry.list_targets()
-        displaced.record(target)
-        displaced.record(target)
+        displaced.record(target, target.address)
+        displaced.record(target, target.address)
         while not sent:
             await asyncio.sleep(0.01)
         assert [update.displaced for update in sent] == [[NOTICE]]
