--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: rollout-table demo test measure compare measure-tables measure-costs soak slopes binary lint ablate
+.PHONY: known-red rollout-table demo test measure compare measure-tables measure-costs soak slopes binary lint ablate
 
 PYTHON := .venv/bin/python
 
@@ -18,6 +18,11 @@
 soak: .venv/.ready
 	@$(PYTHON) -m loadtool soak --on $(ON) --seed $(SEED) --seeds $(SEEDS) --duration $(DURATION) --size $(SIZE)
 
+# Runs every entry of KNOWN-RED.txt, also the commands that are not part of the test run.
+TIMES ?= 1
+known-red: .venv/.ready
+	@$(PYTHON) -m tools.known_red_run --times $(TIMES)
+
 # One run, e.g. make measure DEPLOYMENT=riegos POLICY=random SEED=2 SECONDS=40
 DEPLOYMENT ?= tengri
 POLICY ?= affinity
--- a/tests/tools/test_known_red.py
+++ b/tests/tools/test_known_red.py
@@ -10,7 +10,8 @@
 import pytest
 
 from tools.binary import ROOT
-from tools.known_red import KnownRedInvalid, parse_known_red
+from tools.known_red import KnownRed, KnownRedInvalid, parse_known_red
+from tools.known_red_run import Outcome, describe_outcomes, run_entry
 
 TESTS = """
 def test_red(): assert False
@@ -65,13 +66,61 @@
     assert exit_status == 1 and "not run: test_it.py::test_gone" in output
 
 
+# Guards against a listed command that hides a failure of a test, or fails a run that is green.
+@pytest.mark.parametrize(("other_passes", "expected"), [(True, 0), (False, 1)])
+def test_listed_command_changes_no_result_of_the_tests(
+    tmp_path: Path, other_passes: bool, expected: int
+) -> None:
+    lines = "test_it.py::test_red | 7 | red | #1\n$ python -c 'exit(1)' | - | a case | #2\n"
+    exit_status, output = _run_pytest(tmp_path, lines, other_passes)
+    assert exit_status == expected, output
+    assert "not part of the test run: $ python -c 'exit(1)' | - | a case | #2" in output
+
+
+# Guards against entries that still fail and are reported as mended, tests among them: the plugin
+# lets those pass a run.
+@pytest.mark.parametrize(
+    ("name", "outcome"),
+    [
+        ("test_it.py::test_red", Outcome.FAILED),
+        ("test_it.py::test_green", Outcome.PASSED),
+        ("test_it.py::test_gone", Outcome.COULD_NOT_RUN),
+        ("$ python3 -c 'exit(0)'", Outcome.PASSED),
+        ("$ python3 -c 'exit(1)'", Outcome.FAILED),
+        ("$ python3 -c 'exit(2)'", Outcome.COULD_NOT_RUN),
+        ("$ ./no-such-program", Outcome.COULD_NOT_RUN),
+        ("$ python3 -c 'import time; time.sleep(60)'", Outcome.DID_NOT_END),
+    ],
+)
+def test_entries_are_run_and_their_ends_told_apart(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, name: str, outcome: Outcome
+) -> None:
+    entry = KnownRed(name, "-", "red", "1")
+    (tmp_path / "KNOWN-RED.txt").write_text(entry.format())
+    (tmp_path / "pytest.ini").write_text("[pytest]\n")
+    (tmp_path / "conftest.py").write_text(
+        "from tools.known_red import register\ndef pytest_configure(config): register(config)\n"
+    )
+    (tmp_path / "test_it.py").write_text(TESTS.format(other_passes=True))
+    monkeypatch.setenv("PYTHONPATH", str(ROOT))
+    timeout_s = 0.5 if outcome is Outcome.DID_NOT_END else 60.0
+    assert run_entry(entry, tmp_path, timeout_s) is outcome
+
+
+def test_outcomes_of_several_runs_are_counted() -> None:
+    assert describe_outcomes([Outcome.FAILED, Outcome.PASSED, Outcome.PASSED]) == (
+        "2 passed, 1 failed"
+    )
+
+
 @pytest.mark.parametrize(
     "text",
     [
         "test_it.py::test_red\n",
         "test | seed | cause\n",
         "test | | cause | issue\n",
-        "t | s | c | 1\n" * 2,
+        "t.py::t | s | c | 1\n" * 2,
+        "review/6/run.sh | s | a command without its mark | 1\n",
         "test | seed | cause | an issue without a number\n",
     ],
 )
--- a/tools/known_red.py
+++ b/tools/known_red.py
@@ -3,6 +3,9 @@
 Each line of the file is `test id | seed | cause | issue`. Listed tests run like all others, and
 their outcomes are printed at the end. A failure of any other test still fails CI, and so does a
 file that breaks these rules or lists a test that a run of the whole suite did not execute.
+
+A line may begin with `$ ` and a command in place of a test id, for a case that is not part of the
+test run. It is printed, and `make known-red` runs it along with the listed tests.
 """
 
 from __future__ import annotations
@@ -16,6 +19,8 @@
 FILE_NAME: Final = "KNOWN-RED.txt"
 SEPARATOR: Final = "|"
 FIELD_COUNT: Final = 4
+COMMAND_PREFIX: Final = "$ "
+TEST_ID_SEPARATOR: Final = "::"
 
 
 class KnownRedInvalid(Exception):
@@ -24,13 +29,23 @@
 
 @attrs.define(slots=True, frozen=True)
 class KnownRed:
-    """An entry of the file."""
+    """An entry of the file. `name` is a test id, or a command behind `COMMAND_PREFIX`."""
 
-    test: str
+    name: str
     seed: str
     cause: str
     issue: str
 
+    @property
+    def command(self) -> str | None:
+        """The command to run; None if the entry names a test."""
+        is_command = self.name.startswith(COMMAND_PREFIX)
+        return self.name.removeprefix(COMMAND_PREFIX) if is_command else None
+
+    def format(self) -> str:
+        """Return the entry as a line of the file."""
+        return f" {SEPARATOR} ".join((self.name, self.seed, self.cause, self.issue))
+
 
 def parse_known_red(text: str) -> list[KnownRed]:
     """Parse the text of the file; raise `KnownRedInvalid` if it breaks the rules."""
@@ -46,9 +61,13 @@
         entry = KnownRed(*fields)
         if not entry.issue.removeprefix("#").isdecimal():
             raise KnownRedInvalid(f"{FILE_NAME}:{number}: the issue is its number")
+        if entry.command is None and TEST_ID_SEPARATOR not in entry.name:
+            raise KnownRedInvalid(
+                f"{FILE_NAME}:{number}: expected a test id, or {COMMAND_PREFIX!r} and a command"
+            )
         entries.append(entry)
-    if len({entry.test for entry in entries}) != len(entries):
-        raise KnownRedInvalid(f"{FILE_NAME}: a test is listed twice")
+    if len({entry.name for entry in entries}) != len(entries):
+        raise KnownRedInvalid(f"{FILE_NAME}: a test or a command is listed twice")
     return entries
 
 
@@ -62,7 +81,8 @@
     """Allows the listed tests to fail, and prints their outcomes at the end of the run."""
 
     def __init__(self, listed: list[KnownRed], whole_run: bool) -> None:
-        self._listed = {entry.test: entry for entry in listed}
+        self._listed = {entry.name: entry for entry in listed if entry.command is None}
+        self._commands = [entry for entry in listed if entry.command is not None]
         self._whole_run = whole_run
         self._outcomes: dict[str, str] = {}
 
@@ -90,16 +110,16 @@
             session.exitstatus = pytest.ExitCode.TESTS_FAILED
 
     def pytest_terminal_summary(self, terminalreporter: pytest.TerminalReporter) -> None:
-        """Print the outcome of each listed test."""
-        if not self._listed:
+        """Print the outcome of each listed test, and the listed commands."""
+        if not self._listed and not self._commands:
             return
         terminalreporter.section(FILE_NAME)
         for entry in self._listed.values():
-            outcome = self._outcomes.get(entry.test, "not run")
+            outcome = self._outcomes.get(entry.name, "not run")
             hint = "; take it off the list" if outcome == "PASSED" else ""
-            terminalreporter.write_line(
-                f"{outcome}{hint}: {entry.test} | {entry.seed} | {entry.cause} | {entry.issue}"
-            )
+            terminalreporter.write_line(f"{outcome}{hint}: {entry.format()}")
+        for entry in self._commands:
+            terminalreporter.write_line(f"not part of the test run: {entry.format()}")
 
 
 def register(config: pytest.Config) -> None:
