--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: known-red rollout-table demo test measure compare measure-tables measure-costs soak slopes binary lint ablate
+.PHONY: cases known-red rollout-table demo test measure compare measure-tables measure-costs soak slopes binary lint ablate
 
 PYTHON := .venv/bin/python
 
@@ -23,6 +23,11 @@
 known-red: .venv/.ready
 	@$(PYTHON) -m tools.known_red_run --times $(TIMES)
 
+# The cases of the reviews, real processes against one rule each, e.g. make cases CASES="6 7" TIMES=5
+CASES ?=
+cases: .venv/.ready
+	@$(PYTHON) -m tools.cases --times $(TIMES) $(CASES)
+
 # One run, e.g. make measure DEPLOYMENT=riegos POLICY=random SEED=2 SECONDS=40
 DEPLOYMENT ?= tengri
 POLICY ?= affinity
