--- a/loadtool/_caller.py
+++ b/loadtool/_caller.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from rhubarbbend.http import Connection, HttpFailure, Response
-from standins._engine import Message, make_completion_words
+from standins._prompts import Message, make_completion_words
 
 Address = tuple[str, int]
 CONNECT_TIMEOUT_S = 2.0
--- a/loadtool/_reuse_bound.py
+++ b/loadtool/_reuse_bound.py
@@ -14,7 +14,7 @@
 
 import attrs
 
-from standins._engine import CHARS_PER_TOKEN, Message, PrefixCache
+from standins._prompts import CHARS_PER_TOKEN, Message, PrefixCache
 
 
 @attrs.define(slots=True, frozen=True)
--- a/loadtool/_workload.py
+++ b/loadtool/_workload.py
@@ -16,7 +16,7 @@
 from loadtool._caller import Address, Answer, Caller, Chat
 from loadtool._deployments import ChatKind, Deployment
 from loadtool._reuse_bound import ServedTurn
-from standins._engine import CHARS_PER_TOKEN
+from standins._prompts import CHARS_PER_TOKEN
 
 # Pauses of chats are shortened by this factor: so many seconds of a chat pass in one second of a
 # run.
--- a/standins/_engine.py
+++ b/standins/_engine.py
@@ -16,40 +16,26 @@
 
 import argparse
 import asyncio
-import hashlib
 import os
 import time
 import uuid
-from collections import OrderedDict
 from urllib.parse import unquote
 
 import msgspec
 
 from rhubarbbend.http import Exchange
+from standins._prompts import (
+    CHARS_PER_TOKEN,
+    ChatRequest,
+    PrefixCache,
+    make_completion_words,
+)
 from standins._server import StandIn, read_query, respond_json, respond_paused
 
-BLOCK_CHARS = 256
-CHARS_PER_TOKEN = 4
 FINISHED_RUN_RETENTION_S = 10.0
 EXIT_CRASHED = 70
 
 
-class Message(msgspec.Struct):
-    """A message of a chat."""
-
-    role: str
-    content: str
-
-
-class ChatRequest(msgspec.Struct):
-    """Body of a chat completion request."""
-
-    model: str
-    messages: list[Message]
-    stream: bool = False
-    max_tokens: int = 16
-
-
 class Faults(msgspec.Struct):
     """The faults that are active now."""
 
@@ -83,64 +69,6 @@
     last_request: float = 0.0
 
 
-def make_completion_words(messages: list[Message], count: int) -> list[str]:
-    """Return the first `count` words of the completion that every engine gives to a prompt."""
-    seed = hashlib.blake2b(digest_size=16)
-    for message in messages:
-        seed.update(f"{message.role}\0{message.content}\0".encode())
-    base = seed.digest()
-    return [
-        hashlib.blake2b(base + i.to_bytes(4, "big"), digest_size=3).hexdigest() + " "
-        for i in range(count)
-    ]
-
-
-class PrefixCache:
-    """LRU cache of the blocks of prompt prefixes; `capacity` is in tokens."""
-
-    def __init__(self, capacity: int) -> None:
-        self._capacity = max(1, capacity * CHARS_PER_TOKEN // BLOCK_CHARS)
-        self._blocks: OrderedDict[bytes, None] = OrderedDict()
-
-    def insert_and_count_hits(self, text: str) -> int:
-        """Insert the blocks of a prompt; return how many of its tokens were already cached."""
-        digest = hashlib.blake2b(digest_size=12)
-        cached_tokens = 0
-        is_prefix_cached = True
-        for start in range(0, len(text) - BLOCK_CHARS + 1, BLOCK_CHARS):
-            digest.update(text[start : start + BLOCK_CHARS].encode())
-            block = digest.digest()
-            if block in self._blocks:
-                self._blocks.move_to_end(block)
-                cached_tokens += BLOCK_CHARS // CHARS_PER_TOKEN if is_prefix_cached else 0
-            else:
-                is_prefix_cached = False
-                self._blocks[block] = None
-        while len(self._blocks) > self._capacity:
-            self._blocks.popitem(last=False)
-        return cached_tokens
-
-    def count_cached_tokens(self, text: str) -> int:
-        """Return how many tokens of a prompt are cached, without changing the cache."""
-        digest = hashlib.blake2b(digest_size=12)
-        cached_tokens = 0
-        for start in range(0, len(text) - BLOCK_CHARS + 1, BLOCK_CHARS):
-            digest.update(text[start : start + BLOCK_CHARS].encode())
-            if digest.digest() not in self._blocks:
-                break
-            cached_tokens += BLOCK_CHARS // CHARS_PER_TOKEN
-        return cached_tokens
-
-    @property
-    def block_count(self) -> int:
-        """The number of cached blocks."""
-        return len(self._blocks)
-
-    def clear(self) -> None:
-        """Evict all blocks."""
-        self._blocks.clear()
-
-
 class Run:
     """The execution of one request: the response bytes so far, and whether they are complete.
 
--- a/tests/fleet/test_path.py
+++ b/tests/fleet/test_path.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 
 from loadtool import Chat
-from standins._engine import BLOCK_CHARS, CHARS_PER_TOKEN
+from standins._prompts import BLOCK_CHARS, CHARS_PER_TOKEN
 from tests.fleet.harness import make_caller, run_with_timeout, start_fleet
 
 
--- a/tests/loadtool/test_bound.py
+++ b/tests/loadtool/test_bound.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from loadtool._reuse_bound import EngineSpan, ServedTurn, compute_reuse_bound
-from standins._engine import BLOCK_CHARS, Message
+from standins._prompts import BLOCK_CHARS, Message
 
 # A prompt of ten cache blocks of 64 tokens.
 TEXT = "x" * (10 * BLOCK_CHARS)
