--- a/loadtool/_slopes_core.py
+++ b/loadtool/_slopes_core.py
@@ -14,177 +14,35 @@
 
 import msgspec
 
+from loadtool._core_driver import (
+    MODEL,
+    OWN_ID,
+    CoreDriver,
+    list_members,
+    make_configuration,
+    make_heartbeat,
+    make_key_digest,
+    make_load_report,
+    make_target_load,
+)
 from loadtool._slopes_fit import MICROSECONDS_PER_S, Series, fit_line, sample_sizes
-from rhubarbbend.core import Core, CoreOptions, Identity, actions, events
-from rhubarbbend.core.configuration import Account, Model, Operation, Service, Zone
+from rhubarbbend.core import events
+from rhubarbbend.core.configuration import Account
 from rhubarbbend.core.messages import (
-    Heartbeat,
     Message,
     SlotRelease,
     SlotReply,
     SlotRequest,
-    TargetLoad,
 )
 from rhubarbbend.peers import FrameAuthenticator, decode_frame, encode_frame
 
 # Signs frames as the connections between instances do.
 FRAME_AUTHENTICATOR = FrameAuthenticator(b"a secret of the slopes")
-OWN_ID: Final = "entry-000"
-ZONE: Final = "zone-0"
-ZONES: Final = 5
 REPEATS: Final = 200
-MODEL: Final = "model-0"
 FULL_ACCOUNTS: Final = 35_000
 FULL_TARGETS: Final = 950
 FULL_PEERS: Final = 400
 FULL_SERVICES: Final = 25
-RESPONSE_BODY: Final = b'{"plot": 123456, "state": "taken"}'
-
-
-def _make_key_digest(number: int) -> str:
-    return f"{number:064x}"
-
-
-class CoreDriver:
-    """A core with a configuration and a fleet of given sizes, driven by events only."""
-
-    def __init__(
-        self, accounts: int = 10, targets: int = 38, peers: int = 8, services: int = 1
-    ) -> None:
-        identity = Identity(OWN_ID, ZONE, "10.0.0.1", 80, 81, 1_700_000_000_000, b"s" * 32)
-        self.core = Core(identity, CoreOptions(), 1)
-        self.now = 1_000.0
-        self.version = 0
-        self.request_number = 0
-        self.handle(events.Started(1_700_000_000.0))
-        self.handle(events.SnapshotRead("done"))
-        self.apply_change(_make_configuration(accounts, services))
-        self.handle(events.ListRead(_list_members(targets, peers, services)))
-        self.handle(events.RowsRead("config:scan", "done", []))
-        for peer in range(1, peers):
-            if peer % ZONES == 0:
-                self.handle_message(
-                    f"entry-{peer:03d}", _make_heartbeat(f"entry-{peer:03d}", [], self.version)
-                )
-        self.owned_targets = self.core.owner.list_owned()
-        for target in [v.id for v in self.core.context.fleet.targets.values()]:
-            self.handle(make_load_report(target))
-
-    def handle(self, event: events.Event) -> list[actions.Action]:
-        """Advance the clock by a microsecond, have the core handle an event, return its actions."""
-        self.now += 1e-6
-        return self.core.handle(event, self.now)
-
-    def handle_message(self, sender: str, message: Message) -> list[actions.Action]:
-        """Have the core handle a message from a peer and return its actions."""
-        return self.handle(events.PeerSaid(sender, message))
-
-    def apply_change(self, items: list[tuple[str, str, bytes]]) -> list[actions.Action]:
-        """Apply one accepted configuration change and return the actions of the core."""
-        self.version += 1
-        change = {"version": self.version, "change_id": "c", "author": "o", "items": items}
-        row = events.Row(f"{self.version:016d}", msgspec.json.encode(change), 1)
-        return self.handle(events.RowsRead("config:scan", "done", [row]))
-
-    def run_chat(self) -> None:
-        """Handle a chat from its arrival to its last byte, as the instance that received it."""
-        self.request_number += 1
-        request = f"r{self.request_number}"
-        emitted = self.handle(
-            events.RequestArrived(
-                request, _make_key_digest(1), "", MODEL, "POST", "/v1/chat/completions", "d", 60.0,
-                chat=f"chat-{self.request_number}", tokens=500,
-            )
-        )  # fmt: skip
-        dispatch = self._acquire_slot(emitted)
-        self.handle(events.AttemptHead(dispatch.attempt, 200, 0.1))
-        self.handle(events.AttemptDone(dispatch.attempt, 200, 1.0))
-
-    def run_command(self) -> None:
-        """Handle a command from its arrival until its outcome is stored."""
-        self.request_number += 1
-        request = f"r{self.request_number}"
-        emitted = self.handle(
-            events.RequestArrived(
-                request,
-                _make_key_digest(1),
-                "booking",
-                "",
-                "POST",
-                "/b",
-                "d",
-                10.0,
-                key=f"k{self.request_number}",
-            )
-        )
-        emitted = self._grant_slot(emitted)
-        emitted = self._complete_write(emitted)
-        dispatch = next(a for a in emitted if isinstance(a, actions.Dispatch))
-        done = events.AttemptDone(dispatch.attempt, 200, 0.1, "application/json", RESPONSE_BODY)
-        self._complete_write(self.handle(done))
-
-    def _acquire_slot(self, emitted: list[actions.Action]) -> actions.Dispatch:
-        return next(a for a in self._grant_slot(emitted) if isinstance(a, actions.Dispatch))
-
-    def _grant_slot(self, emitted: list[actions.Action]) -> list[actions.Action]:
-        """Grant a slot request that was sent to a peer.
-
-        A request to this instance itself has already been handled.
-        """
-        for action in emitted:
-            if isinstance(action, actions.SendPeer) and isinstance(action.message, SlotRequest):
-                request = action.message
-                reply = SlotReply(attempt=request.attempt, target=request.target, boot_id="boot-1")
-                return self.handle_message(action.peer, reply)
-        return emitted
-
-    def _complete_write(self, emitted: list[actions.Action]) -> list[actions.Action]:
-        write = next(a for a in emitted if isinstance(a, actions.WriteRows))
-        rows: list[events.Row | None] = [events.Row(w.key, w.value, 1) for w in write.writes]
-        return self.handle(events.WriteDone(write.op, "done", [True] * len(rows), rows))
-
-
-def _make_configuration(accounts: int, services: int) -> list[tuple[str, str, bytes]]:
-    write = (Operation("/b", "POST", idempotent=False),)
-    entries: list[tuple[str, msgspec.Struct]] = [("zone", Zone(f"zone-{z}")) for z in range(ZONES)]
-    entries.append(("service", Service("booking", kind="plain", operations=write, floor=1_000)))
-    for n in range(services):
-        entries.append(("service", Service(f"service-{n}", floor=1_000)))
-        entries.append(("model", Model(f"model-{n}", f"service-{n}")))
-    for n in range(accounts):
-        entries.append(
-            ("account", Account(f"account-{n:05d}", _make_key_digest(n), max_in_flight=10**9))
-        )
-    return [(kind, item.name, msgspec.json.encode(item)) for kind, item in entries]  # type: ignore[attr-defined]
-
-
-def _list_members(targets: int, peers: int, services: int) -> list[events.Listed]:
-    listed = [
-        events.Listed(f"entry-{n:03d}", "instance", f"zone-{n % ZONES}", "10.0.0.1", 80, 81)
-        for n in range(peers)
-    ]
-    for n in range(targets):
-        service = f"service-{n % services}"
-        zone = f"zone-{n % ZONES}"
-        listed.append(events.Listed(f"engine-{n:03d}", "target", zone, "10.0.1.1", 90, 0, service))
-    listed.extend(
-        events.Listed(f"booking-{n}", "target", f"zone-{n}", "10.0.2.1", 90, 0, "booking")
-        for n in range(ZONES)
-    )
-    return listed
-
-
-def make_load_report(target: str) -> events.ReportRead:
-    """Return the load report of a ready target with free capacity."""
-    return events.ReportRead(target, "boot-1", "ready", 0, 1_000)
-
-
-def _make_target_load(number: int) -> TargetLoad:
-    return TargetLoad(f"engine-{number:03d}", "1f3c9a77", 7, 9, True, False, "service-0", [MODEL])
-
-
-def _make_heartbeat(sender: str, loads: list[TargetLoad], version: int) -> Heartbeat:
-    return Heartbeat(sender, ZONE, 1_700_000_000_000, False, version, loads, "10.0.0.1", 81)
 
 
 def _measure_call_us(call: Callable[[], object], repeats: int = REPEATS) -> float:
@@ -233,8 +91,8 @@
 
 def _prepare_heartbeat(loads: int) -> Callable[[], float]:
     driver = CoreDriver(targets=max(38, loads), peers=12)
-    heartbeat = _make_heartbeat(
-        "entry-005", [_make_target_load(n) for n in range(loads)], driver.version
+    heartbeat = make_heartbeat(
+        "entry-005", [make_target_load(n) for n in range(loads)], driver.version
     )
     return lambda: _measure_call_us(lambda: driver.handle_message("entry-005", heartbeat))
 
@@ -255,7 +113,7 @@
 def _prepare_list_read(targets: int) -> Callable[[], float]:
     peers = targets * FULL_PEERS // FULL_TARGETS
     driver = CoreDriver(targets=targets, peers=peers)
-    event = events.ListRead(_list_members(targets, peers, 1))
+    event = events.ListRead(list_members(targets, peers, 1))
     return lambda: _measure_call_us(lambda: driver.handle(event), 10)
 
 
@@ -296,11 +154,9 @@
     """Return the processor time in microseconds of each kind of event at the full design size."""
     driver = CoreDriver(FULL_ACCOUNTS, FULL_TARGETS, FULL_PEERS, FULL_SERVICES)
     report = make_load_report(next(t for t in driver.owned_targets if t.startswith("engine")))
-    heartbeat = _make_heartbeat(
-        "entry-005", [_make_target_load(n) for n in range(3)], driver.version
-    )
-    listed = events.ListRead(_list_members(FULL_TARGETS, FULL_PEERS, FULL_SERVICES))
-    full_configuration = _make_configuration(FULL_ACCOUNTS, FULL_SERVICES)
+    heartbeat = make_heartbeat("entry-005", [make_target_load(n) for n in range(3)], driver.version)
+    listed = events.ListRead(list_members(FULL_TARGETS, FULL_PEERS, FULL_SERVICES))
+    full_configuration = make_configuration(FULL_ACCOUNTS, FULL_SERVICES)
     return {
         "chat, entry": _measure_call_us(driver.run_chat),
         "command, entry": _measure_call_us(driver.run_command),
@@ -351,7 +207,7 @@
         driver.request_number += 1
         emitted = driver.handle(
             events.RequestArrived(
-                f"r{driver.request_number}", _make_key_digest(1), "", MODEL, "POST",
+                f"r{driver.request_number}", make_key_digest(1), "", MODEL, "POST",
                 "/v1/chat/completions", "d", 60.0, chat=f"chat-{driver.request_number}", tokens=500,
             )
         )  # fmt: skip
@@ -387,7 +243,7 @@
     """Measure the size and processor time of heartbeat frames between instances."""
     sizes = [0, 2, 8, 32]
     heartbeats = {
-        n: _make_heartbeat("entry-005", [_make_target_load(i) for i in range(n)], 7) for n in sizes
+        n: make_heartbeat("entry-005", [make_target_load(i) for i in range(n)], 7) for n in sizes
     }
     frames = {n: _sign_frame("entry-005", heartbeat) for n, heartbeat in heartbeats.items()}
     return [
