--- a/tests/gateway/test_unframed_answers.py
+++ b/tests/gateway/test_unframed_answers.py
@@ -213,6 +213,19 @@
         await fleet.write_row("servers", worker, None)
 
 
+async def leave_amid_streams(
+    fleet: GatewayFleet, count: int, event_gap: float, is_registered: bool
+) -> tuple[list[asyncio.Task[Reply]], int]:
+    """Start streams and have engine-0 leave; return their requests and how many run there."""
+    await fleet.set_service_faults("llm", unframed=True, events=EVENTS, event_gap=event_gap)
+    requests = start_streams(fleet, count)
+    await asyncio.sleep(0.3)
+    running = len((await fleet.read_stats("engine-0")).seen)
+    await start_leaving(fleet, "engine-0", is_registered)
+    assert 0 < running < count
+    return requests, running
+
+
 async def end_after_leaving(fleet: GatewayFleet, worker: str, idle_s: float) -> None:
     """Wait until a worker runs no stream, and kill it once it has run none for `idle_s`."""
 
@@ -231,15 +244,9 @@
     async with start_fleet(
         tmp_path, instances=2, plain_worker_count=0, engine_worker_count=2
     ) as fleet:
-        await fleet.set_service_faults("llm", unframed=True, events=EVENTS, event_gap=0.28)
-        requests = start_streams(fleet, 24)
-        await asyncio.sleep(0.3)
-        running = len((await fleet.read_stats("engine-0")).seen)
-        await start_leaving(fleet, "engine-0", is_registered)
+        requests, _ = await leave_amid_streams(fleet, 24, 0.28, is_registered)
         await end_after_leaving(fleet, "engine-0", idle_s)
-        replies = await asyncio.gather(*requests)
-        assert 0 < running < len(replies)
-        return replies
+        return await asyncio.gather(*requests)
 
 
 # Guards against whole streams that are broken off because their target leaves. It serves for as
@@ -280,16 +287,11 @@
         async with start_fleet(
             tmp_path, instances=1, plain_worker_count=0, engine_worker_count=2
         ) as fleet:
-            await fleet.set_service_faults("llm", unframed=True, events=EVENTS, event_gap=0.31)
-            requests = start_streams(fleet, 6)
-            await asyncio.sleep(0.3)
-            running = len((await fleet.read_stats("engine-0")).seen)
-            await start_leaving(fleet, "engine-0", is_registered)
+            requests, running = await leave_amid_streams(fleet, 6, 0.31, is_registered)
             await asyncio.sleep(crash_after_s)
             process = fleet.workers["engine-0"].process
             await process.kill()
             replies = await asyncio.gather(*requests)
-            assert 0 < running < len(replies)
             assert sum(reply.complete for reply in replies) == len(replies) - running
             assert all(reply.status == 200 for reply in replies)
 
