--- a/loadtool/_rollout_table.py
+++ b/loadtool/_rollout_table.py
@@ -9,7 +9,8 @@
 
 import msgspec
 
-from loadtool._rollout_simulation import DESIGNS, Badness, Play, Route, Simulation, Site, Trouble
+from loadtool._rollout_scenario import Badness, Play, Route, Site, Trouble
+from loadtool._rollout_simulation import DESIGNS, Simulation
 from rhubarbbend.core.rollouts import ExposureOptions, RolloutPhase
 
 JOBS: Final = 4
--- a/tests/loadtool/test_rollouts.py
+++ b/tests/loadtool/test_rollouts.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from loadtool._rollout_simulation import Badness, Simulation, Trouble
+from loadtool._rollout_scenario import Badness, Trouble
+from loadtool._rollout_simulation import Simulation
 from loadtool._rollout_table import KINDS, SITES, list_cases, play_case
 from rhubarbbend.core.rollouts import RolloutPhase
 
