--- a/rhubarbbend/gateway/_request_server.py
+++ b/rhubarbbend/gateway/_request_server.py
@@ -245,16 +245,7 @@
                     return
                 connect_failures = 0
                 continue
-            self._state.metrics.increment_counter(f"routed.{choice.reason.value}")
-            request.excluded.add(choice.target.id)
-            outcome: AttemptOutcome | None = None
-            try:
-                outcome = await self._attempts.run(request, choice)
-            except RetryBudgetExhausted:
-                pass
-            finally:
-                self._gate.end_attempt(request)
-                self._admission.record_freed(request.service.name)
+            outcome = await self._run_attempt(request, choice)
             if outcome is None:
                 if not await self._wait_or_fail(request, codes.RETRY_BUDGET):
                     return
@@ -270,6 +261,18 @@
             if request.version.is_candidate:
                 self._versions.switch(request)
 
+    async def _run_attempt(self, request: OpenRequest, choice: Choice) -> AttemptOutcome | None:
+        """Send a request to a target; return how that ended, None if the retry budget is spent."""
+        self._state.metrics.increment_counter(f"routed.{choice.reason.value}")
+        request.excluded.add(choice.target.id)
+        try:
+            return await self._attempts.run(request, choice)
+        except RetryBudgetExhausted:
+            return None
+        finally:
+            self._gate.end_attempt(request)
+            self._admission.record_freed(request.service.name)
+
     async def _choose_version(self, request: OpenRequest) -> bool:
         """Choose the versions that a request may go to; refuse it if that cannot be known."""
         refusal = await self._origins.resolve(request)
