--- a/tests/tools/test_known_red.py
+++ b/tests/tools/test_known_red.py
@@ -11,7 +11,7 @@
 
 from tools.binary import ROOT
 from tools.known_red import KnownRed, KnownRedInvalid, parse_known_red
-from tools.known_red_run import Outcome, describe_outcomes, run_entry
+from tools.known_red_run import Outcome, describe_outcomes, make_command, run_command
 
 TESTS = """
 def test_red(): assert False
@@ -104,7 +104,7 @@
     (tmp_path / "test_it.py").write_text(TESTS.format(other_passes=True))
     monkeypatch.setenv("PYTHONPATH", str(ROOT))
     timeout_s = 0.5 if outcome is Outcome.DID_NOT_END else 60.0
-    assert run_entry(entry, tmp_path, timeout_s) is outcome
+    assert run_command(make_command(entry), tmp_path, timeout_s) is outcome
 
 
 def test_outcomes_of_several_runs_are_counted() -> None:
--- a/tools/cases.py
+++ b/tools/cases.py
@@ -17,8 +17,7 @@
 from typing import Final
 
 from tools.binary import ROOT
-from tools.known_red import COMMAND_PREFIX, KnownRed
-from tools.known_red_run import Outcome, describe_outcomes, run_entry
+from tools.known_red_run import Outcome, describe_outcomes, run_command
 
 CASES_FOLDER: Final = "review"
 SCRIPT_NAME: Final = "run.sh"
@@ -41,8 +40,7 @@
 
 def run_case(name: str, root: Path) -> Outcome:
     """Run a case once."""
-    command = f"{COMMAND_PREFIX}{CASES_FOLDER}/{name}/{SCRIPT_NAME}"
-    return run_entry(KnownRed(command, "-", "-", "0"), root)
+    return run_command([str(root / CASES_FOLDER / name / SCRIPT_NAME)], root)
 
 
 def main() -> int:
--- a/tools/known_red_run.py
+++ b/tools/known_red_run.py
@@ -42,11 +42,11 @@
     return [sys.executable, "-m", "pytest", *options, entry.name]
 
 
-def run_entry(entry: KnownRed, root: Path, timeout_s: float = RUN_TIMEOUT_S) -> Outcome:
-    """Run an entry once in a checkout."""
+def run_command(command: list[str], root: Path, timeout_s: float = RUN_TIMEOUT_S) -> Outcome:
+    """Run a command once in a checkout."""
     try:
         process = subprocess.run(
-            make_command(entry), cwd=root, timeout=timeout_s, capture_output=True, check=False
+            command, cwd=root, timeout=timeout_s, capture_output=True, check=False
         )
     except subprocess.TimeoutExpired:
         return Outcome.DID_NOT_END
@@ -70,7 +70,7 @@
     parser.add_argument("--times", type=int, default=1, help="how often each entry is run")
     times: int = parser.parse_args().times
     for entry in read_known_red(ROOT):
-        outcomes = [run_entry(entry, ROOT) for _ in range(times)]
+        outcomes = [run_command(make_command(entry), ROOT) for _ in range(times)]
         print(f"{describe_outcomes(outcomes)}: {entry.format()}", flush=True)
     return 0
 
