--- a/Makefile
+++ b/Makefile
@@ -5,8 +5,12 @@
 demo: .venv/.ready
 	@$(PYTHON) -m loadtool demo
 
+# The tests of crowds run alone, one at a time, after the others.
 test: .venv/.ready
-	@$(PYTHON) -m pytest -n 4 --dist loadgroup
+	@status=0; \
+	$(PYTHON) -m pytest -n 4 --dist loadgroup --ignore tests/crowds || status=1; \
+	$(PYTHON) -m pytest tests/crowds || status=1; \
+	exit $$status
 
 # Randomised runs of faults, e.g. make soak SEED=1 SEEDS=10 DURATION=40 SIZE=6, on the stand-ins of
 # the users' platform; ON=product: on the product's own.
--- a/tests/tools/test_known_red.py
+++ b/tests/tools/test_known_red.py
@@ -20,8 +20,10 @@
 """
 
 
-def _run_pytest(folder: Path, known_red: str, other_passes: bool = True) -> tuple[int, str]:
-    (folder / "pytest.ini").write_text("[pytest]\ntestpaths = test_it.py\n")
+def _run_pytest(
+    folder: Path, known_red: str, other_passes: bool = True, arguments: tuple[str, ...] = ()
+) -> tuple[int, str]:
+    (folder / "pytest.ini").write_text("[pytest]\ntestpaths = .\n")
     (folder / "conftest.py").write_text(
         "from tools.known_red import register\ndef pytest_configure(config): register(config)\n"
     )
@@ -29,7 +31,7 @@
     if known_red:
         (folder / "KNOWN-RED.txt").write_text(known_red)
     process = subprocess.run(
-        [sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider", "-n", "2"],
+        [sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider", "-n", "2", *arguments],
         cwd=folder,
         env={**os.environ, "PYTHONPATH": str(ROOT)},
         capture_output=True,
@@ -66,6 +68,24 @@
     assert exit_status == 1 and "not run: test_it.py::test_gone" in output
 
 
+# Guards against an entry that no run of the two parts of the suite executes.
+@pytest.mark.parametrize(
+    ("arguments", "expected"),
+    [(("--ignore", "apart"), 0), (("apart",), 1), ((), 1)],
+)
+def test_listed_tests_are_expected_in_the_folders_of_a_run(
+    tmp_path: Path, arguments: tuple[str, ...], expected: int
+) -> None:
+    apart = tmp_path / "apart"
+    apart.mkdir()
+    (apart / "test_apart.py").write_text("def test_green(): pass\n")
+    lines = (
+        "test_it.py::test_red | - | red | #1\n" "apart/test_apart.py::test_gone | - | gone | #2\n"
+    )
+    exit_status, output = _run_pytest(tmp_path, lines, arguments=arguments)
+    assert exit_status == expected, output
+
+
 # Guards against a listed command that hides a failure of a test, or fails a run that is green.
 @pytest.mark.parametrize(("other_passes", "expected"), [(True, 0), (False, 1)])
 def test_listed_command_changes_no_result_of_the_tests(
--- a/tools/known_red.py
+++ b/tools/known_red.py
@@ -2,7 +2,7 @@
 
 Each line of the file is `test id | seed | cause | issue`. Listed tests run like all others, and
 their outcomes are printed at the end. A failure of any other test still fails CI, and so does a
-file that breaks these rules or lists a test that a run of the whole suite did not execute.
+file that breaks these rules or lists a test that a run of its folder did not execute.
 
 A line may begin with `$ ` and a command in place of a test id, for a case that is not part of the
 test run. It is printed, and `make known-red` runs it along with the listed tests.
@@ -80,10 +80,11 @@
 class KnownRedPlugin:
     """Allows the listed tests to fail, and prints their outcomes at the end of the run."""
 
-    def __init__(self, listed: list[KnownRed], whole_run: bool) -> None:
+    def __init__(self, listed: list[KnownRed], expected: frozenset[str]) -> None:
         self._listed = {entry.name: entry for entry in listed if entry.command is None}
         self._commands = [entry for entry in listed if entry.command is not None]
-        self._whole_run = whole_run
+        # The listed tests that this run has to execute.
+        self._expected = expected
         self._outcomes: dict[str, str] = {}
 
     def pytest_collection_modifyitems(self, items: list[pytest.Item]) -> None:
@@ -103,10 +104,10 @@
 
     @pytest.hookimpl(trylast=True)
     def pytest_sessionfinish(self, session: pytest.Session) -> None:
-        """Fail a run of the whole suite in which a listed test did not run."""
+        """Fail a run in which a listed test of its folders did not run."""
         is_worker = hasattr(session.config, "workerinput")
-        missing = self._listed.keys() - self._outcomes.keys()
-        if missing and self._whole_run and not is_worker:
+        missing = self._expected - self._outcomes.keys()
+        if missing and not is_worker:
             session.exitstatus = pytest.ExitCode.TESTS_FAILED
 
     def pytest_terminal_summary(self, terminalreporter: pytest.TerminalReporter) -> None:
@@ -131,9 +132,24 @@
         listed = read_known_red(config.rootpath)
     except KnownRedInvalid as error:
         raise pytest.UsageError(str(error)) from error
+    config.pluginmanager.register(KnownRedPlugin(listed, _list_expected(config, listed)))
+
+
+def _list_expected(config: pytest.Config, listed: list[KnownRed]) -> frozenset[str]:
+    """Return the listed tests that a run has to execute; none if it selects single tests."""
     option = config.option
-    has_selection = bool(option.keyword or option.markexpr or getattr(option, "lf", False))
-    is_default_selection = config.args_source is pytest.Config.ArgsSource.TESTPATHS
-    config.pluginmanager.register(
-        KnownRedPlugin(listed, is_default_selection and not has_selection)
-    )
+    has_selection = option.keyword or option.markexpr or getattr(option, "lf", False)
+    if has_selection or any(TEST_ID_SEPARATOR in argument for argument in config.args):
+        return frozenset()
+    folders = [(config.rootpath / argument).resolve() for argument in config.args]
+    ignored = [(config.rootpath / path).resolve() for path in option.ignore or ()]
+    expected: set[str] = set()
+    for entry in listed:
+        path = config.rootpath / entry.name.partition(TEST_ID_SEPARATOR)[0]
+        if entry.command is None and _is_within(path, folders) and not _is_within(path, ignored):
+            expected.add(entry.name)
+    return frozenset(expected)
+
+
+def _is_within(path: Path, folders: list[Path]) -> bool:
+    return any(path == folder or folder in path.parents for folder in folders)
