Server: a connection receives 16 KB at once and holds 32 KB unread

Its platform would have killed it.

Cause: asyncio receives up to 256 KB at once, and a stream reader pauses its connection only above 128 KB. Both were left as they are on the server's side. Connections that have data receive it in the same iteration of the event loop, before any of their tasks runs, so nothing counts or refuses it.

Now each receives 16 KB at once, as connections to targets do, and pauses above 16 KB.

--- a/rhubarbbend/http/_client_connection.py
+++ b/rhubarbbend/http/_client_connection.py
@@ -9,6 +9,11 @@
 
 import h11
 
+from rhubarbbend.http._protocol import READ_SIZE_BYTES
+
+# Reading is paused while more than twice as many received bytes are not read yet (asyncio).
+READER_LIMIT_BYTES: Final = READ_SIZE_BYTES // 2
+
 
 class ConnectionEnd(enum.Enum):
     """Why a server closed a client connection, or found it closed."""
@@ -32,7 +37,7 @@
     """Reads what a client sends; `unread` is how many received bytes are not read yet."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
-        super().__init__(loop=loop)
+        super().__init__(limit=READER_LIMIT_BYTES, loop=loop)
         self.unread = 0
 
     def feed_data(self, data: Iterable[SupportsIndex]) -> None:
--- a/rhubarbbend/http/_protocol.py
+++ b/rhubarbbend/http/_protocol.py
@@ -70,6 +70,13 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
 
 
+def limit_read_size(transport: asyncio.BaseTransport) -> None:
+    """Have a transport receive at most `READ_SIZE_BYTES` at once."""
+    if hasattr(transport, "max_size"):
+        # asyncio's own transports read so much at a time; others are left as they are.
+        transport.max_size = READ_SIZE_BYTES
+
+
 def reset_connection(transport: asyncio.WriteTransport) -> None:
     """Discard unsent data and end a connection by a reset."""
     make_close_reset(transport)
@@ -202,9 +209,7 @@
         """Store the transport and enable TCP keep-alive."""
         self._transport = cast(asyncio.Transport, transport)
         self.last_received_at = self._loop.time()
-        if hasattr(transport, "max_size"):
-            # asyncio's own transports read so much at a time; others are left as they are.
-            transport.max_size = READ_SIZE_BYTES
+        limit_read_size(transport)
         set_keepalive(transport.get_extra_info("socket"))
 
     def data_received(self, data: bytes) -> None:
--- a/rhubarbbend/http/_server.py
+++ b/rhubarbbend/http/_server.py
@@ -19,6 +19,7 @@
 from rhubarbbend.http._client_connection import ClientConnection, ClientReader, ConnectionEnd
 from rhubarbbend.http._exchange import DrainState, Exchange
 from rhubarbbend.http._input_timeout import InputTimeout
+from rhubarbbend.http._protocol import limit_read_size
 from rhubarbbend.http._rejection import (
     READ_SIZE_BYTES,
     RequestRejected,
@@ -171,6 +172,8 @@
             self.on_connection_end(ConnectionEnd.TOO_MANY, 0)
             return
         self._tasks[task] = None
+        # Many connections may receive in one iteration of the event loop, before any is served.
+        limit_read_size(writer.transport)
         set_limits(writer.transport)
         limit_kernel_buffer(writer.get_extra_info("socket"))
         client = ClientConnection(reader, writer, self._limits.max_header_bytes)
