Server: a body that is given up is freed before its client is told

Callers saw: 120 bodies of 1 MiB, one byte short, took an instance with 80 MB to 82 and 80 MB in one piece (a route, no route) and to 86 and 85 MB in small pieces. The ledger gave the largest up in time; the process grew all the same.

Cause: the parts were a local variable, and the error that refuses a request refers to the frame that holds it. That error is handled until the response is sent and the rest of the request discarded, for a second at most. So bodies that the ledger counted as freed were still held, and others took their place.

The parts now belong to the body, which is emptied as the ledger stops counting it.

--- a/rhubarbbend/http/_request_body.py
+++ b/rhubarbbend/http/_request_body.py
@@ -39,14 +39,31 @@
 class RequestBody:
     """A body that is being read or held; `data` is set once it is whole."""
 
-    __slots__ = ("data", "size", "holding")
+    __slots__ = ("data", "size", "holding", "_parts")
 
     def __init__(self) -> None:
         self.data = b""
         self.size = 0
+        self._parts: list[bytes] = []
         # None for a request without a body.
         self.holding: Holding | None = None
 
+    def append(self, part: bytes) -> None:
+        """Add a received part."""
+        self.size += len(part)
+        self._parts.append(part)
+
+    def finish(self) -> None:
+        """Set `data` from the parts received."""
+        self.data = b"".join(self._parts)
+        self._parts = []
+
+    def clear(self) -> None:
+        """Drop the data: an error that is being handled still refers to this object."""
+        self.data = b""
+        self.size = 0
+        self._parts = []
+
 
 class BodyReader:
     """Reads bodies. Invariant: `buffered_bytes` is the size of all that are not released."""
@@ -84,9 +101,9 @@
         return body
 
     def release(self, body: RequestBody) -> None:
-        """Stop counting a body."""
+        """Stop holding and counting a body."""
         self.buffered_bytes -= body.size
-        body.size = 0
+        body.clear()
         if body.holding is not None:
             self._ledger.close(body.holding)
 
@@ -103,7 +120,6 @@
         length = _read_length(head)
         if length > ALWAYS_READ_BYTES and not self._ledger.can_admit(length, loop.time()):
             raise MemoryShort("no memory for the body")
-        parts: list[bytes] = []
         while True:
             event = read_event(conn)
             if isinstance(event, h11.Data):
@@ -111,10 +127,10 @@
                     body.holding = self._ledger.open(
                         self._kind, lambda: scope.reschedule(loop.time())
                     )
-                parts.append(bytes(event.data))
+                body.append(bytes(event.data))
                 self._count_part(body, len(event.data), limits, loop.time())
             elif isinstance(event, h11.EndOfMessage):
-                body.data = b"".join(parts)
+                body.finish()
                 if body.holding is not None:
                     # From now on it waits for this process, not for its client.
                     body.holding.stalled_since = None
@@ -126,7 +142,6 @@
 
     def _count_part(self, body: RequestBody, size: int, limits: BodyLimits, now: float) -> None:
         assert body.holding is not None
-        body.size += size
         self.buffered_bytes += size
         self._ledger.resize(body.holding, body.size)
         body.holding.stalled_since = now
