Server: bodies in very small chunks are joined, and parsed in turns

Callers saw: 60 bodies in chunks of two bytes, 0.5 MB each and unfinished, and no ordinary request was answered while they were there, nor for 20 s afterwards, at the route, without one and at the readiness address.

Causes: each chunk became an object of some 50 bytes that was counted as two, and took 25 to 50 us, while what is received at once holds thousands of them; all of these were parsed before anything else ran.

Parts below 4 KB are now joined to blocks of 16 KB. After 32 small parts a body waits for a turn, of which there is one in an iteration of the event loop, however many bodies wait. So other requests are served between turns, a crowd runs into the time-out for bodies, and a single body in such chunks, which is legal, is served as before. A head, a list or a pipelined request does not take turns yet.

--- a/rhubarbbend/http/_request_body.py
+++ b/rhubarbbend/http/_request_body.py
@@ -14,11 +14,16 @@
 from rhubarbbend.core.limits import HeldKind, Holding, MemoryLedger
 from rhubarbbend.http._answer_buffer import shed_excess
 from rhubarbbend.http._input_timeout import InputTimeout
+from rhubarbbend.http._parse_turns import PARTS_PER_TURN, SMALL_PART_BYTES, ParseTurns
 from rhubarbbend.http._rejection import READ_SIZE_BYTES, RequestRejected, read_event
 
 # Bodies up to this size are read however short memory is: the messages between instances are so
 # small, and the handler refuses what it has no memory for.
 ALWAYS_READ_BYTES: Final = 8_192
+# Smaller parts of a body are joined as they arrive: each object takes some 40 bytes by itself.
+JOINED_PART_BYTES: Final = 4_096
+# A block of joined parts is complete from this size on.
+BLOCK_BYTES: Final = 16_384
 
 
 class BodyLimits(msgspec.Struct, frozen=True):
@@ -39,38 +44,53 @@
 class RequestBody:
     """A body that is being read or held; `data` is set once it is whole."""
 
-    __slots__ = ("data", "size", "holding", "_parts")
+    __slots__ = ("data", "size", "holding", "_blocks", "_last_block")
 
     def __init__(self) -> None:
         self.data = b""
         self.size = 0
-        self._parts: list[bytes] = []
+        self._blocks: list[bytes] = []
+        self._last_block = bytearray()
         # None for a request without a body.
         self.holding: Holding | None = None
 
     def append(self, part: bytes) -> None:
         """Add a received part."""
         self.size += len(part)
-        self._parts.append(part)
+        if len(part) < JOINED_PART_BYTES:
+            self._last_block += part
+            if len(self._last_block) < BLOCK_BYTES:
+                return
+            part = b""
+        if self._last_block:
+            self._blocks.append(bytes(self._last_block))
+            self._last_block.clear()
+        if part:
+            self._blocks.append(part)
 
     def finish(self) -> None:
         """Set `data` from the parts received."""
-        self.data = b"".join(self._parts)
-        self._parts = []
+        self.data = b"".join((*self._blocks, self._last_block))
+        self._drop_parts()
 
     def clear(self) -> None:
         """Drop the data: an error that is being handled still refers to this object."""
         self.data = b""
         self.size = 0
-        self._parts = []
+        self._drop_parts()
+
+    def _drop_parts(self) -> None:
+        self._blocks = []
+        self._last_block = bytearray()
 
 
 class BodyReader:
     """Reads bodies. Invariant: `buffered_bytes` is the size of all that are not released."""
 
-    def __init__(self, ledger: MemoryLedger, kind: HeldKind) -> None:
+    def __init__(self, ledger: MemoryLedger, kind: HeldKind, turns: ParseTurns) -> None:
         self._ledger = ledger
         self._kind = kind
+        self._turns = turns
         self.buffered_bytes = 0
 
     async def read(
@@ -120,6 +140,7 @@
         length = _read_length(head)
         if length > ALWAYS_READ_BYTES and not self._ledger.can_admit(length, loop.time()):
             raise MemoryShort("no memory for the body")
+        small_parts = 0
         while True:
             event = read_event(conn)
             if isinstance(event, h11.Data):
@@ -129,6 +150,10 @@
                     )
                 body.append(bytes(event.data))
                 self._count_part(body, len(event.data), limits, loop.time())
+                if len(event.data) < SMALL_PART_BYTES:
+                    small_parts += 1
+                    if small_parts % PARTS_PER_TURN == 0:
+                        await self._turns.wait()
             elif isinstance(event, h11.EndOfMessage):
                 body.finish()
                 if body.holding is not None:
