Server: heads of many fields are counted, and parsed in turns

Nothing else ran for 3.9 s.

Causes: a parsed field takes some 110 bytes, several times that once its request is decoded, and a head stood uncounted for as long as its body was awaited. Each takes 10 ms to parse, and all that had arrived were parsed in one iteration of the event loop.

The ledger now counts heads from 16 KB on, which usual heads of some ten fields do not reach; entries of lists in a field count too. A request without room for its head is refused as one without room for its body, before it runs, and one that waits for its client is given up first. From 4 KB on, a head waits for its turn. At the readiness address nothing has changed yet.

--- a/rhubarbbend/http/_parse_turns.py
+++ b/rhubarbbend/http/_parse_turns.py
@@ -11,6 +11,8 @@
 
 # Parts of a body below this size count as small.
 SMALL_PART_BYTES: Final = 1_024
+# A head of this size may hold a thousand fields; it needs a turn.
+LARGE_HEAD_BYTES: Final = 4_096
 # Small parts of a body that are parsed in one turn. The first ones of each body need no turn.
 PARTS_PER_TURN: Final = 32
 
--- a/rhubarbbend/http/_request_body.py
+++ b/rhubarbbend/http/_request_body.py
@@ -1,4 +1,4 @@
-"""Reads the bodies of requests, and counts them from their first byte until they are released.
+"""Reads the bodies of requests, and counts requests until they are released.
 
 Load handled here: more or larger requests at once than fit into memory, sent quickly or slowly.
 """
@@ -20,6 +20,14 @@
 # Bodies up to this size are read however short memory is: the messages between instances are so
 # small, and the handler refuses what it has no memory for.
 ALWAYS_READ_BYTES: Final = 8_192
+# Heads that take less are not counted: usual ones have some ten fields.
+UNCOUNTED_HEAD_BYTES: Final = 16_384
+# What one field of a parsed head takes beside its bytes, and what its bytes take: they are kept as
+# received, in lower case, decoded and in the headers that are forwarded.
+HEADER_FIELD_BYTES: Final = 400
+HEADER_BYTE_COPIES: Final = 3
+# What one entry of a list in a field takes once the list is parsed.
+LIST_ENTRY_BYTES: Final = 200
 # Smaller parts of a body are joined as they arrive: each object takes some 40 bytes by itself.
 JOINED_PART_BYTES: Final = 4_096
 # A block of joined parts is complete from this size on.
@@ -42,16 +50,20 @@
 
 
 class RequestBody:
-    """A body that is being read or held; `data` is set once it is whole."""
+    """A body that is being read or held; `data` is set once it is whole.
 
-    __slots__ = ("data", "size", "holding", "_blocks", "_last_block")
+    `head_size` is what the head takes as far as that is counted.
+    """
+
+    __slots__ = ("data", "size", "head_size", "holding", "_blocks", "_last_block")
 
     def __init__(self) -> None:
         self.data = b""
         self.size = 0
+        self.head_size = 0
         self._blocks: list[bytes] = []
         self._last_block = bytearray()
-        # None for a request without a body.
+        # None for a request without a body whose head is not counted.
         self.holding: Holding | None = None
 
     def append(self, part: bytes) -> None:
@@ -137,17 +149,25 @@
         scope: InputTimeout,
     ) -> None:
         loop = asyncio.get_running_loop()
-        length = _read_length(head)
-        if length > ALWAYS_READ_BYTES and not self._ledger.can_admit(length, loop.time()):
-            raise MemoryShort("no memory for the body")
+
+        def give_up() -> None:
+            scope.reschedule(loop.time())
+
+        head_size = estimate_head_size(head)
+        expected = _read_length(head) + head_size
+        if expected > ALWAYS_READ_BYTES and not self._ledger.can_admit(expected, loop.time()):
+            raise MemoryShort("no memory for the request")
+        if head_size:
+            body.head_size = head_size
+            body.holding = self._ledger.open(self._kind, give_up)
+            self._ledger.resize(body.holding, head_size)
+            body.holding.stalled_since = loop.time()
         small_parts = 0
         while True:
             event = read_event(conn)
             if isinstance(event, h11.Data):
                 if body.holding is None:
-                    body.holding = self._ledger.open(
-                        self._kind, lambda: scope.reschedule(loop.time())
-                    )
+                    body.holding = self._ledger.open(self._kind, give_up)
                 body.append(bytes(event.data))
                 self._count_part(body, len(event.data), limits, loop.time())
                 if len(event.data) < SMALL_PART_BYTES:
@@ -168,7 +188,7 @@
     def _count_part(self, body: RequestBody, size: int, limits: BodyLimits, now: float) -> None:
         assert body.holding is not None
         self.buffered_bytes += size
-        self._ledger.resize(body.holding, body.size)
+        self._ledger.resize(body.holding, body.head_size + body.size)
         body.holding.stalled_since = now
         if body.size > limits.max_bytes:
             raise RequestRejected(413, "body too large")
@@ -179,6 +199,16 @@
             raise MemoryShort("no memory for the rest of the body")
 
 
+def estimate_head_size(head: h11.Request) -> int:
+    """Return how many bytes a parsed head takes in this process; 0 if they are not counted."""
+    size = 0
+    for name, value in head.headers:
+        size += HEADER_FIELD_BYTES + HEADER_BYTE_COPIES * (len(name) + len(value))
+        if len(value) > LIST_ENTRY_BYTES:
+            size += LIST_ENTRY_BYTES * value.count(b",")
+    return size if size >= UNCOUNTED_HEAD_BYTES else 0
+
+
 def _read_length(head: h11.Request) -> int:
     """Return the stated length of a body; 0 if there is none, or it is not stated."""
     return next((int(value) for name, value in head.headers if name == b"content-length"), 0)
--- a/rhubarbbend/http/_server.py
+++ b/rhubarbbend/http/_server.py
@@ -19,7 +19,7 @@
 from rhubarbbend.http._client_connection import ClientConnection, ClientReader, ConnectionEnd
 from rhubarbbend.http._exchange import DrainState, Exchange
 from rhubarbbend.http._input_timeout import InputTimeout
-from rhubarbbend.http._parse_turns import ParseTurns
+from rhubarbbend.http._parse_turns import LARGE_HEAD_BYTES, ParseTurns
 from rhubarbbend.http._protocol import limit_read_size
 from rhubarbbend.http._rejection import (
     READ_SIZE_BYTES,
@@ -86,7 +86,8 @@
         self._ledger = ledger or MemoryLedger()
         self._kind = kind
         self._answers_refusals = answers_refusals
-        self._bodies = BodyReader(self._ledger, kind, ParseTurns())
+        self._turns = ParseTurns()
+        self._bodies = BodyReader(self._ledger, kind, self._turns)
         self._limits = limits or ServerLimits()
         self.on_connection_end: OnConnectionEnd = _ignore_connection_end
         self._server: asyncio.Server | None = None
@@ -265,6 +266,8 @@
         head_deadline: float | None = None
         buffered = client.buffered
         while True:
+            if buffered >= LARGE_HEAD_BYTES:
+                await self._turns.wait()
             event = read_event(client.conn)
             if isinstance(event, h11.Request):
                 _check_framing(event)
