Server: the connection that waits longest ends for a new one when all are taken

Callers saw: while others hold as many connections as the server may have, silent, idle or in the middle of a request, each new connection is reset, for as long as those time-outs last (10 s for a head, 75 s idle).

Cause: the server refused whoever came last. Slow and silent clients keep what they have and come first.

Connections that wait for their clients now stand in queues, by what they wait for. A new one that finds all taken ends the oldest of: what follows a rejected request, a request that has been arriving for a second, a first request, another request. Requests that are complete are never ended for it.

--- a/rhubarbbend/http/__init__.py
+++ b/rhubarbbend/http/__init__.py
@@ -27,7 +27,8 @@
 )
 from rhubarbbend.http._protocol import ClientProtocol, reset_connection, set_keepalive
 from rhubarbbend.http._receive_limits import SMALL_BODY_PART_BYTES, TrickleDetector
-from rhubarbbend.http._server import HttpServer, ServerLimits
+from rhubarbbend.http._server import HttpServer
+from rhubarbbend.http._server_limits import ServerLimits
 
 __all__ = [
     "BodyEnd",
--- a/rhubarbbend/http/_rejection.py
+++ b/rhubarbbend/http/_rejection.py
@@ -39,6 +39,17 @@
         raise RequestRejected(error.error_status_hint, str(error)) from error
 
 
+def check_framing(request: h11.Request) -> None:
+    """Reject a request that states the length of its body in two ways (request smuggling).
+
+    A proxy in front of this server may use the other one; part of what it forwarded as the body
+    would then be read here as a second request that no client sent.
+    """
+    names = [name for name, _ in request.headers]
+    if b"transfer-encoding" in names and b"content-length" in names:
+        raise RequestRejected(400, "both Content-Length and Transfer-Encoding")
+
+
 async def send_rejection(
     conn: h11.Connection, writer: asyncio.StreamWriter, rejection: Rejection
 ) -> None:
--- a/rhubarbbend/http/_server.py
+++ b/rhubarbbend/http/_server.py
@@ -12,11 +12,11 @@
 from typing import Final
 
 import h11
-import msgspec
 
 from rhubarbbend.core.limits import HeldKind, MemoryLedger
 from rhubarbbend.http._answer_buffer import AnswerBuffer, flush, set_limits
 from rhubarbbend.http._client_connection import ClientConnection, ClientReader, ConnectionEnd
+from rhubarbbend.http._connection_table import ConnectionTable, Wait
 from rhubarbbend.http._exchange import DrainState, Exchange
 from rhubarbbend.http._input_timeout import InputTimeout
 from rhubarbbend.http._parse_turns import LARGE_HEAD_BYTES, ParseTurns
@@ -25,12 +25,14 @@
     READ_SIZE_BYTES,
     Rejection,
     RequestRejected,
+    check_framing,
     discard_remaining_input,
     read_event,
     send_rejection,
 )
 from rhubarbbend.http._request_body import BodyLimits, BodyReader, MemoryShort, RequestBody
 from rhubarbbend.http._send_progress import limit_kernel_buffer
+from rhubarbbend.http._server_limits import ServerLimits
 from rhubarbbend.listening import find_port
 
 # How long a connection without a request yet stays open after the server has stopped accepting: its
@@ -53,19 +55,6 @@
     pass
 
 
-class ServerLimits(msgspec.Struct, frozen=True):
-    """Limits on the resources that clients may use; sizes in bytes, times in seconds."""
-
-    max_header_bytes: int = 32_768
-    max_body_bytes: int = 4 * 1024 * 1024
-    # Total over all connections: many bodies, each within its own limit, could exhaust the memory.
-    max_buffered_body_bytes: int = 256 * 1024 * 1024
-    head_timeout: float = 10.0
-    body_timeout: float = 30.0
-    idle_timeout: float = 75.0
-    max_connections: int = 4_096
-
-
 class HttpServer:
     """An HTTP server on one address. Invariant: each open connection has one task in `_tasks`.
 
@@ -94,6 +83,7 @@
         # In the order of their opening: in a set, it would be that of addresses in memory, and so
         # would be the order in which idle connections are closed.
         self._tasks: dict[asyncio.Task[None], None] = {}
+        self._table = ConnectionTable()
         # Of connections that wait for the first byte of a request, in the order of their waits; the
         # value says whether a request was served on the connection before.
         self._idle_timeouts: dict[InputTimeout, bool] = {}
@@ -170,7 +160,9 @@
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.current_task()
         assert task is not None and isinstance(reader, ClientReader)
-        if len(self._tasks) >= self._limits.max_connections:
+        loop = asyncio.get_running_loop()
+        is_full = len(self._tasks) - self._table.ending >= self._limits.max_connections
+        if is_full and not self._table.end_one(loop.time()):
             writer.transport.abort()
             self.on_connection_end(ConnectionEnd.TOO_MANY, 0)
             return
@@ -191,6 +183,8 @@
             if writer.transport.get_write_buffer_size():
                 writer.transport.abort()
         finally:
+            if self._table.record_end(client):
+                end = ConnectionEnd.TOO_MANY
             self.on_connection_end(end, client.unanswered_bytes)
             writer.close()
             try:
@@ -205,6 +199,8 @@
                 await send_rejection(client.conn, client.writer, end)
                 end = ConnectionEnd.REJECTED
             if end is ConnectionEnd.REJECTED:
+                now = asyncio.get_running_loop().time()
+                self._table.record_wait(client, Wait.DISCARD, now)
                 await discard_remaining_input(client.reader, client.writer)
             if end is not None:
                 return end
@@ -229,6 +225,7 @@
                 if not self._answers_refusals:
                     raise
                 shortage = error.rejection.reason
+            self._table.record_progress(client)
             exchange = self._make_exchange(head, body.data, client)
             if shortage:
                 await self._pass_refusal(shortage, exchange)
@@ -265,12 +262,14 @@
         loop = asyncio.get_running_loop()
         head_deadline: float | None = None
         buffered = client.buffered
+        if buffered:
+            self._table.record_wait(client, Wait.REQUEST, loop.time())
         while True:
             if buffered >= LARGE_HEAD_BYTES:
                 await self._turns.wait()
             event = read_event(client.conn)
             if isinstance(event, h11.Request):
-                _check_framing(event)
+                check_framing(event)
                 return event
             if event is not h11.NEED_DATA:
                 return ConnectionEnd.CLIENT_CLOSED
@@ -279,6 +278,7 @@
                 if isinstance(data, ConnectionEnd):
                     return data
                 client.set_limit(self._limits.max_header_bytes)
+                self._table.record_wait(client, Wait.REQUEST, loop.time())
             else:
                 head_deadline = head_deadline or loop.time() + self._limits.head_timeout
                 try:
@@ -297,6 +297,8 @@
         loop = asyncio.get_running_loop()
         idle_since = loop.time()
         reader = client.reader
+        wait = Wait.NEXT_REQUEST if client.is_used else Wait.FIRST_REQUEST
+        self._table.record_wait(client, wait, idle_since)
         while True:
             idle_timeout = self._limits.idle_timeout
             if self._stopping:
@@ -396,14 +398,3 @@
         if len(conn.trailing_data[0]) > READ_SIZE_BYTES:
             exchange.abort()
             return
-
-
-def _check_framing(request: h11.Request) -> None:
-    """Reject a request that states the length of its body in two ways (request smuggling).
-
-    A proxy in front of this server may use the other one; part of what it forwarded as the body
-    would then be read here as a second request that no client sent.
-    """
-    names = [name for name, _ in request.headers]
-    if b"transfer-encoding" in names and b"content-length" in names:
-        raise RequestRejected(400, "both Content-Length and Transfer-Encoding")
