Readiness and metrics are served without bodies, on 64 connections each

Callers saw: at the address that says ready, 120 bodies of 1 MiB one byte short took an instance with 80 MB to 151 and 157 MB, 60 bodies far over the limit to 289 and 287, 1,000 of 120 KB to 162, 300 heads of many fields to 87, 2,000 unfinished heads to 100; 1,400 connections took 1,416 descriptors of 1,024.

Cause: the servers of both addresses had the default limits, 4 MiB a body and 4,096 connections, and a ledger of their own without a limit. Nobody needs the bodies.

They now answer from the head, and the connection of a request with a body ends after the response; heads are counted by the instance's ledger. Each takes 64 connections, and the one that waits longest ends for a new one, so the platform's check gets in. A burst of connections still passes the limit for a moment, with up to 1,319 open files.

--- a/rhubarbbend/gateway/_endpoints.py
+++ b/rhubarbbend/gateway/_endpoints.py
@@ -5,15 +5,18 @@
 from collections.abc import Callable, Coroutine
 from functools import partial
 from socket import socket
-from typing import Any
+from typing import Any, Final
 
 from rhubarbbend import codes
 from rhubarbbend.gateway._metrics import CONTENT_TYPE
 from rhubarbbend.gateway._settings import Address
 from rhubarbbend.gateway._state import State, read_clock
-from rhubarbbend.http import Exchange, HttpServer
+from rhubarbbend.http import Exchange, HttpServer, ServerLimits
 from rhubarbbend.listening import Listen, Spawn, start_listening
 
+# For readiness and metrics: a few clients that send heads of some hundred bytes.
+STATUS_SERVER_LIMITS: Final = ServerLimits(max_connections=64)
+
 OpenDatagrams = Callable[[Address], Coroutine[Any, Any, None]]
 Handler = Callable[[Exchange], Coroutine[Any, Any, None]]
 
@@ -52,7 +55,8 @@
             await self._serve_on("metrics", settings.metrics, self._serve_metrics)
 
     async def _serve_on(self, use: str, address: Address, handler: Handler) -> None:
-        await self._start(use, partial(HttpServer(handler).listen, *address))
+        server = HttpServer(handler, STATUS_SERVER_LIMITS, self._state.memory, reads_bodies=False)
+        await self._start(use, partial(server.listen, *address))
 
     async def _start(
         self, use: str, listen: Listen, handle_listening: Callable[[], None] = lambda: None
--- a/rhubarbbend/http/_request_body.py
+++ b/rhubarbbend/http/_request_body.py
@@ -209,6 +209,11 @@
     return size if size >= UNCOUNTED_HEAD_BYTES else 0
 
 
+def has_body(head: h11.Request) -> bool:
+    """Return whether a request has a body, which may be empty if it comes in chunks."""
+    return _read_length(head) > 0 or any(name == b"transfer-encoding" for name, _ in head.headers)
+
+
 def _read_length(head: h11.Request) -> int:
     """Return the stated length of a body; 0 if there is none, or it is not stated."""
     return next((int(value) for name, value in head.headers if name == b"content-length"), 0)
--- a/rhubarbbend/http/_server.py
+++ b/rhubarbbend/http/_server.py
@@ -30,7 +30,13 @@
     read_event,
     send_rejection,
 )
-from rhubarbbend.http._request_body import BodyLimits, BodyReader, MemoryShort, RequestBody
+from rhubarbbend.http._request_body import (
+    BodyLimits,
+    BodyReader,
+    MemoryShort,
+    RequestBody,
+    has_body,
+)
 from rhubarbbend.http._send_progress import limit_kernel_buffer
 from rhubarbbend.http._server_limits import ServerLimits
 from rhubarbbend.listening import find_port
@@ -60,7 +66,8 @@
 
     What is held for clients is counted by the ledger, requests as `kind`. If the handler
     `answers_refusals`, it is called for requests that are refused for want of memory, with
-    `Exchange.memory_refusal` set; otherwise the server refuses them itself.
+    `Exchange.memory_refusal` set; otherwise the server refuses them itself. Without `reads_bodies`
+    requests are answered from their heads, and a connection with a body ends after the response.
     """
 
     def __init__(
@@ -70,11 +77,13 @@
         ledger: MemoryLedger | None = None,
         kind: HeldKind = HeldKind.REQUEST,
         answers_refusals: bool = False,
+        reads_bodies: bool = True,
     ) -> None:
         self._handler = handler
         self._ledger = ledger or MemoryLedger()
         self._kind = kind
         self._answers_refusals = answers_refusals
+        self._reads_bodies = reads_bodies
         self._turns = ParseTurns()
         self._bodies = BodyReader(self._ledger, kind, self._turns)
         self._limits = limits or ServerLimits()
@@ -219,6 +228,10 @@
             head = await self._read_head(client)
             if isinstance(head, ConnectionEnd):
                 return head
+            if not self._reads_bodies and has_body(head):
+                exchange = self._make_exchange(head, b"", client)
+                await self._answer_unread(exchange)
+                return ConnectionEnd.REJECTED
             try:
                 body = await self._read_body(head, client)
             except MemoryShort as error:
@@ -228,7 +241,8 @@
             self._table.record_progress(client)
             exchange = self._make_exchange(head, body.data, client)
             if shortage:
-                await self._pass_refusal(shortage, exchange)
+                exchange.memory_refusal = shortage
+                await self._answer_unread(exchange)
                 return ConnectionEnd.REJECTED
             await self._run_handler(exchange, client.conn, client.reader)
             if not await self._prepare_next(client.conn, client.writer, exchange.buffer):
@@ -247,9 +261,8 @@
             exchange.buffer.kind = self._kind
         return exchange
 
-    async def _pass_refusal(self, shortage: str, exchange: Exchange) -> None:
-        """Have the handler refuse a request whose body was not read, and end the connection."""
-        exchange.memory_refusal = shortage
+    async def _answer_unread(self, exchange: Exchange) -> None:
+        """Have the handler answer a request whose body was not read; its connection then ends."""
         exchange.extra_headers.append((b"Connection", b"close"))
         await self._handler(exchange)
 
