--- a/rhubarbbend/http/_request_body.py
+++ b/rhubarbbend/http/_request_body.py
@@ -50,22 +50,34 @@
 
 
 class RequestBody:
-    """A body that is being read or held; `data` is set once it is whole.
+    """A body that is being read or held, with what is counted of its request.
 
-    `head_size` is what the head takes as far as that is counted.
+    `data` is set once the body is whole. `head_size` is what the head takes as far as that is
+    counted. While the client is waited for, `timeout` says for how long.
     """
 
-    __slots__ = ("data", "size", "head_size", "holding", "_blocks", "_last_block")
+    __slots__ = ("data", "size", "head_size", "holding", "timeout", "_blocks", "_last_block")
 
     def __init__(self) -> None:
         self.data = b""
         self.size = 0
         self.head_size = 0
+        self.timeout: InputTimeout | None = None
         self._blocks: list[bytes] = []
         self._last_block = bytearray()
-        # None for a request without a body whose head is not counted.
+        # None as long as nothing of the request is counted.
         self.holding: Holding | None = None
 
+    @property
+    def is_given_up(self) -> bool:
+        """Whether the request is given up for want of memory."""
+        return self.holding is not None and self.holding.is_shed
+
+    def give_up(self) -> None:
+        """Stop waiting for the client."""
+        if self.timeout is not None:
+            self.timeout.reschedule(asyncio.get_running_loop().time())
+
     def append(self, part: bytes) -> None:
         """Add a received part."""
         self.size += len(part)
@@ -108,29 +120,51 @@
     async def read(
         self,
         head: h11.Request,
+        body: RequestBody,
         conn: h11.Connection,
         reader: asyncio.StreamReader,
         limits: BodyLimits,
-    ) -> RequestBody:
-        """Return the whole body of a request, which has to be released.
+    ) -> None:
+        """Read the whole body of a request into `body`, which has to be released.
 
         Raise `RequestRejected` if it exceeds a limit, `MemoryShort` if there is no memory for it,
         `TimeoutError` if it takes too long.
         """
-        body = RequestBody()
+        loop = asyncio.get_running_loop()
+        self._admit(head, body, loop.time())
         try:
-            deadline = asyncio.get_running_loop().time() + limits.timeout
-            async with InputTimeout(deadline) as scope:
-                await self._read_parts(head, body, conn, reader, limits, scope)
+            async with InputTimeout(loop.time() + limits.timeout) as body.timeout:
+                await self._read_parts(body, conn, reader, limits)
         except TimeoutError as error:
-            self.release(body)
-            if body.holding is not None and body.holding.is_shed:
+            if body.is_given_up:
                 raise MemoryShort("the body arrived slowly, and memory is short") from error
             raise
-        except BaseException:
-            self.release(body)
-            raise
-        return body
+        finally:
+            body.timeout = None
+
+    def hold_head(self, body: RequestBody, size: int, now: float) -> None:
+        """Count the bytes of a head that is not whole; raise `MemoryShort` if they do not fit."""
+        self._resize(body, size, now)
+        is_large = size > ALWAYS_READ_BYTES
+        if body.is_given_up or (is_large and self._ledger.is_exhausted(now)):
+            raise MemoryShort("no memory for the rest of the head")
+
+    def _admit(self, head: h11.Request, body: RequestBody, now: float) -> None:
+        """Count a whole head; raise `MemoryShort` if there is no memory for its request."""
+        body.head_size = estimate_head_size(head)
+        expected = _read_length(head) + body.head_size
+        if expected > ALWAYS_READ_BYTES and not self._ledger.can_admit(expected, now):
+            raise MemoryShort("no memory for the request")
+        if body.head_size or body.holding is not None:
+            self._resize(body, body.head_size, now)
+
+    def _resize(self, body: RequestBody, size: int, now: float) -> None:
+        """Count `size` bytes of a request whose client has made progress."""
+        if body.holding is None:
+            body.holding = self._ledger.open(self._kind, body.give_up)
+        self._ledger.resize(body.holding, size)
+        body.holding.stalled_since = now
+        shed_excess(self._ledger, now)
 
     def release(self, body: RequestBody) -> None:
         """Stop holding and counting a body."""
@@ -141,33 +175,16 @@
 
     async def _read_parts(
         self,
-        head: h11.Request,
         body: RequestBody,
         conn: h11.Connection,
         reader: asyncio.StreamReader,
         limits: BodyLimits,
-        scope: InputTimeout,
     ) -> None:
         loop = asyncio.get_running_loop()
-
-        def give_up() -> None:
-            scope.reschedule(loop.time())
-
-        head_size = estimate_head_size(head)
-        expected = _read_length(head) + head_size
-        if expected > ALWAYS_READ_BYTES and not self._ledger.can_admit(expected, loop.time()):
-            raise MemoryShort("no memory for the request")
-        if head_size:
-            body.head_size = head_size
-            body.holding = self._ledger.open(self._kind, give_up)
-            self._ledger.resize(body.holding, head_size)
-            body.holding.stalled_since = loop.time()
         small_parts = 0
         while True:
             event = read_event(conn)
             if isinstance(event, h11.Data):
-                if body.holding is None:
-                    body.holding = self._ledger.open(self._kind, give_up)
                 body.append(bytes(event.data))
                 self._count_part(body, len(event.data), limits, loop.time())
                 if len(event.data) < SMALL_PART_BYTES:
@@ -186,15 +203,12 @@
                 raise ConnectionResetError("client closed the connection during the body")
 
     def _count_part(self, body: RequestBody, size: int, limits: BodyLimits, now: float) -> None:
-        assert body.holding is not None
         self.buffered_bytes += size
-        self._ledger.resize(body.holding, body.head_size + body.size)
-        body.holding.stalled_since = now
         if body.size > limits.max_bytes:
             raise RequestRejected(413, "body too large")
         if self.buffered_bytes > limits.max_buffered_bytes:
             raise MemoryShort("too many bytes of requests are held")
-        shed_excess(self._ledger, now)
+        self._resize(body, body.head_size + body.size, now)
         if body.size > ALWAYS_READ_BYTES and self._ledger.is_exhausted(now):
             raise MemoryShort("no memory for the rest of the body")
 
--- a/rhubarbbend/http/_server.py
+++ b/rhubarbbend/http/_server.py
@@ -225,7 +225,7 @@
         exchange: Exchange | None = None
         shortage = ""
         try:
-            head = await self._read_head(client)
+            head = await self._read_head(client, body)
             if isinstance(head, ConnectionEnd):
                 return head
             if not self._reads_bodies and has_body(head):
@@ -233,7 +233,7 @@
                 await self._answer_unread(exchange)
                 return ConnectionEnd.REJECTED
             try:
-                body = await self._read_body(head, client)
+                await self._read_body(head, body, client)
             except MemoryShort as error:
                 if not self._answers_refusals:
                     raise
@@ -241,6 +241,7 @@
             self._table.record_progress(client)
             exchange = self._make_exchange(head, body.data, client)
             if shortage:
+                self._bodies.release(body)
                 exchange.memory_refusal = shortage
                 await self._answer_unread(exchange)
                 return ConnectionEnd.REJECTED
@@ -266,7 +267,9 @@
         exchange.extra_headers.append((b"Connection", b"close"))
         await self._handler(exchange)
 
-    async def _read_head(self, client: ClientConnection) -> h11.Request | ConnectionEnd:
+    async def _read_head(
+        self, client: ClientConnection, body: RequestBody
+    ) -> h11.Request | ConnectionEnd:
         """Return the head of the next request, or why there is none.
 
         The time-out applies to the whole head: otherwise a client that sends a byte now and then
@@ -279,6 +282,7 @@
             self._table.record_wait(client, Wait.REQUEST, loop.time())
         while True:
             if buffered >= LARGE_HEAD_BYTES:
+                self._bodies.hold_head(body, buffered, loop.time())
                 await self._turns.wait()
             event = read_event(client.conn)
             if isinstance(event, h11.Request):
@@ -294,14 +298,24 @@
                 self._table.record_wait(client, Wait.REQUEST, loop.time())
             else:
                 head_deadline = head_deadline or loop.time() + self._limits.head_timeout
-                try:
-                    async with InputTimeout(head_deadline):
-                        data = await client.reader.read(READ_SIZE_BYTES)
-                except TimeoutError:
-                    raise RequestRejected(408, TOO_SLOW) from None
+                self._bodies.hold_head(body, buffered, loop.time())
+                data = await self._read_rest_of_head(client, body, head_deadline)
             client.conn.receive_data(data)
             buffered += len(data)
 
+    async def _read_rest_of_head(
+        self, client: ClientConnection, body: RequestBody, deadline: float
+    ) -> bytes:
+        try:
+            async with InputTimeout(deadline) as body.timeout:
+                return await client.reader.read(READ_SIZE_BYTES)
+        except TimeoutError:
+            if body.is_given_up:
+                raise MemoryShort("the head arrived slowly, and memory is short") from None
+            raise RequestRejected(408, TOO_SLOW) from None
+        finally:
+            body.timeout = None
+
     async def _wait_for_request(self, client: ClientConnection) -> bytes | ConnectionEnd:
         """Return the first bytes of a request, or why the idle connection ends without one.
 
@@ -335,7 +349,9 @@
             finally:
                 self._idle_timeouts.pop(timeout, None)
 
-    async def _read_body(self, head: h11.Request, client: ClientConnection) -> RequestBody:
+    async def _read_body(
+        self, head: h11.Request, body: RequestBody, client: ClientConnection
+    ) -> None:
         limits = self._limits
         if client.conn.they_are_waiting_for_100_continue:
             informational = h11.InformationalResponse(status_code=100, headers=[])
@@ -344,7 +360,7 @@
             limits.max_body_bytes, limits.max_buffered_body_bytes, limits.body_timeout
         )
         try:
-            return await self._bodies.read(head, client.conn, client.reader, body_limits)
+            await self._bodies.read(head, body, client.conn, client.reader, body_limits)
         except TimeoutError:
             raise RequestRejected(408, TOO_SLOW) from None
 
