Server: memory is measured as connections come, and they receive 8 KB at once

Causes: the bound on what is held follows from the resident size, which was read when held bytes had grown or 2 s had passed. A thousand connections that open and send at once made the process 11 MB larger before it was read again, and the bound was by so much too high. Each then received 16 KB in one iteration of the event loop, before anything was counted or refused, and a rejected request kept what was not parsed of it for the second in which the rest is discarded.

Connections now count as growth of the process, receive 8 KB at once, and drop what is not parsed of a rejected request.

--- a/rhubarbbend/core/limits/_memory.py
+++ b/rhubarbbend/core/limits/_memory.py
@@ -83,7 +83,7 @@
         # What was held and the resident size then: of each of the last seconds, the most held.
         self._peaks: dict[int, tuple[int, int]] = {}
         self._measured_at = -math.inf
-        # Bytes added since the last measurement.
+        # Bytes added since the last measurement, to what is held or to the process itself.
         self._grown = 0
         self._mean_answer = 0.0
         # Requests that are open; each may still have an answer of the mean size to come.
@@ -126,6 +126,10 @@
             holding.size = 0
             del self._holdings[holding]
 
+    def record_growth(self, size: int) -> None:
+        """Record that the process itself has grown, so that it is measured again in time."""
+        self._grown += size
+
     def record_awaited(self, change: int) -> None:
         """Change the number of open requests: 1 when one begins, -1 when it has ended.
 
--- a/rhubarbbend/http/_client_connection.py
+++ b/rhubarbbend/http/_client_connection.py
@@ -9,10 +9,11 @@
 
 import h11
 
-from rhubarbbend.http._protocol import READ_SIZE_BYTES
-
+# Most bytes received at once from a client. All connections may receive in one iteration of the
+# event loop, before anything counts or refuses what has come.
+CLIENT_READ_BYTES: Final = 8_192
 # Reading is paused while more than twice as many received bytes are not read yet (asyncio).
-READER_LIMIT_BYTES: Final = READ_SIZE_BYTES // 2
+READER_LIMIT_BYTES: Final = CLIENT_READ_BYTES // 2
 
 
 class ConnectionEnd(enum.Enum):
@@ -99,6 +100,10 @@
             self._max_header_bytes = max_header_bytes
             self.conn = self._make_conn()
 
+    def drop_input(self) -> None:
+        """Drop what was received and not parsed, since no other request is served here."""
+        self.conn = self._make_conn()
+
     def _make_conn(self) -> h11.Connection:
         return h11.Connection(h11.SERVER, max_incomplete_event_size=self._max_header_bytes)
 
--- a/rhubarbbend/http/_protocol.py
+++ b/rhubarbbend/http/_protocol.py
@@ -70,11 +70,11 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
 
 
-def limit_read_size(transport: asyncio.BaseTransport) -> None:
-    """Have a transport receive at most `READ_SIZE_BYTES` at once."""
+def limit_read_size(transport: asyncio.BaseTransport, size: int) -> None:
+    """Have a transport receive at most `size` bytes at once."""
     if hasattr(transport, "max_size"):
         # asyncio's own transports read so much at a time; others are left as they are.
-        transport.max_size = READ_SIZE_BYTES
+        transport.max_size = size
 
 
 def reset_connection(transport: asyncio.WriteTransport) -> None:
@@ -209,7 +209,7 @@
         """Store the transport and enable TCP keep-alive."""
         self._transport = cast(asyncio.Transport, transport)
         self.last_received_at = self._loop.time()
-        limit_read_size(transport)
+        limit_read_size(transport, READ_SIZE_BYTES)
         set_keepalive(transport.get_extra_info("socket"))
 
     def data_received(self, data: bytes) -> None:
--- a/rhubarbbend/http/_server.py
+++ b/rhubarbbend/http/_server.py
@@ -15,7 +15,12 @@
 
 from rhubarbbend.core.limits import HeldKind, MemoryLedger
 from rhubarbbend.http._answer_buffer import AnswerBuffer, flush, set_limits
-from rhubarbbend.http._client_connection import ClientConnection, ClientReader, ConnectionEnd
+from rhubarbbend.http._client_connection import (
+    CLIENT_READ_BYTES,
+    ClientConnection,
+    ClientReader,
+    ConnectionEnd,
+)
 from rhubarbbend.http._connection_table import ConnectionTable, Wait
 from rhubarbbend.http._exchange import DrainState, Exchange
 from rhubarbbend.http._input_timeout import InputTimeout
@@ -48,6 +53,8 @@
 # server flushes it.
 FLUSH_TIMEOUT_S: Final = 10.0
 
+# What an open connection takes in this process while nothing is received on it.
+CONNECTION_BYTES: Final = 12_288
 # Maximum number of connections that the kernel queues until they are accepted.
 LISTEN_BACKLOG: Final = 1024
 TOO_SLOW: Final = "request took too long to send"
@@ -176,8 +183,8 @@
             self.on_connection_end(ConnectionEnd.TOO_MANY, 0)
             return
         self._tasks[task] = None
-        # Many connections may receive in one iteration of the event loop, before any is served.
-        limit_read_size(writer.transport)
+        limit_read_size(writer.transport, CLIENT_READ_BYTES)
+        self._ledger.record_growth(CONNECTION_BYTES)
         set_limits(writer.transport)
         limit_kernel_buffer(writer.get_extra_info("socket"))
         client = ClientConnection(reader, writer, self._limits.max_header_bytes)
@@ -210,6 +217,7 @@
             if end is ConnectionEnd.REJECTED:
                 now = asyncio.get_running_loop().time()
                 self._table.record_wait(client, Wait.DISCARD, now)
+                client.drop_input()
                 await discard_remaining_input(client.reader, client.writer)
             if end is not None:
                 return end
