Server: what clients send ahead of running requests is counted

Cause: up to 64 KB that arrive while a request runs are kept for the next ones and were not counted, so nothing else was refused for them.

They now count as held of the running request, which is not given up. If there is no memory for them, the connection ends, as it does above 64 KB.

--- a/rhubarbbend/http/_request_body.py
+++ b/rhubarbbend/http/_request_body.py
@@ -149,6 +149,17 @@
         if body.is_given_up or (is_large and self._ledger.is_exhausted(now)):
             raise MemoryShort("no memory for the rest of the head")
 
+    def hold_early(self, body: RequestBody, size: int) -> bool:
+        """Count bytes that arrived while a request runs; return whether there is memory for them.
+
+        Requests that run are not given up, so this one's client does not count as waited for.
+        """
+        if body.holding is None:
+            body.holding = self._ledger.open(self._kind, body.give_up)
+        self._ledger.resize(body.holding, body.head_size + body.size + size)
+        now = asyncio.get_running_loop().time()
+        return size <= ALWAYS_READ_BYTES or not self._ledger.is_exhausted(now)
+
     def _admit(self, head: h11.Request, body: RequestBody, now: float) -> None:
         """Count a whole head; raise `MemoryShort` if there is no memory for its request."""
         body.head_size = estimate_head_size(head)
--- a/rhubarbbend/http/_server.py
+++ b/rhubarbbend/http/_server.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from functools import partial
 from socket import socket
 from typing import Final
 
@@ -21,6 +22,7 @@
     ClientReader,
     ConnectionEnd,
 )
+from rhubarbbend.http._client_watcher import watch_client
 from rhubarbbend.http._connection_table import ConnectionTable, Wait
 from rhubarbbend.http._exchange import DrainState, Exchange
 from rhubarbbend.http._input_timeout import InputTimeout
@@ -253,7 +255,7 @@
                 exchange.memory_refusal = shortage
                 await self._answer_unread(exchange)
                 return ConnectionEnd.REJECTED
-            await self._run_handler(exchange, client.conn, client.reader)
+            await self._run_handler(exchange, body, client)
             if not await self._prepare_next(client.conn, client.writer, exchange.buffer):
                 return ConnectionEnd.LAST_RESPONSE
             return None
@@ -373,9 +375,11 @@
             raise RequestRejected(408, TOO_SLOW) from None
 
     async def _run_handler(
-        self, exchange: Exchange, conn: h11.Connection, reader: asyncio.StreamReader
+        self, exchange: Exchange, body: RequestBody, client: ClientConnection
     ) -> None:
-        watcher = asyncio.create_task(_watch_client(exchange, conn, reader))
+        watcher = asyncio.create_task(
+            watch_client(exchange, client, partial(self._bodies.hold_early, body))
+        )
         try:
             await self._handler(exchange)
         finally:
@@ -413,25 +417,3 @@
         writer.transport.abort()
     else:
         buffer.end_stalled()
-
-
-async def _watch_client(
-    exchange: Exchange, conn: h11.Connection, reader: asyncio.StreamReader
-) -> None:
-    """Detect a client that disconnects while its request runs; buffer data that it sends early.
-
-    A client that sends more than `READ_SIZE_BYTES` early is disconnected.
-    """
-    while True:
-        try:
-            data = await reader.read(READ_SIZE_BYTES)
-        except OSError:
-            # The client has reset its connection.
-            data = b""
-        if not data:
-            exchange.mark_closed()
-            return
-        conn.receive_data(data)
-        if len(conn.trailing_data[0]) > READ_SIZE_BYTES:
-            exchange.abort()
-            return
--- a/tests/crowds/crowd.py
+++ b/tests/crowds/crowd.py
@@ -21,8 +21,6 @@
 # How long it stays afterwards.
 HOLD_S: Final = 1.5
 SAMPLE_INTERVAL_S: Final = 0.05
-# Connections that are opened at the same time.
-CONNECT_BATCH: Final = 100
 RESETTING_LINGER: Final = struct.pack("ii", 1, 0)
 # The largest body that the configuration of the tests allows, and the largest head.
 BODY_BYTES: Final = 1_048_576
@@ -51,8 +49,9 @@
 class Crowd(abc.ABC):
     """Many connections that send alike, read nothing and stay open."""
 
-    # How many connections there are.
+    # How many connections there are, and how many of them are opened at the same time.
     size = 60
+    connect_batch = 100
 
     @abc.abstractmethod
     def list_parts(self, door: Door, number: int) -> Sequence[bytes]:
@@ -166,6 +165,16 @@
         return [door.make_head("GET", number) * self.requests]
 
 
+class DataBehindRequests(Crowd):
+    """Requests that run for a while, each with other requests behind it; no answer is read."""
+
+    size = 900
+
+    def list_parts(self, door: Door, number: int) -> Sequence[bytes]:
+        head = door.make_head("GET", number)
+        return [head + head * (60_000 // len(head))]
+
+
 class SlowSenders(Crowd):
     """Heads of which a byte is sent now and then."""
 
@@ -185,6 +194,13 @@
         return []
 
 
+class SuddenConnections(SilentConnections):
+    """The same, opened at the same moment."""
+
+    size = 1_400
+    connect_batch = 1_400
+
+
 class WaitingForContinue(Crowd):
     """Heads that ask whether a large body may be sent, without the body."""
 
@@ -257,8 +273,8 @@
     senders: list[asyncio.Task[None]] = []
     sampler = asyncio.create_task(_sample(use))
     try:
-        for first in range(0, crowd.size, CONNECT_BATCH):
-            count = min(CONNECT_BATCH, crowd.size - first)
+        for first in range(0, crowd.size, crowd.connect_batch):
+            count = min(crowd.connect_batch, crowd.size - first)
             clients += await asyncio.gather(*(_connect(door.address) for _ in range(count)))
         senders += [
             asyncio.create_task(crowd.run_client(client, door, number))
--- a/tests/crowds/test_gateway.py
+++ b/tests/crowds/test_gateway.py
@@ -16,6 +16,7 @@
 from tests.crowds.crowd import (
     Bursts,
     Crowd,
+    DataBehindRequests,
     Door,
     LongBodies,
     LongLists,
@@ -27,6 +28,7 @@
     SlowSenders,
     SmallChunks,
     SmallPieces,
+    SuddenConnections,
     TooLongBodies,
     TooLongChunkedBodies,
     UnfinishedHeads,
@@ -56,7 +58,12 @@
     UnfinishedHeads,
     RequestsAhead,
 )
-CONNECTION_CROWDS: tuple[type[Crowd], ...] = (SlowSenders, SilentConnections, WaitingForContinue)
+CONNECTION_CROWDS: tuple[type[Crowd], ...] = (
+    SlowSenders,
+    SilentConnections,
+    SuddenConnections,
+    WaitingForContinue,
+)
 
 
 def find_door(fleet: GatewayFleet, name: str, path: str) -> Door:
@@ -157,6 +164,19 @@
     run(work)
 
 
+def test_a_crowd_that_sends_ahead_of_running_requests_stays_within_the_memory(
+    tmp_path: Path,
+) -> None:
+    """Guards against what clients send while their requests run: it is held until these end."""
+
+    async def work() -> None:
+        async with start_fleet(tmp_path, **make_options()) as fleet:
+            await fleet.set_service_faults("plain", delay=1.0)
+            await check_crowd(fleet, DataBehindRequests(), find_door(fleet, "route", "/read/x"))
+
+    run(work)
+
+
 class OneClient:
     """Sends one legal request at an instance without load."""
 
