Connections: a status above 599 is no answer

Cause: h11 refuses a status below 100, 000 and 099 among them, but takes any other of three digits. HTTP has none above 599 (RFC 9110, section 15).

All answers are read by one function, those of targets, of health checks, of the store and of other instances. It now fails on such a status as on a line that is none: the request may have run, and the caller gets 502 unless another target may answer. 16 of 16 tests pass, 000 and 099 among them, which passed before.

--- a/rhubarbbend/http/_connection.py
+++ b/rhubarbbend/http/_connection.py
@@ -39,6 +39,8 @@
 )
 
 MAX_HEAD_BYTES: Final = 65_536
+# The largest status that HTTP has (RFC 9110, section 15); h11 accepts any of three digits from 100.
+MAX_STATUS: Final = 599
 DEFAULT_CONNECT_TIMEOUT_S: Final = 1.0
 # Event loop iterations that asyncio's `create_connection` needs to finish once the socket is
 # connected.
@@ -226,6 +228,8 @@
                 elif isinstance(event, h11.InformationalResponse):
                     self._head_monitor.record_informational()
                 elif isinstance(event, h11.Response):
+                    if event.status_code > MAX_STATUS:
+                        raise HttpFailure(SendStage.SENT, f"status {event.status_code} is none")
                     headers = {k.decode(): v.decode("latin-1") for k, v in event.headers}
                     response = Response(event.status_code, headers, list(event.headers))
                     self._body_ends_with_connection = response.ends_with_connection
