Connections: an answer that is closed beside an upload is not whole

Callers saw: a target answers a long upload at once with a 200 that has no length, sends a part of its body, closes its side and resets the connection while the upload is still being written.

Cause: such a body ends with its connection, and an orderly end counted if the target runs on when it is asked, which it does: only the connection was given up.

A connection now records whether the peer had acknowledged all that was written to it as it closed its side. If not, a successful answer without a length is broken off, or goes on at another target; an error may still be all that a target has to say. Not covered: an upload that the peer's kernel has received whole and its program has not read.

--- a/rhubarbbend/http/_connection.py
+++ b/rhubarbbend/http/_connection.py
@@ -79,6 +79,7 @@
         "idle_time_s",
         "_body_ends_with_connection",
         "_conn",
+        "_is_success",
         "_head_monitor",
         "_protocol",
         "_sent",
@@ -97,6 +98,7 @@
         # Seconds for which the connection was idle before it was reused; 0 if it is new.
         self.idle_time_s = 0.0
         self._body_ends_with_connection = False
+        self._is_success = False
         self._sent: list[h11.Event] = []
         self._conn = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._head_monitor = HeadMonitor()
@@ -233,6 +235,7 @@
                     headers = {k.decode(): v.decode("latin-1") for k, v in event.headers}
                     response = Response(event.status_code, headers, list(event.headers))
                     self._body_ends_with_connection = response.ends_with_connection
+                    self._is_success = response.status < 300
                     return response
                 else:
                     raise HttpFailure(SendStage.SENT, "closed before the response")
@@ -270,6 +273,7 @@
                     framing.record_data()
                     yield bytes(event.data)
                 elif isinstance(event, h11.EndOfMessage):
+                    self._check_end()
                     return
                 else:
                     raise HttpFailure(SendStage.RESPONSE, REASON_CLOSED)
@@ -295,6 +299,17 @@
             await ended
         finally:
             forwarder.stop()
+        self._check_end()
+
+    def _check_end(self) -> None:
+        """Raise `HttpFailure` if the end of a body without length is not that of a whole answer.
+
+        A target that gives up in the middle of a request may close its side in order and reset the
+        connection then. An error may well be all that it has to say; a success is not, as long as
+        the request is still on its way to it.
+        """
+        if self._body_ends_with_connection and self._is_success and self._protocol.closed_early:
+            raise HttpFailure(SendStage.RESPONSE, "closed before the request was sent")
 
     @property
     def body_end(self) -> BodyEnd | None:
--- a/rhubarbbend/http/_protocol.py
+++ b/rhubarbbend/http/_protocol.py
@@ -15,6 +15,7 @@
 from typing import Final, cast
 
 from rhubarbbend.http._input_timeout import InputTimeout
+from rhubarbbend.http._send_progress import count_unacknowledged
 
 # Above this many unread bytes, reading from the socket is paused (backpressure).
 READ_HIGH_WATER_BYTES: Final = 65_536
@@ -99,6 +100,8 @@
     def __init__(self) -> None:
         self.eof = False
         self.error: Exception | None = None
+        # Whether the peer closed its side in order before it had received all that was written.
+        self.closed_early = False
         self.last_received_at = 0.0
         # The longest time between two parts passed to a sink, in seconds.
         self.longest_receive_gap_s = 0.0
@@ -230,6 +233,7 @@
 
     def eof_received(self) -> bool:
         """Record that the peer has closed its side in order; the transport then closes."""
+        self.closed_early = count_unacknowledged(self.transport) > 0
         self._handle_end(None)
         return False
 
--- a/rhubarbbend/http/_send_progress.py
+++ b/rhubarbbend/http/_send_progress.py
@@ -27,6 +27,22 @@
             sock.setsockopt(socket.IPPROTO_TCP, TCP_NOTSENT_LOWAT, MAX_KERNEL_UNSENT_BYTES)
 
 
+def count_unacknowledged(transport: asyncio.WriteTransport) -> int:
+    """Return how many written bytes the peer has not acknowledged, as far as that is known."""
+    return transport.get_write_buffer_size() + _count_in_kernel(transport)
+
+
+def _count_in_kernel(transport: asyncio.WriteTransport) -> int:
+    sock = transport.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return 0
+    try:
+        answer = fcntl.ioctl(sock.fileno(), SIOCOUTQ, struct.pack("i", 0))
+    except (OSError, ValueError):
+        return 0
+    return int(struct.unpack("i", answer)[0])
+
+
 class SendProgress:
     """Tells for how long a peer has acknowledged nothing of what was already written to it.
 
@@ -38,28 +54,15 @@
     def __init__(self, transport: asyncio.WriteTransport, now: float) -> None:
         self.progressed_at = now
         self._transport = transport
-        self._unacknowledged = self._count_unacknowledged()
+        self._unacknowledged = count_unacknowledged(transport)
 
     def compute_stall(self, now: float) -> float:
         """Return for how many seconds there has been no progress.
 
         Data that is written meanwhile hides progress of the same size.
         """
-        unacknowledged = self._count_unacknowledged()
+        unacknowledged = count_unacknowledged(self._transport)
         if unacknowledged < self._unacknowledged:
             self.progressed_at = now
         self._unacknowledged = unacknowledged
         return now - self.progressed_at
-
-    def _count_unacknowledged(self) -> int:
-        return self._transport.get_write_buffer_size() + self._count_in_kernel()
-
-    def _count_in_kernel(self) -> int:
-        sock = self._transport.get_extra_info("socket")
-        if sock is None or sock.fileno() < 0:
-            return 0
-        try:
-            answer = fcntl.ioctl(sock.fileno(), SIOCOUTQ, struct.pack("i", 0))
-        except (OSError, ValueError):
-            return 0
-        return int(struct.unpack("i", answer)[0])
--- a/tests/gateway/test_early_answers.py
+++ b/tests/gateway/test_early_answers.py
@@ -12,6 +12,8 @@
 from tests.gateway.raw_target import RawEnd, start_raw_target
 
 ROUTES = {"/read/x": "plain", "/book/x": "plain", "/chat/x": "llm", "/plan/x": "llm"}
+# More than the kernels of both sides take, so that most of it waits to be written.
+UPLOAD = b"u" * 1_000_000
 PROMPT = "aa:400,bb:50"
 
 
@@ -33,6 +35,29 @@
     return reply.status, reply.complete
 
 
+# Guards against a part of an answer that its caller takes for the whole: the target answers at once
+# and ends the connection while the request is still being written.
+@pytest.mark.parametrize("delay", [0.0, 0.2])
+@pytest.mark.parametrize("end", [RawEnd.RESET, RawEnd.CLOSED])
+@pytest.mark.parametrize("path", list(ROUTES))
+def test_an_answer_without_length_that_ends_beside_an_upload_is_not_complete(
+    tmp_path: Path, path: str, end: RawEnd, delay: float
+) -> None:
+    async def work() -> None:
+        async with start_fleet(
+            tmp_path, instances=1, plain_worker_count=0, engine_worker_count=0
+        ) as fleet:
+            answer = make_answer("200 OK", path, is_whole=False)
+            async with start_raw_target(fleet, ROUTES[path], answer, end, delay) as target:
+                await wait_for_target(fleet)
+                for _ in range(3):
+                    status, complete = await send(fleet, path, UPLOAD)
+                    assert not (status == 200 and complete)
+                assert target.requests
+
+    run(work)
+
+
 # Guards against an answer with a status that HTTP does not have: the caller takes it for an answer.
 @pytest.mark.parametrize("status", ["000", "099", "600", "999"])
 @pytest.mark.parametrize("path", list(ROUTES))
