Product's own interface: memory is limited, by default to the machine's

Cause: its server counted against no limit. The settings had none.

The setting `limits.memory` (bytes, by default the machine's memory) is now the limit of what is held for callers, as on the users' platform, and also bounds the number of connections.

The function that reads the resident size moves to a module of its own, and the server's wait for unsent data stands beside the buffer that it flushes.

--- a/rhubarbbend/gateway/_server_limits.py
+++ b/rhubarbbend/gateway/_server_limits.py
@@ -6,7 +6,7 @@
 
 from rhubarbbend.core.catalog import TrafficLimits
 from rhubarbbend.gateway._settings import GatewaySettings
-from rhubarbbend.http import ServerLimits
+from rhubarbbend.http import ServerLimits, compute_max_connections
 
 # File descriptors that callers cannot use: connections to targets, the store and other instances,
 # and files.
@@ -14,10 +14,6 @@
 # Fraction of the process's memory limit that buffered request bodies may use together. The rest is
 # for the program (17 MB), responses in transit and the kernel's buffers for connections.
 BUFFERED_BODY_FRACTION: Final = 0.25
-# Fraction of that limit that callers' connections may use together, and what each of them may take
-# while nothing of a request is counted yet: its objects, and what is received at once.
-CONNECTION_FRACTION: Final = 0.3
-CONNECTION_BYTES: Final = 24_576
 # What the headers of a detour take beyond the caller's own.
 DETOUR_HEADER_BYTES: Final = 4_096
 MIN_CONNECTIONS: Final = 64
@@ -31,15 +27,14 @@
         max_buffered_body_bytes=int(settings.memory * BUFFERED_BODY_FRACTION),
         head_timeout=limits.header_timeout,
         idle_timeout=limits.idle_timeout,
-        max_connections=_compute_max_connections(settings),
+        max_connections=_count_caller_connections(settings),
     )
 
 
-def _compute_max_connections(settings: GatewaySettings) -> int:
+def _count_caller_connections(settings: GatewaySettings) -> int:
     """Return how many connections callers may have, by descriptors and by memory."""
     by_descriptors = settings.max_descriptors - RESERVED_DESCRIPTORS
-    by_memory = int(settings.memory * CONNECTION_FRACTION) // CONNECTION_BYTES
-    return max(MIN_CONNECTIONS, min(by_descriptors, by_memory))
+    return max(MIN_CONNECTIONS, min(by_descriptors, compute_max_connections(settings.memory)))
 
 
 def make_peer_limits(limits: TrafficLimits, settings: GatewaySettings) -> ServerLimits:
--- a/rhubarbbend/gateway/_state.py
+++ b/rhubarbbend/gateway/_state.py
@@ -35,7 +35,6 @@
 from rhubarbbend.core.streams import VersionHistory
 from rhubarbbend.gateway._change_notifier import ChangeNotifier
 from rhubarbbend.gateway._event_log import EventLog
-from rhubarbbend.gateway._held_memory import read_resident_size
 from rhubarbbend.gateway._metrics import Metrics
 from rhubarbbend.gateway._peer_updates import PeerUpdate, apply_crash_findings
 from rhubarbbend.gateway._replication_timeouts import (
@@ -44,6 +43,7 @@
     derive_source_options,
 )
 from rhubarbbend.gateway._settings import Address, GatewaySettings
+from rhubarbbend.resident_size import read_resident_size
 
 # The table in which instances publish their addresses.
 INSTANCE_TABLE: Final = "instances"
--- a/rhubarbbend/http/__init__.py
+++ b/rhubarbbend/http/__init__.py
@@ -28,7 +28,7 @@
 from rhubarbbend.http._protocol import ClientProtocol, reset_connection, set_keepalive
 from rhubarbbend.http._receive_limits import SMALL_BODY_PART_BYTES, TrickleDetector
 from rhubarbbend.http._server import HttpServer
-from rhubarbbend.http._server_limits import ServerLimits
+from rhubarbbend.http._server_limits import ServerLimits, compute_max_connections
 
 __all__ = [
     "BodyEnd",
@@ -55,6 +55,7 @@
     "SilenceClock",
     "TrickleDetector",
     "ServerLimits",
+    "compute_max_connections",
     "fetch",
     "read_brittle",
     "read_leaving",
--- a/rhubarbbend/http/_answer_buffer.py
+++ b/rhubarbbend/http/_answer_buffer.py
@@ -27,6 +27,9 @@
 # one reads 20 KB/s, it opens its window only every 6 s.
 DETOUR_STALL_TIMEOUT_S: Final = 10.0
 CHECK_INTERVAL_S: Final = 0.25
+# A connection is aborted if its client accepts no byte of its response for this long while the
+# server flushes it.
+FLUSH_TIMEOUT_S: Final = 10.0
 # How long the source of a whole response may be left unread while memory is short: less than the
 # time after which targets cut an answer that is not read.
 MAX_ROOM_WAIT_S: Final = 1.0
@@ -217,6 +220,22 @@
         set_limits(transport)
 
 
+async def flush_or_end(writer: asyncio.StreamWriter, buffer: AnswerBuffer | None = None) -> None:
+    """Wait until the write buffer is empty; end the connection if the client stalls.
+
+    When the process ends, data that a slow client has not received yet would be lost, and its
+    response truncated although the handler had finished it. A client that receives nothing for
+    `FLUSH_TIMEOUT_S` is probably dead; waiting longer would hold its slot, and block a planned
+    stop, forever.
+    """
+    if await flush(writer, FLUSH_TIMEOUT_S, buffer):
+        return
+    if buffer is None:
+        writer.transport.abort()
+    else:
+        buffer.end_stalled()
+
+
 def set_limits(transport: asyncio.WriteTransport) -> None:
     """Set the limits of a transport's buffer at which writers wait and go on."""
     transport.set_write_buffer_limits(WRITE_HIGH_WATER_BYTES, WRITE_LOW_WATER_BYTES)
--- a/rhubarbbend/http/_server.py
+++ b/rhubarbbend/http/_server.py
@@ -15,7 +15,7 @@
 import h11
 
 from rhubarbbend.core.limits import HeldKind, MemoryLedger
-from rhubarbbend.http._answer_buffer import AnswerBuffer, flush, set_limits
+from rhubarbbend.http._answer_buffer import AnswerBuffer, flush_or_end, set_limits
 from rhubarbbend.http._client_connection import (
     CLIENT_READ_BYTES,
     ClientConnection,
@@ -51,12 +51,8 @@
 # How long a connection without a request yet stays open after the server has stopped accepting: its
 # first request may already be on its way.
 IDLE_CLOSE_DELAY_S: Final = 0.5
-# A connection is aborted if its client accepts no byte of its response for this long while the
-# server flushes it.
-FLUSH_TIMEOUT_S: Final = 10.0
-
 # What an open connection takes in this process while nothing is received on it.
-CONNECTION_BYTES: Final = 12_288
+IDLE_CONNECTION_BYTES: Final = 12_288
 # Maximum number of connections that the kernel queues until they are accepted.
 LISTEN_BACKLOG: Final = 1024
 TOO_SLOW: Final = "request took too long to send"
@@ -186,7 +182,7 @@
             return
         self._tasks[task] = None
         limit_read_size(writer.transport, CLIENT_READ_BYTES)
-        self._ledger.record_growth(CONNECTION_BYTES)
+        self._ledger.record_growth(IDLE_CONNECTION_BYTES)
         set_limits(writer.transport)
         limit_kernel_buffer(writer.get_extra_info("socket"))
         client = ClientConnection(reader, writer, self._limits.max_header_bytes)
@@ -206,7 +202,7 @@
             self.on_connection_end(end, client.unanswered_bytes)
             writer.close()
             try:
-                await _flush(writer)
+                await flush_or_end(writer)
             finally:
                 self._tasks.pop(task, None)
 
@@ -394,26 +390,10 @@
     async def _prepare_next(
         self, conn: h11.Connection, writer: asyncio.StreamWriter, buffer: AnswerBuffer
     ) -> bool:
-        await _flush(writer, buffer)
+        await flush_or_end(writer, buffer)
         if writer.transport.is_closing():
             return False
         if conn.our_state is h11.DONE and conn.their_state is h11.DONE:
             conn.start_next_cycle()
             return True
         return False
-
-
-async def _flush(writer: asyncio.StreamWriter, buffer: AnswerBuffer | None = None) -> None:
-    """Wait until the write buffer is empty; end the connection if the client stalls.
-
-    When the process ends, data that a slow client has not received yet would be lost, and its
-    response truncated although the handler had finished it. A client that receives nothing for
-    `FLUSH_TIMEOUT_S` is probably dead; waiting longer would hold its slot, and block a planned
-    stop, forever.
-    """
-    if await flush(writer, FLUSH_TIMEOUT_S, buffer):
-        return
-    if buffer is None:
-        writer.transport.abort()
-    else:
-        buffer.end_stalled()
--- a/rhubarbbend/settings/_types.py
+++ b/rhubarbbend/settings/_types.py
@@ -15,6 +15,7 @@
 import attrs
 
 from rhubarbbend.core import CoreOptions
+from rhubarbbend.resident_size import read_machine_size
 
 MIN_SECRET_BYTES: Final = 16
 
@@ -152,6 +153,8 @@
     head_timeout: float = attrs.field(default=10.0, validator=_check_positive)
     body_timeout: float = attrs.field(default=30.0, validator=_check_positive)
     max_connections: int = attrs.field(default=4_096, validator=_check_positive)
+    # What the process may take, by default the memory of the machine.
+    memory: int = attrs.field(factory=read_machine_size, validator=_check_positive)
     # Deadline of a request that does not set one.
     default_deadline: float = attrs.field(default=60.0, validator=_check_positive)
     max_deadline: float = attrs.field(default=600.0, validator=_check_positive)
--- a/rhubarbbend/shell/_runtime.py
+++ b/rhubarbbend/shell/_runtime.py
@@ -21,12 +21,14 @@
 from rhubarbbend import codes
 from rhubarbbend.background import BackgroundTasks
 from rhubarbbend.core import Core, actions, events
+from rhubarbbend.core.limits import MemoryLedger
 from rhubarbbend.core.messages import Message, ReservedReply, ReservedRun
 from rhubarbbend.core.requests._responses import make_peer_request_id
 from rhubarbbend.http import INPUT_LOOP_ITERATIONS, ConnectionPool, HttpServer
 from rhubarbbend.listening import Listen, start_listening
 from rhubarbbend.operators import ChangeAnswer, OperatorServer, derive_operator_key
 from rhubarbbend.peers import PeerLinks, PeerListener, TunnelOpener
+from rhubarbbend.resident_size import read_resident_size
 from rhubarbbend.settings import Settings, parse_address, read_operator_secret
 from rhubarbbend.shell._attempts import AttemptRunner
 from rhubarbbend.shell._caller_server import CallerServer
@@ -92,7 +94,11 @@
             self._count_bad_frame,
             TunnelServer(fleet, self.metrics).serve,
         )
-        self._http_server = HttpServer(self._caller_server.serve, make_server_limits(settings))
+        self._http_server = HttpServer(
+            self._caller_server.serve,
+            make_server_limits(settings),
+            MemoryLedger(settings.limits.memory, read_resident_size),
+        )
         self._operator_server = self._make_operator_server(secret)
         self._traffic = self._make_traffic()
         self._action_handlers = self._get_action_handlers()
--- a/rhubarbbend/shell/_startup.py
+++ b/rhubarbbend/shell/_startup.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from rhubarbbend.core import Core, Identity
-from rhubarbbend.http import ServerLimits
+from rhubarbbend.http import ServerLimits, compute_max_connections
 from rhubarbbend.settings import Settings
 from rhubarbbend.trace import Recorder
 
@@ -44,7 +44,7 @@
         max_body_bytes=limits.max_body_bytes,
         head_timeout=limits.head_timeout,
         body_timeout=limits.body_timeout,
-        max_connections=limits.max_connections,
+        max_connections=min(limits.max_connections, compute_max_connections(limits.memory)),
     )
 
 
--- a/tests/http/test_server_stop.py
+++ b/tests/http/test_server_stop.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from rhubarbbend.http import Exchange, HttpServer, _server
+from rhubarbbend.http import Exchange, HttpServer, _answer_buffer, _server
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
 # Below the high-water mark above which the event loop makes writers wait.
@@ -65,7 +65,7 @@
     """
 
     async def scenario() -> None:
-        monkeypatch.setattr(_server, "FLUSH_TIMEOUT_S", 1.0)
+        monkeypatch.setattr(_answer_buffer, "FLUSH_TIMEOUT_S", 1.0)
         server = HttpServer(write_unsent_response)
         client = await send_request(await server.listen("127.0.0.1", 0))
         await asyncio.sleep(0.2)
