--- a/tests/adapter/test_callers.py
+++ b/tests/adapter/test_callers.py
@@ -30,3 +30,16 @@
 def test_prompt_with_a_number_too_large_is_malformed(digits: int) -> None:
     exchange = make_exchange(f"aa:{'9' * digits},bb:50")
     assert PlatformCallerProtocol().read_request(exchange).prompt is None
+
+
+def test_a_long_part_id_is_known_by_a_digest() -> None:
+    """Guards against ids of the size of a head that are kept for thousands of prompts."""
+    long_id = "a" * 65
+    prompts = []
+    for text in (f"{long_id}:5,{'b' * 64}:7", f"{long_id.upper()}:5,c:7"):
+        prompt = PlatformCallerProtocol().read_request(make_exchange(text)).prompt
+        assert prompt is not None
+        prompts.append(prompt)
+    first, second = prompts
+    assert first.parts[0] == second.parts[0] and len(first.parts[0].id) == 32
+    assert first.parts[1].id == "b" * 64
--- a/tests/crowds/crowd.py
+++ b/tests/crowds/crowd.py
@@ -16,8 +16,8 @@
 
 Address = tuple[str, int]
 
-# How long a crowd may take to send what it sends; connections whose server does not read wait.
-SEND_TIMEOUT_S: Final = 8.0
+# How long a connection may take to be opened.
+CONNECT_TIMEOUT_S: Final = 8.0
 # How long it stays afterwards.
 HOLD_S: Final = 1.5
 SAMPLE_INTERVAL_S: Final = 0.05
@@ -52,6 +52,8 @@
     # How many connections there are, and how many of them are opened at the same time.
     size = 60
     connect_batch = 100
+    # How long the crowd may take to send; connections whose server does not read wait.
+    send_timeout_s = 8.0
 
     @abc.abstractmethod
     def list_parts(self, door: Door, number: int) -> Sequence[bytes]:
@@ -246,6 +248,38 @@
         return [door.make_head("POST", number, *fields) + b"hi"]
 
 
+class LongPromptIds(Crowd):
+    """Whole requests one after another, each with a prompt part of its own whose id is long."""
+
+    requests = 100
+    send_timeout_s = 40.0
+
+    def list_parts(self, door: Door, number: int) -> Sequence[bytes]:
+        ids = (
+            f"{number:x}f{request:x}f".ljust(HEAD_BYTES - 1_024, "a")
+            for request in range(self.requests)
+        )
+        return [
+            door.make_head("POST", number, "Content-Length: 2", f"Prefix-Hash: {id_}:1,b:1") + b"hi"
+            for id_ in ids
+        ]
+
+    async def run_client(self, client: socket.socket, door: Door, number: int) -> None:
+        """Send the next request once an answer has arrived, until one is a refusal."""
+        loop = asyncio.get_running_loop()
+        try:
+            for part in self.list_parts(door, number):
+                await loop.sock_sendall(client, part)
+                received = b""
+                while not received.endswith(b"0\r\n\r\n"):
+                    received += await loop.sock_recv(client, 65_536)
+                    if not received.startswith(b"HTTP/1.1 200"[: len(received)]) or not received:
+                        return
+        except OSError:
+            # The server has closed the connection, as it may.
+            pass
+
+
 @attrs.define(slots=True)
 class ProcessUse:
     """The most that a process has used; `open_files` is as of the samples that were taken."""
@@ -281,7 +315,7 @@
             for number, client in enumerate(clients)
         ]
         if senders:
-            await asyncio.wait(senders, timeout=SEND_TIMEOUT_S)
+            await asyncio.wait(senders, timeout=crowd.send_timeout_s)
         await asyncio.sleep(HOLD_S)
     finally:
         for sender in senders:
@@ -299,7 +333,7 @@
     client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8_192)
     client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESETTING_LINGER)
     try:
-        async with asyncio.timeout(SEND_TIMEOUT_S):
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
             await asyncio.get_running_loop().sock_connect(client, address)
     except OSError:
         # The server accepts no more; the client stays without a connection.
--- a/tests/crowds/test_gateway.py
+++ b/tests/crowds/test_gateway.py
@@ -20,6 +20,7 @@
     Door,
     LongBodies,
     LongLists,
+    LongPromptIds,
     ManyFields,
     ProcessUse,
     RequestsAhead,
@@ -159,7 +160,7 @@
     async def work() -> None:
         async with start_fleet(tmp_path, **make_options()) as fleet:
             await fleet.set_service_faults("llm", events=100, event_gap=0.1)
-            await check_crowd(fleet, LongLists(), find_door(fleet, "route", "/chat/x"))
+            await check_crowd(fleet, LongLists(), find_door(fleet, "route", "/chat/stream"))
 
     run(work)
 
@@ -177,6 +178,17 @@
     run(work)
 
 
+def test_a_crowd_with_long_prompt_ids_stays_within_the_memory(tmp_path: Path) -> None:
+    """Guards against what outlives requests: ids of 15 KB that are never used again."""
+
+    async def work() -> None:
+        async with start_fleet(tmp_path, **make_options()) as fleet:
+            await fleet.set_service_faults("llm", events=3, event_gap=0.0)
+            await check_crowd(fleet, LongPromptIds(), find_door(fleet, "route", "/chat/stream"))
+
+    run(work)
+
+
 class OneClient:
     """Sends one legal request at an instance without load."""
 
