Server: a refusal for want of memory says when to come back

Callers saw: a request that the server itself refuses for want of memory, as it does with a head that is not whole, gets 503 without Retry-After and may come back at once. And a request that the ledger had given up while its large head waited for a turn was read on.

The response now carries Retry-After: 1, and such a request is refused once its head is whole. The test of bodies that are too many together checks the header; without the change it fails.

--- a/rhubarbbend/http/_rejection.py
+++ b/rhubarbbend/http/_rejection.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+from http import HTTPStatus
 from typing import Final
 
 import h11
@@ -13,6 +14,8 @@
 # Bounds on reading and discarding what a rejected client still sends.
 DISCARD_TIMEOUT_S: Final = 1.0
 MAX_DISCARD_BYTES: Final = 8 * 1024 * 1024
+# When a client may come back for whose request there was no memory.
+RETRY_AFTER_S: Final = 1
 
 
 class Rejection(msgspec.Struct, frozen=True):
@@ -62,14 +65,14 @@
     body = msgspec.json.encode({"error": error})
     if conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
         return
-    response_head = h11.Response(
-        status_code=rejection.status,
-        headers=[
-            (b"Content-Type", b"application/json"),
-            (b"Content-Length", str(len(body)).encode("ascii")),
-            (b"Connection", b"close"),
-        ],
-    )
+    headers = [
+        (b"Content-Type", b"application/json"),
+        (b"Content-Length", str(len(body)).encode("ascii")),
+        (b"Connection", b"close"),
+    ]
+    if rejection.status == HTTPStatus.SERVICE_UNAVAILABLE:
+        headers.append((b"Retry-After", str(RETRY_AFTER_S).encode("ascii")))
+    response_head = h11.Response(status_code=rejection.status, headers=headers)
     for event in (response_head, h11.Data(data=body), h11.EndOfMessage()):
         writer.write(conn.send(event) or b"")
     await writer.drain()
--- a/rhubarbbend/http/_request_body.py
+++ b/rhubarbbend/http/_request_body.py
@@ -164,7 +164,8 @@
         """Count a whole head; raise `MemoryShort` if there is no memory for its request."""
         body.head_size = estimate_head_size(head)
         expected = _read_length(head) + body.head_size
-        if expected > ALWAYS_READ_BYTES and not self._ledger.can_admit(expected, now):
+        is_large = expected > ALWAYS_READ_BYTES
+        if body.is_given_up or (is_large and not self._ledger.can_admit(expected, now)):
             raise MemoryShort("no memory for the request")
         if body.head_size or body.holding is not None:
             self._resize(body, body.head_size, now)
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -108,7 +108,8 @@
         )
         first = asyncio.create_task(send_parts(port, template % b"/wait" + b"b" * 900))
         await asyncio.sleep(0.2)
-        assert parse_error(await send_parts(port, template % b"/" + b"b" * 900))[0] == 503
+        refusal = await send_parts(port, template % b"/" + b"b" * 900)
+        assert parse_error(refusal)[0] == 503 and b"\r\nretry-after: 1\r\n" in refusal.lower()
         assert (await first).startswith(b"HTTP/1.1 200")
         assert (await send_parts(port, template % b"/" + b"b" * 900)).startswith(b"HTTP/1.1 200")
         await server.close()
