Connections: the error of a broken target connection holds no request

Cause: as on the server's side. The error that broke the connection is kept, its traceback refers to the frames that wrote the request, and these refer to the connection.

Both sides now keep errors stripped of traceback and context, and raise copies.

--- a/rhubarbbend/http/_client_connection.py
+++ b/rhubarbbend/http/_client_connection.py
@@ -9,6 +9,8 @@
 
 import h11
 
+from rhubarbbend.http._protocol import copy_error, strip_error
+
 # Most bytes received at once from a client. All connections may receive in one iteration of the
 # event loop, before anything counts or refuses what has come.
 CLIENT_READ_BYTES: Final = 8_192
@@ -37,10 +39,8 @@
 class ClientReader(asyncio.StreamReader):
     """Reads what a client sends; `unread` is how many received bytes are not read yet.
 
-    asyncio keeps the error of a broken connection and raises it at each read and write. Its
-    traceback refers to the frames of all callers, so that an error that is kept holds the request
-    with its head and its body until the garbage collector runs. Here the error that is kept has no
-    traceback, and a new one is raised each time.
+    asyncio keeps the error of a broken connection and raises it at each read and write. Here the
+    error that is kept is stripped, and a copy of it is raised each time.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
@@ -55,28 +55,23 @@
 
     def set_exception(self, exc: Exception) -> None:
         """Keep the error of the connection."""
-        exc.__context__ = None
-        super().set_exception(exc.with_traceback(None))
+        super().set_exception(strip_error(exc))
 
     def exception(self) -> Exception | None:
         """Return an error like the one that is kept, None if there is none."""
         kept = super().exception()
-        return None if kept is None else _copy_error(kept)
+        return None if kept is None else copy_error(kept)
 
     async def read(self, n: int = -1) -> bytes:
         """Return up to `n` received bytes, empty after the client has closed its side."""
         try:
             data = await super().read(n)
         except OSError as error:
-            raise _copy_error(error.with_traceback(None)) from None
+            raise copy_error(strip_error(error)) from None
         self.unread -= len(data)
         return data
 
 
-def _copy_error(error: Exception) -> Exception:
-    return type(error)(*error.args)
-
-
 class ClientConnection:
     """One client connection of a server, with the state of its HTTP protocol.
 
--- a/rhubarbbend/http/_connection_table.py
+++ b/rhubarbbend/http/_connection_table.py
@@ -63,7 +63,7 @@
         return True
 
     def end_one(self, now: float) -> bool:
-        """End the connection that can be missed most; return False if there is none.
+        """End the connection whose loss costs least; return False if none may be ended.
 
         Its client gets no response: in the middle of a request it promises nothing, and the
         descriptor is free in the next iteration of the event loop.
--- a/rhubarbbend/http/_protocol.py
+++ b/rhubarbbend/http/_protocol.py
@@ -78,6 +78,21 @@
         transport.max_size = size
 
 
+def strip_error(error: Exception) -> Exception:
+    """Return an error without its traceback and context, so that it can be kept.
+
+    Both refer to the frames of all callers. A connection that keeps such an error is part of a
+    cycle, and holds the request with its head and its body until the garbage collector runs.
+    """
+    error.__context__ = None
+    return error.with_traceback(None)
+
+
+def copy_error(error: Exception) -> Exception:
+    """Return an error like one that is kept, which is not to get a traceback."""
+    return type(error)(*error.args)
+
+
 def reset_connection(transport: asyncio.WriteTransport) -> None:
     """Discard unsent data and end a connection by a reset."""
     make_close_reset(transport)
@@ -157,7 +172,7 @@
         """
         await self.wait_readable()
         if not self._buffer and self.error is not None:
-            raise self.error
+            raise copy_error(self.error)
         data = bytes(self._buffer)
         self._buffer.clear()
         self.resume_reading()
@@ -204,7 +219,7 @@
         if self._write_waiter is not None:
             await cast(Awaitable[None], self._write_waiter)
         if self.error is not None:
-            raise self.error
+            raise copy_error(self.error)
 
     # Methods of asyncio.Protocol.
 
@@ -257,7 +272,7 @@
         if self.eof:
             return
         self.eof = True
-        self.error = error
+        self.error = None if error is None else strip_error(error)
         if self._sink is not None:
             self._sink.handle_end(error)
         self._wake_reader()
