--- a/rhubarbbend/shell/_runtime.py
+++ b/rhubarbbend/shell/_runtime.py
@@ -94,15 +94,16 @@
             self._count_bad_frame,
             TunnelServer(fleet, self.metrics).serve,
         )
-        self._http_server = HttpServer(
-            self._caller_server.serve,
-            make_server_limits(settings),
-            MemoryLedger(settings.limits.memory, read_resident_size),
-        )
+        self._http_server = self._make_http_server()
         self._operator_server = self._make_operator_server(secret)
         self._traffic = self._make_traffic()
         self._action_handlers = self._get_action_handlers()
 
+    def _make_http_server(self) -> HttpServer:
+        limits = make_server_limits(self.settings)
+        memory = MemoryLedger(self.settings.limits.memory, read_resident_size)
+        return HttpServer(self._caller_server.serve, limits, memory)
+
     def _make_operator_server(self, secret: bytes) -> OperatorServer:
         operator_secret = read_operator_secret(self.settings.operators, secret)
         return OperatorServer(
