--- a/tests/gateway/test_early_answers.py
+++ b/tests/gateway/test_early_answers.py
@@ -30,8 +30,9 @@
     await asyncio.sleep(0.5)
 
 
-async def send(fleet: GatewayFleet, path: str, body: bytes) -> tuple[int, bool]:
-    reply = await fleet.send_request(path, body, Prefix_Hash=PROMPT, Deadline_Ms="3000")
+async def send(fleet: GatewayFleet, path: str, body: bytes, **headers: str) -> tuple[int, bool]:
+    headers = {"Prefix_Hash": PROMPT, "Deadline_Ms": "3000", **headers}
+    reply = await fleet.send_request(path, body, **headers)
     return reply.status, reply.complete
 
 
@@ -58,6 +59,26 @@
     run(work)
 
 
+# Guards against the same for a stream that its caller takes up again.
+@pytest.mark.parametrize("end", [RawEnd.RESET, RawEnd.CLOSED])
+def test_a_stream_taken_up_again_that_ends_beside_an_upload_is_not_complete(
+    tmp_path: Path, end: RawEnd
+) -> None:
+    async def work() -> None:
+        async with start_fleet(
+            tmp_path, instances=1, plain_worker_count=0, engine_worker_count=0
+        ) as fleet:
+            answer = make_answer("200 OK", "/chat/x", is_whole=False).replace(b"id: 1", b"id: 2")
+            async with start_raw_target(fleet, "llm", answer, end) as target:
+                await wait_for_target(fleet)
+                for _ in range(3):
+                    status, complete = await send(fleet, "/chat/x", UPLOAD, Last_Event_Id="1")
+                    assert not (status == 200 and complete)
+                assert target.requests
+
+    run(work)
+
+
 # Guards against an answer with a status that HTTP does not have: the caller takes it for an answer.
 @pytest.mark.parametrize("status", ["000", "099", "600", "999"])
 @pytest.mark.parametrize("path", list(ROUTES))
