Load tool: a group of instances loses its links to targets

What the users saw: callers of instances without links were served far less often than the others. No run of ours cut more than one instance of a fleet of six at a time.

`python -m loadtool cut` cuts a zone, two, or a random share of a real fleet, in any of the three forms, and counts the first tries that are served in each second. A counter and a log line say why a request is handed to no other instance. No decision is changed.

--- a/loadtool/__main__.py
+++ b/loadtool/__main__.py
@@ -6,13 +6,23 @@
 import sys
 from collections.abc import Callable
 
-from loadtool import _chaos, _commands, _crash_table, _demo, _rollout_table, _slopes, _soak
+from loadtool import (
+    _chaos,
+    _commands,
+    _crash_table,
+    _demo,
+    _group_cut,
+    _rollout_table,
+    _slopes,
+    _soak,
+)
 from loadtool._crash_simulation import Setup
 from loadtool._rollout_simulation import DESIGNS
 from loadtool._rollout_table import SITES
 
 COMMANDS: dict[str, Callable[[argparse.Namespace], int]] = {
     "crashes": lambda options: _run_crashes(options),
+    "cut": lambda options: _run_cut(options),
     "soak": lambda options: _run_soak(options),
     "demo": lambda options: _demo.main(),
     "rollouts": lambda options: _rollout_table.main(
@@ -48,6 +58,41 @@
     return _soak.main(options.seed, options.seeds, options.duration, options.size, kinds)
 
 
+def _run_cut(options: argparse.Namespace) -> int:
+    seeds = range(options.seed, options.seed + options.seeds)
+    if options.random:
+        return _group_cut.main(seeds, None, options.instances, options.duration)
+    chosen = _group_cut.CutOptions(
+        instances=options.instances,
+        rate=options.rate,
+        zones_cut=options.zones,
+        share=options.share,
+        cut=_group_cut.LinkCut(options.how),
+        service=options.service,
+        flaps=options.flaps,
+        starting=options.starting,
+        store_lost=options.store_lost,
+        duration=options.duration,
+    )
+    return _group_cut.main(seeds, chosen, options.instances, options.duration)
+
+
+def _add_cut_options(cut: argparse.ArgumentParser) -> None:
+    cut.add_argument("--seed", type=int, default=1)
+    cut.add_argument("--seeds", type=int, default=1, help="number of seeds to run")
+    cut.add_argument("--random", action="store_true", help="choose the rest by the seed")
+    cut.add_argument("--instances", type=int, default=36)
+    cut.add_argument("--duration", type=float, default=12.0, help="seconds that the cut lasts")
+    cut.add_argument("--rate", type=float, default=120.0, help="requests a second in all")
+    cut.add_argument("--zones", type=int, default=1, help="whole zones that are cut off")
+    cut.add_argument("--share", type=float, default=0.0, help="instead, a share of all instances")
+    cut.add_argument("--how", default="silent", choices=[c.value for c in _group_cut.LinkCut])
+    cut.add_argument("--service", default="", choices=("", "plain", "llm"))
+    cut.add_argument("--flaps", action="store_true", help="the cut comes and goes")
+    cut.add_argument("--starting", type=int, default=0, help="instances that start meanwhile")
+    cut.add_argument("--store-lost", action="store_true", help="the store is silent meanwhile")
+
+
 def _run_crashes(options: argparse.Namespace) -> int:
     if options.recurring:
         return _crash_table.play_recurrences(options.instances, options.seeds)
@@ -135,6 +180,9 @@
             "crashes", help="compare ways to judge what crashes targets: parts, or whole requests"
         )
     )
+    _add_cut_options(
+        commands.add_parser("cut", help="cut a group of instances off from targets, count served")
+    )
     _add_soak_kinds(soak)
     _commands.add_parsers(commands)
     return parser.parse_args()
--- a/rhubarbbend/codes/_counters.py
+++ b/rhubarbbend/codes/_counters.py
@@ -234,6 +234,9 @@
 DETOURS_LOST: Final = declare_counter(
     "detours.lost", "instances that accepted no connection for such a request"
 )
+DETOURS_NO_HELPER: Final = declare_counter(
+    "detours.no_helper", "such requests for which no instance could be asked, or no further one"
+)
 DETOURS_SERVED: Final = declare_counter("detours.served", "requests served for other instances")
 TUNNELS_OPENED: Final = declare_counter(
     "tunnels.opened", "connections to targets through another instance"
--- a/rhubarbbend/core/detours/__init__.py
+++ b/rhubarbbend/core/detours/__init__.py
@@ -7,7 +7,7 @@
 """
 
 from rhubarbbend.core.detours._decision import needs_detour
-from rhubarbbend.core.detours._helpers import HelperSelector
+from rhubarbbend.core.detours._helpers import HelperCounts, HelperSelector
 from rhubarbbend.core.detours._paths import PathTracker
 
-__all__ = ["HelperSelector", "PathTracker", "needs_detour"]
+__all__ = ["HelperCounts", "HelperSelector", "PathTracker", "needs_detour"]
--- a/rhubarbbend/core/detours/_helpers.py
+++ b/rhubarbbend/core/detours/_helpers.py
@@ -12,6 +12,8 @@
 from collections.abc import Callable, Collection, Iterator, Mapping
 from typing import Final
 
+import msgspec
+
 from rhubarbbend.core._rendezvous import rank_names
 
 # For this long after a helper's answer, the destination is expected to need one.
@@ -38,6 +40,18 @@
         self.until = -math.inf
 
 
+class HelperCounts(msgspec.Struct, frozen=True):
+    """Why no other instance is asked for a destination: how many are passed over, by reason.
+
+    `available` are those that could be asked if fewer had just been asked in vain.
+    """
+
+    not_heard: int
+    lost: int
+    declined: int
+    available: int
+
+
 class HelperSelector:
     """Selects helpers. Invariant: an instance never selects itself."""
 
@@ -91,6 +105,25 @@
                 return helper
         return None
 
+    def count(
+        self, destination: str, zones: Mapping[str, str], heard: Collection[str], now: float
+    ) -> HelperCounts:
+        """Count the other instances by the reason for which they are passed over now."""
+        self._update_order(zones)
+        is_heard = self._make_hearing_filter(heard)
+        counts: Counter[str] = Counter()
+        for name in (*self._own_zone, *self._elsewhere):
+            backoff = self._backoffs.get((destination, name))
+            if not is_heard(name):
+                counts["not_heard"] += 1
+            elif now < self._lost_until.get(name, -math.inf):
+                counts["lost"] += 1
+            elif backoff is not None and now < backoff.until:
+                counts["declined"] += 1
+            else:
+                counts["available"] += 1
+        return HelperCounts(*(counts[name] for name in HelperCounts.__struct_fields__))
+
     def _select_least_busy(self, names: Iterator[str]) -> str | None:
         """Return the first instance that has no request from here, else the one with fewest."""
         least: str | None = None
--- a/rhubarbbend/gateway/_detours.py
+++ b/rhubarbbend/gateway/_detours.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Collection
 from typing import Any, Final
 
 import msgspec
@@ -101,6 +102,7 @@
                 request.service.name, self._state.instance_zones, heard, asked, now
             )
             if helper is None:
+                self._log_no_helper(request, heard, now)
                 break
             asked.add(helper)
             self._selector.record_sent(helper)
@@ -112,6 +114,15 @@
                 break
         return result
 
+    def _log_no_helper(self, request: OpenRequest, heard: Collection[str], now: float) -> None:
+        """Log why a request is handed to no other instance, or to no further one."""
+        self._state.metrics.increment_counter(codes.DETOURS_NO_HELPER)
+        service = request.service.name
+        counts = self._selector.count(service, self._state.instance_zones, heard, now)
+        self._state.event_log.write(
+            "no_helper", now, id=request.id, service=service, **msgspec.structs.asdict(counts)
+        )
+
     async def _ask(self, request: OpenRequest, helper: str) -> DetourResult:
         connection = await self._connect(helper)
         if connection is None:
