Detours: instances tell one another which services they do not reach

Callers saw: while a zone had lost its links to all targets, its instances refused nearly all requests (35 of 241 first tries served from 3 s on, 599 of 599 at the others), although the instances of the other zones were idle.

Cause: each instance searched for help by itself, one request at a time: three asks a request, eight in vain a second, those of its own zone first, each forgotten after 0.5 to 4 s. If the neighbours lost their links by the same fault, one of them was always due again, and the search never left the zone. With most of the fleet cut off, the bound was used up wherever the search began.

Now an instance that loses its links to half of a service's targets tells the others once, as an update that goes by the relays, and again when it reaches them; those that join are told what is known. Whoever looks for help passes over all that have said so, so that an instance is asked in vain once, by anybody, not once by each. It tries two targets a second until it reaches them, also without requests.

--- a/rhubarbbend/core/detours/__init__.py
+++ b/rhubarbbend/core/detours/__init__.py
@@ -6,8 +6,17 @@
 slots and claims, the helper opens a tunnel to the target instead.
 """
 
-from rhubarbbend.core.detours._decision import needs_detour
+from rhubarbbend.core.detours._decision import has_lost_links, needs_detour
 from rhubarbbend.core.detours._helpers import HelperCounts, HelperSelector
 from rhubarbbend.core.detours._paths import PathTracker
+from rhubarbbend.core.detours._reach import ReachNotice, ReachTable
 
-__all__ = ["HelperCounts", "HelperSelector", "PathTracker", "needs_detour"]
+__all__ = [
+    "HelperCounts",
+    "HelperSelector",
+    "PathTracker",
+    "ReachNotice",
+    "ReachTable",
+    "has_lost_links",
+    "needs_detour",
+]
--- a/rhubarbbend/core/detours/_helpers.py
+++ b/rhubarbbend/core/detours/_helpers.py
@@ -1,31 +1,36 @@
 """Selects the instance that an instance without links to a destination asks for help.
 
-A destination is a service, or one target. Whether another instance reaches it is learned from its
-replies: it declines at once what it cannot send either. The destination may be down for everybody,
-so the number of instances asked in vain is limited.
+A destination is a service, or one target. Which instances do not reach it is known from what they
+say of themselves (`ReachTable`). One that has not noticed yet that it does not declines at once.
+The destination may be down for everybody, so the number of instances asked in vain is limited.
 """
 
 from __future__ import annotations
 
 import math
 from collections import Counter, deque
-from collections.abc import Callable, Collection, Iterator, Mapping
+from collections.abc import Callable, Collection, Mapping
 from typing import Final
 
 import msgspec
 
 from rhubarbbend.core._rendezvous import rank_names
 
-# For this long after a helper's answer, the destination is expected to need one.
-IN_USE_S: Final = 2.0
+# For this long after a helper's answer, it is preferred to one that has not been asked.
+ANSWER_TTL_S: Final = 2.0
 # How long a helper is not asked again for a destination after it declined, doubled with each time.
 MIN_DECLINE_BACKOFF_S: Final = 0.5
 MAX_DECLINE_BACKOFF_S: Final = 4.0
+# How long a helper that has no room is not asked again for a destination.
+BUSY_BACKOFF_S: Final = 0.2
 # How long an instance that did not reply is not asked for anything.
 LOST_BACKOFF_S: Final = 1.0
 # Instances that are asked in vain for a destination within a second, at most. Where it is down for
 # everybody, each request would otherwise be sent round the fleet.
 MAX_DECLINES_PER_S: Final = 8
+# The own zone comes first while at least this fraction of it can be asked. The few that are left
+# would otherwise get the requests of the whole zone.
+MIN_OWN_ZONE_FRACTION: Final = 0.5
 # If this fraction of the other instances is heard, one that is not heard is not asked.
 MIN_HEARD_FRACTION: Final = 0.5
 
@@ -47,6 +52,7 @@
     """
 
     not_heard: int
+    unreached: int
     lost: int
     declined: int
     available: int
@@ -66,12 +72,7 @@
         self._answered_by: dict[str, dict[str, float]] = {}
         # The instances from which the order was computed.
         self._zones: Mapping[str, str] = {}
-        self._own_zone: list[str] = []
-        self._elsewhere: list[str] = []
-
-    def is_in_use(self, destination: str, now: float) -> bool:
-        """Return whether a destination has been reached through a helper lately."""
-        return bool(self._list_answering(destination, now))
+        self._order: list[str] = []
 
     def select(
         self,
@@ -80,71 +81,92 @@
         heard: Collection[str],
         asked: Collection[str],
         now: float,
+        unreached_by: Collection[str] = (),
     ) -> str | None:
         """Return the instance to ask for a destination; None if none should be asked now.
 
         `zones` has the zone of each instance. `heard` are the instances that this one hears
-        directly, `asked` those that have already declined. One of the own zone comes first, since
-        bytes between zones are paid.
+        directly, `asked` those that have already declined. `unreached_by` are those that have said
+        that they do not reach the destination.
+
+        One of the own zone comes first, since bytes between zones are paid, unless most of that
+        zone do not reach the destination. After one of a zone has declined, those of other zones
+        come first: a fault mostly takes the links of a whole zone.
         """
         self._update_order(zones)
         is_heard = self._make_hearing_filter(heard)
+        answering = self._list_answering(destination, now)
         may_try_others = self._count_declines(destination, now) < MAX_DECLINES_PER_S
-
-        def may_ask(name: str) -> bool:
-            return name not in asked and is_heard(name) and self._may_ask(destination, name, now)
-
-        answering = [n for n in self._list_answering(destination, now) if may_ask(n)]
-        for is_own_zone, others in ((True, self._own_zone), (False, self._elsewhere)):
-            helpers = [n for n in answering if (zones[n] == self._zone) is is_own_zone]
-            if helpers:
-                return min(helpers, key=lambda name: self._in_flight[name])
-            unknown = (n for n in others if may_ask(n)) if may_try_others else iter(())
-            helper = self._select_least_busy(unknown)
-            if helper is not None:
-                return helper
-        return None
+        asked_by_zone = Counter(zones[name] for name in asked if name in zones)
+        prefers_own_zone = self._can_use_own_zone(unreached_by)
+
+        def rank(name: str) -> tuple[int, bool, int, bool]:
+            is_elsewhere = prefers_own_zone and zones[name] != self._zone
+            asked_in_zone = asked_by_zone[zones[name]]
+            return asked_in_zone, is_elsewhere, self._in_flight[name], name not in answering
+
+        candidates = [
+            name
+            for name in self._order
+            if name not in asked
+            and name not in unreached_by
+            and is_heard(name)
+            and (may_try_others or name in answering)
+            and self._may_ask(destination, name, now)
+        ]
+        return min(candidates, key=rank, default=None)
+
+    def _can_use_own_zone(self, unreached_by: Collection[str]) -> bool:
+        """Return whether most of the own zone can be asked, as far as they have said."""
+        in_zone = [name for name in self._order if self._zones[name] == self._zone]
+        usable = sum(name not in unreached_by for name in in_zone)
+        return usable >= MIN_OWN_ZONE_FRACTION * len(in_zone)
+
+    def has_other(
+        self, zones: Mapping[str, str], unreached_by: Collection[str], now: float
+    ) -> bool:
+        """Return whether an instance is known that may reach what this one does not."""
+        self._update_order(zones)
+        return any(
+            name not in unreached_by and now >= self._lost_until.get(name, -math.inf)
+            for name in self._order
+        )
 
     def count(
-        self, destination: str, zones: Mapping[str, str], heard: Collection[str], now: float
+        self,
+        destination: str,
+        zones: Mapping[str, str],
+        heard: Collection[str],
+        now: float,
+        unreached_by: Collection[str] = (),
     ) -> HelperCounts:
         """Count the other instances by the reason for which they are passed over now."""
         self._update_order(zones)
         is_heard = self._make_hearing_filter(heard)
         counts: Counter[str] = Counter()
-        for name in (*self._own_zone, *self._elsewhere):
-            backoff = self._backoffs.get((destination, name))
+        for name in self._order:
             if not is_heard(name):
                 counts["not_heard"] += 1
+            elif name in unreached_by:
+                counts["unreached"] += 1
             elif now < self._lost_until.get(name, -math.inf):
                 counts["lost"] += 1
-            elif backoff is not None and now < backoff.until:
+            elif not self._may_ask(destination, name, now):
                 counts["declined"] += 1
             else:
                 counts["available"] += 1
         return HelperCounts(*(counts[name] for name in HelperCounts.__struct_fields__))
 
-    def _select_least_busy(self, names: Iterator[str]) -> str | None:
-        """Return the first instance that has no request from here, else the one with fewest."""
-        least: str | None = None
-        for name in names:
-            if not self._in_flight[name]:
-                return name
-            if least is None or self._in_flight[name] < self._in_flight[least]:
-                least = name
-        return least
-
     def _make_hearing_filter(self, heard: Collection[str]) -> Callable[[str], bool]:
         """Return a filter of instances: those that are heard, if most of the others are."""
-        others = max(1, len(self._own_zone) + len(self._elsewhere))
-        if len(heard) < MIN_HEARD_FRACTION * others:
+        if len(heard) < MIN_HEARD_FRACTION * max(1, len(self._order)):
             return lambda name: True
         return frozenset(heard).__contains__
 
-    def _list_answering(self, destination: str, now: float) -> list[str]:
+    def _list_answering(self, destination: str, now: float) -> set[str]:
         """Return the instances through which the destination was reached lately."""
         answered_at = self._answered_by.get(destination, {})
-        return [name for name, at in answered_at.items() if now - at < IN_USE_S]
+        return {name for name, at in answered_at.items() if now - at < ANSWER_TTL_S}
 
     def record_sent(self, helper: str) -> None:
         """Record that a request was handed to a helper."""
@@ -171,6 +193,11 @@
         backoff.until = now + backoff.seconds
         self._declined_at.setdefault(destination, deque(maxlen=MAX_DECLINES_PER_S)).append(now)
 
+    def record_busy(self, destination: str, helper: str, now: float) -> None:
+        """Record that a helper has no room for requests to a destination now."""
+        backoff = self._get_backoff(destination, helper)
+        backoff.until = max(backoff.until, now + BUSY_BACKOFF_S)
+
     def record_lost(self, helper: str, now: float) -> None:
         """Record that an instance could not be reached or fell silent."""
         self._lost_until[helper] = now + LOST_BACKOFF_S
@@ -180,9 +207,7 @@
             return
         self._zones = zones
         # Each instance has an order of its own, so that not all ask the same helper first.
-        order = rank_names(self._instance, [name for name in zones if name != self._instance])
-        self._own_zone = [name for name in order if zones[name] == self._zone]
-        self._elsewhere = [name for name in order if zones[name] != self._zone]
+        self._order = rank_names(self._instance, [name for name in zones if name != self._instance])
         self._backoffs = {k: backoff for k, backoff in self._backoffs.items() if k[1] in zones}
         self._lost_until = {k: until for k, until in self._lost_until.items() if k in zones}
         self._answered_by = {
--- a/rhubarbbend/gateway/_detour_server.py
+++ b/rhubarbbend/gateway/_detour_server.py
@@ -66,6 +66,19 @@
             request_id = self._caller_protocol.read_request_id(exchange)
             self._ender.write_error(exchange, request_id, codes.NOT_READY, Verdict.NOT_RUN, 0.0)
 
+    def _admit(self, exchange: Exchange, now: float) -> OpenRequest | None:
+        """Return the request if it may be sent; decline it at once if its targets are not reached.
+
+        Otherwise it could be refused for want of room at the targets, of which this instance knows
+        nothing, and its sender would ask this instance again and again.
+        """
+        request = super()._admit(exchange, now)
+        if request is not None and self._state.reach.is_unreached_here(request.service.name):
+            self._prober.probe(request.service.name, now)
+            self._ender.refuse(request, codes.NO_TARGET, now)
+            return None
+        return request
+
     def _may_serve(self, terms: DetourTerms) -> bool:
         """Return whether this instance serves detours, and by no older configuration."""
         catalog = self._state.catalog
--- a/rhubarbbend/gateway/_detours.py
+++ b/rhubarbbend/gateway/_detours.py
@@ -87,9 +87,10 @@
         self._clock = clock
         self._selector = HelperSelector(state.settings.instance, state.settings.zone)
 
-    def is_in_use(self, service: str, now: float) -> bool:
-        """Return whether requests to a service have been served by helpers lately."""
-        return self._selector.is_in_use(service, now)
+    def has_helper(self, service: str, now: float) -> bool:
+        """Return whether an instance is known that may reach a service which this one does not."""
+        unreached_by = self._state.reach.list_unreached_by(service, now)
+        return self._selector.has_other(self._state.instance_zones, unreached_by, now)
 
     async def run(self, request: OpenRequest) -> DetourResult:
         """Have a request served by a helper; forward the answer, or return why there is none."""
@@ -98,8 +99,10 @@
         while len(asked) < MAX_HELPERS_ASKED:
             now = self._clock()
             heard = self._state.loads.peer_counts.list_senders(now)
+            service = request.service.name
+            unreached_by = self._state.reach.list_unreached_by(service, now)
             helper = self._selector.select(
-                request.service.name, self._state.instance_zones, heard, asked, now
+                service, self._state.instance_zones, heard, asked, now, unreached_by
             )
             if helper is None:
                 self._log_no_helper(request, heard, now)
@@ -118,7 +121,9 @@
         """Log why a request is handed to no other instance, or to no further one."""
         self._state.metrics.increment_counter(codes.DETOURS_NO_HELPER)
         service = request.service.name
-        counts = self._selector.count(service, self._state.instance_zones, heard, now)
+        unreached_by = self._state.reach.list_unreached_by(service, now)
+        zones = self._state.instance_zones
+        counts = self._selector.count(service, zones, heard, now, unreached_by)
         self._state.event_log.write(
             "no_helper", now, id=request.id, service=service, **msgspec.structs.asdict(counts)
         )
@@ -235,6 +240,8 @@
         if refusal.verdict is Verdict.NOT_RUN:
             if refusal.code in UNABLE_CODES:
                 self._selector.record_declined(request.service.name, helper, self._clock())
+            else:
+                self._selector.record_busy(request.service.name, helper, self._clock())
             self._state.metrics.increment_counter(codes.DETOURS_DECLINED)
         else:
             request.progress.may_have_run = True
--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -294,6 +294,7 @@
             now = read_clock()
             self.state.crashes.expire(now)
             self.state.connection_limits.expire(now)
+            self.state.reach.expire(now)
             self._origins.expire(now)
             self._starts.expire()
             self._pool.close_expired(now)
--- a/rhubarbbend/gateway/_peer_updates.py
+++ b/rhubarbbend/gateway/_peer_updates.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from rhubarbbend.core.crashes import CrashLedger, Loss
+from rhubarbbend.core.detours import ReachNotice
 from rhubarbbend.core.directory import get_target_id
 from rhubarbbend.core.placement import (
     BrittleNotice,
@@ -115,6 +116,7 @@
     is_urgent: bool = False
     full: list[FullTargetNotice] = []
     displaced: list[DisplacedTarget] = []
+    reach: list[ReachNotice] = []
 
     def add_age(self, now: float) -> PeerUpdate:
         """Return the update to relay now; the time since its receipt is added to its ages."""
@@ -125,6 +127,7 @@
             crashes=[loss.add_age(waited) for loss in self.crashes],
             findings=None if self.findings is None else self.findings.add_age(waited),
             full=[notice.add_age(waited) for notice in self.full],
+            reach=[notice.add_age(waited) for notice in self.reach],
             loads=[],
             received_at=None,
         )
--- a/rhubarbbend/gateway/_peers.py
+++ b/rhubarbbend/gateway/_peers.py
@@ -153,7 +153,8 @@
     def _make_join_reply(self, now: float) -> PeerUpdate:
         locations = self._state.placement.prompt_locations.list_recent(now)
         known = make_crash_update(self._state.crashes, now)
-        return msgspec.structs.replace(known, locations=locations)
+        reach = self._state.reach.list_notices(now)
+        return msgspec.structs.replace(known, locations=locations, reach=reach)
 
     async def _serve_changes(self, exchange: Exchange, query: ChangesQuery) -> None:
         received_at = read_clock()
@@ -183,7 +184,9 @@
             [update.add_age(now) for update in updates.items], updates.position
         )
         if query.updates_position is None:
-            aged_updates.items.append(make_crash_update(self._state.crashes, now))
+            known = make_crash_update(self._state.crashes, now)
+            reach = self._state.reach.list_notices(now)
+            aged_updates.items.append(msgspec.structs.replace(known, reach=reach))
         loads = self._state.loads.list_reports_since(query.loads_received_until, True, now)
         reply = ChangesReply(
             pages, staleness, now - received_at, since_recovery, aged_updates, loads, now
--- a/rhubarbbend/gateway/_request_server.py
+++ b/rhubarbbend/gateway/_request_server.py
@@ -15,7 +15,7 @@
 from rhubarbbend.codes import ErrorCode, Verdict
 from rhubarbbend.core.catalog import Catalog, RequestKind
 from rhubarbbend.core.delivery import AttemptOutcome, decide_step
-from rhubarbbend.core.detours import needs_detour
+from rhubarbbend.core.detours import has_lost_links, needs_detour
 from rhubarbbend.core.placement import Choice
 from rhubarbbend.gateway._admission import AdmissionGate
 from rhubarbbend.gateway._attempts import AttemptRunner, RetryBudgetExhausted
@@ -304,13 +304,14 @@
     def _avoids_unreachable(self, request: OpenRequest, now: float) -> bool:
         """Return whether a request is not used to try targets that cannot be reached.
 
-        While helpers serve the requests of a service, none of them has to wait for a connect
-        time-out; probes find out when the targets can be reached again.
+        While other instances may serve the requests of a service, none of them has to wait for a
+        connect time-out; probes find out when the targets can be reached again.
         """
-        if not self._detours.is_in_use(request.service.name, now):
+        service = request.service.name
+        if not self._state.reach.is_unreached_here(service):
             return False
-        self._prober.probe(request.service.name, now)
-        return True
+        self._prober.probe(service, now)
+        return self._detours.has_helper(service, now)
 
     async def _go_on_without_target(self, request: OpenRequest, connect_failures: int) -> bool:
         """End a request that this instance can send to no target, or wait until it can.
@@ -321,6 +322,8 @@
         rejections = self._state.placement.last_rejections
         request.rejection_counts = {r.value: count for r, count in rejections.items()}
         code = self._ender.select_refusal(request, rejections.keys())
+        if has_lost_links(rejections, connect_failures):
+            self._prober.watch(request.service.name, self._clock())
         has_waited = request.wait_ends_at is not None
         if needs_detour(rejections, connect_failures) and not has_waited:
             if request.progress.sends > 0 and not self._alternatives.acquire_retry(request):
--- a/rhubarbbend/gateway/_state.py
+++ b/rhubarbbend/gateway/_state.py
@@ -15,6 +15,7 @@
 from rhubarbbend.core._rendezvous import hash_to_unit_interval
 from rhubarbbend.core.catalog import Catalog, Service
 from rhubarbbend.core.crashes import CrashLedger, RefusalRules
+from rhubarbbend.core.detours import ReachTable
 from rhubarbbend.core.directory import Target, TargetRegistry
 from rhubarbbend.core.limits import MemoryLedger
 from rhubarbbend.core.mirror import Mirror
@@ -79,6 +80,8 @@
         self.loads = LoadTracker()
         self.health = HealthTracker()
         self.pauses = PauseTracker()
+        # Which services this instance and the others reach.
+        self.reach = ReachTable(settings.instance)
         self.brittle = BrittleTracker(settings.instance, self.random)
         self.connection_limits = ConnectionLimitTracker()
         self.cold_target_share = _make_cold_share(settings)
@@ -213,6 +216,8 @@
 
     def add_instance(self, name: str, row: InstanceRow) -> None:
         """Add an instance to the list, or replace its row."""
+        if name not in self.instances:
+            self.reach.forget(name)
         self.instances = {**self.instances, name: row}
         self._departed.pop(name, None)
         self._handle_instances_changed()
@@ -223,6 +228,7 @@
         if row is None:
             return
         self._departed[name] = (row, now)
+        self.reach.forget(name)
         self.instances = {known: row for known, row in self.instances.items() if known != name}
         self._handle_instances_changed()
 
@@ -262,6 +268,7 @@
         if update.sender != self.settings.instance:
             self.health.merge_outcomes(update.outcomes, now)
             self.brittle.merge_notices(update.brittle, now)
+            self.reach.merge_notices(update.reach, now)
             self._merge_full_targets(update, now)
             self.on_displaced_learned(update)
         for rollout in update.rollouts:
@@ -294,6 +301,7 @@
             update.findings,
             update.full,
             update.displaced,
+            update.reach,
         )
         if not any(relayed):
             return
--- a/rhubarbbend/gateway/_update_broadcaster.py
+++ b/rhubarbbend/gateway/_update_broadcaster.py
@@ -15,6 +15,9 @@
 LOCATION_BATCH_DELAY_S: Final = 0.05
 # Outcomes of requests to targets are sent in batches after this delay.
 OUTCOME_BATCH_DELAY_S: Final = 0.1
+# What is found out about the reach of services is sent at most once in this time, also while links
+# come and go. The first finding is sent at once.
+REACH_INTERVAL_S: Final = 0.5
 
 
 class UpdateBroadcaster:
@@ -32,6 +35,8 @@
         state.brittle.on_unsent = self._has_unsent_notices.set
         self._has_unsent_full = asyncio.Event()
         state.connection_limits.on_unsent = self._has_unsent_full.set
+        self._has_unsent_reach = asyncio.Event()
+        state.reach.on_unsent = self._has_unsent_reach.set
 
     def list_loops(self) -> list[Callable[[], Coroutine[Any, Any, None]]]:
         """Return the loops that send updates for as long as the instance runs."""
@@ -40,6 +45,7 @@
             self._broadcast_outcomes,
             self._broadcast_brittle,
             self._broadcast_full,
+            self._broadcast_reach,
         ]
 
     async def _broadcast_prompt_locations(self) -> None:
@@ -75,3 +81,12 @@
             self._has_unsent_full.clear()
             notices = self._state.connection_limits.pop_unsent(read_clock())
             await self._peers.broadcast(PeerUpdate(full=notices, sender=self._name))
+
+    async def _broadcast_reach(self) -> None:
+        """Tell the other instances which services this one does not reach, or reaches again."""
+        while True:
+            await self._has_unsent_reach.wait()
+            self._has_unsent_reach.clear()
+            notices = self._state.reach.pop_unsent()
+            await self._peers.broadcast(PeerUpdate(sender=self._name, reach=notices))
+            await asyncio.sleep(REACH_INTERVAL_S)
