--- a/loadtool/__main__.py
+++ b/loadtool/__main__.py
@@ -12,6 +12,7 @@
     _crash_table,
     _demo,
     _group_cut,
+    _helper_simulation,
     _rollout_table,
     _slopes,
     _soak,
@@ -25,6 +26,9 @@
     "cut": lambda options: _run_cut(options),
     "soak": lambda options: _run_soak(options),
     "demo": lambda options: _demo.main(),
+    "helpers": lambda options: _helper_simulation.main(
+        options.instances, options.zones, options.seeds
+    ),
     "rollouts": lambda options: _rollout_table.main(
         options.seed, options.count, options.design, options.site
     ),
@@ -183,6 +187,12 @@
     _add_cut_options(
         commands.add_parser("cut", help="cut a group of instances off from targets, count served")
     )
+    helpers = commands.add_parser(
+        "helpers", help="compare ways to find an instance that reaches targets, in virtual time"
+    )
+    helpers.add_argument("--instances", type=int, default=67)
+    helpers.add_argument("--zones", type=int, default=4)
+    helpers.add_argument("--seeds", type=int, default=5)
     _add_soak_kinds(soak)
     _commands.add_parsers(commands)
     return parser.parse_args()
--- a/rhubarbbend/core/detours/_helpers.py
+++ b/rhubarbbend/core/detours/_helpers.py
@@ -21,8 +21,8 @@
 # How long a helper is not asked again for a destination after it declined, doubled with each time.
 MIN_DECLINE_BACKOFF_S: Final = 0.5
 MAX_DECLINE_BACKOFF_S: Final = 4.0
-# How long a helper that has no room is not asked again for a destination.
-BUSY_BACKOFF_S: Final = 0.2
+# For how long a helper that had no room for a destination is asked after all others.
+BUSY_S: Final = 0.2
 # How long an instance that did not reply is not asked for anything.
 LOST_BACKOFF_S: Final = 1.0
 # Instances that are asked in vain for a destination within a second, at most. Where it is down for
@@ -65,6 +65,7 @@
         self._instance = instance
         self._zone = zone
         self._backoffs: dict[tuple[str, str], _Backoff] = {}
+        self._busy_until: dict[tuple[str, str], float] = {}
         self._lost_until: dict[str, float] = {}
         self._declined_at: dict[str, deque[float]] = {}
         self._in_flight: Counter[str] = Counter()
@@ -100,10 +101,14 @@
         asked_by_zone = Counter(zones[name] for name in asked if name in zones)
         prefers_own_zone = self._can_use_own_zone(unreached_by)
 
-        def rank(name: str) -> tuple[int, bool, int, bool]:
-            is_elsewhere = prefers_own_zone and zones[name] != self._zone
-            asked_in_zone = asked_by_zone[zones[name]]
-            return asked_in_zone, is_elsewhere, self._in_flight[name], name not in answering
+        def rank(name: str) -> tuple[bool, int, bool, int, bool]:
+            return (
+                now < self._busy_until.get((destination, name), -math.inf),
+                asked_by_zone[zones[name]],
+                prefers_own_zone and zones[name] != self._zone,
+                self._in_flight[name],
+                name not in answering,
+            )
 
         candidates = [
             name
@@ -195,8 +200,7 @@
 
     def record_busy(self, destination: str, helper: str, now: float) -> None:
         """Record that a helper has no room for requests to a destination now."""
-        backoff = self._get_backoff(destination, helper)
-        backoff.until = max(backoff.until, now + BUSY_BACKOFF_S)
+        self._busy_until[destination, helper] = now + BUSY_S
 
     def record_lost(self, helper: str, now: float) -> None:
         """Record that an instance could not be reached or fell silent."""
@@ -209,6 +213,7 @@
         # Each instance has an order of its own, so that not all ask the same helper first.
         self._order = rank_names(self._instance, [name for name in zones if name != self._instance])
         self._backoffs = {k: backoff for k, backoff in self._backoffs.items() if k[1] in zones}
+        self._busy_until = {k: until for k, until in self._busy_until.items() if k[1] in zones}
         self._lost_until = {k: until for k, until in self._lost_until.items() if k in zones}
         self._answered_by = {
             destination: {name: at for name, at in answered.items() if name in zones}
