Crashes: an instance without links to a service is no witness of its targets

What became of a target is asked of one instance a zone; one that could not connect took that for the target's end if any other target of any service accepted a connection. With the links to one service lost, those of another show nothing.

Now instances that have said that they do not reach the service are not asked, and only targets of the same service show that there are links, unless there is none.

--- a/loadtool/_group_cut.py
+++ b/loadtool/_group_cut.py
@@ -101,6 +101,8 @@
     seed: int
     cut_off: frozenset[str]
     tries: list[FirstTry] = attrs.Factory(list)
+    # Targets that instances took for ended under a request; all of them run.
+    false_ends: list[str] = attrs.Factory(list)
 
     def count(self, is_cut_off: bool, since: float, until: float) -> tuple[int, int]:
         """Return how many requests were served, and how many were sent, in a time."""
@@ -112,7 +114,12 @@
         return sum(t.is_served for t in chosen), len(chosen)
 
     def find_violations(self) -> list[str]:
-        """Return a line for each kind of failure of the users' rule, from `CONTACT_S` on."""
+        """Return a line for each guarantee that was broken."""
+        ends = f"crashes: {', '.join(self.false_ends[:5])} taken for ended, but run"
+        return [*self._find_refused_callers(), *([ends] if self.false_ends else [])]
+
+    def _find_refused_callers(self) -> list[str]:
+        """Return a line if the users' rule on first tries is broken, from `CONTACT_S` on."""
         until = self.options.duration
         served, sent = self.count(True, CONTACT_S, until)
         served_elsewhere, sent_elsewhere = self.count(False, CONTACT_S, until)
@@ -189,6 +196,12 @@
         await asyncio.gather(
             self._send_all(), self._cut_links(), self._start_late(starting), self._lose_store()
         )
+        self._result.false_ends = [
+            f"{line['target']} by {name}"
+            for name in self._fleet.instances
+            for line in self._fleet.read_log(name)
+            if line["event"] == "crash_counted"
+        ]
         return self._result
 
     async def _stop(self, name: str) -> None:
--- a/rhubarbbend/gateway/_crash_detector.py
+++ b/rhubarbbend/gateway/_crash_detector.py
@@ -263,8 +263,8 @@
         unreachable = state.health.count_unreachable_since(now - SIMULTANEOUS_LOSS_WINDOW_S)
         if unreachable > 1:
             self._log_doubt(request, target, f"{unreachable} targets lost together")
-        elif not await self._checker.reaches_another(target.id):
-            self._log_doubt(request, target, "no other target is reached")
+        elif not await self._checker.reaches_another(target.id, target.service):
+            self._log_doubt(request, target, "no other target of its service is reached")
         else:
             self._news.tell_unreachable(target.id)
         return False
--- a/rhubarbbend/gateway/_target_checker.py
+++ b/rhubarbbend/gateway/_target_checker.py
@@ -2,7 +2,8 @@
 
 A target that cannot be reached from here may be reached by others. So another instance is asked,
 and one of the target's own availability zone first: what only instances of one other zone cannot
-reach may be partitioned from them. One that reaches no other target may have lost its own links.
+reach may be partitioned from them. One that reaches no other target of the service may have lost
+its own links, so an instance that has said so is not asked.
 
 A target may be back under its id and address before it is asked, so an id alone does not show that
 it is the same start. Engines state their boot number; that of other targets is in the registry.
@@ -37,7 +38,7 @@
 # older connections open, or others have met its limit lately, is at its limit on connections.
 MAX_TRIES: Final = 3
 RETRY_DELAY_S: Final = 0.05
-# Other targets that are tried to find out whether this instance has any links at all.
+# Other targets of a service that are tried to find out whether this instance has links to it.
 MAX_OTHERS_TRIED: Final = 2
 MAX_REPORT_BYTES: Final = 65_536
 # A sound target may be silent for a second or so, so one that has ended an answer is contacted up
@@ -56,7 +57,7 @@
     SAME_ID = "same id"  # A target with its id answers and does not say which start of it it is.
     OTHER = "other"  # Another target answers, or another start of it.
     REFUSED = "refused"  # No connection is accepted, or each is closed without an answer.
-    CUT_OFF = "cut off"  # No connection is accepted, nor is one by other targets.
+    CUT_OFF = "cut off"  # No connection is accepted, nor is one by others of its service.
     # Each new connection is closed without an answer, while an older one is open or was lately.
     FULL = "full"
     SILENT = "silent"  # Nothing comes back that tells who it is.
@@ -195,14 +196,21 @@
         query = decode_msgpack(body, type=CheckQuery)
         contact = await self._contact(query)
         if contact is Contact.REFUSED and not await self.reaches_another(
-            get_target_id(query.target)
+            get_target_id(query.target), query.service
         ):
             contact = Contact.CUT_OFF
         return msgspec.msgpack.encode(CheckReply(contact))
 
-    async def reaches_another(self, target: str) -> bool:
-        """Return whether some other target accepts a connection than the one with an id."""
+    async def reaches_another(self, target: str, service: str) -> bool:
+        """Return whether some other target accepts a connection than the one with an id.
+
+        It is one of the same service, unless there is none: the links to a service may be lost
+        while those to others work.
+        """
+        if self._state.reach.is_unreached_here(service):
+            return False
         others = [t for t in self._state.registry.list_targets() if t.id != target]
+        others = [t for t in others if t.service == service] or others
         for other in self._state.random.sample(others, min(MAX_OTHERS_TRIED, len(others))):
             try:
                 connection = await Connection.open(other.address, CONNECT_TIMEOUT_S)
@@ -218,8 +226,10 @@
         """Return what became of a target, and the contacts of other instances by their zones."""
         zones = self._select_witnesses(target)
         if not zones:
-            # There is no other instance.
-            has_ended = own is Contact.REFUSED and await self.reaches_another(target.id)
+            # There is no other instance that could tell.
+            has_ended = own is Contact.REFUSED and await self.reaches_another(
+                target.id, target.service
+            )
             return Fate.ENDED if has_ended else Fate.UNKNOWN, {}
         data = msgspec.msgpack.encode(query)
         replies = await asyncio.gather(*(self._ask(name, data) for name in zones.values()))
@@ -242,10 +252,17 @@
         return Fate.ENDED if Contact.REFUSED in contacts.values() else Fate.UNKNOWN
 
     def _select_witnesses(self, target: Target) -> dict[str, str]:
-        """Return an instance for each of up to three availability zones, by zone."""
+        """Return an instance for each of up to three availability zones, by zone.
+
+        Those that do not reach the target's service cannot tell what became of it.
+        """
         by_zone: dict[str, list[str]] = {}
+        passed_over = {
+            self._state.settings.instance,
+            *self._state.reach.list_unreached_by(target.service, self._clock()),
+        }
         for name, zone in self._state.instance_zones.items():
-            if name != self._state.settings.instance:
+            if name not in passed_over:
                 by_zone.setdefault(zone, []).append(name)
         own_zone = self._state.settings.zone
         order = sorted(by_zone, key=lambda zone: (zone != target.zone, zone == own_zone, zone))
--- a/tests/gateway/test_fate_of_full_targets.py
+++ b/tests/gateway/test_fate_of_full_targets.py
@@ -12,6 +12,7 @@
 import pytest
 
 from rhubarbbend.core.crashes import Fate
+from rhubarbbend.core.detours import ReachTable
 from rhubarbbend.core.directory import Target, TargetRecord, TargetState
 from rhubarbbend.gateway._target_checker import Contact, TargetChecker
 from tests.gateway.harness import GatewayFleet, run, start_fleet
@@ -71,6 +72,7 @@
         instance_zones={"own": "a", **{f"{zone}-1": zone for zone in contacts}},
         settings=SimpleNamespace(instance="own", zone="a"),
         random=random.Random(1),
+        reach=ReachTable("own"),
     )
     parts = cast(Any, SimpleNamespace())
     checker = TargetChecker(cast(Any, state), parts, parts, lambda *_: False, lambda: 0.0)
--- a/tests/gateway/test_target_checker.py
+++ b/tests/gateway/test_target_checker.py
@@ -10,6 +10,8 @@
 import msgspec
 import pytest
 
+from rhubarbbend.core.crashes import Fate
+from rhubarbbend.core.detours import ReachNotice, ReachTable
 from rhubarbbend.core.directory import Target, TargetRecord, TargetRegistry, TargetState
 from rhubarbbend.gateway import _target_checker
 from rhubarbbend.gateway._target_checker import Contact, TargetChecker
@@ -31,6 +33,7 @@
         settings=SimpleNamespace(instance="own", zone="a"),
         random=random.Random(1),
         registry=registry,
+        reach=ReachTable("own"),
         event_log=SimpleNamespace(write=lambda *_, **__: None),
     )
     parts = cast(Any, SimpleNamespace())
@@ -45,7 +48,7 @@
     async def ask(instance: str, query: bytes) -> Contact | None:
         return witness
 
-    async def reaches_another(target: str) -> bool:
+    async def reaches_another(target: str, service: str) -> bool:
         return True
 
     cast(Any, checker)._contact = contact
@@ -118,3 +121,35 @@
 
     checker.read_targets = read_targets
     assert find_runs_on(checker) is runs_on
+
+
+# Guards against the word of instances that have lost their links to the target's service: they
+# would say that it has ended, and the request that it ran would be blamed.
+@pytest.mark.parametrize(("service", "is_asked"), [("llm", False), ("plain", True)])
+def test_an_instance_that_does_not_reach_the_service_is_not_asked(
+    service: str, is_asked: bool
+) -> None:
+    checker = make_checker([Contact.SILENT], Contact.REFUSED)
+    cast(Any, checker)._state.reach.merge_notices([ReachNotice("other", service, False)], NOW)
+    check = asyncio.run(checker.find_fate(Target(RECORD, 0.0, 0.0)))
+    assert check.fate is (Fate.ENDED if is_asked else Fate.UNKNOWN)
+
+
+# Guards against a lost link that is taken for the end of a target, where others of its service are
+# out of reach as well and those of other services are not.
+@pytest.mark.parametrize(("service", "reaches"), [("llm", False), ("plain", True)])
+def test_only_targets_of_the_same_service_show_that_there_are_links(
+    service: str, reaches: bool
+) -> None:
+    async def work() -> bool:
+        server = await asyncio.start_server(lambda _, writer: writer.close(), "127.0.0.1", 0)
+        async with server:
+            port = int(server.sockets[0].getsockname()[1])
+            checker = make_checker([])
+            registry = cast(Any, checker)._state.registry
+            for name, other, other_port in (("e", "llm", 1), ("p", "plain", port)):
+                record = msgspec.structs.replace(RECORD, id=name, service=other, port=other_port)
+                registry.register(record, 0.0)
+            return await TargetChecker.reaches_another(checker, "t", service)
+
+    assert asyncio.run(work()) is reaches
--- a/tests/loadtool/test_group_cut.py
+++ b/tests/loadtool/test_group_cut.py
@@ -16,6 +16,10 @@
     "most": CutOptions(
         instances=26, engines=6, rate=80.0, share=0.9, cut=LinkCut.RESET, duration=7.0
     ),
+    # Engines were taken for ended: instances that reach other services said that they ended.
+    "one service": CutOptions(
+        instances=26, rate=120.0, share=0.9, cut=LinkCut.RESET, service="llm", duration=5.0
+    ),
 }
 
 
