Detours: findings on reach are sent again until each relay has them

Callers saw refusals 3 to 8 s after a cut of 45 of 48 instances (240 requests a second, load 16): 540 of 611 chats and streams served. Each cut-off instance had told the others within a second; 133 detours in one later second went to instances whose notice was 2 s old. Cause: updates between instances are sent once, 75 relays did not reply within 0.4 s on the busy machine, and the instances behind them learned nothing until the notice was repeated after 10 s. Prompt locations bear that; a finding that is told once does not.

A notice that not all relays have acknowledged is sent again after 0.5 s, with what was found since, to the relay that has taken the place of the silent one.

--- a/rhubarbbend/core/detours/_reach.py
+++ b/rhubarbbend/core/detours/_reach.py
@@ -90,6 +90,12 @@
         unsent, self._unsent = self._unsent, {}
         return list(unsent.values())
 
+    def put_back(self, notices: Iterable[ReachNotice]) -> None:
+        """Have notices sent again that not all others got, unless there are later findings."""
+        for notice in notices:
+            self._unsent.setdefault(notice.service, notice)
+            self.on_unsent()
+
     def merge_notices(self, notices: Iterable[ReachNotice], now: float) -> None:
         """Record what other instances say; of two notices, the later one holds."""
         for notice in notices:
--- a/rhubarbbend/gateway/_peers.py
+++ b/rhubarbbend/gateway/_peers.py
@@ -273,11 +273,19 @@
         return await self._send(peer, ROLLOUT_PATH, report)
 
     async def broadcast(self, update: PeerUpdate) -> None:
-        """Send an update to all other instances, including those that wait at this one."""
+        """Send an update to all other instances; some may not get it."""
+        await self.deliver(update)
+
+    async def deliver(self, update: PeerUpdate) -> bool:
+        """Send an update to all other instances, including those that wait at this one.
+
+        Return whether all relays have it. Another relay takes the place of one that does not reply.
+        """
         self._state.queue_for_listeners(update, read_clock())
-        await self._send_to_relays(
+        replies = await self._send_to_relays(
             UPDATE_PATH, msgspec.msgpack.encode(update), self._state.instances
         )
+        return None not in replies
 
     async def broadcast_join(self, notice: JoinNotice) -> None:
         """Notify all other known instances that this one takes its share of the limits from now on.
--- a/rhubarbbend/gateway/_update_broadcaster.py
+++ b/rhubarbbend/gateway/_update_broadcaster.py
@@ -88,5 +88,7 @@
             await self._has_unsent_reach.wait()
             self._has_unsent_reach.clear()
             notices = self._state.reach.pop_unsent()
-            await self._peers.broadcast(PeerUpdate(sender=self._name, reach=notices))
+            update = PeerUpdate(sender=self._name, reach=notices)
+            if not await self._peers.deliver(update):
+                self._state.reach.put_back(notices)
             await asyncio.sleep(REACH_INTERVAL_S)
--- a/tests/core/detours/test_reach.py
+++ b/tests/core/detours/test_reach.py
@@ -73,3 +73,15 @@
     joining.merge_notices(table.list_notices(3.0), 3.0)
     assert joining.list_unreached_by("llm", 3.0) == {"a-1", "a-2"}
     assert joining.list_unreached_by("llm", 1.0 + NOTICE_TTL_S + 0.1) == {"a-1"}
+
+
+# Guards against a finding that a relay did not get, and that is never told again.
+def test_a_finding_that_was_not_delivered_is_sent_again_unless_a_later_one_exists() -> None:
+    table = ReachTable("a-1")
+    table.record_unreached("llm", 0.0)
+    notices = table.pop_unsent()
+    table.put_back(notices)
+    assert table.pop_unsent() == notices
+    table.record_reached("llm", 1.0)
+    table.put_back(notices)
+    assert table.pop_unsent() == [ReachNotice("a-1", "llm", True)]
