Detours: a sample of targets shows that the links to a service are lost

Callers waited: an instance that had lost its links met that target by target. Each request tried up to five more that accept no connection (0.08 s each where they hang) before it was handed over, until all were marked: 25 attempts for the first six requests before 24 engines. And once links were back, or while requests came, each unreachable target was tried.

Now four targets are tried as soon as a request has met two that accept no connection, and once a second while a service is not reached. What holds for most of them is taken for the service: the others are marked as suspect, or the marks are cleared. Requests after the first one try none, in both forms of the cut (test, failed before); an instance without links opens at most 16 connections a second and service, whatever the number of targets.

--- a/rhubarbbend/core/placement/_health.py
+++ b/rhubarbbend/core/placement/_health.py
@@ -203,15 +203,15 @@
             record.last_contact_at = now
             record.mark_reachable()
 
-    def mark_zone_suspect(self, targets: list[str], now: float) -> list[str]:
-        """Mark targets of a zone as unreachable after another target there became unreachable.
+    def mark_suspect(self, targets: list[str], now: float) -> list[str]:
+        """Mark targets of a zone or a service as unreachable after others of it became so.
 
         Targets with a recent contact are left out. Return the targets that were marked.
 
-        A network partition cuts off all targets of a zone at once, and connections that are
-        already open stay open: each request sent over one of them would wait for a response that
-        cannot arrive. A suspected target is tried over a new connection first, so one that is
-        reachable is in use again within a round trip.
+        A network partition cuts off all targets of a zone at once, or all targets from here, and
+        connections that are already open stay open: each request sent over one of them would wait
+        for a response that cannot arrive. A suspected target is tried over a new connection first,
+        so one that is reachable is in use again within a round trip.
         """
         suspected: list[str] = []
         for target in targets:
@@ -221,6 +221,17 @@
                 suspected.append(target)
         return suspected
 
+    def clear_marks(self, targets: list[str], now: float) -> None:
+        """Take back that targets are unreachable, after most others of their service are reached.
+
+        One that is still unreachable costs the next request there a connect timeout, and one that
+        has just accepted no connection keeps its backoff.
+        """
+        for target in targets:
+            record = self._records.get(target)
+            if record is not None and now >= max(record.backoff_until, record.trial_until):
+                record.mark_reachable()
+
     def is_unreachable(self, target: str) -> bool:
         """Whether a target has accepted no connection since one failed."""
         record = self._records.get(target)
--- a/rhubarbbend/gateway/_detour_server.py
+++ b/rhubarbbend/gateway/_detour_server.py
@@ -74,7 +74,7 @@
         """
         request = super()._admit(exchange, now)
         if request is not None and self._state.reach.is_unreached_here(request.service.name):
-            self._prober.probe(request.service.name, now)
+            self._prober.check(request.service.name, now)
             self._ender.refuse(request, codes.NO_TARGET, now)
             return None
         return request
--- a/rhubarbbend/gateway/_request_server.py
+++ b/rhubarbbend/gateway/_request_server.py
@@ -35,6 +35,9 @@
 
 # A request is refused once more than this many targets have failed to accept a connection for it.
 MAX_CONNECT_FAILURES: Final = 4
+# Once so many targets have accepted no connection for a request, it is checked whether this
+# instance has lost its links to the service.
+MIN_FAILURES_CHECKED: Final = 2
 
 
 class RequestServer:
@@ -253,6 +256,8 @@
             self._admission.record_outcome(request, choice, outcome)
             if outcome is AttemptOutcome.UNREACHED:
                 connect_failures += 1
+                if connect_failures >= MIN_FAILURES_CHECKED:
+                    self._prober.check(request.service.name, self._clock())
                 # All targets that are known to be unreachable are excluded, so that the request
                 # waits for only one connect time-out and not for one of each such target.
                 request.excluded |= self._state.health.list_unreachable()
@@ -305,12 +310,12 @@
         """Return whether a request is not used to try targets that cannot be reached.
 
         While other instances may serve the requests of a service, none of them has to wait for a
-        connect time-out; probes find out when the targets can be reached again.
+        connect time-out; checks find out when the targets can be reached again.
         """
         service = request.service.name
         if not self._state.reach.is_unreached_here(service):
             return False
-        self._prober.probe(service, now)
+        self._prober.check(service, now)
         return self._detours.has_helper(service, now)
 
     async def _go_on_without_target(self, request: OpenRequest, connect_failures: int) -> bool:
@@ -323,7 +328,7 @@
         request.rejection_counts = {r.value: count for r, count in rejections.items()}
         code = self._ender.select_refusal(request, rejections.keys())
         if has_lost_links(rejections, connect_failures):
-            self._prober.watch(request.service.name, self._clock())
+            self._prober.record_unreached(request.service.name, self._clock())
         has_waited = request.wait_ends_at is not None
         if needs_detour(rejections, connect_failures) and not has_waited:
             if request.progress.sends > 0 and not self._alternatives.acquire_retry(request):
--- a/rhubarbbend/gateway/_state.py
+++ b/rhubarbbend/gateway/_state.py
@@ -318,7 +318,7 @@
         """
         if target.zone == self.settings.zone:
             return
-        doubted = self.health.mark_zone_suspect(self.registry.list_others_in_zone(target), now)
+        doubted = self.health.mark_suspect(self.registry.list_others_in_zone(target), now)
         if doubted:
             self.metrics.increment_counter(codes.ZONES_SUSPECTED)
             self.event_log.write(
--- a/rhubarbbend/gateway/_target_prober.py
+++ b/rhubarbbend/gateway/_target_prober.py
@@ -1,8 +1,15 @@
-"""Finds out when unreachable targets accept connections again, without making requests wait."""
+"""Finds out whether this instance reaches the targets of a service, without making requests wait.
+
+An instance that has lost its links meets that target by target. With many targets, each request
+would try some before most of them are known to be unreachable. So a sample of targets is tried as
+soon as a request has met several that accept no connection, and what holds for most of the sample
+is taken to hold for the service.
+"""
 
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import Final
 
 from rhubarbbend import codes
@@ -12,88 +19,96 @@
 from rhubarbbend.gateway._state import Clock, State
 from rhubarbbend.http import Connection, ConnectionPool, HttpFailure
 
-# How often some targets of a service that is not reached are tried, also while no requests come.
-# The other instances ask this one for help again only once it has told them that it reaches them.
+# Targets of a service that are tried at a check.
+SAMPLE_SIZE: Final = 4
+# Requests cause a check of a service at most once in this time.
+MIN_CHECK_INTERVAL_S: Final = 0.25
+# How often a service that is not reached is checked while no requests come: the other instances
+# ask this one for help again only once it has told them that it reaches the targets.
 WATCH_INTERVAL_S: Final = 1.0
-WATCHED_TARGETS: Final = 2
 
 
 class TargetProber:
-    """Opens connections to unreachable targets, each one when its backoff has ended.
-
-    Invariant: no target has more than one probe in progress, since a probe is a trial.
-    """
+    """Checks services. Invariant: at most one check of a service is in progress."""
 
     def __init__(self, state: State, pool: ConnectionPool, clock: Clock) -> None:
         self._state = state
         self._pool = pool
         self._clock = clock
-        self._probes = BackgroundTasks(state.report_internal_error)
-        # Services that are watched until they are reached.
+        self._tasks = BackgroundTasks(state.report_internal_error)
+        # By service, when the last check began.
+        self._checked_at: dict[str, float] = {}
+        self._checking: set[str] = set()
+        # Services that are checked at intervals until they are reached.
         self._watched: set[str] = set()
 
-    def probe(self, service: str, now: float) -> None:
-        """Start a probe of each unreachable target of a service that may be tried now."""
-        self._probe_some(self._list_unreachable(service, now), now)
+    def check(self, service: str, now: float) -> None:
+        """Start a check of a service, unless one began just before."""
+        if now - self._checked_at.get(service, -math.inf) >= MIN_CHECK_INTERVAL_S:
+            self._tasks.spawn(self._check(service, now))
 
-    def watch(self, service: str, now: float) -> None:
-        """Record that a service is not reached, and watch it until it is."""
+    def record_unreached(self, service: str, now: float) -> None:
+        """Record that most of a service's targets accept no connection, and tell the others.
+
+        The targets with which there was no contact just before are taken to be unreachable too, so
+        that requests do not wait for each of them.
+        """
         if not self._state.reach.record_unreached(service, now):
             return
+        targets = self._state.registry.list_available(service, now)
+        self._state.health.mark_suspect([target.id for target in targets], now)
         self._state.metrics.increment_counter(codes.SERVICES_UNREACHED)
         self._state.event_log.write("service_unreached", now, service=service)
         if service not in self._watched:
             self._watched.add(service)
-            self._probes.spawn(self._watch(service))
+            self._tasks.spawn(self._watch(service))
+
+    def _record_reached(self, service: str, now: float) -> None:
+        if not self._state.reach.record_reached(service, now):
+            return
+        targets = self._state.registry.list_available(service, now)
+        self._state.health.clear_marks([target.id for target in targets], now)
+        self._state.event_log.write("service_reached", now, service=service)
 
     async def _watch(self, service: str) -> None:
-        """Try some targets at intervals, and all of them once one accepts a connection."""
         try:
             while self._state.reach.is_unreached_here(service):
                 await asyncio.sleep(WATCH_INTERVAL_S)
-                now = self._clock()
-                self.update_reach(service, now)
-                tried = self._list_unreachable(service, now)
-                count = min(WATCHED_TARGETS, len(tried))
-                self._probe_some(self._state.random.sample(tried, count), now)
+                await self._check(service, self._clock())
         finally:
             self._watched.discard(service)
 
-    def update_reach(self, service: str, now: float) -> None:
-        """Record that a service is reached again, if most of its targets are."""
-        if not self._state.reach.is_unreached_here(service):
+    async def _check(self, service: str, now: float) -> None:
+        """Try a sample of a service's targets, and record whether most accept a connection."""
+        if service in self._checking:
             return
-        targets = self._state.registry.list_available(service, now)
-        health = self._state.health
-        unreachable = sum(health.is_unreachable(target.id) for target in targets)
-        if not targets or 2 * unreachable < len(targets):
-            self._state.reach.record_reached(service, now)
-            self._state.event_log.write("service_reached", now, service=service)
+        self._checking.add(service)
+        self._checked_at[service] = now
+        try:
+            targets = self._state.registry.list_available(service, now)
+            sample = self._state.random.sample(targets, min(SAMPLE_SIZE, len(targets)))
+            reached = sum(await asyncio.gather(*(self._try(target) for target in sample)))
+        finally:
+            self._checking.discard(service)
+        if 2 * reached >= len(sample):
+            self._record_reached(service, self._clock())
+        else:
+            self.record_unreached(service, self._clock())
 
-    def _list_unreachable(self, service: str, now: float) -> list[Target]:
-        """Return the unreachable targets of a service that may be tried now."""
+    async def _try(self, target: Target) -> bool:
+        """Return whether a target accepts a new connection; one that just did not is not tried."""
         health = self._state.health
-        return [
-            target
-            for target in self._state.registry.list_available(service, now)
-            if health.is_unreachable(target.id) and not health.is_blocked(target.id, now)
-        ]
-
-    def _probe_some(self, targets: list[Target], now: float) -> None:
-        for target in targets:
-            self._state.health.begin_trial(target.id, now)
-            self._probes.spawn(self._run(target))
-
-    async def _run(self, target: Target) -> None:
+        now = self._clock()
+        if health.is_blocked(target.id, now):
+            return False
+        health.begin_trial(target.id, now)
         try:
             connection = await Connection.open(target.address, CONNECT_TIMEOUT_S)
         except HttpFailure:
-            self._state.health.record_unreachable(target.id, self._clock())
-            return
+            health.record_unreachable(target.id, self._clock())
+            return False
         now = self._clock()
-        self._state.health.record_connected(target.id, now)
+        health.record_connected(target.id, now)
         connection.idle_since = now
         self._pool.add_idle(connection)
-        self.update_reach(target.service, now)
-        if self._state.reach.is_unreached_here(target.service):
-            self.probe(target.service, now)
+        return True
--- a/tests/core/placement/test_health.py
+++ b/tests/core/placement/test_health.py
@@ -74,7 +74,7 @@
         health.record_response(target, False, 0.0)
     health.record_response("t3", False, 0.9)
     health.record_unreachable("t1", 1.0)
-    assert health.mark_zone_suspect(["t2", "t3"], 1.0) == ["t2"]
+    assert health.mark_suspect(["t2", "t3"], 1.0) == ["t2"]
     assert health.list_unreachable() == {"t1", "t2"}
     # A suspected target may be tried at once, by one request at a time.
     assert not health.is_blocked("t2", 1.0)
@@ -83,6 +83,16 @@
     assert health.list_unreachable() == {"t1"}
 
 
+# Guards against targets that are tried by one request each, long after the links to them are back.
+def test_marks_are_cleared_except_of_those_that_just_accepted_no_connection() -> None:
+    health = HealthTracker()
+    health.record_unreachable("t1", 0.0)
+    health.mark_suspect(["t2"], 0.0)
+    health.record_unreachable("t3", 0.9)
+    health.clear_marks(TARGETS, 1.0)
+    assert health.list_unreachable() == {"t3"}
+
+
 def lose_requests(instances: int, shares: bool) -> int:
     """Return how many requests are lost at one of three targets that resets all for 7 s.
 
--- a/tests/gateway/test_lost_links.py
+++ b/tests/gateway/test_lost_links.py
@@ -59,6 +59,11 @@
     return sum(line["event"] == "detour_ended" for line in fleet.read_log(instance))
 
 
+def count_refused_connections(fleet: GatewayFleet, instance: str) -> int:
+    """Count the connections to targets that an instance tried in vain for requests."""
+    return sum(line["event"] == "target_unreachable" for line in fleet.read_log(instance))
+
+
 def list_engines_by_prompt(fleet: GatewayFleet) -> dict[str, str]:
     """Return the engine that each prompt was sent to last by an instance itself."""
     sent = [line for line in fleet.read_log("front-0") if line["event"] == "sent"]
@@ -164,6 +169,30 @@
     run(work)
 
 
+# Guards against an instance that finds out target by target that it has lost its links: with many
+# targets, each request would wait for some more that accept no connection.
+@pytest.mark.parametrize("cut", ["silent", "reset"])
+def test_one_request_shows_that_the_links_to_many_targets_are_lost(
+    tmp_path: Path, cut: str
+) -> None:
+    async def work() -> None:
+        async with start_fleet(
+            tmp_path, instances=2, engine_worker_count=24, own_links=True
+        ) as fleet:
+            await fleet.set_link_faults("front-0", **CUTS[cut])
+            await fleet.send_request("/chat/stream", b"first", Prefix_Hash="aa:400,bb:90")
+            await asyncio.sleep(0.5)
+            first = count_refused_connections(fleet, "front-0")
+            later = [
+                await fleet.send_request("/chat/stream", b"later", Prefix_Hash=f"{n:04x}:400,cc:90")
+                for n in range(5)
+            ]
+            assert count_served(later) == len(later)
+            assert count_refused_connections(fleet, "front-0") == first
+
+    run(work)
+
+
 # Guards against bodies, deadlines or terms that change on the way through another instance.
 def test_a_request_reaches_the_target_as_its_caller_sent_it(tmp_path: Path) -> None:
     async def work() -> None:
