Detours: an instance that reaches any zone's targets is not without links

Two targets of each zone are tried now, and the service is not reached if none of them accepts a connection.

--- a/rhubarbbend/codes/_counters.py
+++ b/rhubarbbend/codes/_counters.py
@@ -235,7 +235,7 @@
     "detours.lost", "instances that accepted no connection for such a request"
 )
 SERVICES_UNREACHED: Final = declare_counter(
-    "services.unreached", "times that the links to half of a service's targets or more were lost"
+    "services.unreached", "times that no target of a service accepted a connection, in any zone"
 )
 DETOURS_NO_HELPER: Final = declare_counter(
     "detours.no_helper", "such requests for which no instance could be asked, or no further one"
--- a/rhubarbbend/core/detours/_helpers.py
+++ b/rhubarbbend/core/detours/_helpers.py
@@ -16,7 +16,8 @@
 
 from rhubarbbend.core._rendezvous import rank_names
 
-# For this long after a helper's answer, it is preferred to one that has not been asked.
+# For this long after a helper's answer, the destination is expected to need one, and this helper is
+# preferred to one that was not asked.
 ANSWER_TTL_S: Final = 2.0
 # How long a helper is not asked again for a destination after it declined, doubled with each time.
 MIN_DECLINE_BACKOFF_S: Final = 0.5
@@ -127,6 +128,10 @@
         usable = sum(name not in unreached_by for name in in_zone)
         return usable >= MIN_OWN_ZONE_FRACTION * len(in_zone)
 
+    def is_in_use(self, destination: str, now: float) -> bool:
+        """Return whether a destination has been reached through a helper lately."""
+        return bool(self._list_answering(destination, now))
+
     def has_other(
         self, zones: Mapping[str, str], unreached_by: Collection[str], now: float
     ) -> bool:
--- a/rhubarbbend/gateway/_detours.py
+++ b/rhubarbbend/gateway/_detours.py
@@ -87,6 +87,10 @@
         self._clock = clock
         self._selector = HelperSelector(state.settings.instance, state.settings.zone)
 
+    def is_in_use(self, service: str, now: float) -> bool:
+        """Return whether requests to a service have been served by helpers lately."""
+        return self._selector.is_in_use(service, now)
+
     def has_helper(self, service: str, now: float) -> bool:
         """Return whether an instance is known that may reach a service which this one does not."""
         unreached_by = self._state.reach.list_unreached_by(service, now)
--- a/rhubarbbend/gateway/_request_server.py
+++ b/rhubarbbend/gateway/_request_server.py
@@ -310,13 +310,16 @@
         """Return whether a request is not used to try targets that cannot be reached.
 
         While other instances may serve the requests of a service, none of them has to wait for a
-        connect time-out; checks find out when the targets can be reached again.
+        connect time-out; probes find out when the targets can be reached again.
         """
         service = request.service.name
-        if not self._state.reach.is_unreached_here(service):
+        if self._state.reach.is_unreached_here(service):
+            self._prober.check(service, now)
+            return self._detours.has_helper(service, now)
+        if not self._detours.is_in_use(service, now):
             return False
-        self._prober.check(service, now)
-        return self._detours.has_helper(service, now)
+        self._prober.probe(service, now)
+        return True
 
     async def _go_on_without_target(self, request: OpenRequest, connect_failures: int) -> bool:
         """End a request that this instance can send to no target, or wait until it can.
@@ -328,7 +331,7 @@
         request.rejection_counts = {r.value: count for r, count in rejections.items()}
         code = self._ender.select_refusal(request, rejections.keys())
         if has_lost_links(rejections, connect_failures):
-            self._prober.record_unreached(request.service.name, self._clock())
+            self._prober.check(request.service.name, self._clock())
         has_waited = request.wait_ends_at is not None
         if needs_detour(rejections, connect_failures) and not has_waited:
             if request.progress.sends > 0 and not self._alternatives.acquire_retry(request):
--- a/rhubarbbend/gateway/_target_prober.py
+++ b/rhubarbbend/gateway/_target_prober.py
@@ -1,9 +1,9 @@
 """Finds out whether this instance reaches the targets of a service, without making requests wait.
 
 An instance that has lost its links meets that target by target. With many targets, each request
-would try some before most of them are known to be unreachable. So a sample of targets is tried as
-soon as a request has met several that accept no connection, and what holds for most of the sample
-is taken to hold for the service.
+would try some before most of them are known to be unreachable. So some targets of each availability
+zone are tried as soon as a request has met several that accept no connection. If none of them
+accepts one, the service is not reached.
 """
 
 from __future__ import annotations
@@ -19,8 +19,9 @@
 from rhubarbbend.gateway._state import Clock, State
 from rhubarbbend.http import Connection, ConnectionPool, HttpFailure
 
-# Targets of a service that are tried at a check.
-SAMPLE_SIZE: Final = 4
+# Targets of each availability zone that are tried at a check. A zone is not taken for lost because
+# one target there has ended.
+SAMPLE_PER_ZONE: Final = 2
 # Requests cause a check of a service at most once in this time.
 MIN_CHECK_INTERVAL_S: Final = 0.25
 # How often a service that is not reached is checked while no requests come: the other instances
@@ -29,7 +30,11 @@
 
 
 class TargetProber:
-    """Checks services. Invariant: at most one check of a service is in progress."""
+    """Tries targets and checks services.
+
+    Invariant: no target has more than one probe in progress, since a probe is a trial, and no
+    service more than one check.
+    """
 
     def __init__(self, state: State, pool: ConnectionPool, clock: Clock) -> None:
         self._state = state
@@ -42,16 +47,26 @@
         # Services that are checked at intervals until they are reached.
         self._watched: set[str] = set()
 
+    def probe(self, service: str, now: float) -> None:
+        """Start a probe of each unreachable target of a service that may be tried now."""
+        health = self._state.health
+        for target in self._state.registry.list_available(service, now):
+            if health.is_unreachable(target.id) and not health.is_blocked(target.id, now):
+                self._tasks.spawn(self._probe(target))
+
+    async def _probe(self, target: Target) -> None:
+        await self._try(target)
+
     def check(self, service: str, now: float) -> None:
         """Start a check of a service, unless one began just before."""
         if now - self._checked_at.get(service, -math.inf) >= MIN_CHECK_INTERVAL_S:
             self._tasks.spawn(self._check(service, now))
 
-    def record_unreached(self, service: str, now: float) -> None:
-        """Record that most of a service's targets accept no connection, and tell the others.
+    def _record_unreached(self, service: str, now: float) -> None:
+        """Record that this instance has lost its links to a service, and tell the others.
 
-        The targets with which there was no contact just before are taken to be unreachable too, so
-        that requests do not wait for each of them.
+        All targets with which there was no contact just before are taken to be unreachable, so that
+        requests do not wait for each of them.
         """
         if not self._state.reach.record_unreached(service, now):
             return
@@ -79,21 +94,30 @@
             self._watched.discard(service)
 
     async def _check(self, service: str, now: float) -> None:
-        """Try a sample of a service's targets, and record whether most accept a connection."""
+        """Try some of a service's targets, and record whether any accepts a connection."""
         if service in self._checking:
             return
         self._checking.add(service)
         self._checked_at[service] = now
         try:
-            targets = self._state.registry.list_available(service, now)
-            sample = self._state.random.sample(targets, min(SAMPLE_SIZE, len(targets)))
-            reached = sum(await asyncio.gather(*(self._try(target) for target in sample)))
+            sample = self._select_sample(service, now)
+            reached = await asyncio.gather(*(self._try(target) for target in sample))
         finally:
             self._checking.discard(service)
-        if 2 * reached >= len(sample):
+        if any(reached) or not sample:
             self._record_reached(service, self._clock())
         else:
-            self.record_unreached(service, self._clock())
+            self._record_unreached(service, self._clock())
+
+    def _select_sample(self, service: str, now: float) -> list[Target]:
+        by_zone: dict[str, list[Target]] = {}
+        for target in self._state.registry.list_available(service, now):
+            by_zone.setdefault(target.zone, []).append(target)
+        return [
+            target
+            for targets in by_zone.values()
+            for target in self._state.random.sample(targets, min(SAMPLE_PER_ZONE, len(targets)))
+        ]
 
     async def _try(self, target: Target) -> bool:
         """Return whether a target accepts a new connection; one that just did not is not tried."""
--- a/tests/core/detours/test_helpers.py
+++ b/tests/core/detours/test_helpers.py
@@ -142,3 +142,12 @@
     heard = [name for name in OTHERS if name != "b-1"]
     counts = selector.count("llm", ZONES, heard, 0.1, {"c-1", "c-2"})
     assert counts == HelperCounts(not_heard=1, unreached=2, lost=1, declined=1, available=3)
+
+
+# Guards against requests that are taken for direct ones, or the other way round.
+def test_helpers_are_in_use_for_some_time_after_an_answer_and_by_service() -> None:
+    selector = make_selector()
+    selector.record_answered("llm", "a-2", 0.0)
+    assert selector.is_in_use("llm", 1.9)
+    assert not selector.is_in_use("llm", 2.1)
+    assert not selector.is_in_use("plain", 0.1)
--- a/tests/gateway/test_lost_links.py
+++ b/tests/gateway/test_lost_links.py
@@ -193,6 +193,22 @@
     run(work)
 
 
+# Guards against an instance behind a partition that gives up the targets of its own zone.
+def test_an_instance_that_reaches_one_zone_uses_it(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with start_fleet(
+            tmp_path, instances=1, plain_worker_count=3, engine_worker_count=6, own_links=True
+        ) as fleet:
+            lost = [name for name, node in fleet.workers.items() if node.zone != "zone-a"]
+            await fleet.set_link_faults("front-0", lost, **CUTS["silent"])
+            await send_each_kind(fleet, "front-0", 10)
+            assert count_served(await send_each_kind(fleet, "front-0", 20)) >= 78
+            events = {line["event"] for line in fleet.read_log("front-0")}
+            assert "service_unreached" not in events
+
+    run(work)
+
+
 # Guards against bodies, deadlines or terms that change on the way through another instance.
 def test_a_request_reaches_the_target_as_its_caller_sent_it(tmp_path: Path) -> None:
     async def work() -> None:
