--- a/rhubarbbend/core/detours/_helpers.py
+++ b/rhubarbbend/core/detours/_helpers.py
@@ -10,6 +10,7 @@
 import math
 from collections import Counter, deque
 from collections.abc import Callable, Collection, Mapping
+from itertools import chain
 from typing import Final
 
 import msgspec
@@ -32,6 +33,8 @@
 # The own zone comes first while at least this fraction of it can be asked. The few that are left
 # would otherwise get the requests of the whole zone.
 MIN_OWN_ZONE_FRACTION: Final = 0.5
+# Of a helper in the own zone, none of which has declined, that has room and no request from here.
+BEST_RANK: Final = (False, 0, False, 0)
 # If this fraction of the other instances is heard, one that is not heard is not asked.
 MIN_HEARD_FRACTION: Final = 0.5
 
@@ -102,28 +105,32 @@
         asked_by_zone = Counter(zones[name] for name in asked if name in zones)
         prefers_own_zone = self._can_use_own_zone(unreached_by)
 
-        def rank(name: str) -> tuple[bool, int, bool, int, bool]:
+        def rank(name: str) -> tuple[bool, int, bool, int]:
             return (
                 now < self._busy_until.get((destination, name), -math.inf),
                 asked_by_zone[zones[name]],
                 prefers_own_zone and zones[name] != self._zone,
                 self._in_flight[name],
-                name not in answering,
             )
 
-        candidates = [
-            name
-            for name in self._order
-            if name not in asked
-            and name not in unreached_by
-            and is_heard(name)
-            and (may_try_others or name in answering)
-            and self._may_ask(destination, name, now)
-        ]
-        return min(candidates, key=rank, default=None)
+        best: str | None = None
+        best_rank = BEST_RANK
+        for name in chain(answering, self._order if may_try_others else ()):
+            if name in asked or name in unreached_by or not is_heard(name):
+                continue
+            if not self._may_ask(destination, name, now):
+                continue
+            name_rank = rank(name)
+            if name_rank == BEST_RANK:
+                return name
+            if best is None or name_rank < best_rank:
+                best, best_rank = name, name_rank
+        return best
 
     def _can_use_own_zone(self, unreached_by: Collection[str]) -> bool:
         """Return whether most of the own zone can be asked, as far as they have said."""
+        if not unreached_by:
+            return True
         in_zone = [name for name in self._order if self._zones[name] == self._zone]
         usable = sum(name not in unreached_by for name in in_zone)
         return usable >= MIN_OWN_ZONE_FRACTION * len(in_zone)
@@ -173,10 +180,10 @@
             return lambda name: True
         return frozenset(heard).__contains__
 
-    def _list_answering(self, destination: str, now: float) -> set[str]:
+    def _list_answering(self, destination: str, now: float) -> list[str]:
         """Return the instances through which the destination was reached lately."""
         answered_at = self._answered_by.get(destination, {})
-        return {name for name, at in answered_at.items() if now - at < ANSWER_TTL_S}
+        return [name for name, at in answered_at.items() if now - at < ANSWER_TTL_S]
 
     def record_sent(self, helper: str) -> None:
         """Record that a request was handed to a helper."""
@@ -216,7 +223,8 @@
             return
         self._zones = zones
         # Each instance has an order of its own, so that not all ask the same helper first.
-        self._order = rank_names(self._instance, [name for name in zones if name != self._instance])
+        order = rank_names(self._instance, [name for name in zones if name != self._instance])
+        self._order = sorted(order, key=lambda name: zones[name] != self._zone)
         self._backoffs = {k: backoff for k, backoff in self._backoffs.items() if k[1] in zones}
         self._busy_until = {k: until for k, until in self._busy_until.items() if k[1] in zones}
         self._lost_until = {k: until for k, until in self._lost_until.items() if k in zones}
