--- a/rhubarbbend/core/detours/_helpers.py
+++ b/rhubarbbend/core/detours/_helpers.py
@@ -78,6 +78,7 @@
         # The instances from which the order was computed.
         self._zones: Mapping[str, str] = {}
         self._order: list[str] = []
+        self._own_zone_first: list[str] = []
 
     def select(
         self,
@@ -115,7 +116,8 @@
 
         best: str | None = None
         best_rank = BEST_RANK
-        for name in chain(answering, self._order if may_try_others else ()):
+        order = self._own_zone_first if prefers_own_zone else self._order
+        for name in chain(answering, order if may_try_others else ()):
             if name in asked or name in unreached_by or not is_heard(name):
                 continue
             if not self._may_ask(destination, name, now):
@@ -223,8 +225,8 @@
             return
         self._zones = zones
         # Each instance has an order of its own, so that not all ask the same helper first.
-        order = rank_names(self._instance, [name for name in zones if name != self._instance])
-        self._order = sorted(order, key=lambda name: zones[name] != self._zone)
+        self._order = rank_names(self._instance, [name for name in zones if name != self._instance])
+        self._own_zone_first = sorted(self._order, key=lambda name: zones[name] != self._zone)
         self._backoffs = {k: backoff for k, backoff in self._backoffs.items() if k[1] in zones}
         self._busy_until = {k: until for k, until in self._busy_until.items() if k[1] in zones}
         self._lost_until = {k: until for k, until in self._lost_until.items() if k in zones}
--- a/tests/core/detours/test_helpers.py
+++ b/tests/core/detours/test_helpers.py
@@ -122,6 +122,12 @@
         selector.record_sent(helper)
         chosen.append(helper)
     assert sorted(set(chosen)) == ["a-8", *(f"b-{number}" for number in range(9))]
+    # Each instance of the zone begins with one of its own.
+    first = {
+        HelperSelector(f"a-{number}", "zone-a").select("llm", zones, (), (), 0.0, unreached)
+        for number in range(8)
+    }
+    assert len(first) > 3
 
 
 # Guards against asking a helper that has no room again and again.
