Detours: a decline names the instances that do not reach the service

Callers saw, with 34 of 36 instances cut off beside another fleet (load 19), 38 of 460 first tries refused from 3 s on, 89 of them in all at three instances. These waited at no reader for a while (they had lost the store at their start and read it themselves), so that no update reached them: they knew of 2 cut-off instances and asked the others one by one.

An instance that does not reach a service now answers a detour with what it knows of the others, itself first, up to 64 of them. Whoever missed the notices has them after one decline. Callers of the load tool share a first part of their prompts now, as chats do, so that a part that is blamed for lost links would show.

--- a/loadtool/_group_cut.py
+++ b/loadtool/_group_cut.py
@@ -31,6 +31,8 @@
 WARM_UP_S: Final = 3.0
 # What is still answered when the last request has been sent.
 DEADLINE_S: Final = 2.0
+# All prompts begin with one part, as with the instructions of one product, and share the next one.
+COMMON_PART: Final = "c0:300"
 PROMPTS: Final = 60
 # Instances that start during a cut are started one after the other.
 START_INTERVAL_S: Final = 0.3
@@ -271,7 +273,7 @@
         body = b"" if kind == "read" else f"{kind} {number}".encode()
         headers = {}
         if SERVICE_BY_KIND[kind] == "llm":
-            headers["Prefix_Hash"] = f"{number % PROMPTS:04x}:400,{number:06x}bb:90"
+            headers["Prefix_Hash"] = f"{COMMON_PART},{number % PROMPTS:04x}:400,{number:06x}bb:90"
         at = time.monotonic() - self._began_at
         reply = await self._fleet.send_request(path, body, instance, **headers)
         is_served = reply.status == 200 and reply.complete
--- a/rhubarbbend/core/detours/_reach.py
+++ b/rhubarbbend/core/detours/_reach.py
@@ -117,12 +117,16 @@
 
     def list_notices(self, now: float) -> list[ReachNotice]:
         """Return what is known of services that are not reached, for an instance that joins."""
-        own = [
-            ReachNotice(self._instance, service, False, 0.0) for service in self._unreached_since
-        ]
+        services = dict.fromkeys([*self._unreached_since, *self._reports])
+        return [notice for service in services for notice in self.list_service(service, now)]
+
+    def list_service(self, service: str, now: float) -> list[ReachNotice]:
+        """Return what is known of the instances that do not reach a service, this one first."""
+        own = (
+            [ReachNotice(self._instance, service, False)] if self.is_unreached_here(service) else []
+        )
         others = [
             ReachNotice(name, service, False, now - self._reports[service][name].at)
-            for service in self._reports
             for name in self.list_unreached_by(service, now)
         ]
         return own + others
--- a/rhubarbbend/gateway/_detour_messages.py
+++ b/rhubarbbend/gateway/_detour_messages.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from rhubarbbend.codes import ErrorCode, Verdict, find_error
+from rhubarbbend.core.detours import ReachNotice
 from rhubarbbend.decoding import decode_json
 
 # On the request: `DetourTerms` as JSON. Callers cannot set it: it is read only at the address for
@@ -40,12 +41,14 @@
     """Why a helper has no answer of a target.
 
     `code` is the name of the error, `targets` the number of targets that the request was sent to by
-    now, by both instances.
+    now, by both instances. A helper that does not reach the request's service says so in `reach`,
+    and which others do not, as far as it knows: the sender may have missed their notices.
     """
 
     code: str
     verdict: Verdict
     targets: int
+    reach: list[ReachNotice] = []
 
     @property
     def error(self) -> ErrorCode:
--- a/rhubarbbend/gateway/_detour_server.py
+++ b/rhubarbbend/gateway/_detour_server.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 import msgspec
 
 from rhubarbbend import codes
@@ -19,10 +21,26 @@
 from rhubarbbend.gateway._requests import OpenRequest
 from rhubarbbend.http import Exchange
 
+# Instances without links that a decline names, so that its head stays small.
+MAX_NAMED: Final = 64
+
 
 class DetourEnder(RequestEnder):
     """Ends requests of other instances, which are told why there is no answer of a target."""
 
+    def decline(self, request: OpenRequest, now: float) -> None:
+        """Answer a request whose service this instance does not reach."""
+        notices = self._state.reach.list_service(request.service.name, now)[:MAX_NAMED]
+        code, verdict = codes.NO_TARGET, Verdict.NOT_RUN
+        refusal = DetourRefusal(code.name, verdict, request.progress.targets, notices)
+        self._add_refusal(request.exchange, refusal)
+        super().write_error(request.exchange, request.id, code, verdict, 0.0)
+        self._state.metrics.increment_counter(f"refused.{code.name}")
+        self.log_end(request, f"refused: {code.name}", code.status, verdict)
+
+    def _add_refusal(self, exchange: Exchange, refusal: DetourRefusal) -> None:
+        exchange.extra_headers.append((REFUSAL_HEADER, msgspec.json.encode(refusal)))
+
     def write_error(
         self,
         exchange: Exchange,
@@ -33,8 +51,7 @@
         targets: int = 0,
     ) -> None:
         """Answer with an error; `targets` is how many targets the request was sent to."""
-        refusal = DetourRefusal(code.name, verdict, targets)
-        exchange.extra_headers.append((REFUSAL_HEADER, msgspec.json.encode(refusal)))
+        self._add_refusal(exchange, DetourRefusal(code.name, verdict, targets))
         super().write_error(exchange, request_id, code, verdict, retry_after)
 
 
@@ -47,7 +64,8 @@
     """
 
     def _make_ender(self) -> RequestEnder:
-        return DetourEnder(self._state, self._caller_protocol, self._clock)
+        self._detour_ender = DetourEnder(self._state, self._caller_protocol, self._clock)
+        return self._detour_ender
 
     async def serve(self, exchange: Exchange) -> None:
         """Serve one request of another instance."""
@@ -75,7 +93,7 @@
         request = super()._admit(exchange, now)
         if request is not None and self._state.reach.is_unreached_here(request.service.name):
             self._prober.check(request.service.name, now)
-            self._ender.refuse(request, codes.NO_TARGET, now)
+            self._detour_ender.decline(request, now)
             return None
         return request
 
--- a/rhubarbbend/gateway/_detours.py
+++ b/rhubarbbend/gateway/_detours.py
@@ -242,6 +242,7 @@
         request.progress.targets = max(request.progress.targets, refusal.targets)
         self._log(request, helper, f"refused: {refusal.code}")
         if refusal.verdict is Verdict.NOT_RUN:
+            self._state.reach.merge_notices(refusal.reach, self._clock())
             if refusal.code in UNABLE_CODES:
                 self._selector.record_declined(request.service.name, helper, self._clock())
             else:
--- a/tests/gateway/test_lost_links.py
+++ b/tests/gateway/test_lost_links.py
@@ -10,8 +10,10 @@
 
 import pytest
 
+from rhubarbbend.codes import Verdict
+from rhubarbbend.gateway._detour_messages import read_refusal
 from standins._worker_types import make_response_body
-from tests.gateway.harness import ACCOUNT, GatewayFleet, Reply, run, start_fleet
+from tests.gateway.harness import ACCOUNT, HOST, KEY, GatewayFleet, Reply, run, start_fleet
 
 # Connections behind a cut hang, are reset, or live on while new ones are refused.
 CUTS: dict[str, dict[str, Any]] = {
@@ -209,6 +211,28 @@
     run(work)
 
 
+# Guards against an instance that misses the notices of the others, since it waits at no reader, and
+# asks each of those that are cut off.
+def test_a_decline_names_the_instances_that_do_not_reach_the_service(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with start_fleet(tmp_path, instances=3, zones=1, own_links=True) as fleet:
+            for name in ("front-1", "front-2"):
+                await fleet.set_link_faults(name, **CUTS["reset"])
+                await send_each_kind(fleet, name, 2)
+            node = fleet.instances["front-1"]
+            host, _, port = node.settings["listen"]["control"].rpartition(":")
+            terms = {"sender": "front-0", "config_version": 1, "targets": 0}
+            headers = {"Host": HOST, "Attempt-Id": "a1", "X-Api-Key": KEY, "Deadline-Ms": "2000"}
+            headers["Rhubarbbend-Detour"] = json.dumps(terms)
+            reply = await fleet.call((host, int(port)), "GET", "/read/x", b"", headers)
+            refusal = read_refusal(reply.headers)
+            assert refusal is not None and refusal.verdict is Verdict.NOT_RUN
+            assert [notice.instance for notice in refusal.reach] == ["front-1", "front-2"]
+            assert not any(notice.is_reached for notice in refusal.reach)
+
+    run(work)
+
+
 # Guards against bodies, deadlines or terms that change on the way through another instance.
 def test_a_request_reaches_the_target_as_its_caller_sent_it(tmp_path: Path) -> None:
     async def work() -> None:
