Detours: a target that another task tries shows nothing at a check of its service

Found by reading: at a check, a target that a request was just trying counted as one that accepts no connection, so that an instance could have said for a moment that it does not reach a service of one or two targets.

--- a/rhubarbbend/core/detours/_helpers.py
+++ b/rhubarbbend/core/detours/_helpers.py
@@ -9,7 +9,7 @@
 
 import math
 from collections import Counter, deque
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from itertools import chain
 from typing import Final
 
@@ -33,12 +33,16 @@
 # The own zone comes first while at least this fraction of it can be asked. The few that are left
 # would otherwise get the requests of the whole zone.
 MIN_OWN_ZONE_FRACTION: Final = 0.5
-# Of a helper in the own zone, none of which has declined, that has room and no request from here.
-BEST_RANK: Final = (False, 0, False, 0)
 # If this fraction of the other instances is heard, one that is not heard is not asked.
 MIN_HEARD_FRACTION: Final = 0.5
 
 
+# Helpers are compared by whether they had no room, how many of their zone have declined, whether
+# they are in another zone than is preferred, and the requests that they have from here.
+Rank = tuple[bool, int, bool, int]
+BEST_RANK: Final[Rank] = (False, 0, False, 0)
+
+
 class _Backoff:
     """How long a helper that declined is not asked again for a destination."""
 
@@ -106,7 +110,7 @@
         asked_by_zone = Counter(zones[name] for name in asked if name in zones)
         prefers_own_zone = self._can_use_own_zone(unreached_by)
 
-        def rank(name: str) -> tuple[bool, int, bool, int]:
+        def rank(name: str) -> Rank:
             return (
                 now < self._busy_until.get((destination, name), -math.inf),
                 asked_by_zone[zones[name]],
@@ -114,20 +118,16 @@
                 self._in_flight[name],
             )
 
-        best: str | None = None
-        best_rank = BEST_RANK
         order = self._own_zone_first if prefers_own_zone else self._order
-        for name in chain(answering, order if may_try_others else ()):
-            if name in asked or name in unreached_by or not is_heard(name):
-                continue
-            if not self._may_ask(destination, name, now):
-                continue
-            name_rank = rank(name)
-            if name_rank == BEST_RANK:
-                return name
-            if best is None or name_rank < best_rank:
-                best, best_rank = name, name_rank
-        return best
+        candidates = (
+            name
+            for name in chain(answering, order if may_try_others else ())
+            if name not in asked
+            and name not in unreached_by
+            and is_heard(name)
+            and self._may_ask(destination, name, now)
+        )
+        return _find_first_best(candidates, rank)
 
     def _can_use_own_zone(self, unreached_by: Collection[str]) -> bool:
         """Return whether most of the own zone can be asked, as far as they have said."""
@@ -247,3 +247,16 @@
 
     def _get_backoff(self, destination: str, helper: str) -> _Backoff:
         return self._backoffs.setdefault((destination, helper), _Backoff())
+
+
+def _find_first_best(names: Iterable[str], rank: Callable[[str], Rank]) -> str | None:
+    """Return the first name with the lowest rank; none after one of the best rank is looked at."""
+    best: str | None = None
+    best_rank = BEST_RANK
+    for name in names:
+        name_rank = rank(name)
+        if name_rank == BEST_RANK:
+            return name
+        if best is None or name_rank < best_rank:
+            best, best_rank = name, name_rank
+    return best
--- a/rhubarbbend/core/detours/_reach.py
+++ b/rhubarbbend/core/detours/_reach.py
@@ -16,7 +16,7 @@
 # How long a notice of another instance holds. It is as a rule taken back by a later one; this is
 # for an instance that has ended or whose later notice was lost.
 NOTICE_TTL_S: Final = 30.0
-# An instance whose requests still find no target tells the others again after this time.
+# An instance that still does not reach a service tells the others again after this time.
 REPEAT_INTERVAL_S: Final = 10.0
 
 
@@ -49,8 +49,8 @@
 
     def __init__(self, instance: str) -> None:
         self._instance = instance
-        # Since when this instance has not reached a service, and when the others were told last.
-        self._unreached_since: dict[str, float] = {}
+        # The services that this instance does not reach, and when the others were told last.
+        self._unreached: set[str] = set()
         self._told_at: dict[str, float] = {}
         self._reports: dict[str, dict[str, _Report]] = {}
         self._unsent: dict[str, ReachNotice] = {}
@@ -59,24 +59,21 @@
 
     def is_unreached_here(self, service: str) -> bool:
         """Return whether this instance has lost its links to the targets of a service."""
-        return service in self._unreached_since
-
-    def list_unreached_here(self) -> list[str]:
-        """Return the services that this instance has lost its links to."""
-        return list(self._unreached_since)
+        return service in self._unreached
 
     def record_unreached(self, service: str, now: float) -> bool:
-        """Record that a request found no target of a service; return whether that is new."""
-        is_new = service not in self._unreached_since
-        self._unreached_since.setdefault(service, now)
+        """Record that no target of a service is reached; return whether that is new."""
+        is_new = service not in self._unreached
+        self._unreached.add(service)
         if is_new or now - self._told_at.get(service, -math.inf) >= REPEAT_INTERVAL_S:
             self._tell(service, is_reached=False, now=now)
         return is_new
 
     def record_reached(self, service: str, now: float) -> bool:
         """Record that the targets of a service are reached; return whether that is new."""
-        if self._unreached_since.pop(service, None) is None:
+        if service not in self._unreached:
             return False
+        self._unreached.discard(service)
         self._tell(service, is_reached=True, now=now)
         return True
 
@@ -117,7 +114,7 @@
 
     def list_notices(self, now: float) -> list[ReachNotice]:
         """Return what is known of services that are not reached, for an instance that joins."""
-        services = dict.fromkeys([*self._unreached_since, *self._reports])
+        services = sorted(self._unreached | self._reports.keys())
         return [notice for service in services for notice in self.list_service(service, now)]
 
     def list_service(self, service: str, now: float) -> list[ReachNotice]:
--- a/rhubarbbend/core/placement/_health.py
+++ b/rhubarbbend/core/placement/_health.py
@@ -278,6 +278,11 @@
         record = self._records.get(target)
         return record is not None and record.is_displaced
 
+    def is_on_trial(self, target: str, now: float) -> bool:
+        """Whether a connection to an unreachable target is being tried."""
+        record = self._records.get(target)
+        return record is not None and now < record.trial_until
+
     def is_blocked(self, target: str, now: float) -> bool:
         """Whether no request may be sent to a target now.
 
--- a/rhubarbbend/gateway/_target_prober.py
+++ b/rhubarbbend/gateway/_target_prober.py
@@ -106,7 +106,7 @@
             self._checking.discard(service)
         if any(reached) or not sample:
             self._record_reached(service, self._clock())
-        else:
+        elif None not in reached:
             self._record_unreached(service, self._clock())
 
     def _select_sample(self, service: str, now: float) -> list[Target]:
@@ -119,12 +119,15 @@
             for target in self._state.random.sample(targets, min(SAMPLE_PER_ZONE, len(targets)))
         ]
 
-    async def _try(self, target: Target) -> bool:
-        """Return whether a target accepts a new connection; one that just did not is not tried."""
+    async def _try(self, target: Target) -> bool | None:
+        """Return whether a target accepts a new connection; one that just did not is not tried.
+
+        Return None while another task tries it.
+        """
         health = self._state.health
         now = self._clock()
         if health.is_blocked(target.id, now):
-            return False
+            return None if health.is_on_trial(target.id, now) else False
         health.begin_trial(target.id, now)
         try:
             connection = await Connection.open(target.address, CONNECT_TIMEOUT_S)
