Detours: a check of a service leaves no idle connection to targets that were reachable

Found by reading: behind a partition of zones, requests meet targets that accept no connection for as long as it lasts, and each check, up to four a second, would have left two idle connections to targets of the own zone, which count towards what these accept.

--- a/rhubarbbend/gateway/_target_prober.py
+++ b/rhubarbbend/gateway/_target_prober.py
@@ -128,7 +128,7 @@
         now = self._clock()
         if health.is_blocked(target.id, now):
             return None if health.is_on_trial(target.id, now) else False
-        health.begin_trial(target.id, now)
+        was_unreachable = health.begin_trial(target.id, now)
         try:
             connection = await Connection.open(target.address, CONNECT_TIMEOUT_S)
         except HttpFailure:
@@ -136,6 +136,11 @@
             return False
         now = self._clock()
         health.record_connected(target.id, now)
-        connection.idle_since = now
-        self._pool.add_idle(connection)
+        if was_unreachable:
+            connection.idle_since = now
+            self._pool.add_idle(connection)
+        else:
+            # Checks go on for as long as requests meet others that accept none, and idle
+            # connections would use up what the targets accept.
+            connection.close()
         return True
