What became of a lost target is asked again if nobody could tell

Cause: what became of a target is asked once, of one instance in each zone, right after the loss. At that moment the instances that are cut off together do not know it of one another, so one of them is asked and cannot tell. That stood until a request that is held asks again.

Fix: while a loss is unexplained, it is asked about up to three times, 0.4 s apart. By then the instances have told that they reach nothing, and are passed over.

--- a/rhubarbbend/gateway/_crash_detector.py
+++ b/rhubarbbend/gateway/_crash_detector.py
@@ -34,6 +34,10 @@
 # What became of a target is asked at a random moment within this time multiplied by the number of
 # instances: several may have lost it, and the first one tells the others.
 FATE_SPREAD_S: Final = 0.005
+# A target is asked about so often, with this pause between, until somebody can tell. When many
+# instances lose their links together, they ask each other at first.
+MAX_FATE_CHECKS: Final = 3
+FATE_CHECK_INTERVAL_S: Final = 0.4
 # Lost targets that are remembered after their registrations have gone.
 MAX_LOST_TARGETS: Final = 500
 
@@ -280,8 +284,12 @@
         Later it may have started again, and nothing may tell this start from the one before.
         """
         spread_s = FATE_SPREAD_S * len(self._state.list_instance_ids())
-        await asyncio.sleep(self._state.random.uniform(0.0, spread_s))
-        if self._state.crashes.is_unexplained(target.incarnation):
+        for number in range(MAX_FATE_CHECKS):
+            if number:
+                await asyncio.sleep(FATE_CHECK_INTERVAL_S)
+            await asyncio.sleep(self._state.random.uniform(0.0, spread_s))
+            if not self._state.crashes.is_unexplained(target.incarnation):
+                return
             await self.settle(request, [target.incarnation])
 
     async def _check_health(self, request: OpenRequest, target: Target, is_reachable: bool) -> bool:
