--- a/loadtool/__main__.py
+++ b/loadtool/__main__.py
@@ -76,6 +76,8 @@
         flaps=options.flaps,
         starting=options.starting,
         store_lost=options.store_lost,
+        delay=options.delay,
+        after=options.after,
         duration=options.duration,
     )
     return _group_cut.main(seeds, chosen, options.instances, options.duration)
@@ -94,6 +96,12 @@
     cut.add_argument("--service", default="", choices=("", "plain", "llm"))
     cut.add_argument("--flaps", action="store_true", help="the cut comes and goes")
     cut.add_argument("--starting", type=int, default=0, help="instances that start meanwhile")
+    cut.add_argument(
+        "--delay", type=float, default=0.0, help="seconds until engines begin to answer"
+    )
+    cut.add_argument(
+        "--after", type=float, default=0.0, help="seconds that callers go on once links are back"
+    )
     cut.add_argument("--store-lost", action="store_true", help="the store is silent meanwhile")
 
 
--- a/loadtool/_group_cut.py
+++ b/loadtool/_group_cut.py
@@ -64,7 +64,9 @@
     Only links to targets of `service` are cut, unless it is empty. The cut comes and goes if it
     `flaps`. `starting` of the cut-off instances start during the cut only. With `store_lost` the
     store is silent from the beginning of the cut on. With `limits_admission` requests that their
-    service has no room for wait or are refused.
+    service has no room for wait or are refused. Engines begin to answer after `delay` seconds: the
+    longer that takes, the more requests a cut breaks off. Callers go on for `after` seconds once
+    the links are back.
     """
 
     instances: int = 36
@@ -80,7 +82,14 @@
     starting: int = 0
     store_lost: bool = False
     limits_admission: bool = True
+    delay: float = 0.0
     duration: float = 12.0
+    after: float = 0.0
+
+    @property
+    def end(self) -> float:
+        """When the last request is sent, in seconds after the beginning of the cut."""
+        return self.duration + self.after
 
 
 @attrs.define(slots=True, frozen=True)
@@ -118,7 +127,23 @@
     def find_violations(self) -> list[str]:
         """Return a line for each guarantee that was broken."""
         ends = f"crashes: {', '.join(self.false_ends[:5])} taken for ended, but run"
-        return [*self._find_refused_callers(), *([ends] if self.false_ends else [])]
+        return [
+            *self._find_refused_callers(),
+            *self._find_refused_after(),
+            *([ends] if self.false_ends else []),
+        ]
+
+    def _find_refused_after(self) -> list[str]:
+        """Return a line if callers are not served anywhere once the links are back.
+
+        What was taken for crashes may be refused everywhere, so instances are not compared.
+        """
+        since = self.options.duration + CONTACT_S
+        counts = [self.count(is_cut, since, self.options.end) for is_cut in (True, False)]
+        served, sent = (sum(values) for values in zip(*counts, strict=True))
+        if sent - served <= MAX_FAILED + MAX_FAILED_FRACTION * sent:
+            return []
+        return [f"links: {served} of {sent} first tries served from {CONTACT_S:.0f} s after a cut"]
 
     def _find_refused_callers(self) -> list[str]:
         """Return a line if the users' rule on first tries is broken, from `CONTACT_S` on."""
@@ -137,7 +162,7 @@
         ]
 
     def count_failures(self) -> Counter[tuple[str, int, str]]:
-        """Count the failures at cut-off instances from `CONTACT_S` on, by kind and answer."""
+        """Count the failures at instances of the group from `CONTACT_S` on, by kind and answer."""
         return Counter(
             (t.kind, t.status, t.error)
             for t in self.tries
@@ -186,7 +211,9 @@
     def _choose_victims(self) -> list[str]:
         names = list(self._fleet.instances)
         if self._options.share > 0.0:
-            count = min(len(names) - 1, round(self._options.share * len(names)))
+            count = round(self._options.share * len(names))
+            if self._options.share < 1.0:
+                count = min(len(names) - 1, count)
             return self._chooser.sample(names, count)
         zones = {f"zone-{letter}" for letter in "abc"[: self._options.zones_cut]}
         return [n for n, node in self._fleet.instances.items() if node.settings["zone"] in zones]
@@ -194,6 +221,8 @@
     async def run(self) -> CutResult:
         starting = sorted(self._result.cut_off)[: self._options.starting]
         await asyncio.gather(*(self._stop(name) for name in starting))
+        if self._options.delay > 0.0:
+            await self._fleet.set_service_faults("llm", delay=self._options.delay)
         self._began_at = time.monotonic() + WARM_UP_S
         await asyncio.gather(
             self._send_all(), self._cut_links(), self._start_late(starting), self._lose_store()
@@ -236,10 +265,12 @@
             await self._sleep_until(at)
             await self._set_faults(LINK_FAULTS[self._options.cut])
             if not self._options.flaps:
-                return
+                break
             await self._sleep_until(at + FLAP_INTERVAL_S)
             await self._set_faults(NO_LINK_FAULTS)
             at += 2.0 * FLAP_INTERVAL_S
+        await self._sleep_until(self._options.duration)
+        await self._set_faults(NO_LINK_FAULTS)
 
     async def _set_faults(self, faults: dict[str, Any]) -> None:
         """Set faults on the links of all instances of the group at once."""
@@ -261,7 +292,7 @@
     async def _send_all(self) -> None:
         async with asyncio.TaskGroup() as group:
             number = 0
-            while (at := number / self._options.rate) < WARM_UP_S + self._options.duration:
+            while (at := number / self._options.rate) < WARM_UP_S + self._options.end:
                 await self._sleep_until(at - WARM_UP_S)
                 group.create_task(self._send(number))
                 number += 1
@@ -284,13 +315,14 @@
 def format_cut(result: CutResult) -> str:
     """Return what was served in each second, and the failures, as text."""
     lines = ["  second: served of sent at instances without links / at the others"]
-    for second in range(int(result.options.duration)):
+    for second in range(int(result.options.end)):
         own, others = (result.count(is_cut, second, second + 1) for is_cut in (True, False))
         lines.append(f"  {second:3}: {own[0]} of {own[1]} / {others[0]} of {others[1]}")
     for is_cut, label in ((True, "without links"), (False, "the others")):
         by_kind: dict[str, list[int]] = defaultdict(lambda: [0, 0])
         for t in result.tries:
-            if t.at >= CONTACT_S and (t.instance in result.cut_off) is is_cut:
+            is_judged = CONTACT_S <= t.at < result.options.duration
+            if is_judged and (t.instance in result.cut_off) is is_cut:
                 by_kind[t.kind][0] += t.is_served
                 by_kind[t.kind][1] += 1
         counts = ", ".join(f"{k} {n[0]} of {n[1]}" for k, n in sorted(by_kind.items()))
