--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
 import struct
 import time
@@ -25,6 +26,10 @@
 )
 
 
+# A quarter of what a small machine may have open.
+MAX_ACCEPTED_AT_ONCE = 256
+
+
 async def respond_with_body_size(exchange: Exchange) -> None:
     """Respond with the size of the body, after a delay if the path is `/wait`."""
     if exchange.target == "/wait":
@@ -208,3 +213,29 @@
             await server.close()
 
     asyncio.run(scenario())
+
+
+# Guards against a crowd of new connections that are all accepted, and are open files, before the
+# first of those over the limit is closed.
+@pytest.mark.parametrize("is_listening", [False, True])
+def test_few_connections_are_accepted_at_a_time(is_listening: bool) -> None:
+    async def work() -> None:
+        server = HttpServer(respond_with_body_size, LIMITS)
+        if is_listening:
+            listener = socket.create_server((HOST, 0), backlog=1_024)
+            port = listener.getsockname()[1]
+            await server.listen_on(listener)
+        else:
+            port = await server.listen(HOST, 0)
+        callers = [socket.create_connection((HOST, port), timeout=5.0) for _ in range(300)]
+        counts = [len(os.listdir("/proc/self/fd"))]
+        for _ in range(20):
+            await asyncio.sleep(0)
+            counts.append(len(os.listdir("/proc/self/fd")))
+        assert 0 < max(counts) - counts[0] <= MAX_ACCEPTED_AT_ONCE
+        for caller in callers:
+            caller.close()
+        server.stop_accepting()
+        await server.finish()
+
+    asyncio.run(work())
