An instance learns of crashes at its start although the store takes no write

Cause: an instance heard of crashes only in the replies to its announcement, which follows its first write to the store. Requests waited 0.8 s for that and then went on as if there were no crashes.

Starts with a store that answers send nothing more.

--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import itertools
 import os
 import signal
 from collections.abc import Coroutine
@@ -72,8 +74,14 @@
 # Time left before the process is killed, in which the last bytes are sent.
 STOP_MARGIN_S: Final = 0.6
 STOP_POLL_INTERVAL_S: Final = 0.05
-# Instances that are asked, one after the other, for the crashes that this one missed.
+# Instances that are asked for the crashes that this one missed: one after the other, or after the
+# start together.
 MAX_PEERS_ASKED: Final = 3
+# After the start an instance hears of crashes as it joins, which takes a write to the store. If
+# that takes longer than this, it asks on its own, at first as often as requests wait for it.
+JOIN_WAIT_S: Final = 0.2
+FIRST_CRASH_QUERIES: Final = 3
+CRASH_QUERY_INTERVAL_S: Final = 2.0
 
 
 class Instance:
@@ -238,6 +246,7 @@
             self._background.spawn_loop(loop)
         if settings.peers is not None:
             self._background.spawn_loop(self._in_flight_protocol.run)
+            self._spawn(self._learn_crashes())
         if settings.peer_address is not None:
             sends_from = settings.peers if settings.advertised is not None else None
             row = InstanceRow(
@@ -281,6 +290,21 @@
             if await self._peers.fetch_crashes(address):
                 return
 
+    async def _learn_crashes(self) -> None:
+        """Learn what others know of crashes also if the store takes no write of this instance."""
+        learned = self.state.crashes_learned
+        first = itertools.repeat(JOIN_WAIT_S, FIRST_CRASH_QUERIES)
+        for interval in itertools.chain(first, itertools.repeat(CRASH_QUERY_INTERVAL_S)):
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(interval):
+                    await learned.wait()
+            if learned.is_set():
+                return
+            peers = self.state.list_peer_addresses()
+            chosen = self.state.random.sample(peers, min(MAX_PEERS_ASKED, len(peers)))
+            if any(await asyncio.gather(*map(self._peers.fetch_crashes, chosen))):
+                learned.set()
+
     async def _run_rollouts(self) -> None:
         """Take part in roll-outs from the first one that is ordered."""
         await self.state.rollout_ordered.wait()
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -201,6 +201,27 @@
     run(work)
 
 
+# Guards against an instance that takes not having been told of crashes for there being none, since
+# it asked the others only once the store had taken its row (BUDGET).
+def test_an_instance_that_starts_while_the_store_is_silent_knows_of_crashes(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with start_fleet(
+            tmp_path, instances=2, plain_worker_count=12, engine_worker_count=1
+        ) as fleet:
+            await fleet.set_service_faults("plain", crash_on="poison")
+            await repeat(fleet, "/book/x", 6, 0.3)
+            before = len(list_crash_times(fleet))
+            await fleet.add_instance("front-2", "zone-c")
+            await fleet.set_store_faults(silent=True)
+            await fleet.start_instance("front-2")
+            await fleet.wait_ready("front-2")
+            for _ in range(4):
+                await fleet.send_request("/book/x", POISON, instance="front-2")
+            assert len(list_crash_times(fleet)) == before <= MAX_CRASHES
+
+    run(work)
+
+
 # Guards against several such requests, each of which made the crashes of the others look doubtful.
 def test_several_requests_that_crash_workers_are_each_refused(tmp_path: Path) -> None:
     async def work() -> None:
