Tests of lost links wait longer for what they check

After a partition the users judge callers from 3 s on. Two new tests waited 1.2 s, which a busy machine may exceed; they wait 3.0 and 1.5 s now.

--- a/tests/gateway/test_lost_links.py
+++ b/tests/gateway/test_lost_links.py
@@ -388,7 +388,7 @@
             await asyncio.sleep(1.0)
             await fleet.set_service_faults("llm", delay=0.0)
             await fleet.set_link_faults("front-2", **NO_CUT)
-            await asyncio.sleep(1.2)
+            await asyncio.sleep(CONTACT_S)
             later = range(100, 124)
             names = 8 * tuple(fleet.instances)
             replies = await asyncio.gather(
@@ -427,7 +427,8 @@
             await wait_until("nobody can tell what became of a target", has_asked)
             with_links.resume()
             await asyncio.gather(*streams)
-            await asyncio.sleep(1.2)
+            # It is asked again within half a second.
+            await asyncio.sleep(1.5)
             later = [send_prompt(fleet, name, 100 + number) for number, name in enumerate(names)]
             assert count_served(await asyncio.gather(*later)) == len(later)
             assert list_suspects(fleet).isdisjoint({"prompt-100", "prompt-101"})
