--- a/rhubarbbend/gateway/_instance.py
+++ b/rhubarbbend/gateway/_instance.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import itertools
 import os
 import signal
 from collections.abc import Coroutine
@@ -25,6 +23,7 @@
 from rhubarbbend.gateway._crash_detector import CrashDetector
 from rhubarbbend.gateway._crash_gate import CrashGate
 from rhubarbbend.gateway._crash_news import CrashNews
+from rhubarbbend.gateway._crash_queries import CrashQueries
 from rhubarbbend.gateway._crash_trials import TrialClient
 from rhubarbbend.gateway._detour_server import DetourServer
 from rhubarbbend.gateway._detours import DetourClient
@@ -41,7 +40,6 @@
 from rhubarbbend.gateway._request_server import RequestServer
 from rhubarbbend.gateway._server_limits import make_caller_limits, make_peer_limits
 from rhubarbbend.gateway._settings import (
-    Address,
     GatewaySettings,
     SettingsInvalid,
     SettingsReader,
@@ -74,14 +72,6 @@
 # Time left before the process is killed, in which the last bytes are sent.
 STOP_MARGIN_S: Final = 0.6
 STOP_POLL_INTERVAL_S: Final = 0.05
-# Instances that are asked for the crashes that this one missed: one after the other, or after the
-# start together.
-MAX_PEERS_ASKED: Final = 3
-# After the start an instance hears of crashes as it joins, which takes a write to the store. If
-# that takes longer than this, it asks on its own, at first as often as requests wait for it.
-JOIN_WAIT_S: Final = 0.2
-FIRST_CRASH_QUERIES: Final = 3
-CRASH_QUERY_INTERVAL_S: Final = 2.0
 
 
 class Instance:
@@ -109,6 +99,7 @@
         detours = self._make_detour_client(attempts)
         selector = ReaderSelector(settings.instance, settings.zone)
         self._peers = PeerClient(self.state, self._peer_pool, selector)
+        self._crash_queries = CrashQueries(self.state, self._peers)
         self._peer_server = PeerServer(self.state)
         checker = self._make_target_checker(attempts)
         self._prober = TargetProber(self.state, self._pool, read_clock)
@@ -169,7 +160,7 @@
 
     def _set_up_crash_detection(self, attempts: AttemptRunner, checker: TargetChecker) -> CrashGate:
         """Have attempts report losses of targets, and return the gate that they have to pass."""
-        self._peers.on_regained = lambda peer: self._spawn(self._fetch_crashes(peer))
+        self._peers.on_regained = lambda peer: self._spawn(self._crash_queries.fetch(peer))
         news = CrashNews(self._peers, self._spawn)
         detector = CrashDetector(self.state, news, checker, attempts.answering, self._spawn)
         self.state.on_losses_learned = detector.clear_answered_parts
@@ -246,7 +237,7 @@
             self._background.spawn_loop(loop)
         if settings.peers is not None:
             self._background.spawn_loop(self._in_flight_protocol.run)
-            self._spawn(self._learn_crashes())
+            self._spawn(self._crash_queries.learn_at_start())
         if settings.peer_address is not None:
             sends_from = settings.peers if settings.advertised is not None else None
             row = InstanceRow(
@@ -280,30 +271,7 @@
         self._follower.refresh()
         self.state.registry.record_gap(now)
         self.state.version_history.forget()
-        self._spawn(self._fetch_crashes())
-
-    async def _fetch_crashes(self, peer: Address | None = None) -> None:
-        """Learn what others know of crashes, of which this instance may have missed updates."""
-        peers = self.state.list_peer_addresses() if peer is None else [peer]
-        self.state.random.shuffle(peers)
-        for address in peers[:MAX_PEERS_ASKED]:
-            if await self._peers.fetch_crashes(address):
-                return
-
-    async def _learn_crashes(self) -> None:
-        """Learn what others know of crashes also if the store takes no write of this instance."""
-        learned = self.state.crashes_learned
-        first = itertools.repeat(JOIN_WAIT_S, FIRST_CRASH_QUERIES)
-        for interval in itertools.chain(first, itertools.repeat(CRASH_QUERY_INTERVAL_S)):
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(interval):
-                    await learned.wait()
-            if learned.is_set():
-                return
-            peers = self.state.list_peer_addresses()
-            chosen = self.state.random.sample(peers, min(MAX_PEERS_ASKED, len(peers)))
-            if any(await asyncio.gather(*map(self._peers.fetch_crashes, chosen))):
-                learned.set()
+        self._spawn(self._crash_queries.fetch())
 
     async def _run_rollouts(self) -> None:
         """Take part in roll-outs from the first one that is ordered."""
--- a/rhubarbbend/http/_server.py
+++ b/rhubarbbend/http/_server.py
@@ -46,18 +46,13 @@
 )
 from rhubarbbend.http._send_progress import limit_kernel_buffer
 from rhubarbbend.http._server_limits import ServerLimits
-from rhubarbbend.listening import find_port
+from rhubarbbend.listening import find_port, open_server, serve_listener
 
 # How long a connection without a request yet stays open after the server has stopped accepting: its
 # first request may already be on its way.
 IDLE_CLOSE_DELAY_S: Final = 0.5
 # What an open connection takes in this process while nothing is received on it.
 IDLE_CONNECTION_BYTES: Final = 12_288
-# Maximum number of connections that the kernel queues until they are accepted.
-LISTEN_BACKLOG: Final = 1024
-# Maximum number of connections accepted in one iteration of the event loop. One over the limit on
-# connections is closed only some iterations later, and is an open file until then.
-ACCEPT_BATCH: Final = 32
 TOO_SLOW: Final = "request took too long to send"
 
 Handler = Callable[["Exchange"], Awaitable[None]]
@@ -69,15 +64,6 @@
     pass
 
 
-def _restore_backlog(listener: socket) -> None:
-    """Set the length of a listening socket's queue, and close this reference to the socket.
-
-    asyncio takes one number for the queue and for what it accepts in one iteration.
-    """
-    with listener:
-        listener.listen(LISTEN_BACKLOG)
-
-
 class HttpServer:
     """An HTTP server on one address. Invariant: each open connection has one task in `_tasks`.
 
@@ -125,22 +111,12 @@
 
     async def listen(self, host: str, port: int) -> int:
         """Start to accept connections on `host` and `port`; return the port in use."""
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            self._make_protocol, host, port, backlog=ACCEPT_BATCH
-        )
-        for listener in self._server.sockets:
-            _restore_backlog(listener.dup())
+        self._server = await open_server(self._make_protocol, host, port)
         return find_port(self._server)
 
     async def listen_on(self, listener: socket) -> None:
         """Start to accept connections on a socket that is already listening."""
-        loop = asyncio.get_running_loop()
-        # Runs before the loop accepts anything, since connections may be waiting already.
-        loop.call_soon(_restore_backlog, listener.dup())
-        self._server = await loop.create_server(
-            self._make_protocol, sock=listener, backlog=ACCEPT_BATCH
-        )
+        self._server = await serve_listener(self._make_protocol, listener)
 
     def _make_protocol(self) -> asyncio.StreamReaderProtocol:
         loop = asyncio.get_running_loop()
