--- a/rhubarbbend/gateway/_crash_detector.py
+++ b/rhubarbbend/gateway/_crash_detector.py
@@ -1,8 +1,8 @@
 """Records targets that are lost under requests, and finds out whether they have ended.
 
 A first loss is told to the other instances at once, since the caller may send the request again
-anywhere. What became of a target is found out soon if it accepts no connections, and again when a
-request comes that has lost several.
+anywhere. What became of a target is found out soon if it accepts no connections, again when a
+request comes that has lost several, and once this instance has regained its links to the service.
 """
 
 from __future__ import annotations
